--- /dev/null
+++ b/cmd/rwctl/main.go
@@ -0,0 +1,4 @@
+// Command rwctl is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/rwload/main.go
@@ -0,0 +1,4 @@
+// Command rwload is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/rwcode/rwcode.go
@@ -0,0 +1,61 @@
+// Package rwcode enumerates every failure, refusal and retry reason of the
+// system. The text of a code is its name on the wire and in the counters.
+package rwcode
+
+//go:generate go tool stringer -type=Code -linecomment
+
+// Code is the reason for a failure, a refusal or a retry.
+type Code int
+
+// The codes. New codes go at the end: the text is on the wire, the number is
+// in no message.
+const (
+	None                Code = iota // none
+	Internal                        // internal
+	SettingsInvalid                 // settings_invalid
+	NotReady                        // not_ready
+	Draining                        // draining
+	Unauthorized                    // unauthorized
+	UnknownAccount                  // unknown_account
+	UnknownPool                     // unknown_pool
+	UnknownKind                     // unknown_kind
+	BodyTooLarge                    // body_too_large
+	HeaderTooLarge                  // header_too_large
+	BadRequest                      // bad_request
+	SlowBody                        // slow_body
+	CallerGone                      // caller_gone
+	QueueFull                       // queue_full
+	QueueBytes                      // queue_bytes
+	TooManyConnections              // too_many_connections
+	DeadlineExceeded                // deadline_exceeded
+	DeadlineUnreachable             // deadline_unreachable
+	NoUpstream                      // no_upstream
+	UpstreamUnreachable             // upstream_unreachable
+	UpstreamRefused                 // upstream_refused
+	UpstreamLeaving                 // upstream_leaving
+	UpstreamTruncated               // upstream_truncated
+	UpstreamMalformed               // upstream_malformed
+	UpstreamMismatch                // upstream_mismatch
+	UpstreamTimeout                 // upstream_timeout
+	RetryBudget                     // retry_budget
+	OutcomeUnknown                  // outcome_unknown
+	HomeUnreachable                 // home_unreachable
+	KeyHeld                         // key_held
+	KeyMissing                      // key_missing
+	TicketInvalid                   // ticket_invalid
+	TicketGone                      // ticket_gone
+	Paused                          // paused
+	GrantExpired                    // grant_expired
+	PeerUnreachable                 // peer_unreachable
+	PeerVersion                     // peer_version
+	PeerKey                         // peer_key
+	PeerSize                        // peer_size
+	PeerMalformed                   // peer_malformed
+	PlatformDown                    // platform_down
+	PlatformMalformed               // platform_malformed
+	RecordSchema                    // record_schema
+	RecordInvalid                   // record_invalid
+	RecordStale                     // record_stale
+	ServiceMissing                  // service_missing
+	FenceStale                      // fence_stale
+)
--- /dev/null
+++ b/internal/rwkernel/rwkernel.go
@@ -0,0 +1,52 @@
+// Package rwkernel holds the services of a process. Services register under a
+// name, find each other by name and stop together.
+package rwkernel
+
+import (
+	"context"
+
+	"github.com/oklog/run"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+)
+
+// Kernel is a registry of services. Register all services before Run; after
+// that the registry doesn't change.
+type Kernel struct {
+	services map[string]any
+	group    run.Group
+}
+
+// New returns an empty kernel.
+func New() *Kernel {
+	return &Kernel{services: map[string]any{}}
+}
+
+// Register adds a service under a name. The run function, which may be nil,
+// must return soon after its context ends; when one returns, all are stopped.
+func (k *Kernel) Register(name string, service any, run func(context.Context) error) {
+	k.services[name] = service
+	if run == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	k.group.Add(
+		func() error { return run(ctx) },
+		func(error) { cancel() },
+	)
+}
+
+// Find returns the service of a name. It fails with ServiceMissing if there is
+// none or if it has another type.
+func Find[T any](k *Kernel, name string) (T, error) {
+	s, ok := k.services[name].(T)
+	if !ok {
+		return s, rwfault.New(rwcode.ServiceMissing, name)
+	}
+	return s, nil
+}
+
+// Run runs all services until one returns, stops the others and returns the
+// first one's error.
+func (k *Kernel) Run() error { return k.group.Run() }
--- /dev/null
+++ b/internal/rwlog/rwlog.go
@@ -0,0 +1,64 @@
+// Package rwlog writes numbered, structured log events. Each event has a line
+// in docs/events.md; a test holds the two against each other.
+package rwlog
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+
+	"redwingworks.example/internal/rwfault"
+)
+
+//go:generate go tool stringer -type=Event -linecomment
+
+// Event is the number of a log event. Numbers are never used again for
+// another meaning, since operators' alarms refer to them.
+type Event int
+
+// The events, grouped by hundreds: 100 process, 200 configuration, 300
+// membership, 400 requests, 500 peers, 600 scheduling, 700 idempotency keys.
+const (
+	Started           Event = 100 // started
+	Stopped           Event = 101 // stopped
+	StopRequested     Event = 102 // stop requested
+	SettingsInvalid   Event = 103 // settings invalid
+	Ready             Event = 104 // ready
+	DrainFinished     Event = 105 // drain finished
+	PauseDetected     Event = 106 // pause detected
+	RecordAdopted     Event = 200 // record adopted
+	RecordSetAside    Event = 201 // record set aside
+	RecordStale       Event = 202 // stale record ignored
+	PlatformLost      Event = 203 // platform lost
+	PlatformRestored  Event = 204 // platform restored
+	UpstreamLeaving   Event = 205 // upstream leaving
+	MemberChanged     Event = 300 // member changed
+	RequestRefused    Event = 400 // request refused
+	RequestFailed     Event = 401 // request failed
+	RequestRetried    Event = 402 // request retried
+	PeerRefused       Event = 500 // peer refused
+	PeerLost          Event = 501 // peer lost
+	CellTaken         Event = 600 // cell ownership taken
+	CellReleased      Event = 601 // cell ownership released
+	UpstreamBackedOff Event = 602 // upstream backed off
+	KeysHeld          Event = 700 // idempotency keys held
+	KeysReleased      Event = 701 // idempotency keys released
+	KeysHandedOver    Event = 702 // idempotency keys handed over
+)
+
+// New returns a logger that writes JSON lines with the process name.
+func New(w io.Writer, process string) zerolog.Logger {
+	return zerolog.New(w).With().Timestamp().Str("process", process).Logger()
+}
+
+// Info starts an informational event.
+func Info(l *zerolog.Logger, e Event) *zerolog.Event {
+	return l.Info().Int("event", int(e)).Str("name", e.String())
+}
+
+// Warn starts an event for a condition that an operator should know about.
+func Warn(l *zerolog.Logger, e Event, err error) *zerolog.Event {
+	f := rwfault.From(err)
+	return l.Warn().Int("event", int(e)).Str("name", e.String()).
+		Stringer("code", f.Code).Str("detail", f.Error())
+}
--- /dev/null
+++ b/internal/rwmetric/rwmetric.go
@@ -0,0 +1,44 @@
+// Package rwmetric counts events by expvar.
+package rwmetric
+
+import (
+	"expvar"
+
+	"redwingworks.example/internal/rwcode"
+)
+
+// Metrics are the counters of one process.
+type Metrics struct {
+	// Refusals counts refused requests by code.
+	Refusals *expvar.Map
+	// Retries counts retries by the code of the failure before.
+	Retries *expvar.Map
+	// Counters holds all other counters and gauges by name.
+	Counters *expvar.Map
+}
+
+// New returns metrics that start at zero and are published nowhere.
+func New() *Metrics {
+	return &Metrics{
+		Refusals: new(expvar.Map).Init(),
+		Retries:  new(expvar.Map).Init(),
+		Counters: new(expvar.Map).Init(),
+	}
+}
+
+// Publish makes the metrics visible at /debug/vars. It panics when it is
+// called twice in one process, as expvar does.
+func (m *Metrics) Publish() {
+	expvar.Publish("refusals", m.Refusals)
+	expvar.Publish("retries", m.Retries)
+	expvar.Publish("counters", m.Counters)
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(c rwcode.Code) { m.Refusals.Add(c.String(), 1) }
+
+// Retried counts a retry.
+func (m *Metrics) Retried(c rwcode.Code) { m.Retries.Add(c.String(), 1) }
+
+// Add adds to a counter.
+func (m *Metrics) Add(name string, n int64) { m.Counters.Add(name, n) }
--- /dev/null
+++ b/internal/rwrank/rwrank.go
@@ -0,0 +1,51 @@
+// Package rwrank ranks names for a key by rendezvous hashing: adding or
+// removing one name moves only the keys that this name wins or loses.
+package rwrank
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// Score returns the weight of a name for a key. Equal inputs give equal
+// scores in every process.
+func Score(key, name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(name))
+	return mix(h.Sum64())
+}
+
+// mix is the 64-bit finaliser of MurmurHash3. FNV-1a alone leaves the high
+// bits of names that differ only in the last byte correlated.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
+
+// Top returns the name with the highest score, or "" for no names.
+func Top(key string, names []string) string {
+	best, bestScore := "", uint64(0)
+	for _, n := range names {
+		s := Score(key, n)
+		if best == "" || s > bestScore || (s == bestScore && n < best) {
+			best, bestScore = n, s
+		}
+	}
+	return best
+}
+
+// Order returns the names with the highest score first.
+func Order(key string, names []string) []string {
+	out := slices.Clone(names)
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(Score(key, b), Score(key, a)), cmp.Compare(a, b))
+	})
+	return out
+}
--- /dev/null
+++ b/internal/rwrank/rwrank_test.go
@@ -0,0 +1,46 @@
+package rwrank_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwrank"
+)
+
+func names(n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprintf("router-%d", i))
+	}
+	return out
+}
+
+// Guards against a hash that gives one router most of the keys.
+func TestTopIsEven(t *testing.T) {
+	list := names(8)
+	got := map[string]int{}
+	const keys = 8000
+	for i := range keys {
+		got[rwrank.Top(fmt.Sprintf("key-%d", i), list)]++
+	}
+	for _, n := range list {
+		require.InDelta(t, keys/len(list), got[n], 150, n)
+	}
+}
+
+// Guards against a ranking that moves keys between routers that stay.
+func TestRemovalMovesOnlyTheKeysOfTheRemoved(t *testing.T) {
+	list := names(8)
+	for i := range 500 {
+		key := fmt.Sprintf("key-%d", i)
+		order := rwrank.Order(key, list)
+		require.Equal(t, order[0], rwrank.Top(key, list))
+		if order[0] != list[7] {
+			require.Equal(t, order[0], rwrank.Top(key, list[:7]))
+		} else {
+			require.Equal(t, order[1], rwrank.Top(key, list[:7]))
+		}
+	}
+}
--- /dev/null
+++ b/internal/rwrecord/rwrecord.go
@@ -0,0 +1,21 @@
+// Package rwrecord is the envelope of a published configuration record.
+package rwrecord
+
+import "encoding/json"
+
+// Record is one published record. It is immutable.
+type Record struct {
+	// Kind is "account", "kind", "upstream" or "vm".
+	Kind string `json:"kind"`
+	// Name is unique within a kind.
+	Name string `json:"name"`
+	// Rev is the platform's revision of this record. A higher revision of
+	// the same kind and name replaces a lower one, never the reverse.
+	Rev int64 `json:"rev"`
+	// Schema is the version of the form of Value.
+	Schema int `json:"schema"`
+	// Gone marks a deletion, which has a revision of its own.
+	Gone bool `json:"gone,omitempty"`
+	// Value is the body in the form that Schema names.
+	Value json.RawMessage `json:"value,omitempty"`
+}
--- /dev/null
+++ b/internal/rwsettings/rwsettings.go
@@ -0,0 +1,108 @@
+// Package rwsettings holds the settings of a router, from the environment and
+// from flags, which win.
+package rwsettings
+
+import (
+	"net"
+	"strings"
+	"time"
+
+	"github.com/caarlos0/env/v11"
+	"github.com/spf13/pflag"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+)
+
+// Settings are the settings of a router.
+type Settings struct {
+	// Name is unique in the fleet and equals the VM record's name.
+	Name string `env:"REDWING_NAME"`
+	// Zone is the availability zone.
+	Zone string `env:"REDWING_ZONE"`
+	// Region holds the zone.
+	Region string `env:"REDWING_REGION" envDefault:"main"`
+	// Listen is the address for callers.
+	Listen string `env:"REDWING_LISTEN"`
+	// Peer is the address for other routers.
+	Peer string `env:"REDWING_PEER"`
+	// Ops is the address for operators.
+	Ops string `env:"REDWING_OPS"`
+	// Platform is the base URL of the platform service, with a final slash.
+	Platform string `env:"REDWING_PLATFORM"`
+	// Key authenticates routers to each other; at least 16 bytes.
+	Key string `env:"REDWING_KEY"`
+	// Seeds are peer addresses to join by while no VM list is known.
+	Seeds []string `env:"REDWING_SEEDS"`
+	// Policy is "fleet", or "local" for the baseline without any exchange.
+	Policy string `env:"REDWING_POLICY" envDefault:"fleet"`
+	// Drain is how long a router stays reachable but not ready at shutdown,
+	// so that the balancer notices.
+	Drain time.Duration `env:"REDWING_DRAIN" envDefault:"2s"`
+	// Hold is how long idempotency keys are held when the whole fleet starts.
+	Hold time.Duration `env:"REDWING_HOLD" envDefault:"5s"`
+	// Cell is the largest number of upstreams in one cell.
+	Cell int `env:"REDWING_CELL" envDefault:"4"`
+}
+
+const minKeyBytes = 16
+
+// Load reads the environment.
+func Load() (Settings, error) {
+	s, err := env.ParseAs[Settings]()
+	if err != nil {
+		return s, rwfault.Wrap(rwcode.SettingsInvalid, err)
+	}
+	return s, nil
+}
+
+// Flags adds a flag for each setting, with the present values as defaults.
+func (s *Settings) Flags(f *pflag.FlagSet) {
+	f.StringVar(&s.Name, "name", s.Name, "name of this router, as in its VM record")
+	f.StringVar(&s.Zone, "zone", s.Zone, "availability zone")
+	f.StringVar(&s.Region, "region", s.Region, "region of the zone")
+	f.StringVar(&s.Listen, "listen", s.Listen, "address for callers")
+	f.StringVar(&s.Peer, "peer", s.Peer, "address for other routers")
+	f.StringVar(&s.Ops, "ops", s.Ops, "address for operators")
+	f.StringVar(&s.Platform, "platform", s.Platform, "base URL of the platform service")
+	f.StringVar(&s.Key, "key", s.Key, "key shared by all routers; prefer the environment")
+	f.StringSliceVar(&s.Seeds, "seeds", s.Seeds, "peer addresses to join by")
+	f.StringVar(&s.Policy, "policy", s.Policy, "fleet, or local for the baseline")
+	f.DurationVar(&s.Drain, "drain", s.Drain, "time between not ready and closing at shutdown")
+	f.DurationVar(&s.Hold, "hold", s.Hold, "time that idempotency keys are held when the whole fleet starts")
+	f.IntVar(&s.Cell, "cell", s.Cell, "largest number of upstreams in a cell")
+}
+
+// Check returns one fault that lists all invalid settings, or nil.
+func (s *Settings) Check() error {
+	var bad []string
+	need := func(ok bool, what string) {
+		if !ok {
+			bad = append(bad, what)
+		}
+	}
+	need(s.Name != "", "name is required")
+	need(s.Zone != "", "zone is required")
+	need(s.Region != "", "region is required")
+	need(ipPort(s.Listen), "listen must be an IP address and a port")
+	need(ipPort(s.Peer), "peer must be an IP address and a port")
+	need(ipPort(s.Ops), "ops must be an IP address and a port")
+	need(strings.HasPrefix(s.Platform, "http") && strings.HasSuffix(s.Platform, "/"), "platform must be an HTTP URL with a final slash")
+	need(len(s.Key) >= minKeyBytes, "key must have at least 16 bytes")
+	need(s.Policy == "fleet" || s.Policy == "local", "policy must be fleet or local")
+	need(s.Drain >= 0, "drain must not be negative")
+	need(s.Hold >= 0, "hold must not be negative")
+	need(s.Cell >= 1, "cell must be at least 1")
+	for _, a := range s.Seeds {
+		need(ipPort(a), "seed "+a+" must be an IP address and a port")
+	}
+	if len(bad) == 0 {
+		return nil
+	}
+	return rwfault.New(rwcode.SettingsInvalid, strings.Join(bad, "; "))
+}
+
+func ipPort(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	return err == nil && net.ParseIP(host) != nil
+}
--- /dev/null
+++ b/internal/rwsnapshot/rwsnapshot.go
@@ -0,0 +1,163 @@
+// Package rwsnapshot is an immutable view of the configuration in force.
+package rwsnapshot
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+
+	"redwingworks.example/internal/rwaccount"
+	"redwingworks.example/internal/rwkind"
+	"redwingworks.example/internal/rwupstream"
+	"redwingworks.example/internal/rwvm"
+)
+
+// Snapshot is a set of decoded records. It never changes; readers may share
+// it between goroutines.
+type Snapshot struct {
+	rev       int64
+	accounts  map[string]rwaccount.Account
+	kinds     map[string]rwkind.Kind
+	upstreams map[string]rwupstream.Upstream
+	vms       map[string]rwvm.VM
+	byKey     map[string]string
+}
+
+// Empty returns a snapshot with no records and revision 0.
+func Empty() *Snapshot { return &Snapshot{} }
+
+// Rev is the highest revision of any record in the snapshot.
+func (s *Snapshot) Rev() int64 { return s.rev }
+
+// WithRev returns a copy with at least this revision.
+func (s *Snapshot) WithRev(rev int64) *Snapshot {
+	c := *s
+	c.rev = max(c.rev, rev)
+	return &c
+}
+
+// WithAccounts returns a copy with other accounts.
+func (s *Snapshot) WithAccounts(list []rwaccount.Account) *Snapshot {
+	c := *s
+	c.accounts = make(map[string]rwaccount.Account, len(list))
+	c.byKey = map[string]string{}
+	for _, a := range list {
+		c.accounts[a.Name] = a
+		for _, k := range a.Keys {
+			c.byKey[k] = a.Name
+		}
+	}
+	return &c
+}
+
+// WithKinds returns a copy with other kinds.
+func (s *Snapshot) WithKinds(list []rwkind.Kind) *Snapshot {
+	c := *s
+	c.kinds = make(map[string]rwkind.Kind, len(list))
+	for _, k := range list {
+		c.kinds[k.Name] = k
+	}
+	return &c
+}
+
+// WithUpstreams returns a copy with other upstreams.
+func (s *Snapshot) WithUpstreams(list []rwupstream.Upstream) *Snapshot {
+	c := *s
+	c.upstreams = make(map[string]rwupstream.Upstream, len(list))
+	for _, u := range list {
+		c.upstreams[u.Name] = u
+	}
+	return &c
+}
+
+// WithVMs returns a copy with other VMs.
+func (s *Snapshot) WithVMs(list []rwvm.VM) *Snapshot {
+	c := *s
+	c.vms = make(map[string]rwvm.VM, len(list))
+	for _, m := range list {
+		c.vms[m.Name] = m
+	}
+	return &c
+}
+
+// Authenticate returns the account of a caller key.
+func (s *Snapshot) Authenticate(key string) (rwaccount.Account, bool) {
+	sum := sha256.Sum256([]byte(key))
+	a, ok := s.accounts[s.byKey[hex.EncodeToString(sum[:])]]
+	return a, ok
+}
+
+// Kind returns the kind of a name.
+func (s *Snapshot) Kind(name string) (rwkind.Kind, bool) {
+	k, ok := s.kinds[name]
+	return k, ok
+}
+
+// Account returns the account of a name.
+func (s *Snapshot) Account(name string) (rwaccount.Account, bool) {
+	a, ok := s.accounts[name]
+	return a, ok
+}
+
+// Upstream returns the upstream of a name.
+func (s *Snapshot) Upstream(name string) (rwupstream.Upstream, bool) {
+	u, ok := s.upstreams[name]
+	return u, ok
+}
+
+// VM returns the VM of a name.
+func (s *Snapshot) VM(name string) (rwvm.VM, bool) {
+	m, ok := s.vms[name]
+	return m, ok
+}
+
+// Accounts returns all accounts by name.
+func (s *Snapshot) Accounts() []rwaccount.Account {
+	return slices.SortedFunc(maps.Values(s.accounts), func(a, b rwaccount.Account) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+}
+
+// Kinds returns all kinds by name.
+func (s *Snapshot) Kinds() []rwkind.Kind {
+	return slices.SortedFunc(maps.Values(s.kinds), func(a, b rwkind.Kind) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+}
+
+// Upstreams returns all upstreams by name.
+func (s *Snapshot) Upstreams() []rwupstream.Upstream {
+	return slices.SortedFunc(maps.Values(s.upstreams), func(a, b rwupstream.Upstream) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+}
+
+// VMs returns all VMs by name.
+func (s *Snapshot) VMs() []rwvm.VM {
+	return slices.SortedFunc(maps.Values(s.vms), func(a, b rwvm.VM) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+}
+
+// HasPool reports whether any upstream serves the pool.
+func (s *Snapshot) HasPool(pool string) bool {
+	for _, u := range s.upstreams {
+		if slices.Contains(u.Pools, pool) {
+			return true
+		}
+	}
+	return false
+}
+
+// Pool returns the upstreams of a pool that are not leaving, by name.
+func (s *Snapshot) Pool(pool string) []rwupstream.Upstream {
+	var out []rwupstream.Upstream
+	for _, u := range s.Upstreams() {
+		if !u.Leaving && slices.Contains(u.Pools, pool) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rwsource/rwsource.go
@@ -0,0 +1,67 @@
+// Package rwsource reads and watches the platform service.
+package rwsource
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwrecord"
+)
+
+// Source reads one platform service.
+type Source struct {
+	client *http.Client
+	base   string
+}
+
+type listing struct {
+	Rev   int64             `json:"rev"`
+	Items []rwrecord.Record `json:"items"`
+}
+
+type watchQuery struct {
+	After int64 `url:"after"`
+	Wait  int   `url:"wait"`
+}
+
+// New returns a source for a base URL such as "http://10.0.0.1:7000/".
+func New(base string, client *http.Client) *Source {
+	return &Source{client: client, base: base}
+}
+
+// Read returns all records. It fails with PlatformDown or PlatformMalformed.
+func (s *Source) Read(ctx context.Context) ([]rwrecord.Record, error) {
+	return s.get(ctx, sling.New().Base(s.base).Get("v1/records"))
+}
+
+// Watch returns records of revisions above after, or none when the wait ends.
+// It fails with PlatformDown or PlatformMalformed.
+func (s *Source) Watch(ctx context.Context, after int64, wait time.Duration) ([]rwrecord.Record, error) {
+	q := watchQuery{After: after, Wait: int(wait / time.Second)}
+	return s.get(ctx, sling.New().Base(s.base).Get("v1/watch").QueryStruct(q))
+}
+
+func (s *Source) get(ctx context.Context, call *sling.Sling) ([]rwrecord.Record, error) {
+	req, err := call.Request()
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.Internal, err)
+	}
+	var l listing
+	resp, err := call.Client(s.client).Do(req.WithContext(ctx), &l, nil)
+	if resp == nil {
+		return nil, rwfault.Wrap(rwcode.PlatformDown, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, rwfault.New(rwcode.PlatformDown, resp.Status)
+	}
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.PlatformMalformed, err)
+	}
+	return l.Items, nil
+}
--- /dev/null
+++ b/test/rwfleet/rwfleet.go
@@ -0,0 +1,230 @@
+// Package rwfleet starts routers and stand-ins as separate processes on
+// loopback addresses, for tests and experiments.
+package rwfleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwrecord"
+)
+
+const (
+	pollInterval = 20 * time.Millisecond
+	// Key is the key that the routers of a test fleet share.
+	Key = "loopback-fleet-key"
+)
+
+// Fleet is a set of running processes. Close ends them.
+type Fleet struct {
+	// Bin is the folder with the programs.
+	Bin string
+	// Logs is the folder for the processes' output.
+	Logs string
+
+	mu    sync.Mutex
+	procs map[string]*Proc
+}
+
+// Proc is one process.
+type Proc struct {
+	Name string
+	// Addr is the address for callers, Peer the one for routers, Ops the one
+	// for operators; stand-ins have only Addr.
+	Addr, Peer, Ops string
+	Zone            string
+
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// New returns an empty fleet. Bin must hold the built programs.
+func New(bin, logs string) *Fleet {
+	return &Fleet{Bin: bin, Logs: logs, procs: map[string]*Proc{}}
+}
+
+// FreeAddr returns a loopback address that no socket uses now.
+func FreeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", rwfault.Wrap(rwcode.Internal, err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// Start starts a program. The name is unique among the running processes.
+func (f *Fleet) Start(p *Proc, program string, args ...string) error {
+	out, err := os.OpenFile(filepath.Join(f.Logs, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	p.cmd = exec.Command(filepath.Join(f.Bin, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if err := p.cmd.Start(); err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	p.done = make(chan struct{})
+	go func() {
+		_ = p.cmd.Wait()
+		_ = out.Close()
+		close(p.done)
+	}()
+	f.mu.Lock()
+	f.procs[p.Name] = p
+	f.mu.Unlock()
+	return nil
+}
+
+// Signal sends a signal, such as SIGSTOP to freeze a process.
+func (p *Proc) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// Kill ends the process at once and waits for its end.
+func (p *Proc) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Wait waits for the process to end by itself and reports whether it did in
+// time.
+func (p *Proc) Wait(limit time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// Close kills all processes.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.procs {
+		p.Kill()
+	}
+}
+
+// Platform starts the platform stand-in.
+func (f *Fleet) Platform(args ...string) (*Proc, error) {
+	return f.standIn("platform", "rwplatform", args...)
+}
+
+// Engine starts an engine stand-in.
+func (f *Fleet) Engine(name string, slots int, step time.Duration, args ...string) (*Proc, error) {
+	args = append([]string{"--name", name, "--slots", strconv.Itoa(slots), "--step", step.String()}, args...)
+	return f.standIn(name, "rwengine", args...)
+}
+
+// Service starts a plain service stand-in.
+func (f *Fleet) Service(name string, args ...string) (*Proc, error) {
+	return f.standIn(name, "rwservice", args...)
+}
+
+func (f *Fleet) standIn(name, program string, args ...string) (*Proc, error) {
+	addr, err := FreeAddr()
+	if err != nil {
+		return nil, err
+	}
+	p := &Proc{Name: name, Addr: addr}
+	return p, f.Start(p, program, append([]string{"--listen", addr}, args...)...)
+}
+
+// NewRouter chooses a router's addresses without starting it, so that its
+// record can be published first.
+func NewRouter(name, zone string) (*Proc, error) {
+	p := &Proc{Name: name, Zone: zone}
+	for _, a := range []*string{&p.Addr, &p.Peer, &p.Ops} {
+		addr, err := FreeAddr()
+		if err != nil {
+			return nil, err
+		}
+		*a = addr
+	}
+	return p, nil
+}
+
+// Router starts a router; platform is the address of the platform stand-in.
+func (f *Fleet) Router(p *Proc, platform string, args ...string) error {
+	all := []string{
+		"--name", p.Name, "--zone", p.Zone, "--listen", p.Addr, "--peer", p.Peer,
+		"--ops", p.Ops, "--platform", "http://" + platform + "/", "--key", Key,
+	}
+	return f.Start(p, "rwrouter", append(all, args...)...)
+}
+
+// VMRecord returns the record of a router.
+func VMRecord(p *Proc, state string) rwrecord.Record {
+	return Record("vm", p.Name, 1, map[string]any{
+		"addr": p.Peer, "http": p.Addr, "zone": p.Zone, "region": "main", "state": state,
+	})
+}
+
+// Record returns a record with the JSON form of value. Its revision is set by
+// the platform.
+func Record(kind, name string, schema int, value any) rwrecord.Record {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(rwfault.Wrap(rwcode.Internal, err))
+	}
+	return rwrecord.Record{Kind: kind, Name: name, Schema: schema, Value: data}
+}
+
+// Publish publishes records through the platform stand-in.
+func Publish(ctx context.Context, platform string, items ...rwrecord.Record) error {
+	data, err := json.Marshal(items)
+	if err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+platform+"/admin/records", bytes.NewReader(data))
+	if err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return rwfault.Wrap(rwcode.PlatformDown, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusNoContent {
+		text, _ := io.ReadAll(resp.Body)
+		return rwfault.New(rwcode.RecordInvalid, strings.TrimSpace(string(text)))
+	}
+	return nil
+}
+
+// WaitReady waits until the process answers its URL path with 200.
+func WaitReady(ctx context.Context, addr, path string) error {
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+		if err != nil {
+			return rwfault.Wrap(rwcode.Internal, err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return rwfault.New(rwcode.NotReady, fmt.Sprintf("%s%s", addr, path))
+		case <-time.After(pollInterval):
+		}
+	}
+}
