Connect routers by authenticated JSON-RPC links

Control and data use separate connections of a pair, so that a large order can't delay a heartbeat. Both ends prove the fleet key over a nonce of the other. Bytes of control links are counted at the sender.

--- a/internal/rwcode/rwcode.go
+++ b/internal/rwcode/rwcode.go
@@ -59,3 +59,17 @@
 	ServiceMissing                  // service_missing
 	FenceStale                      // fence_stale
 )
+
+// last is the highest code.
+const last = FenceStale
+
+// Parse returns the code of a text, or Internal for an unknown text, which a
+// router of a later version may send.
+func Parse(text string) Code {
+	for c := None; c <= last; c++ {
+		if c.String() == text {
+			return c
+		}
+	}
+	return Internal
+}
--- /dev/null
+++ b/internal/rwpeer/rwpeer.go
@@ -0,0 +1,482 @@
+// Package rwpeer connects routers by authenticated JSON-RPC links. Each
+// ordered pair of routers has one connection for control messages and, when
+// needed, one for data, so that a large order can't delay a heartbeat.
+package rwpeer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwline"
+	"redwingworks.example/internal/rwlog"
+	"redwingworks.example/internal/rwmetric"
+)
+
+const (
+	version       = 1
+	maxMessage    = 1200 << 10
+	nonceBytes    = 16
+	dialTimeout   = 500 * time.Millisecond
+	helloTimeout  = time.Second
+	writeTimeout  = 2 * time.Second
+	redialPause   = 200 * time.Millisecond
+	notifyBacklog = 4096
+)
+
+// Handler answers a message of another router. The result of a notification
+// is ignored. Notifications of one link are handled in their order, calls
+// concurrently.
+type Handler = func(ctx context.Context, from rwidentity.Identity, params json.RawMessage) (any, error)
+
+// Peers is the set of links of a router. Handlers are registered before Serve
+// and before the first Call.
+type Peers struct {
+	self     rwidentity.Identity
+	key      []byte
+	tls      *tls.Config
+	log      zerolog.Logger
+	metrics  *rwmetric.Metrics
+	handlers map[string]Handler
+
+	mu      sync.Mutex
+	control map[string]*link
+	data    map[string]*link
+	inbound map[net.Conn]struct{}
+	closed  bool
+}
+
+// link is an outgoing connection that is opened when it is needed.
+type link struct {
+	peers *Peers
+	addr  string
+	data  bool
+	queue chan notice
+
+	mu     sync.Mutex
+	conn   *jsonrpc2.Conn
+	failed time.Time
+}
+
+type notice struct {
+	method string
+	params any
+}
+
+type hello struct {
+	Ver   int    `json:"ver"`
+	Nonce string `json:"nonce"`
+	Mac   string `json:"mac,omitempty"`
+	// Data is true for a link that carries bodies; its bytes are not
+	// control traffic in either direction.
+	Data bool `json:"data,omitempty"`
+	rwidentity.Identity
+}
+
+type proof struct {
+	Mac string `json:"mac"`
+}
+
+// New returns links for a router. The TLS configuration may be nil; the key
+// authenticates both ends in any case.
+func New(self rwidentity.Identity, key string, tlsConfig *tls.Config, log zerolog.Logger, metrics *rwmetric.Metrics) *Peers {
+	return &Peers{
+		self:     self,
+		key:      []byte(key),
+		tls:      tlsConfig,
+		log:      log,
+		metrics:  metrics,
+		handlers: map[string]Handler{},
+		control:  map[string]*link{},
+		data:     map[string]*link{},
+		inbound:  map[net.Conn]struct{}{},
+	}
+}
+
+// Self is this router's identity.
+func (p *Peers) Self() rwidentity.Identity { return p.self }
+
+// Handle registers the handler of a method.
+func (p *Peers) Handle(method string, h Handler) { p.handlers[method] = h }
+
+// Call sends a control message and waits for the answer. It fails with
+// PeerUnreachable, or with the code that the peer's handler returned.
+func (p *Peers) Call(ctx context.Context, addr, method string, params, result any) error {
+	return p.link(false, addr).call(ctx, method, params, result)
+}
+
+// CallData is Call for large bodies, which are not control traffic.
+func (p *Peers) CallData(ctx context.Context, addr, method string, params, result any) error {
+	return p.link(true, addr).call(ctx, method, params, result)
+}
+
+// Notify queues a control message without waiting. Messages to an unreachable
+// peer are dropped and counted, so every sender has to repeat what matters.
+func (p *Peers) Notify(addr, method string, params any) {
+	l := p.link(false, addr)
+	select {
+	case l.queue <- notice{method, params}:
+	default:
+		p.metrics.Add("peer_messages_dropped", 1)
+	}
+}
+
+// Reset closes the outgoing control connection to a peer, so that the next
+// message opens a new one. A connection to a peer whose machine is gone would
+// otherwise keep messages until its write times out.
+func (p *Peers) Reset(addr string) {
+	p.mu.Lock()
+	l := p.control[addr]
+	p.mu.Unlock()
+	if l != nil {
+		l.drop(nil)
+	}
+}
+
+func (p *Peers) link(data bool, addr string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	set := p.control
+	if data {
+		set = p.data
+	}
+	l := set[addr]
+	if l == nil {
+		l = &link{peers: p, addr: addr, data: data, queue: make(chan notice, notifyBacklog)}
+		set[addr] = l
+		go l.run()
+	}
+	return l
+}
+
+func (l *link) run() {
+	for n := range l.queue {
+		ctx, cancel := context.WithTimeout(context.Background(), helloTimeout+dialTimeout)
+		conn, err := l.open(ctx)
+		if err == nil {
+			err = conn.Notify(ctx, n.method, n.params)
+		}
+		cancel()
+		if err != nil {
+			l.peers.metrics.Add("peer_messages_dropped", 1)
+			l.drop(conn)
+		}
+	}
+}
+
+func (l *link) call(ctx context.Context, method string, params, result any) error {
+	conn, err := l.open(ctx)
+	if err != nil {
+		return err
+	}
+	err = conn.Call(ctx, method, params, result)
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		return rwfault.New(rwcode.Parse(answered.Message), method)
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			l.drop(conn)
+		}
+		return rwfault.Wrap(rwcode.PeerUnreachable, err).WithDetail(method)
+	}
+	return nil
+}
+
+// open returns the connection and opens it if there is none. After a failure
+// it waits a moment before it tries again, so that messages to a dead peer
+// cost little.
+func (l *link) open(ctx context.Context) (*jsonrpc2.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		return l.conn, nil
+	}
+	if time.Since(l.failed) < redialPause {
+		return nil, rwfault.New(rwcode.PeerUnreachable, l.addr)
+	}
+	conn, err := l.dial(ctx)
+	if err != nil {
+		l.failed = time.Now()
+		return nil, err
+	}
+	l.conn = conn
+	go func() {
+		<-conn.DisconnectNotify()
+		l.drop(conn)
+	}()
+	return conn, nil
+}
+
+// drop closes the connection if it is still the given one; nil means any.
+func (l *link) drop(conn *jsonrpc2.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil || (conn != nil && l.conn != conn) {
+		return
+	}
+	_ = l.conn.Close()
+	l.conn = nil
+}
+
+func (l *link) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
+	p := l.peers
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.PeerUnreachable, err)
+	}
+	if p.tls != nil {
+		raw = tls.Client(raw, p.tls)
+	}
+	stream := jsonrpc2.NewBufferedStream(&counted{Conn: raw, metrics: p.metrics, counter: counter(l.data)}, rwline.Codec{Max: maxMessage})
+	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse))
+	if err := p.greet(ctx, conn, l.data); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: rwcode.PeerMalformed.String()}
+}
+
+// greet authenticates both ends: each proves the key over the other's nonce.
+func (p *Peers) greet(ctx context.Context, conn *jsonrpc2.Conn, data bool) error {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	mine := hello{Ver: version, Nonce: newNonce(), Data: data, Identity: p.self}
+	var theirs hello
+	if err := conn.Call(ctx, "hello", mine, &theirs); err != nil {
+		return rwfault.Wrap(rwcode.PeerUnreachable, err)
+	}
+	if theirs.Ver != version {
+		return p.reject(rwcode.PeerVersion, theirs.Name)
+	}
+	if !hmac.Equal([]byte(theirs.Mac), []byte(p.mac("server", mine.Nonce, theirs.Name))) {
+		return p.reject(rwcode.PeerKey, theirs.Name)
+	}
+	mac := p.mac("client", theirs.Nonce, p.self.Name)
+	if err := conn.Call(ctx, "prove", proof{Mac: mac}, nil); err != nil {
+		return rwfault.Wrap(rwcode.PeerUnreachable, err)
+	}
+	return nil
+}
+
+func (p *Peers) reject(c rwcode.Code, name string) error {
+	p.metrics.Refused(c)
+	f := rwfault.New(c, name)
+	rwlog.Warn(&p.log, rwlog.PeerRefused, f).Send()
+	return f
+}
+
+func (p *Peers) mac(role, nonce, name string) string {
+	h := hmac.New(sha256.New, p.key)
+	for _, s := range []string{role, nonce, name} {
+		_, _ = h.Write([]byte(s))
+		_, _ = h.Write([]byte{0})
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func newNonce() string {
+	b := make([]byte, nonceBytes)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// Serve accepts links until the context ends.
+func (p *Peers) Serve(ctx context.Context, l net.Listener) error {
+	if p.tls != nil {
+		l = tls.NewListener(l, p.tls)
+	}
+	stop := context.AfterFunc(ctx, func() { p.close(l) })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return rwfault.Wrap(rwcode.Internal, err)
+		}
+		p.accept(conn)
+	}
+}
+
+func (p *Peers) accept(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = conn.Close()
+		return
+	}
+	p.inbound[conn] = struct{}{}
+	out := &counted{Conn: conn, metrics: p.metrics, counter: counter(false)}
+	s := &session{peers: p, out: out}
+	stream := jsonrpc2.NewBufferedStream(out, rwline.Codec{Max: maxMessage})
+	rpc := jsonrpc2.NewConn(context.Background(), stream, s)
+	timer := time.AfterFunc(helloTimeout, func() {
+		if !s.proven() {
+			_ = rpc.Close()
+		}
+	})
+	go func() {
+		<-rpc.DisconnectNotify()
+		timer.Stop()
+		p.mu.Lock()
+		delete(p.inbound, conn)
+		p.mu.Unlock()
+	}()
+}
+
+func (p *Peers) close(l net.Listener) {
+	_ = l.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for c := range p.inbound {
+		_ = c.Close()
+	}
+	for _, set := range []map[string]*link{p.control, p.data} {
+		for _, l := range set {
+			go l.drop(nil)
+		}
+	}
+}
+
+// session is the receiving end of a link.
+type session struct {
+	peers *Peers
+	// out changes only in hello, before any answer of a handler.
+	out *counted
+
+	mu    sync.Mutex
+	from  rwidentity.Identity
+	nonce string
+	ok    bool
+}
+
+func (s *session) proven() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ok
+}
+
+// Handle implements jsonrpc2.Handler.
+func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	switch {
+	case req.Method == "hello":
+		s.hello(ctx, conn, req)
+	case req.Method == "prove":
+		s.prove(ctx, conn, req)
+	case !s.proven():
+		_ = conn.Close()
+	case req.Notif:
+		_, _ = s.answer(ctx, req)
+	default:
+		go s.reply(ctx, conn, req)
+	}
+}
+
+func (s *session) hello(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	p := s.peers
+	var h hello
+	if req.Params == nil || json.Unmarshal(*req.Params, &h) != nil || h.Ver != version {
+		_ = p.reject(rwcode.PeerVersion, h.Name)
+		_ = conn.Close()
+		return
+	}
+	s.out.counter = counter(h.Data)
+	s.mu.Lock()
+	s.from, s.nonce, s.ok = h.Identity, newNonce(), false
+	answer := hello{Ver: version, Nonce: s.nonce, Mac: p.mac("server", h.Nonce, p.self.Name), Identity: p.self}
+	s.mu.Unlock()
+	_ = conn.Reply(ctx, req.ID, answer)
+}
+
+func (s *session) prove(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	p := s.peers
+	var m proof
+	if req.Params != nil {
+		_ = json.Unmarshal(*req.Params, &m)
+	}
+	s.mu.Lock()
+	want := p.mac("client", s.nonce, s.from.Name)
+	s.ok = s.nonce != "" && hmac.Equal([]byte(m.Mac), []byte(want))
+	ok, name := s.ok, s.from.Name
+	s.mu.Unlock()
+	if !ok {
+		_ = p.reject(rwcode.PeerKey, name)
+		_ = conn.Close()
+		return
+	}
+	_ = conn.Reply(ctx, req.ID, true)
+}
+
+func (s *session) answer(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	h := s.peers.handlers[req.Method]
+	if h == nil {
+		return nil, rwfault.New(rwcode.PeerMalformed, req.Method)
+	}
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	result, err := h(ctx, s.from, params)
+	if rwfault.Is(err, rwcode.PeerMalformed) {
+		s.peers.metrics.Refused(rwcode.PeerMalformed)
+	}
+	return result, err
+}
+
+func (s *session) reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	result, err := s.answer(ctx, req)
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{
+			Code:    jsonrpc2.CodeInternalError,
+			Message: rwfault.From(err).Code.String(),
+		})
+		return
+	}
+	_ = conn.Reply(ctx, req.ID, result)
+}
+
+func counter(data bool) string {
+	if data {
+		return "peer_data_bytes_sent"
+	}
+	return "peer_bytes_sent"
+}
+
+// counted counts the bytes that a connection sends and bounds each write.
+type counted struct {
+	net.Conn
+	metrics *rwmetric.Metrics
+	counter string
+}
+
+// Write implements net.Conn.
+func (c *counted) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(b)
+	c.metrics.Add(c.counter, int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/rwpeer/rwpeer_test.go
@@ -0,0 +1,115 @@
+package rwpeer_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwpeer"
+)
+
+const (
+	key   = "0123456789abcdef"
+	limit = 5 * time.Second
+)
+
+type end struct {
+	peers   *rwpeer.Peers
+	metrics *rwmetric.Metrics
+	addr    string
+}
+
+func serve(t *testing.T, name, key string) end {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	m := rwmetric.New()
+	p := rwpeer.New(rwidentity.Identity{Name: name, Inc: 7}, key, nil, zerolog.Nop(), m)
+	p.Handle("echo", func(_ context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
+		return from.Name + string(params), nil
+	})
+	p.Handle("fail", func(context.Context, rwidentity.Identity, json.RawMessage) (any, error) {
+		return nil, rwfault.New(rwcode.KeyHeld, "")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = p.Serve(ctx, l)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return end{p, m, l.Addr().String()}
+}
+
+func call(t *testing.T, from, to end, method string, params any) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var out string
+	err := from.peers.Call(ctx, to.addr, method, params, &out)
+	return out, err
+}
+
+// Guards against lost identity and against failures that lose their code.
+func TestCallCarriesIdentityAndCode(t *testing.T) {
+	a, b := serve(t, "a", key), serve(t, "b", key)
+	out, err := call(t, a, b, "echo", 5)
+	require.NoError(t, err)
+	require.Equal(t, "a5", out)
+	_, err = call(t, a, b, "fail", nil)
+	require.True(t, rwfault.Is(err, rwcode.KeyHeld), "%v", err)
+}
+
+// Guards against a peer that is let in without the fleet's key.
+func TestWrongKeyIsRefused(t *testing.T) {
+	a, b := serve(t, "a", "another-key-of-16"), serve(t, "b", key)
+	_, err := call(t, a, b, "echo", 5)
+	require.Error(t, err)
+	require.Equal(t, "1", a.metrics.Refusals.Get(rwcode.PeerKey.String()).String())
+}
+
+// Guards against a caller that skips the handshake, sends a broken message or
+// one without an end, and against memory that such a message would take.
+func TestBadFirstMessages(t *testing.T) {
+	b := serve(t, "b", key)
+	for _, text := range []string{
+		`{"jsonrpc":"2.0","id":1,"method":"echo","params":5}` + "\n",
+		`{"jsonrpc":"2.0","id":1,"method":"hello","params":{"ver":99}}` + "\n",
+		"not json\n",
+		strings.Repeat("x", 2<<20),
+	} {
+		conn, err := net.Dial("tcp", b.addr)
+		require.NoError(t, err)
+		require.NoError(t, conn.SetDeadline(time.Now().Add(limit)))
+		_, _ = conn.Write([]byte(text))
+		_, err = conn.Read(make([]byte, 1))
+		require.Error(t, err, "the connection must be closed without an answer")
+		require.NotErrorIs(t, err, context.DeadlineExceeded)
+		require.NoError(t, conn.Close())
+	}
+}
+
+// Guards against a restarted peer that is never reached again.
+func TestLinkReopens(t *testing.T) {
+	a, b := serve(t, "a", key), serve(t, "b", key)
+	_, err := call(t, a, b, "echo", 1)
+	require.NoError(t, err)
+	a.peers.Reset(b.addr)
+	require.Eventually(t, func() bool {
+		_, err := call(t, a, b, "echo", 1)
+		return err == nil
+	}, limit, 10*time.Millisecond)
+}
