--- /dev/null
+++ b/internal/rwschedview/rwschedview.go
@@ -0,0 +1,32 @@
+// Package rwschedview is the state of a scheduler as operators see it.
+package rwschedview
+
+// View is a copy of a scheduler's state. Accounts and upstreams are sorted by
+// name.
+type View struct {
+	Cell      string
+	Inc       int64
+	Accounts  []Account
+	Upstreams []Upstream
+}
+
+// Account is the state of one account in the cell.
+type Account struct {
+	Name   string
+	Weight int
+	// Virtual is the virtual time: cost units per unit of weight.
+	Virtual float64
+	// Level is the work waiting over all entries and kinds, in requests.
+	Level int
+	// Running is the number of grants that are out.
+	Running int
+	// Total is what this owner charged, in cost units.
+	Total float64
+}
+
+// Upstream is the state of one upstream of the cell.
+type Upstream struct {
+	Name    string
+	Window  int
+	Running int
+}
