Add the entry and owner sides of the fleet policy

Entries declare levels of waiting work to the owners of cells, owners hand out grants, and an entry binds a grant to its best waiting request. Not wired into the router yet.

--- /dev/null
+++ b/internal/rwcell/rwcell.go
@@ -0,0 +1,112 @@
+// Package rwcell groups upstreams into cells, each of which one router owns.
+package rwcell
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwrank"
+	"redwingworks.example/internal/rwsnapshot"
+	"redwingworks.example/internal/rwupstream"
+)
+
+// Cell is a group of upstreams of one zone that run the same pools. All
+// routers with the same configuration compute the same cells.
+type Cell struct {
+	// Name is unique in the fleet: group, zone and shard.
+	Name string
+	// Group joins the names of the pools; cells of one group exchange the
+	// service that accounts received.
+	Group string
+	// Pools are the models or the plain service that the upstreams run.
+	Pools []string
+	// Zone is the availability zone of all upstreams.
+	Zone string
+	// Upstreams are in order of their names and don't include leaving ones.
+	Upstreams []rwupstream.Upstream
+}
+
+// All returns the cells of a configuration by name, with about size upstreams
+// each. Rendezvous ranking spreads the upstreams of a zone over its shards, so
+// that a new upstream moves few others to another cell.
+func All(view *rwsnapshot.Snapshot, size int) []Cell {
+	groups := map[string][]rwupstream.Upstream{}
+	for _, u := range view.Upstreams() {
+		if !u.Leaving {
+			k := Group(u.Pools) + "/" + u.Zone
+			groups[k] = append(groups[k], u)
+		}
+	}
+	var cells []Cell
+	for k, list := range groups {
+		cells = append(cells, split(k, list, size)...)
+	}
+	slices.SortFunc(cells, func(a, b Cell) int { return cmp.Compare(a.Name, b.Name) })
+	return cells
+}
+
+// Group is the name of a set of pools.
+func Group(pools []string) string {
+	sorted := slices.Sorted(slices.Values(pools))
+	return strings.Join(sorted, "+")
+}
+
+func split(prefix string, list []rwupstream.Upstream, size int) []Cell {
+	n := (len(list) + size - 1) / size
+	names := make([]string, n)
+	cells := map[string]*Cell{}
+	for i := range names {
+		names[i] = prefix + "/" + strconv.Itoa(i)
+	}
+	for _, u := range list {
+		name := rwrank.Top(u.Name, names)
+		c := cells[name]
+		if c == nil {
+			c = &Cell{Name: name, Group: Group(u.Pools), Pools: u.Pools, Zone: u.Zone}
+			cells[name] = c
+		}
+		c.Upstreams = append(c.Upstreams, u)
+	}
+	var out []Cell
+	for _, c := range cells {
+		out = append(out, *c)
+	}
+	return out
+}
+
+// Owner returns the router that owns the cell: the highest rank among the live
+// routers of its zone, or among all the given ones when the zone has none.
+func (c Cell) Owner(live []rwidentity.Identity) (rwidentity.Identity, bool) {
+	best, found := rwidentity.Identity{}, false
+	local := false
+	score := uint64(0)
+	for _, r := range live {
+		s := rwrank.Score(c.Name, r.Name)
+		better := !found || (r.Zone == c.Zone) && !local ||
+			(r.Zone == c.Zone) == local && (s > score || s == score && r.Name < best.Name)
+		if better {
+			best, found, local, score = r, true, r.Zone == c.Zone, s
+		}
+	}
+	return best, found
+}
+
+// Window is the sum of the record windows of the upstreams.
+func (c Cell) Window() int {
+	n := 0
+	for _, u := range c.Upstreams {
+		n += u.Window
+	}
+	return n
+}
+
+// Runs reports whether the cell's upstreams run the pool.
+func (c Cell) Runs(pool string) bool { return slices.Contains(c.Pools, pool) }
+
+// OwnerKey identifies an incarnation of a router.
+func OwnerKey(r rwidentity.Identity) string {
+	return r.Name + "/" + strconv.FormatInt(r.Inc, 36)
+}
--- /dev/null
+++ b/internal/rwdemand/rwdemand.go
@@ -0,0 +1,299 @@
+// Package rwdemand decides which levels an entry declares at which cells. It
+// keeps what each owner knows and sends a level only when the difference
+// matters, so that messages follow the rate of grants and not the arrivals.
+package rwdemand
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"redwingworks.example/internal/rwlevel"
+	"redwingworks.example/internal/rwmessage"
+	"redwingworks.example/internal/rwqueue"
+)
+
+const (
+	// Cap is the highest level that is declared. A flood can't raise the
+	// number of messages beyond it.
+	Cap = 8
+	// spreadAfter is how long a request waits for its own zone before other
+	// zones are asked.
+	spreadAfter = 5 * time.Millisecond
+	// refreshInterval is how often waiting levels are repeated, since
+	// messages may be lost.
+	refreshInterval = 5 * time.Second
+	// maxAll is the number of cells of a pool up to which all are asked, and
+	// sample how many distant ones are asked otherwise.
+	maxAll = 4
+	sample = 3
+)
+
+// Demand keeps what owners know about the waiting work of one entry. It is not
+// safe for concurrent use.
+type Demand struct {
+	random *rand.Rand
+	cells  map[string]*cell
+	lines  map[rwqueue.Line]*line
+	dirty  map[rwqueue.Line]struct{}
+	// refresh is when all waiting levels are declared again.
+	refresh time.Time
+}
+
+type cell struct {
+	Target
+	// known is what the owner believes to be waiting.
+	known map[rwqueue.Line]int
+	// sync is whether the owner has to be told everything.
+	sync bool
+}
+
+type line struct {
+	pool  string
+	count int
+	hint  float64
+	// spread is when the line goes to other zones; zero while nothing waits.
+	spread time.Time
+	// chosen are the cells where the line is declared.
+	chosen []string
+	// wide is whether chosen includes other zones.
+	wide bool
+}
+
+// Target is a cell as an entry sees it.
+type Target struct {
+	Name  string
+	Pools []string
+	// Owner identifies the owner's incarnation; a change makes the entry
+	// tell it everything.
+	Owner string
+	// Near is whether the cell is in the entry's zone.
+	Near bool
+}
+
+// New returns a demand without cells. Equal seeds give equal choices.
+func New(seed uint64) *Demand {
+	return &Demand{
+		random: rand.New(rand.NewPCG(seed, 0)),
+		cells:  map[string]*cell{},
+		lines:  map[rwqueue.Line]*line{},
+		dirty:  map[rwqueue.Line]struct{}{},
+	}
+}
+
+// SetCells replaces the cells that can be reached.
+func (d *Demand) SetCells(targets []Target) {
+	next := make(map[string]*cell, len(targets))
+	for _, t := range targets {
+		c := d.cells[t.Name]
+		if c == nil || c.Owner != t.Owner {
+			c = &cell{known: map[rwqueue.Line]int{}, sync: true}
+		}
+		c.Target = t
+		next[t.Name] = c
+	}
+	d.cells = next
+	for k, l := range d.lines {
+		l.chosen = nil
+		d.dirty[k] = struct{}{}
+	}
+}
+
+// Resync makes the entry tell the cell's owner everything again.
+func (d *Demand) Resync(name string) {
+	c := d.cells[name]
+	if c == nil {
+		return
+	}
+	c.sync = true
+	clear(c.known)
+	for k := range d.lines {
+		d.dirty[k] = struct{}{}
+	}
+}
+
+// SetLine sets how much is waiting.
+func (d *Demand) SetLine(now time.Time, k rwqueue.Line, pool string, count int, hint float64) {
+	l := d.lines[k]
+	if l == nil {
+		if count == 0 {
+			return
+		}
+		l = &line{}
+		d.lines[k] = l
+	}
+	if l.pool != pool {
+		l.chosen = nil
+	}
+	if l.count == 0 && count > 0 {
+		l.spread = now.Add(spreadAfter)
+		l.chosen = nil
+		l.wide = false
+	}
+	l.pool, l.count, l.hint = pool, count, hint
+	d.dirty[k] = struct{}{}
+}
+
+// Granted takes note of a grant: its owner now believes in one less.
+func (d *Demand) Granted(name string, k rwqueue.Line) {
+	c := d.cells[name]
+	if c == nil {
+		return
+	}
+	if c.known[k] > 1 {
+		c.known[k]--
+	} else {
+		delete(c.known, k)
+	}
+	d.dirty[k] = struct{}{}
+}
+
+// Next returns when Due has to be called although nothing changed; zero for
+// never.
+func (d *Demand) Next() time.Time {
+	next := time.Time{}
+	for _, l := range d.lines {
+		if l.count == 0 {
+			continue
+		}
+		next = earlier(next, d.refresh)
+		if !l.wide {
+			next = earlier(next, l.spread)
+		}
+	}
+	return next
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Due returns the messages that have to be sent now, by cell. A message of a
+// cell in synced replaces everything that its owner knew.
+func (d *Demand) Due(now time.Time) (messages map[string]*rwmessage.Message, synced []string) {
+	messages = map[string]*rwmessage.Message{}
+	d.widen(now)
+	for k := range d.dirty {
+		d.declare(now, k, messages)
+	}
+	clear(d.dirty)
+	for name, c := range d.cells {
+		if !c.sync {
+			continue
+		}
+		c.sync = false
+		synced = append(synced, name)
+		if messages[name] == nil {
+			messages[name] = &rwmessage.Message{Cell: name}
+		}
+	}
+	for _, m := range messages {
+		slices.SortFunc(m.Levels, func(a, b rwlevel.Level) int {
+			return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Kind, b.Kind))
+		})
+	}
+	return messages, synced
+}
+
+func (d *Demand) widen(now time.Time) {
+	refresh := !now.Before(d.refresh)
+	if refresh {
+		d.refresh = now.Add(refreshInterval)
+	}
+	for k, l := range d.lines {
+		if l.count == 0 {
+			continue
+		}
+		if !l.wide && !now.Before(l.spread) {
+			l.wide, l.chosen = true, nil
+			d.dirty[k] = struct{}{}
+		}
+		if refresh {
+			d.forget(k, l)
+		}
+	}
+}
+
+// forget makes the line be declared again everywhere, at a new draw of cells.
+func (d *Demand) forget(k rwqueue.Line, l *line) {
+	for _, name := range l.chosen {
+		if c := d.cells[name]; c != nil && c.known[k] > 0 {
+			c.known[k] = -1
+		}
+	}
+	l.chosen = nil
+	d.dirty[k] = struct{}{}
+}
+
+func (d *Demand) declare(now time.Time, k rwqueue.Line, messages map[string]*rwmessage.Message) {
+	l := d.lines[k]
+	if l == nil {
+		return
+	}
+	if l.chosen == nil && l.count > 0 {
+		l.chosen = d.choose(l)
+	}
+	for name, c := range d.cells {
+		level := 0
+		if l.count > 0 && slices.Contains(l.chosen, name) {
+			level = min(l.count, Cap)
+		}
+		if !differs(c.known[k], level) {
+			continue
+		}
+		m := messages[name]
+		if m == nil {
+			m = &rwmessage.Message{Cell: name}
+			messages[name] = m
+		}
+		m.Levels = append(m.Levels, rwlevel.Level{Account: k.Account, Kind: k.Kind, Count: level, Hint: l.hint})
+		if level == 0 {
+			delete(c.known, k)
+		} else {
+			c.known[k] = level
+		}
+	}
+	if l.count == 0 {
+		delete(d.lines, k)
+	}
+}
+
+// differs reports whether the owner has to be told. Small differences are left
+// alone: a grant that finds nothing waiting is returned, and a level that is
+// too low is corrected before it runs out.
+func differs(known, level int) bool {
+	switch {
+	case known < 0:
+		return true
+	case known == 0 || level == 0:
+		return known != level
+	default:
+		return known*2 <= level || known >= level*2
+	}
+}
+
+func (d *Demand) choose(l *line) []string {
+	var near, far []string
+	for name, c := range d.cells {
+		switch {
+		case !slices.Contains(c.Pools, l.pool):
+		case c.Near:
+			near = append(near, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	if len(near) > 0 && !l.wide {
+		return near
+	}
+	if len(near)+len(far) <= maxAll {
+		return append(near, far...)
+	}
+	slices.Sort(far)
+	d.random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near, far[:min(sample, len(far))]...)
+}
--- /dev/null
+++ b/internal/rwmessage/rwmessage.go
@@ -0,0 +1,39 @@
+// Package rwmessage is the form of the messages about slots between entries
+// and owners of cells.
+package rwmessage
+
+import (
+	"redwingworks.example/internal/rwgrant"
+	"redwingworks.example/internal/rwlevel"
+	"redwingworks.example/internal/rwspent"
+	"redwingworks.example/internal/rwtotal"
+)
+
+// The methods.
+const (
+	// Want goes from an entry to an owner: levels, costs of finished and of
+	// running requests.
+	Want = "want"
+	// Sync goes from an entry to a new owner: all levels and running grants.
+	Sync = "sync"
+	// Grant goes from an owner to an entry.
+	Grant = "grant"
+	// Owner goes from a new owner to all routers, so that they sync.
+	Owner = "owner"
+	// Report goes between the owners of a group: totals by account.
+	Report = "report"
+)
+
+// Message is any message about the slots of one cell.
+type Message struct {
+	Cell    string          `json:"cell"`
+	Levels  []rwlevel.Level `json:"levels,omitempty"`
+	Done    []rwspent.Spent `json:"done,omitempty"`
+	Usage   []rwspent.Spent `json:"usage,omitempty"`
+	Grants  []rwgrant.Grant `json:"grants,omitempty"`
+	Running []rwgrant.Grant `json:"running,omitempty"`
+	Totals  []rwtotal.Total `json:"totals,omitempty"`
+	// Inc is the incarnation of the sender's scheduler: the time in
+	// microseconds when it took the cell.
+	Inc int64 `json:"inc,omitempty"`
+}
--- /dev/null
+++ b/internal/rwowner/rwowner.go
@@ -0,0 +1,370 @@
+// Package rwowner is the owner side of the fleet policy: it runs the scheduler
+// of each cell that this router owns.
+package rwowner
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"redwingworks.example/internal/rwcell"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwmessage"
+	"redwingworks.example/internal/rwsched"
+	"redwingworks.example/internal/rwschedview"
+	"redwingworks.example/internal/rwsnapshot"
+	"redwingworks.example/internal/rwupstream"
+)
+
+const (
+	// settle is how long a new owner waits for the entries' running grants
+	// before it grants, so that it doesn't fill slots that are in use.
+	settle = 300 * time.Millisecond
+	// reportInterval is the time between reports of a cell to the others of
+	// its group.
+	reportInterval = 250 * time.Millisecond
+	// reportBudget bounds the bytes of reports of one cell. With many
+	// backlogged accounts or cells the interval stretches instead.
+	reportBudget = 1500.0 // bytes a second
+	// totalBytes is about the size of one encoded total, messageBytes that of
+	// a message around them.
+	totalBytes   = 24.0
+	messageBytes = 120.0
+)
+
+// Owner runs the schedulers of the cells of one router. Its function fields are
+// set before the first Update.
+type Owner struct {
+	// Send sends a message to a router without waiting.
+	Send func(to rwidentity.Identity, method string, m *rwmessage.Message)
+
+	self rwidentity.Identity
+
+	mu      sync.Mutex
+	cells   map[string]*owned
+	entries map[string]rwidentity.Identity
+	// owners are the routers that own other cells, by cell.
+	owners map[string]rwidentity.Identity
+	groups map[string][]string
+	// group is the group of each cell.
+	group map[string]string
+	lost  int64
+}
+
+type owned struct {
+	cell  rwcell.Cell
+	sched *rwsched.Scheduler
+	inc   int64
+	// settled is when the first grant may be made.
+	settled time.Time
+	// report is when the next report is due.
+	report time.Time
+}
+
+// New returns an owner of no cells.
+func New(self rwidentity.Identity) *Owner {
+	return &Owner{
+		self:    self,
+		cells:   map[string]*owned{},
+		entries: map[string]rwidentity.Identity{},
+		owners:  map[string]rwidentity.Identity{},
+		groups:  map[string][]string{},
+	}
+}
+
+type outgoing struct {
+	to     rwidentity.Identity
+	method string
+	m      *rwmessage.Message
+}
+
+func (o *Owner) send(list []outgoing) {
+	for _, e := range list {
+		o.Send(e.to, e.method, e.m)
+	}
+}
+
+// Update takes in a change of the configuration or of the live routers and
+// returns the names of the cells that were taken and released.
+func (o *Owner) Update(now time.Time, view *rwsnapshot.Snapshot, cells []rwcell.Cell, live []rwidentity.Identity) (taken, released []string) {
+	o.mu.Lock()
+	o.forget(now, live)
+	o.groups = map[string][]string{}
+	o.owners = map[string]rwidentity.Identity{}
+	o.group = map[string]string{}
+	mine := map[string]bool{}
+	for _, c := range cells {
+		r, ok := c.Owner(live)
+		if !ok {
+			continue
+		}
+		o.group[c.Name] = c.Group
+		o.groups[c.Group] = append(o.groups[c.Group], c.Name)
+		if r.Name != o.self.Name {
+			o.owners[c.Name] = r
+			continue
+		}
+		mine[c.Name] = true
+		if o.cells[c.Name] == nil {
+			o.cells[c.Name] = o.take(now, c)
+			taken = append(taken, c.Name)
+		}
+		o.cells[c.Name].cell = c
+	}
+	for name := range o.cells {
+		if !mine[name] {
+			delete(o.cells, name)
+			released = append(released, name)
+		}
+	}
+	slots := groupSlots(cells)
+	for _, c := range o.cells {
+		c.configure(view, slots[c.cell.Group])
+	}
+	out := announce(taken, live)
+	out = append(out, o.pump(now)...)
+	o.mu.Unlock()
+	o.send(out)
+	return taken, released
+}
+
+func groupSlots(cells []rwcell.Cell) map[string]int {
+	slots := map[string]int{}
+	for _, c := range cells {
+		slots[c.Group] += c.Window()
+	}
+	return slots
+}
+
+func announce(taken []string, live []rwidentity.Identity) []outgoing {
+	var out []outgoing
+	for _, name := range taken {
+		for _, r := range live {
+			out = append(out, outgoing{r, rwmessage.Owner, &rwmessage.Message{Cell: name}})
+		}
+	}
+	return out
+}
+
+func (o *Owner) take(now time.Time, c rwcell.Cell) *owned {
+	inc := now.UnixMicro()
+	return &owned{
+		cell:    c,
+		sched:   rwsched.New(c.Name, inc),
+		inc:     inc,
+		settled: now.Add(settle),
+		report:  now.Add(reportInterval),
+	}
+}
+
+// forget drops entries that are no longer live or have started again.
+func (o *Owner) forget(now time.Time, live []rwidentity.Identity) {
+	for name, known := range o.entries {
+		if slices.ContainsFunc(live, func(r rwidentity.Identity) bool {
+			return r.Name == name && r.Inc == known.Inc
+		}) {
+			continue
+		}
+		o.drop(now, name)
+	}
+}
+
+func (o *Owner) drop(now time.Time, entry string) {
+	delete(o.entries, entry)
+	for _, c := range o.cells {
+		c.sched.DropEntry(now, entry)
+	}
+}
+
+func (c *owned) configure(view *rwsnapshot.Snapshot, groupSlots int) {
+	known := c.sched.View()
+	for _, u := range known.Upstreams {
+		if !slices.ContainsFunc(c.cell.Upstreams, func(v rwupstream.Upstream) bool { return v.Name == u.Name }) {
+			c.sched.RemoveUpstream(u.Name)
+		}
+	}
+	for _, u := range c.cell.Upstreams {
+		c.sched.SetUpstream(u.Name, u.Window)
+	}
+	for _, a := range known.Accounts {
+		if _, ok := view.Account(a.Name); !ok {
+			c.sched.RemoveAccount(a.Name)
+		}
+	}
+	for _, a := range view.Accounts() {
+		c.sched.SetAccount(a.Name, a.Weight)
+	}
+	for _, k := range view.Kinds() {
+		c.sched.SetKind(k.Name, k.Urgency)
+	}
+	c.sched.SetPool(groupSlots, 0, reportInterval)
+}
+
+// Want takes levels and costs from an entry.
+func (o *Owner) Want(now time.Time, from rwidentity.Identity, m *rwmessage.Message) {
+	o.mu.Lock()
+	c := o.cells[m.Cell]
+	if c == nil {
+		o.lost++
+		o.mu.Unlock()
+		return
+	}
+	o.admit(now, from)
+	for _, s := range m.Done {
+		c.sched.Done(now, s.ID, s.Cost, s.First, s.Total, s.Code)
+	}
+	for _, s := range m.Usage {
+		c.sched.Usage(now, s.ID, s.Cost)
+	}
+	for _, l := range m.Levels {
+		c.sched.SetLevel(now, from.Name, l.Account, l.Kind, l.Count, l.Hint)
+	}
+	out := c.pump(now, o.entries)
+	o.mu.Unlock()
+	o.send(out)
+}
+
+// Sync replaces all that is known of an entry in a cell.
+func (o *Owner) Sync(now time.Time, from rwidentity.Identity, m *rwmessage.Message) {
+	o.mu.Lock()
+	c := o.cells[m.Cell]
+	if c == nil {
+		o.lost++
+		o.mu.Unlock()
+		return
+	}
+	o.admit(now, from)
+	c.sched.DropEntry(now, from.Name)
+	for _, g := range m.Running {
+		g.Cell, g.Entry = m.Cell, from.Name
+		c.sched.Restore(now, g)
+	}
+	for _, l := range m.Levels {
+		c.sched.SetLevel(now, from.Name, l.Account, l.Kind, l.Count, l.Hint)
+	}
+	out := c.pump(now, o.entries)
+	o.mu.Unlock()
+	o.send(out)
+}
+
+// admit notes an entry; a new incarnation has none of the grants of the old.
+func (o *Owner) admit(now time.Time, from rwidentity.Identity) {
+	if known, ok := o.entries[from.Name]; ok && known.Inc != from.Inc {
+		if known.Inc > from.Inc {
+			return
+		}
+		o.drop(now, from.Name)
+	}
+	o.entries[from.Name] = from
+}
+
+// Report takes the totals of another cell of the group.
+func (o *Owner) Report(now time.Time, m *rwmessage.Message) {
+	o.mu.Lock()
+	group := o.group[m.Cell]
+	var out []outgoing
+	for _, c := range o.cells {
+		if c.cell.Group == group && c.cell.Name != m.Cell {
+			c.sched.Merge(m.Cell, m.Inc, m.Totals)
+			out = append(out, c.pump(now, o.entries)...)
+		}
+	}
+	o.mu.Unlock()
+	o.send(out)
+}
+
+// Tick makes grants that have become possible with time and sends reports.
+func (o *Owner) Tick(now time.Time) {
+	o.mu.Lock()
+	out := o.pump(now)
+	for _, c := range o.cells {
+		if !now.Before(c.report) {
+			out = append(out, o.reportOf(now, c)...)
+		}
+	}
+	o.mu.Unlock()
+	o.send(out)
+}
+
+func (o *Owner) pump(now time.Time) []outgoing {
+	var out []outgoing
+	for _, c := range o.cells {
+		out = append(out, c.pump(now, o.entries)...)
+	}
+	return out
+}
+
+func (c *owned) pump(now time.Time, entries map[string]rwidentity.Identity) []outgoing {
+	if now.Before(c.settled) {
+		return nil
+	}
+	byEntry := map[string]*rwmessage.Message{}
+	var out []outgoing
+	for {
+		g, ok := c.sched.Next(now)
+		if !ok {
+			return out
+		}
+		m := byEntry[g.Entry]
+		if m == nil {
+			m = &rwmessage.Message{Cell: c.cell.Name}
+			byEntry[g.Entry] = m
+			out = append(out, outgoing{entries[g.Entry], rwmessage.Grant, m})
+		}
+		m.Grants = append(m.Grants, g)
+	}
+}
+
+// reportOf sends the changed totals of a cell to the owners of the other cells
+// of its group, each owner once, and sets the time of the next report by the
+// bytes that this one took.
+func (o *Owner) reportOf(now time.Time, c *owned) []outgoing {
+	c.report = now.Add(reportInterval)
+	totals := c.sched.Report(nil)
+	if len(totals) == 0 {
+		return nil
+	}
+	m := &rwmessage.Message{Cell: c.cell.Name, Inc: c.inc, Totals: totals}
+	var to []rwidentity.Identity
+	var out []outgoing
+	for _, name := range o.groups[c.cell.Group] {
+		if other := o.cells[name]; other != nil {
+			if other != c {
+				other.sched.Merge(c.cell.Name, c.inc, totals)
+			}
+			continue
+		}
+		r := o.owners[name]
+		if !slices.ContainsFunc(to, func(x rwidentity.Identity) bool { return x.Name == r.Name }) {
+			to = append(to, r)
+			out = append(out, outgoing{r, rwmessage.Report, m})
+		}
+	}
+	bytes := float64(len(to)) * (messageBytes + totalBytes*float64(len(totals)))
+	stretched := time.Duration(bytes / reportBudget * float64(time.Second))
+	c.report = now.Add(max(reportInterval, stretched))
+	return out
+}
+
+// Owns returns the names of the cells that this router owns.
+func (o *Owner) Owns() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var names []string
+	for n := range o.cells {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Views returns the state of each owned cell for operators.
+func (o *Owner) Views() map[string]rwschedview.View {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make(map[string]rwschedview.View, len(o.cells))
+	for n, c := range o.cells {
+		out[n] = c.sched.View()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rwqueue/rwqueue.go
@@ -0,0 +1,291 @@
+// Package rwqueue holds the requests that wait at their entry router. It
+// bounds them, refuses early what can't be served in time, and gives each
+// grant the best waiting request.
+package rwqueue
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwrequest"
+)
+
+// Bounds of a queue. The total keeps a node within 256 MB at the largest
+// bodies; the part of one account leaves room for the others.
+const (
+	MaxAccountCount = 1000
+	MaxAccountBytes = 8 << 20
+	MaxCount        = 20000
+	MaxBytes        = 64 << 20
+)
+
+const (
+	// rateMemory is the time constant of the measured drain rate.
+	rateMemory = 5 * time.Second
+	// minRetryAfter and maxRetryAfter bound the time that a refused caller is
+	// told to wait.
+	minRetryAfter = time.Second
+	maxRetryAfter = 2 * time.Minute
+)
+
+// Queue holds waiting requests. It is not safe for concurrent use.
+type Queue struct {
+	accounts map[string]*account
+	// count and bytes are the sums over all accounts.
+	count, bytes int
+	// changed are the lines whose length changed since Changed was called.
+	changed map[Line]struct{}
+}
+
+// Line names the waiting requests of one account and kind.
+type Line struct{ Account, Kind string }
+
+type account struct {
+	lines        map[string]*line
+	count, bytes int
+	// drained is the decaying count of requests that left with a slot, and
+	// at the time of its last update; drained / rateMemory is the rate.
+	drained float64
+	at      time.Time
+	since   time.Time
+}
+
+type line struct {
+	pool    string
+	urgency int
+	hints   float64
+	// items are ordered by deadline, then arrival.
+	items []*rwrequest.Request
+}
+
+// New returns an empty queue.
+func New() *Queue {
+	return &Queue{accounts: map[string]*account{}, changed: map[Line]struct{}{}}
+}
+
+// Push adds a request. When the account's part is full, less urgent requests
+// of the same account make room and are returned: the caller must refuse
+// them. It fails with QueueFull, QueueBytes or DeadlineUnreachable and the time
+// after which a retry is sensible.
+func (q *Queue) Push(now time.Time, r *rwrequest.Request) (evicted []*rwrequest.Request, err error) {
+	a := q.account(r.Account, now)
+	if wait := a.wait(now, r.Urgency); !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
+		return nil, rwfault.New(rwcode.DeadlineUnreachable, r.Kind).WithRetryAfter(clamp(wait))
+	}
+	for a.count >= MaxAccountCount || a.bytes+len(r.Body) > MaxAccountBytes {
+		last := a.last(r.Urgency)
+		if last == nil {
+			return evicted, a.refusal(now, r)
+		}
+		q.Cancel(last)
+		evicted = append(evicted, last)
+	}
+	if q.count >= MaxCount || q.bytes+len(r.Body) > MaxBytes {
+		return evicted, rwfault.New(rwcode.QueueFull, "router").WithRetryAfter(clamp(a.wait(now, r.Urgency)))
+	}
+	q.insert(a, r)
+	return evicted, nil
+}
+
+func (a *account) refusal(now time.Time, r *rwrequest.Request) error {
+	code := rwcode.QueueFull
+	if a.count < MaxAccountCount {
+		code = rwcode.QueueBytes
+	}
+	return rwfault.New(code, r.Account).WithRetryAfter(clamp(a.wait(now, r.Urgency)))
+}
+
+func clamp(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+func (q *Queue) account(name string, now time.Time) *account {
+	a := q.accounts[name]
+	if a == nil {
+		a = &account{lines: map[string]*line{}, at: now, since: now}
+		q.accounts[name] = a
+	}
+	return a
+}
+
+func (q *Queue) insert(a *account, r *rwrequest.Request) {
+	l := a.lines[r.Kind]
+	if l == nil {
+		l = &line{}
+		a.lines[r.Kind] = l
+	}
+	l.pool, l.urgency = r.Pool, r.Urgency
+	i, _ := slices.BinarySearchFunc(l.items, r, compare)
+	l.items = slices.Insert(l.items, i, r)
+	l.hints += r.Hint
+	q.add(a, r, 1)
+}
+
+func compare(a, b *rwrequest.Request) int {
+	return cmp.Or(compareDeadline(a.Deadline, b.Deadline), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
+}
+
+// compareDeadline orders no deadline after every deadline.
+func compareDeadline(a, b time.Time) int {
+	if a.IsZero() != b.IsZero() {
+		if a.IsZero() {
+			return 1
+		}
+		return -1
+	}
+	return a.Compare(b)
+}
+
+func (q *Queue) add(a *account, r *rwrequest.Request, n int) {
+	a.count += n
+	a.bytes += n * len(r.Body)
+	q.count += n
+	q.bytes += n * len(r.Body)
+	q.changed[Line{r.Account, r.Kind}] = struct{}{}
+}
+
+// Cancel removes a request and reports whether it was waiting.
+func (q *Queue) Cancel(r *rwrequest.Request) bool {
+	a := q.accounts[r.Account]
+	if a == nil || a.lines[r.Kind] == nil {
+		return false
+	}
+	l := a.lines[r.Kind]
+	i, found := slices.BinarySearchFunc(l.items, r, compare)
+	if !found {
+		return false
+	}
+	l.items = slices.Delete(l.items, i, i+1)
+	l.hints -= r.Hint
+	q.add(a, r, -1)
+	return true
+}
+
+// Take removes and returns the request that a grant for the account and kind
+// should run: the first of the kind, or of the account's most urgent other
+// kind that runs in one of the pools.
+func (q *Queue) Take(now time.Time, account, kind string, pools []string) *rwrequest.Request {
+	a := q.accounts[account]
+	if a == nil {
+		return nil
+	}
+	l := a.lines[kind]
+	if l == nil || len(l.items) == 0 {
+		l = a.urgent(pools)
+	}
+	if l == nil {
+		return nil
+	}
+	r := l.items[0]
+	q.Cancel(r)
+	a.drain(now)
+	return r
+}
+
+func (a *account) urgent(pools []string) *line {
+	var best *line
+	for _, l := range a.lines {
+		if len(l.items) == 0 || !slices.Contains(pools, l.pool) {
+			continue
+		}
+		if best == nil || l.urgency < best.urgency ||
+			l.urgency == best.urgency && compare(l.items[0], best.items[0]) < 0 {
+			best = l
+		}
+	}
+	return best
+}
+
+// last returns the request that the account would miss least and that is less
+// urgent than the given urgency, or nil.
+func (a *account) last(urgency int) *rwrequest.Request {
+	var worst *line
+	for _, l := range a.lines {
+		if len(l.items) == 0 || l.urgency <= urgency {
+			continue
+		}
+		if worst == nil || l.urgency > worst.urgency {
+			worst = l
+		}
+	}
+	if worst == nil {
+		return nil
+	}
+	return worst.items[len(worst.items)-1]
+}
+
+func (a *account) drain(now time.Time) {
+	a.decay(now)
+	a.drained++
+}
+
+func (a *account) decay(now time.Time) {
+	a.drained *= math.Exp(-float64(now.Sub(a.at)) / float64(rateMemory))
+	a.at = now
+}
+
+// wait estimates how long a new request of the urgency would wait, from the
+// rate at which the account's requests got slots. It is zero while too little
+// was seen.
+func (a *account) wait(now time.Time, urgency int) time.Duration {
+	a.decay(now)
+	seen := min(now.Sub(a.since), rateMemory)
+	if a.drained < 1 || seen < time.Second {
+		return 0
+	}
+	ahead := 0
+	for _, l := range a.lines {
+		if l.urgency <= urgency {
+			ahead += len(l.items)
+		}
+	}
+	perSecond := a.drained / seen.Seconds()
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+}
+
+// Length returns the number of waiting requests of a line and the mean of
+// their hints.
+func (q *Queue) Length(l Line) (count int, hint float64) {
+	a := q.accounts[l.Account]
+	if a == nil || a.lines[l.Kind] == nil {
+		return 0, 0
+	}
+	w := a.lines[l.Kind]
+	count = len(w.items)
+	if count > 0 {
+		hint = max(w.hints, 0) / float64(count)
+	}
+	return count, hint
+}
+
+// Pool returns the pool of a line that has had requests.
+func (q *Queue) Pool(l Line) string {
+	a := q.accounts[l.Account]
+	if a == nil || a.lines[l.Kind] == nil {
+		return ""
+	}
+	return a.lines[l.Kind].pool
+}
+
+// Changed returns the lines whose length changed since the last call.
+func (q *Queue) Changed() []Line {
+	out := make([]Line, 0, len(q.changed))
+	for l := range q.changed {
+		out = append(out, l)
+	}
+	clear(q.changed)
+	slices.SortFunc(out, func(a, b Line) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Kind, b.Kind))
+	})
+	return out
+}
+
+// Count is the number of waiting requests, Bytes the size of their bodies.
+func (q *Queue) Count() int { return q.count }
+
+// Bytes is the size of the bodies of the waiting requests.
+func (q *Queue) Bytes() int { return q.bytes }
--- /dev/null
+++ b/internal/rwspent/rwspent.go
@@ -0,0 +1,49 @@
+// Package rwspent says what a granted request has cost so far or in the end.
+package rwspent
+
+import (
+	"encoding/json"
+	"time"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+)
+
+// Spent is the cost of one grant. On the wire it is an array with times in
+// milliseconds.
+type Spent struct {
+	// ID is that of the grant.
+	ID uint64
+	// Cost is in cost units: tokens, or calls of a plain service.
+	Cost float64
+	// First and Total are the times to the first and the last byte.
+	First, Total time.Duration
+	// Code is the failure, or None.
+	Code rwcode.Code
+}
+
+// MarshalJSON encodes the cost as an array.
+func (s Spent) MarshalJSON() ([]byte, error) {
+	parts := []any{s.ID, s.Cost, s.First.Milliseconds(), s.Total.Milliseconds()}
+	if s.Code != rwcode.None {
+		parts = append(parts, s.Code.String())
+	}
+	return json.Marshal(parts)
+}
+
+// UnmarshalJSON decodes the array form. It fails with PeerMalformed.
+func (s *Spent) UnmarshalJSON(data []byte) error {
+	var first, total int64
+	code := rwcode.None.String()
+	parts := []any{&s.ID, &s.Cost, &first, &total, &code}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return rwfault.Wrap(rwcode.PeerMalformed, err)
+	}
+	if len(parts) < 4 || len(parts) > 5 || s.Cost < 0 || first < 0 || total < 0 {
+		return rwfault.New(rwcode.PeerMalformed, "spent")
+	}
+	s.First = time.Duration(first) * time.Millisecond
+	s.Total = time.Duration(total) * time.Millisecond
+	s.Code = rwcode.Parse(code)
+	return nil
+}
--- /dev/null
+++ b/internal/rwtotal/json.go
@@ -0,0 +1,30 @@
+package rwtotal
+
+import (
+	"encoding/json"
+	"math"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+)
+
+// resolution is the steps in one unit of cost that a message can tell apart.
+// Rounding a cumulative value adds no error over time.
+const resolution = 10
+
+// MarshalJSON encodes the total as an array.
+func (t Total) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{t.Account, math.Round(t.Cost*resolution) / resolution})
+}
+
+// UnmarshalJSON decodes the array form. It fails with PeerMalformed.
+func (t *Total) UnmarshalJSON(data []byte) error {
+	parts := []any{&t.Account, &t.Cost}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return rwfault.Wrap(rwcode.PeerMalformed, err)
+	}
+	if len(parts) != 2 || t.Cost < 0 {
+		return rwfault.New(rwcode.PeerMalformed, "total")
+	}
+	return nil
+}
