Test the fleet policy with real decision code under virtual time

Cause of the added check message: a grant or its end that is lost with a connection held its slot for ever. Owners now ask about grants that are out for 5 s. Totals may be negative on the wire: an owner credits grants of its predecessor.

--- a/internal/rwdemand/rwdemand.go
+++ b/internal/rwdemand/rwdemand.go
@@ -264,7 +264,8 @@
 
 // differs reports whether the owner has to be told. Small differences are left
 // alone: a grant that finds nothing waiting is returned, and a level that is
-// too low is corrected before it runs out.
+// too low is corrected before it runs out. With a factor of two alone, counts
+// between 1 and 4 made four messages for each grant on a saturated fleet.
 func differs(known, level int) bool {
 	switch {
 	case known < 0:
@@ -272,7 +273,7 @@
 	case known == 0 || level == 0:
 		return known != level
 	default:
-		return known*2 <= level || known >= level*2
+		return known*2 <= level && level-known >= Cap/2 || known-level >= Cap/2
 	}
 }
 
--- a/internal/rwfair/rwfair.go
+++ b/internal/rwfair/rwfair.go
@@ -212,6 +212,19 @@
 	p.wake()
 }
 
+// Check answers an owner with the grants that are not running here.
+func (p *Policy) Check(from rwidentity.Identity, m *rwmessage.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range m.IDs {
+		if p.running[grantKey{m.Cell, id}] == nil {
+			w := p.message(from, m.Cell)
+			w.Done = append(w.Done, rwspent.Spent{ID: id})
+		}
+	}
+	p.wake()
+}
+
 func (p *Policy) bind(from rwidentity.Identity, g rwgrant.Grant) {
 	p.demand.Granted(g.Cell, rwqueue.Line{Account: g.Account, Kind: g.Kind})
 	p.running[grantKey{g.Cell, g.ID}] = &running{g, from}
--- a/internal/rwmessage/rwmessage.go
+++ b/internal/rwmessage/rwmessage.go
@@ -20,6 +20,9 @@
 	Grant = "grant"
 	// Owner goes from a new owner to all routers, so that they sync.
 	Owner = "owner"
+	// Check goes from an owner to an entry: grants that the owner takes to be
+	// running. The entry answers with Want for those that it doesn't know.
+	Check = "check"
 	// Report goes between the owners of a group: totals by account.
 	Report = "report"
 )
@@ -32,6 +35,7 @@
 	Usage   []rwspent.Spent `json:"usage,omitempty"`
 	Grants  []rwgrant.Grant `json:"grants,omitempty"`
 	Running []rwgrant.Grant `json:"running,omitempty"`
+	IDs     []uint64        `json:"ids,omitempty"`
 	Totals  []rwtotal.Total `json:"totals,omitempty"`
 	// Inc is the incarnation of the sender's scheduler: the time in
 	// microseconds when it took the cell.
--- a/internal/rwowner/rwowner.go
+++ b/internal/rwowner/rwowner.go
@@ -23,6 +23,8 @@
 	// reportInterval is the time between reports of a cell to the others of
 	// its group.
 	reportInterval = 250 * time.Millisecond
+	// checkInterval is the age at which an unfinished grant is checked.
+	checkInterval = 5 * time.Second
 	// reportBudget bounds the bytes of reports of one cell. With many
 	// backlogged accounts or cells the interval stretches instead.
 	reportBudget = 1500.0 // bytes a second
@@ -59,6 +61,15 @@
 	settled time.Time
 	// report is when the next report is due.
 	report time.Time
+	// issued are the grants that are out.
+	issued map[uint64]issue
+}
+
+// issue is a grant whose entry has not said that it is done.
+type issue struct {
+	entry string
+	// check is when the entry is asked whether the grant is still running.
+	check time.Time
 }
 
 // New returns an owner of no cells.
@@ -154,6 +165,7 @@
 		inc:     inc,
 		settled: now.Add(settle),
 		report:  now.Add(reportInterval),
+		issued:  map[uint64]issue{},
 	}
 }
 
@@ -172,7 +184,16 @@
 func (o *Owner) drop(now time.Time, entry string) {
 	delete(o.entries, entry)
 	for _, c := range o.cells {
-		c.sched.DropEntry(now, entry)
+		c.dropEntry(now, entry)
+	}
+}
+
+func (c *owned) dropEntry(now time.Time, entry string) {
+	c.sched.DropEntry(now, entry)
+	for id, i := range c.issued {
+		if i.entry == entry {
+			delete(c.issued, id)
+		}
 	}
 }
 
@@ -211,6 +232,7 @@
 	}
 	o.admit(now, from)
 	for _, s := range m.Done {
+		delete(c.issued, s.ID)
 		c.sched.Done(now, s.ID, s.Cost, s.First, s.Total, s.Code)
 	}
 	for _, s := range m.Usage {
@@ -234,9 +256,10 @@
 		return
 	}
 	o.admit(now, from)
-	c.sched.DropEntry(now, from.Name)
+	c.dropEntry(now, from.Name)
 	for _, g := range m.Running {
 		g.Cell, g.Entry = m.Cell, from.Name
+		c.issued[g.ID] = issue{from.Name, now.Add(checkInterval)}
 		c.sched.Restore(now, g)
 	}
 	for _, l := range m.Levels {
@@ -278,6 +301,7 @@
 	o.mu.Lock()
 	out := o.pump(now)
 	for _, c := range o.cells {
+		out = append(out, c.check(now, o.entries)...)
 		if !now.Before(c.report) {
 			out = append(out, o.reportOf(now, c)...)
 		}
@@ -312,9 +336,31 @@
 			out = append(out, outgoing{entries[g.Entry], rwmessage.Grant, m})
 		}
 		m.Grants = append(m.Grants, g)
+		c.issued[g.ID] = issue{g.Entry, now.Add(checkInterval)}
 	}
 }
 
+// check asks entries about grants that have been out for long. A grant or its
+// end that was lost with a connection would otherwise hold its slot for ever.
+func (c *owned) check(now time.Time, entries map[string]rwidentity.Identity) []outgoing {
+	byEntry := map[string]*rwmessage.Message{}
+	var out []outgoing
+	for id, i := range c.issued {
+		if now.Before(i.check) {
+			continue
+		}
+		c.issued[id] = issue{i.entry, now.Add(checkInterval)}
+		m := byEntry[i.entry]
+		if m == nil {
+			m = &rwmessage.Message{Cell: c.cell.Name}
+			byEntry[i.entry] = m
+			out = append(out, outgoing{entries[i.entry], rwmessage.Check, m})
+		}
+		m.IDs = append(m.IDs, id)
+	}
+	return out
+}
+
 // reportOf sends the changed totals of a cell to the owners of the other cells
 // of its group, each owner once, and sets the time of the next report by the
 // bytes that this one took.
--- a/internal/rwtotal/json.go
+++ b/internal/rwtotal/json.go
@@ -17,13 +17,15 @@
 	return json.Marshal([]any{t.Account, math.Round(t.Cost*resolution) / resolution})
 }
 
-// UnmarshalJSON decodes the array form. It fails with PeerMalformed.
+// UnmarshalJSON decodes the array form. A total may be negative: credit for a
+// grant of an earlier owner is given by the present one. It fails with
+// PeerMalformed.
 func (t *Total) UnmarshalJSON(data []byte) error {
 	parts := []any{&t.Account, &t.Cost}
 	if err := json.Unmarshal(data, &parts); err != nil {
 		return rwfault.Wrap(rwcode.PeerMalformed, err)
 	}
-	if len(parts) != 2 || t.Cost < 0 {
+	if len(parts) != 2 {
 		return rwfault.New(rwcode.PeerMalformed, "total")
 	}
 	return nil
--- /dev/null
+++ b/test/fairness_test.go
@@ -0,0 +1,274 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwaccount"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwkind"
+	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwupstream"
+	"redwingworks.example/test/rwbubble"
+)
+
+// Sizes of today's fleet.
+const (
+	engines    = 10
+	slots      = 8
+	step       = 20 * time.Millisecond
+	meanTokens = 100
+	maxTokens  = 400
+	report     = 300 * time.Millisecond // report interval with its delay
+)
+
+var zoneNames = []string{"za", "zb", "zc"}
+
+func today(ctx context.Context, seed uint64, weights map[string]int) (*rwbubble.Fleet, []rwidentity.Identity) {
+	var accounts []rwaccount.Account
+	for i := range 16 {
+		name := fmt.Sprintf("account-%02d", i)
+		w := weights[name]
+		if w == 0 {
+			w = rwaccount.WeightUnit
+		}
+		accounts = append(accounts, rwaccount.Account{Name: name, Weight: w})
+	}
+	kinds := []rwkind.Kind{
+		{Name: "now", Urgency: 0, Pool: "m", Idempotent: true},
+		{Name: "soon", Urgency: 1, Pool: "m", Idempotent: true},
+		{Name: "batch", Urgency: 3, Pool: "m", Idempotent: true},
+	}
+	var ups []rwupstream.Upstream
+	for i := range engines {
+		ups = append(ups, rwupstream.Upstream{
+			Name: fmt.Sprintf("engine-%d", i), Pools: []string{"m"}, Zone: zoneNames[i%3], Window: slots, Engine: true,
+		})
+	}
+	f := rwbubble.New(ctx, seed, accounts, kinds, ups, 4, step)
+	var live []rwidentity.Identity
+	for i := range 8 {
+		live = append(live, f.Start(fmt.Sprintf("router-%d", i), zoneNames[i%3]))
+	}
+	for _, r := range live {
+		f.SetLive(r.Name, live)
+	}
+	return f, live
+}
+
+// client keeps a number of requests of an account waiting or running.
+type client struct {
+	account, kind string
+	routers       []string
+	concurrent    int
+	tokens        func(*rand.Rand) int
+	hint          float64
+}
+
+func (c client) start(ctx context.Context, f *rwbubble.Fleet, seed uint64) {
+	for n := range c.concurrent {
+		r := rand.New(rand.NewPCG(seed, uint64(n)))
+		go func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				q := &rwrequest.Request{
+					ID:      fmt.Sprintf("%s-%s-%d-%d", c.account, c.kind, n, i),
+					Account: c.account, Kind: c.kind, Pool: "m", Idempotent: true, Hint: c.hint,
+					Urgency: map[string]int{"now": 0, "soon": 1, "batch": 3}[c.kind],
+				}
+				if f.Request(ctx, c.routers[r.IntN(len(c.routers))], q, c.tokens(r)) != nil {
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+		}()
+	}
+}
+
+func exponential(r *rand.Rand) int {
+	return min(max(int(r.ExpFloat64()*meanTokens), 1), maxTokens)
+}
+
+func names(live []rwidentity.Identity) []string {
+	var out []string
+	for _, r := range live {
+		out = append(out, r.Name)
+	}
+	return out
+}
+
+// gapBound is G of docs/design.md for equal shares: twice what may be charged
+// and not yet received, plus what other cells serve between two reports.
+func gapBound(backlogged int) float64 {
+	rate := float64(engines*slots) / step.Seconds()
+	return 2*maxTokens*(1+2*float64(engines*slots)/float64(backlogged)) + 2*rate*report.Seconds()
+}
+
+// Guards against shares that depend on the router that a request reaches: one
+// account sends all its work to one router, the others spread theirs, and the
+// callers' hints are misleading.
+func TestFairAcrossRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f, live := today(ctx, 1, nil)
+		all := names(live)
+		for i := range 16 {
+			c := client{account: fmt.Sprintf("account-%02d", i), kind: "soon", routers: all, concurrent: 30, tokens: exponential}
+			if i%4 == 0 {
+				c.routers = all[:1]
+			}
+			if i%4 == 1 {
+				c.hint = 5000
+			}
+			c.start(ctx, f, uint64(i))
+		}
+		time.Sleep(5 * time.Second)
+		base := f.Served()
+		worst := 0.0
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			worst = max(worst, gap(base, f.Served(), nil))
+		}
+		bytes, count := f.Traffic()
+		t.Logf("gap %.0f tokens, bound %.0f, busy %.3f, messages %v, bytes %v", worst, gapBound(16), f.Busy(), count, bytes)
+		require.LessOrEqual(t, worst, gapBound(16))
+		require.GreaterOrEqual(t, f.Busy(), 0.97)
+		cancel()
+		time.Sleep(time.Second) // lets all goroutines of the bubble end
+	})
+}
+
+// gap is the largest difference of weighted service since base.
+func gap(base, served map[string]float64, weights map[string]int) float64 {
+	low, high := -1.0, 0.0
+	for a, v := range served {
+		w := 1.0
+		if weights[a] > 0 {
+			w = float64(weights[a]) / rwaccount.WeightUnit
+		}
+		x := (v - base[a]) / w
+		high = max(high, x)
+		if low < 0 || x < low {
+			low = x
+		}
+	}
+	return high - low
+}
+
+// startAll starts a client for each account that keeps the fleet backlogged.
+func startAll(ctx context.Context, f *rwbubble.Fleet, all []string) {
+	for i := range 16 {
+		client{
+			account: fmt.Sprintf("account-%02d", i), kind: "soon", routers: all, concurrent: 30, tokens: exponential,
+		}.start(ctx, f, uint64(i))
+	}
+}
+
+func without(live []rwidentity.Identity, gone func(rwidentity.Identity) bool) []rwidentity.Identity {
+	var out []rwidentity.Identity
+	for _, r := range live {
+		if !gone(r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// busyDuring is the part of the slots in use while the function runs.
+func busyDuring(f *rwbubble.Fleet, run func()) float64 {
+	before := total(f.Served())
+	start := time.Now()
+	run()
+	return (total(f.Served()) - before) / (time.Since(start).Seconds() / step.Seconds() * engines * slots)
+}
+
+func total(m map[string]float64) float64 {
+	sum := 0.0
+	for _, v := range m {
+		sum += v
+	}
+	return sum
+}
+
+// Guards against slots that stay lost after a router that owned cells and ran
+// requests died, and after its replacement took the cells back.
+func TestOwnerDeathAndReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f, live := today(ctx, 2, nil)
+		startAll(ctx, f, names(live))
+		time.Sleep(5 * time.Second)
+		for n := range 8 {
+			name := fmt.Sprintf("router-%d", n)
+			f.Kill(name)
+			time.Sleep(2 * time.Second) // the time to declare a router dead
+			rest := without(live, func(r rwidentity.Identity) bool { return r.Name == name })
+			for _, r := range rest {
+				f.SetLive(r.Name, rest)
+			}
+			time.Sleep(2 * time.Second)
+			require.GreaterOrEqual(t, busyDuring(f, func() { time.Sleep(5 * time.Second) }), 0.97, "after the death of %s", name)
+			live = append(rest, f.Start(name, zoneNames[n%3]))
+			for _, r := range live {
+				f.SetLive(r.Name, live)
+			}
+			time.Sleep(2 * time.Second)
+			require.GreaterOrEqual(t, busyDuring(f, func() { time.Sleep(5 * time.Second) }), 0.97, "after the return of %s", name)
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against a zone that stops serving when it is cut off, and against
+// accounts that starve while debts from the cut are repaid.
+func TestZoneCutAndRejoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f, live := today(ctx, 3, nil)
+		startAll(ctx, f, names(live))
+		inside := func(r rwidentity.Identity) bool { return r.Zone == "za" }
+		time.Sleep(5 * time.Second)
+		f.Block(func(a, b rwidentity.Identity) bool { return inside(a) != inside(b) })
+		time.Sleep(2 * time.Second)
+		for _, r := range live {
+			f.SetLive(r.Name, without(live, func(o rwidentity.Identity) bool { return inside(r) != inside(o) }))
+		}
+		time.Sleep(6 * time.Second)
+		require.GreaterOrEqual(t, busyDuring(f, func() { time.Sleep(10 * time.Second) }), 0.97, "while cut")
+		f.Block(nil)
+		time.Sleep(time.Second)
+		for _, r := range live {
+			f.SetLive(r.Name, live)
+		}
+		time.Sleep(6 * time.Second)
+		base := f.Served()
+		require.GreaterOrEqual(t, busyDuring(f, func() { time.Sleep(20 * time.Second) }), 0.97, "after the cut")
+		for a, v := range f.Served() {
+			due := engines * slots * 20 / step.Seconds() / 16
+			require.GreaterOrEqual(t, v-base[a], due/4, "service of %s while debts are repaid", a)
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against slots that leak when messages are lost.
+func TestLostMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f, live := today(ctx, 4, nil)
+		f.Loss = 0.02
+		startAll(ctx, f, names(live))
+		time.Sleep(60 * time.Second)
+		f.Loss = 0
+		time.Sleep(15 * time.Second)
+		require.GreaterOrEqual(t, busyDuring(f, func() { time.Sleep(10 * time.Second) }), 0.97)
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- /dev/null
+++ b/test/rwbubble/rwbubble.go
@@ -0,0 +1,345 @@
+// Package rwbubble connects entries and owners of cells in one process, for
+// tests and measurements under the virtual time of testing/synctest. It holds
+// the real decision code and codecs; links and engines are minimal fakes.
+package rwbubble
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"redwingworks.example/internal/rwaccount"
+	"redwingworks.example/internal/rwcell"
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfair"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwkind"
+	"redwingworks.example/internal/rwmessage"
+	"redwingworks.example/internal/rwowner"
+	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwsnapshot"
+	"redwingworks.example/internal/rwupstream"
+)
+
+const (
+	// framing is the JSON-RPC envelope of one message in bytes.
+	framing = 45
+	tick    = 50 * time.Millisecond
+)
+
+// Fleet is a set of routers and engines in one process.
+type Fleet struct {
+	// Delay is the one-way time of a message, Loss the part that is lost.
+	Delay time.Duration
+	Loss  float64
+
+	ctx     context.Context
+	view    *rwsnapshot.Snapshot
+	cells   []rwcell.Cell
+	engines map[string]*engine
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	routers map[string]*router
+	blocked func(from, to rwidentity.Identity) bool
+	bytes   map[string]int64
+	count   map[string]int64
+	refused map[rwcode.Code]int
+}
+
+type router struct {
+	self   rwidentity.Identity
+	policy *rwfair.Policy
+	owner  *rwowner.Owner
+	stop   context.CancelFunc
+}
+
+// New returns a fleet with these records and engines; step is the time between
+// tokens. It runs until the context ends.
+func New(ctx context.Context, seed uint64, accounts []rwaccount.Account, kinds []rwkind.Kind, ups []rwupstream.Upstream, cellSize int, step time.Duration) *Fleet {
+	f := &Fleet{
+		Delay:   time.Millisecond,
+		ctx:     ctx,
+		view:    rwsnapshot.Empty().WithRev(1).WithAccounts(accounts).WithKinds(kinds).WithUpstreams(ups),
+		engines: map[string]*engine{},
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		routers: map[string]*router{},
+		bytes:   map[string]int64{},
+		count:   map[string]int64{},
+		refused: map[rwcode.Code]int{},
+	}
+	f.cells = rwcell.All(f.view, cellSize)
+	for _, u := range ups {
+		e := newEngine(u.Window, step)
+		f.engines[u.Name] = e
+		go e.run(ctx)
+	}
+	return f
+}
+
+// Start adds a router with a new incarnation. The others learn of it by
+// SetLive.
+func (f *Fleet) Start(name, zone string) rwidentity.Identity {
+	self := rwidentity.Identity{Name: name, Zone: zone, Region: "main", Addr: name, Inc: time.Now().UnixMicro()}
+	ctx, stop := context.WithCancel(f.ctx)
+	r := &router{self: self, policy: rwfair.New(self, uint64(self.Inc)), owner: rwowner.New(self), stop: stop}
+	send := func(to rwidentity.Identity, method string, m *rwmessage.Message) { f.send(self, to, method, m) }
+	r.policy.View = func() *rwsnapshot.Snapshot { return f.view }
+	r.policy.Now = time.Now
+	r.policy.Send = send
+	r.owner.Send = send
+	f.mu.Lock()
+	f.routers[name] = r
+	f.mu.Unlock()
+	go func() { _ = r.policy.Run(ctx) }()
+	go r.tick(ctx)
+	return self
+}
+
+func (r *router) tick(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.owner.Tick(time.Now())
+		}
+	}
+}
+
+// Kill ends a router: its requests fail and its messages are no longer read.
+func (f *Fleet) Kill(name string) {
+	f.mu.Lock()
+	r := f.routers[name]
+	delete(f.routers, name)
+	f.mu.Unlock()
+	r.stop()
+}
+
+// Block makes messages between some routers disappear; nil ends it.
+func (f *Fleet) Block(blocked func(from, to rwidentity.Identity) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.blocked = blocked
+}
+
+// SetLive tells a router which routers are live.
+func (f *Fleet) SetLive(name string, live []rwidentity.Identity) {
+	f.mu.Lock()
+	r := f.routers[name]
+	f.mu.Unlock()
+	r.policy.Update(f.cells, live)
+	r.owner.Update(time.Now(), f.view, f.cells, live)
+}
+
+func (f *Fleet) send(from, to rwidentity.Identity, method string, m *rwmessage.Message) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if from.Name != to.Name {
+		f.bytes[from.Name] += int64(len(data)) + framing
+		f.count[method]++
+		if f.Loss > 0 && f.random.Float64() < f.Loss {
+			return
+		}
+		if f.blocked != nil && f.blocked(from, to) {
+			return
+		}
+	}
+	delay := f.Delay
+	if from.Name == to.Name {
+		delay = 0
+	}
+	time.AfterFunc(delay, func() { f.deliver(from, to, method, data) })
+}
+
+func (f *Fleet) deliver(from, to rwidentity.Identity, method string, data []byte) {
+	f.mu.Lock()
+	r := f.routers[to.Name]
+	f.mu.Unlock()
+	if r == nil {
+		return
+	}
+	var m rwmessage.Message
+	if err := json.Unmarshal(data, &m); err != nil {
+		panic(err)
+	}
+	now := time.Now()
+	switch method {
+	case rwmessage.Want:
+		r.owner.Want(now, from, &m)
+	case rwmessage.Sync:
+		r.owner.Sync(now, from, &m)
+	case rwmessage.Report:
+		r.owner.Report(now, &m)
+	case rwmessage.Grant:
+		r.policy.Grant(from, &m)
+	case rwmessage.Check:
+		r.policy.Check(from, &m)
+	case rwmessage.Owner:
+		r.policy.Resync(from, m.Cell)
+	}
+}
+
+// Request runs a request of the given length in tokens at a router and returns
+// its error.
+func (f *Fleet) Request(ctx context.Context, at string, q *rwrequest.Request, tokens int) error {
+	f.mu.Lock()
+	r := f.routers[at]
+	f.mu.Unlock()
+	if r == nil {
+		return fmt.Errorf("router %s is down", at)
+	}
+	q.Arrived = time.Now()
+	s, err := r.policy.Acquire(ctx, q)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	if start.After(s.Expires) {
+		s.Done(0, 0, 0, rwcode.GrantExpired)
+		return fmt.Errorf("grant expired")
+	}
+	first := f.engines[s.Upstream.Name].serve(f.ctx, q.Account, tokens, s.Used)
+	s.Done(float64(tokens), first, time.Since(start), rwcode.None)
+	return f.ctx.Err()
+}
+
+// Served returns the tokens that all engines gave to each account so far.
+func (f *Fleet) Served() map[string]float64 {
+	out := map[string]float64{}
+	for _, e := range f.engines {
+		e.add(out)
+	}
+	return out
+}
+
+// Busy returns the part of the engines' slots that were in use since the
+// start.
+func (f *Fleet) Busy() float64 {
+	used, all := 0.0, 0.0
+	for _, e := range f.engines {
+		e.mu.Lock()
+		used += float64(e.used)
+		all += float64(e.steps * e.slots)
+		e.mu.Unlock()
+	}
+	return used / max(all, 1)
+}
+
+// Traffic returns the bytes that each router sent and the messages by method.
+func (f *Fleet) Traffic() (bytes, count map[string]int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	bytes, count = map[string]int64{}, map[string]int64{}
+	for k, v := range f.bytes {
+		bytes[k] = v
+	}
+	for k, v := range f.count {
+		count[k] = v
+	}
+	return bytes, count
+}
+
+// engine batches continuously: each step, each request of the batch gets one
+// token.
+type engine struct {
+	slots int
+	step  time.Duration
+
+	mu          sync.Mutex
+	wait        []*job
+	jobs        []*job
+	used, steps int
+	served      map[string]float64
+}
+
+type job struct {
+	account string
+	left    int
+	done    float64
+	used    func(float64)
+	first   chan struct{}
+	end     chan struct{}
+}
+
+func newEngine(slots int, step time.Duration) *engine {
+	return &engine{slots: slots, step: step, served: map[string]float64{}}
+}
+
+func (e *engine) run(ctx context.Context) {
+	t := time.NewTicker(e.step)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			e.advance()
+		}
+	}
+}
+
+func (e *engine) advance() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for len(e.jobs) < e.slots && len(e.wait) > 0 {
+		e.jobs = append(e.jobs, e.wait[0])
+		e.wait = e.wait[1:]
+	}
+	e.steps++
+	e.used += len(e.jobs)
+	kept := e.jobs[:0]
+	for _, j := range e.jobs {
+		e.served[j.account]++
+		j.done++
+		j.left--
+		if j.done == 1 {
+			close(j.first)
+		}
+		if j.used != nil {
+			j.used(j.done)
+		}
+		if j.left > 0 {
+			kept = append(kept, j)
+		} else {
+			close(j.end)
+		}
+	}
+	e.jobs = kept
+}
+
+func (e *engine) serve(ctx context.Context, account string, tokens int, used func(float64)) time.Duration {
+	start := time.Now()
+	j := &job{account: account, left: tokens, used: used, first: make(chan struct{}), end: make(chan struct{})}
+	e.mu.Lock()
+	e.wait = append(e.wait, j)
+	e.mu.Unlock()
+	first := time.Duration(0)
+	select {
+	case <-j.first:
+		first = time.Since(start)
+	case <-ctx.Done():
+	}
+	select {
+	case <-j.end:
+	case <-ctx.Done():
+	}
+	return first
+}
+
+func (e *engine) add(out map[string]float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for a, v := range e.served {
+		out[a] += v
+	}
+}
