--- a/internal/rwlevel/rwlevel.go
+++ b/internal/rwbacklog/rwbacklog.go
@@ -1,6 +1,6 @@
-// Package rwlevel says how much work an entry has waiting for an account and
+// Package rwbacklog says how much work an entry has waiting for an account and
 // kind.
-package rwlevel
+package rwbacklog
 
 import (
 	"encoding/json"
@@ -9,9 +9,9 @@
 	"redwingworks.example/internal/rwfault"
 )
 
-// Level is the number of waiting requests of one account and kind. On the wire
+// Backlog is the number of waiting requests of one account and kind. On the wire
 // it is an array, which is a third of the size of an object.
-type Level struct {
+type Backlog struct {
 	Account string
 	Kind    string
 	// Count is capped by the sender; 0 withdraws the level.
@@ -21,18 +21,18 @@
 }
 
 // MarshalJSON encodes the level as an array.
-func (l Level) MarshalJSON() ([]byte, error) {
+func (l Backlog) MarshalJSON() ([]byte, error) {
 	return json.Marshal([]any{l.Account, l.Kind, l.Count, l.Hint})
 }
 
 // UnmarshalJSON decodes the array form. It fails with PeerMalformed.
-func (l *Level) UnmarshalJSON(data []byte) error {
+func (l *Backlog) UnmarshalJSON(data []byte) error {
 	parts := []any{&l.Account, &l.Kind, &l.Count, &l.Hint}
 	if err := json.Unmarshal(data, &parts); err != nil {
 		return rwfault.Wrap(rwcode.PeerMalformed, err)
 	}
 	if len(parts) != 4 || l.Count < 0 || l.Hint < 0 {
-		return rwfault.New(rwcode.PeerMalformed, "level")
+		return rwfault.New(rwcode.PeerMalformed, "backlog")
 	}
 	return nil
 }
--- a/internal/rwdemand/rwdemand.go
+++ b/internal/rwdemand/rwdemand.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"redwingworks.example/internal/rwlevel"
+	"redwingworks.example/internal/rwbacklog"
 	"redwingworks.example/internal/rwmessage"
 	"redwingworks.example/internal/rwqueue"
 )
@@ -192,7 +192,7 @@
 		}
 	}
 	for _, m := range messages {
-		slices.SortFunc(m.Levels, func(a, b rwlevel.Level) int {
+		slices.SortFunc(m.Levels, func(a, b rwbacklog.Backlog) int {
 			return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Kind, b.Kind))
 		})
 	}
@@ -250,7 +250,7 @@
 			m = &rwmessage.Message{Cell: name}
 			messages[name] = m
 		}
-		m.Levels = append(m.Levels, rwlevel.Level{Account: k.Account, Kind: k.Kind, Count: level, Hint: l.hint})
+		m.Levels = append(m.Levels, rwbacklog.Backlog{Account: k.Account, Kind: k.Kind, Count: level, Hint: l.hint})
 		if level == 0 {
 			delete(c.known, k)
 		} else {
--- a/internal/rwmessage/rwmessage.go
+++ b/internal/rwmessage/rwmessage.go
@@ -3,8 +3,8 @@
 package rwmessage
 
 import (
+	"redwingworks.example/internal/rwbacklog"
 	"redwingworks.example/internal/rwgrant"
-	"redwingworks.example/internal/rwlevel"
 	"redwingworks.example/internal/rwspent"
 	"redwingworks.example/internal/rwtotal"
 )
@@ -29,14 +29,14 @@
 
 // Message is any message about the slots of one cell.
 type Message struct {
-	Cell    string          `json:"cell"`
-	Levels  []rwlevel.Level `json:"levels,omitempty"`
-	Done    []rwspent.Spent `json:"done,omitempty"`
-	Usage   []rwspent.Spent `json:"usage,omitempty"`
-	Grants  []rwgrant.Grant `json:"grants,omitempty"`
-	Running []rwgrant.Grant `json:"running,omitempty"`
-	IDs     []uint64        `json:"ids,omitempty"`
-	Totals  []rwtotal.Total `json:"totals,omitempty"`
+	Cell    string              `json:"cell"`
+	Levels  []rwbacklog.Backlog `json:"levels,omitempty"`
+	Done    []rwspent.Spent     `json:"done,omitempty"`
+	Usage   []rwspent.Spent     `json:"usage,omitempty"`
+	Grants  []rwgrant.Grant     `json:"grants,omitempty"`
+	Running []rwgrant.Grant     `json:"running,omitempty"`
+	IDs     []uint64            `json:"ids,omitempty"`
+	Totals  []rwtotal.Total     `json:"totals,omitempty"`
 	// Inc is the incarnation of the sender's scheduler: the time in
 	// microseconds when it took the cell.
 	Inc int64 `json:"inc,omitempty"`
