Schedule by weighted virtual time over the whole pool

The simple body ordered accounts by totals alone: an account that was idle saved up credit, nothing bounded the slots of one account, kinds had no weights, and a new incarnation of another cell lowered virtual times.

The scheduler now keeps accounts in an indexed heap by virtual time (join rule, maxLag, cap of twice the fair share of slots), kinds by weighted fair queueing inside an account, and totals that only rise, so that reordered reports need no sequence number. Windows, learned costs and the back-off are packages of their own.

--- /dev/null
+++ b/internal/rwbackoff/rwbackoff_test.go
@@ -0,0 +1,60 @@
+package rwbackoff_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwbackoff"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against a burst of failures that counts as many, which would hold
+// back an upstream for seconds after one restart.
+func TestFailuresOfOneMomentCountOnce(t *testing.T) {
+	var b rwbackoff.Backoff
+	for i := range 50 {
+		b.Failed(at(10+i), at(0), false)
+	}
+	require.False(t, b.Open(at(109)))
+	require.True(t, b.Open(at(110)))
+}
+
+// Guards against more than one trial, a delay that doesn't double or has no
+// bound, and an upstream that stays held back after it answered.
+func TestDelayDoublesAndOneTrialDecides(t *testing.T) {
+	var b rwbackoff.Backoff
+	now := at(0)
+	b.Failed(now, now, false)
+	for _, ms := range []int{100, 200, 400, 800, 1600, 3200, 3200} {
+		delay := time.Duration(ms) * time.Millisecond
+		require.Equal(t, now.Add(delay), b.Until())
+		require.False(t, b.Open(now.Add(delay-1)))
+		now = now.Add(delay)
+		require.True(t, b.Open(now))
+		require.True(t, b.Granted())
+		require.False(t, b.Open(now), "second trial")
+		b.Failed(now, now, true)
+	}
+	now = b.Until()
+	require.True(t, b.Granted())
+	b.Returned(true)
+	require.True(t, b.Open(now), "a trial that was not used must leave room for another")
+	require.True(t, b.Granted())
+	b.Reached(now, true)
+	require.True(t, b.Open(now))
+	require.False(t, b.Granted())
+}
+
+// Guards against an answer to work from before the failure that ends the
+// back-off.
+func TestOldAnswersDoNotEndTheBackOff(t *testing.T) {
+	var b rwbackoff.Backoff
+	b.Failed(at(10), at(5), false)
+	b.Reached(at(5), false)
+	require.False(t, b.Open(at(20)))
+}
--- /dev/null
+++ b/internal/rwledger/rwledger.go
@@ -0,0 +1,147 @@
+// Package rwledger keeps the cost that the owner of a cell charged to each
+// account, and what it knows of the other cells of the pool.
+package rwledger
+
+import "redwingworks.example/internal/rwtotal"
+
+const (
+	// mentions is in how many reports a change appears, so that a lost
+	// report costs one interval.
+	mentions = 2
+	// refreshes is how many unchanged accounts each report repeats in turn.
+	// Whatever was lost is told again, 16 accounts within a second.
+	refreshes = 4
+)
+
+// Ledger holds totals that only rise. Whoever merges them can take the
+// highest one seen, so that late, repeated and reordered reports do no harm. A
+// credit is set off against later charges of the same account. Ledger is not
+// safe for concurrent use.
+type Ledger struct {
+	inc   int64
+	list  []entry
+	index map[string]int
+	// changed holds the accounts with mentions left, in order of change.
+	changed []int
+	// turn is the next account to repeat although it did not change.
+	turn  int
+	cells map[string]*cell
+}
+
+type entry struct {
+	account string
+	// net is the cost charged, less credit.
+	net float64
+	// high is the highest value of net so far; this is what others are told.
+	high     float64
+	mentions int
+}
+
+type cell struct {
+	inc    int64
+	totals map[string]float64
+}
+
+// New returns the ledger of an owner with the given incarnation.
+func New(inc int64) *Ledger {
+	return &Ledger{inc: inc, index: map[string]int{}, cells: map[string]*cell{}}
+}
+
+// Account returns the number of an account, which it adds if it is new.
+func (l *Ledger) Account(name string) int {
+	if i, ok := l.index[name]; ok {
+		return i
+	}
+	l.index[name] = len(l.list)
+	l.list = append(l.list, entry{account: name})
+	return len(l.list) - 1
+}
+
+// Charge adds cost to an account. Credit is negative.
+func (l *Ledger) Charge(account int, cost float64) {
+	e := &l.list[account]
+	e.net += cost
+	if e.net > e.high {
+		e.high = e.net
+		l.mention(account, mentions)
+	}
+}
+
+// Net is the cost charged to an account, less credit.
+func (l *Ledger) Net(account int) float64 { return l.list[account].net }
+
+func (l *Ledger) mention(account, times int) {
+	e := &l.list[account]
+	if e.mentions == 0 {
+		l.changed = append(l.changed, account)
+	}
+	e.mentions = max(e.mentions, times)
+}
+
+// Refresh puts all accounts into the next report, for an owner that is new or
+// was out of reach.
+func (l *Ledger) Refresh() {
+	for i := range l.list {
+		if l.list[i].high > 0 {
+			l.mention(i, 1)
+		}
+	}
+}
+
+// Report appends the totals of the accounts that changed and, if there are
+// any, of a few others in turn.
+func (l *Ledger) Report(dst []rwtotal.Total) []rwtotal.Total {
+	if len(l.changed) == 0 {
+		return dst
+	}
+	dst = l.repeat(dst)
+	left := l.changed[:0]
+	for _, i := range l.changed {
+		e := &l.list[i]
+		dst = append(dst, rwtotal.Total{Account: e.account, Cost: e.high})
+		e.mentions--
+		if e.mentions > 0 {
+			left = append(left, i)
+		}
+	}
+	l.changed = left
+	return dst
+}
+
+func (l *Ledger) repeat(dst []rwtotal.Total) []rwtotal.Total {
+	for n, left := len(l.list), refreshes; n > 0 && left > 0; n-- {
+		l.turn = (l.turn + 1) % len(l.list)
+		e := &l.list[l.turn]
+		if e.mentions == 0 && e.high > 0 {
+			dst = append(dst, rwtotal.Total{Account: e.account, Cost: e.high})
+			left--
+		}
+	}
+	return dst
+}
+
+// Merge takes in the totals of another cell's owner and tells apply what is
+// new. Totals of an older incarnation are ignored; those of a newer one start
+// again from zero. An owner that took its cell before this one did has totals
+// from before; the first one seen of each account is where counting starts.
+func (l *Ledger) Merge(name string, inc int64, totals []rwtotal.Total, apply func(account string, cost float64)) {
+	c := l.cells[name]
+	if c != nil && inc < c.inc {
+		return
+	}
+	if c == nil || inc > c.inc {
+		c = &cell{inc: inc, totals: make(map[string]float64, len(totals))}
+		l.cells[name] = c
+		l.Refresh()
+	}
+	for _, t := range totals {
+		old, seen := c.totals[t.Account]
+		if t.Cost <= old {
+			continue
+		}
+		c.totals[t.Account] = t.Cost
+		if seen || c.inc >= l.inc {
+			apply(t.Account, t.Cost-old)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rwledger/rwledger_test.go
@@ -0,0 +1,117 @@
+package rwledger_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"redwingworks.example/internal/rwledger"
+	"redwingworks.example/internal/rwtotal"
+)
+
+// A fixed seed gives the same verdict on every run.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+type report struct {
+	inc    int64
+	totals []rwtotal.Total
+}
+
+// Guards against reports that are lost, late, repeated or reordered, and
+// owners that restart, which change what another owner knows in the end.
+func TestMergeAgreesInTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		inc := int64(10)
+		from, to := rwledger.New(inc), rwledger.New(5)
+		got, want := map[string]float64{}, map[string]float64{}
+		high := map[string]float64{}
+		apply := func(account string, cost float64) {
+			require.Positive(t, cost)
+			got[account] += cost
+		}
+		var sent []report
+		deliver := func(r report) { to.Merge("other", r.inc, r.totals, apply) }
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "op") {
+			case 0:
+				for a, v := range high {
+					want[a] += v
+				}
+				deliver(report{inc, complete(from)})
+				inc++
+				from, high = rwledger.New(inc), map[string]float64{}
+			case 1, 2, 3:
+				if len(sent) > 0 {
+					deliver(sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")])
+				}
+			case 4, 5:
+				sent = append(sent, report{inc, from.Report(nil)})
+			default:
+				a := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "account"))
+				i := from.Account(a)
+				from.Charge(i, float64(rapid.IntRange(-20, 50).Draw(t, "cost")))
+				high[a] = max(high[a], from.Net(i))
+			}
+		}
+		deliver(report{inc, complete(from)})
+		for a, v := range high {
+			want[a] += v
+		}
+		for a := range want {
+			require.InDelta(t, want[a], got[a], 1e-6, a)
+		}
+	})
+}
+
+func complete(l *rwledger.Ledger) []rwtotal.Total {
+	l.Refresh()
+	return l.Report(nil)
+}
+
+// Guards against a change that is never told again after one lost report.
+func TestChangesAreRepeated(t *testing.T) {
+	l := rwledger.New(1)
+	require.Empty(t, l.Report(nil))
+	l.Charge(l.Account("a"), 5)
+	want := []rwtotal.Total{{Account: "a", Cost: 5}}
+	require.Equal(t, want, l.Report(nil))
+	require.Equal(t, want, l.Report(nil))
+	require.Empty(t, l.Report(nil), "an idle cell must not send reports")
+}
+
+// Guards against totals of accounts that don't change any more and that an
+// owner missed for longer than the repetition.
+func TestUnchangedAccountsComeInTurn(t *testing.T) {
+	l := rwledger.New(1)
+	const accounts = 100
+	for i := range accounts {
+		l.Charge(l.Account(fmt.Sprint(i)), 1)
+	}
+	l.Report(nil)
+	l.Report(nil)
+	seen := map[string]bool{}
+	for range accounts / 4 {
+		l.Charge(0, 1)
+		for _, total := range l.Report(nil) {
+			seen[total.Account] = true
+		}
+	}
+	require.Len(t, seen, accounts)
+}
+
+// Guards against a new owner that takes the service of hours, in which it
+// can't know its own cell's part, for a lead.
+func TestTotalsFromBeforeAreTheBase(t *testing.T) {
+	l := rwledger.New(100)
+	got := 0.0
+	apply := func(_ string, cost float64) { got += cost }
+	l.Merge("other", 7, []rwtotal.Total{{Account: "a", Cost: 1e6}}, apply)
+	require.Zero(t, got)
+	l.Merge("other", 7, []rwtotal.Total{{Account: "a", Cost: 1e6 + 3}}, apply)
+	require.Equal(t, 3.0, got)
+	l.Merge("other", 200, []rwtotal.Total{{Account: "a", Cost: 4}}, apply)
+	require.Equal(t, 7.0, got)
+}
--- a/internal/rwsched/rwsched.go
+++ b/internal/rwsched/rwsched.go
@@ -3,273 +3,612 @@
 package rwsched
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
+	"redwingworks.example/internal/rwaccount"
+	"redwingworks.example/internal/rwbackoff"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwcost"
 	"redwingworks.example/internal/rwgrant"
+	"redwingworks.example/internal/rwheap"
+	"redwingworks.example/internal/rwkind"
+	"redwingworks.example/internal/rwledger"
+	"redwingworks.example/internal/rwlevel"
 	"redwingworks.example/internal/rwschedview"
 	"redwingworks.example/internal/rwtotal"
+	"redwingworks.example/internal/rwwindow"
+)
+
+const (
+	// rejoinTime covers the way of a grant to the entry and of the next
+	// level back. An account whose level is used up for less than that had
+	// work waiting all along, and keeps the service that it is behind.
+	rejoinTime = 100 * time.Millisecond
+	// forgive is the part of its limit that an account that the cap on
+	// slots held back stays behind. The rest of the limit is the room in
+	// which the others keep their order.
+	forgive = 0.75
+	// unknownUrgency is that of a kind whose record did not arrive yet.
+	unknownUrgency = rwkind.MaxUrgency
 )
 
 // Scheduler hands out the slots of a cell. It is not safe for concurrent use.
 type Scheduler struct {
 	cell      string
 	inc       int64
-	next      uint64
+	lastID    uint64
 	costs     *rwcost.Cost
-	upstreams map[string]*upstream
-	accounts  map[string]*account
-	levels    map[levelKey]level
-	grants    map[uint64]rwgrant.Grant
-	changed   map[string]bool
-	others    map[string]map[string]float64
-	incs      map[string]int64
+	ledger    *rwledger.Ledger
+	upstreams []*upstream
+	accounts  []*account
+	byName    map[string]*account
+	urgencies map[string]int
+	grants    map[uint64]*grant
+	unused    *grant
+
+	// ready holds the accounts with work waiting, the lowest virtual time
+	// first. Some may have reached the cap since they were put there.
+	ready *rwheap.Heap[*account]
+	// capped holds the other accounts with work waiting: those that held
+	// twice their fair share of slots, the one with the fewest slots for
+	// its weight first.
+	capped *rwheap.Heap[*account]
+	// weight is the sum of the weights in both heaps.
+	weight int64
+	// clock is the virtual time of the account that was served last.
+	clock float64
+
+	poolSlots int
+	poolRate  float64
+	interval  time.Duration
 }
 
 type upstream struct {
-	window, running int
-	removed         bool
+	name    string
+	size    int
+	learned *rwwindow.Window
+	removed bool
+	running int
+	backoff rwbackoff.Backoff
 }
 
 type account struct {
-	weight int
-	total  float64
-	others float64
-}
+	name    string
+	weight  int64
+	removed bool
+	ledger  int
+	levels  *rwlevel.Levels
+	running int
+	// virtual is the weighted service received in the whole pool, in cost
+	// units per share.
+	virtual float64
+	// served is the last grant; equal virtual times take turns by it.
+	served uint64
 
-type levelKey struct{ entry, account, kind string }
+	// heap is the heap that the account is in, nil without work waiting.
+	heap     *rwheap.Heap[*account]
+	position int
+	// left is when the account had no more work waiting, and behind its
+	// virtual time behind the lowest one then.
+	left   time.Time
+	behind float64
+}
 
-type level struct {
-	count int
-	hint  float64
+type grant struct {
+	rwgrant.Grant
+	account  *account
+	kind     int
+	upstream *upstream
+	at       time.Time
+	trial    bool
+	// unpriced marks a grant of an earlier owner whose charge is unknown.
+	unpriced bool
+	next     *grant
 }
 
 // New returns a scheduler without upstreams. inc is the incarnation of the
-// owner in microseconds since 1970; grant identifiers start from it.
+// owner in microseconds since 1970. Grant identifiers count up from it: an
+// owner grants less than once a microsecond, so a later owner starts higher.
 func New(cell string, inc int64) *Scheduler {
-	return &Scheduler{
-		cell: cell, inc: inc, next: uint64(inc),
+	s := &Scheduler{
+		cell: cell, inc: inc, lastID: uint64(inc),
 		costs:     rwcost.New(),
-		upstreams: map[string]*upstream{},
-		accounts:  map[string]*account{},
-		levels:    map[levelKey]level{},
-		grants:    map[uint64]rwgrant.Grant{},
-		changed:   map[string]bool{},
-		others:    map[string]map[string]float64{},
-		incs:      map[string]int64{},
+		ledger:    rwledger.New(inc),
+		byName:    map[string]*account{},
+		urgencies: map[string]int{},
+		grants:    map[uint64]*grant{},
+	}
+	moved := func(a *account, position int) { a.position = position }
+	s.ready = &rwheap.Heap[*account]{Less: earlier, Moved: moved}
+	s.capped = &rwheap.Heap[*account]{Less: holdsFewer, Moved: moved}
+	return s
+}
+
+func earlier(a, b *account) bool {
+	if a.virtual != b.virtual {
+		return a.virtual < b.virtual
 	}
+	return a.served < b.served || (a.served == b.served && a.ledger < b.ledger)
+}
+
+func holdsFewer(a, b *account) bool {
+	x, y := int64(a.running)*b.weight, int64(b.running)*a.weight
+	return x < y || (x == y && earlier(a, b))
 }
 
-// SetUpstream adds an upstream or changes its window.
+// SetUpstream adds an upstream or changes its window, which stays as it is
+// given.
 func (s *Scheduler) SetUpstream(name string, window int) {
-	s.upstream(name).window = window
-	s.upstream(name).removed = false
+	u := s.upstream(name)
+	u.size, u.learned, u.removed = max(window, 0), nil, false
+}
+
+// SetEngine adds an upstream whose window is learned from the value given. An
+// engine that is known keeps its learned window. target is the longest time
+// between tokens that is wanted.
+func (s *Scheduler) SetEngine(name string, window int, target time.Duration) {
+	u := s.upstream(name)
+	u.removed = false
+	if u.learned == nil {
+		u.learned = rwwindow.New(window, target, true)
+	}
+	u.size = u.learned.Size()
 }
 
 func (s *Scheduler) upstream(name string) *upstream {
-	u := s.upstreams[name]
-	if u == nil {
-		u = &upstream{}
-		s.upstreams[name] = u
+	i, ok := slices.BinarySearchFunc(s.upstreams, name, func(u *upstream, name string) int {
+		return cmp.Compare(u.name, name)
+	})
+	if !ok {
+		s.upstreams = slices.Insert(s.upstreams, i, &upstream{name: name, removed: true})
 	}
-	return u
+	return s.upstreams[i]
 }
 
 // RemoveUpstream ends new grants for an upstream. Running ones stay known.
-func (s *Scheduler) RemoveUpstream(name string) { s.upstream(name).removed = true }
+func (s *Scheduler) RemoveUpstream(name string) {
+	u := s.upstream(name)
+	u.removed = true
+	s.forget(u)
+}
 
-// SetAccount adds an account or changes its weight.
-func (s *Scheduler) SetAccount(name string, weight int) { s.account(name).weight = max(weight, 1) }
+// forget drops an upstream that was removed when nothing runs on it any more.
+func (s *Scheduler) forget(u *upstream) {
+	if u.removed && u.running == 0 {
+		s.upstreams = slices.DeleteFunc(s.upstreams, func(o *upstream) bool { return o == u })
+	}
+}
 
+// SetAccount adds an account or changes its weight, in thousandths of a share.
+func (s *Scheduler) SetAccount(name string, weight int) {
+	a := s.account(name)
+	heap := a.heap
+	s.take(a)
+	a.weight, a.removed = int64(max(weight, 1)), false
+	if heap != nil {
+		s.put(a, heap)
+	} else {
+		s.update(time.Time{}, a)
+	}
+}
+
+// account returns an account by name. One whose record did not arrive yet has
+// one share: the entry that named it has the record.
 func (s *Scheduler) account(name string) *account {
-	a := s.accounts[name]
+	a := s.byName[name]
 	if a == nil {
-		a = &account{weight: 1}
-		s.accounts[name] = a
+		a = &account{name: name, weight: rwaccount.WeightUnit, ledger: s.ledger.Account(name), levels: rwlevel.New()}
+		s.byName[name] = a
+		s.accounts = append(s.accounts, a)
 	}
 	return a
 }
 
 // RemoveAccount ends new grants for an account. Running ones stay known.
-func (s *Scheduler) RemoveAccount(name string) { delete(s.accounts, name) }
+func (s *Scheduler) RemoveAccount(name string) {
+	a := s.account(name)
+	a.removed = true
+	a.behind = 0
+	s.take(a)
+}
 
 // SetKind adds a kind or changes its urgency, 0 (most urgent) to 3.
-func (s *Scheduler) SetKind(name string, urgency int) {}
+func (s *Scheduler) SetKind(name string, urgency int) {
+	urgency = min(max(urgency, 0), rwkind.MaxUrgency)
+	s.urgencies[name] = urgency
+	for _, a := range s.accounts {
+		a.levels.SetUrgency(name, urgency)
+	}
+}
+
+func (s *Scheduler) kind(a *account, name string) int {
+	urgency, ok := s.urgencies[name]
+	if !ok {
+		urgency = unknownUrgency
+	}
+	return a.levels.Kind(name, urgency)
+}
 
 // SetPool sets the figures of the whole pool: its slots, its rate in cost
 // units per second, and the interval of the reports with their delay.
-func (s *Scheduler) SetPool(slots int, rate float64, interval time.Duration) {}
-
-// SetLevel sets how many requests of an account and kind wait at an entry. hint
-// is their mean hint in cost units, 0 for none.
-func (s *Scheduler) SetLevel(now time.Time, entry, account, kind string, count int, hint float64) {
-	k := levelKey{entry, account, kind}
-	if count <= 0 {
-		delete(s.levels, k)
-		return
-	}
-	s.levels[k] = level{count: count, hint: hint}
+func (s *Scheduler) SetPool(slots int, rate float64, interval time.Duration) {
+	s.poolSlots, s.poolRate, s.interval = slots, rate, interval
+}
+
+// SetLevel sets how many requests of an account and kind wait at an entry.
+// hint is their mean hint in cost units, 0 for none. Next lowers the level by
+// one with each grant. The entry, when a grant arrives, must lower the level
+// that it told this cell by one as well, and tell it again where its queue
+// differs.
+func (s *Scheduler) SetLevel(now time.Time, entry, account, kind string, level int, hint float64) {
+	a := s.account(account)
+	a.levels.Set(entry, s.kind(a, kind), level, hint)
+	s.update(now, a)
 }
 
 // DropEntry forgets an entry that is gone: its levels, and its running grants,
-// whose slots become free.
+// whose slots become free and whose charge is credited.
 func (s *Scheduler) DropEntry(now time.Time, entry string) {
-	for k := range s.levels {
-		if k.entry == entry {
-			delete(s.levels, k)
-		}
+	for _, a := range s.accounts {
+		a.levels.DropEntry(entry)
+		s.update(now, a)
 	}
-	for id, g := range s.grants {
-		if g.Entry == entry {
-			s.release(id, g)
+	for _, id := range slices.Sorted(maps.Keys(s.grants)) {
+		if g := s.grants[id]; g.Entry == entry {
+			s.correct(g, 0)
+			s.release(g)
 		}
 	}
 }
 
-func (s *Scheduler) release(id uint64, g rwgrant.Grant) {
-	delete(s.grants, id)
-	s.upstream(g.Upstream).running--
-}
-
-// Restore takes in a running grant of an earlier owner of the cell.
-func (s *Scheduler) Restore(now time.Time, g rwgrant.Grant) {
-	if _, ok := s.grants[g.ID]; ok {
+// Restore takes in a running grant of an earlier owner of the cell, which has
+// charged it. Its cost may be 0, for unknown; then no correction follows.
+func (s *Scheduler) Restore(now time.Time, r rwgrant.Grant) {
+	if s.grants[r.ID] != nil {
 		return
 	}
+	a := s.account(r.Account)
+	g := s.newGrant()
+	*g = grant{
+		Grant: r, account: a, kind: s.kind(a, r.Kind), upstream: s.upstream(r.Upstream),
+		at: now, unpriced: r.Cost <= 0,
+	}
+	s.hold(g)
+}
+
+// hold counts a grant as running.
+func (s *Scheduler) hold(g *grant) {
 	s.grants[g.ID] = g
-	s.upstream(g.Upstream).running++
+	g.upstream.running++
+	g.account.running++
+	s.fix(g.account)
+}
+
+// release frees the slot of a grant.
+func (s *Scheduler) release(g *grant) {
+	delete(s.grants, g.ID)
+	g.upstream.running--
+	g.account.running--
+	s.fix(g.account)
+	s.forget(g.upstream)
+	*g = grant{next: s.unused}
+	s.unused = g
+}
+
+func (s *Scheduler) newGrant() *grant {
+	g := s.unused
+	if g == nil {
+		return &grant{}
+	}
+	s.unused = g.next
+	return g
 }
 
 // Next returns the next grant, or false while nothing can be granted.
 func (s *Scheduler) Next(now time.Time) (rwgrant.Grant, bool) {
-	up, ok := s.free()
-	if !ok {
+	u, slots := s.free(now)
+	if u == nil {
 		return rwgrant.Grant{}, false
 	}
-	best, found := levelKey{}, false
-	for k := range s.levels {
-		if s.accounts[k.account] != nil && (!found || s.before(k, best)) {
-			best, found = k, true
-		}
-	}
-	if !found {
+	a := s.turn(int64(slots))
+	if a == nil {
 		return rwgrant.Grant{}, false
 	}
-	return s.grant(best, up), true
+	return s.grant(now, a, u), true
 }
 
-func (s *Scheduler) free() (string, bool) {
-	best, free := "", 0.0
-	for name, u := range s.upstreams {
-		if u.removed || u.running >= u.window {
+// free returns the upstream with the most free slots for its window, nil for
+// none, and the slots of all upstreams in service.
+func (s *Scheduler) free(now time.Time) (best *upstream, slots int) {
+	for _, u := range s.upstreams {
+		if u.removed || !u.backoff.Open(now) {
 			continue
 		}
-		f := float64(u.window-u.running) / float64(u.window)
-		if f > free || (f == free && name < best) {
-			best, free = name, f
+		slots += u.size
+		if u.running < u.size && (best == nil || u.running*best.size < best.running*u.size) {
+			best = u
 		}
 	}
-	return best, free > 0
+	return best, slots
 }
 
-func (s *Scheduler) before(a, b levelKey) bool {
-	va, vb := s.virtual(a.account), s.virtual(b.account)
-	if va != vb {
-		return va < vb
+// turn returns the account whose turn it is, nil for none. Of several accounts
+// with work waiting, one that holds twice its fair share of slots is passed
+// over. The caps of all add up to twice the slots, so one of the accounts is
+// below its cap unless more runs than the upstreams' windows allow; then the
+// one that holds the fewest slots for its weight is served, since a slot must
+// not be idle.
+func (s *Scheduler) turn(slots int64) *account {
+	for s.capped.Len() > 0 && !s.atCap(s.capped.Top(), slots) {
+		s.uncap(s.capped.Top())
+	}
+	for s.ready.Len() > 0 {
+		a := s.ready.Top()
+		if !s.atCap(a, slots) {
+			return a
+		}
+		s.ready.Remove(a.position)
+		a.heap = s.capped
+		s.capped.Push(a)
+	}
+	if s.capped.Len() > 0 {
+		return s.capped.Top()
 	}
-	return a.account+"\x00"+a.kind+"\x00"+a.entry < b.account+"\x00"+b.kind+"\x00"+b.entry
+	return nil
 }
 
-func (s *Scheduler) virtual(name string) float64 {
-	a := s.accounts[name]
-	return (a.total + a.others) / float64(a.weight)
+// atCap reports whether an account holds at least one slot and twice its fair
+// share of the slots.
+func (s *Scheduler) atCap(a *account, slots int64) bool {
+	return a.running > 0 && int64(a.running)*s.weight >= 2*slots*a.weight
 }
 
-func (s *Scheduler) grant(k levelKey, up string) rwgrant.Grant {
-	l := s.levels[k]
-	s.next++
-	g := rwgrant.Grant{
-		ID: s.next, Cell: s.cell, Entry: k.entry, Account: k.account, Kind: k.kind,
-		Upstream: up, Cost: s.costs.Estimate(k.account, k.kind, l.hint),
+// uncap makes an account ready again. What it fell behind meanwhile is kept
+// up to a limit: an account whose requests need more than twice the slot time
+// of the others' for the same cost would fall behind forever, and all others
+// would stand at the limit above it, in no order.
+func (s *Scheduler) uncap(a *account) {
+	if s.ready.Len() > 0 {
+		a.virtual = max(a.virtual, s.lowest()-forgive*s.maxLag(a))
 	}
-	s.grants[g.ID] = g
-	s.upstream(up).running++
-	s.charge(g.Account, g.Cost)
-	l.count--
-	s.levels[k] = l
-	if l.count <= 0 {
-		delete(s.levels, k)
+	s.capped.Remove(a.position)
+	a.heap = s.ready
+	s.ready.Push(a)
+}
+
+func (s *Scheduler) grant(now time.Time, a *account, u *upstream) rwgrant.Grant {
+	s.clock = a.virtual
+	entry, kind, hint := a.levels.Next()
+	s.lastID++
+	a.served = s.lastID
+	g := s.newGrant()
+	*g = grant{
+		Grant: rwgrant.Grant{
+			ID: s.lastID, Cell: s.cell, Entry: entry, Account: a.name, Kind: a.levels.Name(kind),
+			Upstream: u.name,
+		},
+		account: a, kind: kind, upstream: u, at: now, trial: u.backoff.Granted(),
 	}
-	return g
+	g.Cost = s.costs.Estimate(g.Account, g.Kind, hint)
+	s.hold(g)
+	s.charge(g, g.Cost)
+	s.update(now, a)
+	return g.Grant
 }
 
-func (s *Scheduler) charge(name string, cost float64) {
-	s.account(name).total += cost
-	s.changed[name] = true
+// charge adds cost to what the account of a grant received. Credit is
+// negative.
+func (s *Scheduler) charge(g *grant, cost float64) {
+	s.ledger.Charge(g.account.ledger, cost)
+	g.account.levels.Charge(g.kind, cost)
+	s.advance(g.account, cost)
+	s.limit(g.account)
 }
 
-// Usage takes in the cost so far of a running request.
-func (s *Scheduler) Usage(now time.Time, id uint64, cost float64) {
-	g, ok := s.grants[id]
-	if !ok || cost <= g.Cost {
+// correct changes the charge of a grant to a cost.
+func (s *Scheduler) correct(g *grant, cost float64) {
+	if g.unpriced {
 		return
 	}
-	s.charge(g.Account, cost-g.Cost)
+	s.charge(g, cost-g.Cost)
 	g.Cost = cost
-	s.grants[id] = g
+}
+
+// Usage takes in the cost so far of a running request.
+func (s *Scheduler) Usage(_ time.Time, id uint64, cost float64) {
+	g := s.grants[id]
+	if g != nil && cost > g.Cost && !math.IsInf(cost, 1) {
+		s.correct(g, cost)
+	}
 }
 
 // Done takes in the end of a request: its cost, the times to the first and the
 // last byte, and the code of a failure or None. A grant that was returned
-// unused has cost 0. Unknown identifiers are ignored.
+// unused has cost 0. Work that failed inside the fleet is credited. Unknown
+// identifiers are ignored.
 func (s *Scheduler) Done(now time.Time, id uint64, cost float64, first, total time.Duration, code rwcode.Code) {
-	g, ok := s.grants[id]
-	if !ok {
+	g := s.grants[id]
+	if g == nil {
+		return
+	}
+	if !(cost >= 0) || math.IsInf(cost, 1) || failedInside(code) {
+		cost = 0
+	}
+	s.learn(now, g, cost, first, total, code)
+	s.correct(g, cost)
+	s.release(g)
+}
+
+func (s *Scheduler) learn(now time.Time, g *grant, cost float64, first, total time.Duration, code rwcode.Code) {
+	u := g.upstream
+	switch {
+	case code == rwcode.UpstreamUnreachable || code == rwcode.UpstreamRefused:
+		u.backoff.Failed(now, g.at, g.trial)
+	case total > 0 || cost > 0:
+		u.backoff.Reached(g.at, g.trial)
+	default:
+		u.backoff.Returned(g.trial)
+	}
+	if code != rwcode.None || cost == 0 {
 		return
 	}
-	s.release(id, g)
-	s.charge(g.Account, cost-g.Cost)
-	if cost > 0 && code == rwcode.None {
-		s.costs.Learn(g.Account, g.Kind, cost)
+	s.costs.Learn(g.Account, g.Kind, cost)
+	if u.learned != nil {
+		u.learned.Done(now, cost, first, total, u.running)
+		u.size = u.learned.Size()
 	}
 }
 
-// Report appends the accounts whose total changed since the last call.
-func (s *Scheduler) Report(dst []rwtotal.Total) []rwtotal.Total {
-	for name := range s.changed {
-		dst = append(dst, rwtotal.Total{Account: name, Cost: s.account(name).total})
+// failedInside reports whether a request failed through the fleet and not
+// through its caller, who would otherwise pay for nothing.
+func failedInside(code rwcode.Code) bool {
+	switch code {
+	case rwcode.None, rwcode.CallerGone, rwcode.DeadlineExceeded, rwcode.BadRequest,
+		rwcode.BodyTooLarge, rwcode.HeaderTooLarge, rwcode.SlowBody:
+		return false
 	}
-	clear(s.changed)
-	return dst
+	return true
 }
 
+// Report appends the accounts whose total changed since the last call, and a
+// few others, so that lost reports are made up for.
+func (s *Scheduler) Report(dst []rwtotal.Total) []rwtotal.Total { return s.ledger.Report(dst) }
+
+// Refresh puts all accounts into the next report. It is for the moment when a
+// link to another owner comes up.
+func (s *Scheduler) Refresh() { s.ledger.Refresh() }
+
 // Merge takes in the totals of another cell's owner. inc is that owner's
 // incarnation.
 func (s *Scheduler) Merge(cell string, inc int64, totals []rwtotal.Total) {
-	if inc < s.incs[cell] || cell == s.cell {
+	if cell == s.cell {
 		return
 	}
-	if inc > s.incs[cell] {
-		s.incs[cell] = inc
-		s.others[cell] = map[string]float64{}
-	}
+	s.ledger.Merge(cell, inc, totals, func(name string, cost float64) {
+		s.advance(s.account(name), cost)
+	})
 	for _, t := range totals {
-		s.account(t.Account).others += t.Cost - s.others[cell][t.Account]
-		s.others[cell][t.Account] = t.Cost
+		s.limit(s.account(t.Account))
 	}
 }
 
+// Wake is when an upstream may be tried again after a failure, zero for none.
+// Without an event, Next grants nothing new before.
+func (s *Scheduler) Wake() time.Time {
+	var first time.Time
+	for _, u := range s.upstreams {
+		t := u.backoff.Until()
+		if !u.removed && !t.IsZero() && (first.IsZero() || t.Before(first)) {
+			first = t
+		}
+	}
+	return first
+}
+
 // View returns the state for operators.
 func (s *Scheduler) View() rwschedview.View {
 	v := rwschedview.View{Cell: s.cell, Inc: s.inc}
-	for name, a := range s.accounts {
+	for _, name := range slices.Sorted(maps.Keys(s.byName)) {
+		a := s.byName[name]
 		v.Accounts = append(v.Accounts, rwschedview.Account{
-			Name: name, Weight: a.weight, Virtual: s.virtual(name), Total: a.total,
+			Name: name, Weight: int(a.weight), Virtual: a.virtual, Level: a.levels.Waiting(),
+			Running: a.running, Total: s.ledger.Net(a.ledger),
 		})
 	}
-	for name, u := range s.upstreams {
-		v.Upstreams = append(v.Upstreams, rwschedview.Upstream{Name: name, Window: u.window, Running: u.running})
+	for _, u := range s.upstreams {
+		v.Upstreams = append(v.Upstreams, rwschedview.Upstream{Name: u.name, Window: u.size, Running: u.running})
 	}
 	return v
 }
+
+// update puts an account that got work into the order, and takes out one that
+// has none left.
+func (s *Scheduler) update(now time.Time, a *account) {
+	backlogged := a.levels.Waiting() > 0 && !a.removed
+	switch {
+	case backlogged && a.heap == nil:
+		s.join(now, a)
+	case !backlogged && a.heap != nil:
+		s.take(a)
+		a.left = now
+		a.behind = max(0, s.lowest()-a.virtual)
+	}
+}
+
+// join lets an account start at no less than the lowest virtual time, so that
+// it can't save up credit.
+func (s *Scheduler) join(now time.Time, a *account) {
+	start := s.lowest()
+	if now.Sub(a.left) < rejoinTime {
+		start -= a.behind
+	}
+	a.virtual = max(a.virtual, start)
+	s.put(a, s.ready)
+	s.limit(a)
+}
+
+// lowest is the lowest virtual time of the accounts that may be served. The
+// ones at the cap don't count: they are served as much as they may be.
+func (s *Scheduler) lowest() float64 {
+	if s.ready.Len() == 0 {
+		return s.clock
+	}
+	return s.ready.Top().virtual
+}
+
+func (s *Scheduler) put(a *account, heap *rwheap.Heap[*account]) {
+	a.heap = heap
+	heap.Push(a)
+	s.weight += a.weight
+}
+
+func (s *Scheduler) take(a *account) {
+	if a.heap == nil {
+		return
+	}
+	a.heap.Remove(a.position)
+	a.heap = nil
+	s.weight -= a.weight
+}
+
+func (s *Scheduler) fix(a *account) {
+	if a.heap != nil {
+		a.heap.Fix(a.position)
+	}
+}
+
+func (s *Scheduler) advance(a *account, cost float64) {
+	a.virtual += cost / a.share()
+	s.fix(a)
+}
+
+func (a *account) share() float64 { return float64(a.weight) / rwaccount.WeightUnit }
+
+// limit keeps an account's virtual time within maxLag of the lowest one.
+func (s *Scheduler) limit(a *account) {
+	if a.heap == nil {
+		return
+	}
+	if highest := s.lowest() + s.maxLag(a); a.virtual > highest {
+		a.virtual = highest
+		s.fix(a)
+	}
+}
+
+// maxLag is the bound on the gap of docs/design.md, section 3.2, in virtual
+// time of the account: the part of the slots that it may hold is twice its
+// share of the weights.
+func (s *Scheduler) maxLag(a *account) float64 {
+	slots := s.poolSlots
+	if slots == 0 {
+		_, slots = s.free(time.Time{})
+	}
+	weight := float64(max(s.weight, a.weight)) / rwaccount.WeightUnit
+	charged := 2 * s.costs.Max() * (1/a.share() + 2*float64(slots)/weight)
+	unknown := 2 * s.poolRate * s.interval.Seconds() / a.share()
+	return charged + unknown
+}
--- a/internal/rwwindow/rwwindow.go
+++ b/internal/rwwindow/rwwindow.go
@@ -3,21 +3,98 @@
 
 import "time"
 
-// Window is the learned window of one upstream.
+const (
+	// maxSize bounds the window of an upstream that never slows down.
+	maxSize = 4096
+	// firstFactor and firstSlack tell a queue inside the engine from the
+	// prompts' varying lengths.
+	firstFactor = 4
+	firstSlack  = 250 * time.Millisecond
+	// gapSamples is over how many requests the time between tokens is
+	// averaged: one long pause of a single stream is no overload.
+	gapSamples = 8
+	// lowestForget raises the lowest first token seen by a thousandth for
+	// each request, so that one cached prompt doesn't stay the measure.
+	lowestForget = 1024
+	// probes is in how many steps a window grows by one window's worth of
+	// requests once it has shrunk; before that, each request adds one.
+	probes = 8
+)
+
+// Window is the learned window of one upstream. It is not safe for concurrent
+// use.
 type Window struct {
-	size int
+	size   int
+	target time.Duration
+	engine bool
+
+	// gap is the mean time between tokens, 0 before the first sample.
+	gap    time.Duration
+	lowest time.Duration
+	// shrunk is when the window last shrank. Requests that began before it
+	// measured the old window.
+	shrunk time.Time
+	// prompt counts the requests since the last growth that saw room.
+	prompt int
 }
 
 // New returns a window of the record's start value. target is the longest
 // time between tokens that is wanted. The window of a plain service (engine
 // is false) never changes.
 func New(start int, target time.Duration, engine bool) *Window {
-	return &Window{size: start}
+	return &Window{size: max(start, 1), target: target, engine: engine}
 }
 
+// Size is the number of requests that may run at once.
+func (w *Window) Size() int { return w.size }
+
 // Done takes in a finished request: its tokens, the times to the first and
 // the last byte, and how many requests ran on the upstream, with it.
-func (w *Window) Done(now time.Time, tokens float64, first, total time.Duration, running int) {}
+func (w *Window) Done(now time.Time, tokens float64, first, total time.Duration, running int) {
+	if !w.engine || total <= 0 || now.Add(-total).Before(w.shrunk) {
+		return
+	}
+	w.measure(tokens, first, total)
+	switch {
+	case w.gap > w.target || w.queued(first):
+		w.shrink(now)
+	case running >= w.size:
+		w.grow()
+	}
+}
 
-// Size is the number of requests that may run at once.
-func (w *Window) Size() int { return w.size }
+func (w *Window) measure(tokens float64, first, total time.Duration) {
+	w.lowest += w.lowest / lowestForget
+	if w.lowest == 0 || first < w.lowest {
+		w.lowest = first
+	}
+	if tokens <= 1 || total < first {
+		return
+	}
+	gap := time.Duration(float64(total-first) / (tokens - 1))
+	if w.gap == 0 {
+		w.gap = gap
+	}
+	w.gap += (gap - w.gap) / gapSamples
+}
+
+// queued reports whether the first token waited inside the engine.
+func (w *Window) queued(first time.Duration) bool {
+	return first > firstSlack && first > firstFactor*w.lowest
+}
+
+func (w *Window) shrink(now time.Time) {
+	w.size = max(w.size-max(w.size/10, 1), 1)
+	w.shrunk = now
+	w.gap = 0
+	w.prompt = 0
+}
+
+func (w *Window) grow() {
+	w.prompt++
+	if !w.shrunk.IsZero() && w.prompt*probes < w.size {
+		return
+	}
+	w.prompt = 0
+	w.size = min(w.size+1, maxSize)
+}
