Let a full queue displace the longest line and estimate waits by line

The wait estimate of a request counted the more urgent requests ahead of it, although kinds share by weight, so it was refused as hopeless; and a full account let only more urgent requests in.

--- a/internal/rwdemand/rwdemand.go
+++ b/internal/rwdemand/rwdemand.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,6 +25,10 @@
 	// refreshInterval is how often waiting levels are repeated, since
 	// messages may be lost.
 	refreshInterval = 5 * time.Second
+	// lazyDelay is how long a change waits for another message to the same
+	// cell when the owner already knows of waiting work. Messages about every
+	// change took half of the control budget in a flood.
+	lazyDelay = 50 * time.Millisecond
 	// maxAll is the number of cells of a pool up to which all are asked, and
 	// sample how many distant ones are asked otherwise.
 	maxAll = 4
@@ -47,6 +52,8 @@
 	known map[rwqueue.Line]int
 	// sync is whether the owner has to be told everything.
 	sync bool
+	// lazy is when changes that can wait are sent; zero for none.
+	lazy time.Time
 }
 
 type line struct {
@@ -153,6 +160,11 @@
 // never.
 func (d *Demand) Next() time.Time {
 	next := time.Time{}
+	for _, c := range d.cells {
+		if !c.lazy.IsZero() {
+			next = earlier(next, c.lazy)
+		}
+	}
 	for _, l := range d.lines {
 		if l.count == 0 {
 			continue
@@ -172,15 +184,41 @@
 	return a
 }
 
-// Due returns the messages that have to be sent now, by cell. A message of a
-// cell in synced replaces everything that its owner knew.
-func (d *Demand) Due(now time.Time) (messages map[string]*rwmessage.Message, synced []string) {
+// Due returns the messages that have to be sent now, by cell. The reports of
+// going say whether a message goes to the cell in any case, which then takes
+// along changes that could wait. A message of a cell in synced replaces
+// everything that its owner knew.
+func (d *Demand) Due(now time.Time, going func(cell string) bool) (messages map[string]*rwmessage.Message, synced []string) {
 	messages = map[string]*rwmessage.Message{}
 	d.widen(now)
-	for k := range d.dirty {
-		d.declare(now, k, messages)
+	changes := make([]change, 0, len(d.dirty))
+	for k, l := range d.lines {
+		if _, ok := d.dirty[k]; ok {
+			changes = d.changes(changes, k, l)
+		}
+	}
+	urgent := map[*cell]bool{}
+	for _, x := range changes {
+		c := x.cell
+		urgent[c] = urgent[c] || c.sync || x.urgent() || going(c.Name) || !c.lazy.IsZero() && !now.Before(c.lazy)
 	}
 	clear(d.dirty)
+	for _, x := range changes {
+		if urgent[x.cell] {
+			x.declare(messages)
+			continue
+		}
+		d.dirty[x.key] = struct{}{}
+		if x.cell.lazy.IsZero() {
+			x.cell.lazy = now.Add(lazyDelay)
+		}
+	}
+	for c := range urgent {
+		if urgent[c] {
+			c.lazy = time.Time{}
+		}
+	}
+	d.prune()
 	for name, c := range d.cells {
 		if !c.sync {
 			continue
@@ -229,11 +267,34 @@
 	d.dirty[k] = struct{}{}
 }
 
-func (d *Demand) declare(now time.Time, k rwqueue.Line, messages map[string]*rwmessage.Message) {
-	l := d.lines[k]
-	if l == nil {
-		return
+// change is a level that the owner of a cell doesn't know yet.
+type change struct {
+	cell  *cell
+	key   rwqueue.Line
+	level int
+	hint  float64
+}
+
+// urgent reports whether a free slot may be idle until the owner knows.
+func (x change) urgent() bool { return x.cell.known[x.key] <= 0 && x.level > 0 }
+
+func (x change) declare(messages map[string]*rwmessage.Message) {
+	m := messages[x.cell.Name]
+	if m == nil {
+		m = &rwmessage.Message{Cell: x.cell.Name}
+		messages[x.cell.Name] = m
 	}
+	m.Levels = append(m.Levels, rwbacklog.Backlog{
+		Account: x.key.Account, Kind: x.key.Kind, Count: x.level, Hint: math.Round(x.hint),
+	})
+	if x.level == 0 {
+		delete(x.cell.known, x.key)
+	} else {
+		x.cell.known[x.key] = x.level
+	}
+}
+
+func (d *Demand) changes(list []change, k rwqueue.Line, l *line) []change {
 	if l.chosen == nil && l.count > 0 {
 		l.chosen = d.choose(l)
 	}
@@ -242,23 +303,19 @@
 		if l.count > 0 && slices.Contains(l.chosen, name) {
 			level = min(l.count, Cap)
 		}
-		if !differs(c.known[k], level) {
-			continue
-		}
-		m := messages[name]
-		if m == nil {
-			m = &rwmessage.Message{Cell: name}
-			messages[name] = m
-		}
-		m.Levels = append(m.Levels, rwbacklog.Backlog{Account: k.Account, Kind: k.Kind, Count: level, Hint: l.hint})
-		if level == 0 {
-			delete(c.known, k)
-		} else {
-			c.known[k] = level
+		if differs(c.known[k], level) {
+			list = append(list, change{c, k, level, l.hint})
 		}
 	}
-	if l.count == 0 {
-		delete(d.lines, k)
+	return list
+}
+
+// prune forgets lines with no work that all owners know to be empty.
+func (d *Demand) prune() {
+	for k, l := range d.lines {
+		if _, ok := d.dirty[k]; l.count == 0 && !ok {
+			delete(d.lines, k)
+		}
 	}
 }
 
--- a/internal/rwfair/rwfair.go
+++ b/internal/rwfair/rwfair.go
@@ -346,7 +346,9 @@
 		count, hint := p.queue.Length(l)
 		p.demand.SetLine(now, l, p.queue.Pool(l), count, hint)
 	}
-	levels, synced := p.demand.Due(now)
+	levels, synced := p.demand.Due(now, func(cell string) bool {
+		return p.outbox[p.cells[cell].owner][cell] != nil
+	})
 	var out []envelope
 	for _, name := range synced {
 		out = append(out, envelope{p.cells[name].owner, rwmessage.Sync, p.sync(name, levels[name])})
--- a/internal/rwqueue/rwqueue.go
+++ b/internal/rwqueue/rwqueue.go
@@ -26,6 +26,8 @@
 const (
 	// rateMemory is the time constant of the measured drain rate.
 	rateMemory = 5 * time.Second
+	// topWeight is the weight of urgency 0; each further level has half.
+	topWeight = 8
 	// minRetryAfter and maxRetryAfter bound the time that a refused caller is
 	// told to wait.
 	minRetryAfter = time.Second
@@ -47,11 +49,6 @@
 type account struct {
 	lines        map[string]*line
 	count, bytes int
-	// drained is the decaying count of requests that left with a slot, and
-	// at the time of its last update; drained / rateMemory is the rate.
-	drained float64
-	at      time.Time
-	since   time.Time
 }
 
 type line struct {
@@ -60,6 +57,11 @@
 	hints   float64
 	// items are ordered by deadline, then arrival.
 	items []*rwrequest.Request
+	// drained is the decaying count of requests that left with a slot, and
+	// at the time of its last update; drained / rateMemory is the rate.
+	drained float64
+	at      time.Time
+	since   time.Time
 }
 
 // New returns an empty queue.
@@ -67,58 +69,73 @@
 	return &Queue{accounts: map[string]*account{}, changed: map[Line]struct{}{}}
 }
 
-// Push adds a request. When the account's part is full, less urgent requests
-// of the same account make room and are returned: the caller must refuse
-// them. It fails with QueueFull, QueueBytes or DeadlineUnreachable and the time
-// after which a retry is sensible.
+// Push adds a request. When the queue is full, the last request of the line
+// that takes most room for its weight makes way, and is returned: the caller
+// must refuse it. A flood of one kind or account therefore displaces itself
+// and not the others. It fails with QueueFull, QueueBytes or
+// DeadlineUnreachable and the time after which a retry is sensible.
 func (q *Queue) Push(now time.Time, r *rwrequest.Request) (evicted []*rwrequest.Request, err error) {
-	a := q.account(r.Account, now)
-	if wait := a.wait(now, r.Urgency); !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
+	a := q.account(r.Account)
+	l := a.line(r, now)
+	if wait := l.wait(now); !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
 		return nil, rwfault.New(rwcode.DeadlineUnreachable, r.Kind).WithRetryAfter(clamp(wait))
 	}
 	for a.count >= MaxAccountCount || a.bytes+len(r.Body) > MaxAccountBytes {
-		last := a.last(r.Urgency)
-		if last == nil {
-			return evicted, a.refusal(now, r)
+		longest := a.longest()
+		if longest == nil || longest == l {
+			return evicted, a.refusal(now, l, r)
 		}
-		q.Cancel(last)
-		evicted = append(evicted, last)
+		evicted = append(evicted, q.evict(longest))
 	}
-	if q.count >= MaxCount || q.bytes+len(r.Body) > MaxBytes {
-		return evicted, rwfault.New(rwcode.QueueFull, "router").WithRetryAfter(clamp(a.wait(now, r.Urgency)))
+	for q.count >= MaxCount || q.bytes+len(r.Body) > MaxBytes {
+		largest := q.largest()
+		if largest == nil || largest == a {
+			return evicted, rwfault.New(rwcode.QueueFull, "router").WithRetryAfter(clamp(l.wait(now)))
+		}
+		evicted = append(evicted, q.evict(largest.longest()))
 	}
-	q.insert(a, r)
+	q.insert(a, l, r)
 	return evicted, nil
 }
 
-func (a *account) refusal(now time.Time, r *rwrequest.Request) error {
+func (q *Queue) evict(l *line) *rwrequest.Request {
+	last := l.items[len(l.items)-1]
+	q.Cancel(last)
+	return last
+}
+
+func (a *account) refusal(now time.Time, l *line, r *rwrequest.Request) error {
 	code := rwcode.QueueFull
 	if a.count < MaxAccountCount {
 		code = rwcode.QueueBytes
 	}
-	return rwfault.New(code, r.Account).WithRetryAfter(clamp(a.wait(now, r.Urgency)))
+	return rwfault.New(code, r.Account).WithRetryAfter(clamp(l.wait(now)))
 }
 
 func clamp(d time.Duration) time.Duration {
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
-func (q *Queue) account(name string, now time.Time) *account {
+func (q *Queue) account(name string) *account {
 	a := q.accounts[name]
 	if a == nil {
-		a = &account{lines: map[string]*line{}, at: now, since: now}
+		a = &account{lines: map[string]*line{}}
 		q.accounts[name] = a
 	}
 	return a
 }
 
-func (q *Queue) insert(a *account, r *rwrequest.Request) {
+func (a *account) line(r *rwrequest.Request, now time.Time) *line {
 	l := a.lines[r.Kind]
 	if l == nil {
-		l = &line{}
+		l = &line{at: now, since: now}
 		a.lines[r.Kind] = l
 	}
 	l.pool, l.urgency = r.Pool, r.Urgency
+	return l
+}
+
+func (q *Queue) insert(a *account, l *line, r *rwrequest.Request) {
 	i, _ := slices.BinarySearchFunc(l.items, r, compare)
 	l.items = slices.Insert(l.items, i, r)
 	l.hints += r.Hint
@@ -182,7 +199,7 @@
 	}
 	r := l.items[0]
 	q.Cancel(r)
-	a.drain(now)
+	l.drain(now)
 	return r
 }
 
@@ -200,51 +217,52 @@
 	return best
 }
 
-// last returns the request that the account would miss least and that is less
-// urgent than the given urgency, or nil.
-func (a *account) last(urgency int) *rwrequest.Request {
-	var worst *line
+// longest returns the line with the most requests for its weight, or nil.
+func (a *account) longest() *line {
+	var out *line
 	for _, l := range a.lines {
-		if len(l.items) == 0 || l.urgency <= urgency {
-			continue
-		}
-		if worst == nil || l.urgency > worst.urgency {
-			worst = l
+		if len(l.items) > 0 && (out == nil || l.load() > out.load()) {
+			out = l
 		}
 	}
-	if worst == nil {
-		return nil
+	return out
+}
+
+// load is the length of a line over the weight of its urgency: 8, 4, 2, 1.
+func (l *line) load() float64 {
+	return float64(len(l.items)) / float64(int(topWeight)>>l.urgency)
+}
+
+func (q *Queue) largest() *account {
+	var out *account
+	for _, a := range q.accounts {
+		if a.count > 0 && (out == nil || a.bytes > out.bytes) {
+			out = a
+		}
 	}
-	return worst.items[len(worst.items)-1]
+	return out
 }
 
-func (a *account) drain(now time.Time) {
-	a.decay(now)
-	a.drained++
+func (l *line) drain(now time.Time) {
+	l.decay(now)
+	l.drained++
 }
 
-func (a *account) decay(now time.Time) {
-	a.drained *= math.Exp(-float64(now.Sub(a.at)) / float64(rateMemory))
-	a.at = now
+func (l *line) decay(now time.Time) {
+	l.drained *= math.Exp(-float64(now.Sub(l.at)) / float64(rateMemory))
+	l.at = now
 }
 
-// wait estimates how long a new request of the urgency would wait, from the
-// rate at which the account's requests got slots. It is zero while too little
-// was seen.
-func (a *account) wait(now time.Time, urgency int) time.Duration {
-	a.decay(now)
-	seen := min(now.Sub(a.since), rateMemory)
-	if a.drained < 1 || seen < time.Second {
+// wait estimates how long a new request would wait, from the rate at which the
+// requests of the line got slots. It is zero while too little was seen.
+func (l *line) wait(now time.Time) time.Duration {
+	l.decay(now)
+	seen := min(now.Sub(l.since), rateMemory)
+	if l.drained < 1 || seen < time.Second {
 		return 0
 	}
-	ahead := 0
-	for _, l := range a.lines {
-		if l.urgency <= urgency {
-			ahead += len(l.items)
-		}
-	}
-	perSecond := a.drained / seen.Seconds()
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	perSecond := l.drained / seen.Seconds()
+	return time.Duration(float64(len(l.items)) / perSecond * float64(time.Second))
 }
 
 // Length returns the number of waiting requests of a line and the mean of
--- /dev/null
+++ b/test/flood_test.go
@@ -0,0 +1,144 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwqueue"
+	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/test/rwbubble"
+)
+
+const (
+	capacity  = engines * slots / 0.02 // tokens a second
+	calmShare = 0.6                    // part of the capacity that the calm load takes
+	floodRate = 10                     // flood arrivals in units of the capacity
+	keep      = 0.95
+)
+
+// arrive sends requests of an account and kind at a rate of tokens a second.
+func arrive(ctx context.Context, f *rwbubble.Fleet, seed uint64, l rwqueue.Line, urgency int, at []string, rate float64) {
+	r := rand.New(rand.NewPCG(seed, 7))
+	mean := time.Duration(meanTokens / rate * float64(time.Second))
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(time.Duration(r.ExpFloat64() * float64(mean)))
+		q := &rwrequest.Request{
+			ID: fmt.Sprintf("%s-%s-%d-%d", l.Account, l.Kind, seed, i), Account: l.Account, Kind: l.Kind,
+			Pool: "m", Idempotent: true, Urgency: urgency, Deadline: time.Now().Add(20 * time.Second),
+		}
+		tokens, router := exponential(r), at[r.IntN(len(at))]
+		go func() {
+			limited, cancel := context.WithDeadline(ctx, q.Deadline)
+			defer cancel()
+			_ = f.Request(limited, router, q, tokens)
+		}()
+	}
+}
+
+var urgencies = map[string]int{"now": 0, "soon": 1, "batch": 3}
+
+// calm starts the same load of two kinds for each account.
+func calm(ctx context.Context, f *rwbubble.Fleet, at []string, kinds []string) {
+	rate := capacity * calmShare / 16 / float64(len(kinds))
+	for i := range 16 {
+		for j, k := range kinds {
+			go arrive(ctx, f, uint64(100+i*10+j), rwqueue.Line{Account: fmt.Sprintf("account-%02d", i), Kind: k}, urgencies[k], at, rate)
+		}
+	}
+}
+
+// Guards against floods that push out other accounts and other kinds: of the
+// least urgent and of the most urgent kind, from one account and from all, at
+// 10 times the capacity.
+func TestFloods(t *testing.T) {
+	for _, c := range []struct {
+		name, flood string
+		others      []string
+		accounts    int
+	}{
+		{"least urgent from one", "batch", []string{"now", "soon"}, 1},
+		{"most urgent from one", "now", []string{"soon", "batch"}, 1},
+		{"least urgent from all", "batch", []string{"now", "soon"}, 16},
+		{"most urgent from all", "now", []string{"soon"}, 16},
+	} {
+		t.Run(c.name, func(t *testing.T) { flood(t, c.flood, c.others, c.accounts) })
+	}
+}
+
+// flood runs the same calm load with and without a flood and compares what the
+// same requests got in the same half minute.
+func flood(t *testing.T, kind string, others []string, accounts int) {
+	had, bytesCalm := floodRun(t, kind, others, 0)
+	kept, bytesFlood := floodRun(t, kind, others, accounts)
+	hadOthers, keptOthers := 0.0, 0.0
+	for l, v := range had {
+		hadOthers += min(v, due(l, kind, others, accounts))
+		keptOthers += min(kept[l], v, due(l, kind, others, accounts))
+	}
+	t.Logf("kept %.3f, busiest router %.0f B/s calm, %.0f B/s in the flood", keptOthers/hadOthers, bytesCalm, bytesFlood)
+	require.GreaterOrEqual(t, keptOthers/hadOthers, keep)
+	require.LessOrEqual(t, bytesFlood, 5000.0)
+}
+
+func floodRun(t *testing.T, kind string, others []string, accounts int) (kept map[rwqueue.Line]float64, bytes float64) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f, live := today(ctx, 5, nil)
+		all := names(live)
+		calm(ctx, f, all, others)
+		time.Sleep(10 * time.Second)
+		for i := range accounts {
+			l := rwqueue.Line{Account: fmt.Sprintf("account-%02d", i), Kind: kind}
+			go arrive(ctx, f, uint64(1000+i), l, urgencies[kind], all, capacity*floodRate/float64(accounts))
+		}
+		time.Sleep(10 * time.Second)
+		kept = during(f, 30*time.Second)
+		bytes = traffic(f, 10*time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	return kept, bytes
+}
+
+// due is what a line can claim in 30 s: its account's equal share, and when
+// its own account floods, the part of the kind's weight in it.
+func due(l rwqueue.Line, flood string, others []string, accounts int) float64 {
+	share := capacity * 30 / 16
+	if accounts == 1 && l.Account != "account-00" {
+		return share
+	}
+	weights := map[string]float64{"now": 8, "soon": 4, "batch": 1}
+	sum := weights[flood]
+	for _, k := range others {
+		sum += weights[k]
+	}
+	return share * weights[l.Kind] / sum
+}
+
+func during(f *rwbubble.Fleet, d time.Duration) map[rwqueue.Line]float64 {
+	before := f.ServedLines()
+	time.Sleep(d)
+	out := map[rwqueue.Line]float64{}
+	for l, v := range f.ServedLines() {
+		out[l] = v - before[l]
+	}
+	return out
+}
+
+// traffic is the bytes a second that the busiest router sends.
+func traffic(f *rwbubble.Fleet, d time.Duration) float64 {
+	before, _ := f.Traffic()
+	time.Sleep(d)
+	after, _ := f.Traffic()
+	worst := 0.0
+	for n, v := range after {
+		worst = max(worst, float64(v-before[n])/d.Seconds())
+	}
+	return worst
+}
--- a/test/rwbubble/rwbubble.go
+++ b/test/rwbubble/rwbubble.go
@@ -19,6 +19,7 @@
 	"redwingworks.example/internal/rwkind"
 	"redwingworks.example/internal/rwmessage"
 	"redwingworks.example/internal/rwowner"
+	"redwingworks.example/internal/rwqueue"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwsnapshot"
 	"redwingworks.example/internal/rwupstream"
@@ -208,7 +209,7 @@
 		s.Done(0, 0, 0, rwcode.GrantExpired)
 		return fmt.Errorf("grant expired")
 	}
-	first := f.engines[s.Upstream.Name].serve(f.ctx, q.Account, tokens, s.Used)
+	first := f.engines[s.Upstream.Name].serve(f.ctx, rwqueue.Line{Account: q.Account, Kind: q.Kind}, tokens, s.Used)
 	s.Done(float64(tokens), first, time.Since(start), rwcode.None)
 	return f.ctx.Err()
 }
@@ -216,6 +217,15 @@
 // Served returns the tokens that all engines gave to each account so far.
 func (f *Fleet) Served() map[string]float64 {
 	out := map[string]float64{}
+	for l, v := range f.ServedLines() {
+		out[l.Account] += v
+	}
+	return out
+}
+
+// ServedLines returns the tokens by account and kind.
+func (f *Fleet) ServedLines() map[rwqueue.Line]float64 {
+	out := map[rwqueue.Line]float64{}
 	for _, e := range f.engines {
 		e.add(out)
 	}
@@ -259,20 +269,20 @@
 	wait        []*job
 	jobs        []*job
 	used, steps int
-	served      map[string]float64
+	served      map[rwqueue.Line]float64
 }
 
 type job struct {
-	account string
-	left    int
-	done    float64
-	used    func(float64)
-	first   chan struct{}
-	end     chan struct{}
+	line  rwqueue.Line
+	left  int
+	done  float64
+	used  func(float64)
+	first chan struct{}
+	end   chan struct{}
 }
 
 func newEngine(slots int, step time.Duration) *engine {
-	return &engine{slots: slots, step: step, served: map[string]float64{}}
+	return &engine{slots: slots, step: step, served: map[rwqueue.Line]float64{}}
 }
 
 func (e *engine) run(ctx context.Context) {
@@ -299,7 +309,7 @@
 	e.used += len(e.jobs)
 	kept := e.jobs[:0]
 	for _, j := range e.jobs {
-		e.served[j.account]++
+		e.served[j.line]++
 		j.done++
 		j.left--
 		if j.done == 1 {
@@ -317,9 +327,9 @@
 	e.jobs = kept
 }
 
-func (e *engine) serve(ctx context.Context, account string, tokens int, used func(float64)) time.Duration {
+func (e *engine) serve(ctx context.Context, line rwqueue.Line, tokens int, used func(float64)) time.Duration {
 	start := time.Now()
-	j := &job{account: account, left: tokens, used: used, first: make(chan struct{}), end: make(chan struct{})}
+	j := &job{line: line, left: tokens, used: used, first: make(chan struct{}), end: make(chan struct{})}
 	e.mu.Lock()
 	e.wait = append(e.wait, j)
 	e.mu.Unlock()
@@ -336,7 +346,7 @@
 	return first
 }
 
-func (e *engine) add(out map[string]float64) {
+func (e *engine) add(out map[rwqueue.Line]float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for a, v := range e.served {
