Keep the busiest router within the control budget in a flood

Usage now waits up to 200 ms for another message to the same cell, tuples carry whole units, and the reports of a cell have a budget of 900 B/s. Ruled out: longer batching of wants, since a router sends fewer than 50 messages a second.

--- a/internal/rwfair/rwfair.go
+++ b/internal/rwfair/rwfair.go
@@ -30,6 +30,9 @@
 	slotLifetime = time.Second
 	// flushInterval batches messages of one router.
 	flushInterval = time.Millisecond
+	// usageDelay bounds how late an owner learns that a running request costs
+	// more than was charged.
+	usageDelay = 200 * time.Millisecond
 	// noUpstreamRetry is what a caller is told when a pool has no upstream.
 	noUpstreamRetry = 2 * time.Second
 )
@@ -55,6 +58,10 @@
 	waiting map[*rwrequest.Request]chan result
 	running map[grantKey]*running
 	outbox  map[rwidentity.Identity]map[string]*rwmessage.Message
+	// usage waits for another message to the same cell, at most until
+	// usageDue.
+	usage    map[grantKey]float64
+	usageDue time.Time
 }
 
 type target struct {
@@ -90,6 +97,7 @@
 		waiting: map[*rwrequest.Request]chan result{},
 		running: map[grantKey]*running{},
 		outbox:  map[rwidentity.Identity]map[string]*rwmessage.Message{},
+		usage:   map[grantKey]float64{},
 	}
 }
 
@@ -263,14 +271,40 @@
 		next *= 2
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if r := p.running[grantKey{g.Cell, g.ID}]; r != nil {
-			m := p.message(r.granter, g.Cell)
-			m.Usage = append(m.Usage, rwspent.Spent{ID: g.ID, Cost: next})
+		if k := (grantKey{g.Cell, g.ID}); p.running[k] != nil {
+			p.usage[k] = next
 			p.wake()
 		}
 	}
 }
 
+// addUsage adds usage to messages that go in any case, and to messages of its
+// own when it has waited for usageDelay.
+func (p *Policy) addUsage(now time.Time) {
+	if len(p.usage) == 0 {
+		return
+	}
+	if p.usageDue.IsZero() {
+		p.usageDue = now.Add(usageDelay)
+	}
+	due := !now.Before(p.usageDue)
+	for k, cost := range p.usage {
+		r := p.running[k]
+		if r == nil {
+			delete(p.usage, k)
+			continue
+		}
+		if due || p.outbox[r.granter][k.cell] != nil {
+			m := p.message(r.granter, k.cell)
+			m.Usage = append(m.Usage, rwspent.Spent{ID: k.id, Cost: cost})
+			delete(p.usage, k)
+		}
+	}
+	if due || len(p.usage) == 0 {
+		p.usageDue = time.Time{}
+	}
+}
+
 func (p *Policy) done(g rwgrant.Grant, s rwspent.Spent) {
 	k := grantKey{g.Cell, g.ID}
 	r := p.running[k]
@@ -358,13 +392,18 @@
 		w := p.message(p.cells[name].owner, name)
 		w.Levels = m.Levels
 	}
+	p.addUsage(now)
 	for to, cells := range p.outbox {
 		for _, m := range cells {
 			out = append(out, envelope{to, rwmessage.Want, m})
 		}
 	}
 	clear(p.outbox)
-	return out, p.demand.Next()
+	next := p.demand.Next()
+	if !p.usageDue.IsZero() && (next.IsZero() || p.usageDue.Before(next)) {
+		next = p.usageDue
+	}
+	return out, next
 }
 
 // sync adds the running grants of a cell to the message for its new owner,
--- a/internal/rwowner/rwowner.go
+++ b/internal/rwowner/rwowner.go
@@ -27,7 +27,7 @@
 	checkInterval = 5 * time.Second
 	// reportBudget bounds the bytes of reports of one cell. With many
 	// backlogged accounts or cells the interval stretches instead.
-	reportBudget = 1500.0 // bytes a second
+	reportBudget = 900.0 // bytes a second
 	// totalBytes is about the size of one encoded total, messageBytes that of
 	// a message around them.
 	totalBytes   = 24.0
--- a/internal/rwspent/rwspent.go
+++ b/internal/rwspent/rwspent.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"time"
 
 	"redwingworks.example/internal/rwcode"
@@ -22,9 +23,13 @@
 	Code rwcode.Code
 }
 
-// MarshalJSON encodes the cost as an array.
+// MarshalJSON encodes the cost as an array, without the times where there are
+// none. Costs are rounded to whole units, since every byte counts.
 func (s Spent) MarshalJSON() ([]byte, error) {
-	parts := []any{s.ID, s.Cost, s.First.Milliseconds(), s.Total.Milliseconds()}
+	parts := []any{s.ID, math.Round(s.Cost)}
+	if s.Total > 0 || s.Code != rwcode.None {
+		parts = append(parts, s.First.Milliseconds(), s.Total.Milliseconds())
+	}
 	if s.Code != rwcode.None {
 		parts = append(parts, s.Code.String())
 	}
@@ -39,7 +44,7 @@
 	if err := json.Unmarshal(data, &parts); err != nil {
 		return rwfault.Wrap(rwcode.PeerMalformed, err)
 	}
-	if len(parts) < 4 || len(parts) > 5 || s.Cost < 0 || first < 0 || total < 0 {
+	if len(parts) < 2 || len(parts) > 5 || s.Cost < 0 || first < 0 || total < 0 {
 		return rwfault.New(rwcode.PeerMalformed, "spent")
 	}
 	s.First = time.Duration(first) * time.Millisecond
--- a/internal/rwtotal/json.go
+++ b/internal/rwtotal/json.go
@@ -8,13 +8,10 @@
 	"redwingworks.example/internal/rwfault"
 )
 
-// resolution is the steps in one unit of cost that a message can tell apart.
-// Rounding a cumulative value adds no error over time.
-const resolution = 10
-
-// MarshalJSON encodes the total as an array.
+// MarshalJSON encodes the total as an array. Rounding a cumulative value adds
+// no error over time.
 func (t Total) MarshalJSON() ([]byte, error) {
-	return json.Marshal([]any{t.Account, math.Round(t.Cost*resolution) / resolution})
+	return json.Marshal([]any{t.Account, math.Round(t.Cost)})
 }
 
 // UnmarshalJSON decodes the array form. A total may be negative: credit for a
