--- a/cmd/rwload/main.go
+++ b/cmd/rwload/main.go
@@ -1,4 +1,124 @@
-// Command rwload is under construction.
+// Command rwload sends a seeded workload to routers, checks every answer and
+// prints a report.
 package main
 
-func main() {}
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/test/rwbalancer"
+	"redwingworks.example/test/rwcaller"
+	"redwingworks.example/test/rwflow"
+	"redwingworks.example/test/rwjob"
+	"redwingworks.example/test/rwreport"
+	"redwingworks.example/test/rwverdict"
+	"redwingworks.example/test/rwworkload"
+)
+
+const (
+	maxDuration = 10 * time.Minute
+	// grace is how long requests may run on after the last arrival.
+	grace = 30 * time.Second
+)
+
+type options struct {
+	routers  []string
+	balance  string
+	notice   time.Duration
+	duration time.Duration
+	seed     uint64
+	flows    string
+	repeats  int
+	json     bool
+}
+
+func main() {
+	if err := command().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var o options
+	c := &cobra.Command{Use: "rwload", Short: "Seeded load with checked answers", SilenceUsage: true}
+	f := c.Flags()
+	f.StringSliceVar(&o.routers, "routers", nil, "callers' addresses of the routers")
+	f.StringVar(&o.balance, "balance", "spread", "spread, or account to send all work of an account to one router")
+	f.DurationVar(&o.notice, "notice", time.Second, "time until the balancer acts on a change of /readyz")
+	f.DurationVar(&o.duration, "duration", 10*time.Second, "time in which requests are sent")
+	f.Uint64Var(&o.seed, "seed", 1, "seed of arrivals, lengths and prompts")
+	f.StringVar(&o.flows, "flows", "", "file with a JSON list of flows: Account, CallerKey, Kind, Pool, Engine, Waiting or Rate, MinTokens, MaxTokens, Prompts, Keyed, Hints, Deadline (ns)")
+	f.IntVar(&o.repeats, "repeats", 5, "repeats of a keyed request whose outcome is open")
+	f.BoolVar(&o.json, "json", false, "print JSON in place of a table")
+	c.RunE = func(*cobra.Command, []string) error { return o.run() }
+	return c
+}
+
+func (o *options) run() error {
+	flows, err := o.read()
+	if err != nil {
+		return err
+	}
+	stop, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	ctx, cancel := context.WithTimeout(stop, o.duration+grace)
+	defer cancel()
+	report := o.load(ctx, flows)
+	write := report.WriteTable
+	if o.json {
+		write = report.WriteJSON
+	}
+	if err := write(os.Stdout); err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	if n := report.Count(rwverdict.Wrong); n > 0 {
+		return rwfault.New(rwcode.UpstreamMismatch, strconv.Itoa(n)+" wrong answers")
+	}
+	return nil
+}
+
+func (o *options) read() ([]rwflow.Flow, error) {
+	if len(o.routers) == 0 || o.balance != "spread" && o.balance != "account" || o.duration > maxDuration {
+		return nil, rwfault.New(rwcode.SettingsInvalid, "needs routers, a known balance and at most "+maxDuration.String())
+	}
+	data, err := os.ReadFile(o.flows)
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.SettingsInvalid, err)
+	}
+	var flows []rwflow.Flow
+	if err := json.Unmarshal(data, &flows); err != nil {
+		return nil, rwfault.Wrap(rwcode.SettingsInvalid, err)
+	}
+	return flows, nil
+}
+
+func (o *options) load(ctx context.Context, flows []rwflow.Flow) *rwreport.Report {
+	balancer := rwbalancer.New(o.routers, o.balance == "account", o.notice)
+	polling, stop := context.WithCancel(ctx)
+	defer stop()
+	go balancer.Run(polling)
+	caller := rwcaller.New(balancer.Pick, o.repeats)
+	defer caller.Close()
+	report := rwreport.New()
+	w := &rwworkload.Workload{
+		Seed:  o.seed,
+		Name:  "load-" + strconv.FormatInt(time.Now().UnixMicro(), 36),
+		Flows: flows,
+		Send: func(ctx context.Context, j rwjob.Job) bool {
+			a := caller.Send(ctx, j)
+			report.Add(j, a)
+			return a.Verdict == rwverdict.Whole
+		},
+	}
+	w.Run(ctx, o.duration)
+	return report
+}
--- /dev/null
+++ b/test/rwanswer/rwanswer.go
@@ -0,0 +1,32 @@
+// Package rwanswer is the result of one request.
+package rwanswer
+
+import (
+	"time"
+
+	"redwingworks.example/test/rwverdict"
+)
+
+// Answer is the result of one request, after all its repeats.
+type Answer struct {
+	Verdict rwverdict.Verdict
+	// Code and Outcome are those of the last refusal. A transport failure has
+	// the code "connection" and no outcome.
+	Code, Outcome string
+	// Detail says what was wrong.
+	Detail string
+	// Router is the address of the last router asked.
+	Router string
+	// Request is the identifier that the router gave the request.
+	Request string
+	// Attempts is the number of times that the caller sent the request.
+	Attempts int
+	// Claims lists the outcome of each attempt that did not succeed.
+	Claims []string
+	// Tokens is the number of chunks received in the last attempt.
+	Tokens int
+	// First and Total count from the start of the first attempt.
+	First, Total time.Duration
+	// RetryAfter is whether the refusal told the caller when to come back.
+	RetryAfter bool
+}
--- /dev/null
+++ b/test/rwbalancer/rwbalancer.go
@@ -0,0 +1,134 @@
+// Package rwbalancer chooses a router for each request, as the load balancer
+// in front of the fleet would.
+package rwbalancer
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"redwingworks.example/internal/rwrank"
+)
+
+const (
+	pollInterval = 100 * time.Millisecond
+	pollTimeout  = 500 * time.Millisecond
+)
+
+// Balancer chooses among routers. Its fields are set before Run.
+type Balancer struct {
+	// Routers are the callers' addresses of the routers.
+	Routers []string
+	// Sticky sends all work of an account to one router; otherwise requests
+	// take turns over the routers.
+	Sticky bool
+	// Notice is how long a change of /readyz goes unnoticed.
+	Notice time.Duration
+	// Ready asks a router whether it is ready.
+	Ready func(ctx context.Context, addr string) bool
+
+	mu     sync.Mutex
+	turn   int
+	states map[string]state
+}
+
+type state struct {
+	out     bool
+	pending bool
+	since   time.Time
+}
+
+// New returns a balancer that takes all routers to be ready.
+func New(routers []string, sticky bool, notice time.Duration) *Balancer {
+	return &Balancer{
+		Routers: routers,
+		Sticky:  sticky,
+		Notice:  notice,
+		Ready:   ready,
+		states:  map[string]state{},
+	}
+}
+
+// Run polls the routers' readiness until the context ends.
+func (b *Balancer) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, addr := range b.Routers {
+		all.Go(func() { b.follow(ctx, addr) })
+	}
+	all.Wait()
+}
+
+func (b *Balancer) follow(ctx context.Context, addr string) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		b.observe(addr, b.Ready(ctx, addr), time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func ready(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (b *Balancer) observe(addr string, ready bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[addr]
+	out := !ready
+	switch {
+	case out == s.out:
+		s.pending = false
+	case !s.pending:
+		s.pending, s.since = true, now
+	}
+	if s.pending && now.Sub(s.since) >= b.Notice {
+		s.out, s.pending = out, false
+	}
+	b.states[addr] = s
+}
+
+// Pick returns a router for a request of the account, none of those to avoid
+// if it can. It returns "" when no router is ready.
+func (b *Balancer) Pick(account string, avoid ...string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var in, fresh []string
+	for _, addr := range b.Routers {
+		if b.states[addr].out {
+			continue
+		}
+		in = append(in, addr)
+		if !slices.Contains(avoid, addr) {
+			fresh = append(fresh, addr)
+		}
+	}
+	if len(fresh) == 0 {
+		fresh = in
+	}
+	if len(fresh) == 0 {
+		return ""
+	}
+	if b.Sticky {
+		return rwrank.Top(account, fresh)
+	}
+	b.turn++
+	return fresh[b.turn%len(fresh)]
+}
--- /dev/null
+++ b/test/rwbalancer/rwbalancer_test.go
@@ -0,0 +1,62 @@
+package rwbalancer_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/test/rwbalancer"
+)
+
+// Guards against an even spread where one account must stay at one router,
+// and against ignoring the routers to avoid.
+func TestPick(t *testing.T) {
+	routers := []string{"a:1", "b:1", "c:1"}
+	sticky := rwbalancer.New(routers, true, 0)
+	home := sticky.Pick("account")
+	for range 10 {
+		require.Equal(t, home, sticky.Pick("account"))
+	}
+	require.NotEqual(t, home, sticky.Pick("account", home))
+	require.Contains(t, routers, sticky.Pick("account", routers...))
+
+	spread := rwbalancer.New(routers, false, 0)
+	got := map[string]int{}
+	for range 30 {
+		got[spread.Pick("account")]++
+	}
+	require.Equal(t, map[string]int{"a:1": 10, "b:1": 10, "c:1": 10}, got)
+}
+
+// Guards against a balancer that keeps sending to a router that is not ready,
+// and against one that reacts to a short flicker.
+func TestNotice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out atomic.Bool
+		b := rwbalancer.New([]string{"a:1"}, false, 500*time.Millisecond)
+		b.Ready = func(context.Context, string) bool { return !out.Load() }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go b.Run(ctx)
+		after := func(d time.Duration) string {
+			time.Sleep(d)
+			synctest.Wait()
+			return b.Pick("account")
+		}
+		require.Equal(t, "a:1", after(50*time.Millisecond))
+		out.Store(true)
+		require.Equal(t, "a:1", after(400*time.Millisecond))
+		out.Store(false)
+		require.Equal(t, "a:1", after(time.Second))
+		out.Store(true)
+		require.Equal(t, "a:1", after(400*time.Millisecond))
+		require.Empty(t, after(400*time.Millisecond))
+		out.Store(false)
+		require.Empty(t, after(400*time.Millisecond))
+		require.Equal(t, "a:1", after(400*time.Millisecond))
+	})
+}
--- /dev/null
+++ b/test/rwcaller/rwcaller.go
@@ -0,0 +1,321 @@
+// Package rwcaller sends requests to routers and checks that each answer is
+// whole and belongs to its request.
+package rwcaller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"redwingworks.example/test/rwanswer"
+	"redwingworks.example/test/rwjob"
+	"redwingworks.example/test/rwverdict"
+)
+
+const (
+	dialTimeout  = time.Second
+	maxIdleConns = 256
+	maxLineBytes = 1 << 20
+	maxBodyBytes = 16 << 20
+	repeatPause  = 100 * time.Millisecond
+)
+
+// Caller sends requests. Its function fields are set before the first one.
+type Caller struct {
+	// Pick chooses a router's address, none of those to avoid if it can.
+	Pick func(account string, avoid ...string) string
+	// Repeats is how often a keyed request is sent again after an attempt
+	// whose outcome may be that nothing ran.
+	Repeats int
+
+	client *http.Client
+	mu     sync.Mutex
+	seen   map[string]bool
+}
+
+// New returns a caller that asks the routers that pick chooses.
+func New(pick func(account string, avoid ...string) string, repeats int) *Caller {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		DisableCompression:  true,
+	}
+	return &Caller{
+		Pick:    pick,
+		Repeats: repeats,
+		client:  &http.Client{Transport: transport},
+		seen:    map[string]bool{},
+	}
+}
+
+// Close drops the kept connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Send sends a request and repeats it with the same key through other routers
+// while its outcome is open.
+func (c *Caller) Send(ctx context.Context, j rwjob.Job) rwanswer.Answer {
+	start := time.Now()
+	var asked, claims []string
+	for n := 1; ; n++ {
+		router := c.Pick(j.Account, asked...)
+		a := rwanswer.Answer{Verdict: rwverdict.Refused, Code: "no_router", Outcome: "not_run"}
+		if router != "" {
+			a = c.once(ctx, j, router, start)
+			asked = append(asked, router)
+		}
+		if a.Verdict != rwverdict.Whole {
+			claims = append(claims, a.Outcome)
+		}
+		a.Router, a.Attempts, a.Claims = router, n, claims
+		if j.Key == "" || n > c.Repeats || !open(a) || !pause(ctx) {
+			return a
+		}
+	}
+}
+
+// open reports whether a repeat with the same key makes sense.
+func open(a rwanswer.Answer) bool {
+	return a.Verdict == rwverdict.Broken || a.Verdict == rwverdict.Refused && a.Outcome != "ran"
+}
+
+func pause(ctx context.Context) bool {
+	select {
+	case <-time.After(repeatPause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completion struct {
+	Model    string    `json:"model"`
+	Stream   bool      `json:"stream"`
+	Messages []message `json:"messages"`
+}
+
+func request(ctx context.Context, j rwjob.Job, router string) (*http.Request, error) {
+	url, body := "http://"+router+"/v1/call/"+j.Pool+"/run", []byte(j.Body)
+	if j.Engine {
+		var err error
+		url = "http://" + router + "/v1/chat/completions"
+		body, err = json.Marshal(completion{j.Pool, j.Stream, []message{
+			{"system", j.Prompt},
+			{"user", fmt.Sprintf("#%d", j.Tokens)},
+		}})
+		if err != nil {
+			return nil, err
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+j.CallerKey)
+	req.Header.Set("Redwing-Kind", j.Kind)
+	set(req, "Idempotency-Key", j.Key)
+	set(req, "Redwing-Hint", number(j.Hint))
+	set(req, "Redwing-Deadline", number(int(j.Deadline.Milliseconds())))
+	// The transport sends a keyed request again by itself when a kept
+	// connection breaks; the caller counts its attempts itself.
+	req.GetBody = nil
+	return req, nil
+}
+
+func set(req *http.Request, name, value string) {
+	if value != "" {
+		req.Header.Set(name, value)
+	}
+}
+
+func number(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.Itoa(n)
+}
+
+func (c *Caller) once(ctx context.Context, j rwjob.Job, router string, start time.Time) rwanswer.Answer {
+	req, err := request(ctx, j, router)
+	if err != nil {
+		return broken(err)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return broken(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a := rwanswer.Answer{Request: resp.Header.Get("Redwing-Request")}
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		a = refusal(resp, a)
+	case !j.Engine:
+		a = c.service(resp, j, a, start)
+	case j.Stream:
+		a = c.stream(resp, j, a, start)
+	default:
+		a = c.text(resp, j, a, start)
+	}
+	a.Total = time.Since(start)
+	if a.Verdict == rwverdict.Whole && !c.unique(a.Request) {
+		return wrong(a, "the request identifier was given twice")
+	}
+	return a
+}
+
+// unique reports whether no answer had the identifier before. A repeated key
+// gets the answer of the first attempt, but no attempt is repeated after a
+// whole answer.
+func (c *Caller) unique(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seen[id] {
+		return false
+	}
+	c.seen[id] = true
+	return true
+}
+
+func broken(err error) rwanswer.Answer {
+	return rwanswer.Answer{Verdict: rwverdict.Broken, Code: "connection", Detail: err.Error()}
+}
+
+func wrong(a rwanswer.Answer, detail string) rwanswer.Answer {
+	a.Verdict, a.Detail = rwverdict.Wrong, detail
+	return a
+}
+
+type errorBody struct {
+	Error struct {
+		Code    string `json:"code"`
+		Outcome string `json:"outcome"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+func refusal(resp *http.Response, a rwanswer.Answer) rwanswer.Answer {
+	var body errorBody
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(data, &body)
+	}
+	if err != nil || body.Error.Code == "" || body.Error.Outcome == "" {
+		return wrong(a, fmt.Sprintf("status %d without an error body: %.80q", resp.StatusCode, data))
+	}
+	a.Verdict = rwverdict.Refused
+	a.Code, a.Outcome, a.Detail = body.Error.Code, body.Error.Outcome, body.Error.Message
+	a.RetryAfter = resp.Header.Get("Retry-After") != ""
+	return a
+}
+
+func (c *Caller) service(resp *http.Response, j rwjob.Job, a rwanswer.Answer, start time.Time) rwanswer.Answer {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	if err != nil {
+		return broken(err)
+	}
+	a.First = time.Since(start)
+	var body struct{ Request, Key, Echo string }
+	if err := json.Unmarshal(data, &body); err != nil {
+		return wrong(a, "malformed answer of a plain service: "+err.Error())
+	}
+	if body.Echo != j.Body || body.Key != j.Key {
+		return wrong(a, "the answer belongs to another call: "+body.Echo)
+	}
+	return a
+}
+
+func (c *Caller) text(resp *http.Response, j rwjob.Job, a rwanswer.Answer, start time.Time) rwanswer.Answer {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	if err != nil {
+		return broken(err)
+	}
+	a.First = time.Since(start)
+	var body struct {
+		ID, Text string
+		Usage    int
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
+		return wrong(a, "malformed answer: "+err.Error())
+	}
+	var want strings.Builder
+	for i := range j.Tokens {
+		fmt.Fprintf(&want, "%s/%d ", a.Request, i)
+	}
+	a.Tokens = body.Usage
+	if body.ID != a.Request || body.Text != want.String() || body.Usage != j.Tokens {
+		return wrong(a, fmt.Sprintf("%d of %d tokens, or the text of another request", body.Usage, j.Tokens))
+	}
+	return a
+}
+
+type chunk struct {
+	ID     string
+	Index  int
+	Text   string
+	Finish string
+}
+
+func (c *Caller) stream(resp *http.Response, j rwjob.Job, a rwanswer.Answer, start time.Time) rwanswer.Answer {
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	event := ""
+	for lines.Scan() {
+		if name, ok := strings.CutPrefix(lines.Text(), "event: "); ok {
+			event = name
+			continue
+		}
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if event == "error" {
+			return streamError(data, a)
+		}
+		if data == "[DONE]" {
+			return end(j, a)
+		}
+		if a.First == 0 {
+			a.First = time.Since(start)
+		}
+		var k chunk
+		if err := json.Unmarshal([]byte(data), &k); err != nil {
+			return wrong(a, "malformed chunk: "+err.Error())
+		}
+		if k.ID != a.Request || k.Index != a.Tokens || k.Text != fmt.Sprintf("%s/%d ", a.Request, a.Tokens) {
+			return wrong(a, fmt.Sprintf("chunk %d of %s instead of chunk %d of %s", k.Index, k.ID, a.Tokens, a.Request))
+		}
+		a.Tokens++
+	}
+	a.Verdict, a.Code, a.Detail = rwverdict.Broken, "connection", "the stream ended without an end marker"
+	return a
+}
+
+func streamError(data string, a rwanswer.Answer) rwanswer.Answer {
+	var body errorBody
+	if err := json.Unmarshal([]byte(data), &body); err != nil || body.Error.Code == "" {
+		return wrong(a, "malformed error event: "+data)
+	}
+	a.Verdict = rwverdict.Refused
+	a.Code, a.Outcome, a.Detail = body.Error.Code, body.Error.Outcome, body.Error.Message
+	return a
+}
+
+func end(j rwjob.Job, a rwanswer.Answer) rwanswer.Answer {
+	if a.Tokens != j.Tokens {
+		return wrong(a, fmt.Sprintf("the stream looks complete after %d of %d tokens", a.Tokens, j.Tokens))
+	}
+	return a
+}
