--- a/cmd/rwengine/internal/rwbatch/rwbatch.go
+++ b/cmd/rwengine/internal/rwbatch/rwbatch.go
@@ -5,20 +5,33 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"redwingworks.example/cmd/rwengine/internal/rwinject"
+	"redwingworks.example/cmd/rwengine/internal/rwmeter"
+	"redwingworks.example/cmd/rwengine/internal/rwprefix"
 )
 
-// maxTokens bounds the answer to a request that names no length.
-const maxTokens = 4096
+const (
+	// maxTokens bounds the answer to a request that names no length.
+	maxTokens = 4096
+	// maxLoads bounds the history from which lagging load reports come.
+	maxLoads = 1000
+)
 
-// Batch is the state of one engine.
+// Batch is the state of one engine. Its exported fields are set before Run.
 type Batch struct {
-	name  string
+	// Prefill is the time to the first token when the prompt is not cached.
+	Prefill time.Duration
+	// LoadLag is the age of the load that is reported.
+	LoadLag time.Duration
+	// Fence refuses orders with a fencing number below the highest seen.
+	Fence bool
+
 	slots int
 	step  time.Duration
 
@@ -26,6 +39,13 @@
 	waiting []*job
 	running []*job
 	log     []Execution
+	orders  []order
+	cache   *rwprefix.Cache
+	meter   *rwmeter.Meter
+	loads   []load
+	fault   rwinject.Fault
+	leaving bool
+	highest int64
 }
 
 // Execution is the log entry of one request.
@@ -34,61 +54,135 @@
 	Account string    `json:"account"`
 	Kind    string    `json:"kind"`
 	Start   time.Time `json:"start"`
-	Tokens  int       `json:"tokens"`
-	Whole   bool      `json:"whole"`
+	// First is the time of the first token, End of the last.
+	First time.Time `json:"first"`
+	End   time.Time `json:"end"`
+	// From is the offset of a resumed request, Tokens what was served.
+	From   int  `json:"from"`
+	Tokens int  `json:"tokens"`
+	Whole  bool `json:"whole"`
+	// Cancelled is whether the request was given up before its end.
+	Cancelled bool `json:"cancelled"`
 }
 
 type job struct {
-	entry  int
-	length int
-	next   int
-	gone   bool
-	tokens chan int
+	id      string
+	account string
+	kind    string
+	entry   int
+	length  int
+	next    int
+	prefix  string
+	ready   time.Time
+	gone    bool
+	tokens  chan int
+}
+
+type load struct {
+	At      time.Time `json:"at"`
+	Running int       `json:"running"`
+	Waiting int       `json:"waiting"`
 }
 
-// New returns an engine with the given number of slots and time between
-// tokens.
-func New(name string, slots int, step time.Duration) *Batch {
-	return &Batch{name: name, slots: slots, step: step}
+type order struct {
+	Fence int64           `json:"fence"`
+	Body  json.RawMessage `json:"body"`
+}
+
+// New returns an engine with the given number of slots, time between tokens
+// and number of cached prefixes.
+func New(slots int, step time.Duration, cached int) *Batch {
+	return &Batch{
+		slots: slots,
+		step:  step,
+		cache: rwprefix.New(cached),
+		meter: rwmeter.New(slots),
+	}
 }
 
 // Run advances the batch until the process ends.
 func (b *Batch) Run() {
-	for range time.Tick(b.step) {
-		b.advance()
+	for now := range time.Tick(b.step) {
+		b.Advance(now)
 	}
 }
 
-func (b *Batch) advance() {
+// Advance runs one step.
+func (b *Batch) Advance(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.running) < b.slots && len(b.waiting) > 0 {
-		b.running = append(b.running, b.waiting[0])
-		b.waiting = b.waiting[1:]
-	}
+	b.meter.Busy(len(b.running), now)
+	b.admit(now)
 	kept := b.running[:0]
 	for _, j := range b.running {
+		if b.serve(j, now) {
+			kept = append(kept, j)
+		}
+	}
+	b.running = kept
+	b.loads = append(b.loads, load{now, len(b.running), len(b.waiting)})
+	if len(b.loads) > maxLoads {
+		b.loads = b.loads[1:]
+	}
+}
+
+func (b *Batch) admit(now time.Time) {
+	for len(b.running) < b.slots && len(b.waiting) > 0 {
+		j := b.waiting[0]
+		b.waiting = b.waiting[1:]
 		if j.gone {
+			b.log[j.entry].Cancelled = true
+			close(j.tokens)
 			continue
 		}
-		j.tokens <- j.next
-		j.next++
-		b.log[j.entry].Tokens++
-		if j.next < j.length {
-			kept = append(kept, j)
-			continue
+		j.ready = now
+		if !b.cache.Use(j.prefix) {
+			j.ready = now.Add(b.Prefill)
 		}
-		b.log[j.entry].Whole = true
+		b.running = append(b.running, j)
+	}
+}
+
+// serve gives a request its next token and reports whether it keeps its slot.
+func (b *Batch) serve(j *job, now time.Time) bool {
+	e := &b.log[j.entry]
+	if j.gone {
+		e.Cancelled = true
 		close(j.tokens)
+		return false
 	}
-	b.running = kept
+	if now.Before(j.ready) {
+		return true
+	}
+	if e.Tokens == 0 {
+		e.First = now
+	}
+	e.Tokens++
+	e.End = now
+	b.meter.Token(j.account, j.kind, now)
+	j.tokens <- j.next
+	j.next++
+	if j.next < j.length {
+		return true
+	}
+	e.Whole = true
+	close(j.tokens)
+	return false
 }
 
 // Handler serves the engine's HTTP interface.
 func (b *Batch) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v1/chat/completions", b.complete)
-	m.HandleFunc("GET /log", b.serveLog)
+	m.HandleFunc("DELETE /v1/requests/{id}", b.cancel)
+	m.HandleFunc("GET /load", b.serveLoad)
+	m.HandleFunc("POST /orders", b.takeOrder)
+	m.HandleFunc("GET /log", b.serveLocked(func() any { return b.log }))
+	m.HandleFunc("GET /orders", b.serveLocked(func() any { return b.orders }))
+	m.HandleFunc("GET /service", b.serveLocked(func() any { return b.meter }))
+	m.HandleFunc("GET /cache", b.serveLocked(func() any { return b.cache }))
+	m.HandleFunc("POST /admin/state", b.setState)
+	m.HandleFunc("POST /admin/faults", b.setFault)
 	return m
 }
 
@@ -114,63 +208,158 @@
 	return min(max(n, 1), maxTokens)
 }
 
+func (r request) prefix() string {
+	if len(r.Messages) == 0 {
+		return ""
+	}
+	return r.Messages[0].Content
+}
+
 func (b *Batch) complete(w http.ResponseWriter, r *http.Request) {
 	var q request
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
 		http.Error(w, "bad request", http.StatusBadRequest)
 		return
 	}
-	id := r.Header.Get("Redwing-Request")
-	j := b.add(id, r, q.length())
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Redwing-Request", id)
-	f := http.NewResponseController(w)
-	for {
-		select {
-		case <-r.Context().Done():
-			b.drop(j)
-			return
-		case i, ok := <-j.tokens:
-			if !ok {
-				_, _ = fmt.Fprintf(w, "data: [DONE]\n\n")
-				return
-			}
-			b.writeChunk(w, id, i, j.length)
-			_ = f.Flush()
-		}
+	from, _ := strconv.Atoi(r.Header.Get("Redwing-Resume"))
+	if from < 0 || from >= q.length() {
+		http.Error(w, "resume offset outside the answer", http.StatusBadRequest)
+		return
 	}
-}
-
-func (b *Batch) writeChunk(w http.ResponseWriter, id string, i, length int) {
-	if i+1 < length {
-		_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"index\":%d,\"text\":\"%s/%d \"}\n\n", id, i, id, i)
+	j, fault, ok := b.add(r, q, from)
+	if !ok {
+		w.Header().Set("Redwing-State", "leaving")
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"index\":%d,\"text\":\"%s/%d \",\"finish\":\"stop\",\"usage\":%d}\n\n", id, i, id, i, length)
+	defer b.drop(j)
+	fault.Write(r.Context(), w, j.id, j.length, j.tokens)
 }
 
-func (b *Batch) add(id string, r *http.Request, length int) *job {
+func (b *Batch) add(r *http.Request, q request, from int) (*job, rwinject.Fault, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	j := &job{entry: len(b.log), length: length, tokens: make(chan int, maxTokens)}
-	b.log = append(b.log, Execution{
-		ID:      id,
-		Account: r.Header.Get("Redwing-Account"),
-		Kind:    r.Header.Get("Redwing-Kind"),
-		Start:   time.Now(),
-	})
+	if b.leaving {
+		return nil, rwinject.Fault{}, false
+	}
+	j := &job{
+		id:      r.Header.Get("Redwing-Request"),
+		account: r.Header.Get("Redwing-Account"),
+		kind:    r.Header.Get("Redwing-Kind"),
+		entry:   len(b.log),
+		length:  q.length(),
+		next:    from,
+		prefix:  q.prefix(),
+		tokens:  make(chan int, q.length()-from),
+	}
+	b.log = append(b.log, Execution{ID: j.id, Account: j.account, Kind: j.kind, Start: time.Now(), From: from})
 	b.waiting = append(b.waiting, j)
-	return j
+	return j, b.takeFault(), true
+}
+
+func (b *Batch) takeFault() rwinject.Fault {
+	f := b.fault
+	if f.Count == 1 {
+		b.fault = rwinject.Fault{}
+	}
+	if f.Count > 1 {
+		b.fault.Count--
+	}
+	return f
 }
 
 func (b *Batch) drop(j *job) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	j.gone = true
+	e := &b.log[j.entry]
+	e.Cancelled = !e.Whole
+}
+
+// cancel ends a request. Its stream ends without a last chunk.
+func (b *Batch) cancel(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	found := false
+	for _, list := range [][]*job{b.waiting, b.running} {
+		for _, j := range list {
+			if j.id == r.PathValue("id") && !j.gone {
+				j.gone, found = true, true
+			}
+		}
+	}
+	if !found {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (b *Batch) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := time.Now().Add(-b.LoadLag)
+	var l load
+	for _, past := range b.loads {
+		if past.At.After(limit) {
+			break
+		}
+		l = past
+	}
+	_ = json.NewEncoder(w).Encode(l)
+}
+
+func (b *Batch) takeOrder(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fence, _ := strconv.ParseInt(r.Header.Get("Redwing-Fence"), 10, 64)
+	if b.Fence && fence < b.highest {
+		http.Error(w, "fence_stale", http.StatusPreconditionFailed)
+		return
+	}
+	o := order{Fence: fence}
+	if err := json.NewDecoder(r.Body).Decode(&o.Body); err != nil {
+		http.Error(w, "bad order", http.StatusBadRequest)
+		return
+	}
+	b.highest = max(b.highest, fence)
+	b.orders = append(b.orders, o)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (b *Batch) serveLocked(value func() any) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		b.mu.Lock()
+		data, err := json.Marshal(value())
+		b.mu.Unlock()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(data)
+	}
+}
+
+func (b *Batch) setState(w http.ResponseWriter, r *http.Request) {
+	var v struct{ State string }
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil || v.State != "live" && v.State != "leaving" {
+		http.Error(w, "state is neither live nor leaving", http.StatusBadRequest)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = v.State == "leaving"
+	w.WriteHeader(http.StatusNoContent)
 }
 
-func (b *Batch) serveLog(w http.ResponseWriter, _ *http.Request) {
+func (b *Batch) setFault(w http.ResponseWriter, r *http.Request) {
+	var f rwinject.Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil || !f.Valid() {
+		http.Error(w, "unknown fault", http.StatusBadRequest)
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(b.log)
+	b.fault = f
+	w.WriteHeader(http.StatusNoContent)
 }
--- /dev/null
+++ b/cmd/rwengine/internal/rwinject/rwinject.go
@@ -0,0 +1,103 @@
+// Package rwinject writes the event stream of a request and damages it as a
+// test asked.
+package rwinject
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+)
+
+// Fault is damage to a stream. The zero value damages nothing.
+type Fault struct {
+	// Fault names the damage, one of Names.
+	Fault string `json:"fault"`
+	// After is the index of the first chunk that is damaged.
+	After int `json:"after"`
+	// Count is the number of requests to damage; 0 damages all.
+	Count int `json:"count"`
+}
+
+// names of the faults: a stream that ends early (cleanly, with an end marker,
+// or by a broken connection), a chunk sent twice, two chunks exchanged, a chunk
+// with another request's identifier, malformed JSON, a stream that stops
+// without an end, and an error status before any chunk.
+var names = []string{"truncate", "short", "abort", "duplicate", "reorder", "foreign", "malformed", "stall", "error"}
+
+// Valid reports whether the fault is known; an empty name means none.
+func (f Fault) Valid() bool { return f.Fault == "" || slices.Contains(names, f.Fault) }
+
+// Write writes the chunks of one request as they come and then the end marker.
+// It returns early when the context ends or the fault ends the stream.
+func (f Fault) Write(ctx context.Context, w http.ResponseWriter, id string, length int, tokens <-chan int) {
+	if f.Fault == "error" {
+		http.Error(w, "injected error", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Redwing-Request", id)
+	flush := http.NewResponseController(w)
+	held := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case i, ok := <-tokens:
+			if !ok {
+				// Cancelled: the stream ends without its last chunk.
+				return
+			}
+			text, more := f.apply(ctx, w, chunk(id, i, length), id, i, length)
+			if !more {
+				return
+			}
+			if f.Fault == "reorder" && i == f.After && i+1 < length {
+				held = text
+				continue
+			}
+			_, _ = io.WriteString(w, text+held)
+			held = ""
+			_ = flush.Flush()
+			if i+1 == length {
+				_, _ = io.WriteString(w, "data: [DONE]\n\n")
+				return
+			}
+		}
+	}
+}
+
+// apply returns what to write for a chunk and whether the stream goes on.
+func (f Fault) apply(ctx context.Context, w io.Writer, text, id string, i, length int) (string, bool) {
+	if i != f.After {
+		return text, true
+	}
+	switch f.Fault {
+	case "truncate":
+		return "", false
+	case "short":
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		return "", false
+	case "abort":
+		panic(http.ErrAbortHandler)
+	case "duplicate":
+		return text + text, true
+	case "foreign":
+		return chunk("other-"+id, i, length), true
+	case "malformed":
+		return "data: {\"id\":\n\n", true
+	case "stall":
+		<-ctx.Done()
+		return "", false
+	}
+	return text, true
+}
+
+func chunk(id string, i, length int) string {
+	end := ""
+	if i+1 == length {
+		end = fmt.Sprintf(",\"finish\":\"stop\",\"usage\":%d", length)
+	}
+	return fmt.Sprintf("data: {\"id\":%q,\"index\":%d,\"text\":\"%s/%d \"%s}\n\n", id, i, id, i, end)
+}
--- /dev/null
+++ b/cmd/rwengine/internal/rwprefix/rwprefix_test.go
@@ -0,0 +1,29 @@
+package rwprefix_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/cmd/rwengine/internal/rwprefix"
+)
+
+// Guards against a cache that grows without bound or drops the wrong prefix.
+func TestLeastRecentlyUsedLeaves(t *testing.T) {
+	c := rwprefix.New(2)
+	require.False(t, c.Use("a"))
+	require.False(t, c.Use("b"))
+	require.True(t, c.Use("a"))
+	require.False(t, c.Use("c"))
+	require.True(t, c.Use("a"))
+	require.False(t, c.Use("b"))
+	require.Equal(t, 2, c.Hits)
+	require.Equal(t, 4, c.Misses)
+}
+
+// Guards against an engine without a cache that crashes.
+func TestNoCache(t *testing.T) {
+	c := rwprefix.New(0)
+	require.False(t, c.Use("a"))
+	require.False(t, c.Use("a"))
+}
--- a/cmd/rwengine/main.go
+++ b/cmd/rwengine/main.go
@@ -21,15 +21,22 @@
 }
 
 func command() *cobra.Command {
-	var listen, name string
-	slots, step := 8, 20*time.Millisecond
+	var listen string
+	var prefill, loadLag time.Duration
+	var fence bool
+	slots, step, cached := 8, 20*time.Millisecond, 64
 	c := &cobra.Command{Use: "rwengine", Short: "Model engine stand-in", SilenceUsage: true}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
-	c.Flags().StringVar(&name, "name", "engine", "name of this engine")
+	c.Flags().String("name", "engine", "name of this engine, for process lists")
 	c.Flags().IntVar(&slots, "slots", slots, "requests in one batch")
 	c.Flags().DurationVar(&step, "step", step, "time between tokens")
+	c.Flags().DurationVar(&prefill, "prefill", 0, "time to the first token when the prompt is not cached")
+	c.Flags().IntVar(&cached, "cache", cached, "prompt prefixes kept in the cache")
+	c.Flags().DurationVar(&loadLag, "load-lag", time.Second, "age of the load that GET /load reports")
+	c.Flags().BoolVar(&fence, "fence", false, "refuse orders with a fencing number below the highest seen")
 	c.RunE = func(*cobra.Command, []string) error {
-		b := rwbatch.New(name, slots, step)
+		b := rwbatch.New(slots, step, cached)
+		b.Prefill, b.LoadLag, b.Fence = prefill, loadLag, fence
 		go b.Run()
 		s := &http.Server{Addr: listen, Handler: b.Handler(), ReadHeaderTimeout: headerTimeout}
 		return s.ListenAndServe()
--- a/cmd/rwplatform/internal/rwboard/rwboard.go
+++ b/cmd/rwplatform/internal/rwboard/rwboard.go
@@ -1,9 +1,11 @@
 // Package rwboard holds published records with their revisions and serves
-// reads and watches of them.
+// reads and watches of them, also as a platform service that is down, stale
+// or late.
 package rwboard
 
 import (
 	"encoding/json"
+	"hash/fnv"
 	"net/http"
 	"os"
 	"strconv"
@@ -17,11 +19,24 @@
 
 // Board is the record set of the platform service.
 type Board struct {
-	mu      sync.Mutex
-	rev     int64
-	items   []rwrecord.Record
+	mu sync.Mutex
+	// history holds every published record in the order of its revision.
+	history []rwrecord.Record
+	// changed is closed and replaced when anything changes.
 	changed chan struct{}
-	calls   int64
+	outage  string
+	stale   stale
+	vmLag   time.Duration
+	calls   map[string]int64
+}
+
+// stale limits what some clients see to the records up to a revision.
+type stale struct {
+	// Rev is the revision of the old state; 0 ends the staleness.
+	Rev int64 `json:"rev"`
+	// Fraction is the part of the connections of the main address that see
+	// the old state, 0 to 1. The replica address always shows it.
+	Fraction float64 `json:"fraction"`
 }
 
 type listing struct {
@@ -31,7 +46,7 @@
 
 // New returns an empty board.
 func New() *Board {
-	return &Board{changed: make(chan struct{})}
+	return &Board{changed: make(chan struct{}), calls: map[string]int64{}}
 }
 
 // Load publishes the records of a file.
@@ -48,81 +63,123 @@
 	return nil
 }
 
-// Publish stores records under new revisions and wakes the watches.
+// Publish stores records under new revisions and wakes the watches. Records
+// of kind vm get their revision later if the list of VMs lags.
 func (b *Board) Publish(items []rwrecord.Record) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var late []rwrecord.Record
 	for _, r := range items {
-		b.rev++
-		r.Rev = b.rev
-		b.put(r)
+		if r.Kind == "vm" && b.vmLag > 0 {
+			late = append(late, r)
+			continue
+		}
+		b.append(r)
+	}
+	b.wake()
+	if len(late) > 0 {
+		time.AfterFunc(b.vmLag, func() { b.publishLate(late) })
 	}
-	close(b.changed)
-	b.changed = make(chan struct{})
 }
 
-func (b *Board) put(r rwrecord.Record) {
-	for i, old := range b.items {
-		if old.Kind == r.Kind && old.Name == r.Name {
-			b.items[i] = r
-			return
-		}
+func (b *Board) publishLate(items []rwrecord.Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range items {
+		b.append(r)
 	}
-	b.items = append(b.items, r)
+	b.wake()
 }
 
-// Handler serves the platform's HTTP interface.
-func (b *Board) Handler() http.Handler {
+func (b *Board) append(r rwrecord.Record) {
+	r.Rev = int64(len(b.history)) + 1
+	b.history = append(b.history, r)
+}
+
+func (b *Board) wake() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// Handler serves the platform's HTTP interface. The replica's state can be
+// set stale as a whole.
+func (b *Board) Handler(replica bool) http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("GET /v1/records", b.records)
-	m.HandleFunc("GET /v1/watch", b.watch)
+	m.HandleFunc("GET /v1/records", func(w http.ResponseWriter, r *http.Request) {
+		b.read(w, r, replica, "records", 0, 0)
+	})
+	m.HandleFunc("GET /v1/watch", func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		seconds, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+		b.read(w, r, replica, "watch", after, min(time.Duration(seconds)*time.Second, maxWait))
+	})
 	m.HandleFunc("POST /admin/records", b.publish)
+	m.HandleFunc("POST /admin/outage", b.setOutage)
+	m.HandleFunc("POST /admin/stale", b.setStale)
+	m.HandleFunc("POST /admin/lag", b.setLag)
 	m.HandleFunc("GET /admin/calls", b.serveCalls)
 	return m
 }
 
-func (b *Board) after(rev int64) (listing, <-chan struct{}) {
+// after returns the newest record of each name with a revision above rev. The
+// channel is closed at the next change.
+func (b *Board) after(client string, replica bool, rev int64) (listing, string, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := listing{Rev: b.rev, Items: []rwrecord.Record{}}
-	for _, r := range b.items {
-		if r.Rev > rev {
+	last := int64(len(b.history))
+	if b.stale.Rev > 0 && (replica || part(client) < b.stale.Fraction) {
+		last = min(last, b.stale.Rev)
+	}
+	l := listing{Rev: last, Items: []rwrecord.Record{}}
+	newest := map[[2]string]int64{}
+	for _, r := range b.history[:last] {
+		newest[[2]string{r.Kind, r.Name}] = r.Rev
+	}
+	for _, r := range b.history[:last] {
+		if r.Rev > rev && newest[[2]string{r.Kind, r.Name}] == r.Rev {
 			l.Items = append(l.Items, r)
 		}
 	}
-	return l, b.changed
+	return l, b.outage, b.changed
 }
 
-func (b *Board) count() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.calls++
+// part maps a client's address and port to a number from 0 to 1.
+func part(client string) float64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(client))
+	// Multiplication spreads the difference of neighbouring ports, which FNV
+	// leaves in the lowest bits.
+	return float64(h.Sum32()*2654435761) / (1 << 32)
 }
 
-func (b *Board) records(w http.ResponseWriter, _ *http.Request) {
-	b.count()
-	l, _ := b.after(0)
-	_ = json.NewEncoder(w).Encode(l)
+func (b *Board) count(call string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.calls[call]++
 }
 
-func (b *Board) watch(w http.ResponseWriter, r *http.Request) {
-	b.count()
-	rev, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
-	seconds, _ := strconv.Atoi(r.URL.Query().Get("wait"))
-	wait := min(time.Duration(seconds)*time.Second, maxWait)
+// read answers at once if there are records, and at the end of the wait
+// otherwise. An outage also hits the reads that wait.
+func (b *Board) read(w http.ResponseWriter, r *http.Request, replica bool, call string, rev int64, wait time.Duration) {
+	b.count(call)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	ended := wait == 0
 	for {
-		l, changed := b.after(rev)
-		if len(l.Items) > 0 {
+		l, outage, changed := b.after(r.RemoteAddr, replica, rev)
+		if outage == "refuse" {
+			b.count("refused")
+			panic(http.ErrAbortHandler)
+		}
+		if outage == "" && (len(l.Items) > 0 || ended) {
+			w.Header().Set("Content-Type", "application/json")
 			_ = json.NewEncoder(w).Encode(l)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			_ = json.NewEncoder(w).Encode(l)
-			return
+			ended = true
 		case <-r.Context().Done():
 			return
 		}
@@ -131,16 +188,60 @@
 
 func (b *Board) publish(w http.ResponseWriter, r *http.Request) {
 	var items []rwrecord.Record
-	if err := json.NewDecoder(r.Body).Decode(&items); err != nil {
-		http.Error(w, "bad records", http.StatusBadRequest)
+	if decode(w, r, &items) {
+		b.Publish(items)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		http.Error(w, "malformed body", http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (b *Board) setOutage(w http.ResponseWriter, r *http.Request) {
+	var v struct{ Mode string }
+	if !decode(w, r, &v) {
 		return
 	}
-	b.Publish(items)
+	if v.Mode != "" && v.Mode != "refuse" && v.Mode != "hang" {
+		http.Error(w, "mode is not refuse, hang or empty", http.StatusBadRequest)
+		return
+	}
+	b.change(w, func() { b.outage = v.Mode })
+}
+
+func (b *Board) setStale(w http.ResponseWriter, r *http.Request) {
+	var v stale
+	if decode(w, r, &v) {
+		b.change(w, func() { b.stale = v })
+	}
+}
+
+func (b *Board) setLag(w http.ResponseWriter, r *http.Request) {
+	var v struct {
+		MS int `json:"ms"`
+	}
+	if decode(w, r, &v) {
+		b.change(w, func() { b.vmLag = time.Duration(v.MS) * time.Millisecond })
+	}
+}
+
+func (b *Board) change(w http.ResponseWriter, set func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	set()
+	b.wake()
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// serveCalls returns the number of calls by kind, and those refused by an
+// outage.
 func (b *Board) serveCalls(w http.ResponseWriter, _ *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]int64{"calls": b.calls})
+	_ = json.NewEncoder(w).Encode(b.calls)
 }
--- a/cmd/rwplatform/main.go
+++ b/cmd/rwplatform/main.go
@@ -22,9 +22,10 @@
 }
 
 func command() *cobra.Command {
-	var listen, file string
+	var listen, replica, file string
 	c := &cobra.Command{Use: "rwplatform", Short: "Platform service stand-in", SilenceUsage: true}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
+	c.Flags().StringVar(&replica, "replica", "", "address of a second replica, which tests can set stale")
 	c.Flags().StringVar(&file, "records", "", "file with a JSON list of records to publish at the start")
 	c.RunE = func(*cobra.Command, []string) error {
 		b := rwboard.New()
@@ -33,8 +34,16 @@
 				return err
 			}
 		}
-		s := &http.Server{Addr: listen, Handler: b.Handler(), ReadHeaderTimeout: headerTimeout}
-		return s.ListenAndServe()
+		ended := make(chan error, 2)
+		go func() { ended <- server(listen, b.Handler(false)).ListenAndServe() }()
+		if replica != "" {
+			go func() { ended <- server(replica, b.Handler(true)).ListenAndServe() }()
+		}
+		return <-ended
 	}
 	return c
 }
+
+func server(addr string, h http.Handler) *http.Server {
+	return &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: headerTimeout}
+}
--- /dev/null
+++ b/cmd/rwservice/internal/rwcalls/rwcalls.go
@@ -0,0 +1,162 @@
+// Package rwcalls runs the calls of a plain service and logs each execution
+// with its idempotency key.
+package rwcalls
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const maxBody = 1 << 20
+
+// Calls is the state of one service. Its exported fields are set before the
+// first call.
+type Calls struct {
+	// Delay is the time that a call takes.
+	Delay time.Duration
+	// Fence refuses calls with a fencing number below the highest seen.
+	Fence bool
+
+	mu      sync.Mutex
+	log     []Execution
+	refused int
+	highest int64
+	fault   fault
+	leaving bool
+}
+
+// Execution is the log entry of one call.
+type Execution struct {
+	Request string    `json:"request"`
+	Key     string    `json:"key"`
+	Path    string    `json:"path"`
+	Account string    `json:"account"`
+	Kind    string    `json:"kind"`
+	Fence   int64     `json:"fence"`
+	Start   time.Time `json:"start"`
+}
+
+// fault is a failure of the next calls: the connection breaks before or after
+// the call is executed, the answer is delayed, or it is another call's.
+type fault struct {
+	Fault   string `json:"fault"`
+	Count   int    `json:"count"`
+	DelayMS int    `json:"delay_ms"`
+}
+
+var faults = []string{"", "drop_before", "drop_after", "delay", "foreign"}
+
+// Handler serves the service's HTTP interface. All paths but those of the
+// stand-in itself are calls.
+func (c *Calls) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /log", c.serveLog)
+	m.HandleFunc("POST /admin/faults", c.setFault)
+	m.HandleFunc("POST /admin/state", c.setState)
+	m.HandleFunc("/", c.call)
+	return m
+}
+
+func (c *Calls) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return
+	}
+	fence, _ := strconv.ParseInt(r.Header.Get("Redwing-Fence"), 10, 64)
+	e := Execution{
+		Request: r.Header.Get("Redwing-Request"),
+		Key:     r.Header.Get("Idempotency-Key"),
+		Path:    r.URL.Path,
+		Account: r.Header.Get("Redwing-Account"),
+		Kind:    r.Header.Get("Redwing-Kind"),
+		Fence:   fence,
+		Start:   time.Now(),
+	}
+	w.Header().Set("Redwing-Request", e.Request)
+	f, status := c.execute(e)
+	if f.Fault == "drop_before" || f.Fault == "drop_after" {
+		panic(http.ErrAbortHandler)
+	}
+	if status != http.StatusOK {
+		refuse(w, status)
+		return
+	}
+	time.Sleep(c.Delay + time.Duration(f.DelayMS)*time.Millisecond)
+	if f.Fault == "foreign" {
+		w.Header().Set("Redwing-Request", "other-"+e.Request)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]string{"request": e.Request, "key": e.Key, "echo": string(body)})
+}
+
+func refuse(w http.ResponseWriter, status int) {
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Redwing-State", "leaving")
+	}
+	http.Error(w, http.StatusText(status), status)
+}
+
+// execute logs the call unless it is refused or a fault comes first.
+func (c *Calls) execute(e Execution) (fault, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return fault{}, http.StatusServiceUnavailable
+	}
+	if c.Fence && e.Fence < c.highest {
+		c.refused++
+		return fault{}, http.StatusPreconditionFailed
+	}
+	f := c.fault
+	if f.Count == 1 {
+		c.fault = fault{}
+	}
+	if f.Count > 1 {
+		c.fault.Count--
+	}
+	if f.Fault == "drop_before" {
+		return f, http.StatusOK
+	}
+	c.highest = max(c.highest, e.Fence)
+	c.log = append(c.log, e)
+	return f, http.StatusOK
+}
+
+func (c *Calls) serveLog(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.log == nil {
+		c.log = []Execution{}
+	}
+	w.Header().Set("Fence-Refused", strconv.Itoa(c.refused))
+	_ = json.NewEncoder(w).Encode(c.log)
+}
+
+func (c *Calls) setFault(w http.ResponseWriter, r *http.Request) {
+	var f fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil || !slices.Contains(faults, f.Fault) {
+		http.Error(w, "unknown fault", http.StatusBadRequest)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fault = f
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (c *Calls) setState(w http.ResponseWriter, r *http.Request) {
+	var v struct{ State string }
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil || v.State != "live" && v.State != "leaving" {
+		http.Error(w, "state is neither live nor leaving", http.StatusBadRequest)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = v.State == "leaving"
+	w.WriteHeader(http.StatusNoContent)
+}
