--- /dev/null
+++ b/test/rwproxy/rwproxy.go
@@ -0,0 +1,373 @@
+// Package rwproxy is a TCP proxy on a loopback address that injects faults.
+// They can be switched at run time, for each source and direction.
+package rwproxy
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/test/rwlink"
+	"redwingworks.example/test/rwpath"
+)
+
+const (
+	bufferBytes   = 32 << 10
+	maxFirstBytes = 64 << 10
+	// inFlight bounds the delayed buffers of one direction.
+	inFlight    = 64
+	dialTimeout = time.Second
+)
+
+// Identify finds the source of a connection in its first bytes and reports
+// whether it needs no more of them.
+type Identify = func(first []byte) (source string, ok bool)
+
+// Proxy forwards connections to one target.
+type Proxy struct {
+	listener net.Listener
+	identify Identify
+
+	mu     sync.Mutex
+	target string
+	links  map[string]rwlink.Link
+	// changed is closed and replaced when a link changes.
+	changed chan struct{}
+	conns   map[*conn]struct{}
+	closed  bool
+	all     sync.WaitGroup
+}
+
+// New starts a proxy. Without a function to identify sources, all connections
+// have the source "".
+func New(target string, identify Identify) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.Internal, err)
+	}
+	p := &Proxy{
+		listener: l,
+		identify: identify,
+		target:   target,
+		links:    map[string]rwlink.Link{},
+		changed:  make(chan struct{}),
+		conns:    map[*conn]struct{}{},
+	}
+	p.all.Go(p.accept)
+	return p, nil
+}
+
+// Addr is the address to connect to.
+func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+
+// Target changes where new connections go.
+func (p *Proxy) Target(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = addr
+}
+
+// Set changes the connections of a source. The source "" stands for all that
+// have no setting of their own.
+func (p *Proxy) Set(source string, link rwlink.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.links[source] = link
+	close(p.changed)
+	p.changed = make(chan struct{})
+	for c := range p.conns {
+		if p.linkOf(c.source).Refuse {
+			c.reset()
+		}
+	}
+}
+
+// Close resets all connections and waits for the proxy's end.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	p.closed = true
+	for c := range p.conns {
+		c.reset()
+	}
+	p.mu.Unlock()
+	_ = p.listener.Close()
+	p.all.Wait()
+}
+
+func (p *Proxy) linkOf(source string) rwlink.Link {
+	if l, ok := p.links[source]; ok {
+		return l
+	}
+	return p.links[""]
+}
+
+func (p *Proxy) link(c *conn) (rwlink.Link, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.linkOf(c.source), p.changed
+}
+
+func (p *Proxy) accept() {
+	for {
+		s, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		c := &conn{proxy: p, client: s.(*net.TCPConn), ended: make(chan struct{})}
+		p.all.Go(c.run)
+	}
+}
+
+// conn is one connection through the proxy.
+type conn struct {
+	proxy  *Proxy
+	client *net.TCPConn
+	// source and server are written under the proxy's lock.
+	source string
+	server *net.TCPConn
+
+	once  sync.Once
+	ended chan struct{}
+}
+
+// reset breaks both sides. A linger time of zero makes the kernel send a
+// reset in place of an orderly end.
+func (c *conn) reset() {
+	c.end(func(s *net.TCPConn) {
+		_ = s.SetLinger(0)
+		_ = s.Close()
+	})
+}
+
+func (c *conn) end(side func(*net.TCPConn)) {
+	c.once.Do(func() {
+		close(c.ended)
+		for _, s := range []*net.TCPConn{c.client, c.server} {
+			if s != nil {
+				side(s)
+			}
+		}
+	})
+}
+
+func (c *conn) run() {
+	defer c.forget()
+	if !c.remember() {
+		return
+	}
+	first, ok := c.readFirst()
+	if !ok {
+		return
+	}
+	link, _ := c.proxy.link(c)
+	switch {
+	case link.Refuse:
+		return
+	case link.Hang:
+		_, _ = io.Copy(io.Discard, c.client)
+		return
+	}
+	if !c.dial() {
+		return
+	}
+	var both sync.WaitGroup
+	both.Go(func() { c.pump(c.server, c.client, first, func(l rwlink.Link) rwpath.Path { return l.Up }) })
+	both.Go(func() { c.pump(c.client, c.server, nil, func(l rwlink.Link) rwpath.Path { return l.Down }) })
+	both.Wait()
+	c.end(func(s *net.TCPConn) { _ = s.Close() })
+}
+
+func (c *conn) remember() bool {
+	c.proxy.mu.Lock()
+	defer c.proxy.mu.Unlock()
+	if c.proxy.closed {
+		return false
+	}
+	c.proxy.conns[c] = struct{}{}
+	return true
+}
+
+func (c *conn) forget() {
+	c.proxy.mu.Lock()
+	defer c.proxy.mu.Unlock()
+	c.reset()
+	delete(c.proxy.conns, c)
+}
+
+func (c *conn) readFirst() ([]byte, bool) {
+	if c.proxy.identify == nil {
+		return nil, true
+	}
+	var first []byte
+	buffer := make([]byte, bufferBytes)
+	for len(first) < maxFirstBytes {
+		n, err := c.client.Read(buffer)
+		if err != nil {
+			return nil, false
+		}
+		first = append(first, buffer[:n]...)
+		if source, ok := c.proxy.identify(first); ok {
+			c.proxy.mu.Lock()
+			c.source = source
+			c.proxy.mu.Unlock()
+			break
+		}
+	}
+	return first, true
+}
+
+func (c *conn) dial() bool {
+	c.proxy.mu.Lock()
+	target := c.proxy.target
+	c.proxy.mu.Unlock()
+	s, err := net.DialTimeout("tcp", target, dialTimeout)
+	if err != nil {
+		return false
+	}
+	c.proxy.mu.Lock()
+	defer c.proxy.mu.Unlock()
+	select {
+	case <-c.ended:
+		_ = s.Close()
+		return false
+	default:
+		c.server = s.(*net.TCPConn)
+		return true
+	}
+}
+
+type delayed struct {
+	data []byte
+	due  time.Time
+}
+
+// pump forwards one direction: one goroutine reads and stamps, so that a
+// delay doesn't reduce the throughput, and the other writes.
+func (c *conn) pump(to, from *net.TCPConn, first []byte, path func(rwlink.Link) rwpath.Path) {
+	queue := make(chan delayed, inFlight)
+	w := writer{conn: c, to: to, path: path, over: make(chan struct{})}
+	go func() {
+		defer close(queue)
+		defer close(w.over)
+		c.read(from, first, path, queue)
+	}()
+	for d := range queue {
+		if !w.sleep(time.Until(d.due)) || !w.write(d.data) {
+			c.reset()
+			break
+		}
+	}
+	// The reader ends when the connection was reset.
+	for range queue {
+		continue
+	}
+	if _, ok := w.passable(); ok {
+		_ = to.CloseWrite()
+	}
+}
+
+func (c *conn) read(from *net.TCPConn, first []byte, path func(rwlink.Link) rwpath.Path, queue chan<- delayed) {
+	data := first
+	for {
+		if len(data) > 0 {
+			link, _ := c.proxy.link(c)
+			queue <- delayed{data, time.Now().Add(path(link).Delay)}
+		}
+		buffer := make([]byte, bufferBytes)
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		data = buffer[:n]
+	}
+}
+
+type writer struct {
+	conn *conn
+	to   *net.TCPConn
+	path func(rwlink.Link) rwpath.Path
+	sent int64
+	// over is closed when no more bytes will come.
+	over chan struct{}
+}
+
+// passable waits while the direction is stopped. It reports false when the
+// connection has ended.
+func (w *writer) passable() (rwpath.Path, bool) {
+	for {
+		link, changed := w.conn.proxy.link(w.conn)
+		path := w.path(link)
+		select {
+		case <-w.conn.ended:
+			return path, false
+		default:
+		}
+		if !path.Stop {
+			return path, true
+		}
+		select {
+		case <-changed:
+		case <-w.conn.ended:
+			return path, false
+		case <-w.unheard():
+			return path, false
+		}
+	}
+}
+
+// unheard is closed when the sender gave up before anything was forwarded.
+// Such connections would otherwise pile up while a direction is stopped and
+// all arrive at its end.
+func (w *writer) unheard() <-chan struct{} {
+	if w.sent > 0 {
+		return nil
+	}
+	return w.over
+}
+
+func (w *writer) write(data []byte) bool {
+	for len(data) > 0 {
+		path, ok := w.passable()
+		if !ok {
+			return false
+		}
+		n := len(data)
+		if path.Drip > 0 {
+			n = min(n, path.Drip)
+		}
+		if path.ResetAfter > 0 {
+			n = int(min(int64(n), path.ResetAfter-w.sent))
+		}
+		if n > 0 {
+			if _, err := w.to.Write(data[:n]); err != nil {
+				return false
+			}
+			w.sent += int64(n)
+			data = data[n:]
+		}
+		if path.ResetAfter > 0 && w.sent >= path.ResetAfter {
+			return false
+		}
+		if path.Drip > 0 && !w.sleep(path.DripGap) {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *writer) sleep(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-w.conn.ended:
+		return false
+	}
+}
