--- a/test/rwfleet/rwfleet.go
+++ b/test/rwfleet/rwfleet.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -26,6 +27,11 @@
 
 const (
 	pollInterval = 20 * time.Millisecond
+	firstPort    = 10000
+	ports        = 22000
+	portAttempts = 100
+	// clockTick is the unit of CPU times in /proc on Linux.
+	clockTick = 10 * time.Millisecond
 	// Key is the key that the routers of a test fleet share.
 	Key = "loopback-fleet-key"
 )
@@ -47,7 +53,10 @@
 	// Addr is the address for callers, Peer the one for routers, Ops the one
 	// for operators; stand-ins have only Addr.
 	Addr, Peer, Ops string
-	Zone            string
+	// Published is the peer address in the router's record if it is not Peer:
+	// that of a proxy.
+	Published string
+	Zone      string
 
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -58,14 +67,18 @@
 	return &Fleet{Bin: bin, Logs: logs, procs: map[string]*Proc{}}
 }
 
-// FreeAddr returns a loopback address that no socket uses now.
+// FreeAddr returns a loopback address that no socket uses now. The port is
+// below those that the kernel gives to outgoing connections, one of which
+// could otherwise take it before the process listens.
 func FreeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", rwfault.Wrap(rwcode.Internal, err)
+	for range portAttempts {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(ports)))
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			return addr, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", rwfault.New(rwcode.Internal, "no free port")
 }
 
 // Start starts a program. The name is unique among the running processes.
@@ -111,6 +124,39 @@
 	}
 }
 
+// CPU returns the processor time that the process has used.
+func (p *Proc) CPU() (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, rwfault.Wrap(rwcode.Internal, err)
+	}
+	// The second field, the name in brackets, may contain spaces. User and
+	// system time are fields 14 and 15.
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0, rwfault.New(rwcode.Internal, "unknown form of /proc/PID/stat")
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * clockTick, nil
+}
+
+// PeakMemory returns the largest resident size of the process in bytes.
+func (p *Proc) PeakMemory() (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, rwfault.Wrap(rwcode.Internal, err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kib, err := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
+			return kib << 10, err
+		}
+	}
+	return 0, rwfault.New(rwcode.Internal, "no VmHWM in /proc/PID/status")
+}
+
 // Close kills all processes.
 func (f *Fleet) Close() {
 	f.mu.Lock()
@@ -170,8 +216,12 @@
 
 // VMRecord returns the record of a router.
 func VMRecord(p *Proc, state string) rwrecord.Record {
+	addr := p.Published
+	if addr == "" {
+		addr = p.Peer
+	}
 	return Record("vm", p.Name, 1, map[string]any{
-		"addr": p.Peer, "http": p.Addr, "zone": p.Zone, "region": "main", "state": state,
+		"addr": addr, "http": p.Addr, "zone": p.Zone, "region": "main", "state": state,
 	})
 }
 
@@ -187,22 +237,48 @@
 
 // Publish publishes records through the platform stand-in.
 func Publish(ctx context.Context, platform string, items ...rwrecord.Record) error {
-	data, err := json.Marshal(items)
+	return Admin(ctx, platform, "records", items)
+}
+
+// Admin posts a value to an /admin path of a stand-in, such as "faults",
+// "state", "outage", "stale" or "lag".
+func Admin(ctx context.Context, addr, path string, value any) error {
+	data, err := json.Marshal(value)
 	if err != nil {
 		return rwfault.Wrap(rwcode.Internal, err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+platform+"/admin/records", bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/admin/"+path, bytes.NewReader(data))
 	if err != nil {
 		return rwfault.Wrap(rwcode.Internal, err)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return rwfault.Wrap(rwcode.PlatformDown, err)
+		return rwfault.Wrap(rwcode.UpstreamUnreachable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusNoContent {
 		text, _ := io.ReadAll(resp.Body)
-		return rwfault.New(rwcode.RecordInvalid, strings.TrimSpace(string(text)))
+		return rwfault.New(rwcode.BadRequest, strings.TrimSpace(string(text)))
+	}
+	return nil
+}
+
+// Get reads the JSON that a process serves at a URL path.
+func Get(ctx context.Context, addr, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return rwfault.Wrap(rwcode.UpstreamUnreachable, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return rwfault.New(rwcode.UpstreamRefused, addr+path+": "+resp.Status)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		return rwfault.Wrap(rwcode.UpstreamMalformed, err)
 	}
 	return nil
 }
--- /dev/null
+++ b/test/rwtoday/rwtoday.go
@@ -0,0 +1,365 @@
+// Package rwtoday builds a fleet of today's size from real processes: 3 zones,
+// 8 routers, 10 engines, 3 plain services and 16 client accounts. Proxies
+// between them inject network faults.
+package rwtoday
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"redwingworks.example/internal/rwrecord"
+	"redwingworks.example/test/rwclient"
+	"redwingworks.example/test/rwfleet"
+	"redwingworks.example/test/rwlink"
+	"redwingworks.example/test/rwpath"
+	"redwingworks.example/test/rwproxy"
+)
+
+// The pools of the fleet.
+const (
+	ModelPool = "drafter"
+	OrderPool = "orders"
+	// Order is the non-idempotent kind of work, Lookup an idempotent one of
+	// the same pool.
+	Order  = "order"
+	Lookup = "lookup"
+)
+
+const (
+	largeShare = 4
+	// zoneLatency is the one-way latency between zones, in the middle of
+	// today's 0.5 to 1.5 ms.
+	zoneLatency = time.Millisecond
+)
+
+var (
+	// Zones are the availability zones.
+	Zones = []string{"za", "zb", "zc"}
+	// Kinds are the kinds of work of the model pool by urgency.
+	Kinds = []string{"now", "soon", "later", "batch"}
+
+	routersIn = []int{3, 3, 2}
+	enginesIn = []int{4, 3, 3}
+)
+
+// Today is a running fleet. Its fields up to Policy are set before Start.
+type Today struct {
+	// Slots and Step are those of each engine.
+	Slots int
+	Step  time.Duration
+	// Prefill is the time to the first token after a cache miss.
+	Prefill time.Duration
+	// Equal gives all accounts the same share; otherwise two have a large one.
+	Equal bool
+	// ProxyUpstreams puts proxies in front of upstreams too, so that a cut
+	// between zones also separates routers from upstreams.
+	ProxyUpstreams bool
+	// Policy is the routers' policy.
+	Policy string
+
+	Clients           []rwclient.Client
+	Platform          *rwfleet.Proc
+	Routers           []*rwfleet.Proc
+	Engines, Services []*rwfleet.Proc
+	fleet             *rwfleet.Fleet
+	peers, upstreams  map[string]*rwproxy.Proxy
+	platforms         map[string]*rwproxy.Proxy
+	cuts              map[[2]string]bool
+	zoneOf            map[string]string
+	replica           string
+}
+
+// New returns a fleet that is not running yet. Bin is the folder with the
+// programs, logs the one for their output.
+func New(bin, logs string) *Today {
+	t := &Today{
+		Slots:     4,
+		Step:      20 * time.Millisecond,
+		Policy:    "fleet",
+		fleet:     rwfleet.New(bin, logs),
+		peers:     map[string]*rwproxy.Proxy{},
+		upstreams: map[string]*rwproxy.Proxy{},
+		platforms: map[string]*rwproxy.Proxy{},
+		cuts:      map[[2]string]bool{},
+		zoneOf:    map[string]string{},
+	}
+	return t
+}
+
+// Start starts all processes and waits until every router is ready.
+func (t *Today) Start(ctx context.Context) error {
+	if err := t.startPlatform(ctx); err != nil {
+		return err
+	}
+	records := t.workRecords()
+	upstreams, err := t.startUpstreams()
+	if err != nil {
+		return err
+	}
+	vms, err := t.prepareRouters()
+	if err != nil {
+		return err
+	}
+	records = append(append(records, upstreams...), vms...)
+	if err := rwfleet.Publish(ctx, t.Platform.Addr, records...); err != nil {
+		return err
+	}
+	for _, p := range t.Routers {
+		if err := t.StartRouter(p); err != nil {
+			return err
+		}
+	}
+	t.apply()
+	for _, p := range t.Routers {
+		if err := rwfleet.WaitReady(ctx, p.Addr, "/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close ends all processes and proxies.
+func (t *Today) Close() {
+	t.fleet.Close()
+	for _, set := range []map[string]*rwproxy.Proxy{t.peers, t.upstreams, t.platforms} {
+		for _, p := range set {
+			p.Close()
+		}
+	}
+}
+
+func (t *Today) startPlatform(ctx context.Context) error {
+	var err error
+	if t.replica, err = rwfleet.FreeAddr(); err != nil {
+		return err
+	}
+	if t.Platform, err = t.fleet.Platform("--replica", t.replica); err != nil {
+		return err
+	}
+	return rwfleet.WaitReady(ctx, t.Platform.Addr, "/v1/records")
+}
+
+// workRecords returns accounts and kinds in both schema versions.
+func (t *Today) workRecords() []rwrecord.Record {
+	var records []rwrecord.Record
+	for i := range 16 {
+		c := rwclient.Client{Name: fmt.Sprintf("account-%02d", i), Key: fmt.Sprintf("caller-key-%02d", i), Share: 1}
+		if i < 2 && !t.Equal {
+			c.Share = largeShare
+		}
+		t.Clients = append(t.Clients, c)
+		records = append(records, AccountRecord(c, 1+i%2))
+	}
+	for urgency, name := range Kinds {
+		records = append(records, rwfleet.Record("kind", name, 2, map[string]any{"class": name, "pool": ModelPool, "idempotent": true}))
+		if urgency%2 == 0 {
+			records[len(records)-1] = rwfleet.Record("kind", name, 1, map[string]any{"urgency": urgency, "pool": ModelPool, "idempotent": true})
+		}
+	}
+	return append(records,
+		rwfleet.Record("kind", Order, 1, map[string]any{"urgency": 0, "pool": OrderPool, "idempotent": false, "repeat": 60}),
+		rwfleet.Record("kind", Lookup, 1, map[string]any{"urgency": 1, "pool": OrderPool, "idempotent": true}),
+	)
+}
+
+// AccountRecord returns the record of an account in schema version 1 or 2.
+func AccountRecord(c rwclient.Client, schema int) rwrecord.Record {
+	sum := sha256.Sum256([]byte(c.Key))
+	hash := hex.EncodeToString(sum[:])
+	if schema == 2 {
+		return rwfleet.Record("account", c.Name, 2, map[string]any{
+			"weight": 1000 * c.Share, "keys": []map[string]string{{"hash": hash}},
+		})
+	}
+	return rwfleet.Record("account", c.Name, 1, map[string]any{"share": c.Share, "keys": []string{hash}})
+}
+
+func (t *Today) startUpstreams() ([]rwrecord.Record, error) {
+	var records []rwrecord.Record
+	for z, zone := range Zones {
+		for i := range enginesIn[z] {
+			p, err := t.fleet.Engine(fmt.Sprintf("engine-%s-%d", zone, i), t.Slots, t.Step, "--prefill", t.Prefill.String())
+			if err != nil {
+				return nil, err
+			}
+			t.Engines = append(t.Engines, p)
+			if records, err = t.upstream(records, p, zone, ModelPool, "engine"); err != nil {
+				return nil, err
+			}
+		}
+		p, err := t.fleet.Service("orders-"+zone, "--fence="+fmt.Sprint(z == 0))
+		if err != nil {
+			return nil, err
+		}
+		t.Services = append(t.Services, p)
+		if records, err = t.upstream(records, p, zone, OrderPool, "service"); err != nil {
+			return nil, err
+		}
+	}
+	return records, nil
+}
+
+func (t *Today) upstream(records []rwrecord.Record, p *rwfleet.Proc, zone, pool, kind string) ([]rwrecord.Record, error) {
+	p.Zone, p.Published = zone, p.Addr
+	t.zoneOf[p.Name] = zone
+	if t.ProxyUpstreams {
+		proxy, err := rwproxy.New(p.Addr, t.requestSource)
+		if err != nil {
+			return nil, err
+		}
+		t.upstreams[p.Name] = proxy
+		p.Published = proxy.Addr()
+	}
+	return append(records, UpstreamRecord(p, pool, kind, t.Slots, "live", 1)), nil
+}
+
+// UpstreamRecord returns the record of an engine or service of this fleet.
+// Only the services of the first zone check fencing numbers.
+func UpstreamRecord(p *rwfleet.Proc, pool, kind string, window int, state string, inc int64) rwrecord.Record {
+	return rwfleet.Record("upstream", p.Name, 1, map[string]any{
+		"pool": pool, "zone": p.Zone, "addr": p.Published, "type": kind,
+		"window": window, "state": state, "inc": inc,
+		"fence": kind == "service" && p.Zone == Zones[0],
+	})
+}
+
+func (t *Today) prepareRouters() ([]rwrecord.Record, error) {
+	var records []rwrecord.Record
+	for z, zone := range Zones {
+		for i := range routersIn[z] {
+			p, err := rwfleet.NewRouter(fmt.Sprintf("router-%s-%d", zone, i), zone)
+			if err != nil {
+				return nil, err
+			}
+			peer, err := rwproxy.New(p.Peer, helloSource)
+			if err != nil {
+				return nil, err
+			}
+			t.peers[p.Name] = peer
+			if t.platforms[p.Name], err = rwproxy.New(t.Platform.Addr, nil); err != nil {
+				return nil, err
+			}
+			p.Published = peer.Addr()
+			t.zoneOf[p.Name] = zone
+			t.Routers = append(t.Routers, p)
+			records = append(records, rwfleet.VMRecord(p, "live"))
+		}
+	}
+	return records, nil
+}
+
+// StartRouter starts a router, also again after its end.
+func (t *Today) StartRouter(p *rwfleet.Proc, args ...string) error {
+	args = append([]string{"--drain", "1s", "--hold", "1s", "--policy", t.Policy}, args...)
+	return t.fleet.Router(p, t.platforms[p.Name].Addr(), args...)
+}
+
+// Addrs returns the callers' addresses of the routers.
+func (t *Today) Addrs() []string {
+	var out []string
+	for _, p := range t.Routers {
+		out = append(out, p.Addr)
+	}
+	return out
+}
+
+// Cut drops everything that the processes of one zone send to another. The
+// other direction is a cut of its own.
+func (t *Today) Cut(from, to string) { t.set(from, to, true) }
+
+// Heal ends the cuts between zones.
+func (t *Today) Heal() {
+	clear(t.cuts)
+	t.apply()
+}
+
+func (t *Today) set(from, to string, cut bool) {
+	t.cuts[[2]string{from, to}] = cut
+	t.apply()
+}
+
+// apply sets the state of all links between zones.
+func (t *Today) apply() {
+	for _, proxies := range []map[string]*rwproxy.Proxy{t.peers, t.upstreams} {
+		for target, proxy := range proxies {
+			for _, source := range t.Routers {
+				proxy.Set(source.Name, t.linkBetween(t.zoneOf[source.Name], t.zoneOf[target]))
+			}
+		}
+	}
+}
+
+func (t *Today) linkBetween(source, target string) rwlink.Link {
+	if source == target {
+		return rwlink.Link{}
+	}
+	return rwlink.Link{
+		Up:   rwpath.Path{Delay: zoneLatency, Stop: t.cuts[[2]string{source, target}]},
+		Down: rwpath.Path{Delay: zoneLatency, Stop: t.cuts[[2]string{target, source}]},
+	}
+}
+
+// PlatformAddr is the address under which a router sees the platform.
+func (t *Today) PlatformAddr(router string) string { return t.platforms[router].Addr() }
+
+// SetPlatformLink changes the connection of a router to the platform.
+func (t *Today) SetPlatformLink(router string, link rwlink.Link) {
+	t.platforms[router].Set("", link)
+}
+
+// SetPeerLink changes the connections from one router to another until the
+// next Cut or Heal.
+func (t *Today) SetPeerLink(source, target string, link rwlink.Link) {
+	t.peers[target].Set(source, link)
+}
+
+// UseReplica connects a router to the replica of the platform that can be set
+// stale, or back to the main one. Present connections are reset.
+func (t *Today) UseReplica(router string, stale bool) {
+	target := t.Platform.Addr
+	if stale {
+		target = t.replica
+	}
+	p := t.platforms[router]
+	p.Target(target)
+	p.Set("", rwlink.Link{Refuse: true})
+	p.Set("", rwlink.Link{})
+}
+
+// helloSource finds the router's name in the first line of a peer link.
+func helloSource(first []byte) (string, bool) {
+	line, _, ok := bytes.Cut(first, []byte("\n"))
+	if !ok {
+		return "", false
+	}
+	var hello struct{ Params struct{ Name string } }
+	_ = json.Unmarshal(line, &hello)
+	return hello.Params.Name, true
+}
+
+// requestSource finds the router's name in the first request to an upstream:
+// identifiers of requests start with it.
+func (t *Today) requestSource(first []byte) (string, bool) {
+	header, _, ok := bytes.Cut(first, []byte("\r\n\r\n"))
+	if !ok {
+		return "", false
+	}
+	for line := range strings.SplitSeq(string(header), "\r\n") {
+		id, found := strings.CutPrefix(line, "Redwing-Request: ")
+		if !found {
+			continue
+		}
+		for _, p := range t.Routers {
+			if strings.HasPrefix(id, p.Name+"-") {
+				return p.Name, true
+			}
+		}
+	}
+	return "", true
+}
--- /dev/null
+++ b/test/rwtoday/rwtoday_test.go
@@ -0,0 +1,145 @@
+package rwtoday_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/test/rwbalancer"
+	"redwingworks.example/test/rwcaller"
+	"redwingworks.example/test/rwfleet"
+	"redwingworks.example/test/rwflow"
+	"redwingworks.example/test/rwjob"
+	"redwingworks.example/test/rwreport"
+	"redwingworks.example/test/rwtoday"
+	"redwingworks.example/test/rwverdict"
+	"redwingworks.example/test/rwworkload"
+)
+
+// bin is where make build puts the programs.
+const bin = "../../bin"
+
+func start(t *testing.T, set func(*rwtoday.Today)) *rwtoday.Today {
+	fleet := rwtoday.New(bin, t.TempDir())
+	fleet.Policy = "local"
+	fleet.Step = 5 * time.Millisecond
+	if set != nil {
+		set(fleet)
+	}
+	t.Cleanup(fleet.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	require.NoError(t, fleet.Start(ctx))
+	return fleet
+}
+
+// Guards against a fleet in which some router, account or kind doesn't work,
+// and against a checker that finds faults where there are none.
+func TestEveryAccountAndKindIsServed(t *testing.T) {
+	fleet := start(t, nil)
+	require.Len(t, fleet.Routers, 8)
+	require.Len(t, fleet.Engines, 10)
+	require.Len(t, fleet.Services, 3)
+	require.Len(t, fleet.Clients, 16)
+	var flows []rwflow.Flow
+	for i, c := range fleet.Clients {
+		flows = append(flows,
+			rwflow.Flow{Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Kinds[i%4], Pool: rwtoday.ModelPool, Engine: true, Waiting: 1, MinTokens: 1, MaxTokens: 20},
+			rwflow.Flow{Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Order, Pool: rwtoday.OrderPool, Waiting: 1, Keyed: true},
+			rwflow.Flow{Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Lookup, Pool: rwtoday.OrderPool, Rate: 5},
+		)
+	}
+	balancer := rwbalancer.New(fleet.Addrs(), false, time.Second)
+	caller := rwcaller.New(balancer.Pick, 0)
+	defer caller.Close()
+	report := rwreport.New()
+	w := &rwworkload.Workload{Seed: 1, Name: "today", Flows: flows}
+	w.Send = func(ctx context.Context, j rwjob.Job) bool {
+		a := caller.Send(ctx, j)
+		report.Add(j, a)
+		return a.Verdict == rwverdict.Whole
+	}
+	w.Run(t.Context(), time.Second)
+	require.Empty(t, report.Wrong())
+	require.Empty(t, report.Refusals())
+	require.Greater(t, report.Count(rwverdict.Whole), 100)
+}
+
+// Guards against a cut between zones that does not separate routers from
+// upstreams, cuts the other direction or other zones too, or doesn't heal.
+func TestCutSeparatesZones(t *testing.T) {
+	fleet := start(t, func(f *rwtoday.Today) { f.ProxyUpstreams = true })
+	router := fleet.Routers[0]
+	caller := rwcaller.New(func(string, ...string) string { return router.Addr }, 0)
+	defer caller.Close()
+	c := fleet.Clients[0]
+	// Round robin over 10 engines reaches every zone.
+	whole := func() int {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		results := make(chan bool)
+		for range 10 {
+			go func() {
+				a := caller.Send(ctx, rwjob.Job{
+					Account: c.Name, CallerKey: c.Key, Kind: "now", Pool: rwtoday.ModelPool,
+					Engine: true, Stream: true, Tokens: 5,
+				})
+				results <- a.Verdict == rwverdict.Whole
+			}()
+		}
+		n := 0
+		for range 10 {
+			if <-results {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, "za", router.Zone)
+	require.Equal(t, 10, whole())
+	fleet.Cut("zb", "zc")
+	require.Equal(t, 10, whole())
+	fleet.Cut("za", "zb")
+	require.Equal(t, 7, whole())
+	fleet.Cut("zc", "za")
+	require.Equal(t, 4, whole())
+	fleet.Heal()
+	require.Equal(t, 10, whole())
+}
+
+// Guards against a stale replica that routers can't be connected to.
+func TestReplicaIsStale(t *testing.T) {
+	fleet := start(t, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, rwfleet.Admin(ctx, fleet.Platform.Addr, "stale", map[string]any{"rev": 3}))
+	var before, after struct{ Rev int64 }
+	addr := fleet.PlatformAddr(fleet.Routers[0].Name)
+	require.NoError(t, rwfleet.Get(ctx, addr, "/v1/records", &before))
+	fleet.UseReplica(fleet.Routers[0].Name, true)
+	err := rwfleet.Get(ctx, addr, "/v1/records", &after)
+	if rwfault.Is(err, rwcode.UpstreamUnreachable) {
+		// The kept connection was reset.
+		err = rwfleet.Get(ctx, addr, "/v1/records", &after)
+	}
+	require.NoError(t, err)
+	require.Greater(t, before.Rev, int64(3))
+	require.Equal(t, int64(3), after.Rev)
+}
+
+// Guards against processor time and memory that are read from the wrong field.
+func TestProcessFigures(t *testing.T) {
+	fleet := start(t, nil)
+	p := fleet.Routers[0]
+	cpu, err := p.CPU()
+	require.NoError(t, err)
+	require.Less(t, cpu, 10*time.Second)
+	memory, err := p.PeakMemory()
+	require.NoError(t, err)
+	require.Greater(t, memory, int64(1<<20))
+	require.Less(t, memory, int64(1<<30))
+}
