Make the outcome of each upstream fault true and bound retries

A stalled engine stream times out, a broken one is cancelled at the engine, and a path from a caller can't lead a call to another address. The contract tests hold the fault cases of engines and plain services. An engine that can't resume may start again; its repetition is compared and dropped.

--- a/internal/rwcode/rwcode.go
+++ b/internal/rwcode/rwcode.go
@@ -58,4 +58,6 @@
 	RecordStale                     // record_stale
 	ServiceMissing                  // service_missing
 	FenceStale                      // fence_stale
+	TooManyRequests                 // too_many_requests
+	UnknownPath                     // unknown_path
 )
--- /dev/null
+++ b/internal/rwdispatch/rwdispatch_test.go
@@ -0,0 +1,414 @@
+package rwdispatch
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwoutcome"
+	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwstream"
+	"redwingworks.example/internal/rwupstream"
+)
+
+const requestID = "router-1-7"
+
+// upstream is a test server that counts executions and cancellations.
+type upstream struct {
+	*httptest.Server
+	mu        sync.Mutex
+	runs      int
+	cancelled []string
+}
+
+// serve starts a server that gives every request but cancellations to handle.
+func serve(t *testing.T, handle http.HandlerFunc) *upstream {
+	u := &upstream{}
+	u.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id, ok := strings.CutPrefix(r.URL.Path, "/v1/requests/")
+		if ok && r.Method == http.MethodDelete {
+			u.mu.Lock()
+			u.cancelled = append(u.cancelled, id)
+			u.mu.Unlock()
+			return
+		}
+		u.mu.Lock()
+		u.runs++
+		u.mu.Unlock()
+		handle(w, r)
+	}))
+	t.Cleanup(u.Close)
+	return u
+}
+
+func (u *upstream) counts() (runs, cancels int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs, len(u.cancelled)
+}
+
+func (u *upstream) record(engine bool) rwupstream.Upstream {
+	return rwupstream.Upstream{Name: "u1", Addr: u.Listener.Addr().String(), Engine: engine}
+}
+
+func request(idempotent bool) *rwrequest.Request {
+	return &rwrequest.Request{
+		ID: requestID, Account: "a", Kind: "k", Method: http.MethodPost, Path: "/new",
+		Idempotent: idempotent, Key: "key-1", Body: []byte(`{"model":"m"}`), Engine: true,
+	}
+}
+
+func event(id string, index int, finish string) string {
+	return fmt.Sprintf("data: {\"id\":%q,\"index\":%d,\"text\":\"t%d \",\"finish\":%q}\n\n", id, index, index, finish)
+}
+
+// events returns the chunks from the first index to the last of a whole stream.
+func events(first, last int) string {
+	var b strings.Builder
+	for i := first; i < last; i++ {
+		b.WriteString(event(requestID, i, ""))
+	}
+	return b.String() + event(requestID, last, "stop")
+}
+
+const done = "data: [DONE]\n\n"
+
+func write(w http.ResponseWriter, text string) {
+	w.Header().Set("Redwing-Request", requestID)
+	_, _ = io.WriteString(w, text)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// answer writes the text as the whole body.
+func answer(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { write(w, text) }
+}
+
+// reset writes the text and breaks the connection.
+func reset(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if text != "" {
+			write(w, text)
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}
+}
+
+// stall writes the text and then waits until the client leaves.
+func stall(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if text != "" {
+			write(w, text)
+		}
+		<-r.Context().Done()
+	}
+}
+
+func status(code int, header ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for i := 0; i+1 < len(header); i += 2 {
+			w.Header().Set(header[i], header[i+1])
+		}
+		w.WriteHeader(code)
+	}
+}
+
+type engineCase struct {
+	name    string
+	serve   http.HandlerFunc
+	code    rwcode.Code
+	outcome rwoutcome.Outcome
+	// chunks is how many chunks the caller got.
+	chunks int
+	// cancels is how many cancellations the engine got.
+	cancels int
+}
+
+var engineCases = []engineCase{
+	{"whole", answer(events(0, 2) + done), rwcode.None, 0, 3, 0},
+	{"whole with comments and carriage returns", answer(": ping\r\n\r\n" + strings.ReplaceAll(events(0, 2)+done, "\n", "\r\n")), rwcode.None, 0, 3, 0},
+	{"whole without a final line break", answer(events(0, 1) + "data: [DONE]"), rwcode.None, 0, 2, 0},
+	{"body held open after the end marker", stall(events(0, 2) + done), rwcode.None, 0, 3, 0},
+	{"truncated between chunks", answer(event(requestID, 0, "") + event(requestID, 1, "")), rwcode.UpstreamTruncated, rwoutcome.Unknown, 2, 1},
+	{"truncated within a chunk", answer(event(requestID, 0, "") + `data: {"id":"router-1-7","ind`), rwcode.UpstreamTruncated, rwoutcome.Unknown, 1, 1},
+	{"truncated before the end marker", answer(events(0, 2)), rwcode.UpstreamTruncated, rwoutcome.Unknown, 2, 1},
+	{"end marker before the last chunk", answer(event(requestID, 0, "") + done), rwcode.UpstreamTruncated, rwoutcome.Unknown, 1, 1},
+	{"empty body", answer(""), rwcode.UpstreamTruncated, rwoutcome.Unknown, 0, 1},
+	{"malformed", answer(event(requestID, 0, "") + "data: {\"id\":\n\n"), rwcode.UpstreamMalformed, rwoutcome.Unknown, 1, 1},
+	{"no index", answer("data: {\"id\":\"router-1-7\",\"text\":\"t\"}\n\n"), rwcode.UpstreamMalformed, rwoutcome.Unknown, 0, 1},
+	{"line too long", answer("data: " + strings.Repeat("x", 70<<10)), rwcode.UpstreamMalformed, rwoutcome.Unknown, 0, 1},
+	{"duplicated", answer(event(requestID, 0, "") + event(requestID, 0, "")), rwcode.UpstreamMalformed, rwoutcome.Unknown, 1, 1},
+	{"reordered", answer(event(requestID, 0, "") + event(requestID, 2, "") + event(requestID, 1, "")), rwcode.UpstreamMalformed, rwoutcome.Unknown, 1, 1},
+	{"starts in the middle", answer(events(1, 2) + done), rwcode.UpstreamMalformed, rwoutcome.Unknown, 0, 1},
+	{"chunk after the last", answer(events(0, 1) + event(requestID, 2, "")), rwcode.UpstreamMalformed, rwoutcome.Unknown, 1, 1},
+	{"chunk of another request", answer(event(requestID, 0, "") + event("router-1-8", 1, "")), rwcode.UpstreamMismatch, rwoutcome.Unknown, 1, 1},
+	{"answer to another request", status(http.StatusOK, "Redwing-Request", "router-1-8"), rwcode.UpstreamMismatch, rwoutcome.Unknown, 0, 1},
+	{"leaving", status(http.StatusServiceUnavailable, "Redwing-State", "leaving"), rwcode.UpstreamLeaving, rwoutcome.NotRun, 0, 0},
+	{"leaving, said to another request", status(http.StatusServiceUnavailable, "Redwing-State", "leaving", "Redwing-Request", "router-1-8"), rwcode.UpstreamRefused, rwoutcome.Unknown, 0, 1},
+	{"status 500", status(http.StatusInternalServerError), rwcode.UpstreamRefused, rwoutcome.Unknown, 0, 1},
+	{"status 503", status(http.StatusServiceUnavailable), rwcode.UpstreamRefused, rwoutcome.Unknown, 0, 1},
+	{"status 400", status(http.StatusBadRequest), rwcode.BadRequest, rwoutcome.Unknown, 0, 1},
+	{"redirect", status(http.StatusTemporaryRedirect, "Location", "/log"), rwcode.UpstreamRefused, rwoutcome.Unknown, 0, 1},
+	{"reset before the headers", reset(""), rwcode.UpstreamUnreachable, rwoutcome.Unknown, 0, 1},
+	{"reset after the headers", reset(event(requestID, 0, "")), rwcode.UpstreamTruncated, rwoutcome.Unknown, 1, 1},
+	{"stall before the headers", stall(""), rwcode.UpstreamTimeout, rwoutcome.Unknown, 0, 1},
+	{"stall in the stream", stall(event(requestID, 0, "")), rwcode.UpstreamTimeout, rwoutcome.Unknown, 1, 1},
+	{"stall before the end marker", stall(events(0, 1)), rwcode.UpstreamTimeout, rwoutcome.Unknown, 1, 1},
+}
+
+// Guards against a fault of an engine that looks like a whole answer, that is
+// called "not run" without proof, or that leaves the engine at work for nobody.
+func TestEngineContract(t *testing.T) {
+	for _, c := range engineCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			u := serve(t, c.serve)
+			d := New()
+			if c.code == rwcode.UpstreamTimeout {
+				d.first, d.stall = 100*time.Millisecond, 100*time.Millisecond
+			}
+			got := 0
+			err := d.Stream(t.Context(), u.record(true), request(true), 0, func(k *rwstream.Chunk) error {
+				require.Equal(t, got, k.Index)
+				require.Equal(t, "t"+strconv.Itoa(k.Index)+" ", k.Text)
+				got++
+				return nil
+			})
+			check(t, c.code, c.outcome, err)
+			require.Equal(t, c.chunks, got)
+			runs, cancels := u.counts()
+			require.Equal(t, 1, runs)
+			require.Equal(t, c.cancels, cancels)
+		})
+	}
+}
+
+func check(t *testing.T, code rwcode.Code, outcome rwoutcome.Outcome, err error) {
+	t.Helper()
+	if code == rwcode.None {
+		require.NoError(t, err)
+		return
+	}
+	require.Error(t, err)
+	f := rwfault.From(err)
+	require.Equal(t, code.String(), f.Code.String(), f.Error())
+	require.Equal(t, outcome.String(), f.Outcome.String(), f.Error())
+}
+
+type serviceCase struct {
+	name    string
+	serve   http.HandlerFunc
+	code    rwcode.Code
+	outcome rwoutcome.Outcome
+}
+
+var serviceCases = []serviceCase{
+	{"whole", answer("ok"), rwcode.None, 0},
+	{"error of the service", status(http.StatusInternalServerError, "Redwing-Request", requestID), rwcode.None, 0},
+	{"truncated", truncated, rwcode.UpstreamTruncated, rwoutcome.Unknown},
+	{"reset before the headers", reset(""), rwcode.UpstreamUnreachable, rwoutcome.Unknown},
+	{"reset after the headers", reset("part"), rwcode.UpstreamTruncated, rwoutcome.Unknown},
+	{"malformed", garbage, rwcode.UpstreamUnreachable, rwoutcome.Unknown},
+	{"answer to another request", status(http.StatusOK, "Redwing-Request", "router-1-8"), rwcode.UpstreamMismatch, rwoutcome.Unknown},
+	{"no echo of the request", status(http.StatusOK), rwcode.UpstreamMismatch, rwoutcome.Unknown},
+	{"leaving", status(http.StatusServiceUnavailable, "Redwing-State", "leaving"), rwcode.UpstreamLeaving, rwoutcome.NotRun},
+	{"leaving, said to another request", status(http.StatusServiceUnavailable, "Redwing-State", "leaving", "Redwing-Request", "router-1-8"), rwcode.UpstreamMismatch, rwoutcome.Unknown},
+	{"answer too large", answer(strings.Repeat("x", maxAnswerBytes+1)), rwcode.UpstreamMalformed, rwoutcome.Ran},
+	{"stall before the headers", stall(""), rwcode.UpstreamTimeout, rwoutcome.Unknown},
+	{"stall in the answer", stall("part"), rwcode.UpstreamTimeout, rwoutcome.Unknown},
+}
+
+func truncated(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	write(w, "part")
+}
+
+func garbage(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_, _ = io.WriteString(conn, "no HTTP at all\r\n\r\n")
+		_ = conn.Close()
+	}
+}
+
+// Guards against a call to a plain service that runs twice, whatever the
+// fault, and against "not run" without proof.
+func TestServiceContract(t *testing.T) {
+	for _, c := range serviceCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			u := serve(t, c.serve)
+			d := New()
+			if c.code == rwcode.UpstreamTimeout {
+				d.answer = 100 * time.Millisecond
+			}
+			a, err := d.Call(t.Context(), u.record(false), request(false))
+			check(t, c.code, c.outcome, err)
+			require.Equal(t, c.code == rwcode.None, a != nil)
+			runs, _ := u.counts()
+			require.Equal(t, 1, runs)
+		})
+	}
+}
+
+// Guards against an unknown outcome where the upstream was never reached.
+func TestConnectionRefusedIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := rwupstream.Upstream{Name: "u1", Addr: l.Addr().String()}
+	require.NoError(t, l.Close())
+	_, err = New().Call(t.Context(), u, request(false))
+	check(t, rwcode.UpstreamUnreachable, rwoutcome.NotRun, err)
+	err = New().Stream(t.Context(), u, request(true), 0, nil)
+	check(t, rwcode.UpstreamUnreachable, rwoutcome.NotRun, err)
+}
+
+// Guards against a caller that leaves, or whose deadline passes, while its
+// request goes on at the engine; and against "not run" for a sent request.
+func TestEndOfContextCancelsTheRequest(t *testing.T) {
+	u := serve(t, stall(event(requestID, 0, "")))
+	ctx, stop := context.WithCancelCause(t.Context())
+	err := New().Stream(ctx, u.record(true), request(true), 0, func(*rwstream.Chunk) error {
+		stop(rwfault.New(rwcode.DeadlineExceeded, ""))
+		return nil
+	})
+	check(t, rwcode.DeadlineExceeded, rwoutcome.Unknown, err)
+	require.Eventually(t, func() bool { _, n := u.counts(); return n == 1 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, []string{requestID}, u.cancelled)
+}
+
+// breaking is a server that answers the first request of each connection and
+// breaks the connection after it has read a second one.
+type breaking struct {
+	net.Listener
+	mu   sync.Mutex
+	keys []string
+}
+
+func (b *breaking) run() {
+	for {
+		conn, err := b.Accept()
+		if err != nil {
+			return
+		}
+		go b.connection(conn)
+	}
+}
+
+func (b *breaking) connection(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for n := range 2 {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.keys = append(b.keys, r.Header.Get("Idempotency-Key"))
+		b.mu.Unlock()
+		if n == 0 {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRedwing-Request: %s\r\nContent-Length: 0\r\n\r\n", requestID)
+		}
+	}
+}
+
+// Guards against the transport of net/http: on a kept connection that breaks
+// it sends a request with an Idempotency-Key and no body again by itself. The
+// second part shows that the test sees such a second run when the guard (a
+// connection for each non-idempotent request) is taken away.
+func TestTransportDoesNotSendAgain(t *testing.T) {
+	runs := func(d *Dispatcher) (twice int) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		b := &breaking{Listener: l}
+		go b.run()
+		defer func() { _ = l.Close() }()
+		u := rwupstream.Upstream{Name: "u1", Addr: l.Addr().String()}
+		for i := range 4 {
+			q := request(false)
+			q.Key, q.Body = "key-"+strconv.Itoa(i), nil
+			_, _ = d.Call(t.Context(), u, q)
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		seen := map[string]bool{}
+		for _, k := range b.keys {
+			if seen[k] {
+				twice++
+			}
+			seen[k] = true
+		}
+		require.Len(t, seen, 4)
+		return twice
+	}
+	require.Zero(t, runs(New()))
+	unguarded := New()
+	unguarded.fresh = unguarded.shared
+	require.Positive(t, runs(unguarded))
+}
+
+// Guards against a path that leads a call to another address, or that reaches
+// the upstream changed.
+func TestPathStaysAtTheUpstream(t *testing.T) {
+	paths := make(chan string, 1)
+	u := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		paths <- r.Method + " " + r.RequestURI
+		write(w, "ok")
+	})
+	for _, path := range []string{"//127.0.0.1:1/x", "/http://127.0.0.1:1/", "/a%2Fb?x=1&y=%20", "/", "/@127.0.0.1:1/"} {
+		q := request(false)
+		q.Method, q.Path = http.MethodPatch, path
+		_, err := New().Call(t.Context(), u.record(false), q)
+		require.NoError(t, err, path)
+		require.Equal(t, "PATCH "+path, <-paths)
+	}
+	for _, path := range []string{"@127.0.0.1:1/", ".example/", "1/x"} {
+		q := request(false)
+		q.Path = path
+		_, err := New().Call(t.Context(), u.record(false), q)
+		check(t, rwcode.BadRequest, rwoutcome.NotRun, err)
+	}
+}
+
+// Guards against a connection for each model request: the body must be read to
+// its end for a connection to be used again.
+func TestStreamsKeepTheirConnection(t *testing.T) {
+	var mu sync.Mutex
+	opened := 0
+	s := httptest.NewUnstartedServer(answer(events(0, 2) + done))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			mu.Lock()
+			opened++
+			mu.Unlock()
+		}
+	}
+	s.Start()
+	defer s.Close()
+	d := New()
+	u := rwupstream.Upstream{Name: "u1", Addr: s.Listener.Addr().String()}
+	for range 5 {
+		require.NoError(t, d.Stream(t.Context(), u, request(true), 0, func(*rwstream.Chunk) error { return nil }))
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	require.Equal(t, 1, opened)
+}
--- a/internal/rwentry/rwentry.go
+++ b/internal/rwentry/rwentry.go
@@ -1,12 +1,13 @@
 // Package rwentry carries a request from its acceptance to its whole answer:
 // it waits for a slot, runs the request on the slot's upstream and retries
-// where nothing ran.
+// where nothing ran or where running twice does no harm.
 package rwentry
 
 import (
 	"context"
 	"time"
 
+	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwdispatch"
 	"redwingworks.example/internal/rwfault"
@@ -17,8 +18,13 @@
 	"redwingworks.example/internal/rwupstream"
 )
 
-// maxAttempts bounds how often one request is tried.
-const maxAttempts = 3
+const (
+	// maxSends bounds how often one request is sent to an upstream.
+	maxSends = 3
+	// maxUnused bounds how many slots one request may lose unused, for
+	// example because the process was paused.
+	maxUnused = 8
+)
 
 // Entry runs requests. Its function fields are set before the first request.
 type Entry struct {
@@ -29,33 +35,76 @@
 	Stream func(context.Context, rwupstream.Upstream, *rwrequest.Request, int, func(*rwstream.Chunk) error) error
 	// Retry reports whether the budget has room for a retry after a fault.
 	Retry func(*rwfault.Fault) bool
+	// Fresh counts a request before its first attempt. It may be nil.
+	Fresh func()
 	// Now is the clock.
 	Now func() time.Time
 }
 
 // Run runs model work and calls emit for each chunk of the answer in order.
-// It returns nil only after the whole answer.
+// It returns nil only after the whole answer. The outcome of its fault covers
+// all attempts.
 func (e *Entry) Run(ctx context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
-	offset := 0
+	var joined join
 	return e.attempt(ctx, q, func(ctx context.Context, s *rwslot.Slot) (float64, time.Time, error) {
 		var first time.Time
 		cost := 0.0
-		err := e.Stream(ctx, s.Upstream, q, offset, func(c *rwstream.Chunk) error {
+		joined.restart()
+		err := e.Stream(ctx, s.Upstream, q, joined.offset, func(c *rwstream.Chunk) error {
 			if first.IsZero() {
 				first = e.Now()
 			}
 			cost++
-			offset = c.Index + 1
 			if s.Used != nil {
 				s.Used(cost)
 			}
+			fresh, err := joined.take(c)
+			if err != nil || !fresh {
+				return err
+			}
 			return emit(c)
 		})
 		return cost, first, err
 	})
 }
 
-// Do runs a call to a plain service and returns its whole answer.
+// join puts the chunks of several attempts together into one answer.
+type join struct {
+	// offset is the index of the first chunk that the caller does not have,
+	// and digest covers all chunks before it.
+	offset int
+	digest uint64
+	// again covers the chunks that the present attempt has repeated.
+	again uint64
+}
+
+func (j *join) restart() { j.again = 0 }
+
+// take reports whether the chunk is new to the caller. An engine that can't
+// resume repeats the answer from the start. Its repetition is dropped, and the
+// answer goes on only if the repetition equals what the caller has: a sampled
+// answer may differ, and two halves of different answers must not be joined.
+func (j *join) take(c *rwstream.Chunk) (bool, error) {
+	if c.Index >= j.offset {
+		j.offset = c.Index + 1
+		j.digest = extend(j.digest, c.Digest)
+		return true, nil
+	}
+	j.again = extend(j.again, c.Digest)
+	if c.Finish != "" || (c.Index == j.offset-1 && j.again != j.digest) {
+		return false, rwfault.New(rwcode.UpstreamMismatch, "the engine started again and gave another answer").
+			WithOutcome(rwoutcome.Unknown)
+	}
+	return false, nil
+}
+
+func extend(digest, chunk uint64) uint64 {
+	const prime = 1099511628211
+	return (digest ^ chunk) * prime
+}
+
+// Do runs a call to a plain service and returns its whole answer. The outcome
+// of its fault covers all attempts.
 func (e *Entry) Do(ctx context.Context, q *rwrequest.Request) (*rwdispatch.Answer, error) {
 	var answer *rwdispatch.Answer
 	err := e.attempt(ctx, q, func(ctx context.Context, s *rwslot.Slot) (float64, time.Time, error) {
@@ -63,35 +112,60 @@
 		answer = a
 		return 1, e.Now(), err
 	})
-	return answer, err
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
 }
 
 type work func(context.Context, *rwslot.Slot) (cost float64, first time.Time, err error)
 
 func (e *Entry) attempt(ctx context.Context, q *rwrequest.Request, run work) error {
-	for n := 1; ; n++ {
+	if e.Fresh != nil {
+		e.Fresh()
+	}
+	outcome := rwoutcome.NotRun
+	sends, unused := 0, 0
+	for {
 		err := e.once(ctx, q, run)
 		if err == nil {
 			return nil
 		}
-		f := rwfault.From(err)
-		if n == maxAttempts || ctx.Err() != nil || !mayRepeat(q, f) || !e.Retry(f) {
+		f := fault(err)
+		// A later attempt that did not run does not undo an earlier one
+		// that may have run.
+		if f.Outcome == rwoutcome.NotRun {
+			f = f.WithOutcome(outcome)
+		}
+		outcome = f.Outcome
+		if ended := rwfault.Ended(ctx); ended != nil {
+			return ended.WithOutcome(outcome)
+		}
+		if rwbudget.Sent(f.Code) {
+			sends++
+		} else {
+			unused++
+		}
+		if sends == maxSends || unused == maxUnused || !mayRepeat(q, f) || !e.Retry(f) {
 			return f
 		}
 	}
 }
 
+// fault returns the fault inside err. An error without one has an unknown
+// outcome, because nothing says that the request did not run.
+func fault(err error) *rwfault.Fault {
+	f := rwfault.From(err)
+	if f.Code == rwcode.Internal {
+		return f.WithOutcome(rwoutcome.Unknown)
+	}
+	return f
+}
+
 // mayRepeat reports whether the request may be sent again: nothing ran, or
-// running it twice does no harm.
+// running it twice does no harm. The outcome covers all attempts so far.
 func mayRepeat(q *rwrequest.Request, f *rwfault.Fault) bool {
-	switch f.Code {
-	case rwcode.UpstreamUnreachable, rwcode.UpstreamLeaving, rwcode.UpstreamRefused,
-		rwcode.UpstreamTruncated, rwcode.UpstreamMalformed, rwcode.UpstreamMismatch,
-		rwcode.GrantExpired, rwcode.Paused:
-		return f.Outcome == rwoutcome.NotRun || q.Idempotent
-	default:
-		return false
-	}
+	return rwbudget.Repeatable(f.Code) && (f.Outcome == rwoutcome.NotRun || q.Idempotent)
 }
 
 func (e *Entry) once(ctx context.Context, q *rwrequest.Request, run work) error {
@@ -104,11 +178,19 @@
 		s.Done(0, 0, 0, rwcode.GrantExpired)
 		return rwfault.New(rwcode.GrantExpired, q.ID)
 	}
+	if ended := rwfault.Ended(ctx); ended != nil {
+		s.Done(0, 0, 0, ended.Code)
+		return ended
+	}
 	cost, first, err := run(ctx, s)
 	code := rwcode.None
 	if err != nil {
 		code = rwfault.From(err).Code
 	}
-	s.Done(cost, first.Sub(start), e.Now().Sub(start), code)
+	total := e.Now().Sub(start)
+	if first.IsZero() {
+		first = start.Add(total)
+	}
+	s.Done(cost, first.Sub(start), total, code)
 	return err
 }
--- a/internal/rwfault/rwfault.go
+++ b/internal/rwfault/rwfault.go
@@ -2,6 +2,7 @@
 package rwfault
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,24 @@
 	return Wrap(rwcode.Internal, err)
 }
 
+// Ended returns nil while the context is live. After that it returns the fault
+// that the context was cancelled with, or DeadlineExceeded or CallerGone.
+func Ended(ctx context.Context) *Fault {
+	if ctx.Err() == nil {
+		return nil
+	}
+	var f *Fault
+	cause := context.Cause(ctx)
+	switch {
+	case errors.As(cause, &f):
+		return f
+	case errors.Is(cause, context.DeadlineExceeded):
+		return Wrap(rwcode.DeadlineExceeded, cause)
+	default:
+		return Wrap(rwcode.CallerGone, cause)
+	}
+}
+
 // Is reports whether err contains a fault with the code.
 func Is(err error, code rwcode.Code) bool {
 	var f *Fault
--- /dev/null
+++ b/internal/rwsse/rwsse.go
@@ -0,0 +1,69 @@
+// Package rwsse reads the lines of a server-sent event stream in which each
+// event has one data line.
+package rwsse
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+)
+
+// MaxLine is the longest accepted line in bytes, including the line break.
+const MaxLine = 64 << 10
+
+// Reader reads data lines.
+type Reader struct {
+	lines *bufio.Reader
+}
+
+// New returns a reader.
+func New(r io.Reader) *Reader {
+	return &Reader{lines: bufio.NewReaderSize(r, MaxLine)}
+}
+
+// Reset reads from another stream and keeps the buffer.
+func (r *Reader) Reset(from io.Reader) { r.lines.Reset(from) }
+
+var (
+	prefix    = []byte("data:")
+	endMarker = []byte("[DONE]")
+)
+
+// Next returns the data of the next event, valid until the next call. At the
+// end of the stream it returns io.EOF. Other errors are faults:
+// UpstreamTruncated when the stream breaks or ends within a line, and
+// UpstreamMalformed when a line is too long.
+func (r *Reader) Next() ([]byte, error) {
+	for {
+		line, err := r.lines.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return nil, rwfault.New(rwcode.UpstreamMalformed, "line too long")
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return nil, rwfault.Wrap(rwcode.UpstreamTruncated, err)
+		}
+		data, ok := field(line)
+		switch {
+		case err == nil && ok:
+			return data, nil
+		case err == nil:
+			continue
+		case ok && bytes.Equal(data, endMarker):
+			return data, nil
+		case len(line) > 0:
+			return nil, rwfault.New(rwcode.UpstreamTruncated, "stream ended within a line")
+		}
+		return nil, io.EOF
+	}
+}
+
+func field(line []byte) ([]byte, bool) {
+	line = bytes.TrimSuffix(line, []byte("\n"))
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	data, ok := bytes.CutPrefix(line, prefix)
+	return bytes.TrimPrefix(data, []byte(" ")), ok
+}
