Give callers a typed error with a true outcome in every case

The gate bounds connections, requests, bodies and the time of a body, checks all headers and the body before a request runs, answers at its deadline, and ends a broken stream so that it can't look whole. It serves HTTP/1.1, HTTP/2 with and without TLS, tickets, and refuses new work while it drains.

--- /dev/null
+++ b/internal/rwentry/rwentry_test.go
@@ -0,0 +1,292 @@
+package rwentry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwdispatch"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwoutcome"
+	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwslot"
+	"redwingworks.example/internal/rwstream"
+	"redwingworks.example/internal/rwupstream"
+)
+
+const total = 6
+
+// engine answers a request of total chunks and breaks the stream before the
+// chunk with the index breakAt.
+type engine struct {
+	breakAt int
+	// resumes is whether Redwing-Resume is obeyed.
+	resumes bool
+	// words start the text of each chunk.
+	words  string
+	length int
+}
+
+func (e engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		return
+	}
+	id := r.Header.Get("Redwing-Request")
+	w.Header().Set("Redwing-Request", id)
+	first := 0
+	if e.resumes {
+		first, _ = strconv.Atoi(r.Header.Get("Redwing-Resume"))
+	}
+	for i := first; i < e.length; i++ {
+		if i == e.breakAt {
+			return
+		}
+		finish := ""
+		if i == e.length-1 {
+			finish = "stop"
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"index\":%d,\"text\":\"%s%d \",\"finish\":%q}\n\n", id, i, e.words, i, finish)
+	}
+	if e.breakAt != e.length {
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}
+}
+
+// harness runs requests on the given servers in turn.
+type harness struct {
+	entry *Entry
+	mu    sync.Mutex
+	// retries are the codes of the retries, done the codes of the slots.
+	retries []string
+	done    []string
+	// allow is how many retries the budget allows.
+	allow int
+}
+
+func newHarness(t *testing.T, servers ...http.Handler) *harness {
+	var list []rwupstream.Upstream
+	for i, h := range servers {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		list = append(list, rwupstream.Upstream{Name: "u" + strconv.Itoa(i), Addr: s.Listener.Addr().String()})
+	}
+	d := rwdispatch.New()
+	h := &harness{allow: 100}
+	turn := 0
+	h.entry = &Entry{
+		Call:   d.Call,
+		Stream: d.Stream,
+		Now:    time.Now,
+		Retry: func(f *rwfault.Fault) bool {
+			h.retries = append(h.retries, f.Code.String())
+			return len(h.retries) <= h.allow
+		},
+		Acquire: func(context.Context, *rwrequest.Request) (*rwslot.Slot, error) {
+			u := list[turn%len(list)]
+			turn++
+			return h.slot(u, time.Minute), nil
+		},
+	}
+	return h
+}
+
+func (h *harness) slot(u rwupstream.Upstream, lifetime time.Duration) *rwslot.Slot {
+	return &rwslot.Slot{
+		Upstream: u,
+		Expires:  time.Now().Add(lifetime),
+		Done: func(_ float64, first, all time.Duration, c rwcode.Code) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if first < 0 || all < 0 || first > all {
+				c = rwcode.Internal
+			}
+			h.done = append(h.done, c.String())
+		},
+	}
+}
+
+func (h *harness) run(t *testing.T, idempotent bool) (string, error) {
+	var text strings.Builder
+	q := &rwrequest.Request{ID: "r-1", Idempotent: idempotent, Engine: true, Body: []byte("{}")}
+	next := 0
+	err := h.entry.Run(t.Context(), q, func(c *rwstream.Chunk) error {
+		require.Equal(t, next, c.Index, "gap or repetition")
+		next++
+		text.WriteString(c.Text)
+		return nil
+	})
+	return text.String(), err
+}
+
+const whole = "w0 w1 w2 w3 w4 w5 "
+
+// Guards against a gap, a repetition or a mixture of two answers where a
+// broken stream is joined with the answer of another engine.
+func TestBrokenStreamIsJoined(t *testing.T) {
+	good := engine{breakAt: -1, words: "w", length: total, resumes: true}
+	noResume := engine{breakAt: -1, words: "w", length: total}
+	otherWords := engine{breakAt: -1, words: "v", length: total}
+	shorter := engine{breakAt: -1, words: "w", length: 2}
+	for name, c := range map[string]struct {
+		breakAt int
+		next    engine
+		want    string
+		code    rwcode.Code
+	}{
+		"resumed in the middle":            {3, good, whole, rwcode.None},
+		"resumed before the first chunk":   {0, good, whole, rwcode.None},
+		"resumed at the last chunk":        {total - 1, good, whole, rwcode.None},
+		"resumed before the end marker":    {total, good, whole, rwcode.None},
+		"started again, same answer":       {3, noResume, whole, rwcode.None},
+		"started again before end marker":  {total, noResume, whole, rwcode.None},
+		"started again, another answer":    {3, otherWords, "w0 w1 w2 ", rwcode.UpstreamMismatch},
+		"started again, an answer shorter": {3, shorter, "w0 w1 w2 ", rwcode.UpstreamMismatch},
+	} {
+		t.Run(name, func(t *testing.T) {
+			broken := engine{breakAt: c.breakAt, words: "w", length: total, resumes: true}
+			h := newHarness(t, broken, c.next, c.next)
+			text, err := h.run(t, true)
+			require.Equal(t, c.want, text)
+			if c.code == rwcode.None {
+				require.NoError(t, err)
+				require.Equal(t, []string{"upstream_truncated"}, h.retries)
+				require.Equal(t, []string{"upstream_truncated", "none"}, h.done)
+				return
+			}
+			require.Equal(t, c.code, rwfault.From(err).Code)
+			require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
+		})
+	}
+}
+
+// Guards against endless or unbudgeted retries: at most three sends, and none
+// when the budget refuses.
+func TestRetriesAreBounded(t *testing.T) {
+	broken := engine{breakAt: 2, words: "w", length: total, resumes: false}
+	h := newHarness(t, broken)
+	text, err := h.run(t, true)
+	require.Equal(t, rwcode.UpstreamTruncated, rwfault.From(err).Code)
+	require.Equal(t, "w0 w1 ", text)
+	require.Len(t, h.done, maxSends)
+
+	h = newHarness(t, broken)
+	h.allow = 0
+	_, err = h.run(t, true)
+	require.Equal(t, rwcode.UpstreamTruncated, rwfault.From(err).Code)
+	require.Len(t, h.done, 1)
+}
+
+// Guards against a second run of a non-idempotent request that was sent.
+func TestNonIdempotentIsSentOnce(t *testing.T) {
+	h := newHarness(t, engine{breakAt: 2, words: "w", length: total})
+	_, err := h.run(t, false)
+	require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
+	require.Len(t, h.done, 1)
+	require.Empty(t, h.retries)
+}
+
+// outcomes runs a request whose attempts end with the given faults.
+func outcomes(ctx context.Context, t *testing.T, idempotent bool, faults ...error) (*rwfault.Fault, int) {
+	n := 0
+	e := &Entry{
+		Now:   time.Now,
+		Retry: func(*rwfault.Fault) bool { return true },
+		Acquire: func(context.Context, *rwrequest.Request) (*rwslot.Slot, error) {
+			return &rwslot.Slot{Expires: time.Now().Add(time.Minute), Done: func(float64, time.Duration, time.Duration, rwcode.Code) {}}, nil
+		},
+		Call: func(context.Context, rwupstream.Upstream, *rwrequest.Request) (*rwdispatch.Answer, error) {
+			err := faults[min(n, len(faults)-1)]
+			n++
+			return nil, err
+		},
+	}
+	_, err := e.Do(ctx, &rwrequest.Request{ID: "r-1", Idempotent: idempotent})
+	require.Error(t, err)
+	return rwfault.From(err), n
+}
+
+// Guards against "not run" for a request of which an earlier attempt may have
+// run, and against a retry that such an attempt forbids.
+func TestOutcomeCoversAllAttempts(t *testing.T) {
+	unknown := rwfault.New(rwcode.UpstreamTruncated, "").WithOutcome(rwoutcome.Unknown)
+	notRun := rwfault.New(rwcode.UpstreamUnreachable, "")
+	full := rwfault.New(rwcode.QueueFull, "")
+	plain := errors.New("an error without a fault")
+	for name, c := range map[string]struct {
+		idempotent bool
+		faults     []error
+		outcome    rwoutcome.Outcome
+		attempts   int
+	}{
+		"never reached":                   {false, []error{notRun}, rwoutcome.NotRun, maxSends},
+		"sent, then never reached":        {true, []error{unknown, notRun}, rwoutcome.Unknown, maxSends},
+		"sent, then refused by the queue": {true, []error{unknown, full}, rwoutcome.Unknown, 2},
+		"refused by the queue":            {true, []error{full}, rwoutcome.NotRun, 1},
+		"not idempotent, sent":            {false, []error{unknown}, rwoutcome.Unknown, 1},
+		"not idempotent, second try sent": {false, []error{notRun, unknown, notRun}, rwoutcome.Unknown, 2},
+		"error without a fault":           {true, []error{plain}, rwoutcome.Unknown, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, n := outcomes(t.Context(), t, c.idempotent, c.faults...)
+			require.Equal(t, c.outcome.String(), f.Outcome.String())
+			require.Equal(t, c.attempts, n)
+		})
+	}
+}
+
+// Guards against an answer that names the wait for a slot as the reason when
+// the deadline passed or the caller left, and against a retry after that.
+func TestEndOfContext(t *testing.T) {
+	unknown := rwfault.New(rwcode.UpstreamTruncated, "").WithOutcome(rwoutcome.Unknown)
+	ctx, stop := context.WithCancelCause(t.Context())
+	stop(rwfault.New(rwcode.DeadlineExceeded, "r-1"))
+	f, n := outcomes(ctx, t, true, unknown)
+	require.Equal(t, rwcode.DeadlineExceeded, f.Code)
+	require.Equal(t, rwoutcome.NotRun, f.Outcome)
+	require.Zero(t, n, "sent after the deadline")
+
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	f, _ = outcomes(gone, t, true, unknown)
+	require.Equal(t, rwcode.CallerGone, f.Code)
+}
+
+// Guards against a request that is sent under an expired slot, which may
+// belong to another request by then, and against waiting for slots for ever.
+func TestExpiredSlotIsReturnedUnused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &harness{}
+		slots := 0
+		e := &Entry{
+			Now:   time.Now,
+			Retry: func(*rwfault.Fault) bool { return true },
+			Acquire: func(context.Context, *rwrequest.Request) (*rwslot.Slot, error) {
+				slots++
+				s := h.slot(rwupstream.Upstream{}, time.Second)
+				time.Sleep(2 * time.Second)
+				return s, nil
+			},
+			Call: func(context.Context, rwupstream.Upstream, *rwrequest.Request) (*rwdispatch.Answer, error) {
+				t.Error("sent under an expired slot")
+				return nil, nil
+			},
+		}
+		_, err := e.Do(t.Context(), &rwrequest.Request{})
+		require.Equal(t, rwcode.GrantExpired, rwfault.From(err).Code)
+		require.Equal(t, rwoutcome.NotRun, rwfault.From(err).Outcome)
+		require.Equal(t, maxUnused, slots)
+		require.Len(t, h.done, maxUnused)
+	})
+}
--- /dev/null
+++ b/internal/rwgate/rwgate_test.go
@@ -0,0 +1,661 @@
+package rwgate
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwaccount"
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwdispatch"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwkind"
+	"redwingworks.example/internal/rwoutcome"
+	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwsnapshot"
+	"redwingworks.example/internal/rwstream"
+	"redwingworks.example/internal/rwupstream"
+)
+
+const callerKey = "caller-key"
+
+func snapshot() *rwsnapshot.Snapshot {
+	sum := sha256.Sum256([]byte(callerKey))
+	return rwsnapshot.Empty().WithRev(1).
+		WithAccounts([]rwaccount.Account{{Name: "plovdiv", Weight: 1000, Keys: []string{hex.EncodeToString(sum[:])}}}).
+		WithKinds([]rwkind.Kind{
+			{Name: "draft", Pool: "drafter", Idempotent: true},
+			{Name: "sealed", Pool: "drafter"},
+			{Name: "order", Pool: "orders"},
+			{Name: "lost", Pool: "nowhere", Idempotent: true},
+		}).
+		WithUpstreams([]rwupstream.Upstream{
+			{Name: "e1", Pools: []string{"drafter"}, Engine: true},
+			{Name: "s1", Pools: []string{"orders"}},
+		})
+}
+
+// harness is a gate on in-memory connections, which work under virtual time.
+type harness struct {
+	*Gate
+	server *http.Server
+	conns  chan net.Conn
+	// accepted counts connections.
+	accepted atomic.Int64
+	closed   chan struct{}
+	ran      atomic.Int64
+	mu       sync.Mutex
+	refused  []string
+	last     *rwrequest.Request
+}
+
+func (h *harness) Accept() (net.Conn, error) {
+	select {
+	case c := <-h.conns:
+		return c, nil
+	case <-h.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (h *harness) Close() error {
+	select {
+	case <-h.closed:
+	default:
+		close(h.closed)
+	}
+	return nil
+}
+
+func (h *harness) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (h *harness) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	h.accepted.Add(1)
+	select {
+	case h.conns <- server:
+		return client, nil
+	case <-h.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{conns: make(chan net.Conn), closed: make(chan struct{})}
+	h.Gate = &Gate{
+		ID:    "r-1",
+		View:  snapshot,
+		Ready: func() bool { return true },
+		Now:   time.Now,
+		Refused: func(c rwcode.Code) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.refused = append(h.refused, c.String())
+		},
+		Ticket: func() (string, error) { return "ticket-1", nil },
+		Run: func(_ context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			h.note(q)
+			return chunks(q, emit, 3)
+		},
+		Do: func(_ context.Context, q *rwrequest.Request) (*rwdispatch.Answer, error) {
+			h.note(q)
+			return &rwdispatch.Answer{Status: http.StatusCreated, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte("made")}, nil
+		},
+	}
+	t.Cleanup(func() { _ = h.Close() })
+	return h
+}
+
+func (h *harness) note(q *rwrequest.Request) {
+	h.ran.Add(1)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.last = q
+}
+
+func chunks(q *rwrequest.Request, emit func(*rwstream.Chunk) error, n int) error {
+	for i := range n {
+		if err := emit(&rwstream.Chunk{ID: q.ID, Index: i, Text: "t"}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start serves until the server is closed.
+func (h *harness) start() {
+	h.server = h.Server()
+	go func() { _ = h.server.Serve(h) }()
+}
+
+// client returns a client for HTTP/1.1 or for HTTP/2 without TLS.
+func (h *harness) client(http2 bool) *http.Client {
+	var p http.Protocols
+	p.SetHTTP1(!http2)
+	p.SetUnencryptedHTTP2(http2)
+	return &http.Client{Transport: &http.Transport{DialContext: h.dial, Protocols: &p}}
+}
+
+// eachProtocol runs a test under virtual time with a client of each protocol.
+func eachProtocol(t *testing.T, test func(*testing.T, *harness, *http.Client)) {
+	for name, http2 := range map[string]bool{"HTTP/1.1": false, "HTTP/2": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				c := h.client(http2)
+				defer func() {
+					c.CloseIdleConnections()
+					_ = h.server.Close()
+					// The server lingers on some closed connections.
+					time.Sleep(time.Minute)
+				}()
+				test(t, h, c)
+			})
+		})
+	}
+}
+
+const chatPath = "/v1/chat/completions"
+
+func request(t *testing.T, method, path, kind, body string, headers ...string) *http.Request {
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://router"+path, reader)
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+callerKey)
+	if kind != "" {
+		r.Header.Set("Redwing-Kind", kind)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		if headers[i+1] == "" {
+			r.Header.Del(headers[i])
+			continue
+		}
+		r.Header.Add(headers[i], headers[i+1])
+	}
+	return r
+}
+
+type errorBody struct {
+	Error struct {
+		Code, Outcome, Message string
+		Retry                  float64
+	}
+}
+
+// reply is what a caller got; the text of its body is apart.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+}
+
+func (h *harness) do(t *testing.T, c *http.Client, r *http.Request) (reply, string) {
+	resp, err := c.Do(r)
+	require.NoError(t, err)
+	data, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	require.NoError(t, err)
+	return reply{resp.StatusCode, resp.Header}, string(data)
+}
+
+func requireError(t *testing.T, resp reply, text string, status int, code rwcode.Code, outcome rwoutcome.Outcome) {
+	t.Helper()
+	var e errorBody
+	require.NoError(t, json.Unmarshal([]byte(text), &e), text)
+	require.Equal(t, code.String(), e.Error.Code, text)
+	require.Equal(t, outcome.String(), e.Error.Outcome, text)
+	require.Equal(t, status, resp.StatusCode, text)
+	retry := resp.Header.Get("Retry-After")
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout {
+		require.NotEmpty(t, retry, text)
+		require.Positive(t, e.Error.Retry, text)
+	} else {
+		require.Empty(t, retry, text)
+	}
+}
+
+const (
+	goodBody   = `{"model":"drafter","messages":[{"role":"user","content":"x"}]}`
+	streamBody = `{"model":"drafter","messages":[{"role":"user","content":"x"}],"stream":true}`
+)
+
+type badInput struct {
+	name, method, path, kind, body string
+	headers                        []string
+	status                         int
+	code                           rwcode.Code
+}
+
+var badInputs = []badInput{
+	{"no key", "POST", chatPath, "draft", goodBody, []string{"Authorization", ""}, 401, rwcode.Unauthorized},
+	{"unknown key", "POST", chatPath, "draft", goodBody, []string{"Authorization", "", "Authorization", "Bearer other"}, 401, rwcode.Unauthorized},
+	{"key without scheme", "POST", chatPath, "draft", goodBody, []string{"Authorization", "", "Authorization", callerKey}, 401, rwcode.Unauthorized},
+	{"two keys", "POST", chatPath, "draft", goodBody, []string{"Authorization", "Bearer other"}, 400, rwcode.BadRequest},
+	{"no kind", "POST", chatPath, "", goodBody, nil, 404, rwcode.UnknownKind},
+	{"unknown kind", "POST", chatPath, "other", goodBody, nil, 404, rwcode.UnknownKind},
+	{"two kinds", "POST", chatPath, "draft", goodBody, []string{"Redwing-Kind", "sealed"}, 400, rwcode.BadRequest},
+	{"model of another pool", "POST", chatPath, "draft", strings.Replace(goodBody, "drafter", "other", 1), nil, 404, rwcode.UnknownPool},
+	{"no model", "POST", chatPath, "draft", `{"messages":[{}]}`, nil, 400, rwcode.BadRequest},
+	{"no messages", "POST", chatPath, "draft", `{"model":"drafter"}`, nil, 400, rwcode.BadRequest},
+	{"max_tokens of zero", "POST", chatPath, "draft", `{"model":"drafter","messages":[{}],"max_tokens":0}`, nil, 400, rwcode.BadRequest},
+	{"no JSON", "POST", chatPath, "draft", `{"model":`, nil, 400, rwcode.BadRequest},
+	{"text after the JSON", "POST", chatPath, "draft", goodBody + "x", nil, 400, rwcode.BadRequest},
+	{"empty body", "POST", chatPath, "draft", "", nil, 400, rwcode.BadRequest},
+	{"body too large", "POST", chatPath, "draft", strings.Repeat("x", maxBodyBytes+1), nil, 413, rwcode.BodyTooLarge},
+	{"header too large", "POST", chatPath, "draft", goodBody, []string{"X-Filler", strings.Repeat("x", maxHeaderBytes)}, 431, rwcode.HeaderTooLarge},
+	{"idempotency key too long", "POST", "/v1/call/orders/new", "order", "x", []string{"Idempotency-Key", strings.Repeat("x", maxKeyBytes+1)}, 400, rwcode.BadRequest},
+	{"two idempotency keys", "POST", "/v1/call/orders/new", "order", "x", []string{"Idempotency-Key", "a", "Idempotency-Key", "b"}, 400, rwcode.BadRequest},
+	{"idempotency key that could not be checked", "POST", chatPath, "sealed", goodBody, []string{"Idempotency-Key", "a"}, 400, rwcode.BadRequest},
+	{"deadline is no number", "POST", chatPath, "draft", goodBody, []string{"Redwing-Deadline", "soon"}, 400, rwcode.BadRequest},
+	{"deadline of zero", "POST", chatPath, "draft", goodBody, []string{"Redwing-Deadline", "0"}, 400, rwcode.BadRequest},
+	{"deadline that overflows", "POST", chatPath, "draft", goodBody, []string{"Redwing-Deadline", "9223372036854775807"}, 400, rwcode.BadRequest},
+	{"hint is no number", "POST", chatPath, "draft", goodBody, []string{"Redwing-Hint", "NaN"}, 400, rwcode.BadRequest},
+	{"negative hint", "POST", chatPath, "draft", goodBody, []string{"Redwing-Hint", "-1"}, 400, rwcode.BadRequest},
+	{"infinite hint", "POST", chatPath, "draft", goodBody, []string{"Redwing-Hint", "Inf"}, 400, rwcode.BadRequest},
+	{"pool of another kind", "POST", "/v1/call/drafter/x", "order", "x", nil, 404, rwcode.UnknownPool},
+	{"engine kind on the service path", "POST", "/v1/call/drafter/x", "draft", "x", nil, 400, rwcode.BadRequest},
+	{"service kind on the engine path", "POST", chatPath, "order", strings.Replace(goodBody, "drafter", "orders", 1), nil, 400, rwcode.BadRequest},
+	{"pool without upstreams", "POST", chatPath, "lost", strings.Replace(goodBody, "drafter", "nowhere", 1), nil, 503, rwcode.NoUpstream},
+	{"method", "OPTIONS", "/v1/call/orders/x", "order", "", nil, 400, rwcode.BadRequest},
+	{"path", "POST", "/v1/other", "order", "x", nil, 404, rwcode.UnknownPath},
+	{"method of a known path", "GET", chatPath, "draft", "", nil, 404, rwcode.UnknownPath},
+}
+
+// Guards against bad input that runs, that gets an error without a true code
+// and outcome, or that harms the requests after it.
+func TestBadInput(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.start()
+		for i, b := range badInputs {
+			resp, text := h.do(t, c, request(t, b.method, b.path, b.kind, b.body, b.headers...))
+			require.Contains(t, h.refused, b.code.String(), b.name)
+			require.Len(t, h.refused, i+1, b.name)
+			requireError(t, resp, text, b.status, b.code, rwoutcome.NotRun)
+			require.Zero(t, h.ran.Load(), b.name)
+		}
+		resp, _ := h.do(t, c, request(t, "POST", chatPath, "draft", goodBody))
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Zero(t, h.bodies.Used())
+		require.Zero(t, h.requests.Used())
+	})
+}
+
+// Guards against accepted requests that reach Run or Do changed, above all
+// against a kind that is not idempotent but is run as if it were.
+func TestAcceptedRequest(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.start()
+		_, text := h.do(t, c, request(t, "POST", chatPath, "sealed", goodBody, "Redwing-Deadline", "500", "Redwing-Hint", "12.5"))
+		require.JSONEq(t, `{"id":"`+h.last.ID+`","text":"ttt","usage":3}`, text)
+		require.False(t, h.last.Idempotent)
+		require.True(t, h.last.Engine)
+		require.Equal(t, goodBody, string(h.last.Body))
+		require.Equal(t, 500*time.Millisecond, h.last.Deadline.Sub(h.last.Arrived))
+		require.InDelta(t, 12.5, h.last.Hint, 0)
+
+		resp, text := h.do(t, c, request(t, "PUT", "/v1/call/orders/a%2Fb/c?x=1", "order", "body", "Idempotency-Key", "k"))
+		require.Equal(t, "made", text)
+		require.Equal(t, http.StatusCreated, resp.StatusCode)
+		require.Equal(t, "text/plain", resp.Header.Get("Content-Type"))
+		require.Equal(t, "PUT /a%2Fb/c?x=1 k", h.last.Method+" "+h.last.Path+" "+h.last.Key)
+		require.Equal(t, h.last.ID, resp.Header.Get("Redwing-Request"))
+
+		_, text = h.do(t, c, request(t, "POST", "/v1/tickets", "", ""))
+		require.JSONEq(t, `{"key":"ticket-1"}`, text)
+		require.Zero(t, h.bodies.Used())
+	})
+}
+
+// Guards against a router without configuration that calls a good key unknown.
+func TestNoConfigurationYet(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.View = rwsnapshot.Empty
+		h.start()
+		resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", goodBody))
+		requireError(t, resp, text, 503, rwcode.NotReady, rwoutcome.NotRun)
+	})
+}
+
+// Guards against an answer to a caller that does not finish its body, held for
+// ever.
+func TestSlowBody(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.start()
+		body, end := io.Pipe()
+		defer func() { _ = end.Close() }()
+		r := request(t, "POST", chatPath, "draft", "x")
+		r.Body, r.ContentLength = body, 100
+		start := time.Now()
+		resp, text := h.do(t, c, r)
+		requireError(t, resp, text, 408, rwcode.SlowBody, rwoutcome.NotRun)
+		require.Equal(t, defaultBodyTimeout, time.Since(start))
+		require.Zero(t, h.ran.Load())
+		require.Zero(t, h.bodies.Used())
+	})
+}
+
+// Guards against memory that the bodies of many callers use up.
+func TestBodiesAreBounded(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.MaxBodies = len(goodBody) - 1
+		h.start()
+		resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", goodBody))
+		requireError(t, resp, text, 503, rwcode.TooManyRequests, rwoutcome.NotRun)
+		require.Zero(t, h.bodies.Used())
+	})
+}
+
+// Guards against the timeout of the body ending a request whose body was read
+// and whose answer takes longer.
+func TestLongAnswerOutlivesTheBodyTimeout(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.Run = func(ctx context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			select {
+			case <-time.After(2 * defaultBodyTimeout):
+				return chunks(q, emit, 1)
+			case <-ctx.Done():
+				return rwfault.Ended(ctx)
+			}
+		}
+		h.start()
+		resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", goodBody))
+		require.Equal(t, http.StatusOK, resp.StatusCode, text)
+	})
+}
+
+// Guards against more concurrent requests than the limit.
+func TestTooManyRequests(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.MaxRequests = 1
+		leave := make(chan struct{})
+		h.Run = func(_ context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			<-leave
+			return chunks(q, emit, 1)
+		}
+		h.start()
+		first := make(chan int, 1)
+		r := request(t, "POST", chatPath, "draft", goodBody)
+		go func() {
+			resp, err := c.Do(r)
+			if err == nil {
+				_ = resp.Body.Close()
+				first <- resp.StatusCode
+			}
+		}()
+		synctest.Wait()
+		resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", goodBody))
+		requireError(t, resp, text, 503, rwcode.TooManyRequests, rwoutcome.NotRun)
+		close(leave)
+		require.Equal(t, http.StatusOK, <-first)
+	})
+}
+
+// Guards against connections above the limit: they get a typed error, then
+// they are closed; and against connections that stay counted after their end.
+func TestTooManyConnections(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, first *http.Client) {
+		h.MaxConns = 1
+		h.start()
+		resp, _ := h.do(t, first, request(t, "POST", chatPath, "draft", goodBody))
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		second := h.client(strings.HasSuffix(t.Name(), "2"))
+		resp, text := h.do(t, second, request(t, "POST", chatPath, "draft", goodBody))
+		requireError(t, resp, text, 503, rwcode.TooManyConnections, rwoutcome.NotRun)
+		second.CloseIdleConnections()
+		first.CloseIdleConnections()
+		synctest.Wait()
+		require.Zero(t, h.Gate.conns.Used())
+		resp, _ = h.do(t, second, request(t, "POST", chatPath, "draft", goodBody))
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		second.CloseIdleConnections()
+	})
+}
+
+// Guards against a request whose deadline passed and that is still held, that
+// is called "not run" after it was sent, or that gets a late first byte.
+func TestDeadline(t *testing.T) {
+	for name, body := range map[string]string{"whole": goodBody, "stream": streamBody} {
+		t.Run(name, func(t *testing.T) {
+			eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+				outcome := rwoutcome.NotRun
+				h.Run = func(ctx context.Context, _ *rwrequest.Request, _ func(*rwstream.Chunk) error) error {
+					<-ctx.Done()
+					return rwfault.Ended(ctx).WithOutcome(outcome)
+				}
+				h.start()
+				for _, outcome = range []rwoutcome.Outcome{rwoutcome.NotRun, rwoutcome.Unknown} {
+					start := time.Now()
+					resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", body, "Redwing-Deadline", "700"))
+					requireError(t, resp, text, 504, rwcode.DeadlineExceeded, outcome)
+					require.Equal(t, 700*time.Millisecond, time.Since(start))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a deadline that cuts an answer whose first byte was in time.
+func TestDeadlineEndsWithTheFirstByte(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.Run = func(ctx context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			for i := range 3 {
+				if err := emit(&rwstream.Chunk{ID: q.ID, Index: i}); err != nil {
+					return err
+				}
+				select {
+				case <-time.After(time.Second):
+				case <-ctx.Done():
+					return rwfault.Ended(ctx)
+				}
+			}
+			return nil
+		}
+		h.start()
+		_, text := h.do(t, c, request(t, "POST", chatPath, "draft", streamBody, "Redwing-Deadline", "500"))
+		require.Equal(t, 4, strings.Count(text, "data: "))
+		require.True(t, strings.HasSuffix(text, "data: [DONE]\n\n"))
+	})
+}
+
+// Guards against a refusal that is held back, or that has no advice when to
+// try again.
+func TestGivenUpRequestIsAnsweredAtOnce(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		var f *rwfault.Fault
+		h.Run = func(context.Context, *rwrequest.Request, func(*rwstream.Chunk) error) error { return f }
+		h.start()
+		for _, k := range []struct {
+			fault  *rwfault.Fault
+			status int
+			retry  string
+		}{
+			{rwfault.New(rwcode.QueueFull, "").WithRetryAfter(2500 * time.Millisecond), 429, "3"},
+			{rwfault.New(rwcode.DeadlineUnreachable, ""), 503, "1"},
+			{rwfault.New(rwcode.UpstreamUnreachable, ""), 503, "1"},
+			{rwfault.New(rwcode.UpstreamUnreachable, "").WithOutcome(rwoutcome.Unknown), 502, ""},
+			{rwfault.New(rwcode.UpstreamTimeout, "").WithOutcome(rwoutcome.Unknown), 504, "1"},
+		} {
+			f = k.fault
+			start := time.Now()
+			resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", streamBody, "Redwing-Deadline", "60000"))
+			requireError(t, resp, text, k.status, f.Code, f.Outcome)
+			require.Equal(t, k.retry, resp.Header.Get("Retry-After"))
+			require.Zero(t, time.Since(start))
+		}
+	})
+}
+
+// Guards against an unexpected error that is called "not run".
+func TestErrorWithoutFaultIsUnknown(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.Do = func(context.Context, *rwrequest.Request) (*rwdispatch.Answer, error) { return nil, io.ErrNoProgress }
+		h.start()
+		resp, text := h.do(t, c, request(t, "POST", "/v1/call/orders/x", "order", "x"))
+		requireError(t, resp, text, 500, rwcode.Internal, rwoutcome.Unknown)
+	})
+}
+
+// Guards against a broken stream that looks whole: it must have an error
+// event, no end marker, and no regular end of the body.
+func TestBrokenStreamNeverLooksWhole(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.Run = func(_ context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			if err := chunks(q, emit, 2); err != nil {
+				return err
+			}
+			return rwfault.New(rwcode.UpstreamTruncated, "u1").WithOutcome(rwoutcome.Unknown)
+		}
+		h.start()
+		resp, err := c.Do(request(t, "POST", chatPath, "draft", streamBody))
+		require.NoError(t, err)
+		data, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		require.Error(t, err, "the body ended as if it were whole")
+		text := string(data)
+		require.Equal(t, 1, strings.Count(text, "event: error\ndata: {\"error\":{\"code\":\"upstream_truncated\",\"outcome\":\"unknown\""), text)
+		require.NotContains(t, text, "[DONE]")
+		require.Equal(t, []string{"upstream_truncated"}, h.refused)
+		require.Zero(t, h.requests.Used())
+	})
+}
+
+// Guards against an answer of no chunk that looks like a whole stream.
+func TestEmptyStreamIsAnError(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.Run = func(context.Context, *rwrequest.Request, func(*rwstream.Chunk) error) error { return nil }
+		h.start()
+		resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", streamBody))
+		requireError(t, resp, text, 502, rwcode.UpstreamTruncated, rwoutcome.Unknown)
+	})
+}
+
+// Guards against a request that goes on after its caller left in the stream.
+func TestCallerLeaves(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		ended := make(chan rwcode.Code, 1)
+		h.Run = func(ctx context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			if err := chunks(q, emit, 1); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			f := rwfault.Ended(ctx)
+			ended <- f.Code
+			return f
+		}
+		h.start()
+		ctx, leave := context.WithCancel(t.Context())
+		resp, err := c.Do(request(t, "POST", chatPath, "draft", streamBody).WithContext(ctx))
+		require.NoError(t, err)
+		_, err = bufio.NewReader(resp.Body).ReadString('\n')
+		require.NoError(t, err)
+		leave()
+		_ = resp.Body.Close()
+		require.Equal(t, rwcode.CallerGone, <-ended)
+	})
+}
+
+// Guards against a caller that stops reading and so holds an engine's slot.
+func TestCallerStopsReading(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		ended := make(chan error, 1)
+		h.Run = func(_ context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			var err error
+			for i := 0; err == nil; i++ {
+				err = emit(&rwstream.Chunk{ID: q.ID, Index: i, Text: strings.Repeat("x", 32<<10)})
+			}
+			ended <- err
+			return err
+		}
+		h.start()
+		start := time.Now()
+		resp, err := c.Do(request(t, "POST", chatPath, "draft", streamBody))
+		require.NoError(t, err)
+		require.True(t, rwfault.Is(<-ended, rwcode.CallerGone))
+		require.LessOrEqual(t, time.Since(start), writeTimeout+writeRenewal)
+		_ = resp.Body.Close()
+	})
+}
+
+// Guards against a write deadline that outlives its request and breaks a later
+// answer on the same connection.
+func TestKeptConnectionHasNoOldDeadline(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.start()
+		for _, path := range []string{chatPath, "/healthz", "/v1/other", chatPath} {
+			method, body := "POST", streamBody
+			if path == "/healthz" {
+				method, body = "GET", ""
+			}
+			resp, _ := h.do(t, c, request(t, method, path, "draft", body))
+			require.NotZero(t, resp.StatusCode)
+			time.Sleep(writeTimeout + time.Second)
+		}
+		require.Equal(t, int64(1), h.accepted.Load())
+	})
+}
+
+// Guards against a shutdown that interrupts a request in progress, and against
+// new work that is taken on kept connections meanwhile.
+func TestDraining(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		var draining atomic.Bool
+		h.Draining = draining.Load
+		goOn := make(chan struct{})
+		h.Run = func(_ context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			if err := emit(&rwstream.Chunk{ID: q.ID, Index: 0}); err != nil {
+				return err
+			}
+			<-goOn
+			return emit(&rwstream.Chunk{ID: q.ID, Index: 1, Finish: "stop"})
+		}
+		h.start()
+		resp, _ := h.do(t, c, request(t, "GET", "/readyz", "", ""))
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		running, err := c.Do(request(t, "POST", chatPath, "draft", streamBody))
+		require.NoError(t, err)
+		draining.Store(true)
+		resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", streamBody))
+		requireError(t, resp, text, 503, rwcode.Draining, rwoutcome.NotRun)
+		resp, _ = h.do(t, c, request(t, "GET", "/readyz", "", ""))
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		stopped := make(chan error, 1)
+		go func() { stopped <- h.server.Shutdown(context.Background()) }()
+		synctest.Wait()
+		close(goOn)
+		data, err := io.ReadAll(running.Body)
+		_ = running.Body.Close()
+		require.NoError(t, err)
+		require.True(t, strings.HasSuffix(string(data), "data: [DONE]\n\n"), string(data))
+		c.CloseIdleConnections()
+		require.NoError(t, <-stopped)
+	})
+}
+
+// Guards against the identifiers of two requests being equal.
+func TestIdentifiersAreUnique(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		h.start()
+		seen := map[string]bool{}
+		for range 5 {
+			resp, _ := h.do(t, c, request(t, "POST", chatPath, "draft", goodBody))
+			seen[resp.Header.Get("Redwing-Request")] = true
+		}
+		require.Len(t, seen, 5, fmt.Sprint(seen))
+	})
+}
--- a/internal/rwmetric/rwmetric.go
+++ b/internal/rwmetric/rwmetric.go
@@ -13,6 +13,9 @@
 	Refusals *expvar.Map
 	// Retries counts retries by the code of the failure before.
 	Retries *expvar.Map
+	// Denied counts retries that the budget refused, by the code of the
+	// failure before.
+	Denied *expvar.Map
 	// Counters holds all other counters and gauges by name.
 	Counters *expvar.Map
 }
@@ -22,6 +25,7 @@
 	return &Metrics{
 		Refusals: new(expvar.Map).Init(),
 		Retries:  new(expvar.Map).Init(),
+		Denied:   new(expvar.Map).Init(),
 		Counters: new(expvar.Map).Init(),
 	}
 }
@@ -31,6 +35,7 @@
 func (m *Metrics) Publish() {
 	expvar.Publish("refusals", m.Refusals)
 	expvar.Publish("retries", m.Retries)
+	expvar.Publish("denied", m.Denied)
 	expvar.Publish("counters", m.Counters)
 }
 
@@ -40,5 +45,8 @@
 // Retried counts a retry.
 func (m *Metrics) Retried(c rwcode.Code) { m.Retries.Add(c.String(), 1) }
 
+// RetryDenied counts a retry that the budget refused.
+func (m *Metrics) RetryDenied(c rwcode.Code) { m.Denied.Add(c.String(), 1) }
+
 // Add adds to a counter.
 func (m *Metrics) Add(name string, n int64) { m.Counters.Add(name, n) }
--- /dev/null
+++ b/internal/rwreply/rwreply_test.go
@@ -0,0 +1,38 @@
+package rwreply
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwoutcome"
+)
+
+// Guards against a status that invites clients to repeat a request that may
+// have run, and against 429 or 503 without advice, for every code.
+func TestEveryCode(t *testing.T) {
+	for c := rwcode.Internal; c <= rwcode.UnknownPath; c++ {
+		for _, o := range []rwoutcome.Outcome{rwoutcome.NotRun, rwoutcome.Ran, rwoutcome.Unknown} {
+			r := New(rwfault.New(c, "").WithOutcome(o))
+			repeated := r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable
+			require.GreaterOrEqual(t, r.Status, 400, c.String())
+			require.False(t, repeated && o != rwoutcome.NotRun, c.String())
+			require.False(t, repeated && r.Retry <= 0, c.String())
+			var e envelope
+			require.NoError(t, json.Unmarshal(r.Body, &e))
+			require.Equal(t, c.String(), e.Error.Code)
+			require.Equal(t, o.String(), e.Error.Outcome)
+		}
+	}
+}
+
+// Guards against a measured retry time that is replaced by the default.
+func TestMeasuredRetryIsKept(t *testing.T) {
+	r := New(rwfault.New(rwcode.QueueFull, "").WithRetryAfter(7 * time.Second))
+	require.Equal(t, 7*time.Second, r.Retry)
+}
--- a/internal/rwsettings/rwsettings.go
+++ b/internal/rwsettings/rwsettings.go
@@ -3,6 +3,7 @@
 package rwsettings
 
 import (
+	"crypto/tls"
 	"net"
 	"strings"
 	"time"
@@ -43,6 +44,14 @@
 	Hold time.Duration `env:"REDWING_HOLD" envDefault:"5s"`
 	// Cell is the largest number of upstreams in one cell.
 	Cell int `env:"REDWING_CELL" envDefault:"4"`
+	// Cert and CertKey are PEM files for TLS towards callers; both or none.
+	Cert    string `env:"REDWING_CERT"`
+	CertKey string `env:"REDWING_CERT_KEY"`
+	// MaxConns and MaxRequests bound callers' connections and requests.
+	MaxConns    int `env:"REDWING_MAX_CONNS" envDefault:"4096"`
+	MaxRequests int `env:"REDWING_MAX_REQUESTS" envDefault:"8192"`
+	// BodyTimeout bounds the wait for a request's body.
+	BodyTimeout time.Duration `env:"REDWING_BODY_TIMEOUT" envDefault:"15s"`
 }
 
 const minKeyBytes = 16
@@ -71,6 +80,11 @@
 	f.DurationVar(&s.Drain, "drain", s.Drain, "time between not ready and closing at shutdown")
 	f.DurationVar(&s.Hold, "hold", s.Hold, "time that idempotency keys are held when the whole fleet starts")
 	f.IntVar(&s.Cell, "cell", s.Cell, "largest number of upstreams in a cell")
+	f.StringVar(&s.Cert, "cert", s.Cert, "PEM file with the certificate for callers")
+	f.StringVar(&s.CertKey, "cert-key", s.CertKey, "PEM file with the certificate's key")
+	f.IntVar(&s.MaxConns, "max-conns", s.MaxConns, "largest number of callers' connections")
+	f.IntVar(&s.MaxRequests, "max-requests", s.MaxRequests, "largest number of callers' requests at one time")
+	f.DurationVar(&s.BodyTimeout, "body-timeout", s.BodyTimeout, "longest wait for a request's body")
 }
 
 // Check returns one fault that lists all invalid settings, or nil.
@@ -93,6 +107,10 @@
 	need(s.Drain >= 0, "drain must not be negative")
 	need(s.Hold >= 0, "hold must not be negative")
 	need(s.Cell >= 1, "cell must be at least 1")
+	need((s.Cert == "") == (s.CertKey == ""), "cert and cert-key must be given together")
+	need(s.MaxConns >= 1, "max-conns must be at least 1")
+	need(s.MaxRequests >= 1, "max-requests must be at least 1")
+	need(s.BodyTimeout > 0, "body-timeout must be positive")
 	for _, a := range s.Seeds {
 		need(ipPort(a), "seed "+a+" must be an IP address and a port")
 	}
@@ -102,6 +120,19 @@
 	return rwfault.New(rwcode.SettingsInvalid, strings.Join(bad, "; "))
 }
 
+// TLS returns the configuration of TLS towards callers, or nil if no
+// certificate is set. It fails with SettingsInvalid if a file can't be read.
+func (s *Settings) TLS() (*tls.Config, error) {
+	if s.Cert == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(s.Cert, s.CertKey)
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.SettingsInvalid, err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
+
 func ipPort(addr string) bool {
 	host, _, err := net.SplitHostPort(addr)
 	return err == nil && net.ParseIP(host) != nil
--- a/internal/rwsnapshot/rwsnapshot.go
+++ b/internal/rwsnapshot/rwsnapshot.go
@@ -151,6 +151,17 @@
 	return false
 }
 
+// Serves reports whether any upstream of the type (engine or plain service)
+// serves the pool.
+func (s *Snapshot) Serves(pool string, engine bool) bool {
+	for _, u := range s.upstreams {
+		if u.Engine == engine && slices.Contains(u.Pools, pool) {
+			return true
+		}
+	}
+	return false
+}
+
 // Pool returns the upstreams of a pool that are not leaving, by name.
 func (s *Snapshot) Pool(pool string) []rwupstream.Upstream {
 	var out []rwupstream.Upstream
