--- a/internal/rwcode/rwcode.go
+++ b/internal/rwcode/rwcode.go
@@ -58,6 +58,8 @@
 	RecordStale                     // record_stale
 	ServiceMissing                  // service_missing
 	FenceStale                      // fence_stale
+	TooManyRequests                 // too_many_requests
+	UnknownPath                     // unknown_path
 )
 
 // last is the highest code.
