--- /dev/null
+++ b/internal/rwgossip/rwgossip.go
@@ -0,0 +1,316 @@
+// Package rwgossip runs membership over the links between routers.
+package rwgossip
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwleaving"
+	"redwingworks.example/internal/rwlog"
+	"redwingworks.example/internal/rwmember"
+	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwpause"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwprobe"
+	"redwingworks.example/internal/rwsend"
+	"redwingworks.example/internal/rwvm"
+)
+
+const (
+	tick = 50 * time.Millisecond
+	// callTimeout is longer than the probe timeouts of rwmember, which count a
+	// late answer in favour of the member.
+	callTimeout = time.Second
+	// relayTimeout fits an indirect probe into the time that the asking
+	// router waits.
+	relayTimeout = 180 * time.Millisecond
+	// leaveWait lets the last messages reach the links before they close.
+	leaveWait = 100 * time.Millisecond
+)
+
+// Gossip is the membership of one router. The function fields may be nil and
+// are set before Run; they are called without locks held, one at a time, and
+// must not block for long.
+type Gossip struct {
+	// Changed is called when the live set changed.
+	Changed func()
+	// Gone is called for each incarnation of a router that was declared dead
+	// or was replaced by a higher incarnation of the same name.
+	Gone func(rwidentity.Identity)
+	// LeavingUpstream is called when a peer knows of a leaving upstream.
+	LeavingUpstream func(rwleaving.Leaving)
+	// Heard is called for each message with the sender's name and address,
+	// its configuration revision and digest.
+	Heard func(from rwidentity.Identity, rev int64, sum uint64)
+	// Woke is called when the process was frozen, before any other action.
+	Woke func(late time.Duration)
+
+	peers   *rwpeer.Peers
+	log     zerolog.Logger
+	metrics *rwmetric.Metrics
+	started time.Time
+
+	mu      sync.Mutex
+	members *rwmember.Members
+
+	pauseMu sync.Mutex
+	pause   *rwpause.Pause
+
+	// callbacks orders the callbacks.
+	callbacks sync.Mutex
+	version   uint64
+}
+
+// New registers the methods "ping" and "probe" and returns a membership that
+// knows only this router. Seeds are peer addresses.
+func New(peers *rwpeer.Peers, seeds []string, log zerolog.Logger, metrics *rwmetric.Metrics) *Gossip {
+	self := peers.Self()
+	g := &Gossip{
+		peers:   peers,
+		log:     log,
+		metrics: metrics,
+		started: time.Now(),
+		members: rwmember.New(self, uint64(self.Inc)),
+		pause:   rwpause.New(tick),
+	}
+	g.members.Seed(seeds)
+	peers.Handle("ping", g.handlePing)
+	peers.Handle("probe", g.handleProbe)
+	return g
+}
+
+// Live returns the live routers of a zone by name, or all for the zone "". It
+// includes suspects and this router, but no router that is leaving or dead.
+func (g *Gossip) Live(zone string) []rwidentity.Identity {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Live(zone)
+}
+
+// Find returns a router that is not known to be dead; it may be leaving.
+func (g *Gossip) Find(name string) (rwidentity.Identity, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Find(name)
+}
+
+// Reachable reports whether a router answers this router's direct pings.
+func (g *Gossip) Reachable(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Reachable(name)
+}
+
+// Version changes whenever the result of Live changes.
+func (g *Gossip) Version() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Version()
+}
+
+// Publish sets the published VM list.
+func (g *Gossip) Publish(list []rwvm.VM) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.Publish(list)
+}
+
+// Configure sets the configuration revision and digest that probes carry.
+func (g *Gossip) Configure(rev int64, sum uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.Configure(rev, sum)
+}
+
+// LearnLeaving passes on that an upstream is leaving.
+func (g *Gossip) LearnLeaving(l rwleaving.Leaving) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.LearnLeaving(l)
+}
+
+// Run probes until the context ends.
+func (g *Gossip) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		g.step()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Leave tells the other routers that this one is leaving.
+func (g *Gossip) Leave(ctx context.Context) {
+	g.mu.Lock()
+	out := g.members.Leave(time.Now())
+	g.mu.Unlock()
+	g.send(out)
+	g.notify()
+	select {
+	case <-ctx.Done():
+	case <-time.After(leaveWait):
+	}
+}
+
+func (g *Gossip) step() {
+	now := g.now()
+	g.mu.Lock()
+	out := g.members.Tick(now)
+	g.mu.Unlock()
+	g.send(out)
+	g.notify()
+}
+
+// now returns the time for the next action. After a pause it first tells the
+// other parts and rejoins: a message that waited during the pause must not be
+// handled with what this router knew before.
+func (g *Gossip) now() time.Time {
+	g.pauseMu.Lock()
+	defer g.pauseMu.Unlock()
+	now := time.Now()
+	late, paused := g.pause.Tick(now.Sub(g.started), now)
+	if !paused {
+		return now
+	}
+	g.metrics.Add("pauses", 1)
+	rwlog.Info(&g.log, rwlog.PauseDetected).Dur("late", late).Send()
+	if g.Woke != nil {
+		g.Woke(late)
+	}
+	g.mu.Lock()
+	out := g.members.Wake(now)
+	g.mu.Unlock()
+	g.send(out)
+	return now
+}
+
+// send runs the calls; their answers come back to the state machine.
+func (g *Gossip) send(list []rwsend.Send) {
+	for _, s := range list {
+		if s.Call == 0 {
+			g.peers.Notify(s.Addr, s.Method, s.Probe)
+			continue
+		}
+		go g.call(s)
+	}
+}
+
+func (g *Gossip) call(s rwsend.Send) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var answer rwprobe.Probe
+	err := g.ask(ctx, s, &answer)
+	if err != nil && ctx.Err() != nil {
+		// A connection that was cut may keep its packets for minutes after
+		// the network is back; a new one works at once.
+		g.peers.Reset(s.Addr)
+	}
+	now := g.now()
+	g.mu.Lock()
+	var out []rwsend.Send
+	if err != nil {
+		out = g.members.Failed(now, s.Call)
+	} else {
+		out = g.members.Answered(now, s.Call, answer)
+	}
+	g.mu.Unlock()
+	g.send(out)
+	g.notify()
+	if err == nil {
+		g.heard(rwidentity.Identity{Name: answer.Name, Addr: s.Addr, Inc: answer.Inc}, answer)
+	}
+}
+
+func (g *Gossip) ask(ctx context.Context, s rwsend.Send, answer *rwprobe.Probe) error {
+	var raw json.RawMessage
+	if err := g.peers.Call(ctx, s.Addr, s.Method, s.Probe, &raw); err != nil {
+		return err
+	}
+	var err error
+	*answer, err = rwprobe.Decode(raw)
+	return err
+}
+
+func (g *Gossip) handlePing(_ context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
+	msg, err := rwprobe.Decode(params)
+	if err != nil {
+		return nil, err
+	}
+	now := g.now()
+	g.mu.Lock()
+	answer, out := g.members.Receive(now, from, msg)
+	g.mu.Unlock()
+	g.send(out)
+	g.notify()
+	g.heard(from, msg)
+	return answer, nil
+}
+
+func (g *Gossip) handleProbe(ctx context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
+	msg, err := rwprobe.Decode(params)
+	if err != nil {
+		return nil, err
+	}
+	now := g.now()
+	g.mu.Lock()
+	s := g.members.Relay(now, from, msg)
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	var got rwprobe.Probe
+	answer := &got
+	if err := g.ask(ctx, s, &got); err != nil {
+		answer = nil
+	}
+	now = g.now()
+	g.mu.Lock()
+	reply := g.members.Relayed(now, msg.Target, answer)
+	g.mu.Unlock()
+	g.notify()
+	return reply, nil
+}
+
+func (g *Gossip) heard(from rwidentity.Identity, msg rwprobe.Probe) {
+	if g.Heard != nil {
+		g.Heard(from, msg.Rev, msg.Sum)
+	}
+}
+
+// notify passes on what the state machine learned.
+func (g *Gossip) notify() {
+	g.callbacks.Lock()
+	defer g.callbacks.Unlock()
+	g.mu.Lock()
+	news := g.members.News()
+	version := g.members.Version()
+	g.mu.Unlock()
+	for _, l := range news.Leaving {
+		if g.LeavingUpstream != nil {
+			g.LeavingUpstream(l)
+		}
+	}
+	for _, id := range news.Gone {
+		g.peers.Reset(id.Addr)
+		g.metrics.Add("members_gone", 1)
+		rwlog.Info(&g.log, rwlog.MemberChanged).Str("member", id.Name).Int64("inc", id.Inc).Send()
+		if g.Gone != nil {
+			g.Gone(id)
+		}
+	}
+	if version == g.version {
+		return
+	}
+	g.version = version
+	if g.Changed != nil {
+		g.Changed()
+	}
+}
--- /dev/null
+++ b/internal/rwmember/gossip.go
@@ -0,0 +1,214 @@
+package rwmember
+
+import (
+	"cmp"
+	"maps"
+	"math/bits"
+	"slices"
+	"time"
+
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwleaving"
+	"redwingworks.example/internal/rwsend"
+	"redwingworks.example/internal/rwupdate"
+)
+
+// LearnLeaving adds an upstream that is leaving, which the router knows from
+// the configuration.
+func (m *Members) LearnLeaving(l rwleaving.Leaving) bool {
+	if old, ok := m.upstreams[l.Upstream]; ok && old >= l.Inc {
+		return false
+	}
+	m.upstreams[l.Upstream] = l.Inc
+	m.enqueue(upstreamUpdate(l.Upstream, l.Inc), true)
+	return true
+}
+
+func upstreamUpdate(name string, inc int64) rwupdate.Update {
+	return rwupdate.Update{State: rwupdate.Upstream, Identity: rwidentity.Identity{Name: name, Inc: inc}}
+}
+
+func (m *Members) merge(now time.Time, updates []rwupdate.Update) {
+	for _, u := range updates {
+		m.mergeOne(now, u)
+	}
+}
+
+func (m *Members) mergeOne(now time.Time, u rwupdate.Update) {
+	if u.State == rwupdate.Upstream {
+		l := rwleaving.Leaving{Upstream: u.Identity.Name, Inc: u.Identity.Inc}
+		if m.LearnLeaving(l) {
+			m.news.Leaving = append(m.news.Leaving, l)
+		}
+		return
+	}
+	if u.Identity.Name == m.self.Name {
+		m.mergeSelf(u)
+		return
+	}
+	if u.State == rwupdate.Alive {
+		m.contact(u.Identity, u.Refuted, u.Leaving)
+		return
+	}
+	m.doubt(now, u)
+}
+
+// mergeSelf refutes a suspicion about this router.
+func (m *Members) mergeSelf(u rwupdate.Update) {
+	switch {
+	case u.Identity.Inc > m.self.Inc:
+		if !m.superseded {
+			m.superseded = true
+			m.version++
+		}
+	case u.Identity.Inc < m.self.Inc:
+	case u.State != rwupdate.Alive && u.Refuted >= m.refuted:
+		m.refuted = u.Refuted + 1
+		m.announce()
+	case u.Refuted > m.refuted:
+		m.refuted = u.Refuted
+	}
+}
+
+// Superseded reports whether a higher incarnation of this router's own name
+// exists: another process with the same name, or a clock that was set back
+// before a restart. This router then owns nothing.
+func (m *Members) Superseded() bool { return m.superseded }
+
+func (m *Members) announce() { m.enqueue(m.selfUpdate(), true) }
+
+func (m *Members) selfUpdate() rwupdate.Update {
+	return rwupdate.Update{State: rwupdate.Alive, Identity: m.self, Refuted: m.refuted, Leaving: m.leaving}
+}
+
+// contact takes evidence that an incarnation is alive with a count of
+// refutations.
+func (m *Members) contact(id rwidentity.Identity, refuted uint64, leaving bool) {
+	if id.Name == m.self.Name {
+		if id.Inc > m.self.Inc && !m.superseded {
+			m.superseded = true
+			m.version++
+		}
+		return
+	}
+	x := m.members[id.Name]
+	switch {
+	case x == nil || id.Inc > x.id.Inc:
+		m.replace(x, id, refuted, leaving)
+	case id.Inc < x.id.Inc:
+		return
+	case refuted > x.refuted:
+		m.refute(x, refuted, leaving)
+	case leaving && !x.leaving && x.state != dead:
+		m.setLeaving(x)
+	}
+}
+
+func (m *Members) replace(old *member, id rwidentity.Identity, refuted uint64, leaving bool) {
+	if old != nil && old.state != dead {
+		m.news.Gone = append(m.news.Gone, old.id)
+	}
+	x := &member{id: id, refuted: refuted, leaving: leaving}
+	m.members[id.Name] = x
+	delete(m.probes, id.Name)
+	m.version++
+	m.enqueue(m.update(x), true)
+}
+
+func (m *Members) refute(x *member, refuted uint64, leaving bool) {
+	wasLive := x.live()
+	x.refuted = refuted
+	x.state = alive
+	x.leaving = x.leaving || leaving
+	if wasLive != x.live() {
+		m.version++
+	}
+	m.enqueue(m.update(x), true)
+}
+
+func (m *Members) setLeaving(x *member) {
+	x.leaving = true
+	m.version++
+	m.enqueue(m.update(x), true)
+}
+
+// doubt takes the word of another router that a member is suspect or dead.
+// About an unknown incarnation it says nothing useful, since the address is
+// missing.
+func (m *Members) doubt(now time.Time, u rwupdate.Update) {
+	x := m.members[u.Identity.Name]
+	if x == nil || x.id.Inc != u.Identity.Inc || u.Refuted < x.refuted || x.state == dead {
+		return
+	}
+	if u.Leaving && !x.leaving {
+		m.setLeaving(x)
+	}
+	if x.state == alive || u.Refuted > x.refuted {
+		x.refuted = u.Refuted
+		m.suspect(now, x)
+	}
+}
+
+func (m *Members) update(x *member) rwupdate.Update {
+	names := map[state]string{alive: rwupdate.Alive, suspect: rwupdate.Suspect, dead: rwupdate.Dead}
+	return rwupdate.Update{State: names[x.state], Identity: x.id, Refuted: x.refuted, Leaving: x.leaving}
+}
+
+// enqueue replaces older news about the same member or upstream.
+func (m *Members) enqueue(u rwupdate.Update, urgent bool) {
+	key := "m/" + u.Identity.Name
+	if u.State == rwupdate.Upstream {
+		key = "u/" + u.Identity.Name
+	}
+	m.order++
+	m.queue[key] = &queued{update: u, order: m.order, urgent: urgent}
+}
+
+// take returns the news that was sent least often, newest first. News about
+// the receiver itself is left out; message adds it where it matters.
+func (m *Members) take(n int, to string, urgent bool) []rwupdate.Update {
+	var keys []string
+	for k, q := range m.queue {
+		if k != "m/"+to && (q.urgent || !urgent) {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b string) int {
+		x, y := m.queue[a], m.queue[b]
+		return cmp.Or(cmp.Compare(x.sent, y.sent), cmp.Compare(y.order, x.order))
+	})
+	limit := retransmit * bits.Len(uint(len(m.members)+1))
+	var out []rwupdate.Update
+	for _, k := range keys[:min(n, len(keys))] {
+		q := m.queue[k]
+		out = append(out, q.update)
+		if q.sent++; q.sent >= limit {
+			delete(m.queue, k)
+		}
+	}
+	return out
+}
+
+// flush sends urgent news to a few routers without waiting for the next
+// probe.
+func (m *Members) flush(now time.Time) []rwsend.Send {
+	if now.Before(m.nextFlush) {
+		return nil
+	}
+	msg := m.header()
+	msg.Updates = m.take(maxUpdates, "", true)
+	if len(msg.Updates) == 0 {
+		return nil
+	}
+	m.nextFlush = now.Add(flushInterval)
+	for _, q := range m.queue {
+		q.urgent = q.urgent && !slices.Contains(msg.Updates, q.update)
+	}
+	var out []rwsend.Send
+	for _, x := range m.pick(fanout, "") {
+		out = append(out, rwsend.Send{Addr: x.id.Addr, Method: "ping", Probe: msg})
+	}
+	return out
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/rwmember/probing.go
@@ -0,0 +1,441 @@
+package rwmember
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwprobe"
+	"redwingworks.example/internal/rwrank"
+	"redwingworks.example/internal/rwsend"
+	"redwingworks.example/internal/rwupdate"
+)
+
+// Tick advances time and returns the messages that are due. It should be
+// called at least every 50 ms.
+func (m *Members) Tick(now time.Time) []rwsend.Send {
+	out := m.expire(now)
+	out = append(out, m.probeRound(now)...)
+	out = append(out, m.verifySuspects(now)...)
+	out = append(out, m.probeCandidates(now)...)
+	return append(out, m.flush(now)...)
+}
+
+// Wake tells that the process was frozen. All timers start again, since the
+// silence of the others was this router's own; the router announces itself
+// with a higher count of refutations, because others may hold it for dead.
+func (m *Members) Wake(now time.Time) []rwsend.Send {
+	m.calls = map[uint64]*call{}
+	m.probes = map[string]*probe{}
+	for _, x := range m.members {
+		x.since, x.verify = now, now
+	}
+	m.nextJoin, m.nextFlush = now, now
+	m.refuted++
+	m.announce()
+	return m.Tick(now)
+}
+
+// Leave makes this router leave: it owns nothing from now on. The state ends
+// only with the process.
+func (m *Members) Leave(now time.Time) []rwsend.Send {
+	if !m.leaving {
+		m.leaving = true
+		m.version++
+		m.announce()
+	}
+	m.nextFlush = now
+	return m.flush(now)
+}
+
+// probeRound probes one member per interval. All routers with the same live
+// set and clock use the same pseudo-random offset in the sorted list, so that
+// each member is probed exactly once per interval; this bounds the time to
+// detect a failure, which independent choices don't. Where clocks or live sets
+// differ, the choices are as good as independent ones.
+func (m *Members) probeRound(now time.Time) []rwsend.Send {
+	round := now.Add(-m.phase).UnixNano() / int64(probeInterval)
+	if round == m.round {
+		return nil
+	}
+	m.round = round
+	names := []string{m.self.Name}
+	for name, x := range m.members {
+		if x.state != dead {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 1 {
+		return nil
+	}
+	slices.Sort(names)
+	at, _ := slices.BinarySearch(names, m.self.Name)
+	shift := 1 + int(rwrank.Score("round", time.Duration(round).String())%uint64(len(names)-1))
+	return m.start(now, m.members[names[(at+shift)%len(names)]])
+}
+
+// start probes a member unless a probe of it is running.
+func (m *Members) start(now time.Time, x *member) []rwsend.Send {
+	if m.probes[x.id.Name] != nil {
+		return nil
+	}
+	p := &probe{target: x.id.Name, addr: x.id.Addr, member: true, deadline: now.Add(directTimeout)}
+	m.probes[p.target] = p
+	return []rwsend.Send{m.ping(now, p, m.message(x.id.Name))}
+}
+
+func (m *Members) ping(now time.Time, p *probe, msg rwprobe.Probe) rwsend.Send {
+	m.nextCall++
+	m.calls[m.nextCall] = &call{probe: p, direct: true, sent: now}
+	return rwsend.Send{Call: m.nextCall, Addr: p.addr, Method: "ping", Probe: msg}
+}
+
+// askOthers asks other routers to probe the target.
+func (m *Members) askOthers(now time.Time, p *probe) []rwsend.Send {
+	p.asked = true
+	p.deadline = now.Add(indirectTimeout)
+	var out []rwsend.Send
+	for _, x := range m.pick(indirectProbes, p.target) {
+		msg := m.message(p.target)
+		msg.Target, msg.Addr = p.target, p.addr
+		m.nextCall++
+		m.calls[m.nextCall] = &call{probe: p, sent: now}
+		p.indirect++
+		out = append(out, rwsend.Send{Call: m.nextCall, Addr: x.id.Addr, Method: "probe", Probe: msg})
+	}
+	if p.indirect == 0 {
+		m.fail(now, p)
+	}
+	return out
+}
+
+// pick draws members that are neither dead nor suspect, in a seeded order.
+func (m *Members) pick(n int, except string) []*member {
+	var list []*member
+	for name, x := range m.members {
+		if x.state == alive && name != except {
+			list = append(list, x)
+		}
+	}
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.id.Name, b.id.Name) })
+	m.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+// expire ends probes and suspicions whose time is over.
+func (m *Members) expire(now time.Time) []rwsend.Send {
+	var out []rwsend.Send
+	for _, name := range sortedKeys(m.probes) {
+		p := m.probes[name]
+		if now.Before(p.deadline) {
+			continue
+		}
+		if p.member && !p.asked {
+			out = append(out, m.missed(now, p)...)
+			continue
+		}
+		m.fail(now, p)
+	}
+	for id, c := range m.calls {
+		if now.Sub(c.sent) > suspicionTime {
+			delete(m.calls, id)
+		}
+	}
+	for _, name := range sortedKeys(m.members) {
+		x := m.members[name]
+		switch {
+		case x.state == suspect && now.Sub(x.since) >= suspicionTime:
+			m.kill(now, x)
+		case x.state == dead && now.Sub(x.since) >= forgetTime && !m.isPublished(name):
+			delete(m.members, name)
+		}
+	}
+	return out
+}
+
+func (m *Members) missed(now time.Time, p *probe) []rwsend.Send {
+	if x := m.members[p.target]; x != nil {
+		x.missed++
+	}
+	return m.askOthers(now, p)
+}
+
+// fail ends a probe without an answer.
+func (m *Members) fail(now time.Time, p *probe) {
+	delete(m.probes, p.target)
+	x := m.members[p.target]
+	if p.member && x != nil && x.state == alive {
+		m.suspect(now, x)
+	}
+}
+
+func (m *Members) suspect(now time.Time, x *member) {
+	x.state, x.since = suspect, now
+	x.verify = now
+	m.enqueue(m.update(x), true)
+}
+
+func (m *Members) kill(now time.Time, x *member) {
+	wasLive := x.live()
+	x.state, x.since = dead, now
+	if wasLive {
+		m.version++
+	}
+	m.news.Gone = append(m.news.Gone, x.id)
+	m.enqueue(m.update(x), false)
+}
+
+// verifySuspects probes each suspect, so that it hears of the suspicion and
+// can refute it.
+func (m *Members) verifySuspects(now time.Time) []rwsend.Send {
+	var out []rwsend.Send
+	for _, name := range sortedKeys(m.members) {
+		x := m.members[name]
+		if x.state != suspect || now.Before(x.verify) {
+			continue
+		}
+		x.verify = now.Add(verifyInterval)
+		out = append(out, m.start(now, x)...)
+	}
+	return out
+}
+
+// probeCandidates tries addresses that should have a router: published VMs,
+// seeds and dead members.
+func (m *Members) probeCandidates(now time.Time) []rwsend.Send {
+	if now.Before(m.nextJoin) {
+		return nil
+	}
+	alone := m.alone()
+	n, wait := 1, candidateInterval
+	if alone {
+		n, wait = joinProbes, joinInterval
+	}
+	m.nextJoin = now.Add(wait)
+	var out []rwsend.Send
+	for range n {
+		addr := m.nextCandidate()
+		if addr == "" || m.probes[addr] != nil {
+			break
+		}
+		p := &probe{target: addr, addr: addr, deadline: now.Add(directTimeout)}
+		m.probes[addr] = p
+		msg := m.message(m.nameAt(addr))
+		msg.Who, msg.Full = true, alone
+		out = append(out, m.ping(now, p, msg))
+	}
+	return out
+}
+
+func (m *Members) alone() bool {
+	for _, x := range m.members {
+		if x.state != dead {
+			return false
+		}
+	}
+	return true
+}
+
+// nextCandidate returns addresses in a random order that starts again when all
+// were tried.
+func (m *Members) nextCandidate() string {
+	wanted := m.candidateSet()
+	for range 2 {
+		for len(m.candidates) > 0 {
+			addr := m.candidates[0]
+			m.candidates = m.candidates[1:]
+			if wanted[addr] {
+				return addr
+			}
+		}
+		m.candidates = sortedKeys(wanted)
+		m.random.Shuffle(len(m.candidates), func(i, j int) {
+			m.candidates[i], m.candidates[j] = m.candidates[j], m.candidates[i]
+		})
+	}
+	return ""
+}
+
+func (m *Members) candidateSet() map[string]bool {
+	set := map[string]bool{}
+	for _, a := range m.seeds {
+		set[a] = true
+	}
+	for _, v := range m.published {
+		set[v.Addr] = true
+	}
+	for _, x := range m.members {
+		if x.state == dead {
+			set[x.id.Addr] = true
+		}
+	}
+	for _, x := range m.members {
+		if x.state != dead {
+			delete(set, x.id.Addr)
+		}
+	}
+	delete(set, m.self.Addr)
+	return set
+}
+
+func (m *Members) nameAt(addr string) string {
+	for _, name := range sortedKeys(m.members) {
+		if m.members[name].id.Addr == addr {
+			return name
+		}
+	}
+	return ""
+}
+
+func (m *Members) isPublished(name string) bool {
+	for _, v := range m.published {
+		if v.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Receive takes a ping and returns the answer.
+func (m *Members) Receive(now time.Time, from rwidentity.Identity, msg rwprobe.Probe) (rwprobe.Probe, []rwsend.Send) {
+	if msg.Inc == from.Inc && msg.Name == from.Name {
+		m.contact(from, msg.Refuted, msg.Leaving)
+	}
+	m.merge(now, msg.Updates)
+	answer := m.message(from.Name)
+	if msg.Full {
+		answer.Updates = m.all()
+	}
+	if msg.Who {
+		answer.Updates = append(answer.Updates, m.selfUpdate())
+	}
+	return answer, m.flush(now)
+}
+
+// Relay takes a probe for another router and returns the ping to send to it.
+// The sender of the probe gets the answer of Relayed.
+func (m *Members) Relay(now time.Time, from rwidentity.Identity, msg rwprobe.Probe) rwsend.Send {
+	_, _ = m.Receive(now, from, msg)
+	return rwsend.Send{Addr: msg.Addr, Method: "ping", Probe: m.message(msg.Target)}
+}
+
+// Relayed takes the answer of a relayed ping and returns the answer to the
+// router that asked for it. The answer is nil if there was none.
+func (m *Members) Relayed(now time.Time, target string, answer *rwprobe.Probe) rwprobe.Probe {
+	if answer != nil && answer.Name == target {
+		m.direct(now, target, *answer)
+		m.merge(now, answer.Updates)
+	}
+	out := m.message(target)
+	out.Acked = answer != nil && answer.Name == target
+	return out
+}
+
+// Answered takes the answer to a call.
+func (m *Members) Answered(now time.Time, id uint64, msg rwprobe.Probe) []rwsend.Send {
+	c := m.calls[id]
+	delete(m.calls, id)
+	if c == nil {
+		return nil
+	}
+	m.merge(now, msg.Updates)
+	if !c.direct {
+		if msg.Acked && m.probes[c.probe.target] == c.probe {
+			delete(m.probes, c.probe.target)
+		}
+		return m.flush(now)
+	}
+	if c.probe.member && msg.Name == c.probe.target {
+		m.direct(now, msg.Name, msg)
+	}
+	if m.probes[c.probe.target] == c.probe && (!c.probe.member || msg.Name == c.probe.target) {
+		delete(m.probes, c.probe.target)
+	}
+	return m.flush(now)
+}
+
+// direct takes the direct answer of a member. A suspect gets a new deadline
+// but stays suspect until it refutes, which its answers do once it has heard
+// of the suspicion. Pings from a suspect don't count: a router that can send
+// but not receive is of no use to anyone.
+func (m *Members) direct(now time.Time, name string, msg rwprobe.Probe) {
+	x := m.members[name]
+	if x == nil {
+		return
+	}
+	x.missed = 0
+	id := x.id
+	id.Inc = msg.Inc
+	m.contact(id, msg.Refuted, msg.Leaving)
+	if x = m.members[name]; x.state == suspect && x.id.Inc == msg.Inc {
+		x.since = now
+	}
+}
+
+// Failed tells that a call can't be answered, for example because the
+// connection was refused.
+func (m *Members) Failed(now time.Time, id uint64) []rwsend.Send {
+	c := m.calls[id]
+	delete(m.calls, id)
+	if c == nil || m.probes[c.probe.target] != c.probe {
+		return nil
+	}
+	switch {
+	case !c.probe.member:
+		delete(m.probes, c.probe.target)
+		return nil
+	case c.direct && !c.probe.asked:
+		return append(m.missed(now, c.probe), m.flush(now)...)
+	case !c.direct:
+		c.probe.indirect--
+		if c.probe.indirect == 0 {
+			m.fail(now, c.probe)
+		}
+	}
+	return m.flush(now)
+}
+
+// Reachable reports whether a member answers direct pings. A member that is
+// live only by way of others is not reachable.
+func (m *Members) Reachable(name string) bool {
+	x := m.members[name]
+	return name == m.self.Name || (x != nil && x.state != dead && x.missed < missedLimit)
+}
+
+// missedLimit is how many direct pings in a row a reachable member may miss.
+const missedLimit = 2
+
+func (m *Members) header() rwprobe.Probe {
+	return rwprobe.Probe{
+		Name: m.self.Name, Inc: m.self.Inc, Refuted: m.refuted, Leaving: m.leaving,
+		Rev: m.rev, Sum: m.sum,
+	}
+}
+
+func (m *Members) message(to string) rwprobe.Probe {
+	p := m.header()
+	if x := m.members[to]; x != nil && x.state != alive {
+		p.Updates = append(p.Updates, m.update(x))
+	}
+	p.Updates = append(p.Updates, m.take(maxUpdates-len(p.Updates), to, false)...)
+	return p
+}
+
+// all is the full list for a router that joins.
+func (m *Members) all() []rwupdate.Update {
+	out := []rwupdate.Update{m.selfUpdate()}
+	for _, name := range sortedKeys(m.members) {
+		x := m.members[name]
+		if x.state == dead {
+			continue
+		}
+		u := m.update(x)
+		u.State = rwupdate.Alive
+		out = append(out, u)
+	}
+	for _, name := range sortedKeys(m.upstreams) {
+		out = append(out, upstreamUpdate(name, m.upstreams[name]))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rwmember/rwmember.go
@@ -0,0 +1,202 @@
+// Package rwmember decides which routers are live. It is a SWIM-like state
+// machine: random probes, indirect probes, suspicion that the suspect may
+// refute, and news that travels on the probes.
+//
+// A router's rank is the pair of its incarnation and its count of
+// refutations. The incarnation changes only when the process starts again; a
+// suspicion is refuted by a higher count, so that others can tell a router
+// that was merely suspected from one that lost its memory.
+//
+// Each router declares a member dead by its own timer only. The word of
+// another router that a member is dead counts as a suspicion, so that parts of
+// the fleet that were separated don't declare each other's members dead when
+// they meet again.
+package rwmember
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwnews"
+	"redwingworks.example/internal/rwrank"
+	"redwingworks.example/internal/rwupdate"
+	"redwingworks.example/internal/rwvm"
+)
+
+const (
+	probeInterval = 500 * time.Millisecond
+	// probeSpread is the range of the routers' phases inside an interval. It
+	// is short, because the gap between two probes of one member is at most
+	// probeInterval plus probeSpread.
+	probeSpread     = 100 * time.Millisecond
+	directTimeout   = 200 * time.Millisecond
+	indirectTimeout = 200 * time.Millisecond
+	indirectProbes  = 2
+	suspicionTime   = 1500 * time.Millisecond
+	// verifyInterval is how often each router probes a suspect by itself
+	// before it declares it dead. One lost message must not be enough.
+	verifyInterval = 450 * time.Millisecond
+	// candidateInterval is how often a router tries one address that should
+	// have a router but isn't a member. It bounds how long parts of the fleet
+	// take to meet again.
+	candidateInterval = time.Second
+	joinInterval      = 250 * time.Millisecond
+	joinProbes        = 3
+	maxUpdates        = 8
+	// fanout routers get urgent news at once; it reaches 94% of the fleet
+	// within a few hops, and probes carry it to the rest.
+	fanout = 3
+	// flushInterval bounds the bytes of urgent news when many routers fail at
+	// once: 3 messages of about 400 bytes 5 times a second.
+	flushInterval = 200 * time.Millisecond
+	// forgetTime is how long a dead router that no list names is remembered.
+	forgetTime = 10 * time.Minute
+	// retransmit is multiplied by log2 of the number of members.
+	retransmit = 3
+)
+
+type state int
+
+const (
+	alive state = iota
+	suspect
+	dead
+)
+
+type member struct {
+	id      rwidentity.Identity
+	refuted uint64
+	state   state
+	// leaving never becomes false again for one incarnation.
+	leaving bool
+	// since is when the state suspect or dead began.
+	since  time.Time
+	verify time.Time
+	// missed counts direct pings in a row that had no answer.
+	missed int
+}
+
+// probe is a running probe of one member.
+type probe struct {
+	target   string
+	addr     string
+	member   bool
+	indirect int
+	deadline time.Time
+	asked    bool
+}
+
+type call struct {
+	probe  *probe
+	direct bool
+	sent   time.Time
+}
+
+type queued struct {
+	update rwupdate.Update
+	sent   int
+	order  uint64
+	urgent bool
+}
+
+// Members is one router's view of the fleet. It is not safe for concurrent
+// use.
+type Members struct {
+	self    rwidentity.Identity
+	refuted uint64
+	leaving bool
+	// superseded is true when a higher incarnation of this router's own name
+	// exists; this router must own nothing then.
+	superseded bool
+	random     *rand.Rand
+
+	members   map[string]*member
+	upstreams map[string]int64
+	published []rwvm.VM
+	seeds     []string
+	rev       int64
+	sum       uint64
+
+	phase      time.Duration
+	round      int64
+	nextJoin   time.Time
+	nextFlush  time.Time
+	candidates []string
+	calls      map[uint64]*call
+	probes     map[string]*probe
+	nextCall   uint64
+	queue      map[string]*queued
+	order      uint64
+	news       rwnews.News
+	version    uint64
+}
+
+// New returns the view of a router that knows only itself.
+func New(self rwidentity.Identity, seed uint64) *Members {
+	score := rwrank.Score("phase", self.Name)
+	return &Members{
+		self:      self,
+		random:    rand.New(rand.NewPCG(seed, score)),
+		members:   map[string]*member{},
+		upstreams: map[string]int64{},
+		phase:     time.Duration(score % uint64(probeSpread)),
+		calls:     map[uint64]*call{},
+		probes:    map[string]*probe{},
+		queue:     map[string]*queued{},
+		version:   1,
+	}
+}
+
+// Seed sets peer addresses to join by.
+func (m *Members) Seed(addrs []string) { m.seeds = slices.Clone(addrs) }
+
+// Publish sets the published VM list. It serves as a list of addresses only;
+// whether a router is live is decided by probes.
+func (m *Members) Publish(list []rwvm.VM) { m.published = slices.Clone(list) }
+
+// Configure sets the configuration revision and digest that probes carry.
+func (m *Members) Configure(rev int64, sum uint64) { m.rev, m.sum = rev, sum }
+
+// Live returns the live routers of a zone by name, or all for the zone "".
+// Suspects are included, so that a lost probe doesn't change owners; leaving
+// and dead routers are not. It includes this router unless it is leaving.
+func (m *Members) Live(zone string) []rwidentity.Identity {
+	var out []rwidentity.Identity
+	if !m.leaving && !m.superseded && (zone == "" || zone == m.self.Zone) {
+		out = append(out, m.self)
+	}
+	for _, x := range m.members {
+		if x.live() && (zone == "" || zone == x.id.Zone) {
+			out = append(out, x.id)
+		}
+	}
+	slices.SortFunc(out, func(a, b rwidentity.Identity) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Find returns a router that is not known to be dead; it may be leaving.
+func (m *Members) Find(name string) (rwidentity.Identity, bool) {
+	if name == m.self.Name {
+		return m.self, true
+	}
+	x := m.members[name]
+	if x == nil || x.state == dead {
+		return rwidentity.Identity{}, false
+	}
+	return x.id, true
+}
+
+// Version changes whenever the result of Live changes.
+func (m *Members) Version() uint64 { return m.version }
+
+// News returns what was learned since the last call.
+func (m *Members) News() rwnews.News {
+	n := m.news
+	m.news = rwnews.News{}
+	return n
+}
+
+func (x *member) live() bool { return x.state != dead && !x.leaving }
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -15,25 +16,25 @@
 
 	"github.com/rs/zerolog"
 
+	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwdispatch"
 	"redwingworks.example/internal/rwentry"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwfollow"
 	"redwingworks.example/internal/rwgate"
+	"redwingworks.example/internal/rwgossip"
+	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwkernel"
 	"redwingworks.example/internal/rwlocal"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwsettings"
-	"redwingworks.example/internal/rwsnapshot"
-	"redwingworks.example/internal/rwsource"
-	"redwingworks.example/internal/rwstore"
 )
 
 const (
 	headerTimeout = 5 * time.Second
 	maxHeader     = 16 << 10
-	watchWait     = 20 * time.Second
-	retryPause    = 500 * time.Millisecond
 	drainLimit    = 5 * time.Minute
 )
 
@@ -44,9 +45,12 @@
 	metrics  *rwmetric.Metrics
 	kernel   *rwkernel.Kernel
 	// inc is the incarnation: the start time in microseconds.
-	inc   int64
-	view  atomic.Pointer[rwsnapshot.Snapshot]
-	ready atomic.Bool
+	inc    int64
+	peers  *rwpeer.Peers
+	gossip *rwgossip.Gossip
+	follow *rwfollow.Follow
+	// stopping is set when the router was asked to stop.
+	stopping atomic.Bool
 }
 
 // New returns a router that is not running yet.
@@ -58,7 +62,10 @@
 		kernel:   rwkernel.New(),
 		inc:      time.Now().UnixMicro(),
 	}
-	n.view.Store(rwsnapshot.Empty())
+	self := rwidentity.Identity{Name: s.Name, Zone: s.Zone, Region: s.Region, Addr: s.Peer, Inc: n.inc}
+	n.peers = rwpeer.New(self, s.Key, nil, log, n.metrics)
+	n.gossip = rwgossip.New(n.peers, s.Seeds, log, n.metrics)
+	n.follow = rwfollow.New(n.peers, n.gossip, s.Platform, s.Seeds, log, n.metrics)
 	return n
 }
 
@@ -67,7 +74,9 @@
 	n.metrics.Publish()
 	rwlog.Info(&n.log, rwlog.Started).Int64("inc", n.inc).Send()
 	gate := n.gate()
-	n.kernel.Register("source", nil, n.follow)
+	n.kernel.Register("peers", n.peers, n.servePeers)
+	n.kernel.Register("gossip", n.gossip, n.gossip.Run)
+	n.kernel.Register("follow", n.follow, n.follow.Run)
 	n.kernel.Register("gate", gate, n.serve(n.settings.Listen, gate.Handler()))
 	n.kernel.Register("ops", nil, n.serve(n.settings.Ops, expvar.Handler()))
 	n.kernel.Register("signals", nil, n.waitSignal)
@@ -78,7 +87,7 @@
 
 func (n *Node) gate() *rwgate.Gate {
 	dispatcher := rwdispatch.New()
-	policy := rwlocal.New(n.view.Load)
+	policy := rwlocal.New(n.follow.View)
 	entry := &rwentry.Entry{
 		Acquire: policy.Acquire,
 		Call:    dispatcher.Call,
@@ -91,36 +100,22 @@
 	}
 	return &rwgate.Gate{
 		ID:      n.settings.Name + "-" + strconv.FormatInt(n.inc, 36),
-		View:    n.view.Load,
+		View:    n.follow.View,
 		Run:     entry.Run,
 		Do:      entry.Do,
-		Ready:   n.ready.Load,
+		Ready:   n.isReady,
 		Refused: n.metrics.Refused,
 		Now:     time.Now,
 	}
 }
 
-func (n *Node) follow(ctx context.Context) error {
-	source := rwsource.New(n.settings.Platform, &http.Client{})
-	store := rwstore.New()
-	for ctx.Err() == nil {
-		items, err := source.Watch(ctx, store.View().Rev(), watchWait)
-		if err != nil {
-			rwlog.Warn(&n.log, rwlog.PlatformLost, err).Send()
-			select {
-			case <-time.After(retryPause):
-			case <-ctx.Done():
-			}
-			continue
-		}
-		_, faults := store.Adopt(items)
-		for _, f := range faults {
-			rwlog.Warn(&n.log, rwlog.RecordSetAside, f).Send()
-		}
-		n.view.Store(store.View())
-		n.ready.Store(true)
+// servePeers accepts the links of other routers.
+func (n *Node) servePeers(ctx context.Context) error {
+	l, err := net.Listen("tcp", n.settings.Peer)
+	if err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
 	}
-	return nil
+	return n.peers.Serve(ctx, l)
 }
 
 func (n *Node) serve(addr string, h http.Handler) func(context.Context) error {
@@ -148,6 +143,8 @@
 	}
 }
 
+func (n *Node) isReady() bool { return n.follow.Ready() && !n.stopping.Load() }
+
 func (n *Node) waitSignal(ctx context.Context) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -158,7 +155,8 @@
 		return nil
 	}
 	rwlog.Info(&n.log, rwlog.StopRequested).Send()
-	n.ready.Store(false)
+	n.stopping.Store(true)
+	n.gossip.Leave(ctx)
 	select {
 	case <-time.After(n.settings.Drain):
 	case <-ctx.Done():
--- a/internal/rwsnapshot/rwsnapshot.go
+++ b/internal/rwsnapshot/rwsnapshot.go
@@ -23,6 +23,9 @@
 	upstreams map[string]rwupstream.Upstream
 	vms       map[string]rwvm.VM
 	byKey     map[string]string
+	// leaving holds the highest incarnation of each upstream that is known to
+	// be leaving; the record may say otherwise.
+	leaving map[string]int64
 }
 
 // Empty returns a snapshot with no records and revision 0.
@@ -82,6 +85,21 @@
 	return &c
 }
 
+// WithLeaving returns a copy with another set of leaving upstreams: the
+// highest leaving incarnation by name.
+func (s *Snapshot) WithLeaving(leaving map[string]int64) *Snapshot {
+	c := *s
+	c.leaving = maps.Clone(leaving)
+	return &c
+}
+
+// Leaving reports whether an incarnation of an upstream is leaving. Only a
+// higher incarnation than a leaving one is not.
+func (s *Snapshot) Leaving(upstream string, inc int64) bool {
+	left, ok := s.leaving[upstream]
+	return ok && inc <= left
+}
+
 // Authenticate returns the account of a caller key.
 func (s *Snapshot) Authenticate(key string) (rwaccount.Account, bool) {
 	sum := sha256.Sum256([]byte(key))
@@ -101,7 +119,8 @@
 	return a, ok
 }
 
-// Upstream returns the upstream of a name.
+// Upstream returns the upstream of a name as its record says; Leaving tells
+// whether it is leaving.
 func (s *Snapshot) Upstream(name string) (rwupstream.Upstream, bool) {
 	u, ok := s.upstreams[name]
 	return u, ok
@@ -155,7 +174,7 @@
 func (s *Snapshot) Pool(pool string) []rwupstream.Upstream {
 	var out []rwupstream.Upstream
 	for _, u := range s.Upstreams() {
-		if !u.Leaving && slices.Contains(u.Pools, pool) {
+		if !u.Leaving && !s.Leaving(u.Name, u.Inc) && slices.Contains(u.Pools, pool) {
 			out = append(out, u)
 		}
 	}
--- a/internal/rwstore/rwstore.go
+++ b/internal/rwstore/rwstore.go
@@ -1,122 +1,399 @@
 // Package rwstore decides which configuration records are in force. A record
-// is replaced only by one of a higher revision, whoever sends it.
+// is replaced only by one of a higher revision, whoever sends it. The state
+// depends only on the set of records and leaving upstreams that were taken in,
+// not on their order, so that all routers that saw the same set agree.
 package rwstore
 
 import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strconv"
+
 	"redwingworks.example/internal/rwaccount"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwkind"
+	"redwingworks.example/internal/rwleaving"
 	"redwingworks.example/internal/rwrecord"
 	"redwingworks.example/internal/rwsnapshot"
 	"redwingworks.example/internal/rwupstream"
 	"redwingworks.example/internal/rwvm"
 )
 
+// Buckets is the number of parts that Sums divides the records into. A repair
+// of one missing record among 4,000 costs about 60 records.
+const Buckets = 64
+
 // Store holds the records in force. It is not safe for concurrent use.
 type Store struct {
-	records map[key]rwrecord.Record
+	entries map[key]entry
+	// leaving is the highest leaving incarnation by upstream. It only grows.
+	leaving map[string]int64
+	rev     int64
+	sums    [Buckets]uint64
 	view    *rwsnapshot.Snapshot
+	// contradictions are the faults between records of the present view.
+	contradictions []error
 }
 
 type key struct{ kind, name string }
 
+// entry is what is known of one record.
+type entry struct {
+	// good is the valid record of the highest revision, if hasGood.
+	good    rwrecord.Record
+	hasGood bool
+	// aside is the invalid record of the highest revision, if hasAside. Its
+	// revision is above good's: an older one is of no use.
+	aside    rwrecord.Record
+	hasAside bool
+}
+
+func (e entry) rev() int64 {
+	if e.hasAside {
+		return e.aside.Rev
+	}
+	return e.good.Rev
+}
+
 // New returns an empty store.
 func New() *Store {
-	return &Store{records: map[key]rwrecord.Record{}, view: rwsnapshot.Empty()}
+	return &Store{
+		entries: map[key]entry{},
+		leaving: map[string]int64{},
+		view:    rwsnapshot.Empty(),
+	}
 }
 
-// Adopt takes in records and returns the ones that are now in force and a
-// fault for each that was not taken.
-func (s *Store) Adopt(items []rwrecord.Record) (adopted []rwrecord.Record, faults []error) {
+// Adopt takes in records. It returns the ones that are news here, which
+// includes records that were set aside: others may understand them, and their
+// revision exists. It also returns a fault for each record that was set aside
+// (RecordSchema or RecordInvalid) or ignored (RecordStale). A record that is
+// already known is neither.
+func (s *Store) Adopt(items []rwrecord.Record) (news []rwrecord.Record, faults []error) {
+	changed := false
 	for _, r := range items {
-		if err := s.adopt(r); err != nil {
+		changed = s.learn(r) || changed
+		fresh, err := s.adopt(r)
+		if err != nil {
 			faults = append(faults, err)
-			continue
 		}
-		adopted = append(adopted, r)
+		if fresh {
+			news = append(news, r)
+		}
 	}
-	if len(adopted) > 0 {
-		s.view = s.build()
+	if changed || len(news) > 0 {
+		faults = append(faults, s.rebuild()...)
 	}
-	return adopted, faults
+	return news, faults
 }
 
-func (s *Store) adopt(r rwrecord.Record) error {
+// learn takes the leaving state from any valid record, even a stale one: that
+// an incarnation once was leaving stays true.
+func (s *Store) learn(r rwrecord.Record) bool {
+	if r.Kind != "upstream" || r.Gone {
+		return false
+	}
+	u, err := rwupstream.Decode(r)
+	if err != nil || !u.Leaving {
+		return false
+	}
+	return s.note(rwleaving.Leaving{Upstream: u.Name, Inc: u.Inc})
+}
+
+func (s *Store) adopt(r rwrecord.Record) (bool, error) {
 	k := key{r.Kind, r.Name}
-	if old, ok := s.records[k]; ok && r.Rev <= old.Rev {
-		return rwfault.New(rwcode.RecordStale, r.Kind+" "+r.Name)
+	e := s.entries[k]
+	if (e.hasGood && r.Rev == e.good.Rev) || (e.hasAside && r.Rev == e.aside.Rev) {
+		return false, nil
+	}
+	if r.Rev <= 0 || (e.hasGood && r.Rev < e.good.Rev) {
+		return false, rwfault.New(rwcode.RecordStale, r.Kind+" "+r.Name)
+	}
+	err := check(r)
+	if err != nil && e.hasAside && r.Rev < e.aside.Rev {
+		return false, rwfault.New(rwcode.RecordStale, r.Kind+" "+r.Name)
 	}
-	if !r.Gone {
-		if err := check(r); err != nil {
-			return err
+	s.put(k, e, r, err == nil)
+	return true, err
+}
+
+func (s *Store) put(k key, e entry, r rwrecord.Record, valid bool) {
+	before := e.rev()
+	if valid {
+		e.good, e.hasGood = r, true
+		if e.hasAside && e.aside.Rev < r.Rev {
+			e.aside, e.hasAside = rwrecord.Record{}, false
 		}
+	} else {
+		e.aside, e.hasAside = r, true
 	}
-	s.records[k] = r
-	return nil
+	s.entries[k] = e
+	s.rev = max(s.rev, r.Rev)
+	b := bucket(k)
+	s.sums[b] ^= digest(k, before) ^ digest(k, e.rev())
 }
 
 func check(r rwrecord.Record) error {
-	var err error
-	switch r.Kind {
-	case "account":
-		_, err = rwaccount.Decode(r)
-	case "kind":
-		_, err = rwkind.Decode(r)
-	case "upstream":
-		_, err = rwupstream.Decode(r)
-	case "vm":
-		_, err = rwvm.Decode(r)
+	if r.Name == "" {
+		return rwfault.New(rwcode.RecordInvalid, r.Kind+" without a name")
+	}
+	decode, known := decoders[r.Kind]
+	switch {
+	case !known:
+		return rwfault.New(rwcode.RecordSchema, "kind "+r.Kind)
+	case r.Gone:
+		return nil
 	default:
-		err = rwfault.New(rwcode.RecordSchema, "kind "+r.Kind)
+		return decode(r)
 	}
-	return err
 }
 
-func (s *Store) build() *rwsnapshot.Snapshot {
-	var accounts []rwaccount.Account
-	var kinds []rwkind.Kind
-	var upstreams []rwupstream.Upstream
-	var vms []rwvm.VM
-	rev := int64(0)
-	for _, r := range s.records {
-		rev = max(rev, r.Rev)
-		if r.Gone {
-			continue
-		}
-		switch r.Kind {
-		case "account":
-			accounts = appendValid(accounts, r, rwaccount.Decode)
-		case "kind":
-			kinds = appendValid(kinds, r, rwkind.Decode)
-		case "upstream":
-			upstreams = appendValid(upstreams, r, rwupstream.Decode)
-		case "vm":
-			vms = appendValid(vms, r, rwvm.Decode)
-		}
+var decoders = map[string]func(rwrecord.Record) error{
+	"account":  decoder(rwaccount.Decode),
+	"kind":     decoder(rwkind.Decode),
+	"upstream": decoder(rwupstream.Decode),
+	"vm":       decoder(rwvm.Decode),
+}
+
+func decoder[T any](decode func(rwrecord.Record) (T, error)) func(rwrecord.Record) error {
+	return func(r rwrecord.Record) error {
+		_, err := decode(r)
+		return err
+	}
+}
+
+// Leave takes from a peer or an upstream's own answer that an incarnation is
+// leaving, and reports whether that is news.
+func (s *Store) Leave(l rwleaving.Leaving) bool {
+	if !s.note(l) {
+		return false
+	}
+	s.rebuild()
+	return true
+}
+
+func (s *Store) note(l rwleaving.Leaving) bool {
+	if old, ok := s.leaving[l.Upstream]; ok && old >= l.Inc {
+		return false
 	}
-	return rwsnapshot.Empty().WithRev(rev).WithAccounts(accounts).
-		WithKinds(kinds).WithUpstreams(upstreams).WithVMs(vms)
+	s.leaving[l.Upstream] = l.Inc
+	return true
 }
 
-func appendValid[T any](list []T, r rwrecord.Record, decode func(rwrecord.Record) (T, error)) []T {
-	v, err := decode(r)
-	if err != nil {
-		return list
+// Leaving returns the leaving upstreams by name.
+func (s *Store) Leaving() []rwleaving.Leaving {
+	var out []rwleaving.Leaving
+	for _, name := range slices.Sorted(maps.Keys(s.leaving)) {
+		out = append(out, rwleaving.Leaving{Upstream: name, Inc: s.leaving[name]})
 	}
-	return append(list, v)
+	return out
 }
 
-// View returns the snapshot in force.
+// rebuild makes the view and returns the contradictions that are new.
+func (s *Store) rebuild() []error {
+	b := builder{keys: map[string]string{}, addrs: map[string]string{}, types: map[string]rwupstream.Upstream{}}
+	for _, k := range s.order() {
+		b.add(s.entries[k].good, func(u rwupstream.Upstream) bool {
+			left, ok := s.leaving[u.Name]
+			return u.Leaving || (ok && u.Inc <= left)
+		})
+	}
+	known := map[string]bool{}
+	for _, f := range s.contradictions {
+		known[f.Error()] = true
+	}
+	s.contradictions = b.faults
+	s.view = rwsnapshot.Empty().WithRev(s.rev).WithAccounts(b.accounts).
+		WithKinds(b.kinds).WithUpstreams(b.upstreams).WithVMs(b.vms).WithLeaving(s.leaving)
+	return slices.DeleteFunc(slices.Clone(b.faults), func(f error) bool { return known[f.Error()] })
+}
+
+// order returns the keys of the records in force by revision, so that of two
+// contradicting records the earlier one wins in every router.
+func (s *Store) order() []key {
+	var keys []key
+	for k, e := range s.entries {
+		if e.hasGood && !e.good.Gone {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b key) int {
+		return cmp.Or(cmp.Compare(s.entries[a].good.Rev, s.entries[b].good.Rev),
+			cmp.Compare(a.kind, b.kind), cmp.Compare(a.name, b.name))
+	})
+	return keys
+}
+
+// View returns the snapshot in force. Its revision is the highest that was
+// seen, including records that were set aside.
 func (s *Store) View() *rwsnapshot.Snapshot { return s.view }
 
-// Records returns all records with a revision above rev.
+// Contradictions returns a fault for each record that is left out of the view,
+// in part or whole, because it contradicts one of a lower revision.
+func (s *Store) Contradictions() []error { return slices.Clone(s.contradictions) }
+
+// Aside returns the number of records that are set aside.
+func (s *Store) Aside() int {
+	n := 0
+	for _, e := range s.entries {
+		if e.hasAside {
+			n++
+		}
+	}
+	return n
+}
+
+// Empty reports whether no record is in force.
+func (s *Store) Empty() bool {
+	for _, e := range s.entries {
+		if e.hasGood {
+			return false
+		}
+	}
+	return true
+}
+
+// Records returns all records with a revision above rev by revision, the ones
+// set aside included.
 func (s *Store) Records(rev int64) []rwrecord.Record {
+	return s.collect(func(_ key, r rwrecord.Record) bool { return r.Rev > rev })
+}
+
+// Differing returns the records of the buckets in which another store's sums
+// differ. Sums of a wrong length count as different in every bucket.
+func (s *Store) Differing(sums []uint64) []rwrecord.Record {
+	return s.collect(func(k key, _ rwrecord.Record) bool {
+		b := bucket(k)
+		return len(sums) != Buckets || sums[b] != s.sums[b]
+	})
+}
+
+func (s *Store) collect(want func(key, rwrecord.Record) bool) []rwrecord.Record {
 	var out []rwrecord.Record
-	for _, r := range s.records {
-		if r.Rev > rev {
-			out = append(out, r)
+	for k, e := range s.entries {
+		if e.hasGood && want(k, e.good) {
+			out = append(out, e.good)
+		}
+		if e.hasAside && want(k, e.aside) {
+			out = append(out, e.aside)
 		}
 	}
+	slices.SortFunc(out, func(a, b rwrecord.Record) int {
+		return cmp.Or(cmp.Compare(a.Rev, b.Rev), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
 	return out
 }
+
+// Sums returns a digest for each bucket of (kind, name, highest revision
+// seen). Records set aside count, so that routers of different versions agree
+// and don't fetch them again.
+func (s *Store) Sums() []uint64 { return slices.Clone(s.sums[:]) }
+
+// Sum returns one digest of all records.
+func (s *Store) Sum() uint64 {
+	sum := uint64(0)
+	for _, v := range s.sums {
+		sum ^= v
+	}
+	return sum
+}
+
+func bucket(k key) int { return int(digest(k, -1) % Buckets) }
+
+// digest is 0 for revision 0, which stands for no record.
+func digest(k key, rev int64) uint64 {
+	if rev == 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	for _, s := range []string{k.kind, k.name, strconv.FormatInt(rev, 10)} {
+		_, _ = h.Write([]byte(s))
+		_, _ = h.Write([]byte{0})
+	}
+	// Sums are JSON numbers; 53 bits survive any decoder.
+	return h.Sum64() >> 11
+}
+
+// builder makes a view from valid records in the order of their revisions and
+// leaves out what contradicts an earlier one.
+type builder struct {
+	accounts  []rwaccount.Account
+	kinds     []rwkind.Kind
+	upstreams []rwupstream.Upstream
+	vms       []rwvm.VM
+	faults    []error
+
+	keys  map[string]string
+	addrs map[string]string
+	types map[string]rwupstream.Upstream
+}
+
+func (b *builder) add(r rwrecord.Record, leaving func(rwupstream.Upstream) bool) {
+	switch r.Kind {
+	case "account":
+		if a, err := rwaccount.Decode(r); err == nil {
+			b.addAccount(a)
+		}
+	case "kind":
+		if k, err := rwkind.Decode(r); err == nil {
+			b.kinds = append(b.kinds, k)
+		}
+	case "upstream":
+		if u, err := rwupstream.Decode(r); err == nil {
+			b.addUpstream(u, leaving(u))
+		}
+	case "vm":
+		if v, err := rwvm.Decode(r); err == nil {
+			b.vms = append(b.vms, v)
+		}
+	}
+}
+
+// addAccount leaves out a caller key that belongs to another account already.
+// The rest of the account stays in force.
+func (b *builder) addAccount(a rwaccount.Account) {
+	keys := slices.Clone(a.Keys)
+	a.Keys = slices.DeleteFunc(keys, func(k string) bool {
+		owner, taken := b.keys[k]
+		if taken && owner != a.Name {
+			b.contradict("account " + a.Name + ": a caller key belongs to account " + owner)
+			return true
+		}
+		b.keys[k] = a.Name
+		return false
+	})
+	b.accounts = append(b.accounts, a)
+}
+
+// addUpstream leaves out an upstream whose address belongs to another one that
+// isn't leaving, since its window would be used twice, and one whose type
+// contradicts the rest of its pool.
+func (b *builder) addUpstream(u rwupstream.Upstream, leaving bool) {
+	if leaving {
+		u.Leaving = true
+		b.upstreams = append(b.upstreams, u)
+		return
+	}
+	if other, taken := b.addrs[u.Addr]; taken {
+		b.contradict("upstream " + u.Name + ": the address is that of " + other)
+		return
+	}
+	for _, pool := range u.Pools {
+		if other, ok := b.types[pool]; ok && other.Engine != u.Engine {
+			b.contradict("upstream " + u.Name + ": its type is not that of " + other.Name + " in pool " + pool)
+			return
+		}
+	}
+	b.addrs[u.Addr] = u.Name
+	for _, pool := range u.Pools {
+		b.types[pool] = u
+	}
+	b.upstreams = append(b.upstreams, u)
+}
+
+func (b *builder) contradict(detail string) {
+	b.faults = append(b.faults, rwfault.New(rwcode.RecordInvalid, detail))
+}
--- /dev/null
+++ b/internal/rwupdate/rwupdate.go
@@ -0,0 +1,87 @@
+// Package rwupdate is one piece of news that routers pass on in their probes.
+package rwupdate
+
+import (
+	"encoding/json"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwidentity"
+)
+
+// The states that an update carries, as on the wire.
+const (
+	Alive    = "a"
+	Suspect  = "s"
+	Dead     = "d"
+	Upstream = "u"
+)
+
+// Update is the state of a router, or an upstream that is leaving.
+type Update struct {
+	// State is Alive, Suspect, Dead or Upstream.
+	State string
+	// Identity is complete in the state Alive; otherwise only Name and Inc
+	// are sent. In the state Upstream they are the leaving upstream's.
+	Identity rwidentity.Identity
+	// Refuted is the router's count of refutations.
+	Refuted uint64
+	// Leaving is whether the router is shutting down.
+	Leaving bool
+}
+
+const (
+	upstreamFields = 3
+	stateFields    = 5
+	aliveFields    = 8
+)
+
+// MarshalJSON returns an array without field names, which keeps the update of
+// a suspect under 50 bytes.
+func (u Update) MarshalJSON() ([]byte, error) {
+	id := u.Identity
+	list := []any{u.State, id.Name, id.Inc}
+	if u.State != Upstream {
+		list = append(list, u.Refuted, flag(u.Leaving))
+	}
+	if u.State == Alive {
+		list = append(list, id.Zone, id.Region, id.Addr)
+	}
+	return json.Marshal(list)
+}
+
+// UnmarshalJSON reads the array of MarshalJSON. It fails with PeerMalformed.
+func (u *Update) UnmarshalJSON(data []byte) error {
+	var list []json.RawMessage
+	if err := json.Unmarshal(data, &list); err != nil {
+		return rwfault.Wrap(rwcode.PeerMalformed, err)
+	}
+	leaving := 0
+	v := Update{}
+	fields := []any{&v.State, &v.Identity.Name, &v.Identity.Inc, &v.Refuted, &leaving, &v.Identity.Zone, &v.Identity.Region, &v.Identity.Addr}
+	if len(list) < upstreamFields || len(list) > aliveFields {
+		return rwfault.New(rwcode.PeerMalformed, "update with a wrong number of fields")
+	}
+	for i, raw := range list {
+		if err := json.Unmarshal(raw, fields[i]); err != nil {
+			return rwfault.Wrap(rwcode.PeerMalformed, err)
+		}
+	}
+	v.Leaving = leaving != 0
+	want := map[string]int{Alive: aliveFields, Suspect: stateFields, Dead: stateFields, Upstream: upstreamFields}
+	if want[v.State] != len(list) || v.Identity.Name == "" || v.Identity.Inc < 0 {
+		return rwfault.New(rwcode.PeerMalformed, "update of state "+v.State)
+	}
+	if v.State == Alive && v.Identity.Addr == "" {
+		return rwfault.New(rwcode.PeerMalformed, "update without an address")
+	}
+	*u = v
+	return nil
+}
+
+func flag(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
