--- a/internal/rwdispatch/rwdispatch.go
+++ b/internal/rwdispatch/rwdispatch.go
@@ -60,10 +60,28 @@
 	return &Dispatcher{shared: client(false), fresh: client(true)}
 }
 
+// checkKey is the context key of a request's Check.
+type checkKey struct{}
+
+// dial opens a connection and then calls the Check in the context, so that
+// the check is the last step before the first byte.
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	check, _ := ctx.Value(checkKey{}).(func() error)
+	if err != nil || check == nil {
+		return conn, err
+	}
+	if err := check(); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
 func client(fresh bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:           dial,
 			DisableKeepAlives:     fresh,
 			DisableCompression:    true,
 			MaxIdleConnsPerHost:   maxIdlePerVM,
@@ -86,12 +104,16 @@
 	client := d.shared
 	if !q.Idempotent {
 		client = d.fresh
+		req = req.WithContext(context.WithValue(req.Context(), checkKey{}, q.Check))
 	}
 	resp, err := client.Do(req)
 	if err == nil {
 		return resp, nil
 	}
 	f := rwfault.Wrap(rwcode.UpstreamUnreachable, err).WithDetail(u.Name)
+	if stopped := rwfault.From(err); !sent && stopped.Code != rwcode.Internal {
+		return nil, stopped
+	}
 	if sent {
 		f = f.WithOutcome(rwoutcome.Unknown)
 	}
@@ -106,6 +128,9 @@
 	if q.Key != "" {
 		s.Set("Idempotency-Key", q.Key)
 	}
+	if q.Fence > 0 && u.Fence {
+		s.Set("Redwing-Fence", strconv.FormatInt(q.Fence, 10))
+	}
 	if q.ContentType != "" {
 		s.Set("Content-Type", q.ContentType)
 	}
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -85,6 +85,7 @@
 		Pool:        kind.Pool,
 		Urgency:     kind.Urgency,
 		Idempotent:  kind.Idempotent,
+		Repeat:      kind.Repeat,
 		Key:         r.Header.Get("Idempotency-Key"),
 		Method:      r.Method,
 		Body:        body,
--- /dev/null
+++ b/internal/rwlist/rwlist.go
@@ -0,0 +1,53 @@
+// Package rwlist is the published list of VMs as idempotency keys use it.
+package rwlist
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"redwingworks.example/internal/rwrank"
+)
+
+// Version orders lists. The sum tells lists of the same revision apart, which
+// exist while a router has received only a part of the records.
+type Version struct {
+	Rev int64  `json:"rev"`
+	Sum uint64 `json:"sum"`
+}
+
+// List is an immutable list of published VMs.
+type List struct {
+	Version Version
+	// Live are the names of the VMs in the state live, sorted.
+	Live []string
+	// All are the names of all published VMs, sorted.
+	All []string
+}
+
+// New returns a list of a revision. The names in all include those in live.
+func New(rev int64, live, all []string) List {
+	l := List{Version: Version{Rev: rev}, Live: slices.Sorted(slices.Values(live)), All: slices.Sorted(slices.Values(all))}
+	h := fnv.New64a()
+	for _, set := range [][]string{l.Live, l.All} {
+		for _, n := range set {
+			_, _ = h.Write([]byte(n))
+			_, _ = h.Write([]byte{0})
+		}
+		_, _ = h.Write([]byte{1})
+	}
+	l.Version.Sum = h.Sum64()
+	return l
+}
+
+// Home is the live VM of the highest rank for a key, or "".
+func (l List) Home(key string) string { return rwrank.Top(key, l.Live) }
+
+// Next is the live VM of the highest rank for a key without one VM, or "".
+func (l List) Next(key, without string) string {
+	for _, n := range rwrank.Order(key, l.Live) {
+		if n != without {
+			return n
+		}
+	}
+	return ""
+}
--- a/internal/rwrequest/rwrequest.go
+++ b/internal/rwrequest/rwrequest.go
@@ -34,4 +34,11 @@
 	// stops waiting for the first byte; a zero Deadline means never.
 	Arrived  time.Time
 	Deadline time.Time
+	// Repeat is how long the caller may repeat Key.
+	Repeat time.Duration
+	// Fence is sent to an upstream that checks fencing numbers; 0 for none.
+	Fence int64
+	// Check, if it is not nil, is called when a connection to the upstream
+	// is open and nothing was sent yet. An error stops the call.
+	Check func() error
 }
--- a/internal/rwsnapshot/rwsnapshot.go
+++ b/internal/rwsnapshot/rwsnapshot.go
@@ -18,6 +18,7 @@
 // it between goroutines.
 type Snapshot struct {
 	rev       int64
+	listRev   int64
 	accounts  map[string]rwaccount.Account
 	kinds     map[string]rwkind.Kind
 	upstreams map[string]rwupstream.Upstream
@@ -38,6 +39,16 @@
 	return &c
 }
 
+// ListRev is the highest revision of any VM record, deletions included.
+func (s *Snapshot) ListRev() int64 { return s.listRev }
+
+// WithListRev returns a copy with at least this revision of the VM list.
+func (s *Snapshot) WithListRev(rev int64) *Snapshot {
+	c := *s
+	c.listRev = max(c.listRev, rev)
+	return &c
+}
+
 // WithAccounts returns a copy with other accounts.
 func (s *Snapshot) WithAccounts(list []rwaccount.Account) *Snapshot {
 	c := *s
--- a/internal/rwstore/rwstore.go
+++ b/internal/rwstore/rwstore.go
@@ -78,9 +78,12 @@
 	var kinds []rwkind.Kind
 	var upstreams []rwupstream.Upstream
 	var vms []rwvm.VM
-	rev := int64(0)
+	rev, listRev := int64(0), int64(0)
 	for _, r := range s.records {
 		rev = max(rev, r.Rev)
+		if r.Kind == "vm" {
+			listRev = max(listRev, r.Rev)
+		}
 		if r.Gone {
 			continue
 		}
@@ -95,7 +98,7 @@
 			vms = appendValid(vms, r, rwvm.Decode)
 		}
 	}
-	return rwsnapshot.Empty().WithRev(rev).WithAccounts(accounts).
+	return rwsnapshot.Empty().WithRev(rev).WithListRev(listRev).WithAccounts(accounts).
 		WithKinds(kinds).WithUpstreams(upstreams).WithVMs(vms)
 }
 
