--- /dev/null
+++ b/internal/rwlevel/rwlevel_test.go
@@ -0,0 +1,123 @@
+package rwlevel_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"redwingworks.example/internal/rwlevel"
+)
+
+// A fixed seed gives the same verdict on every run.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// serve charges one cost unit for each of n turns of kinds that always have
+// work, and returns how many each kind got.
+func serve(l *rwlevel.Levels, n int) map[string]int {
+	got := map[string]int{}
+	for range n {
+		entry, kind, _ := l.Next()
+		l.Charge(kind, 1)
+		l.Set(entry, kind, 8, 0)
+		got[l.Name(kind)]++
+	}
+	return got
+}
+
+// Guards against urgency that overrides the floor of other kinds: many urgent
+// kinds must not take more together than the weight of their urgency.
+func TestUrgenciesShareByWeight(t *testing.T) {
+	l := rwlevel.New()
+	for i := range 10 {
+		l.Set("e", l.Kind(fmt.Sprint("urgent-", i), 0), 8, 0)
+	}
+	l.Set("e", l.Kind("soon", 1), 8, 0)
+	l.Set("e", l.Kind("later", 2), 8, 0)
+	l.Set("e", l.Kind("batch", 3), 8, 0)
+	got := serve(l, 1500)
+	require.InDelta(t, 400, got["soon"], 2)
+	require.InDelta(t, 200, got["later"], 2)
+	require.InDelta(t, 100, got["batch"], 2)
+	for i := range 10 {
+		require.InDelta(t, 80, got[fmt.Sprint("urgent-", i)], 2)
+	}
+}
+
+// Guards against a kind that saves up credit while it has no work.
+func TestKindCannotSaveUpCredit(t *testing.T) {
+	l := rwlevel.New()
+	l.Set("e", l.Kind("busy", 0), 8, 0)
+	serve(l, 1000)
+	l.Set("e", l.Kind("peer", 0), 8, 0)
+	l.Set("e", l.Kind("batch", 3), 8, 0)
+	got := serve(l, 170)
+	require.InDelta(t, 75, got["busy"], 2)
+	require.InDelta(t, 75, got["peer"], 2)
+	require.InDelta(t, 19, got["batch"], 2)
+}
+
+// Guards against an entry that is passed over.
+func TestEntriesTakeTurns(t *testing.T) {
+	l := rwlevel.New()
+	k := l.Kind("k", 0)
+	got := map[string]int{}
+	for i := range 5 {
+		l.Set(fmt.Sprint(i), k, 8, 0)
+	}
+	for range 20 {
+		entry, _, _ := l.Next()
+		got[entry]++
+	}
+	for i := range 5 {
+		require.Equal(t, 4, got[fmt.Sprint(i)])
+	}
+}
+
+// Guards against counts that disagree with the levels after any order of
+// changes, which would idle a slot or grant what doesn't wait.
+func TestCountsAgreeWithLevels(t *testing.T) {
+	type key struct{ entry, kind string }
+	rapid.Check(t, func(t *rapid.T) {
+		l, model := rwlevel.New(), map[key]int{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			e := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "entry"))
+			k := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "kind"))
+			switch rapid.IntRange(0, 7).Draw(t, "op") {
+			case 0:
+				l.DropEntry(e)
+				for m := range model {
+					if m.entry == e {
+						delete(model, m)
+					}
+				}
+			case 1:
+				l.SetUrgency(k, rapid.IntRange(0, 3).Draw(t, "urgency"))
+			case 2, 3, 4:
+				n := rapid.IntRange(0, 3).Draw(t, "level")
+				l.Set(e, l.Kind(k, 2), n, 0)
+				model[key{e, k}] = n
+			default:
+				if l.Waiting() > 0 {
+					entry, kind, _ := l.Next()
+					model[key{entry, l.Name(kind)}]--
+				}
+			}
+			sum := 0
+			for m, n := range model {
+				require.GreaterOrEqual(t, n, 0, m)
+				sum += n
+			}
+			require.Equal(t, sum, l.Waiting())
+		}
+		for l.Waiting() > 0 {
+			entry, kind, _ := l.Next()
+			model[key{entry, l.Name(kind)}]--
+		}
+		for m, n := range model {
+			require.Zero(t, n, m)
+		}
+	})
+}
--- /dev/null
+++ b/internal/rwsched/bench_test.go
@@ -0,0 +1,144 @@
+package rwsched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwgrant"
+	"redwingworks.example/internal/rwsched"
+	"redwingworks.example/internal/rwtotal"
+)
+
+// loaded is a scheduler with accounts of which some are backlogged, and all of
+// whose slots are taken.
+type loaded struct {
+	s       *rwsched.Scheduler
+	running []rwgrant.Grant
+	turn    int
+}
+
+// deep is a level that no run uses up.
+const deep = 1 << 40
+
+func newLoaded(accounts, backlogged int) *loaded {
+	l := &loaded{s: cell(40, 40, 40, 40)}
+	l.s.SetPool(640, 6400, 300*time.Millisecond)
+	for i := range accounts {
+		l.s.SetAccount(fmt.Sprint("account-", i), share*(1+i%4))
+	}
+	var totals []rwtotal.Total
+	for i := range accounts {
+		name := fmt.Sprint("account-", i)
+		totals = append(totals, rwtotal.Total{Account: name, Cost: float64(i % 97)})
+		if i < backlogged {
+			for k := range 3 {
+				l.s.SetLevel(epoch, fmt.Sprint("entry-", i%8), name, fmt.Sprint("kind-", k), deep, 0)
+			}
+		}
+	}
+	l.s.Merge("other", 5, totals)
+	_, l.running = drain(l.s, epoch)
+	for range 20 * accounts {
+		l.decide()
+	}
+	return l
+}
+
+// decide ends one request, grants its slot and returns whether that worked.
+func (l *loaded) decide() bool {
+	g := &l.running[l.turn]
+	l.s.Done(epoch, g.ID, float64(50+l.turn%17), 0, time.Second, rwcode.None)
+	next, ok := l.s.Next(epoch)
+	*g = next
+	l.turn = (l.turn + 1) % len(l.running)
+	return ok
+}
+
+var sizes = []struct{ accounts, backlogged int }{
+	{16, 2}, {16, 16}, {310, 31}, {310, 310}, {3100, 310}, {3100, 3100},
+}
+
+// BenchmarkDecision is a Done and the Next that uses its slot.
+func BenchmarkDecision(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("%d of %d", c.backlogged, c.accounts), func(b *testing.B) {
+			l := newLoaded(c.accounts, c.backlogged)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.decide()
+			}
+		})
+	}
+}
+
+// BenchmarkReturned is a Next and the Done of a grant that found no work.
+func BenchmarkReturned(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("%d of %d", c.backlogged, c.accounts), func(b *testing.B) {
+			l := newLoaded(c.accounts, c.backlogged)
+			l.s.SetUpstream("up-0", 41)
+			b.ReportAllocs()
+			for b.Loop() {
+				g, _ := l.s.Next(epoch)
+				l.s.Done(epoch, g.ID, 0, 0, 0, rwcode.None)
+			}
+		})
+	}
+}
+
+// BenchmarkMerge is a report of 30 changed accounts.
+func BenchmarkMerge(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("%d of %d", c.backlogged, c.accounts), func(b *testing.B) {
+			l := newLoaded(c.accounts, c.backlogged)
+			totals := make([]rwtotal.Total, 30)
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				n++
+				for i := range totals {
+					totals[i] = rwtotal.Total{Account: l.running[(n+i)%len(l.running)].Account, Cost: float64(1000 + n)}
+				}
+				l.s.Merge("other", 5, totals)
+			}
+		})
+	}
+}
+
+// Guards against a decision whose cost grows with the number of accounts: 310
+// backlogged of 3,100 may cost 3 times as much as 2 of 16. Both are measured in
+// turn and the fastest run of each counts, since other load on the machine
+// only ever slows a run down.
+func TestDecisionCostGrowsSlowly(t *testing.T) {
+	const rounds, batch = 60, 3000
+	small, large := newLoaded(16, 2), newLoaded(3100, 310)
+	fastest := func(l *loaded, best time.Duration) time.Duration {
+		start := time.Now()
+		for range batch {
+			l.decide()
+		}
+		return min(best, time.Since(start))
+	}
+	a, b := time.Hour, time.Hour
+	for range rounds {
+		a, b = fastest(small, a), fastest(large, b)
+	}
+	t.Logf("2 of 16: %v, 310 of 3100: %v, ratio %.2f", a/batch, b/batch, float64(b)/float64(a))
+	require.LessOrEqual(t, float64(b), 3*float64(a))
+}
+
+// Guards against garbage on the path of every request.
+func TestDecisionDoesNotAllocate(t *testing.T) {
+	for _, c := range sizes {
+		l := newLoaded(c.accounts, c.backlogged)
+		require.Zero(t, testing.AllocsPerRun(20000, func() {
+			if !l.decide() {
+				t.Fatal("no grant")
+			}
+		}), c)
+	}
+}
--- /dev/null
+++ b/internal/rwsched/flood_test.go
@@ -0,0 +1,117 @@
+package rwsched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a flood, of the least or the most urgent kind and from one
+// account or from all, that takes service from other kinds and accounts. The
+// pool is half loaded before; then one kind arrives at 10 times capacity.
+func TestFloodLeavesOthersTheirService(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		kind  int
+		all   bool
+		entry func(int) int
+	}{
+		{"least urgent, one account", 3, false, spread},
+		{"least urgent, all accounts", 3, true, spread},
+		{"most urgent, one account", 0, false, spread},
+		{"most urgent, all accounts", 0, true, spread},
+		{"most urgent, one account at one entry", 0, false, oneAlone},
+		{"least urgent, all, one account at one entry", 3, true, oneAlone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(1) {
+				checkFlood(t, c.kind, c.all, c.entry, seed)
+			}
+		})
+	}
+}
+
+const (
+	floodCost  = 5
+	floodStart = 45 * time.Second
+	floodEnd   = 100 * time.Second
+	// floodSettle is the time in which what ran when the flood began ends.
+	floodSettle = 5 * time.Second
+)
+
+func checkFlood(t *testing.T, kind int, all bool, entry func(int) int, seed uint64) {
+	f := plain()
+	f.accounts = loads(16, unequal, entry, kindLoad{})
+	arrival := f.capacity() / floodCost / f.shares()
+	for i := range f.accounts {
+		a := &f.accounts[i]
+		a.kinds = nil
+		for urgency := range 4 {
+			a.kinds = append(a.kinds, kindLoad{urgency: urgency, low: floodCost, top: floodCost, rate: a.share * arrival / 8})
+		}
+		// The flood is more work of a kind that the account has.
+		if all || i == 0 {
+			flood := kindLoad{urgency: kind, low: floodCost, top: floodCost, rate: 10 * arrival * f.shares(), from: floodStart}
+			if all {
+				flood.rate *= a.share / f.shares()
+			}
+			a.kinds = append(a.kinds, flood)
+		}
+	}
+	p := newPool(f, seed)
+	p.run(floodSettle)
+	before := p.snapshot()
+	p.run(floodStart)
+	had := p.rates(before, floodStart-floodSettle)
+	p.run(floodStart + floodSettle)
+	before = p.snapshot()
+	p.run(floodEnd)
+	got := p.rates(before, floodEnd-floodStart-floodSettle)
+	worst := 1e9
+	for i, a := range p.accounts {
+		for k := range 4 {
+			if k == kind && (all || i == 0) {
+				continue
+			}
+			name := fmt.Sprint(a.name, " kind-", k)
+			want := min(had[name], f.due(a, k, all))
+			worst = min(worst, got[name]/want)
+			require.GreaterOrEqual(t, got[name], 0.95*want, "%s: had %v, due %v", name, had[name], f.due(a, k, all))
+		}
+	}
+	sum := 0.0
+	for _, rate := range got {
+		sum += rate
+	}
+	require.GreaterOrEqual(t, sum, 0.97*f.capacity())
+	t.Logf("seed %d: least kept %.3f, returned grants %d", seed, worst, p.returned)
+}
+
+// due is the rate that a kind of an account is due while another kind floods:
+// its weight among the kinds of the account's share of the pool.
+func (f *figures) due(a *poolAccount, kind int, all bool) float64 {
+	weights := []float64{8, 4, 2, 1}
+	share := f.capacity() * a.share / f.shares()
+	if !all && a != nil && a.name != "account-000" {
+		return share
+	}
+	return share * weights[kind] / (8 + 4 + 2 + 1)
+}
+
+func (p *pool) snapshot() map[string]float64 {
+	out := map[string]float64{}
+	for k, v := range p.served {
+		out[k] = v
+	}
+	return out
+}
+
+func (p *pool) rates(before map[string]float64, d time.Duration) map[string]float64 {
+	out := map[string]float64{}
+	for k, v := range p.served {
+		out[k] = (v - before[k]) / d.Seconds()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rwsched/rwsched_test.go
@@ -0,0 +1,329 @@
+package rwsched_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwgrant"
+	"redwingworks.example/internal/rwsched"
+	"redwingworks.example/internal/rwschedview"
+	"redwingworks.example/internal/rwtotal"
+)
+
+const share = 1000
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// cell returns a scheduler with one upstream per window.
+func cell(windows ...int) *rwsched.Scheduler {
+	s := rwsched.New("cell", 1)
+	for i, w := range windows {
+		s.SetUpstream(fmt.Sprint("up-", i), w)
+	}
+	return s
+}
+
+// drain takes all grants that there are and counts them by account.
+func drain(s *rwsched.Scheduler, now time.Time) (got map[string]int, grants []rwgrant.Grant) {
+	got = map[string]int{}
+	for {
+		g, ok := s.Next(now)
+		if !ok {
+			return got, grants
+		}
+		got[g.Account]++
+		grants = append(grants, g)
+	}
+}
+
+func view(s *rwsched.Scheduler, account string) rwschedview.Account {
+	list := s.View().Accounts
+	return list[slices.IndexFunc(list, func(a rwschedview.Account) bool { return a.Name == account })]
+}
+
+// Guards against a slot that is idle while any level is above zero, in any
+// state, and against grants that no level or window allows, or that reuse an
+// identifier.
+func TestSlotsAreNeverIdleWhileWorkWaits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := cell(3, 5)
+		levels, running := map[string]int{}, map[uint64]rwgrant.Grant{}
+		windows := map[string]int{"up-0": 3, "up-1": 5}
+		seen := map[uint64]bool{}
+		now := epoch
+		name := func(prefix string, n int) string { return fmt.Sprint(prefix, rapid.IntRange(0, n).Draw(t, prefix)) }
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 8).Draw(t, "op") {
+			case 0, 1, 2:
+				e, a, k := name("e", 2), name("a", 5), name("k", 2)
+				n := rapid.IntRange(0, 8).Draw(t, "level")
+				s.SetLevel(now, e, a, k, n, rapid.Float64Range(0, 1e6).Draw(t, "hint"))
+				levels[e+a+k] = n
+			case 3:
+				s.SetAccount(name("a", 5), rapid.IntRange(1, 9000).Draw(t, "weight"))
+			case 4:
+				u := name("up-", 1)
+				windows[u] = rapid.IntRange(0, 8).Draw(t, "window")
+				s.SetUpstream(u, windows[u])
+			case 5:
+				e := name("e", 2)
+				s.DropEntry(now, e)
+				maps.DeleteFunc(levels, func(k string, _ int) bool { return k[:2] == e })
+				maps.DeleteFunc(running, func(_ uint64, g rwgrant.Grant) bool { return g.Entry == e })
+			case 6:
+				s.Merge("other", 5, []rwtotal.Total{{Account: name("a", 5), Cost: rapid.Float64Range(0, 1e5).Draw(t, "total")}})
+			default:
+				for _, id := range slices.Sorted(maps.Keys(running)) {
+					if rapid.Bool().Draw(t, "done") {
+						s.Done(now, id, rapid.Float64Range(0, 500).Draw(t, "cost"), 0, time.Second, rwcode.None)
+						delete(running, id)
+					}
+				}
+			}
+			_, grants := drain(s, now)
+			for _, g := range grants {
+				require.False(t, seen[g.ID])
+				seen[g.ID] = true
+				running[g.ID] = g
+				levels[g.Entry+g.Account+g.Kind]--
+				require.GreaterOrEqual(t, levels[g.Entry+g.Account+g.Kind], 0)
+			}
+			check(t, levels, windows, running)
+		}
+	})
+}
+
+func check(t *rapid.T, levels, windows map[string]int, running map[uint64]rwgrant.Grant) {
+	waiting, free := 0, 0
+	for _, n := range levels {
+		waiting += n
+	}
+	used := map[string]int{}
+	for _, g := range running {
+		used[g.Upstream]++
+	}
+	for u, w := range windows {
+		free += max(w-used[u], 0)
+	}
+	require.Zero(t, min(waiting, free), "waiting %d, free %d", waiting, free)
+}
+
+// Guards against one account that holds most slots while others wait, and
+// against a cap that leaves slots idle that the others don't use.
+func TestCapOnSlots(t *testing.T) {
+	s := cell(10, 10)
+	for i := range 10 {
+		s.SetLevel(at(0), "e", fmt.Sprint("a", i), "k", 8, 0)
+	}
+	s.Merge("other", 5, []rwtotal.Total{
+		{Account: "a1", Cost: 1000}, {Account: "a2", Cost: 1000}, {Account: "a3", Cost: 1000},
+		{Account: "a4", Cost: 1000}, {Account: "a5", Cost: 1000}, {Account: "a6", Cost: 1000},
+		{Account: "a7", Cost: 1000}, {Account: "a8", Cost: 1000}, {Account: "a9", Cost: 1000},
+	})
+	got, _ := drain(s, at(0))
+	require.Equal(t, 4, got["a0"], "twice a tenth of 20 slots, although it is far behind")
+
+	s = cell(10, 10)
+	s.SetLevel(at(0), "e", "a0", "k", 30, 0)
+	s.SetLevel(at(0), "e", "a1", "k", 1, 0)
+	s.SetLevel(at(0), "e", "a2", "k", 1, 0)
+	got, _ = drain(s, at(0))
+	require.Equal(t, map[string]int{"a0": 18, "a1": 1, "a2": 1}, got)
+}
+
+// Guards against slots that stay idle because all that wait are at the cap,
+// which happens when more runs than the windows allow.
+func TestCapYieldsToIdleSlots(t *testing.T) {
+	s := cell(4)
+	for i := range 40 {
+		s.Restore(at(0), rwgrant.Grant{ID: uint64(100 + i), Entry: "e", Account: fmt.Sprint("a", i%2), Kind: "k", Upstream: "gone", Cost: 1})
+	}
+	s.SetLevel(at(0), "e", "a0", "k", 8, 0)
+	s.SetLevel(at(0), "e", "a1", "k", 8, 0)
+	got, _ := drain(s, at(0))
+	require.Equal(t, map[string]int{"a0": 2, "a1": 2}, got)
+}
+
+// Guards against credit that an account saves up while it has no work, and
+// against credit that it loses because its level was used up for a moment.
+func TestJoin(t *testing.T) {
+	for _, c := range []struct {
+		away time.Duration
+		want int
+	}{{10 * time.Second, 5}, {20 * time.Millisecond, 9}} {
+		s := cell(1)
+		s.SetPool(100, 100, time.Second)
+		turn := func(now time.Time) string {
+			g, ok := s.Next(now)
+			require.True(t, ok)
+			s.Done(now, g.ID, 1, 0, time.Millisecond, rwcode.None)
+			s.SetLevel(now, "e", g.Account, "k", 8, 0)
+			return g.Account
+		}
+		s.SetLevel(at(0), "e", "late", "k", 8, 0)
+		s.SetLevel(at(0), "e", "busy", "k", 8, 0)
+		s.Merge("other", 5, []rwtotal.Total{{Account: "busy", Cost: 8}})
+		s.SetLevel(at(0), "e", "late", "k", 0, 0)
+		for range 3 {
+			turn(at(0))
+		}
+		now := at(0).Add(c.away)
+		s.SetLevel(now, "e", "late", "k", 8, 0)
+		got := 0
+		for range 10 {
+			if turn(now) == "late" {
+				got++
+			}
+		}
+		require.InDelta(t, c.want, got, 1, c.away)
+	}
+}
+
+// Guards against a debt found in a report that starves the account: its
+// virtual time may be at most maxLag above the lowest one.
+func TestDebtIsLimited(t *testing.T) {
+	s := cell(1)
+	s.SetPool(10, 100, 250*time.Millisecond)
+	for _, a := range []string{"a", "b"} {
+		s.SetLevel(at(0), "e", a, "k", 8, 0)
+	}
+	s.Merge("other", 5, []rwtotal.Total{{Account: "a", Cost: 1e9}})
+	const maxLag = 2*1*(1+2*10.0/2) + 2*100*0.25
+	require.InDelta(t, maxLag, view(s, "a").Virtual-view(s, "b").Virtual, 1e-9)
+}
+
+// Guards against a charge that isn't corrected, and against accounts that pay
+// for work that failed inside the fleet or was never run.
+func TestCorrections(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(s *rwsched.Scheduler, id uint64)
+		want float64
+	}{
+		{"running", func(*rwsched.Scheduler, uint64) {}, 1},
+		{"usage", func(s *rwsched.Scheduler, id uint64) { s.Usage(at(1), id, 7) }, 7},
+		{"usage below the charge", func(s *rwsched.Scheduler, id uint64) { s.Usage(at(1), id, 0.5) }, 1},
+		{"usage and done", func(s *rwsched.Scheduler, id uint64) {
+			s.Usage(at(1), id, 7)
+			s.Done(at(2), id, 5, 0, time.Second, rwcode.None)
+			s.Done(at(2), id, 5, 0, time.Second, rwcode.None)
+			s.Usage(at(2), id, 50)
+		}, 5},
+		{"returned", func(s *rwsched.Scheduler, id uint64) { s.Done(at(2), id, 0, 0, 0, rwcode.None) }, 0},
+		{"failed inside", func(s *rwsched.Scheduler, id uint64) {
+			s.Usage(at(1), id, 7)
+			s.Done(at(2), id, 9, 0, time.Second, rwcode.UpstreamTruncated)
+		}, 0},
+		{"caller left", func(s *rwsched.Scheduler, id uint64) { s.Done(at(2), id, 9, 0, time.Second, rwcode.CallerGone) }, 9},
+		{"entry gone", func(s *rwsched.Scheduler, _ uint64) { s.DropEntry(at(2), "e") }, 0},
+		{"other grant", func(s *rwsched.Scheduler, id uint64) { s.Done(at(2), id+1, 9, 0, time.Second, rwcode.None) }, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := cell(1)
+			s.SetAccount("a", 2*share)
+			s.SetLevel(at(0), "e", "a", "k", 1, 1e6)
+			g, ok := s.Next(at(0))
+			require.True(t, ok)
+			c.end(s, g.ID)
+			require.InDelta(t, c.want, view(s, "a").Total, 1e-9)
+			require.InDelta(t, c.want/2, view(s, "a").Virtual, 1e-9)
+		})
+	}
+}
+
+// Guards against a new owner that overfills a window, since it doesn't know
+// what runs, or that charges the work of its predecessor again.
+func TestRestore(t *testing.T) {
+	s := cell(2)
+	for range 2 {
+		s.Restore(at(0), rwgrant.Grant{ID: 7, Entry: "e", Account: "a", Kind: "k", Upstream: "up-0"})
+	}
+	s.SetLevel(at(0), "e", "a", "k", 8, 0)
+	got, _ := drain(s, at(0))
+	require.Equal(t, 1, got["a"])
+	s.Done(at(1), 7, 100, 0, time.Second, rwcode.None)
+	require.InDelta(t, 1, view(s, "a").Total, 1e-9)
+	got, _ = drain(s, at(1))
+	require.Equal(t, 1, got["a"])
+}
+
+// Guards against identifiers of a later owner that repeat those of an earlier
+// one, with which a late done would free the wrong slot.
+func TestIdentifiersOfOwnersDiffer(t *testing.T) {
+	start := epoch.UnixMicro()
+	first, second := rwsched.New("cell", start), rwsched.New("cell", start+1_000_000)
+	for _, s := range []*rwsched.Scheduler{first, second} {
+		s.SetUpstream("up-0", 1000)
+		s.SetLevel(at(0), "e", "a", "k", 1000, 0)
+	}
+	_, a := drain(first, at(0))
+	_, b := drain(second, at(0))
+	require.Less(t, a[len(a)-1].ID, b[0].ID)
+}
+
+// Guards against an upstream that is removed or can't be reached and still
+// gets work, and one that never gets work again.
+func TestUpstreams(t *testing.T) {
+	s := cell(4, 8)
+	s.SetLevel(at(0), "e", "a", "k", 6, 0)
+	_, grants := drain(s, at(0))
+	used := map[string]int{}
+	for _, g := range grants {
+		used[g.Upstream]++
+	}
+	require.Equal(t, map[string]int{"up-0": 2, "up-1": 4}, used, "the same part of each window")
+
+	s.RemoveUpstream("up-1")
+	for _, g := range grants {
+		s.Done(at(1), g.ID, 1, 0, time.Millisecond, rwcode.None)
+	}
+	s.SetLevel(at(1), "e", "a", "k", 10, 0)
+	_, grants = drain(s, at(1))
+	require.Len(t, grants, 4)
+	for _, g := range grants {
+		require.Equal(t, "up-0", g.Upstream)
+		s.Done(at(2), g.ID, 0, 0, 0, rwcode.UpstreamUnreachable)
+	}
+	_, ok := s.Next(at(50))
+	require.False(t, ok)
+	require.Equal(t, at(102), s.Wake())
+	got, grants := drain(s, at(102))
+	require.Equal(t, 1, got["a"], "one trial")
+	s.Done(at(103), grants[0].ID, 1, 0, time.Millisecond, rwcode.None)
+	got, _ = drain(s, at(103))
+	require.Equal(t, 4, got["a"])
+}
+
+// Guards against a learned window that isn't used.
+func TestEngineWindow(t *testing.T) {
+	s := rwsched.New("cell", 1)
+	s.SetEngine("engine", 2, 60*time.Millisecond)
+	s.SetLevel(at(0), "e", "a", "k", 8, 0)
+	got, grants := drain(s, at(0))
+	require.Equal(t, 2, got["a"])
+	s.Done(at(1000), grants[0].ID, 100, 100*time.Millisecond, time.Second, rwcode.None)
+	s.SetEngine("engine", 2, 60*time.Millisecond)
+	got, _ = drain(s, at(1000))
+	require.Equal(t, 2, got["a"], "the free slot and one more")
+}
+
+// Guards against an account that was removed and still gets slots, or that
+// comes back without its work.
+func TestRemovedAccount(t *testing.T) {
+	s := cell(2)
+	s.SetLevel(at(0), "e", "a", "k", 8, 0)
+	s.RemoveAccount("a")
+	got, _ := drain(s, at(0))
+	require.Empty(t, got)
+	s.SetAccount("a", share)
+	got, _ = drain(s, at(0))
+	require.Equal(t, 2, got["a"])
+}
