--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PATTERNS := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 SEED ?= 1
 
-.PHONY: build demo test lint fmt vet generate tools prove measure bench capacity
+.PHONY: fuzz build demo test lint fmt vet generate tools prove measure bench capacity
 
 build:
 	@mkdir -p bin
@@ -35,3 +35,11 @@
 
 test: lint vet build
 	go test -race -count=1 -timeout 9m $(PATTERNS)
+
+# Runs each fuzz target for a few seconds. New failing inputs land in the
+# package's testdata/fuzz and are then part of make test.
+FUZZTIME ?= 3s
+fuzz:
+	@set -e; for hit in $$(grep -ro --include='*_test.go' -H '^func Fuzz[A-Za-z]*' $(MODULES) | tr ' ' '_'); do \
+		dir=$$(dirname $${hit%%:*}); name=$${hit##*:func_}; echo "$$dir $$name"; \
+		go test -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZTIME) ./$$dir; done
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -24,7 +24,7 @@
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwlimit"
 	"redwingworks.example/internal/rwoutcome"
-	"redwingworks.example/internal/rwreply"
+	"redwingworks.example/internal/rwrefusal"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwsnapshot"
 	"redwingworks.example/internal/rwstream"
@@ -251,7 +251,7 @@
 	case rwcode.Draining, rwcode.TooManyConnections, rwcode.SlowBody, rwcode.BodyTooLarge:
 		w.Header().Set("Connection", "close")
 	}
-	rwreply.New(f).Write(w)
+	rwrefusal.New(f).Write(w)
 }
 
 // fault returns the fault inside err. An error without one has an unknown
@@ -557,7 +557,7 @@
 	}
 	f := fault(err)
 	g.Refused(f.Code)
-	_ = s.write([]byte("event: error\ndata: " + string(rwreply.New(f).Body) + "\n\n"))
+	_ = s.write([]byte("event: error\ndata: " + string(rwrefusal.New(f).Body) + "\n\n"))
 	// Ends the connection (HTTP/2: the stream) without the mark of a whole
 	// body, so that a client that knows no error events sees the fault too.
 	panic(http.ErrAbortHandler)
--- a/internal/rwkind/rwkind.go
+++ b/internal/rwkind/rwkind.go
@@ -31,18 +31,18 @@
 	Repeat time.Duration
 }
 
-type schema1 struct {
-	Urgency    int    `json:"urgency"`
-	Pool       string `json:"pool"`
-	Idempotent bool   `json:"idempotent"`
-	Repeat     int    `json:"repeat"`
-}
+// MaxRepeat bounds Repeat. A home keeps the outcome of each key so long, and
+// its memory is bounded.
+const MaxRepeat = 24 * time.Hour
 
-type schema2 struct {
-	Class      string `json:"class"`
-	Pool       string `json:"pool"`
-	Idempotent bool   `json:"idempotent"`
-	Repeat     int    `json:"repeat"`
+// value has the fields of both schema versions. A record may carry the field
+// of the other version too, as long as it says the same.
+type value struct {
+	Urgency    *int    `json:"urgency"`
+	Class      *string `json:"class"`
+	Pool       string  `json:"pool"`
+	Idempotent bool    `json:"idempotent"`
+	Repeat     int     `json:"repeat"`
 }
 
 var classes = map[string]int{"now": 0, "soon": 1, "later": 2, "batch": 3}
@@ -51,43 +51,61 @@
 // code RecordSchema or RecordInvalid.
 func Decode(r rwrecord.Record) (Kind, error) {
 	k := Kind{Name: r.Name}
-	repeat := 0
-	switch r.Schema {
-	case 1:
-		var v schema1
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			return k, rwfault.Wrap(rwcode.RecordInvalid, err)
-		}
-		k.Urgency, k.Pool, k.Idempotent, repeat = v.Urgency, v.Pool, v.Idempotent, v.Repeat
-	case 2:
-		var v schema2
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			return k, rwfault.Wrap(rwcode.RecordInvalid, err)
-		}
-		u, ok := classes[v.Class]
-		if !ok {
-			return k, rwfault.New(rwcode.RecordInvalid, "kind "+r.Name+": unknown class "+v.Class)
-		}
-		k.Urgency, k.Pool, k.Idempotent, repeat = u, v.Pool, v.Idempotent, v.Repeat
-	default:
-		return k, rwfault.New(rwcode.RecordSchema, strconv.Itoa(r.Schema))
+	if r.Schema != 1 && r.Schema != 2 {
+		return k, rwfault.New(rwcode.RecordSchema, "kind "+r.Name+": schema "+strconv.Itoa(r.Schema))
+	}
+	var v value
+	if err := json.Unmarshal(r.Value, &v); err != nil {
+		return k, rwfault.Wrap(rwcode.RecordInvalid, err).WithDetail("kind " + r.Name)
+	}
+	urgency, err := k.urgency(r.Schema, v)
+	if err != nil {
+		return k, err
 	}
-	k.Repeat = time.Duration(repeat) * time.Second
-	if repeat == 0 {
+	if v.Repeat < 0 || v.Repeat > int(MaxRepeat/time.Second) {
+		return k, k.invalid("repeat must be from 0 to " + strconv.Itoa(int(MaxRepeat/time.Second)) + " seconds")
+	}
+	k.Urgency, k.Pool, k.Idempotent = urgency, v.Pool, v.Idempotent
+	k.Repeat = time.Duration(v.Repeat) * time.Second
+	if v.Repeat == 0 {
 		k.Repeat = DefaultRepeat
 	}
 	return k, k.check()
 }
 
-func (k Kind) check() error {
-	if k.Urgency < 0 || k.Urgency > MaxUrgency {
-		return rwfault.New(rwcode.RecordInvalid, "kind "+k.Name+": urgency is outside 0 to 3")
+// urgency returns the urgency by the field of the schema version.
+func (k Kind) urgency(schema int, v value) (int, error) {
+	class, known := 0, false
+	if v.Class != nil {
+		class, known = classes[*v.Class]
 	}
-	if k.Pool == "" {
-		return rwfault.New(rwcode.RecordInvalid, "kind "+k.Name+": no pool")
+	switch {
+	case v.Class != nil && !known:
+		return 0, k.invalid("unknown class " + *v.Class)
+	case v.Class != nil && v.Urgency != nil && *v.Urgency != class:
+		return 0, k.invalid("urgency and class contradict each other")
+	case schema == 2 && v.Class != nil:
+		return class, nil
+	case schema == 1 && v.Urgency != nil:
+		return *v.Urgency, nil
+	default:
+		return 0, k.invalid("no urgency or class")
 	}
-	if k.Repeat < 0 {
-		return rwfault.New(rwcode.RecordInvalid, "kind "+k.Name+": repeat is negative")
+}
+
+func (k Kind) check() error {
+	switch {
+	case k.Name == "":
+		return k.invalid("no name")
+	case k.Urgency < 0 || k.Urgency > MaxUrgency:
+		return k.invalid("urgency is outside 0 to 3")
+	case k.Pool == "":
+		return k.invalid("no pool")
+	default:
+		return nil
 	}
-	return nil
+}
+
+func (k Kind) invalid(why string) error {
+	return rwfault.New(rwcode.RecordInvalid, "kind "+k.Name+": "+why)
 }
--- a/internal/rwreply/rwreply.go
+++ b/internal/rwrefusal/rwrefusal.go
@@ -1,6 +1,6 @@
-// Package rwreply is the form in which callers get a fault: status, headers
+// Package rwrefusal is the form in which callers get a fault: status, headers
 // and JSON body.
-package rwreply
+package rwrefusal
 
 import (
 	"encoding/json"
@@ -18,8 +18,8 @@
 // no time.
 const defaultRetry = time.Second
 
-// Reply is the answer to a request that failed.
-type Reply struct {
+// Refusal is the answer to a request that failed.
+type Refusal struct {
 	// Status is the HTTP status. 429 and 503 are used only if the request
 	// was not run, because clients and balancers repeat such requests.
 	Status int
@@ -40,9 +40,9 @@
 	Retry   float64 `json:"retry,omitempty"`
 }
 
-// New returns the reply for a fault.
-func New(f *rwfault.Fault) Reply {
-	r := Reply{Status: status(f), Retry: f.RetryAfter}
+// New returns the refusal for a fault.
+func New(f *rwfault.Fault) Refusal {
+	r := Refusal{Status: status(f), Retry: f.RetryAfter}
 	if r.Retry <= 0 && advised(r.Status) {
 		r.Retry = defaultRetry
 	}
@@ -65,8 +65,8 @@
 		status == http.StatusGatewayTimeout
 }
 
-// Write sends the reply as the answer to a request.
-func (r Reply) Write(w http.ResponseWriter) {
+// Write sends the refusal as the answer to a request.
+func (r Refusal) Write(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
 	if r.Retry > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.Retry.Seconds()))))
--- a/internal/rwreply/rwreply_test.go
+++ b/internal/rwrefusal/rwrefusal_test.go
@@ -1,4 +1,4 @@
-package rwreply
+package rwrefusal
 
 import (
 	"encoding/json"
--- /dev/null
+++ b/internal/rwstream/rwstream_test.go
@@ -0,0 +1,123 @@
+package rwstream
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+)
+
+var accepted = []string{
+	`{"id":"r-1","index":0,"text":"a"}`,
+	` { "index" : 0 , "id" : "r-1" , "text" : "a\"}\u00e9" , "extra" : {"id":"x","index":[1,{"a":"}"}]} } `,
+	`{"id":"r-1","index":0,"text":"","finish":"stop","usage":1}`,
+	`{"id":"r\u002d1","index":0,"text":"a","finish":null,"usage":null}`,
+	`{"id":"r-1","index":0,"more":[],"deep":[[["]"]]],"n":-1.5e3,"t":true}`,
+}
+
+var malformedEvents = []string{
+	``, `[DONE`, `null`, `[]`, `"x"`, `1`, `{}`, `{"id":"r-1"}`, `{"id":"r-1","text":"a"}`,
+	`{"id":"r-1","index":0,"text":"a"`, `{"id":"r-1","index":0,"text":"a"}x`,
+	`{"id":"r-1","index":0,"index":0}`, `{"id":"r-1","id":"r-1","index":0}`,
+	`{"id":"r-1","index":0,"Index":1}`, `{"id":"r-1","index":0,"ind\u0065x":1}`,
+	`{"id":"r-1","index":-0}`, `{"id":"r-1","index":-1}`, `{"id":"r-1","index":0.0}`, `{"id":"r-1","index":1e0}`,
+	`{"id":"r-1","index":"0"}`, `{"id":"r-1","index":0,"text":1}`, `{"id":"r-1","index":0,"text":null}`,
+	`{"id":"r-1","index":0,"finish":1}`, `{"id":"r-1","index":0,"usage":"1"}`, `{"id":1,"index":0}`,
+	`{"id":"r-1","index":99999999999999999999}`, "{\"id\":\"r-1\",\r\"index\":0}", `{"id":"r-1","index":1}`,
+}
+
+// Guards against an event that other decoders read differently, as it goes to
+// the caller unchanged.
+func TestEvents(t *testing.T) {
+	for _, e := range accepted {
+		c, err := New("r-1", 0).Next([]byte(e))
+		require.NoError(t, err, e)
+		requireSame(t, []byte(e), c)
+	}
+	for _, e := range malformedEvents {
+		_, err := New("r-1", 0).Next([]byte(e))
+		require.True(t, rwfault.Is(err, rwcode.UpstreamMalformed), e)
+	}
+	for _, e := range []string{`{"id":"r-2","index":0}`, `{"index":0}`, `{"id":"","index":0}`} {
+		_, err := New("r-1", 0).Next([]byte(e))
+		require.True(t, rwfault.Is(err, rwcode.UpstreamMismatch), e)
+	}
+}
+
+// requireSame compares a chunk with what encoding/json reads.
+func requireSame(t *testing.T, data []byte, c *Chunk) {
+	var want Chunk
+	require.NoError(t, json.Unmarshal(data, &want))
+	want.Raw, want.Digest = data, c.Digest
+	require.Equal(t, want, *c)
+}
+
+// Guards against a stream that counts as whole without its last chunk and its
+// end marker, and against anything after them.
+func TestEndMarker(t *testing.T) {
+	s := New("r-1", 0)
+	_, err := s.Next([]byte(`{"id":"r-1","index":0,"text":"a","finish":"stop"}`))
+	require.NoError(t, err)
+	require.True(t, rwfault.Is(s.Close(), rwcode.UpstreamTruncated))
+	c, err := s.Next([]byte("[DONE]"))
+	require.NoError(t, err)
+	require.Nil(t, c)
+	require.NoError(t, s.Close())
+	_, err = s.Next([]byte("[DONE]"))
+	require.True(t, rwfault.Is(err, rwcode.UpstreamMalformed))
+	_, err = New("r-1", 0).Next([]byte("[DONE]"))
+	require.True(t, rwfault.Is(err, rwcode.UpstreamTruncated))
+}
+
+// Guards against a resumed stream with a gap, or one that jumps back in its
+// middle.
+func TestResume(t *testing.T) {
+	event := func(i string) []byte { return []byte(`{"id":"r-1","index":` + i + `,"text":"a"}`) }
+	for _, first := range []string{"0", "3"} {
+		s := New("r-1", 3)
+		c, err := s.Next(event(first))
+		require.NoError(t, err)
+		require.Equal(t, first, string(event(first)[20:21]))
+		require.Equal(t, c.Index+1, s.Offset())
+		_, err = s.Next(event("0"))
+		require.True(t, rwfault.Is(err, rwcode.UpstreamMalformed))
+	}
+	for _, first := range []string{"1", "2", "4"} {
+		_, err := New("r-1", 3).Next(event(first))
+		require.True(t, rwfault.Is(err, rwcode.UpstreamMalformed), first)
+	}
+}
+
+// Guards against different texts of two engines with equal digests.
+func TestDigest(t *testing.T) {
+	digests := map[uint64]string{}
+	for _, text := range []string{``, `a`, `b`, `ab`, `ba`, `a `} {
+		c, err := New("r-1", 0).Next([]byte(`{"id":"r-1","index":0,"text":"` + text + `"}`))
+		require.NoError(t, err)
+		require.NotContains(t, digests, c.Digest)
+		digests[c.Digest] = text
+	}
+}
+
+// Guards against an event that panics, or that is read in another way than
+// encoding/json reads it.
+func FuzzNext(f *testing.F) {
+	for _, e := range append(accepted, malformedEvents...) {
+		f.Add([]byte(e))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := New("r-1", 0).Next(data)
+		if err != nil {
+			code := rwfault.From(err).Code
+			require.Contains(t, []rwcode.Code{rwcode.UpstreamMalformed, rwcode.UpstreamMismatch, rwcode.UpstreamTruncated}, code)
+			return
+		}
+		require.NotNil(t, c)
+		require.False(t, bytes.ContainsAny(c.Raw, "\r"))
+		requireSame(t, data, c)
+	})
+}
--- a/internal/rwupstream/rwupstream.go
+++ b/internal/rwupstream/rwupstream.go
@@ -4,7 +4,8 @@
 
 import (
 	"encoding/json"
-	"net"
+	"net/netip"
+	"slices"
 	"strconv"
 
 	"redwingworks.example/internal/rwcode"
@@ -33,32 +34,36 @@
 	Inc int64
 }
 
-type schema1 struct {
-	Pool   string `json:"pool"`
-	Zone   string `json:"zone"`
-	Addr   string `json:"addr"`
-	Type   string `json:"type"`
-	Window int    `json:"window"`
-	Fence  bool   `json:"fence"`
-	State  string `json:"state"`
-	Inc    int64  `json:"inc"`
-}
+// MaxWindow bounds Window.
+const MaxWindow = 1 << 16
 
-type schema2 struct {
-	schema1
-	Pools []string `json:"pools"`
+// value has the fields of both schema versions. A record may carry the field
+// of the other version too, as long as it says the same.
+type value struct {
+	Pool   string   `json:"pool"`
+	Pools  []string `json:"pools"`
+	Zone   string   `json:"zone"`
+	Addr   string   `json:"addr"`
+	Type   string   `json:"type"`
+	Window int      `json:"window"`
+	Fence  bool     `json:"fence"`
+	State  string   `json:"state"`
+	Inc    int64    `json:"inc"`
 }
 
 // Decode reads an upstream of either schema version. Errors are faults with
 // the code RecordSchema or RecordInvalid.
 func Decode(r rwrecord.Record) (Upstream, error) {
-	var v schema2
 	u := Upstream{Name: r.Name}
 	if r.Schema != 1 && r.Schema != 2 {
-		return u, rwfault.New(rwcode.RecordSchema, strconv.Itoa(r.Schema))
+		return u, rwfault.New(rwcode.RecordSchema, "upstream "+r.Name+": schema "+strconv.Itoa(r.Schema))
 	}
+	var v value
 	if err := json.Unmarshal(r.Value, &v); err != nil {
-		return u, rwfault.Wrap(rwcode.RecordInvalid, err)
+		return u, rwfault.Wrap(rwcode.RecordInvalid, err).WithDetail("upstream " + r.Name)
+	}
+	if v.Pool != "" && v.Pools != nil && (len(v.Pools) != 1 || v.Pools[0] != v.Pool) {
+		return u, u.invalid("pool and pools contradict each other")
 	}
 	u.Pools = v.Pools
 	if r.Schema == 1 {
@@ -70,26 +75,35 @@
 	return u, u.check(v)
 }
 
-func (u Upstream) check(v schema2) error {
-	if len(u.Pools) == 0 || u.Pools[0] == "" {
+func (u Upstream) check(v value) error {
+	addr, err := netip.ParseAddrPort(u.Addr)
+	switch {
+	case u.Name == "":
+		return u.invalid("no name")
+	case len(u.Pools) == 0 || slices.Contains(u.Pools, ""):
 		return u.invalid("no pool")
-	}
-	host, _, err := net.SplitHostPort(u.Addr)
-	if err != nil || net.ParseIP(host) == nil {
+	case err != nil || addr.Port() == 0:
 		return u.invalid("addr is not an IP address and a port")
-	}
-	if v.Type != "engine" && v.Type != "service" {
+	case v.Type != "engine" && v.Type != "service":
 		return u.invalid("type is neither engine nor service")
-	}
-	if v.State != "live" && v.State != "leaving" {
+	case v.State != "live" && v.State != "leaving":
 		return u.invalid("state is neither live nor leaving")
-	}
-	if u.Window < 1 {
-		return u.invalid("window must be positive")
-	}
-	if u.Zone == "" {
+	case u.Window < 1 || u.Window > MaxWindow:
+		return u.invalid("window must be from 1 to " + strconv.Itoa(MaxWindow))
+	case u.Inc < 0:
+		return u.invalid("inc is negative")
+	case u.Zone == "":
 		return u.invalid("no zone")
 	}
+	return u.distinct()
+}
+
+func (u Upstream) distinct() error {
+	for i, p := range u.Pools {
+		if slices.Contains(u.Pools[:i], p) {
+			return u.invalid("pool " + p + " is repeated")
+		}
+	}
 	return nil
 }
 
--- a/internal/rwvm/rwvm.go
+++ b/internal/rwvm/rwvm.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"strconv"
 
 	"redwingworks.example/internal/rwcode"
@@ -38,16 +39,39 @@
 func Decode(r rwrecord.Record) (VM, error) {
 	m := VM{Name: r.Name}
 	if r.Schema != 1 && r.Schema != 2 {
-		return m, rwfault.New(rwcode.RecordSchema, strconv.Itoa(r.Schema))
+		return m, rwfault.New(rwcode.RecordSchema, "vm "+r.Name+": schema "+strconv.Itoa(r.Schema))
 	}
 	var v schema1
 	if err := json.Unmarshal(r.Value, &v); err != nil {
-		return m, rwfault.Wrap(rwcode.RecordInvalid, err)
+		return m, rwfault.Wrap(rwcode.RecordInvalid, err).WithDetail("vm " + r.Name)
 	}
 	m.Addr, m.HTTP, m.Zone, m.Region = v.Addr, v.HTTP, v.Zone, v.Region
 	m.Leaving = v.State == "leaving"
-	if m.Addr == "" || m.Zone == "" {
-		return m, rwfault.New(rwcode.RecordInvalid, "vm "+r.Name+": addr and zone are required")
+	return m, m.check(v)
+}
+
+func (m VM) check(v schema1) error {
+	switch {
+	case m.Name == "":
+		return m.invalid("no name")
+	case !address(m.Addr):
+		return m.invalid("addr is not an IP address and a port")
+	case !address(m.HTTP):
+		return m.invalid("http is not an IP address and a port")
+	case m.Zone == "" || m.Region == "":
+		return m.invalid("zone and region are required")
+	case v.State != "live" && v.State != "leaving":
+		return m.invalid("state is neither live nor leaving")
+	default:
+		return nil
 	}
-	return m, nil
+}
+
+func address(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+	return err == nil && a.Port() != 0
+}
+
+func (m VM) invalid(why string) error {
+	return rwfault.New(rwcode.RecordInvalid, "vm "+m.Name+": "+why)
 }
