Add rwctl: check record files, show and follow a router's view

check lists all faults at once, of each record by itself and of all records against each other, on request together with what is published.

--- a/cmd/rwctl/main.go
+++ b/cmd/rwctl/main.go
@@ -1,4 +1,144 @@
-// Command rwctl is under construction.
+// Command rwctl is for operators. It only reads: it checks record files before
+// they are published, and shows the state of a router.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"redwingworks.example/cmd/rwctl/internal/rwcheck"
+	"redwingworks.example/cmd/rwctl/internal/rwshow"
+	"redwingworks.example/cmd/rwctl/internal/rwstate"
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwsource"
+)
+
+// answerTimeout bounds the wait for a router or the platform.
+const answerTimeout = 5 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command().ExecuteContext(ctx)
+	stop()
+	if err != nil {
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	c := &cobra.Command{Use: "rwctl", Short: "Read-only command for operators", SilenceUsage: true}
+	c.AddCommand(check(), view(), follow())
+	return c
+}
+
+func check() *cobra.Command {
+	var platform string
+	c := &cobra.Command{
+		Use:   "check FILE…",
+		Short: "Check record files before they are published",
+		Args:  cobra.MinimumNArgs(1),
+	}
+	c.Flags().StringVar(&platform, "platform", "", "base URL of the platform service, with a final slash; the files are checked together with its records")
+	c.RunE = func(c *cobra.Command, files []string) error {
+		all := rwcheck.New()
+		if platform != "" {
+			ctx, stop := context.WithTimeout(c.Context(), answerTimeout)
+			defer stop()
+			items, err := rwsource.New(platform, &http.Client{}).Read(ctx)
+			if err != nil {
+				return err
+			}
+			all.Published(items)
+		}
+		for _, name := range files {
+			data, err := os.ReadFile(name)
+			if err != nil {
+				return rwfault.Wrap(rwcode.RecordInvalid, err)
+			}
+			all.File(name, data)
+		}
+		return report(c, all)
+	}
+	return c
+}
+
+// report writes the findings. It fails if routers would not accept all
+// records, or if records contradict each other.
+func report(c *cobra.Command, all *rwcheck.Check) error {
+	faults, warnings := 0, 0
+	for _, f := range all.Findings() {
+		_, _ = fmt.Fprintln(c.OutOrStdout(), f)
+		if f.Warning {
+			warnings++
+		} else {
+			faults++
+		}
+	}
+	_, _ = fmt.Fprintf(c.OutOrStdout(), "%d files, %d records, %d faults, %d warnings\n", all.Files(), all.Records(), faults, warnings)
+	if faults > 0 {
+		return rwfault.New(rwcode.RecordInvalid, "do not publish these records")
+	}
+	return nil
+}
+
+func view() *cobra.Command {
+	return &cobra.Command{
+		Use:   "view ADDR",
+		Short: "Show the state of the router with this address for operators",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return show(c, new(rwshow.Show), args[0])
+		},
+	}
+}
+
+func show(c *cobra.Command, s *rwshow.Show, addr string) error {
+	ctx, stop := context.WithTimeout(c.Context(), answerTimeout)
+	defer stop()
+	state, err := rwstate.Read(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return s.Write(c.OutOrStdout(), state)
+}
+
+func follow() *cobra.Command {
+	interval, count := 2*time.Second, 0
+	c := &cobra.Command{
+		Use:   "follow ADDR",
+		Short: "Show the state of a router again and again",
+		Args:  cobra.ExactArgs(1),
+	}
+	c.Flags().DurationVar(&interval, "interval", interval, "time between two views")
+	c.Flags().IntVar(&count, "count", count, "number of views, 0 for no end")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		if interval <= 0 {
+			return rwfault.New(rwcode.SettingsInvalid, "interval must be positive")
+		}
+		var s rwshow.Show
+		for n := 1; ; n++ {
+			_, _ = fmt.Fprintf(c.OutOrStdout(), "--- %s\n", time.Now().UTC().Format(time.RFC3339))
+			// A router that does not answer now may answer later.
+			if err := show(c, &s, args[0]); err != nil {
+				_, _ = fmt.Fprintln(c.OutOrStdout(), err)
+			}
+			if n == count {
+				return nil
+			}
+			select {
+			case <-c.Context().Done():
+				return nil
+			case <-time.After(interval):
+			}
+		}
+	}
+	return c
+}
--- a/internal/rwaccount/rwaccount.go
+++ b/internal/rwaccount/rwaccount.go
@@ -2,6 +2,7 @@
 package rwaccount
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwneed"
 	"redwingworks.example/internal/rwrecord"
 )
 
@@ -25,7 +27,9 @@
 }
 
 // MaxWeight bounds a weight, so that sums of weights can't overflow.
-const MaxWeight = 1_000_000 * WeightUnit
+const MaxWeight = maxShare * WeightUnit
+
+const maxShare = 1_000_000
 
 // value has the fields of both schema versions. A record may carry the field
 // of the other version too, as long as it says the same.
@@ -66,45 +70,35 @@
 	if err := json.Unmarshal(r.Value, &v); err != nil {
 		return a, rwfault.Wrap(rwcode.RecordInvalid, err).WithDetail("account " + r.Name)
 	}
-	for _, k := range v.Keys {
-		if k.schema != r.Schema {
-			return a, a.invalid("a key has the form of another schema")
-		}
-		a.Keys = append(a.Keys, k.hash)
+	if r.Schema == 1 && v.Share != nil {
+		a.Weight = min(max(*v.Share, 0), maxShare) * WeightUnit
 	}
-	switch {
-	case v.Share != nil && (*v.Share < 1 || *v.Share > MaxWeight/WeightUnit):
-		return a, a.invalid("share must be from 1 to " + strconv.Itoa(MaxWeight/WeightUnit))
-	case v.Share != nil && v.Weight != nil && *v.Weight != *v.Share*WeightUnit:
-		return a, a.invalid("share and weight contradict each other")
-	case r.Schema == 1 && v.Share != nil:
-		a.Weight = *v.Share * WeightUnit
-	case r.Schema == 2 && v.Weight != nil:
+	if r.Schema == 2 && v.Weight != nil {
 		a.Weight = *v.Weight
 	}
-	return a, a.check()
+	for _, k := range v.Keys {
+		a.Keys = append(a.Keys, k.hash)
+	}
+	return a, a.check(r.Schema, v)
 }
 
-func (a Account) check() error {
-	if a.Name == "" {
-		return a.invalid("no name")
-	}
-	if a.Weight < 1 || a.Weight > MaxWeight {
-		return a.invalid("the share or weight is missing or out of range")
-	}
+func (a Account) check(schema int, v value) error {
+	var l rwneed.List
+	l.Need(a.Name != "", "no name")
+	l.Need(schema != 1 || v.Share != nil, "no share")
+	l.Need(schema != 2 || v.Weight != nil, "no weight")
+	l.Need(v.Share == nil || (*v.Share >= 1 && *v.Share <= maxShare), "share must be from 1 to "+strconv.Itoa(maxShare))
+	l.Need(v.Weight == nil || (*v.Weight >= 1 && *v.Weight <= MaxWeight), "weight must be from 1 to "+strconv.Itoa(MaxWeight))
+	l.Need(v.Share == nil || v.Weight == nil || *v.Weight/WeightUnit == *v.Share && *v.Weight%WeightUnit == 0,
+		"share and weight contradict each other")
 	seen := map[string]bool{}
-	for _, k := range a.Keys {
-		if b, err := hex.DecodeString(k); err != nil || len(b) != 32 || strings.ToLower(k) != k {
-			return a.invalid("a key is not a SHA-256 hash in lower-case hex")
-		}
-		if seen[k] {
-			return a.invalid("a key is repeated")
-		}
-		seen[k] = true
+	for i, k := range v.Keys {
+		at := "key " + strconv.Itoa(i+1) + " "
+		l.Need(k.schema == schema, at+"has the form of another schema")
+		b, err := hex.DecodeString(k.hash)
+		l.Need(err == nil && len(b) == sha256.Size && strings.ToLower(k.hash) == k.hash, at+"is not a SHA-256 hash in lower-case hex")
+		l.Need(!seen[k.hash], at+"is repeated")
+		seen[k.hash] = true
 	}
-	return nil
-}
-
-func (a Account) invalid(why string) error {
-	return rwfault.New(rwcode.RecordInvalid, "account "+a.Name+": "+why)
+	return l.Fault(rwcode.RecordInvalid, "account "+a.Name)
 }
--- a/internal/rwkind/rwkind.go
+++ b/internal/rwkind/rwkind.go
@@ -8,6 +8,7 @@
 
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwneed"
 	"redwingworks.example/internal/rwrecord"
 )
 
@@ -33,7 +34,9 @@
 
 // MaxRepeat bounds Repeat. A home keeps the outcome of each key so long, and
 // its memory is bounded.
-const MaxRepeat = 24 * time.Hour
+const MaxRepeat = maxRepeatSeconds * time.Second
+
+const maxRepeatSeconds = 24 * 60 * 60
 
 // value has the fields of both schema versions. A record may carry the field
 // of the other version too, as long as it says the same.
@@ -58,54 +61,29 @@
 	if err := json.Unmarshal(r.Value, &v); err != nil {
 		return k, rwfault.Wrap(rwcode.RecordInvalid, err).WithDetail("kind " + r.Name)
 	}
-	urgency, err := k.urgency(r.Schema, v)
-	if err != nil {
-		return k, err
-	}
-	if v.Repeat < 0 || v.Repeat > int(MaxRepeat/time.Second) {
-		return k, k.invalid("repeat must be from 0 to " + strconv.Itoa(int(MaxRepeat/time.Second)) + " seconds")
-	}
-	k.Urgency, k.Pool, k.Idempotent = urgency, v.Pool, v.Idempotent
-	k.Repeat = time.Duration(v.Repeat) * time.Second
-	if v.Repeat == 0 {
-		k.Repeat = DefaultRepeat
-	}
-	return k, k.check()
-}
-
-// urgency returns the urgency by the field of the schema version.
-func (k Kind) urgency(schema int, v value) (int, error) {
 	class, known := 0, false
 	if v.Class != nil {
 		class, known = classes[*v.Class]
 	}
-	switch {
-	case v.Class != nil && !known:
-		return 0, k.invalid("unknown class " + *v.Class)
-	case v.Class != nil && v.Urgency != nil && *v.Urgency != class:
-		return 0, k.invalid("urgency and class contradict each other")
-	case schema == 2 && v.Class != nil:
-		return class, nil
-	case schema == 1 && v.Urgency != nil:
-		return *v.Urgency, nil
-	default:
-		return 0, k.invalid("no urgency or class")
+	if r.Schema == 1 && v.Urgency != nil {
+		k.Urgency = *v.Urgency
 	}
-}
-
-func (k Kind) check() error {
-	switch {
-	case k.Name == "":
-		return k.invalid("no name")
-	case k.Urgency < 0 || k.Urgency > MaxUrgency:
-		return k.invalid("urgency is outside 0 to 3")
-	case k.Pool == "":
-		return k.invalid("no pool")
-	default:
-		return nil
+	if r.Schema == 2 {
+		k.Urgency = class
 	}
-}
-
-func (k Kind) invalid(why string) error {
-	return rwfault.New(rwcode.RecordInvalid, "kind "+k.Name+": "+why)
+	k.Pool, k.Idempotent = v.Pool, v.Idempotent
+	k.Repeat = time.Duration(min(max(v.Repeat, 0), maxRepeatSeconds)) * time.Second
+	if v.Repeat == 0 {
+		k.Repeat = DefaultRepeat
+	}
+	var l rwneed.List
+	l.Need(k.Name != "", "no name")
+	l.Need(r.Schema != 1 || v.Urgency != nil, "no urgency")
+	l.Need(r.Schema != 2 || v.Class != nil, "no class")
+	l.Need(v.Urgency == nil || (*v.Urgency >= 0 && *v.Urgency <= MaxUrgency), "urgency must be from 0 to 3")
+	l.Need(v.Class == nil || known, "class must be now, soon, later or batch")
+	l.Need(v.Urgency == nil || !known || *v.Urgency == class, "urgency and class contradict each other")
+	l.Need(k.Pool != "", "no pool")
+	l.Need(v.Repeat >= 0 && v.Repeat <= maxRepeatSeconds, "repeat must be from 0 to "+strconv.Itoa(maxRepeatSeconds)+" seconds")
+	return k, l.Fault(rwcode.RecordInvalid, "kind "+r.Name)
 }
--- /dev/null
+++ b/internal/rwneed/rwneed_test.go
@@ -0,0 +1,23 @@
+package rwneed
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+)
+
+// Guards against a list that names only the first or the last fault, and
+// against a fault where all needs are met.
+func TestList(t *testing.T) {
+	var l List
+	l.Need(true, "a")
+	require.NoError(t, l.Fault(rwcode.RecordInvalid, "x"))
+	l.Need(false, "b")
+	l.Need(false, "c")
+	err := l.Fault(rwcode.RecordInvalid, "x")
+	require.EqualError(t, err, "record_invalid: x: b; c")
+	require.True(t, rwfault.Is(err, rwcode.RecordInvalid))
+}
--- a/internal/rwupstream/rwupstream.go
+++ b/internal/rwupstream/rwupstream.go
@@ -10,6 +10,7 @@
 
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwneed"
 	"redwingworks.example/internal/rwrecord"
 )
 
@@ -62,9 +63,6 @@
 	if err := json.Unmarshal(r.Value, &v); err != nil {
 		return u, rwfault.Wrap(rwcode.RecordInvalid, err).WithDetail("upstream " + r.Name)
 	}
-	if v.Pool != "" && v.Pools != nil && (len(v.Pools) != 1 || v.Pools[0] != v.Pool) {
-		return u, u.invalid("pool and pools contradict each other")
-	}
 	u.Pools = v.Pools
 	if r.Schema == 1 {
 		u.Pools = []string{v.Pool}
@@ -76,37 +74,20 @@
 }
 
 func (u Upstream) check(v value) error {
+	var l rwneed.List
 	addr, err := netip.ParseAddrPort(u.Addr)
-	switch {
-	case u.Name == "":
-		return u.invalid("no name")
-	case len(u.Pools) == 0 || slices.Contains(u.Pools, ""):
-		return u.invalid("no pool")
-	case err != nil || addr.Port() == 0:
-		return u.invalid("addr is not an IP address and a port")
-	case v.Type != "engine" && v.Type != "service":
-		return u.invalid("type is neither engine nor service")
-	case v.State != "live" && v.State != "leaving":
-		return u.invalid("state is neither live nor leaving")
-	case u.Window < 1 || u.Window > MaxWindow:
-		return u.invalid("window must be from 1 to " + strconv.Itoa(MaxWindow))
-	case u.Inc < 0:
-		return u.invalid("inc is negative")
-	case u.Zone == "":
-		return u.invalid("no zone")
-	}
-	return u.distinct()
-}
-
-func (u Upstream) distinct() error {
+	agree := v.Pool == "" || v.Pools == nil || (len(v.Pools) == 1 && v.Pools[0] == v.Pool)
+	l.Need(u.Name != "", "no name")
+	l.Need(len(u.Pools) > 0 && !slices.Contains(u.Pools, ""), "no pool")
+	l.Need(agree, "pool and pools contradict each other")
 	for i, p := range u.Pools {
-		if slices.Contains(u.Pools[:i], p) {
-			return u.invalid("pool " + p + " is repeated")
-		}
+		l.Need(!slices.Contains(u.Pools[:i], p), "pool "+p+" is repeated")
 	}
-	return nil
-}
-
-func (u Upstream) invalid(why string) error {
-	return rwfault.New(rwcode.RecordInvalid, "upstream "+u.Name+": "+why)
+	l.Need(err == nil && addr.Port() != 0, "addr is not an IP address and a port")
+	l.Need(v.Type == "engine" || v.Type == "service", "type is neither engine nor service")
+	l.Need(v.State == "live" || v.State == "leaving", "state is neither live nor leaving")
+	l.Need(u.Window >= 1 && u.Window <= MaxWindow, "window must be from 1 to "+strconv.Itoa(MaxWindow))
+	l.Need(u.Inc >= 0, "inc is negative")
+	l.Need(u.Zone != "", "no zone")
+	return l.Fault(rwcode.RecordInvalid, "upstream "+u.Name)
 }
--- a/internal/rwvm/rwvm.go
+++ b/internal/rwvm/rwvm.go
@@ -8,6 +8,7 @@
 
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwneed"
 	"redwingworks.example/internal/rwrecord"
 )
 
@@ -51,27 +52,17 @@
 }
 
 func (m VM) check(v schema1) error {
-	switch {
-	case m.Name == "":
-		return m.invalid("no name")
-	case !address(m.Addr):
-		return m.invalid("addr is not an IP address and a port")
-	case !address(m.HTTP):
-		return m.invalid("http is not an IP address and a port")
-	case m.Zone == "" || m.Region == "":
-		return m.invalid("zone and region are required")
-	case v.State != "live" && v.State != "leaving":
-		return m.invalid("state is neither live nor leaving")
-	default:
-		return nil
-	}
+	var l rwneed.List
+	l.Need(m.Name != "", "no name")
+	l.Need(address(m.Addr), "addr is not an IP address and a port")
+	l.Need(address(m.HTTP), "http is not an IP address and a port")
+	l.Need(m.Zone != "", "no zone")
+	l.Need(m.Region != "", "no region")
+	l.Need(v.State == "live" || v.State == "leaving", "state is neither live nor leaving")
+	return l.Fault(rwcode.RecordInvalid, "vm "+m.Name)
 }
 
 func address(text string) bool {
 	a, err := netip.ParseAddrPort(text)
 	return err == nil && a.Port() != 0
 }
-
-func (m VM) invalid(why string) error {
-	return rwfault.New(rwcode.RecordInvalid, "vm "+m.Name+": "+why)
-}
