--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,7 @@
 	@set -e; for hit in $$(grep -ro --include='*_test.go' -H '^func Fuzz[A-Za-z]*' $(MODULES) | tr ' ' '_'); do \
 		dir=$$(dirname $${hit%%:*}); name=$${hit##*:func_}; echo "$$dir $$name"; \
 		go test -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZTIME) ./$$dir; done
+
+BENCHTIME ?= 300x
+bench:
+	go test -run '^$$' -bench . -benchtime $(BENCHTIME) $(PATTERNS) | grep -v 'no test files'
--- a/internal/rwentry/rwentry.go
+++ b/internal/rwentry/rwentry.go
@@ -21,6 +21,9 @@
 const (
 	// maxSends bounds how often one request is sent to an upstream.
 	maxSends = 3
+	// resumeWait bounds the wait for a slot to resume an answer that broke
+	// off. The request's deadline does not: it ends with the first byte.
+	resumeWait = 10 * time.Second
 	// maxUnused bounds how many slots one request may lose unused, for
 	// example because the process was paused.
 	maxUnused = 8
@@ -46,7 +49,13 @@
 // all attempts.
 func (e *Entry) Run(ctx context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
 	var joined join
-	return e.attempt(ctx, q, func(ctx context.Context, s *rwslot.Slot) (float64, time.Time, error) {
+	acquire := func(ctx context.Context) (*rwslot.Slot, error) {
+		if joined.offset == 0 {
+			return e.Acquire(ctx, q)
+		}
+		return e.resume(ctx, q)
+	}
+	return e.attempt(ctx, q, acquire, func(ctx context.Context, s *rwslot.Slot) (float64, time.Time, error) {
 		var first time.Time
 		cost := 0.0
 		joined.restart()
@@ -68,6 +77,19 @@
 	})
 }
 
+// resume waits for a slot for a request whose answer broke off.
+func (e *Entry) resume(ctx context.Context, q *rwrequest.Request) (*rwslot.Slot, error) {
+	again := *q
+	again.Deadline = e.Now().Add(resumeWait)
+	ctx, stop := context.WithTimeoutCause(ctx, resumeWait, rwfault.New(rwcode.DeadlineExceeded, "no slot to resume "+q.ID))
+	defer stop()
+	s, err := e.Acquire(ctx, &again)
+	if ended := rwfault.Ended(ctx); err != nil && ended != nil {
+		return nil, ended
+	}
+	return s, err
+}
+
 // join puts the chunks of several attempts together into one answer.
 type join struct {
 	// offset is the index of the first chunk that the caller does not have,
@@ -107,7 +129,8 @@
 // of its fault covers all attempts.
 func (e *Entry) Do(ctx context.Context, q *rwrequest.Request) (*rwdispatch.Answer, error) {
 	var answer *rwdispatch.Answer
-	err := e.attempt(ctx, q, func(ctx context.Context, s *rwslot.Slot) (float64, time.Time, error) {
+	acquire := func(ctx context.Context) (*rwslot.Slot, error) { return e.Acquire(ctx, q) }
+	err := e.attempt(ctx, q, acquire, func(ctx context.Context, s *rwslot.Slot) (float64, time.Time, error) {
 		a, err := e.Call(ctx, s.Upstream, q)
 		answer = a
 		return 1, e.Now(), err
@@ -118,16 +141,18 @@
 	return answer, nil
 }
 
+type acquire func(context.Context) (*rwslot.Slot, error)
+
 type work func(context.Context, *rwslot.Slot) (cost float64, first time.Time, err error)
 
-func (e *Entry) attempt(ctx context.Context, q *rwrequest.Request, run work) error {
+func (e *Entry) attempt(ctx context.Context, q *rwrequest.Request, slot acquire, run work) error {
 	if e.Fresh != nil {
 		e.Fresh()
 	}
 	outcome := rwoutcome.NotRun
 	sends, unused := 0, 0
 	for {
-		err := e.once(ctx, q, run)
+		err := e.once(ctx, slot, run)
 		if err == nil {
 			return nil
 		}
@@ -168,15 +193,15 @@
 	return rwbudget.Repeatable(f.Code) && (f.Outcome == rwoutcome.NotRun || q.Idempotent)
 }
 
-func (e *Entry) once(ctx context.Context, q *rwrequest.Request, run work) error {
-	s, err := e.Acquire(ctx, q)
+func (e *Entry) once(ctx context.Context, slot acquire, run work) error {
+	s, err := slot(ctx)
 	if err != nil {
 		return err
 	}
 	start := e.Now()
 	if start.After(s.Expires) {
 		s.Done(0, 0, 0, rwcode.GrantExpired)
-		return rwfault.New(rwcode.GrantExpired, q.ID)
+		return rwfault.New(rwcode.GrantExpired, s.Upstream.Name)
 	}
 	if ended := rwfault.Ended(ctx); ended != nil {
 		s.Done(0, 0, 0, ended.Code)
--- a/internal/rwentry/rwentry_test.go
+++ b/internal/rwentry/rwentry_test.go
@@ -290,3 +290,39 @@
 		require.Len(t, h.done, maxUnused)
 	})
 }
+
+// Guards against a stream in progress that is cut because the deadline for its
+// first byte passed while it was resumed, and against one that waits for ever
+// for a slot to be resumed on.
+func TestResumeHasItsOwnDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &harness{}
+		var deadlines []time.Duration
+		start := time.Now()
+		e := &Entry{
+			Now:   time.Now,
+			Retry: func(*rwfault.Fault) bool { return true },
+			Acquire: func(ctx context.Context, q *rwrequest.Request) (*rwslot.Slot, error) {
+				deadlines = append(deadlines, time.Until(q.Deadline))
+				if len(deadlines) == 3 {
+					<-ctx.Done()
+					return nil, rwfault.New(rwcode.QueueFull, "")
+				}
+				return h.slot(rwupstream.Upstream{}, time.Minute), nil
+			},
+			Stream: func(_ context.Context, _ rwupstream.Upstream, _ *rwrequest.Request, offset int, emit func(*rwstream.Chunk) error) error {
+				time.Sleep(time.Second)
+				if err := emit(&rwstream.Chunk{Index: offset}); err != nil {
+					return err
+				}
+				return rwfault.New(rwcode.UpstreamTruncated, "").WithOutcome(rwoutcome.Unknown)
+			},
+		}
+		q := &rwrequest.Request{Idempotent: true, Deadline: start.Add(1500 * time.Millisecond)}
+		err := e.Run(t.Context(), q, func(*rwstream.Chunk) error { return nil })
+		require.Equal(t, rwcode.DeadlineExceeded, rwfault.From(err).Code)
+		require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
+		require.Equal(t, []time.Duration{1500 * time.Millisecond, resumeWait, resumeWait}, deadlines)
+		require.Equal(t, 2*time.Second+resumeWait, time.Since(start))
+	})
+}
--- /dev/null
+++ b/internal/rwfault/rwfault_test.go
@@ -0,0 +1,37 @@
+package rwfault
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwoutcome"
+)
+
+// Guards against a deadline that is taken for a caller that left, and the
+// other way round.
+func TestEnded(t *testing.T) {
+	require.Nil(t, Ended(t.Context()))
+
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	require.Equal(t, rwcode.CallerGone, Ended(ctx).Code)
+
+	ctx, stop = context.WithTimeout(t.Context(), 0)
+	defer stop()
+	require.Equal(t, rwcode.DeadlineExceeded, Ended(ctx).Code)
+
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(New(rwcode.UpstreamTimeout, "u").WithOutcome(rwoutcome.Unknown))
+	require.Equal(t, rwcode.UpstreamTimeout, Ended(ctx).Code)
+	require.Equal(t, rwoutcome.Unknown, Ended(ctx).Outcome)
+}
+
+// Guards against a With method that changes a fault which others hold.
+func TestFaultsAreImmutable(t *testing.T) {
+	f := New(rwcode.QueueFull, "a")
+	_ = f.WithOutcome(rwoutcome.Ran).WithDetail("b").WithRetryAfter(1)
+	require.Equal(t, New(rwcode.QueueFull, "a"), f)
+}
--- /dev/null
+++ b/internal/rwlimit/rwlimit_test.go
@@ -0,0 +1,36 @@
+package rwlimit
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against more in use than the limit, and against an amount that a
+// refusal leaves behind.
+func TestLimitHolds(t *testing.T) {
+	const limit, workers = 8, 64
+	l := New(limit)
+	var taken sync.WaitGroup
+	got := make(chan bool, workers)
+	for range workers {
+		taken.Go(func() { got <- l.Take(1) })
+	}
+	taken.Wait()
+	close(got)
+	n := int64(0)
+	for ok := range got {
+		if ok {
+			n++
+		}
+	}
+	// A refusal in progress may refuse another one, but never adds room.
+	require.LessOrEqual(t, n, int64(limit))
+	require.Equal(t, n, l.Used())
+	l.Give(n)
+	require.False(t, l.Take(limit+1))
+	require.Zero(t, l.Used())
+	require.True(t, l.Take(limit))
+	require.False(t, l.Take(1))
+}
--- a/internal/rwstream/rwstream.go
+++ b/internal/rwstream/rwstream.go
@@ -188,20 +188,19 @@
 	return b, nil
 }
 
-// maxFieldName is the length of the longest name in fields.
-const maxFieldName = 6
-
 // field returns the bit of a quoted field name, or 0 for an unknown field.
 func field(key []byte) (int, error) {
 	name := key[1 : len(key)-1]
-	if bytes.IndexByte(name, '\\') >= 0 {
-		return 0, malformed("escaped field name")
-	}
 	if bit, ok := fields[string(name)]; ok {
 		return bit, nil
 	}
-	if len(name) <= maxFieldName {
-		if _, ok := fields[string(bytes.ToLower(name))]; ok {
+	if bytes.IndexByte(name, '\\') >= 0 {
+		return 0, malformed("escaped field name")
+	}
+	// Like encoding/json, other decoders may ignore the case of a name,
+	// which takes in letters outside ASCII such as the long s.
+	for known := range fields {
+		if bytes.EqualFold(name, []byte(known)) {
 			return 0, malformed("field name in another case")
 		}
 	}
--- a/internal/rwstream/rwstream_test.go
+++ b/internal/rwstream/rwstream_test.go
@@ -24,6 +24,7 @@
 	`{"id":"r-1","index":0,"text":"a"`, `{"id":"r-1","index":0,"text":"a"}x`,
 	`{"id":"r-1","index":0,"index":0}`, `{"id":"r-1","id":"r-1","index":0}`,
 	`{"id":"r-1","index":0,"Index":1}`, `{"id":"r-1","index":0,"ind\u0065x":1}`,
+	`{"id":"r-1","index":0,"uſage":1}`, `{"id":"r-1","index":0,"finiſh":"x"}`,
 	`{"id":"r-1","index":-0}`, `{"id":"r-1","index":-1}`, `{"id":"r-1","index":0.0}`, `{"id":"r-1","index":1e0}`,
 	`{"id":"r-1","index":"0"}`, `{"id":"r-1","index":0,"text":1}`, `{"id":"r-1","index":0,"text":null}`,
 	`{"id":"r-1","index":0,"finish":1}`, `{"id":"r-1","index":0,"usage":"1"}`, `{"id":1,"index":0}`,
@@ -121,3 +122,51 @@
 		requireSame(t, data, c)
 	})
 }
+
+// Guards against allocations for each chunk: a node passes on some 4,000 chunks
+// a second.
+func TestNextDoesNotAllocate(t *testing.T) {
+	event := []byte(`{"id":"r-1","index":0,"text":"a\"b","finish":null,"extra":[1]}`)
+	s := New("r-1", 0)
+	s.SkipText()
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		s.next = 0
+		if _, err := s.Next(event); err != nil {
+			panic(err)
+		}
+	}))
+}
+
+// BenchmarkNext is the check of one event, with and without its text.
+func BenchmarkNext(b *testing.B) {
+	event := []byte(`{"id":"vm-1-abcdefgh-1234","index":0,"text":" token"}`)
+	for _, skip := range []bool{false, true} {
+		name := "text"
+		if skip {
+			name = "raw"
+		}
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			s := New("vm-1-abcdefgh-1234", 0)
+			s.skipText = skip
+			for b.Loop() {
+				s.next = 0
+				if _, err := s.Next(event); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+	b.Run("encoding/json", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			var c Chunk
+			if err := json.Unmarshal(event, &c); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := json.Marshal(&c); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
