--- a/internal/rwaccount/rwaccount.go
+++ b/internal/rwaccount/rwaccount.go
@@ -2,12 +2,15 @@
 package rwaccount
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"strconv"
+	"strings"
 
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwneed"
 	"redwingworks.example/internal/rwrecord"
 )
 
@@ -23,53 +26,79 @@
 	Keys []string
 }
 
-type schema1 struct {
-	Share int      `json:"share"`
-	Keys  []string `json:"keys"`
+// MaxWeight bounds a weight, so that sums of weights can't overflow.
+const MaxWeight = maxShare * WeightUnit
+
+const maxShare = 1_000_000
+
+// value has the fields of both schema versions. A record may carry the field
+// of the other version too, as long as it says the same.
+type value struct {
+	Share  *int  `json:"share"`
+	Weight *int  `json:"weight"`
+	Keys   []key `json:"keys"`
+}
+
+// key is a hash in the form of either schema version.
+type key struct {
+	schema int
+	hash   string
 }
 
-type schema2 struct {
-	Weight int `json:"weight"`
-	Keys   []struct {
+// UnmarshalJSON reads a string (schema 1) or an object (schema 2).
+func (k *key) UnmarshalJSON(data []byte) error {
+	if data[0] == '"' {
+		k.schema = 1
+		return json.Unmarshal(data, &k.hash)
+	}
+	var v struct {
 		Hash string `json:"hash"`
-	} `json:"keys"`
+	}
+	err := json.Unmarshal(data, &v)
+	k.schema, k.hash = 2, v.Hash
+	return err
 }
 
 // Decode reads an account of either schema version. Errors are faults with
 // the code RecordSchema or RecordInvalid.
 func Decode(r rwrecord.Record) (Account, error) {
 	a := Account{Name: r.Name}
-	switch r.Schema {
-	case 1:
-		var v schema1
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			return a, rwfault.Wrap(rwcode.RecordInvalid, err)
-		}
-		a.Weight = v.Share * WeightUnit
-		a.Keys = v.Keys
-	case 2:
-		var v schema2
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			return a, rwfault.Wrap(rwcode.RecordInvalid, err)
-		}
-		a.Weight = v.Weight
-		for _, k := range v.Keys {
-			a.Keys = append(a.Keys, k.Hash)
-		}
-	default:
-		return a, rwfault.New(rwcode.RecordSchema, strconv.Itoa(r.Schema))
+	if r.Schema != 1 && r.Schema != 2 {
+		return a, rwfault.New(rwcode.RecordSchema, "account "+r.Name+": schema "+strconv.Itoa(r.Schema))
 	}
-	return a, a.check()
+	var v value
+	if err := json.Unmarshal(r.Value, &v); err != nil {
+		return a, rwfault.Wrap(rwcode.RecordInvalid, err).WithDetail("account " + r.Name)
+	}
+	if r.Schema == 1 && v.Share != nil {
+		a.Weight = min(max(*v.Share, 0), maxShare) * WeightUnit
+	}
+	if r.Schema == 2 && v.Weight != nil {
+		a.Weight = *v.Weight
+	}
+	for _, k := range v.Keys {
+		a.Keys = append(a.Keys, k.hash)
+	}
+	return a, a.check(r.Schema, v)
 }
 
-func (a Account) check() error {
-	if a.Weight < 1 {
-		return rwfault.New(rwcode.RecordInvalid, "account "+a.Name+": the share must be positive")
-	}
-	for _, k := range a.Keys {
-		if b, err := hex.DecodeString(k); err != nil || len(b) != 32 {
-			return rwfault.New(rwcode.RecordInvalid, "account "+a.Name+": a key is not a SHA-256 hash in hex")
-		}
+func (a Account) check(schema int, v value) error {
+	var l rwneed.List
+	l.Need(a.Name != "", "no name")
+	l.Need(schema != 1 || v.Share != nil, "no share")
+	l.Need(schema != 2 || v.Weight != nil, "no weight")
+	l.Need(v.Share == nil || (*v.Share >= 1 && *v.Share <= maxShare), "share must be from 1 to "+strconv.Itoa(maxShare))
+	l.Need(v.Weight == nil || (*v.Weight >= 1 && *v.Weight <= MaxWeight), "weight must be from 1 to "+strconv.Itoa(MaxWeight))
+	l.Need(v.Share == nil || v.Weight == nil || *v.Weight/WeightUnit == *v.Share && *v.Weight%WeightUnit == 0,
+		"share and weight contradict each other")
+	seen := map[string]bool{}
+	for i, k := range v.Keys {
+		at := "key " + strconv.Itoa(i+1) + " "
+		l.Need(k.schema == schema, at+"has the form of another schema")
+		b, err := hex.DecodeString(k.hash)
+		l.Need(err == nil && len(b) == sha256.Size && strings.ToLower(k.hash) == k.hash, at+"is not a SHA-256 hash in lower-case hex")
+		l.Need(!seen[k.hash], at+"is repeated")
+		seen[k.hash] = true
 	}
-	return nil
+	return l.Fault(rwcode.RecordInvalid, "account "+a.Name)
 }
--- a/internal/rwkind/rwkind.go
+++ b/internal/rwkind/rwkind.go
@@ -8,6 +8,7 @@
 
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwneed"
 	"redwingworks.example/internal/rwrecord"
 )
 
@@ -31,18 +32,20 @@
 	Repeat time.Duration
 }
 
-type schema1 struct {
-	Urgency    int    `json:"urgency"`
-	Pool       string `json:"pool"`
-	Idempotent bool   `json:"idempotent"`
-	Repeat     int    `json:"repeat"`
-}
+// MaxRepeat bounds Repeat. A home keeps the outcome of each key so long, and
+// its memory is bounded.
+const MaxRepeat = maxRepeatSeconds * time.Second
+
+const maxRepeatSeconds = 24 * 60 * 60
 
-type schema2 struct {
-	Class      string `json:"class"`
-	Pool       string `json:"pool"`
-	Idempotent bool   `json:"idempotent"`
-	Repeat     int    `json:"repeat"`
+// value has the fields of both schema versions. A record may carry the field
+// of the other version too, as long as it says the same.
+type value struct {
+	Urgency    *int    `json:"urgency"`
+	Class      *string `json:"class"`
+	Pool       string  `json:"pool"`
+	Idempotent bool    `json:"idempotent"`
+	Repeat     int     `json:"repeat"`
 }
 
 var classes = map[string]int{"now": 0, "soon": 1, "later": 2, "batch": 3}
@@ -51,43 +54,36 @@
 // code RecordSchema or RecordInvalid.
 func Decode(r rwrecord.Record) (Kind, error) {
 	k := Kind{Name: r.Name}
-	repeat := 0
-	switch r.Schema {
-	case 1:
-		var v schema1
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			return k, rwfault.Wrap(rwcode.RecordInvalid, err)
-		}
-		k.Urgency, k.Pool, k.Idempotent, repeat = v.Urgency, v.Pool, v.Idempotent, v.Repeat
-	case 2:
-		var v schema2
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			return k, rwfault.Wrap(rwcode.RecordInvalid, err)
-		}
-		u, ok := classes[v.Class]
-		if !ok {
-			return k, rwfault.New(rwcode.RecordInvalid, "kind "+r.Name+": unknown class "+v.Class)
-		}
-		k.Urgency, k.Pool, k.Idempotent, repeat = u, v.Pool, v.Idempotent, v.Repeat
-	default:
-		return k, rwfault.New(rwcode.RecordSchema, strconv.Itoa(r.Schema))
+	if r.Schema != 1 && r.Schema != 2 {
+		return k, rwfault.New(rwcode.RecordSchema, "kind "+r.Name+": schema "+strconv.Itoa(r.Schema))
 	}
-	k.Repeat = time.Duration(repeat) * time.Second
-	if repeat == 0 {
-		k.Repeat = DefaultRepeat
+	var v value
+	if err := json.Unmarshal(r.Value, &v); err != nil {
+		return k, rwfault.Wrap(rwcode.RecordInvalid, err).WithDetail("kind " + r.Name)
 	}
-	return k, k.check()
-}
-
-func (k Kind) check() error {
-	if k.Urgency < 0 || k.Urgency > MaxUrgency {
-		return rwfault.New(rwcode.RecordInvalid, "kind "+k.Name+": urgency is outside 0 to 3")
+	class, known := 0, false
+	if v.Class != nil {
+		class, known = classes[*v.Class]
+	}
+	if r.Schema == 1 && v.Urgency != nil {
+		k.Urgency = *v.Urgency
 	}
-	if k.Pool == "" {
-		return rwfault.New(rwcode.RecordInvalid, "kind "+k.Name+": no pool")
+	if r.Schema == 2 {
+		k.Urgency = class
 	}
-	if k.Repeat < 0 {
-		return rwfault.New(rwcode.RecordInvalid, "kind "+k.Name+": repeat is negative")
+	k.Pool, k.Idempotent = v.Pool, v.Idempotent
+	k.Repeat = time.Duration(min(max(v.Repeat, 0), maxRepeatSeconds)) * time.Second
+	if v.Repeat == 0 {
+		k.Repeat = DefaultRepeat
 	}
-	return nil
+	var l rwneed.List
+	l.Need(k.Name != "", "no name")
+	l.Need(r.Schema != 1 || v.Urgency != nil, "no urgency")
+	l.Need(r.Schema != 2 || v.Class != nil, "no class")
+	l.Need(v.Urgency == nil || (*v.Urgency >= 0 && *v.Urgency <= MaxUrgency), "urgency must be from 0 to 3")
+	l.Need(v.Class == nil || known, "class must be now, soon, later or batch")
+	l.Need(v.Urgency == nil || !known || *v.Urgency == class, "urgency and class contradict each other")
+	l.Need(k.Pool != "", "no pool")
+	l.Need(v.Repeat >= 0 && v.Repeat <= maxRepeatSeconds, "repeat must be from 0 to "+strconv.Itoa(maxRepeatSeconds)+" seconds")
+	return k, l.Fault(rwcode.RecordInvalid, "kind "+r.Name)
 }
