--- a/internal/rwnode/cells.go
+++ b/internal/rwnode/cells.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"redwingworks.example/internal/rwcell"
-	"redwingworks.example/internal/rwcode"
-	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwsnapshot"
@@ -34,7 +32,7 @@
 // woke drops what a router may not keep over a pause: others have taken its
 // cells by now. Grants in hand expire by their own time.
 func (n *Node) woke(late time.Duration) {
-	rwlog.Warn(&n.log, rwlog.PauseDetected, rwfault.New(rwcode.Paused, late.String())).Send()
+	rwlog.Info(&n.log, rwlog.PauseDetected).Dur("late", late).Send()
 	n.owner.Reset()
 	n.wake()
 }
