--- /dev/null
+++ b/internal/rwfollow/status.go
@@ -0,0 +1,16 @@
+package rwfollow
+
+// Aside returns the number of records that are set aside.
+func (f *Follow) Aside() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store.Aside()
+}
+
+// PlatformUp reports whether this router's last call of the platform
+// succeeded. A router that is no reader keeps the result of its start.
+func (f *Follow) PlatformUp() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.platformLost
+}
--- a/internal/rwnode/cells.go
+++ b/internal/rwnode/cells.go
@@ -31,8 +31,7 @@
 
 // woke drops what a router may not keep over a pause: others have taken its
 // cells by now. Grants in hand expire by their own time.
-func (n *Node) woke(late time.Duration) {
-	rwlog.Info(&n.log, rwlog.PauseDetected).Dur("late", late).Send()
+func (n *Node) woke(time.Duration) {
 	n.owner.Reset()
 	n.wake()
 }
@@ -79,8 +78,7 @@
 }
 
 func (n *Node) assign() {
-	view := n.follow.View()
-	cells := rwcell.InRegion(rwcell.All(view, n.settings.Cell), view, n.self.Region)
+	view, cells := n.follow.View(), n.cells()
 	live := n.liveInRegion()
 	n.policy.Update(cells, live)
 	taken, released := n.owner.Update(time.Now(), view, cells, live)
@@ -92,6 +90,11 @@
 	}
 }
 
+func (n *Node) cells() []rwcell.Cell {
+	view := n.follow.View()
+	return rwcell.InRegion(rwcell.All(view, n.settings.Cell), view, n.self.Region)
+}
+
 func (n *Node) liveInRegion() []rwidentity.Identity {
 	var out []rwidentity.Identity
 	for _, r := range n.gossip.Live("") {
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -26,6 +26,7 @@
 	"redwingworks.example/internal/rwhome"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwkernel"
+	"redwingworks.example/internal/rwleaving"
 	"redwingworks.example/internal/rwlocal"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
@@ -33,6 +34,8 @@
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwsettings"
+	"redwingworks.example/internal/rwstream"
+	"redwingworks.example/internal/rwupstream"
 )
 
 const (
@@ -123,11 +126,16 @@
 	budget := &budget{metrics: n.metrics, tokens: rwbudget.New()}
 	entry := &rwentry.Entry{
 		Acquire: acquire,
-		Call:    dispatcher.Call,
-		Stream:  dispatcher.Stream,
-		Retry:   budget.retry,
-		Fresh:   budget.fresh,
-		Now:     time.Now,
+		Call: func(ctx context.Context, u rwupstream.Upstream, q *rwrequest.Request) (*rwdispatch.Answer, error) {
+			a, err := dispatcher.Call(ctx, u, q)
+			return a, n.noteLeaving(u, err)
+		},
+		Stream: func(ctx context.Context, u rwupstream.Upstream, q *rwrequest.Request, offset int, emit func(*rwstream.Chunk) error) error {
+			return n.noteLeaving(u, dispatcher.Stream(ctx, u, q, offset, emit))
+		},
+		Retry: budget.retry,
+		Fresh: budget.fresh,
+		Now:   time.Now,
 	}
 	n.home = rwhome.New(rwhome.Config{
 		Self: n.self, Key: n.settings.Key, View: n.follow.View, Peers: n.peers, Run: entry.Do,
@@ -161,6 +169,15 @@
 	}
 }
 
+// noteLeaving passes on that an upstream refused a request because it is
+// leaving, which the published list says later.
+func (n *Node) noteLeaving(u rwupstream.Upstream, err error) error {
+	if rwfault.Is(err, rwcode.UpstreamLeaving) {
+		n.follow.Leave(rwleaving.Leaving{Upstream: u.Name, Inc: u.Inc})
+	}
+	return err
+}
+
 func (n *Node) ready() bool { return n.joined.Load() && !n.stopping.Load() }
 
 // Run serves until a signal asks the process to stop, and then until the
@@ -224,6 +241,7 @@
 func (n *Node) serveOps(ctx context.Context) error {
 	m := http.NewServeMux()
 	m.Handle("GET /debug/vars", expvar.Handler())
+	m.HandleFunc("GET /v1/view", n.serveView)
 	s := &http.Server{Addr: n.settings.Ops, Handler: m, ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
