--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,8 @@
 demo: build
 	@bin/rwdrill --bin bin demo
 
+measure: build
+	@bin/rwdrill --bin bin measure
+
 test: lint vet build
 	go test -race -count=1 -timeout 9m $(PATTERNS)
--- /dev/null
+++ b/cmd/rwdrill/internal/rwcut/rwcut.go
@@ -0,0 +1,73 @@
+// Package rwcut measures the control traffic of a loaded fleet during network
+// partitions.
+package rwcut
+
+import (
+	"context"
+	"time"
+
+	"redwingworks.example/cmd/rwdrill/internal/rwscene"
+	"redwingworks.example/test/rwflow"
+	"redwingworks.example/test/rwtoday"
+)
+
+const (
+	cutTime = 7 * time.Second
+	waiting = 6
+	seed    = 37
+	tokens  = 30
+)
+
+// Cut holds the measured values.
+type Cut struct {
+	// Control is the largest number of control bytes per router and second
+	// while zones are separated in both directions or in one, or join again.
+	Control float64
+}
+
+// Run separates one zone from the others in both directions, then in one.
+func Run(ctx context.Context, s *rwscene.Scene) (*Cut, error) {
+	limit, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Load(limit, seed, flows(s.Fleet), 3*cutTime, nil)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	cut := &Cut{}
+	for _, separate := range []func(){
+		func() { both(s.Fleet) },
+		func() { s.Fleet.Heal() },
+		func() { s.Fleet.Cut(rwtoday.Zones[0], rwtoday.Zones[1]) },
+	} {
+		separate()
+		control, err := s.Watch(ctx, func() { rwscene.Sleep(ctx, cutTime) })
+		if err != nil {
+			return nil, err
+		}
+		cut.Control = max(cut.Control, control)
+	}
+	s.Fleet.Heal()
+	return cut, nil
+}
+
+func both(fleet *rwtoday.Today) {
+	for _, other := range rwtoday.Zones[1:] {
+		fleet.Cut(rwtoday.Zones[0], other)
+		fleet.Cut(other, rwtoday.Zones[0])
+	}
+}
+
+func flows(fleet *rwtoday.Today) []rwflow.Flow {
+	var out []rwflow.Flow
+	for i, c := range fleet.Clients {
+		out = append(out, rwflow.Flow{
+			Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Kinds[i%len(rwtoday.Kinds)],
+			Pool: rwtoday.ModelPool, Engine: true, Waiting: waiting, MinTokens: tokens, MaxTokens: tokens,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/rwdrill/internal/rwdirect/rwdirect.go
@@ -0,0 +1,122 @@
+// Package rwdirect drives engines without any router, for comparison.
+package rwdirect
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/test/rwfleet"
+	"redwingworks.example/test/rwtally"
+)
+
+const (
+	account = "direct"
+	// waitingPerSlot keeps the engines' queues from running empty.
+	waitingPerSlot = 2
+	warmUp         = time.Second
+	maxLatency     = time.Minute
+	digits         = 3
+)
+
+// Direct drives a set of engines.
+type Direct struct {
+	Engines []*rwfleet.Proc
+	client  *http.Client
+}
+
+// New returns a driver of the engines.
+func New(engines []*rwfleet.Proc) *Direct {
+	return &Direct{
+		Engines: engines,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+}
+
+// Close drops the kept connections.
+func (d *Direct) Close() { d.client.CloseIdleConnections() }
+
+// Rate returns the tokens per second that the engines serve together when
+// each always has requests waiting.
+func (d *Direct) Rate(ctx context.Context, slots int, duration time.Duration) (float64, error) {
+	limit, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	start := time.Now()
+	var all sync.WaitGroup
+	for _, p := range d.Engines {
+		for n := range slots * waitingPerSlot {
+			all.Go(func() {
+				for i := n; limit.Err() == nil; i++ {
+					_, _ = d.ask(limit, p, 10+i*7%50)
+				}
+			})
+		}
+	}
+	all.Wait()
+	end := start.Add(duration)
+	tally, err := rwtally.Read(ctx, d.Engines)
+	if err != nil {
+		return 0, err
+	}
+	from := start.Add(warmUp)
+	return float64(tally.Tokens(account, "", from, end)) / end.Sub(from).Seconds(), nil
+}
+
+// First returns a quantile (0 to 100) of the time to the first token with free
+// capacity: each worker has one request at a time.
+func (d *Direct) First(ctx context.Context, workers, requests int, quantile float64) (time.Duration, error) {
+	h := hdrhistogram.New(1, maxLatency.Microseconds(), digits)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var failed error
+	for w := range workers {
+		all.Go(func() {
+			for i := range requests {
+				first, err := d.ask(ctx, d.Engines[(w+i)%len(d.Engines)], 1+i%3)
+				mu.Lock()
+				if err != nil {
+					failed = err
+				}
+				_ = h.RecordValue(first.Microseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	return time.Duration(h.ValueAtQuantile(quantile)) * time.Microsecond, failed
+}
+
+// ask runs one request and returns the time to its first token.
+func (d *Direct) ask(ctx context.Context, p *rwfleet.Proc, tokens int) (time.Duration, error) {
+	body := fmt.Sprintf(`{"messages":[{"content":"direct"},{"content":"#%d"}]}`, tokens)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Addr+"/v1/chat/completions", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, rwfault.Wrap(rwcode.Internal, err)
+	}
+	req.Header.Set("Redwing-Request", "direct")
+	req.Header.Set("Redwing-Account", account)
+	start := time.Now()
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, rwfault.Wrap(rwcode.UpstreamUnreachable, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r := bufio.NewReader(resp.Body)
+	if _, err := r.ReadString('\n'); err != nil {
+		return 0, rwfault.Wrap(rwcode.UpstreamTruncated, err)
+	}
+	first := time.Since(start)
+	if _, err := io.Copy(io.Discard, r); err != nil {
+		return first, rwfault.Wrap(rwcode.UpstreamTruncated, err)
+	}
+	return first, nil
+}
--- /dev/null
+++ b/cmd/rwdrill/internal/rwflood/rwflood.go
@@ -0,0 +1,194 @@
+// Package rwflood measures what a flood of one kind of work leaves to other
+// work.
+package rwflood
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"redwingworks.example/cmd/rwdrill/internal/rwscene"
+	"redwingworks.example/test/rwanswer"
+	"redwingworks.example/test/rwflow"
+	"redwingworks.example/test/rwjob"
+	"redwingworks.example/test/rwtoday"
+	"redwingworks.example/test/rwverdict"
+)
+
+const (
+	// floodFactor is the flood's work as a multiple of the pool's capacity.
+	floodFactor = 10
+	minTokens   = 20
+	maxTokens   = 40
+	meanTokens  = (minTokens + maxTokens) / 2
+	// arrivalTime is how long other work arrives. What ends within patience
+	// after its arrival counts as served; the flood goes on until then.
+	arrivalTime = 6 * time.Second
+	patience    = 5 * time.Second
+	lead        = time.Second
+	// pause lets the rest of a flood end before the next one.
+	pause = time.Second
+	seed  = 23
+)
+
+// parts is the part of the pool's capacity that each kind uses without a
+// flood, below what its weight inside an account is worth during a flood of
+// any other kind (8, 4, 2 and 1 of 15).
+var parts = []float64{0.16, 0.10, 0.05, 0.02}
+
+// Flood holds the measured values.
+type Flood struct {
+	// Kept is the service of the group that kept least, as a part of what it
+	// had. Groups are the other accounts in a flood of one account, and the
+	// other kinds in a flood of all accounts.
+	Kept float64
+	// Worst names the flood and the group of Kept.
+	Worst string
+	// Phases is the least part for each flood.
+	Phases map[string]float64
+	// Control is the largest number of control bytes per router and second.
+	Control float64
+}
+
+type phase struct {
+	name    string
+	urgency int
+	// all accounts take part, otherwise one.
+	all bool
+}
+
+var phases = []phase{
+	{"least_urgent_one_account", 3, false},
+	{"most_urgent_one_account", 0, false},
+	{"least_urgent_all_accounts", 3, true},
+	{"most_urgent_all_accounts", 0, true},
+}
+
+// Names returns the names of the floods in their order.
+func Names() []string {
+	var out []string
+	for _, p := range phases {
+		out = append(out, p.name)
+	}
+	return out
+}
+
+// Run measures the service before and during the floods.
+func Run(ctx context.Context, s *rwscene.Scene) (*Flood, error) {
+	f := &Flood{Kept: 1, Phases: map[string]float64{}}
+	before := measure(ctx, s)
+	for _, p := range phases {
+		var during served
+		control, err := s.Watch(ctx, func() { during = flood(ctx, s, p) })
+		if err != nil {
+			return nil, err
+		}
+		f.Control = max(f.Control, control)
+		f.take(p, before, during)
+		rwscene.Sleep(ctx, pause)
+	}
+	return f, nil
+}
+
+func (f *Flood) take(p phase, before, during served) {
+	had, kept := before.by(p), during.by(p)
+	least := 1.0
+	for _, group := range slices.Sorted(maps.Keys(had)) {
+		part := float64(kept[group]) / float64(had[group])
+		least = min(least, part)
+		if part < f.Kept {
+			f.Kept, f.Worst = part, p.name+" "+group
+		}
+	}
+	f.Phases[p.name] = least
+}
+
+// served is the number of tokens that were served in time, by account and kind.
+type served map[[2]string]int
+
+// by adds up the groups that a flood should leave alone.
+func (s served) by(p phase) map[string]int {
+	out := map[string]int{}
+	for k, n := range s {
+		switch {
+		case p.all && k[1] != rwtoday.Kinds[p.urgency]:
+			out[k[1]] += n
+		case !p.all && k[0] != flooder:
+			out[k[0]] += n
+		}
+	}
+	return out
+}
+
+// flooder is an account with a small share.
+const flooder = "account-05"
+
+// measure runs the other work, always with the same seed, and returns what was
+// served in time.
+func measure(ctx context.Context, s *rwscene.Scene) served {
+	var mu sync.Mutex
+	out := served{}
+	limit, cancel := context.WithTimeout(ctx, arrivalTime+patience)
+	defer cancel()
+	s.Load(limit, seed, others(s.Fleet), arrivalTime, func(j rwjob.Job, a rwanswer.Answer) {
+		mu.Lock()
+		defer mu.Unlock()
+		k := [2]string{j.Account, j.Kind}
+		if a.Verdict == rwverdict.Whole && a.Total <= patience {
+			out[k] += j.Tokens
+		}
+	})
+	return out
+}
+
+func flood(ctx context.Context, s *rwscene.Scene, p phase) served {
+	limit, cancel := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	all.Go(func() {
+		s.Load(limit, seed+1, flooding(s.Fleet, p), lead+arrivalTime+patience, nil)
+	})
+	rwscene.Sleep(ctx, lead)
+	during := measure(ctx, s)
+	cancel()
+	all.Wait()
+	return during
+}
+
+// capacity is the number of requests per second that the pool can serve.
+func capacity(fleet *rwtoday.Today) float64 {
+	return float64(fleet.Slots*len(fleet.Engines)) / fleet.Step.Seconds() / meanTokens
+}
+
+func others(fleet *rwtoday.Today) []rwflow.Flow {
+	var out []rwflow.Flow
+	for _, c := range fleet.Clients {
+		for i, kind := range rwtoday.Kinds {
+			rate := capacity(fleet) * parts[i] / float64(len(fleet.Clients))
+			out = append(out, flow(c.Name, c.Key, kind, rate))
+		}
+	}
+	return out
+}
+
+func flooding(fleet *rwtoday.Today, p phase) []rwflow.Flow {
+	var out []rwflow.Flow
+	rate := capacity(fleet) * floodFactor
+	for _, c := range fleet.Clients {
+		switch {
+		case p.all:
+			out = append(out, flow(c.Name, c.Key, rwtoday.Kinds[p.urgency], rate/float64(len(fleet.Clients))))
+		case c.Name == flooder:
+			out = append(out, flow(c.Name, c.Key, rwtoday.Kinds[p.urgency], rate))
+		}
+	}
+	return out
+}
+
+func flow(account, key, kind string, rate float64) rwflow.Flow {
+	return rwflow.Flow{
+		Account: account, CallerKey: key, Kind: kind, Pool: rwtoday.ModelPool,
+		Engine: true, Rate: rate, MinTokens: minTokens, MaxTokens: maxTokens,
+	}
+}
--- /dev/null
+++ b/cmd/rwdrill/internal/rwmeasure/rwmeasure.go
@@ -0,0 +1,221 @@
+// Package rwmeasure runs all measurements for the fleet policy and for the
+// baseline in the same run, and prints the figures.
+package rwmeasure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"slices"
+	"time"
+
+	"redwingworks.example/cmd/rwdrill/internal/rwcut"
+	"redwingworks.example/cmd/rwdrill/internal/rwfigure"
+	"redwingworks.example/cmd/rwdrill/internal/rwflood"
+	"redwingworks.example/cmd/rwdrill/internal/rwquiet"
+	"redwingworks.example/cmd/rwdrill/internal/rwscene"
+	"redwingworks.example/cmd/rwdrill/internal/rwshares"
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/test/rwverdict"
+)
+
+// Bounds of section 8 of the design.
+const (
+	gapOfBaseline   = 0.1
+	minUtilisation  = 0.97
+	maxControlBytes = 5000
+	maxControlCPU   = 0.016
+	minKept         = 0.95
+	maxConfigDelay  = 4 * time.Second
+	maxAdded        = 50 * time.Millisecond
+)
+
+const (
+	sceneLimit = 2 * time.Minute
+	step       = 20 * time.Millisecond
+	// quietStep is short, since the wait for an engine's next step would hide
+	// the latency that the routers add.
+	quietStep = 2 * time.Millisecond
+)
+
+// Measure is one run of the measurements.
+type Measure struct {
+	// Only names the scenarios to run; empty runs all.
+	Only []string
+
+	bin   string
+	logs  string
+	notes io.Writer
+	wrong []string
+}
+
+// New returns measurements that use the programs in the folder bin and write
+// notes on their progress.
+func New(bin string, notes io.Writer) *Measure { return &Measure{bin: bin, notes: notes} }
+
+// results of one policy; parts that were not measured are nil.
+type results struct {
+	quiet  *rwquiet.Quiet
+	shares *rwshares.Shares
+	flood  *rwflood.Flood
+	cut    *rwcut.Cut
+}
+
+const (
+	fleetPolicy = "fleet"
+	baseline    = "local"
+)
+
+// Run measures and writes one line for each figure. It fails if any answer was
+// wrong; a missed bound is part of the result.
+func (m *Measure) Run(ctx context.Context, w io.Writer) error {
+	logs, err := os.MkdirTemp("", "redwingworks-measure")
+	if err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	defer func() { _ = os.RemoveAll(logs) }()
+	m.logs = logs
+	fleet, base := m.policy(ctx, fleetPolicy), m.policy(ctx, baseline)
+	for _, f := range figures(fleet, base) {
+		_, _ = fmt.Fprintln(w, f)
+	}
+	if len(m.wrong) > 0 {
+		return rwfault.New(rwcode.UpstreamMismatch, fmt.Sprintf("%d wrong answers, first: %s", len(m.wrong), m.wrong[0]))
+	}
+	return nil
+}
+
+func (m *Measure) policy(ctx context.Context, policy string) results {
+	var r results
+	m.scene(ctx, policy, "quiet", false, quietStep, func(ctx context.Context, s *rwscene.Scene) (err error) {
+		r.quiet, err = rwquiet.Run(ctx, s, policy == fleetPolicy)
+		return err
+	})
+	m.scene(ctx, policy, "shares", true, step, func(ctx context.Context, s *rwscene.Scene) (err error) {
+		r.shares, err = rwshares.Run(ctx, s)
+		return err
+	})
+	m.scene(ctx, policy, "flood", false, step, func(ctx context.Context, s *rwscene.Scene) (err error) {
+		r.flood, err = rwflood.Run(ctx, s)
+		return err
+	})
+	if policy == baseline {
+		// The baseline has no exchange between routers that could be cut.
+		return r
+	}
+	m.scene(ctx, policy, "cut", false, step, func(ctx context.Context, s *rwscene.Scene) (err error) {
+		r.cut, err = rwcut.Run(ctx, s)
+		return err
+	})
+	return r
+}
+
+func (m *Measure) scene(ctx context.Context, policy, name string, sticky bool, step time.Duration, run func(context.Context, *rwscene.Scene) error) {
+	if len(m.Only) > 0 && !slices.Contains(m.Only, name) || ctx.Err() != nil {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, sceneLimit)
+	defer cancel()
+	start := time.Now()
+	err := m.inFleet(limit, policy, name, sticky, step, run)
+	if err != nil {
+		_, _ = fmt.Fprintf(m.notes, "# %s %s failed: %v\n", policy, name, err)
+	}
+	_, _ = fmt.Fprintf(m.notes, "# %s %s took %s\n", policy, name, time.Since(start).Round(100*time.Millisecond))
+}
+
+func (m *Measure) inFleet(ctx context.Context, policy, name string, sticky bool, step time.Duration, run func(context.Context, *rwscene.Scene) error) error {
+	s, err := rwscene.Start(ctx, m.bin, m.logs, policy, sticky, step)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	err = run(ctx, s)
+	for _, v := range []rwverdict.Verdict{rwverdict.Whole, rwverdict.Refused, rwverdict.Broken, rwverdict.Wrong} {
+		_, _ = fmt.Fprintf(m.notes, "# %s %s: %d answers %s\n", policy, name, s.Report.Count(v), v)
+	}
+	_, _ = fmt.Fprintf(m.notes, "# %s %s: refused or broken: %v\n", policy, name, s.Report.Refusals())
+	m.wrong = append(m.wrong, s.Report.Wrong()...)
+	return err
+}
+
+// value returns a part of a result, or NaN where it was not measured.
+func value[T any](r *T, get func(*T) float64) float64 {
+	if r == nil {
+		return math.NaN()
+	}
+	return get(r)
+}
+
+func figures(fleet, base results) []rwfigure.Figure {
+	out := shareFigures(fleet, base)
+	out = append(out, controlFigures(fleet, base)...)
+	out = append(out, floodFigures(fleet, base)...)
+	return append(out, quietFigures(fleet, base)...)
+}
+
+func shareFigures(fleet, base results) []rwfigure.Figure {
+	gap := func(r *rwshares.Shares) float64 { return r.Gap }
+	use := func(r *rwshares.Shares) float64 { return r.Utilisation }
+	bound := value(fleet.shares, func(r *rwshares.Shares) float64 { return r.Bound })
+	return []rwfigure.Figure{
+		{Name: "fairness_gap", Value: value(fleet.shares, gap), Unit: "tokens/share", Bound: bound, Baseline: value(base.shares, gap)},
+		{Name: "fairness_gap_of_baseline", Value: value(fleet.shares, gap) / value(base.shares, gap), Unit: "ratio", Bound: gapOfBaseline, Baseline: 1},
+		{Name: "utilisation", Value: value(fleet.shares, use), Unit: "ratio", Bound: minUtilisation, AtLeast: true, Baseline: value(base.shares, use)},
+	}
+}
+
+func controlFigures(fleet, base results) []rwfigure.Figure {
+	normal := func(r *rwshares.Shares) float64 { return r.Control }
+	flood := func(r *rwflood.Flood) float64 { return r.Control }
+	cut := func(r *rwcut.Cut) float64 { return r.Control }
+	figure := func(name string, value, base float64) rwfigure.Figure {
+		return rwfigure.Figure{Name: name, Value: value, Unit: "B/s", Bound: maxControlBytes, Baseline: base}
+	}
+	phases := []rwfigure.Figure{
+		figure("control_bytes_per_node_second_normal", value(fleet.shares, normal), value(base.shares, normal)),
+		figure("control_bytes_per_node_second_flood", value(fleet.flood, flood), value(base.flood, flood)),
+		figure("control_bytes_per_node_second_partition", value(fleet.cut, cut), value(base.cut, cut)),
+	}
+	all := figure("control_bytes_per_node_second", 0, 0)
+	for _, f := range phases {
+		// The result is NaN if any part was not measured.
+		all.Value = math.Max(all.Value, f.Value)
+		if !math.IsNaN(f.Baseline) {
+			all.Baseline = max(all.Baseline, f.Baseline)
+		}
+	}
+	cpu := func(r *rwquiet.Quiet) float64 { return r.CPU }
+	return append(append([]rwfigure.Figure{all}, phases...), rwfigure.Figure{
+		Name: "control_cpu", Value: value(fleet.quiet, cpu), Unit: "cores", Bound: maxControlCPU, Baseline: value(base.quiet, cpu),
+	})
+}
+
+func floodFigures(fleet, base results) []rwfigure.Figure {
+	kept := func(r *rwflood.Flood) float64 { return r.Kept }
+	out := []rwfigure.Figure{{
+		Name: "flood_kept_service", Value: value(fleet.flood, kept), Unit: "ratio", Bound: minKept, AtLeast: true, Baseline: value(base.flood, kept),
+	}}
+	for _, name := range rwflood.Names() {
+		phase := func(r *rwflood.Flood) float64 { return r.Phases[name] }
+		out = append(out, rwfigure.Figure{
+			Name: "flood_kept_service_" + name, Value: value(fleet.flood, phase), Unit: "ratio",
+			Bound: minKept, AtLeast: true, Baseline: value(base.flood, phase),
+		})
+	}
+	return out
+}
+
+func quietFigures(fleet, base results) []rwfigure.Figure {
+	config := func(r *rwquiet.Quiet) float64 { return r.Config }
+	cut := func(r *rwquiet.Quiet) float64 { return r.ConfigCut }
+	added := func(r *rwquiet.Quiet) float64 { return r.Added }
+	return []rwfigure.Figure{
+		{Name: "config_delay", Value: value(fleet.quiet, config), Unit: "s", Bound: maxConfigDelay.Seconds(), Baseline: value(base.quiet, config)},
+		{Name: "config_delay_zone_without_platform", Value: value(fleet.quiet, cut), Unit: "s", Bound: maxConfigDelay.Seconds(), Baseline: math.NaN()},
+		{Name: "added_latency_p99", Value: value(fleet.quiet, added), Unit: "ms", Bound: maxAdded.Seconds() * 1000, Baseline: value(base.quiet, added)},
+	}
+}
--- /dev/null
+++ b/cmd/rwdrill/internal/rwquiet/rwquiet.go
@@ -0,0 +1,187 @@
+// Package rwquiet measures a fleet that has little to do: the cost of control
+// alone, the delay of configuration changes, and the latency that routers add.
+package rwquiet
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"redwingworks.example/cmd/rwdrill/internal/rwdirect"
+	"redwingworks.example/cmd/rwdrill/internal/rwscene"
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/test/rwclient"
+	"redwingworks.example/test/rwfleet"
+	"redwingworks.example/test/rwflow"
+	"redwingworks.example/test/rwlink"
+	"redwingworks.example/test/rwpath"
+	"redwingworks.example/test/rwreport"
+	"redwingworks.example/test/rwtoday"
+)
+
+const (
+	idleTime     = 8 * time.Second
+	changes      = 6
+	cutChanges   = 3
+	configLimit  = 15 * time.Second
+	configPoll   = 10 * time.Millisecond
+	workers      = 8
+	requests     = 50
+	latencyTime  = 4 * time.Second
+	quantile     = 99
+	cutZone      = 2
+	cutSettle    = time.Second
+	clientsCount = 16
+)
+
+// Quiet holds the measured values, NaN for those that were not measured.
+type Quiet struct {
+	// CPU is the largest part of a core that a router uses for control alone.
+	CPU float64
+	// Config is the longest time in seconds until a change was in force at all
+	// routers. A change that was not in force within 15 s counts as that.
+	Config float64
+	// ConfigCut is the same while one zone can't reach the platform.
+	ConfigCut float64
+	// Added is the 99th percentile of the time to the first token through the
+	// routers, less that of direct calls, in milliseconds.
+	Added float64
+}
+
+// Run measures a fleet without load. Cut also measures with a zone that is
+// cut off from the platform. An error comes with what was measured before it.
+func Run(ctx context.Context, s *rwscene.Scene, cut bool) (*Quiet, error) {
+	q := &Quiet{CPU: math.NaN(), Config: math.NaN(), ConfigCut: math.NaN(), Added: math.NaN()}
+	var err error
+	if q.CPU, err = cpu(ctx, s); err != nil {
+		return q, err
+	}
+	if q.Config, err = config(ctx, s, "quiet", changes); err != nil {
+		return q, err
+	}
+	if q.Added, err = added(ctx, s); err != nil || !cut {
+		return q, err
+	}
+	q.ConfigCut, err = configCut(ctx, s)
+	return q, err
+}
+
+func cpu(ctx context.Context, s *rwscene.Scene) (float64, error) {
+	before, err := times(s)
+	if err != nil {
+		return math.NaN(), err
+	}
+	start := time.Now()
+	rwscene.Sleep(ctx, idleTime)
+	elapsed := time.Since(start)
+	after, err := times(s)
+	if err != nil {
+		return math.NaN(), err
+	}
+	most := 0.0
+	for i := range before {
+		most = max(most, (after[i]-before[i]).Seconds()/elapsed.Seconds())
+	}
+	return most, nil
+}
+
+func times(s *rwscene.Scene) ([]time.Duration, error) {
+	var out []time.Duration
+	for _, p := range s.Fleet.Routers {
+		t, err := p.CPU()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, t)
+	}
+	return out, nil
+}
+
+// config publishes new accounts one after the other and returns the longest
+// time in seconds until every router accepted the account's key.
+func config(ctx context.Context, s *rwscene.Scene, name string, count int) (float64, error) {
+	most := 0.0
+	for i := range count {
+		c := rwclient.Client{Name: fmt.Sprintf("%s-%d", name, i), Key: fmt.Sprintf("key-%s-%d", name, i), Share: 1}
+		start := time.Now()
+		if err := rwfleet.Publish(ctx, s.Fleet.Platform.Addr, rwtoday.AccountRecord(c, 1)); err != nil {
+			return math.NaN(), err
+		}
+		limit, cancel := context.WithTimeout(ctx, configLimit)
+		group, limit := errgroup.WithContext(limit)
+		for _, p := range s.Fleet.Routers {
+			group.Go(func() error { return accepted(limit, p, c.Key) })
+		}
+		err := group.Wait()
+		cancel()
+		if err != nil {
+			return math.NaN(), err
+		}
+		most = max(most, time.Since(start).Seconds())
+	}
+	return most, nil
+}
+
+// accepted waits until a router accepts the key or the time has passed.
+func accepted(ctx context.Context, p *rwfleet.Proc, key string) error {
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Addr+"/v1/call/"+rwtoday.OrderPool+"/probe", strings.NewReader("{}"))
+		if err != nil {
+			return rwfault.Wrap(rwcode.Internal, err)
+		}
+		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header.Set("Redwing-Kind", rwtoday.Lookup)
+		resp, err := http.DefaultClient.Do(req)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return rwfault.Wrap(rwcode.UpstreamUnreachable, err).WithDetail(p.Name)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusUnauthorized {
+			return nil
+		}
+		rwscene.Sleep(ctx, configPoll)
+	}
+}
+
+// configCut measures changes while the routers of one zone get nothing from
+// the platform, but still reach the other routers.
+func configCut(ctx context.Context, s *rwscene.Scene) (float64, error) {
+	stopped := rwlink.Link{Up: rwpath.Path{Stop: true}, Down: rwpath.Path{Stop: true}}
+	for _, p := range s.Fleet.Routers {
+		if p.Zone == rwtoday.Zones[cutZone] {
+			s.Fleet.SetPlatformLink(p.Name, stopped)
+			defer s.Fleet.SetPlatformLink(p.Name, rwlink.Link{})
+		}
+	}
+	rwscene.Sleep(ctx, cutSettle)
+	return config(ctx, s, "cut", cutChanges)
+}
+
+func added(ctx context.Context, s *rwscene.Scene) (float64, error) {
+	direct := rwdirect.New(s.Fleet.Engines)
+	defer direct.Close()
+	base, err := direct.First(ctx, workers, requests, quantile)
+	if err != nil {
+		return math.NaN(), err
+	}
+	var flows []rwflow.Flow
+	for i := range workers {
+		c := s.Fleet.Clients[i*clientsCount/workers]
+		flows = append(flows, rwflow.Flow{
+			Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Kinds[i%len(rwtoday.Kinds)],
+			Pool: rwtoday.ModelPool, Engine: true, Waiting: 1, MinTokens: 1, MaxTokens: 3,
+		})
+	}
+	report := rwreport.New()
+	s.Load(ctx, 1, flows, latencyTime, report.Add)
+	return (report.First(quantile) - base).Seconds() * 1000, nil
+}
--- /dev/null
+++ b/cmd/rwdrill/internal/rwshares/rwshares.go
@@ -0,0 +1,116 @@
+// Package rwshares measures a fleet whose accounts are all backlogged: the gap
+// between their service and the use of the engines.
+package rwshares
+
+import (
+	"context"
+	"time"
+
+	"redwingworks.example/cmd/rwdrill/internal/rwdirect"
+	"redwingworks.example/cmd/rwdrill/internal/rwscene"
+	"redwingworks.example/test/rwflow"
+	"redwingworks.example/test/rwtally"
+	"redwingworks.example/test/rwtoday"
+)
+
+const (
+	// maxTokens is the largest cost of a request.
+	maxTokens  = 60
+	loadTime   = 25 * time.Second
+	directTime = 5 * time.Second
+	// warmUp is left out of the utilisation, since the first requests find
+	// free slots.
+	warmUp = 2 * time.Second
+	// endGap keeps the end of the load out of the measurement.
+	endGap = 200 * time.Millisecond
+	seed   = 11
+	// reportInterval and reportDelay are I of the bound: the owners' reports
+	// and their latency between zones.
+	reportInterval = 250 * time.Millisecond
+	reportDelay    = 2 * time.Millisecond
+	// waitingPerShare is more than twice the fair slots of a share, 40 slots
+	// by 22 shares, so that every account stays backlogged.
+	waitingPerShare = 8
+	// steps spread the accounts' backlogs from one to this many times that.
+	steps = 6
+)
+
+// Shares holds the measured values.
+type Shares struct {
+	// Gap is the fairness gap in tokens per share, Bound its bound.
+	Gap, Bound float64
+	// Utilisation is the part of the directly driven engines' tokens.
+	Utilisation float64
+	// Control is the largest number of control bytes per router and second.
+	Control float64
+}
+
+// Run measures a fleet whose balancer sends each account to one router.
+func Run(ctx context.Context, s *rwscene.Scene) (*Shares, error) {
+	direct := rwdirect.New(s.Fleet.Engines)
+	defer direct.Close()
+	rate, err := direct.Rate(ctx, s.Fleet.Slots, directTime)
+	if err != nil {
+		return nil, err
+	}
+	limit, cancel := context.WithTimeout(ctx, loadTime)
+	defer cancel()
+	start := time.Now()
+	r := &Shares{}
+	r.Control, err = s.Watch(ctx, func() { s.Load(limit, seed, flows(s.Fleet), loadTime, nil) })
+	if err != nil {
+		return nil, err
+	}
+	tally, err := rwtally.Read(ctx, s.Fleet.Engines)
+	if err != nil {
+		return nil, err
+	}
+	end := start.Add(loadTime - endGap)
+	r.Gap = tally.Gap(sharesOf(s.Fleet), start, end)
+	r.Bound = bound(s.Fleet)
+	from := start.Add(warmUp)
+	served := float64(tally.Tokens("", "", from, end)) / end.Sub(from).Seconds()
+	r.Utilisation = served / rate
+	return r, nil
+}
+
+// flows gives the accounts unequal backlogs and lengths. Every account keeps
+// more requests waiting than it may run.
+func flows(fleet *rwtoday.Today) []rwflow.Flow {
+	var out []rwflow.Flow
+	for i, c := range fleet.Clients {
+		f := rwflow.Flow{
+			Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Kinds[i%len(rwtoday.Kinds)],
+			Pool: rwtoday.ModelPool, Engine: true, Hints: i%3 == 0, Prompts: 4,
+			Waiting:   waitingPerShare * c.Share * (1 + i%steps),
+			MinTokens: maxTokens / 6, MaxTokens: maxTokens / 2,
+		}
+		if i%2 == 0 {
+			f.MinTokens, f.MaxTokens = maxTokens*2/3, maxTokens
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+func sharesOf(fleet *rwtoday.Today) map[string]int {
+	out := map[string]int{}
+	for _, c := range fleet.Clients {
+		out[c.Name] = c.Share
+	}
+	return out
+}
+
+// bound is G of section 3.2 of the design for accounts with unequal shares:
+// the sum of the shares takes the place of the number of accounts, which it
+// equals when all shares are one.
+func bound(fleet *rwtoday.Today) float64 {
+	shares := 0
+	for _, n := range sharesOf(fleet) {
+		shares += n
+	}
+	slots := float64(fleet.Slots * len(fleet.Engines))
+	rate := slots / fleet.Step.Seconds()
+	interval := (reportInterval + reportDelay).Seconds()
+	return 2*maxTokens*(1+2*slots/float64(shares)) + 2*rate*interval
+}
--- a/cmd/rwdrill/main.go
+++ b/cmd/rwdrill/main.go
@@ -3,11 +3,15 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"redwingworks.example/cmd/rwdrill/internal/rwdemo"
+	"redwingworks.example/cmd/rwdrill/internal/rwmeasure"
 )
 
 func main() {
@@ -20,7 +24,25 @@
 			return rwdemo.New(*bin).Run(os.Stdout)
 		},
 	})
+	c.AddCommand(measure(bin))
 	if err := c.Execute(); err != nil {
 		os.Exit(1)
 	}
 }
+
+func measure(bin *string) *cobra.Command {
+	var only []string
+	c := &cobra.Command{
+		Use:   "measure",
+		Short: "Measure the fleet policy and the baseline",
+		RunE: func(*cobra.Command, []string) error {
+			ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer cancel()
+			m := rwmeasure.New(*bin, os.Stderr)
+			m.Only = only
+			return m.Run(ctx, os.Stdout)
+		},
+	}
+	c.Flags().StringSliceVar(&only, "only", nil, "run only these scenarios: quiet, shares, flood, cut")
+	return c
+}
--- a/test/rwbalancer/rwbalancer.go
+++ b/test/rwbalancer/rwbalancer.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -110,14 +111,14 @@
 func (b *Balancer) Pick(account string, avoid ...string) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var in, fresh []string
-	for _, addr := range b.Routers {
+	var in, fresh []int
+	for i, addr := range b.Routers {
 		if b.states[addr].out {
 			continue
 		}
-		in = append(in, addr)
+		in = append(in, i)
 		if !slices.Contains(avoid, addr) {
-			fresh = append(fresh, addr)
+			fresh = append(fresh, i)
 		}
 	}
 	if len(fresh) == 0 {
@@ -127,8 +128,19 @@
 		return ""
 	}
 	if b.Sticky {
-		return rwrank.Top(account, fresh)
+		return b.Routers[sticky(account, fresh)]
 	}
 	b.turn++
-	return fresh[b.turn%len(fresh)]
+	return b.Routers[fresh[b.turn%len(fresh)]]
+}
+
+// sticky ranks positions in place of addresses, whose ports change from run to
+// run, so that two runs spread the accounts in the same way.
+func sticky(account string, routers []int) int {
+	var names []string
+	for _, i := range routers {
+		names = append(names, strconv.Itoa(i))
+	}
+	i, _ := strconv.Atoi(rwrank.Top(account, names))
+	return i
 }
--- a/test/rwbalancer/rwbalancer_test.go
+++ b/test/rwbalancer/rwbalancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,7 +14,8 @@
 )
 
 // Guards against an even spread where one account must stay at one router,
-// and against ignoring the routers to avoid.
+// against ignoring the routers to avoid, and against a choice that depends on
+// the ports of a run.
 func TestPick(t *testing.T) {
 	routers := []string{"a:1", "b:1", "c:1"}
 	sticky := rwbalancer.New(routers, true, 0)
@@ -24,6 +26,11 @@
 	require.NotEqual(t, home, sticky.Pick("account", home))
 	require.Contains(t, routers, sticky.Pick("account", routers...))
 
+	moved := rwbalancer.New([]string{"x:7", "y:8", "z:9"}, true, 0)
+	for _, account := range []string{"one", "two", "three", "four"} {
+		require.Equal(t, slices.Index(routers, sticky.Pick(account)), slices.Index(moved.Routers, moved.Pick(account)))
+	}
+
 	spread := rwbalancer.New(routers, false, 0)
 	got := map[string]int{}
 	for range 30 {
--- a/test/rwfleet/rwfleet.go
+++ b/test/rwfleet/rwfleet.go
@@ -72,7 +72,11 @@
 // could otherwise take it before the process listens.
 func FreeAddr() (string, error) {
 	for range portAttempts {
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(ports)))
+		port := firstPort + rand.IntN(ports)
+		if _, taken := given.LoadOrStore(port, true); taken {
+			continue
+		}
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 		l, err := net.Listen("tcp", addr)
 		if err == nil {
 			return addr, l.Close()
@@ -81,6 +85,10 @@
 	return "", rwfault.New(rwcode.Internal, "no free port")
 }
 
+// given holds the ports that this process gave out: a process may not listen
+// yet when the next port is chosen.
+var given sync.Map
+
 // Start starts a program. The name is unique among the running processes.
 func (f *Fleet) Start(p *Proc, program string, args ...string) error {
 	out, err := os.OpenFile(filepath.Join(f.Logs, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
