--- /dev/null
+++ b/internal/rwnode/drain.go
@@ -0,0 +1,53 @@
+package rwnode
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"redwingworks.example/internal/rwlog"
+)
+
+// drainLimit bounds a graceful shutdown; the longest stream is far shorter.
+const drainLimit = 5 * time.Minute
+
+// waitSignal returns when the process was asked to stop and the requests in
+// progress have ended. Its return stops all services.
+func (n *Node) waitSignal(ctx context.Context) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+	case <-ctx.Done():
+		return nil
+	}
+	rwlog.Info(&n.log, rwlog.StopRequested).Send()
+	n.drain(ctx)
+	rwlog.Info(&n.log, rwlog.DrainFinished).Send()
+	return nil
+}
+
+// drain ends the router's work in order: the balancer is told and gets time to
+// notice, the cells and the keys go to other routers, new requests are refused,
+// and the requests in progress end. Links stay open until all of that is done,
+// since waiting requests still need grants.
+func (n *Node) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainLimit)
+	defer cancel()
+	n.stopping.Store(true)
+	n.gossip.Leave(ctx)
+	n.wake()
+	var handover sync.WaitGroup
+	handover.Go(func() { _ = n.home.Leave(ctx) })
+	select {
+	case <-time.After(n.settings.Drain):
+	case <-ctx.Done():
+	}
+	n.draining.Store(true)
+	_ = n.server.Shutdown(ctx)
+	handover.Wait()
+}
--- a/internal/rwsettings/rwsettings.go
+++ b/internal/rwsettings/rwsettings.go
@@ -3,6 +3,7 @@
 package rwsettings
 
 import (
+	"crypto/tls"
 	"net"
 	"strings"
 	"time"
@@ -26,6 +27,9 @@
 	Listen string `env:"REDWING_LISTEN"`
 	// Peer is the address for other routers.
 	Peer string `env:"REDWING_PEER"`
+	// Advertise is the address that other routers use for Peer where it
+	// differs; empty for Peer itself.
+	Advertise string `env:"REDWING_ADVERTISE"`
 	// Ops is the address for operators.
 	Ops string `env:"REDWING_OPS"`
 	// Platform is the base URL of the platform service, with a final slash.
@@ -43,6 +47,14 @@
 	Hold time.Duration `env:"REDWING_HOLD" envDefault:"5s"`
 	// Cell is the largest number of upstreams in one cell.
 	Cell int `env:"REDWING_CELL" envDefault:"4"`
+	// Cert and CertKey are PEM files for TLS towards callers; both or none.
+	Cert    string `env:"REDWING_CERT"`
+	CertKey string `env:"REDWING_CERT_KEY"`
+	// MaxConns and MaxRequests bound callers' connections and requests.
+	MaxConns    int `env:"REDWING_MAX_CONNS" envDefault:"4096"`
+	MaxRequests int `env:"REDWING_MAX_REQUESTS" envDefault:"8192"`
+	// BodyTimeout bounds the wait for a request's body.
+	BodyTimeout time.Duration `env:"REDWING_BODY_TIMEOUT" envDefault:"15s"`
 }
 
 const minKeyBytes = 16
@@ -63,6 +75,7 @@
 	f.StringVar(&s.Region, "region", s.Region, "region of the zone")
 	f.StringVar(&s.Listen, "listen", s.Listen, "address for callers")
 	f.StringVar(&s.Peer, "peer", s.Peer, "address for other routers")
+	f.StringVar(&s.Advertise, "advertise", s.Advertise, "peer address that other routers use, if it differs")
 	f.StringVar(&s.Ops, "ops", s.Ops, "address for operators")
 	f.StringVar(&s.Platform, "platform", s.Platform, "base URL of the platform service")
 	f.StringVar(&s.Key, "key", s.Key, "key shared by all routers; prefer the environment")
@@ -71,6 +84,11 @@
 	f.DurationVar(&s.Drain, "drain", s.Drain, "time between not ready and closing at shutdown")
 	f.DurationVar(&s.Hold, "hold", s.Hold, "time that idempotency keys are held when the whole fleet starts")
 	f.IntVar(&s.Cell, "cell", s.Cell, "largest number of upstreams in a cell")
+	f.StringVar(&s.Cert, "cert", s.Cert, "PEM file with the certificate for callers")
+	f.StringVar(&s.CertKey, "cert-key", s.CertKey, "PEM file with the certificate's key")
+	f.IntVar(&s.MaxConns, "max-conns", s.MaxConns, "largest number of callers' connections")
+	f.IntVar(&s.MaxRequests, "max-requests", s.MaxRequests, "largest number of callers' requests at one time")
+	f.DurationVar(&s.BodyTimeout, "body-timeout", s.BodyTimeout, "longest wait for a request's body")
 }
 
 // Check returns one fault that lists all invalid settings, or nil.
@@ -86,6 +104,7 @@
 	need(s.Region != "", "region is required")
 	need(ipPort(s.Listen), "listen must be an IP address and a port")
 	need(ipPort(s.Peer), "peer must be an IP address and a port")
+	need(s.Advertise == "" || ipPort(s.Advertise), "advertise must be an IP address and a port")
 	need(ipPort(s.Ops), "ops must be an IP address and a port")
 	need(strings.HasPrefix(s.Platform, "http") && strings.HasSuffix(s.Platform, "/"), "platform must be an HTTP URL with a final slash")
 	need(len(s.Key) >= minKeyBytes, "key must have at least 16 bytes")
@@ -93,6 +112,10 @@
 	need(s.Drain >= 0, "drain must not be negative")
 	need(s.Hold >= 0, "hold must not be negative")
 	need(s.Cell >= 1, "cell must be at least 1")
+	need((s.Cert == "") == (s.CertKey == ""), "cert and cert-key must be given together")
+	need(s.MaxConns >= 1, "max-conns must be at least 1")
+	need(s.MaxRequests >= 1, "max-requests must be at least 1")
+	need(s.BodyTimeout > 0, "body-timeout must be positive")
 	for _, a := range s.Seeds {
 		need(ipPort(a), "seed "+a+" must be an IP address and a port")
 	}
@@ -102,7 +125,28 @@
 	return rwfault.New(rwcode.SettingsInvalid, strings.Join(bad, "; "))
 }
 
+// TLS returns the configuration of TLS towards callers, or nil if no
+// certificate is set. It fails with SettingsInvalid if a file can't be read.
+func (s *Settings) TLS() (*tls.Config, error) {
+	if s.Cert == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(s.Cert, s.CertKey)
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.SettingsInvalid, err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
+
 func ipPort(addr string) bool {
 	host, _, err := net.SplitHostPort(addr)
 	return err == nil && net.ParseIP(host) != nil
 }
+
+// PeerAddr is the address that other routers use.
+func (s *Settings) PeerAddr() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.Peer
+}
--- a/internal/rwsnapshot/rwsnapshot.go
+++ b/internal/rwsnapshot/rwsnapshot.go
@@ -18,11 +18,15 @@
 // it between goroutines.
 type Snapshot struct {
 	rev       int64
+	listRev   int64
 	accounts  map[string]rwaccount.Account
 	kinds     map[string]rwkind.Kind
 	upstreams map[string]rwupstream.Upstream
 	vms       map[string]rwvm.VM
 	byKey     map[string]string
+	// leaving holds the highest incarnation of each upstream that is known to
+	// be leaving; the record may say otherwise.
+	leaving map[string]int64
 }
 
 // Empty returns a snapshot with no records and revision 0.
@@ -38,6 +42,16 @@
 	return &c
 }
 
+// ListRev is the highest revision of any VM record, deletions included.
+func (s *Snapshot) ListRev() int64 { return s.listRev }
+
+// WithListRev returns a copy with at least this revision of the VM list.
+func (s *Snapshot) WithListRev(rev int64) *Snapshot {
+	c := *s
+	c.listRev = max(c.listRev, rev)
+	return &c
+}
+
 // WithAccounts returns a copy with other accounts.
 func (s *Snapshot) WithAccounts(list []rwaccount.Account) *Snapshot {
 	c := *s
@@ -82,6 +96,21 @@
 	return &c
 }
 
+// WithLeaving returns a copy with another set of leaving upstreams: the
+// highest leaving incarnation by name.
+func (s *Snapshot) WithLeaving(leaving map[string]int64) *Snapshot {
+	c := *s
+	c.leaving = maps.Clone(leaving)
+	return &c
+}
+
+// Leaving reports whether an incarnation of an upstream is leaving. Only a
+// higher incarnation than a leaving one is not.
+func (s *Snapshot) Leaving(upstream string, inc int64) bool {
+	left, ok := s.leaving[upstream]
+	return ok && inc <= left
+}
+
 // Authenticate returns the account of a caller key.
 func (s *Snapshot) Authenticate(key string) (rwaccount.Account, bool) {
 	sum := sha256.Sum256([]byte(key))
@@ -101,7 +130,8 @@
 	return a, ok
 }
 
-// Upstream returns the upstream of a name.
+// Upstream returns the upstream of a name as its record says; Leaving tells
+// whether it is leaving.
 func (s *Snapshot) Upstream(name string) (rwupstream.Upstream, bool) {
 	u, ok := s.upstreams[name]
 	return u, ok
@@ -151,11 +181,22 @@
 	return false
 }
 
+// Serves reports whether any upstream of the type (engine or plain service)
+// serves the pool.
+func (s *Snapshot) Serves(pool string, engine bool) bool {
+	for _, u := range s.upstreams {
+		if u.Engine == engine && slices.Contains(u.Pools, pool) {
+			return true
+		}
+	}
+	return false
+}
+
 // Pool returns the upstreams of a pool that are not leaving, by name.
 func (s *Snapshot) Pool(pool string) []rwupstream.Upstream {
 	var out []rwupstream.Upstream
 	for _, u := range s.Upstreams() {
-		if !u.Leaving && slices.Contains(u.Pools, pool) {
+		if !u.Leaving && !s.Leaving(u.Name, u.Inc) && slices.Contains(u.Pools, pool) {
 			out = append(out, u)
 		}
 	}
