--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PATTERNS := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 SEED ?= 1
 
-.PHONY: fuzz build demo test lint fmt vet generate tools prove measure bench capacity fuzz
+.PHONY: build demo test lint fmt vet generate tools prove measure bench capacity fuzz
 
 build:
 	@mkdir -p bin
@@ -33,6 +33,9 @@
 demo: build
 	@bin/rwdrill --bin bin demo
 
+measure: build
+	@bin/rwdrill --bin bin measure
+
 # The tests in rwbubble run thousands of goroutines under virtual time. With the
 # race detector the Go 1.26 runtime crashed there with a segmentation fault in
 # 1 of 5 runs, so they run without it.
