--- a/internal/rwdispatch/rwdispatch_test.go
+++ b/internal/rwdispatch/rwdispatch_test.go
@@ -20,6 +20,7 @@
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwsse"
 	"redwingworks.example/internal/rwstream"
 	"redwingworks.example/internal/rwupstream"
 )
@@ -269,6 +270,60 @@
 	}
 }
 
+// Guards against an answer that is complete but held until the engine closes
+// its side.
+func TestEndMarkerEndsTheWait(t *testing.T) {
+	u := serve(t, stall(events(0, 2)+done))
+	start := time.Now()
+	require.NoError(t, New().Stream(t.Context(), u.record(true), request(true), 0, func(*rwstream.Chunk) error { return nil }))
+	require.Less(t, time.Since(start), stallTimeout/2)
+}
+
+// Guards against a slow caller that is taken for a stalled engine.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	emitted := make(chan struct{})
+	u := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		write(w, event(requestID, 0, "")+event(requestID, 1, ""))
+		<-emitted
+		write(w, events(2, 3)+done)
+	})
+	d := New()
+	d.stall = time.Second
+	err := d.Stream(t.Context(), u.record(true), request(true), 0, func(c *rwstream.Chunk) error {
+		if c.Index == 1 {
+			time.Sleep(d.stall + d.stall/4)
+			close(emitted)
+		}
+		return nil
+	})
+	require.NoError(t, err)
+}
+
+// lineReader returns one line for each read, as packets of the engine might.
+type lineReader struct{ lines []string }
+
+func (r *lineReader) Read(p []byte) (int, error) {
+	if len(r.lines) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, r.lines[0])
+	r.lines = r.lines[1:]
+	return n, nil
+}
+
+// Guards against a last chunk that is overwritten while the end marker is
+// awaited: it would reach the caller as something else.
+func TestLastChunkOutlivesTheNextRead(t *testing.T) {
+	lines := &lineReader{strings.SplitAfter(events(0, 1)+done, "\n")}
+	var raw []string
+	err := read(t.Context(), rwsse.New(lines), rwstream.New(requestID, 0), func(c *rwstream.Chunk) error {
+		raw = append(raw, "data: "+string(c.Raw)+"\n\n")
+		return nil
+	})
+	require.NoError(t, err)
+	require.Equal(t, events(0, 1), strings.Join(raw, ""))
+}
+
 // Guards against an unknown outcome where the upstream was never reached.
 func TestConnectionRefusedIsNotRun(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
