--- a/cmd/rwrouter/main.go
+++ b/cmd/rwrouter/main.go
@@ -37,7 +37,12 @@
 			rwlog.Warn(&log, rwlog.SettingsInvalid, err).Send()
 			return err
 		}
-		return rwnode.New(settings, log).Run()
+		node, err := rwnode.New(settings, log)
+		if err != nil {
+			rwlog.Warn(&log, rwlog.SettingsInvalid, err).Send()
+			return err
+		}
+		return node.Run()
 	}
 	return c
 }
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -323,6 +323,7 @@
 		Pool:        kind.Pool,
 		Urgency:     kind.Urgency,
 		Idempotent:  kind.Idempotent,
+		Repeat:      kind.Repeat,
 		Method:      r.Method,
 		ContentType: r.Header.Get("Content-Type"),
 		Arrived:     arrived,
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -5,36 +5,45 @@
 	"context"
 	"errors"
 	"expvar"
+	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"strconv"
+	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"redwingworks.example/internal/rwbudget"
+	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwdispatch"
 	"redwingworks.example/internal/rwentry"
+	"redwingworks.example/internal/rwfair"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwfollow"
 	"redwingworks.example/internal/rwgate"
+	"redwingworks.example/internal/rwgossip"
+	"redwingworks.example/internal/rwhome"
+	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwkernel"
 	"redwingworks.example/internal/rwlocal"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwowner"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwsettings"
-	"redwingworks.example/internal/rwsnapshot"
-	"redwingworks.example/internal/rwsource"
-	"redwingworks.example/internal/rwstore"
 )
 
 const (
 	headerTimeout = 5 * time.Second
-	maxHeader     = 16 << 10
-	watchWait     = 20 * time.Second
-	retryPause    = 500 * time.Millisecond
-	drainLimit    = 5 * time.Minute
+	// joinWait is the time between the first records and the first cells: a
+	// router that took cells before it knew the live routers would grant
+	// slots that others hand out too.
+	joinWait = time.Second
+	// tick is how often owners send reports and look for grants that became
+	// possible with time.
+	tick = 50 * time.Millisecond
 )
 
 // Node is one router.
@@ -43,125 +52,222 @@
 	log      zerolog.Logger
 	metrics  *rwmetric.Metrics
 	kernel   *rwkernel.Kernel
-	// inc is the incarnation: the start time in microseconds.
-	inc   int64
-	view  atomic.Pointer[rwsnapshot.Snapshot]
-	ready atomic.Bool
+	self     rwidentity.Identity
+
+	peers  *rwpeer.Peers
+	gossip *rwgossip.Gossip
+	follow *rwfollow.Follow
+	policy *rwfair.Policy
+	owner  *rwowner.Owner
+	home   *rwhome.Home
+	gate   *rwgate.Gate
+	server *http.Server
+
+	// joined is set once the router may own cells and take requests.
+	joined atomic.Bool
+	// stopping is set when the process was asked to stop: the balancer is
+	// told so. draining is set later: new requests are refused.
+	stopping, draining atomic.Bool
+	// changed wakes the part that works out cells and their owners.
+	changed chan struct{}
 }
 
-// New returns a router that is not running yet.
-func New(s rwsettings.Settings, log zerolog.Logger) *Node {
+// New returns a router that is not running yet. It fails with SettingsInvalid
+// if a certificate can't be read.
+func New(s rwsettings.Settings, log zerolog.Logger) (*Node, error) {
+	tlsConfig, err := s.TLS()
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		settings: s,
 		log:      log,
 		metrics:  rwmetric.New(),
 		kernel:   rwkernel.New(),
-		inc:      time.Now().UnixMicro(),
+		changed:  make(chan struct{}, 1),
+		self: rwidentity.Identity{
+			Name: s.Name, Zone: s.Zone, Region: s.Region, Addr: s.PeerAddr(), Inc: time.Now().UnixMicro(),
+		},
 	}
-	n.view.Store(rwsnapshot.Empty())
-	return n
+	n.peers = rwpeer.New(n.self, s.Key, nil, log, n.metrics)
+	n.gossip = rwgossip.New(n.peers, s.Seeds, log, n.metrics)
+	n.follow = rwfollow.New(n.peers, n.gossip, s.Platform, s.Seeds, log, n.metrics)
+	n.wireFleet()
+	n.wireCallers()
+	n.gate.TLS = tlsConfig
+	n.server = n.gate.Server()
+	return n, nil
 }
 
-// Run serves until a signal asks the process to stop.
-func (n *Node) Run() error {
-	n.metrics.Publish()
-	rwlog.Info(&n.log, rwlog.Started).Int64("inc", n.inc).Send()
-	gate := n.gate()
-	n.kernel.Register("source", nil, n.follow)
-	n.kernel.Register("gate", gate, n.serve(n.settings.Listen, gate.Handler()))
-	n.kernel.Register("ops", nil, n.serve(n.settings.Ops, expvar.Handler()))
-	n.kernel.Register("signals", nil, n.waitSignal)
-	err := n.kernel.Run()
-	rwlog.Info(&n.log, rwlog.Stopped).Send()
-	return err
+// wireFleet connects the parts that act together with other routers.
+func (n *Node) wireFleet() {
+	n.policy = rwfair.New(n.self, uint64(n.self.Inc))
+	n.policy.View = n.follow.View
+	n.policy.Now = time.Now
+	n.policy.Send = n.send
+	n.owner = rwowner.New(n.self)
+	n.owner.Send = n.send
+	n.gossip.Changed = n.wake
+	n.gossip.Woke = n.woke
+	n.follow.Changed = n.adopted
+	n.handleMessages()
 }
 
-func (n *Node) gate() *rwgate.Gate {
+// wireCallers connects the parts that serve callers.
+func (n *Node) wireCallers() {
 	dispatcher := rwdispatch.New()
-	policy := rwlocal.New(n.view.Load)
+	acquire := n.policy.Acquire
+	if n.settings.Policy == "local" {
+		acquire = rwlocal.New(n.follow.View).Acquire
+	}
+	budget := &budget{metrics: n.metrics, tokens: rwbudget.New()}
 	entry := &rwentry.Entry{
-		Acquire: policy.Acquire,
+		Acquire: acquire,
 		Call:    dispatcher.Call,
 		Stream:  dispatcher.Stream,
+		Retry:   budget.retry,
+		Fresh:   budget.fresh,
 		Now:     time.Now,
-		Retry: func(f *rwfault.Fault) bool {
-			n.metrics.Retried(f.Code)
-			return true
-		},
 	}
-	return &rwgate.Gate{
-		ID:      n.settings.Name + "-" + strconv.FormatInt(n.inc, 36),
-		View:    n.view.Load,
-		Run:     entry.Run,
-		Do:      entry.Do,
-		Ready:   n.ready.Load,
-		Refused: n.metrics.Refused,
-		Now:     time.Now,
+	n.home = rwhome.New(rwhome.Config{
+		Self: n.self, Key: n.settings.Key, View: n.follow.View, Peers: n.peers, Run: entry.Do,
+		Now: time.Now, Hold: n.settings.Hold, Log: n.log, Metrics: n.metrics,
+	})
+	n.gate = &rwgate.Gate{
+		ID:          n.self.Name + "-" + strconv.FormatInt(n.self.Inc, 36),
+		View:        n.follow.View,
+		Run:         entry.Run,
+		Do:          n.do(entry),
+		Ticket:      n.home.Ticket,
+		Ready:       n.ready,
+		Draining:    n.draining.Load,
+		Refused:     n.metrics.Refused,
+		Now:         time.Now,
+		MaxConns:    n.settings.MaxConns,
+		MaxRequests: n.settings.MaxRequests,
+		BodyTimeout: n.settings.BodyTimeout,
 	}
 }
 
-func (n *Node) follow(ctx context.Context) error {
-	source := rwsource.New(n.settings.Platform, &http.Client{})
-	store := rwstore.New()
-	for ctx.Err() == nil {
-		items, err := source.Watch(ctx, store.View().Rev(), watchWait)
-		if err != nil {
-			rwlog.Warn(&n.log, rwlog.PlatformLost, err).Send()
-			select {
-			case <-time.After(retryPause):
-			case <-ctx.Done():
-			}
-			continue
+// do sends a call with a key that may not be repeated to the one router that
+// may run it. The others run where they arrived: without a key, this router is
+// the only one that knows of the call.
+func (n *Node) do(entry *rwentry.Entry) func(context.Context, *rwrequest.Request) (*rwdispatch.Answer, error) {
+	return func(ctx context.Context, q *rwrequest.Request) (*rwdispatch.Answer, error) {
+		if q.Idempotent || q.Key == "" {
+			return entry.Do(ctx, q)
 		}
-		_, faults := store.Adopt(items)
-		for _, f := range faults {
-			rwlog.Warn(&n.log, rwlog.RecordSetAside, f).Send()
+		return n.home.Do(ctx, q)
+	}
+}
+
+func (n *Node) ready() bool { return n.joined.Load() && !n.stopping.Load() }
+
+// Run serves until a signal asks the process to stop, and then until the
+// requests in progress have ended.
+func (n *Node) Run() error {
+	n.metrics.Publish()
+	rwlog.Info(&n.log, rwlog.Started).Int64("inc", n.self.Inc).Send()
+	n.kernel.Register("peers", n.peers, n.servePeers)
+	n.kernel.Register("gossip", n.gossip, n.gossip.Run)
+	n.kernel.Register("follow", n.follow, n.follow.Run)
+	n.kernel.Register("cells", nil, n.assignCells)
+	n.kernel.Register("policy", n.policy, n.policy.Run)
+	n.kernel.Register("owner", n.owner, n.tickOwner)
+	n.kernel.Register("home", n.home, n.home.Start)
+	n.kernel.Register("gate", n.gate, n.serveCallers)
+	n.kernel.Register("ops", nil, n.serveOps)
+	n.kernel.Register("signals", nil, n.waitSignal)
+	err := n.kernel.Run()
+	rwlog.Info(&n.log, rwlog.Stopped).Send()
+	return err
+}
+
+// servePeers accepts the links of other routers.
+func (n *Node) servePeers(ctx context.Context) error {
+	l, err := net.Listen("tcp", n.settings.Peer)
+	if err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	return n.peers.Serve(ctx, l)
+}
+
+// serveCallers serves until the group stops. The end of the server alone,
+// which is the first step of a graceful shutdown, doesn't end the group.
+func (n *Node) serveCallers(ctx context.Context) error {
+	l, err := net.Listen("tcp", n.settings.Listen)
+	if err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- n.serveOn(l) }()
+	select {
+	case err := <-failed:
+		if !errors.Is(err, http.ErrServerClosed) {
+			return rwfault.Wrap(rwcode.Internal, err)
 		}
-		n.view.Store(store.View())
-		n.ready.Store(true)
+		<-ctx.Done()
+	case <-ctx.Done():
+		_ = n.server.Close()
 	}
 	return nil
 }
 
-func (n *Node) serve(addr string, h http.Handler) func(context.Context) error {
-	return func(ctx context.Context) error {
-		s := &http.Server{
-			Addr:              addr,
-			Handler:           h,
-			ReadHeaderTimeout: headerTimeout,
-			MaxHeaderBytes:    maxHeader,
-		}
-		failed := make(chan error, 1)
-		go func() { failed <- s.ListenAndServe() }()
+func (n *Node) serveOn(l net.Listener) error {
+	if n.server.TLSConfig != nil {
+		return n.server.ServeTLS(l, "", "")
+	}
+	return n.server.Serve(l)
+}
+
+// serveOps serves operators until the group stops.
+func (n *Node) serveOps(ctx context.Context) error {
+	m := http.NewServeMux()
+	m.Handle("GET /debug/vars", expvar.Handler())
+	s := &http.Server{Addr: n.settings.Ops, Handler: m, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	return nil
+}
+
+func (n *Node) tickOwner(ctx context.Context) error {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
 		select {
-		case err := <-failed:
-			return err
 		case <-ctx.Done():
-		}
-		limit, cancel := context.WithTimeout(context.Background(), drainLimit)
-		defer cancel()
-		err := s.Shutdown(limit)
-		if errors.Is(err, http.ErrServerClosed) {
 			return nil
+		case now := <-t.C:
+			n.owner.Tick(now)
 		}
-		return err
 	}
 }
 
-func (n *Node) waitSignal(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	select {
-	case <-signals:
-	case <-ctx.Done():
-		return nil
-	}
-	rwlog.Info(&n.log, rwlog.StopRequested).Send()
-	n.ready.Store(false)
-	select {
-	case <-time.After(n.settings.Drain):
-	case <-ctx.Done():
+// budget is the retry budget of the router with its counters.
+type budget struct {
+	metrics *rwmetric.Metrics
+
+	mu     sync.Mutex
+	tokens *rwbudget.Budget
+}
+
+func (b *budget) retry(f *rwfault.Fault) bool {
+	b.mu.Lock()
+	ok := b.tokens.Allow(f.Code)
+	b.mu.Unlock()
+	if ok {
+		b.metrics.Retried(f.Code)
+	} else {
+		b.metrics.Refused(rwcode.RetryBudget)
 	}
-	return nil
+	return ok
+}
+
+func (b *budget) fresh() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens.Fresh()
 }
--- a/internal/rwsettings/rwsettings.go
+++ b/internal/rwsettings/rwsettings.go
@@ -27,6 +27,9 @@
 	Listen string `env:"REDWING_LISTEN"`
 	// Peer is the address for other routers.
 	Peer string `env:"REDWING_PEER"`
+	// Advertise is the address that other routers use for Peer where it
+	// differs; empty for Peer itself.
+	Advertise string `env:"REDWING_ADVERTISE"`
 	// Ops is the address for operators.
 	Ops string `env:"REDWING_OPS"`
 	// Platform is the base URL of the platform service, with a final slash.
@@ -72,6 +75,7 @@
 	f.StringVar(&s.Region, "region", s.Region, "region of the zone")
 	f.StringVar(&s.Listen, "listen", s.Listen, "address for callers")
 	f.StringVar(&s.Peer, "peer", s.Peer, "address for other routers")
+	f.StringVar(&s.Advertise, "advertise", s.Advertise, "peer address that other routers use, if it differs")
 	f.StringVar(&s.Ops, "ops", s.Ops, "address for operators")
 	f.StringVar(&s.Platform, "platform", s.Platform, "base URL of the platform service")
 	f.StringVar(&s.Key, "key", s.Key, "key shared by all routers; prefer the environment")
@@ -100,6 +104,7 @@
 	need(s.Region != "", "region is required")
 	need(ipPort(s.Listen), "listen must be an IP address and a port")
 	need(ipPort(s.Peer), "peer must be an IP address and a port")
+	need(s.Advertise == "" || ipPort(s.Advertise), "advertise must be an IP address and a port")
 	need(ipPort(s.Ops), "ops must be an IP address and a port")
 	need(strings.HasPrefix(s.Platform, "http") && strings.HasSuffix(s.Platform, "/"), "platform must be an HTTP URL with a final slash")
 	need(len(s.Key) >= minKeyBytes, "key must have at least 16 bytes")
@@ -137,3 +142,11 @@
 	host, _, err := net.SplitHostPort(addr)
 	return err == nil && net.ParseIP(host) != nil
 }
+
+// PeerAddr is the address that other routers use.
+func (s *Settings) PeerAddr() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.Peer
+}
