--- a/internal/rwlist/rwlist.go
+++ b/internal/rwlist/rwlist.go
@@ -8,7 +8,7 @@
 	"redwingworks.example/internal/rwrank"
 )
 
-// Version orders lists. The sum tells lists of the same revision apart, which
+// Version orders lists by revision. The sum tells lists of the same revision apart, which
 // exist while a router has received only a part of the records.
 type Version struct {
 	Rev int64  `json:"rev"`
--- /dev/null
+++ b/internal/rwquery/rwquery.go
@@ -0,0 +1,10 @@
+// Package rwquery is the question of a router for the traces of its keys.
+package rwquery
+
+import "redwingworks.example/internal/rwlist"
+
+// Query is sent to all routers after a start and after each change of the VM
+// list. Whoever answers it acts on no older list from then on.
+type Query struct {
+	Version rwlist.Version `json:"version"`
+}
--- /dev/null
+++ b/internal/rwreply/rwreply.go
@@ -0,0 +1,41 @@
+// Package rwreply is the answer to a query for traces.
+package rwreply
+
+import (
+	"time"
+
+	"redwingworks.example/internal/rwlist"
+	"redwingworks.example/internal/rwtrace"
+)
+
+// Reply is what a router knows about keys that may have run.
+type Reply struct {
+	// OK is whether the router accepts the version of the query. Without it
+	// only Seen has a meaning.
+	OK bool `json:"ok"`
+	// Seen is the highest version that the router knows.
+	Seen rwlist.Version `json:"seen"`
+	// Inc is the router's incarnation, Age the time since its start.
+	Inc int64         `json:"inc"`
+	Age time.Duration `json:"age"`
+	// Full is whether the router knows every key that it may have run in any
+	// incarnation. Its own keys are then all in Traces.
+	Full bool `json:"full"`
+	// Covers maps the homes whose traces the router has had without a gap
+	// since they sent it all of them, to the list revision of that message.
+	Covers map[string]int64 `json:"covers,omitempty"`
+	// Traces are keys that may have run.
+	Traces []rwtrace.Trace `json:"traces,omitempty"`
+	// Past are VMs that are no longer published and may hold traces.
+	Past map[string]Past `json:"past,omitempty"`
+	// Revs are the list revisions that the router has seen.
+	Revs []int64 `json:"revs,omitempty"`
+}
+
+// Past says when a VM ceased to be published.
+type Past struct {
+	// Rev is the first list revision without the VM that the router has.
+	Rev int64 `json:"rev"`
+	// Left is how long the VM must still be taken into account.
+	Left time.Duration `json:"left"`
+}
--- /dev/null
+++ b/internal/rwtrace/rwtrace.go
@@ -0,0 +1,24 @@
+// Package rwtrace is the record that a key may have run.
+package rwtrace
+
+import (
+	"time"
+
+	"redwingworks.example/internal/rwresult"
+)
+
+// Trace says that a router may have run the call of a key.
+type Trace struct {
+	// Key is scoped by client account.
+	Key string `json:"key"`
+	// Digest identifies the method, path and body of the call.
+	Digest string `json:"digest"`
+	// By and Inc name the router incarnation that may have run the call; By
+	// is "" where a router only knows that it forwarded the call.
+	By  string `json:"by,omitempty"`
+	Inc int64  `json:"inc,omitempty"`
+	// Left is how long the trace must still be kept.
+	Left time.Duration `json:"left"`
+	// Result is the known outcome, or nil.
+	Result *rwresult.Result `json:"result,omitempty"`
+}
