--- a/internal/rwentry/rwentry_test.go
+++ b/internal/rwentry/rwentry_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -197,6 +198,52 @@
 	require.Empty(t, h.retries)
 }
 
+// Guards against a retry that runs a call to a plain service twice: after each
+// fault that comes when the service has run the call, the next service must
+// not see it; after a refusal it must.
+func TestServiceRunsOnce(t *testing.T) {
+	hijack := func(w http.ResponseWriter) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+	for name, c := range map[string]struct {
+		fault func(w http.ResponseWriter)
+		runs  int
+	}{
+		"closed without an answer": {hijack, 1},
+		"truncated answer": {func(w http.ResponseWriter) {
+			w.Header().Set("Redwing-Request", "r-1")
+			w.Header().Set("Content-Length", "9")
+			_, _ = io.WriteString(w, "part")
+		}, 1},
+		"answer to another request": {func(w http.ResponseWriter) { w.Header().Set("Redwing-Request", "r-2") }, 1},
+		"error without an echo":     {func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }, 1},
+		"leaving": {func(w http.ResponseWriter) {
+			w.Header().Set("Redwing-State", "leaving")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			first := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				c.fault(w)
+			})
+			second := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				w.Header().Set("Redwing-Request", "r-1")
+			})
+			h := newHarness(t, first, second)
+			_, err := h.entry.Do(t.Context(), &rwrequest.Request{ID: "r-1", Path: "/new", Key: "k"})
+			require.Equal(t, int64(c.runs), runs.Load())
+			require.Equal(t, c.runs == 1, err != nil)
+			require.True(t, err == nil || rwfault.From(err).Outcome == rwoutcome.Unknown)
+		})
+	}
+}
+
 // outcomes runs a request whose attempts end with the given faults.
 func outcomes(ctx context.Context, t *testing.T, idempotent bool, faults ...error) (*rwfault.Fault, int) {
 	n := 0
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -37,6 +37,9 @@
 	maxKeyBytes    = 256
 	maxDeadline    = 24 * time.Hour
 	maxHint        = 1e9
+	// maxWholeBytes bounds the text of an answer that is not streamed, which
+	// is held in memory until it is whole.
+	maxWholeBytes = 8 << 20
 )
 
 // Limits of the process, used where a field of Gate is zero. A node carries
@@ -574,6 +577,9 @@
 	a := wholeAnswer{ID: q.ID}
 	var text strings.Builder
 	err := g.Run(ctx, q, func(c *rwstream.Chunk) error {
+		if text.Len()+len(c.Text) > maxWholeBytes {
+			return rwfault.New(rwcode.UpstreamMalformed, "answer too large").WithOutcome(rwoutcome.Unknown)
+		}
 		text.WriteString(c.Text)
 		a.Usage++
 		return nil
--- a/internal/rwgate/rwgate_test.go
+++ b/internal/rwgate/rwgate_test.go
@@ -545,6 +545,23 @@
 	})
 }
 
+// Guards against an engine that never ends an answer and so uses up the memory.
+func TestWholeAnswerIsBounded(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		text := strings.Repeat("x", 1<<20)
+		h.Run = func(_ context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			var err error
+			for i := 0; err == nil; i++ {
+				err = emit(&rwstream.Chunk{ID: q.ID, Index: i, Text: text})
+			}
+			return err
+		}
+		h.start()
+		resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", goodBody))
+		requireError(t, resp, text, 502, rwcode.UpstreamMalformed, rwoutcome.Unknown)
+	})
+}
+
 // Guards against a request that goes on after its caller left in the stream.
 func TestCallerLeaves(t *testing.T) {
 	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
