--- a/internal/rwentry/rwentry.go
+++ b/internal/rwentry/rwentry.go
@@ -62,6 +62,7 @@
 		err := e.Stream(ctx, s.Upstream, q, joined.offset, func(c *rwstream.Chunk) error {
 			if first.IsZero() {
 				first = e.Now()
+				cost = promptCost(q)
 			}
 			cost++
 			if s.Used != nil {
@@ -77,6 +78,19 @@
 	})
 }
 
+// promptCost is the cost of a request's prompt in generated tokens. It is
+// charged with the first chunk: an engine that gave none may not have read it.
+func promptCost(q *rwrequest.Request) float64 {
+	const (
+		// bytesPerToken is a common ratio; the router has no tokenizer.
+		bytesPerToken = 4
+		// promptWeight is how many prompt tokens cost as much as a
+		// generated one.
+		promptWeight = 8
+	)
+	return float64(len(q.Body)) / bytesPerToken / promptWeight
+}
+
 // resume waits for a slot for a request whose answer broke off.
 func (e *Entry) resume(ctx context.Context, q *rwrequest.Request) (*rwslot.Slot, error) {
 	again := *q
--- a/internal/rwentry/rwentry_test.go
+++ b/internal/rwentry/rwentry_test.go
@@ -172,6 +172,38 @@
 	}
 }
 
+// Guards against an account that gets long prompts for nothing, and against a
+// charge for a prompt that no engine has read.
+func TestPromptIsCharged(t *testing.T) {
+	var used, done []float64
+	chunks := 2
+	e := &Entry{
+		Now: time.Now,
+		Acquire: func(context.Context, *rwrequest.Request) (*rwslot.Slot, error) {
+			return &rwslot.Slot{
+				Expires: time.Now().Add(time.Minute),
+				Used:    func(cost float64) { used = append(used, cost) },
+				Done:    func(cost float64, _, _ time.Duration, _ rwcode.Code) { done = append(done, cost) },
+			}, nil
+		},
+		Stream: func(_ context.Context, _ rwupstream.Upstream, _ *rwrequest.Request, _ int, emit func(*rwstream.Chunk) error) error {
+			for i := range chunks {
+				if err := emit(&rwstream.Chunk{Index: i}); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	q := &rwrequest.Request{Body: make([]byte, 320)}
+	emit := func(*rwstream.Chunk) error { return nil }
+	require.NoError(t, e.Run(t.Context(), q, emit))
+	chunks = 0
+	require.NoError(t, e.Run(t.Context(), q, emit))
+	require.Equal(t, []float64{11, 12}, used)
+	require.Equal(t, []float64{12, 0}, done)
+}
+
 // Guards against endless or unbudgeted retries: at most three sends, and none
 // when the budget refuses.
 func TestRetriesAreBounded(t *testing.T) {
