--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -37,6 +37,10 @@
 	maxKeyBytes    = 256
 	maxDeadline    = 24 * time.Hour
 	maxHint        = 1e9
+	// maxDiscardBytes and discardTimeout bound what is read of a body that is
+	// too large, after its refusal.
+	maxDiscardBytes = 16 << 20
+	discardTimeout  = 5 * time.Second
 	// maxWholeBytes bounds the text of an answer that is not streamed, which
 	// is held in memory until it is whole.
 	maxWholeBytes = 8 << 20
@@ -215,7 +219,7 @@
 			err = serve(w, r)
 		}
 		if err != nil {
-			g.fail(w, err)
+			g.fail(w, r, err)
 		}
 	}
 }
@@ -247,16 +251,32 @@
 }
 
 // fail answers a request that failed before its answer began.
-func (g *Gate) fail(w http.ResponseWriter, err error) {
+func (g *Gate) fail(w http.ResponseWriter, r *http.Request, err error) {
 	f := fault(err)
 	g.Refused(f.Code)
 	switch f.Code {
 	case rwcode.Draining, rwcode.TooManyConnections, rwcode.SlowBody, rwcode.BodyTooLarge:
 		w.Header().Set("Connection", "close")
 	}
+	if f.Code == rwcode.BodyTooLarge && r.ProtoMajor == 1 {
+		discard(w, r, rwrefusal.New(f))
+		return
+	}
 	rwrefusal.New(f).Write(w)
 }
 
+// discard answers a request whose body is too large and then reads on for a
+// while. Many clients send the whole body before they read, and an answer is
+// lost when the connection is reset meanwhile.
+func discard(w http.ResponseWriter, r *http.Request, refusal rwrefusal.Refusal) {
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	refusal.Write(w)
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, r.Body, maxDiscardBytes)
+}
+
 // fault returns the fault inside err. An error without one has an unknown
 // outcome, because nothing says that the request did not run.
 func fault(err error) *rwfault.Fault {
--- a/internal/rwgate/rwgate_test.go
+++ b/internal/rwgate/rwgate_test.go
@@ -350,6 +350,47 @@
 	})
 }
 
+// Guards against a refusal that is lost because the connection is reset while
+// the caller still sends a body that is too large.
+func TestRefusalOfLargeBodyIsRead(t *testing.T) {
+	for name, header := range map[string]string{
+		"length known": fmt.Sprintf("Content-Length: %d\r\n\r\n", 4*maxBodyBytes),
+		"chunked":      fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", 4*maxBodyBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.start()
+				conn, err := h.dial(t.Context(), "", "")
+				require.NoError(t, err)
+				answer := make(chan int, 1)
+				sent := make(chan error, 1)
+				go func() {
+					_, err := io.WriteString(conn, "POST "+chatPath+" HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer "+
+						callerKey+"\r\nRedwing-Kind: draft\r\n"+header)
+					for i := 0; err == nil && i < 4; i++ {
+						time.Sleep(time.Second)
+						_, err = conn.Write(make([]byte, maxBodyBytes))
+					}
+					sent <- err
+				}()
+				go func() {
+					resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					if err == nil {
+						_ = resp.Body.Close()
+						answer <- resp.StatusCode
+					}
+				}()
+				require.NoError(t, <-sent, "the connection was closed under the caller")
+				require.Equal(t, http.StatusRequestEntityTooLarge, <-answer)
+				_ = conn.Close()
+				_ = h.server.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // Guards against memory that the bodies of many callers use up.
 func TestBodiesAreBounded(t *testing.T) {
 	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
