--- a/internal/rwgate/rwgate_test.go
+++ b/internal/rwgate/rwgate_test.go
@@ -350,6 +350,47 @@
 	})
 }
 
+// Guards against a refusal that is lost because the connection is reset while
+// the caller still sends a body that is too large.
+func TestRefusalOfLargeBodyIsRead(t *testing.T) {
+	for name, header := range map[string]string{
+		"length known": fmt.Sprintf("Content-Length: %d\r\n\r\n", 4*maxBodyBytes),
+		"chunked":      fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", 4*maxBodyBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.start()
+				conn, err := h.dial(t.Context(), "", "")
+				require.NoError(t, err)
+				answer := make(chan int, 1)
+				sent := make(chan error, 1)
+				go func() {
+					_, err := io.WriteString(conn, "POST "+chatPath+" HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer "+
+						callerKey+"\r\nRedwing-Kind: draft\r\n"+header)
+					for i := 0; err == nil && i < 4; i++ {
+						time.Sleep(time.Second)
+						_, err = conn.Write(make([]byte, maxBodyBytes))
+					}
+					sent <- err
+				}()
+				go func() {
+					resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					if err == nil {
+						_ = resp.Body.Close()
+						answer <- resp.StatusCode
+					}
+				}()
+				require.NoError(t, <-sent, "the connection was closed under the caller")
+				require.Equal(t, http.StatusRequestEntityTooLarge, <-answer)
+				_ = conn.Close()
+				_ = h.server.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // Guards against memory that the bodies of many callers use up.
 func TestBodiesAreBounded(t *testing.T) {
 	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
@@ -545,6 +586,23 @@
 	})
 }
 
+// Guards against an engine that never ends an answer and so uses up the memory.
+func TestWholeAnswerIsBounded(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		text := strings.Repeat("x", 1<<20)
+		h.Run = func(_ context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			var err error
+			for i := 0; err == nil; i++ {
+				err = emit(&rwstream.Chunk{ID: q.ID, Index: i, Text: text})
+			}
+			return err
+		}
+		h.start()
+		resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", goodBody))
+		requireError(t, resp, text, 502, rwcode.UpstreamMalformed, rwoutcome.Unknown)
+	})
+}
+
 // Guards against a request that goes on after its caller left in the stream.
 func TestCallerLeaves(t *testing.T) {
 	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
