Keep the debt of an outage when a cell rejoins

Cause: accounts that joined a cell after it was cut off were raised to the lowest virtual time there, that of the accounts which had the cell for themselves. The cell then saw no debt, and served against the other cells, which did: after an outage of 15 s their views of one lead were -2000 and +2500 cost units, and stayed apart. Ruled out, by reasoning: averaging the views, by which the wrong view takes part of the debt away.

A report after an outage now tells which accounts have work waiting, and the raise of those is taken back.

--- a/internal/rwsched/rwsched.go
+++ b/internal/rwsched/rwsched.go
@@ -35,6 +35,11 @@
 	// seedTime is how long an owner is new and takes over the leads that
 	// others report: settle, an interval and some delay.
 	seedTime = 2 * time.Second
+	// outageTime without a report from a cell that had some means that it
+	// was out of reach: reports come several times a second.
+	outageTime = 2 * time.Second
+	// minLead marks the accounts with work waiting among the leads.
+	minLead = 1e-6
 	// unknownUrgency is that of a kind whose record did not arrive yet.
 	unknownUrgency = rwkind.MaxUrgency
 )
@@ -65,6 +70,7 @@
 	// clock is the virtual time of the account that was served last.
 	clock float64
 
+	links map[string]*link
 	// started and latest are the times of the first and the latest event.
 	started, latest time.Time
 	// seeded is whether another owner's leads were taken over.
@@ -106,6 +112,17 @@
 	// virtual time behind the lowest one then.
 	left   time.Time
 	behind float64
+	// joined is when the account last got work, and lifted by how much its
+	// virtual time was raised then.
+	joined time.Time
+	lifted float64
+}
+
+// link is what is known of the reports of another cell.
+type link struct {
+	// latest is the time of the last report, and since when the reports
+	// came back after an outage.
+	latest, since time.Time
 }
 
 type grant struct {
@@ -131,6 +148,7 @@
 		byName:    map[string]*account{},
 		urgencies: map[string]int{},
 		grants:    map[uint64]*grant{},
+		links:     map[string]*link{},
 	}
 	moved := func(a *account, position int) { a.position = position }
 	s.ready = &rwheap.Heap[*account]{Less: earlier, Moved: moved}
@@ -498,7 +516,7 @@
 	for i := old; i < len(dst); i++ {
 		a := s.byName[dst[i].Account]
 		if a.heap != nil || s.latest.Sub(a.left) < rejoinTime {
-			dst[i].Lead = a.virtual - s.lowest()
+			dst[i].Lead = max(a.virtual-s.lowest(), minLead)
 		}
 	}
 	return dst
@@ -525,6 +543,9 @@
 	s.ledger.Merge(cell, inc, totals, func(name string, cost float64) {
 		s.advance(s.account(name), cost)
 	})
+	if s.rejoined(cell) {
+		s.lower(totals)
+	}
 	if inc < s.inc {
 		s.seed(totals)
 	}
@@ -549,6 +570,38 @@
 	}
 }
 
+// rejoined notes a report from a cell, and reports whether the cell was out of
+// reach until a moment ago.
+func (s *Scheduler) rejoined(cell string) bool {
+	l := s.links[cell]
+	if l == nil {
+		l = &link{}
+		s.links[cell] = l
+	}
+	if s.latest.Sub(l.latest) > outageTime {
+		l.since = s.latest
+	}
+	l.latest = s.latest
+	return s.latest.Sub(l.since) < outageTime
+}
+
+// lower takes back that accounts were raised when they joined, for those that
+// had work waiting at a cell that was out of reach: they have not become
+// backlogged just now. Otherwise this cell would take their service of the
+// outage for even with that of the accounts here, and go on to serve against
+// the other cells.
+func (s *Scheduler) lower(totals []rwtotal.Total) {
+	for _, t := range totals {
+		a := s.account(t.Account)
+		if t.Lead == 0 || a.heap == nil || s.latest.Sub(a.joined) >= outageTime {
+			continue
+		}
+		a.virtual -= a.lifted
+		a.lifted = 0
+		s.fix(a)
+	}
+}
+
 // observe notes the time of an event.
 func (s *Scheduler) observe(now time.Time) {
 	if s.started.IsZero() {
@@ -607,7 +660,9 @@
 	if now.Sub(a.left) < rejoinTime {
 		start -= a.behind
 	}
-	a.virtual = max(a.virtual, start)
+	a.lifted = max(0, start-a.virtual)
+	a.virtual += a.lifted
+	a.joined = now
 	s.put(a, s.ready)
 	s.limit(a)
 }
