Keep the list version of a call in its trace

Cause: a home that adopted a newer list between the start of a call and its trace sent the trace with the newer version, so witnesses that had promised to act on no older list accepted it. Ruled out: late copies of the same attempt, which are refused by their identifier.

--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -98,9 +98,13 @@
 
 // entry is a key that this incarnation may run.
 type entry struct {
-	state   state
-	digest  string
-	ticket  bool
+	state  state
+	digest string
+	ticket bool
+	// version is the list by which the call began. A witness that has
+	// promised to act on no older list must not accept the trace, even if
+	// this router has a newer list by then.
+	version rwlist.Version
 	expires time.Time
 	result  rwresult.Result
 	// evicted is whether the answer was dropped to bound memory.
@@ -569,6 +573,7 @@
 	m.table[c.Key] = &entry{
 		state: running, digest: c.Digest, ticket: c.Ticket,
 		expires: now.Add(c.Repeat + slack), attempt: c.ID, refused: refused,
+		version: m.list.Version,
 	}
 	v := rwverdict.Verdict{Step: rwverdict.Run}
 	holder := c.Holds && c.Version == m.list.Version && c.From != m.self.Name && slices.Contains(m.list.All, c.From)
@@ -774,11 +779,11 @@
 
 // Trace is the note that asks a witness to remember a key.
 func (m *Machine) Trace(now time.Time, key string) rwnote.Note {
-	n := rwnote.Note{Version: m.list.Version}
-	if e := m.table[key]; e != nil {
-		n.Traces = []rwtrace.Trace{m.trace(now, key, e)}
+	e := m.table[key]
+	if e == nil {
+		return rwnote.Note{}
 	}
-	return n
+	return rwnote.Note{Version: e.version, Traces: []rwtrace.Trace{m.trace(now, key, e)}}
 }
 
 // Note answers a note of another router.
@@ -822,6 +827,12 @@
 	for n, p := range m.past {
 		r.Past[n] = rwreply.Past{Rev: p.rev, Left: p.until.Sub(now)}
 	}
+	if q.Version != m.list.Version {
+		// The asker may not know VMs that only this router's list has.
+		for _, n := range m.list.All {
+			r.Past[n] = rwreply.Past{Rev: q.Version.Rev, Left: m.repeat}
+		}
+	}
 	r.Traces = m.keys(now)
 	if m.full {
 		m.told[from.Name] = told{from.Inc, q.Version.Rev}
