Run non-idempotent calls through the home of their key

POST /v1/tickets answers {"key":…}. Held keys get key_held with outcome unknown, so callers know that a repeat can help.

--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -34,6 +34,8 @@
 	// Run runs model work, Do a call to a plain service.
 	Run func(context.Context, *rwrequest.Request, func(*rwstream.Chunk) error) error
 	Do  func(context.Context, *rwrequest.Request) (*rwdispatch.Answer, error)
+	// Ticket makes an idempotency key that only this router runs.
+	Ticket func() (string, error)
 	// Ready reports whether the balancer may send requests.
 	Ready func() bool
 	// Refused counts a refusal.
@@ -49,6 +51,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v1/chat/completions", g.chat)
 	m.HandleFunc("/v1/call/{pool}/{path...}", g.call)
+	m.HandleFunc("POST /v1/tickets", g.ticket)
 	m.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.HandleFunc("GET /readyz", g.ready)
 	return m
@@ -198,6 +201,20 @@
 	_, _ = w.Write(a.Body)
 }
 
+func (g *Gate) ticket(w http.ResponseWriter, r *http.Request) {
+	if _, ok := g.View().Authenticate(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")); !ok {
+		g.fail(w, rwfault.New(rwcode.Unauthorized, "unknown key"))
+		return
+	}
+	key, err := g.Ticket()
+	if err != nil {
+		g.fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]string{"key": key})
+}
+
 type errorBody struct {
 	Error errorDetail `json:"error"`
 }
--- a/internal/rwhome/rwhome.go
+++ b/internal/rwhome/rwhome.go
@@ -5,21 +5,73 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"redwingworks.example/internal/rwack"
+	"redwingworks.example/internal/rwcall"
+	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwdispatch"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwhandoff"
 	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwkind"
+	"redwingworks.example/internal/rwlist"
+	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwnote"
+	"redwingworks.example/internal/rwonce"
+	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwpost"
+	"redwingworks.example/internal/rwquery"
+	"redwingworks.example/internal/rwreply"
 	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwresult"
 	"redwingworks.example/internal/rwsnapshot"
+	"redwingworks.example/internal/rwticket"
+	"redwingworks.example/internal/rwverdict"
+)
+
+const (
+	tickInterval  = 100 * time.Millisecond
+	traceTimeout  = 500 * time.Millisecond
+	queryTimeout  = 2 * time.Second
+	handedTimeout = 2 * time.Second
+	// orderTimeout bounds a call without a deadline. It is below the time
+	// for which rwonce keeps traces beyond the repeat time.
+	orderTimeout = 150 * time.Second
+	// maxBody is the largest body that still fits into a message between
+	// routers in base64.
+	maxBody = 800 << 10
+	// maxHops bounds forwarding: from the entry to a home that is leaving
+	// and on to the router that has its keys.
+	maxHops = 2
+	// fenceShift leaves 40 bits for the home's start in seconds.
+	fenceShift = 40
 )
 
 // Home is the part of a router that runs non-idempotent calls.
 type Home struct {
 	config Config
+
+	mu      sync.Mutex
+	machine *rwonce.Machine
+	view    *rwsnapshot.Snapshot
+	// addrs are the last known peer addresses by name.
+	addrs map[string]string
+	// running holds a channel for each call in progress, closed at its end.
+	running map[string]chan struct{}
+	full    bool
+	// handed is closed when the keys were offered to the next routers; nil
+	// before Leave.
+	handed chan struct{}
 }
 
 // Config holds what a Home uses. All fields are required except Hold.
@@ -32,7 +84,8 @@
 	// Peers are the links to other routers; New registers handlers on them.
 	Peers *rwpeer.Peers
 	// Run waits for a slot and sends a call to an upstream at most once. It
-	// has to pass the request's Check on to rwdispatch.
+	// has to pass the request's Check on to rwdispatch. Its faults say
+	// not_run only if nothing reached an upstream.
 	Run func(context.Context, *rwrequest.Request) (*rwdispatch.Answer, error)
 	// Now is the clock, with a monotonic reading.
 	Now func() time.Time
@@ -43,26 +96,517 @@
 	Metrics *rwmetric.Metrics
 }
 
+// order is a call that is forwarded to another router.
+type order struct {
+	Call rwcall.Call `json:"call"`
+	// Inc is the incarnation that a ticket names, 0 for an opaque key.
+	Inc     int64   `json:"inc,omitempty"`
+	Hops    int     `json:"hops"`
+	Request request `json:"request"`
+	// Left is the time until the caller's deadline, 0 for none.
+	Left time.Duration `json:"left,omitempty"`
+}
+
+type request struct {
+	ID      string  `json:"id"`
+	Account string  `json:"account"`
+	Kind    string  `json:"kind"`
+	Pool    string  `json:"pool"`
+	Urgency int     `json:"urgency"`
+	Key     string  `json:"key"`
+	Method  string  `json:"method"`
+	Path    string  `json:"path"`
+	Type    string  `json:"type,omitempty"`
+	Hint    float64 `json:"hint,omitempty"`
+	Body    []byte  `json:"body,omitempty"`
+}
+
 // New returns a Home and registers its peer methods.
-func New(c Config) *Home { return &Home{config: c} }
+func New(c Config) *Home {
+	h := &Home{
+		config:  c,
+		machine: rwonce.New(c.Self, rwonce.Config{Hold: c.Hold}, c.Now()),
+		addrs:   map[string]string{},
+		running: map[string]chan struct{}{},
+	}
+	c.Peers.Handle("order", h.handleOrder)
+	c.Peers.Handle("trace", handle(h, func(from rwidentity.Identity, n rwnote.Note) rwack.Ack {
+		return h.machine.Note(c.Now(), from, n)
+	}))
+	c.Peers.Handle("traces", handle(h, func(from rwidentity.Identity, q rwquery.Query) rwreply.Reply {
+		return h.machine.Query(c.Now(), from, q)
+	}))
+	c.Peers.Handle("handoff", handle(h, func(from rwidentity.Identity, o rwhandoff.Handoff) rwack.Ack {
+		return h.machine.Handed(c.Now(), from, o)
+	}))
+	return h
+}
+
+// handle decodes a message and passes it to the machine.
+func handle[P, R any](h *Home, answer func(rwidentity.Identity, P) R) rwpeer.Handler {
+	return func(_ context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
+		var p P
+		if err := json.Unmarshal(params, &p); err != nil {
+			return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.sync()
+		if h.addrs[from.Name] == "" {
+			h.addrs[from.Name] = from.Addr
+		}
+		return answer(from, p), nil
+	}
+}
+
+// sync takes over the VM list in force. The lock is held.
+func (h *Home) sync() {
+	view := h.config.View()
+	if view == h.view {
+		return
+	}
+	h.view = view
+	repeat := rwkind.DefaultRepeat
+	for i, k := range view.Kinds() {
+		if i == 0 {
+			repeat = 0
+		}
+		repeat = max(repeat, k.Repeat)
+	}
+	var live, all []string
+	for _, m := range view.VMs() {
+		h.addrs[m.Name] = m.Addr
+		all = append(all, m.Name)
+		if !m.Leaving {
+			live = append(live, m.Name)
+		}
+	}
+	if view.ListRev() > 0 {
+		h.machine.SetList(h.config.Now(), rwlist.New(view.ListRev(), live, all), repeat)
+	}
+}
+
+func (h *Home) addr(name string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.addrs[name]
+}
 
 // Do runs a non-idempotent call with a key through the key's home, which may
 // be this router. It fails with a fault whose outcome says what is known.
 func (h *Home) Do(ctx context.Context, q *rwrequest.Request) (*rwdispatch.Answer, error) {
-	return h.config.Run(ctx, q)
+	if q.Key == "" {
+		return h.config.Run(ctx, q)
+	}
+	if len(q.Body) > maxBody {
+		return nil, rwfault.New(rwcode.BodyTooLarge, "a call with a key")
+	}
+	o, err := h.order(q)
+	if err != nil {
+		return nil, err
+	}
+	var r rwresult.Result
+	if o.Call.Ticket {
+		r = h.doTicket(ctx, q, o)
+	} else {
+		r = h.doOpaque(ctx, q, o)
+	}
+	if r.Outcome == rwoutcome.Unknown {
+		h.config.Metrics.Add("keys_unknown", 1)
+	}
+	return answer(r)
+}
+
+// order describes a call of a caller.
+func (h *Home) order(q *rwrequest.Request) (order, error) {
+	o := order{
+		Call: rwcall.Call{
+			ID:     q.ID,
+			Key:    digest(q.Account, q.Key),
+			Digest: digest(q.Pool, q.Method, q.Path, string(q.Body)),
+			Repeat: q.Repeat,
+			From:   h.config.Self.Name,
+		},
+		Request: request{
+			ID: q.ID, Account: q.Account, Kind: q.Kind, Pool: q.Pool, Urgency: q.Urgency, Key: q.Key,
+			Method: q.Method, Path: q.Path, Type: q.ContentType, Hint: q.Hint, Body: q.Body,
+		},
+	}
+	if o.Call.Repeat == 0 {
+		o.Call.Repeat = rwkind.DefaultRepeat
+	}
+	if !q.Deadline.IsZero() {
+		o.Left = max(q.Deadline.Sub(h.config.Now()), time.Millisecond)
+	}
+	if rwticket.Is(q.Key) {
+		t, err := rwticket.Parse(h.config.Key, q.Key)
+		if err != nil {
+			return o, err
+		}
+		o.Call.Ticket, o.Call.Birth, o.Inc = true, t.Issued, t.Inc
+		return o, nil
+	}
+	if id, err := uuid.Parse(q.Key); err == nil && id.Version() == 7 {
+		sec, nsec := id.Time().UnixTime()
+		o.Call.Birth = time.Unix(sec, nsec)
+	}
+	return o, nil
+}
+
+// digest is a short identifier of a list of texts.
+func digest(parts ...string) string {
+	s := sha256.New()
+	for _, p := range parts {
+		n := sha256.Sum256([]byte(p))
+		_, _ = s.Write(n[:])
+	}
+	return hex.EncodeToString(s.Sum(nil)[:16])
+}
+
+func (h *Home) doTicket(ctx context.Context, q *rwrequest.Request, o order) rwresult.Result {
+	t, err := rwticket.Parse(h.config.Key, q.Key)
+	if err != nil {
+		return rwresult.Unknown(err.Error())
+	}
+	if t.Name == h.config.Self.Name {
+		return h.run(ctx, o)
+	}
+	r, _ := h.forward(ctx, t.Name, o)
+	return r
+}
+
+func (h *Home) doOpaque(ctx context.Context, _ *rwrequest.Request, o order) rwresult.Result {
+	h.mu.Lock()
+	h.sync()
+	v := h.machine.Route(h.config.Now(), o.Call)
+	o.Call.Version, o.Call.Holds = h.machine.Version(), v.Holds
+	next := h.machine.Next(o.Call.Key)
+	h.mu.Unlock()
+	switch v.Step {
+	case rwverdict.Run:
+		return h.run(ctx, o)
+	case rwverdict.Forward:
+		r, ok := h.forward(ctx, v.To, o)
+		if ok || ctx.Err() != nil || next == "" {
+			return r
+		}
+		if next == h.config.Self.Name {
+			return h.run(ctx, o)
+		}
+		r, _ = h.forward(ctx, next, o)
+		return r
+	default:
+		return v.Result
+	}
+}
+
+// forward sends a call to another router. Without its answer nothing is known.
+func (h *Home) forward(ctx context.Context, to string, o order) (r rwresult.Result, ok bool) {
+	o.Hops++
+	limit := orderTimeout
+	if o.Left > 0 {
+		limit = o.Left
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	addr := h.addr(to)
+	if addr == "" {
+		return rwresult.Unknown("router " + to + " is not known"), false
+	}
+	if err := h.config.Peers.CallData(ctx, addr, "order", o, &r); err != nil {
+		h.config.Metrics.Refused(rwcode.HomeUnreachable)
+		return rwresult.Unknown(to + ": " + err.Error()), false
+	}
+	return r, true
+}
+
+func (h *Home) handleOrder(ctx context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
+	var o order
+	if err := json.Unmarshal(params, &o); err != nil {
+		return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
+	}
+	if from.Name != o.Call.From {
+		o.Call.Holds = false
+	}
+	r := h.run(ctx, o)
+	if len(r.Body) > maxBody {
+		r = rwresult.Fault(rwcode.UpstreamMalformed, rwoutcome.Ran, "the answer is too large for another router")
+	}
+	return r, nil
+}
+
+// run runs a call here, or joins the same call in progress.
+func (h *Home) run(ctx context.Context, o order) rwresult.Result {
+	if o.Call.Ticket && o.Inc != h.config.Self.Inc {
+		return rwresult.Unknown("the router that issued the ticket is gone")
+	}
+	for {
+		h.mu.Lock()
+		h.sync()
+		v := h.machine.Begin(h.config.Now(), o.Call)
+		if v.Step == rwverdict.Run {
+			h.running[o.Call.Key] = make(chan struct{})
+		}
+		end := h.running[o.Call.Key]
+		h.mu.Unlock()
+		switch v.Step {
+		case rwverdict.Answer:
+			return v.Result
+		case rwverdict.Forward:
+			return h.pass(ctx, v.To, o)
+		case rwverdict.Run:
+			return h.detach(ctx, o, v.Witnesses)
+		}
+		select {
+		case <-end:
+		case <-ctx.Done():
+			return rwresult.Unknown("the call is in progress")
+		}
+	}
+}
+
+// pass forwards a call of a router that is leaving, once its keys are offered
+// to the next router.
+func (h *Home) pass(ctx context.Context, to string, o order) rwresult.Result {
+	if o.Hops >= maxHops || to == "" {
+		return rwresult.Unknown("the home is leaving")
+	}
+	h.mu.Lock()
+	handed := h.handed
+	h.mu.Unlock()
+	select {
+	case <-handed:
+	case <-ctx.Done():
+		return rwresult.Unknown("the home is leaving")
+	}
+	o.Call.Holds = false
+	r, _ := h.forward(ctx, to, o)
+	return r
+}
+
+// detach runs a call that goes on when its caller gives up, since other
+// callers may wait for the same key.
+func (h *Home) detach(ctx context.Context, o order, witnesses []string) rwresult.Result {
+	limit := orderTimeout
+	if o.Left > 0 {
+		limit = o.Left
+	}
+	done := make(chan rwresult.Result, 1)
+	go func() {
+		free, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+		defer cancel()
+		done <- h.execute(free, o, witnesses)
+	}()
+	select {
+	case r := <-done:
+		return r
+	case <-ctx.Done():
+		return rwresult.Unknown("the call is in progress")
+	}
+}
+
+func (h *Home) execute(ctx context.Context, o order, witnesses []string) rwresult.Result {
+	traced := len(witnesses) == 0 || h.trace(ctx, o.Call, witnesses)
+	r := rwresult.Unknown("no other router remembers the key")
+	if traced {
+		r = h.dispatch(ctx, o)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if traced {
+		h.machine.Finish(h.config.Now(), o.Call.Key, r)
+	} else {
+		h.machine.Abandon(o.Call.Key)
+	}
+	close(h.running[o.Call.Key])
+	delete(h.running, o.Call.Key)
+	return r
+}
+
+// trace makes one other router remember the key.
+func (h *Home) trace(ctx context.Context, c rwcall.Call, witnesses []string) bool {
+	h.mu.Lock()
+	n := h.machine.Trace(h.config.Now(), c.Key)
+	h.mu.Unlock()
+	for _, w := range witnesses {
+		if ctx.Err() != nil {
+			return false
+		}
+		if a, ok := call[rwack.Ack](ctx, h, traceTimeout, w, "trace", n); ok {
+			h.mu.Lock()
+			ok = h.machine.Noted(h.config.Now(), w, n, a)
+			h.mu.Unlock()
+			if ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func call[R any](ctx context.Context, h *Home, limit time.Duration, to, method string, params any) (r R, ok bool) {
+	addr := h.addr(to)
+	if addr == "" {
+		return r, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return r, h.config.Peers.Call(ctx, addr, method, params, &r) == nil
+}
+
+func (h *Home) dispatch(ctx context.Context, o order) rwresult.Result {
+	now := h.config.Now()
+	q := &rwrequest.Request{
+		ID: o.Request.ID, Account: o.Request.Account, Kind: o.Request.Kind, Pool: o.Request.Pool,
+		Urgency: o.Request.Urgency, Key: o.Request.Key, Method: o.Request.Method, Path: o.Request.Path,
+		Body: o.Request.Body, ContentType: o.Request.Type, Hint: o.Request.Hint,
+		Arrived: now, Repeat: o.Call.Repeat,
+		Check: func() error { return h.commit(o.Call) },
+	}
+	if o.Left > 0 {
+		q.Deadline = now.Add(o.Left)
+	}
+	h.mu.Lock()
+	q.Fence = h.machine.Version().Rev<<fenceShift + h.config.Self.Inc/int64(time.Second/time.Microsecond)
+	h.mu.Unlock()
+	return result(h.config.Run(ctx, q))
+}
+
+// commit is the last check before the first byte goes to an upstream.
+func (h *Home) commit(c rwcall.Call) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sync()
+	code := h.machine.Commit(h.config.Now(), c)
+	if code == rwcode.None {
+		return nil
+	}
+	if code == rwcode.Paused {
+		rwlog.Warn(&h.config.Log, rwlog.PauseDetected, rwfault.New(code, c.ID)).Send()
+	}
+	return rwfault.New(code, c.ID)
+}
+
+func result(a *rwdispatch.Answer, err error) rwresult.Result {
+	if err == nil {
+		return rwresult.Result{Outcome: rwoutcome.Ran, Status: a.Status, Type: a.Header.Get("Content-Type"), Body: a.Body}
+	}
+	f := rwfault.From(err)
+	if f.Code == rwcode.Internal {
+		// An error without a code says nothing about what was sent.
+		f = f.WithOutcome(rwoutcome.Unknown)
+	}
+	if f.Outcome == rwoutcome.Unknown {
+		return rwresult.Unknown(f.Error())
+	}
+	return rwresult.Result{Code: f.Code.String(), Outcome: f.Outcome, Detail: f.Detail, Retry: f.RetryAfter}
+}
+
+func answer(r rwresult.Result) (*rwdispatch.Answer, error) {
+	if r.Code != "" {
+		return nil, rwfault.New(rwcode.Parse(r.Code), r.Detail).WithOutcome(r.Outcome).WithRetryAfter(r.Retry)
+	}
+	a := &rwdispatch.Answer{Status: r.Status, Header: map[string][]string{}, Body: r.Body}
+	a.Header.Set("Content-Type", r.Type)
+	return a, nil
 }
 
 // Ticket returns a key that only this incarnation may run.
-func (h *Home) Ticket() (string, error) { return "", nil }
+func (h *Home) Ticket() (string, error) {
+	t := rwticket.Ticket{Name: h.config.Self.Name, Inc: h.config.Self.Inc, Issued: h.config.Now()}
+	return t.Sign(h.config.Key, uuid.NewString()), nil
+}
 
 // Start recovers the traces of earlier homes and repeats this whenever the
 // list changes. It returns when the context ends.
 func (h *Home) Start(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		h.step(ctx)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (h *Home) step(ctx context.Context) {
+	h.mu.Lock()
+	h.sync()
+	h.machine.Tick(h.config.Now())
+	posts := h.machine.Due(h.config.Now())
+	changed := h.full != h.machine.Full()
+	h.full = h.machine.Full()
+	full := h.full
+	h.mu.Unlock()
+	if changed && full {
+		rwlog.Info(&h.config.Log, rwlog.KeysReleased).Send()
+	}
+	if changed && !full {
+		rwlog.Info(&h.config.Log, rwlog.KeysHeld).Send()
+	}
+	for _, p := range posts {
+		go h.post(ctx, p)
+	}
+}
+
+func (h *Home) post(ctx context.Context, p rwpost.Post) {
+	if p.Query != nil {
+		if r, ok := call[rwreply.Reply](ctx, h, queryTimeout, p.To, "traces", p.Query); ok {
+			h.mu.Lock()
+			h.machine.Replied(h.config.Now(), p.To, *p.Query, r)
+			h.mu.Unlock()
+		}
+		return
+	}
+	if a, ok := call[rwack.Ack](ctx, h, queryTimeout, p.To, "trace", p.Note); ok {
+		h.mu.Lock()
+		h.machine.Noted(h.config.Now(), p.To, *p.Note, a)
+		h.mu.Unlock()
+	}
 }
 
 // Leave hands the keys over to the next routers and returns when the calls in
 // progress have ended and their results are handed over, or when the context
-// ends. The router keeps forwarding after that.
-func (h *Home) Leave(context.Context) error { return nil }
+// ends. The router keeps forwarding after that. It is called once.
+func (h *Home) Leave(ctx context.Context) error {
+	h.mu.Lock()
+	h.handed = make(chan struct{})
+	h.mu.Unlock()
+	h.handoff(ctx)
+	close(h.handed)
+	for ctx.Err() == nil {
+		h.mu.Lock()
+		var end chan struct{}
+		for _, end = range h.running {
+			break
+		}
+		h.mu.Unlock()
+		if end == nil {
+			break
+		}
+		select {
+		case <-end:
+		case <-ctx.Done():
+		}
+	}
+	h.handoff(ctx)
+	rwlog.Info(&h.config.Log, rwlog.KeysHandedOver).Send()
+	return ctx.Err()
+}
+
+func (h *Home) handoff(ctx context.Context) {
+	h.mu.Lock()
+	h.sync()
+	list := h.machine.Leave(h.config.Now())
+	h.mu.Unlock()
+	var all sync.WaitGroup
+	for to, o := range list {
+		all.Go(func() {
+			_, _ = call[rwack.Ack](ctx, h, handedTimeout, to, "handoff", o)
+		})
+	}
+	all.Wait()
+}
--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -43,6 +43,8 @@
 	// askAgain is the time between two queries to a router that has answered
 	// and lacked memory.
 	askAgain = 10 * time.Second
+	// heldRetry is the time after which a caller may repeat a held key.
+	heldRetry = time.Second
 	// maxResults bounds the bytes of answers in one message.
 	maxResults = 512 << 10
 	// maxRefused bounds the refused attempts that are remembered for a key.
@@ -514,11 +516,22 @@
 		return rwverdict.Verdict{Step: rwverdict.Forward, To: m.list.Next(c.Key, m.self.Name)}
 	}
 	if !m.may(now, c) {
-		return unknown("an earlier attempt may have run")
+		return m.held(c)
 	}
 	return m.reserve(now, c)
 }
 
+// held is the answer for a key that this router may not run. As the home it
+// may run the key later, so a repeat makes sense.
+func (m *Machine) held(c rwcall.Call) rwverdict.Verdict {
+	if m.list.Home(c.Key) != m.self.Name {
+		return unknown("this router is not the home of the key")
+	}
+	r := rwresult.Fault(rwcode.KeyHeld, rwoutcome.Unknown, "an earlier attempt may have run")
+	r.Retry = heldRetry
+	return rwverdict.Verdict{Result: r}
+}
+
 // ticket decides about a ticket of this incarnation. A ticket expires, since
 // its outcome is not kept for ever.
 func (m *Machine) ticket(now time.Time, c rwcall.Call) rwverdict.Verdict {
--- a/internal/rwsettings/rwsettings.go
+++ b/internal/rwsettings/rwsettings.go
@@ -39,8 +39,10 @@
 	// Drain is how long a router stays reachable but not ready at shutdown,
 	// so that the balancer notices.
 	Drain time.Duration `env:"REDWING_DRAIN" envDefault:"2s"`
-	// Hold is how long idempotency keys are held when the whole fleet starts.
-	Hold time.Duration `env:"REDWING_HOLD" envDefault:"5s"`
+	// Hold is how long idempotency keys are held when the whole fleet starts;
+	// 0 means as long as callers may repeat them. A shorter time is safe only
+	// if the fleet starts for the first time.
+	Hold time.Duration `env:"REDWING_HOLD" envDefault:"0s"`
 	// Cell is the largest number of upstreams in one cell.
 	Cell int `env:"REDWING_CELL" envDefault:"4"`
 }
@@ -69,7 +71,7 @@
 	f.StringSliceVar(&s.Seeds, "seeds", s.Seeds, "peer addresses to join by")
 	f.StringVar(&s.Policy, "policy", s.Policy, "fleet, or local for the baseline")
 	f.DurationVar(&s.Drain, "drain", s.Drain, "time between not ready and closing at shutdown")
-	f.DurationVar(&s.Hold, "hold", s.Hold, "time that idempotency keys are held when the whole fleet starts")
+	f.DurationVar(&s.Hold, "hold", s.Hold, "time that idempotency keys are held when the whole fleet starts; 0 for the repeat time")
 	f.IntVar(&s.Cell, "cell", s.Cell, "largest number of upstreams in a cell")
 }
 
