Test at most one execution with real processes

Each test starts four routers: home killed during a call, home frozen over a list change, restart with no memory, rolling restart with handoff, tickets.

--- a/internal/rwhome/rwhome.go
+++ b/internal/rwhome/rwhome.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"sync"
 	"time"
@@ -21,6 +19,7 @@
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwhandoff"
 	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwkey"
 	"redwingworks.example/internal/rwkind"
 	"redwingworks.example/internal/rwlist"
 	"redwingworks.example/internal/rwlog"
@@ -209,7 +208,7 @@
 	if o.Call.Ticket {
 		r = h.doTicket(ctx, q, o)
 	} else {
-		r = h.doOpaque(ctx, q, o)
+		r = h.doOpaque(ctx, o)
 	}
 	if r.Outcome == rwoutcome.Unknown {
 		h.config.Metrics.Add("keys_unknown", 1)
@@ -222,8 +221,8 @@
 	o := order{
 		Call: rwcall.Call{
 			ID:     q.ID,
-			Key:    digest(q.Account, q.Key),
-			Digest: digest(q.Pool, q.Method, q.Path, string(q.Body)),
+			Key:    rwkey.Scope(q.Account, q.Key),
+			Digest: rwkey.Digest(q.Pool, q.Method, q.Path, string(q.Body)),
 			Repeat: q.Repeat,
 			From:   h.config.Self.Name,
 		},
@@ -253,16 +252,6 @@
 	return o, nil
 }
 
-// digest is a short identifier of a list of texts.
-func digest(parts ...string) string {
-	s := sha256.New()
-	for _, p := range parts {
-		n := sha256.Sum256([]byte(p))
-		_, _ = s.Write(n[:])
-	}
-	return hex.EncodeToString(s.Sum(nil)[:16])
-}
-
 func (h *Home) doTicket(ctx context.Context, q *rwrequest.Request, o order) rwresult.Result {
 	t, err := rwticket.Parse(h.config.Key, q.Key)
 	if err != nil {
@@ -275,7 +264,7 @@
 	return r
 }
 
-func (h *Home) doOpaque(ctx context.Context, _ *rwrequest.Request, o order) rwresult.Result {
+func (h *Home) doOpaque(ctx context.Context, o order) rwresult.Result {
 	h.mu.Lock()
 	h.sync()
 	v := h.machine.Route(h.config.Now(), o.Call)
--- /dev/null
+++ b/test/rwkeys/rwkeys_test.go
@@ -0,0 +1,360 @@
+// Package rwkeys_test holds tests of non-idempotent calls with real processes.
+package rwkeys_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwkey"
+	"redwingworks.example/internal/rwlist"
+	"redwingworks.example/internal/rwrecord"
+	"redwingworks.example/test/rwfleet"
+)
+
+const (
+	callerKey = "test-caller-key"
+	account   = "varna"
+	// repeat is the time for which callers may repeat a key, in seconds. It
+	// is the time that a new fleet holds keys, so it is short.
+	repeat = 3
+	limit  = 60 * time.Second
+	calm   = 15 * time.Second
+)
+
+var bin string
+
+func TestMain(m *testing.M) { os.Exit(build(m)) }
+
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "rwkeys")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	for _, p := range []string{"rwrouter", "rwservice", "rwplatform"} {
+		c := exec.Command("go", "build", "-o", filepath.Join(dir, p), ".")
+		c.Dir = filepath.Join("..", "..", "cmd", p)
+		if out, err := c.CombinedOutput(); err != nil {
+			panic(string(out))
+		}
+	}
+	bin = dir
+	return m.Run()
+}
+
+type fleet struct {
+	t        *testing.T
+	ctx      context.Context
+	fleet    *rwfleet.Fleet
+	platform *rwfleet.Proc
+	service  *rwfleet.Proc
+	routers  map[string]*rwfleet.Proc
+	live     []string
+}
+
+type answer struct {
+	status  int
+	text    string
+	code    string
+	outcome string
+}
+
+// start runs a fleet of four routers and waits until each runs fresh keys.
+func start(t *testing.T, delay time.Duration) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	t.Cleanup(cancel)
+	f := &fleet{t: t, ctx: ctx, fleet: rwfleet.New(bin, t.TempDir()), routers: map[string]*rwfleet.Proc{}}
+	t.Cleanup(f.fleet.Close)
+	var err error
+	f.platform, err = f.fleet.Platform()
+	require.NoError(t, err)
+	f.service, err = f.fleet.Service("orders", "--delay", delay.String())
+	require.NoError(t, err)
+	require.NoError(t, rwfleet.WaitReady(ctx, f.platform.Addr, "/v1/records"))
+	require.NoError(t, rwfleet.WaitReady(ctx, f.service.Addr, "/log"))
+	sum := sha256.Sum256([]byte(callerKey))
+	records := []rwrecord.Record{
+		rwfleet.Record("account", account, 1, map[string]any{"share": 1, "keys": []string{hex.EncodeToString(sum[:])}}),
+		rwfleet.Record("kind", "order", 1, map[string]any{"urgency": 0, "pool": "orders", "idempotent": false, "repeat": repeat}),
+		rwfleet.Record("upstream", "orders", 1, map[string]any{
+			"pool": "orders", "zone": "za", "addr": f.service.Addr, "type": "service", "window": 64, "state": "live", "inc": 1,
+		}),
+	}
+	for _, n := range []string{"ra", "rb", "rc", "rd"} {
+		p, err := rwfleet.NewRouter(n, "za")
+		require.NoError(t, err)
+		f.routers[n] = p
+		f.live = append(f.live, n)
+		records = append(records, rwfleet.VMRecord(p, "live"))
+	}
+	f.publish(records...)
+	for _, n := range f.live {
+		f.boot(n)
+	}
+	for _, n := range f.live {
+		f.waitFresh(n, f.live[0])
+	}
+	return f
+}
+
+func (f *fleet) publish(records ...rwrecord.Record) {
+	f.t.Helper()
+	require.NoError(f.t, rwfleet.Publish(f.ctx, f.platform.Addr, records...))
+}
+
+func (f *fleet) boot(name string) {
+	f.t.Helper()
+	p := f.routers[name]
+	require.NoError(f.t, f.fleet.Router(p, f.platform.Addr, "--drain", "200ms"))
+	require.NoError(f.t, rwfleet.WaitReady(f.ctx, p.Addr, "/readyz"))
+}
+
+// drop removes a router from the published list.
+func (f *fleet) drop(name string) {
+	f.t.Helper()
+	f.publish(rwrecord.Record{Kind: "vm", Name: name, Schema: 1, Gone: true})
+	var rest []string
+	for _, n := range f.live {
+		if n != name {
+			rest = append(rest, n)
+		}
+	}
+	f.live = rest
+}
+
+var sequence int
+
+// key returns a fresh key whose home is the given router.
+func (f *fleet) key(home string) string {
+	l := rwlist.New(1, f.live, f.live)
+	for {
+		sequence++
+		k := fmt.Sprintf("key-%d", sequence)
+		if l.Home(rwkey.Scope(account, k)) == home {
+			return k
+		}
+	}
+}
+
+// call sends a call and returns the answer; status 0 means that there was none.
+func (f *fleet) call(via, key, body string) answer {
+	ctx, cancel := context.WithTimeout(f.ctx, 4*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.routers[via].Addr+"/v1/call/orders/new", strings.NewReader(body))
+	if err != nil {
+		return answer{}
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Redwing-Kind", "order")
+	req.Header.Set("Redwing-Deadline", "3000")
+	req.Header.Set("Idempotency-Key", key)
+	return do(req)
+}
+
+func do(req *http.Request) answer {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{}
+	}
+	a := answer{status: resp.StatusCode, text: string(data)}
+	var e struct {
+		Error struct{ Code, Outcome string }
+	}
+	if json.Unmarshal(data, &e) == nil {
+		a.code, a.outcome = e.Error.Code, e.Error.Outcome
+	}
+	return a
+}
+
+func (f *fleet) ticket(via string) string {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.ctx, http.MethodPost, "http://"+f.routers[via].Addr+"/v1/tickets", nil)
+	require.NoError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	var t struct{ Key string }
+	require.NoError(f.t, json.Unmarshal([]byte(do(req).text), &t))
+	require.NotEmpty(f.t, t.Key)
+	return t.Key
+}
+
+// runs returns the executions by key.
+func (f *fleet) runs() map[string]int {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.ctx, http.MethodGet, "http://"+f.service.Addr+"/log", nil)
+	require.NoError(f.t, err)
+	var log []struct{ Key string }
+	require.NoError(f.t, json.Unmarshal([]byte(do(req).text), &log))
+	out := map[string]int{}
+	for _, e := range log {
+		out[e.Key]++
+	}
+	return out
+}
+
+// waitFresh waits until fresh keys of a home run.
+func (f *fleet) waitFresh(home, via string) {
+	f.t.Helper()
+	var last answer
+	for end := time.Now().Add(calm); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if last = f.call(via, f.key(home), "x"); last.status == http.StatusOK {
+			return
+		}
+	}
+	require.Fail(f.t, "fresh keys don't run", "home %s via %s: %+v", home, via, last)
+}
+
+func (f *fleet) checkRuns() {
+	f.t.Helper()
+	for k, n := range f.runs() {
+		require.LessOrEqual(f.t, n, 1, "key %s ran %d times", k, n)
+	}
+}
+
+// Guards against a second execution when the home is killed during the call
+// and callers repeat the key through the other routers.
+func TestHomeKilledDuringCall(t *testing.T) {
+	f := start(t, 500*time.Millisecond)
+	keys := []string{f.key("rb"), f.key("rb"), f.key("rb")}
+	var first sync.WaitGroup
+	for i, k := range keys {
+		via := []string{"ra", "rb", "rc"}[i]
+		first.Go(func() { f.call(via, k, "x") })
+	}
+	for len(f.runs()) < 4+len(keys) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.routers["rb"].Kill()
+	first.Wait()
+	for _, k := range keys {
+		for _, via := range []string{"ra", "rc", "rd"} {
+			a := f.call(via, k, "x")
+			require.Equal(t, "unknown", a.outcome, "%+v", a)
+		}
+	}
+	f.drop("rb")
+	for _, n := range f.live {
+		f.waitFresh(n, "rd")
+	}
+	for _, k := range keys {
+		a := f.call("rd", k, "x")
+		require.Equal(t, "unknown", a.outcome, "%+v", a)
+	}
+	f.checkRuns()
+}
+
+// Guards against a second execution by a home that was frozen, lost its keys
+// to another home by a change of the list, and wakes up.
+func TestHomeFrozenOverListChange(t *testing.T) {
+	f := start(t, 20*time.Millisecond)
+	frozen := f.routers["rb"]
+	var keys []string
+	for range 24 {
+		keys = append(keys, f.key("rb"))
+	}
+	var first sync.WaitGroup
+	for i, k := range keys {
+		via := f.live[i%len(f.live)]
+		first.Go(func() { f.call(via, k, "x") })
+	}
+	time.Sleep(3 * time.Millisecond)
+	frozen.Signal(syscall.SIGSTOP)
+	f.drop("rb")
+	for _, n := range f.live {
+		f.waitFresh(n, "ra")
+	}
+	for _, k := range keys {
+		f.call("rc", k, "x")
+	}
+	frozen.Signal(syscall.SIGCONT)
+	first.Wait()
+	for _, k := range keys {
+		f.call("rb", k, "x")
+		f.call("rd", k, "x")
+	}
+	f.checkRuns()
+}
+
+// Guards against a home that forgot a key with its memory and runs it again,
+// and against one that refuses fresh keys although all others remember.
+func TestHomeRestartsWithoutMemory(t *testing.T) {
+	f := start(t, 5*time.Millisecond)
+	forwarded, own := f.key("rc"), f.key("rc")
+	require.Equal(t, http.StatusOK, f.call("ra", forwarded, "x").status)
+	require.Equal(t, http.StatusOK, f.call("rc", own, "x").status)
+	f.routers["rc"].Kill()
+	began := time.Now()
+	f.boot("rc")
+	f.waitFresh("rc", "rd")
+	require.Less(t, time.Since(began), repeat*time.Second)
+	for _, k := range []string{forwarded, own} {
+		for _, via := range f.live {
+			a := f.call(via, k, "x")
+			require.Equal(t, "unknown", a.outcome, "%+v", a)
+		}
+	}
+	f.checkRuns()
+}
+
+// Guards against lost answers, second executions and refusals of fresh keys
+// while each router in turn stops gracefully and starts again.
+func TestRollingRestart(t *testing.T) {
+	f := start(t, 5*time.Millisecond)
+	for i, n := range f.live {
+		via := f.live[(i+1)%len(f.live)]
+		done := f.key(n)
+		first := f.call(via, done, "x")
+		require.Equal(t, http.StatusOK, first.status)
+		f.routers[n].Signal(syscall.SIGTERM)
+		require.True(t, f.routers[n].Wait(calm))
+		require.Equal(t, first, f.call(via, done, "x"), "the next router must have the answer")
+		require.Equal(t, http.StatusOK, f.call(via, f.key(n), "x").status, "the next router must run fresh keys")
+		f.boot(n)
+		f.waitFresh(n, via)
+		require.Equal(t, first, f.call(via, done, "x"), "the new incarnation must get the answer back")
+	}
+	f.checkRuns()
+}
+
+// Guards against a ticket that runs at another router or incarnation, and
+// against a key that two calls share.
+func TestTicketsAndOtherBodies(t *testing.T) {
+	f := start(t, 5*time.Millisecond)
+	k := f.ticket("ra")
+	first := f.call("rb", k, "x")
+	require.Equal(t, http.StatusOK, first.status, "%+v", first)
+	require.Equal(t, first, f.call("ra", k, "x"))
+	require.Equal(t, "bad_request", f.call("rc", k, "y").code)
+	unused := f.ticket("ra")
+	f.routers["ra"].Kill()
+	f.boot("ra")
+	for _, via := range f.live {
+		require.Equal(t, "unknown", f.call(via, unused, "x").outcome)
+	}
+	require.Equal(t, "ticket_invalid", f.call("rb", k+"x", "x").code)
+	opaque := f.key("rd")
+	require.Equal(t, http.StatusOK, f.call("rb", opaque, "x").status)
+	require.Equal(t, "bad_request", f.call("rc", opaque, strconv.Quote("other")).code)
+	f.checkRuns()
+}
