Test configuration between routers on loopback and in processes

Covers a platform that is stale, down, hanging or not waiting for some of the readers, routers that start while it is down, killed, frozen and restarted readers, a lost push, a record set aside and a leaving upstream.

--- /dev/null
+++ b/internal/rwfollow/rwfollow_test.go
@@ -0,0 +1,366 @@
+package rwfollow_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwbundle"
+	"redwingworks.example/internal/rwfollow"
+	"redwingworks.example/internal/rwgossip"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwleaving"
+	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwrank"
+	"redwingworks.example/internal/rwrecord"
+	"redwingworks.example/internal/rwreplica"
+)
+
+const (
+	key = "0123456789abcdef"
+	// configBound is the design's limit for a change to be in force.
+	configBound = 4 * time.Second
+	// leavingBound is the design's limit for a leaving upstream.
+	leavingBound = 3 * time.Second
+	// startBound is for a few routers to start and meet.
+	startBound = 10 * time.Second
+	poll       = 10 * time.Millisecond
+)
+
+// router is the part of a router that follows the configuration.
+type router struct {
+	id      rwidentity.Identity
+	peers   *rwpeer.Peers
+	gossip  *rwgossip.Gossip
+	follow  *rwfollow.Follow
+	metrics *rwmetric.Metrics
+	stop    func()
+}
+
+// fleet is a platform and routers on loopback addresses.
+type fleet struct {
+	t        *testing.T
+	replicas *rwreplica.Replicas
+	server   *httptest.Server
+	routers  map[string]*router
+	names    []string
+	addrs    map[string]string
+}
+
+// newFleet publishes the records of n routers in two zones and starts none.
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, replicas: rwreplica.New(), routers: map[string]*router{}, addrs: map[string]string{}}
+	f.server = httptest.NewServer(f.replicas)
+	t.Cleanup(func() {
+		for _, r := range f.routers {
+			r.stop()
+		}
+		f.server.CloseClientConnections()
+		f.server.Close()
+	})
+	for i := range n {
+		name := fmt.Sprintf("r%d", i)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		require.NoError(t, l.Close())
+		f.names = append(f.names, name)
+		f.addrs[name] = l.Addr().String()
+		f.replicas.Publish(record("vm", name, 1, map[string]any{"addr": f.addrs[name], "zone": f.zone(name), "region": "main", "state": "live"}))
+	}
+	return f
+}
+
+func (f *fleet) zone(name string) string {
+	i, err := strconv.Atoi(name[1:])
+	require.NoError(f.t, err)
+	return string(rune('a' + i%2))
+}
+
+func record(kind, name string, schema int, value any) rwrecord.Record {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return rwrecord.Record{Kind: kind, Name: name, Schema: schema, Value: data}
+}
+
+func account(name string, share int) rwrecord.Record {
+	return record("account", name, 1, map[string]any{"share": share})
+}
+
+func (f *fleet) start(name string, seeds ...string) *router {
+	l, err := net.Listen("tcp", f.addrs[name])
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &router{
+		id:      rwidentity.Identity{Name: name, Zone: f.zone(name), Region: "main", Addr: f.addrs[name], Inc: time.Now().UnixMicro()},
+		metrics: rwmetric.New(),
+	}
+	r.peers = rwpeer.New(r.id, key, nil, zerolog.Nop(), r.metrics)
+	r.gossip = rwgossip.New(r.peers, seeds, zerolog.Nop(), r.metrics)
+	r.follow = rwfollow.New(r.peers, r.gossip, f.server.URL+"/"+name+"/", seeds, zerolog.Nop(), r.metrics)
+	var parts sync.WaitGroup
+	parts.Go(func() { _ = r.peers.Serve(ctx, l) })
+	parts.Go(func() { _ = r.gossip.Run(ctx) })
+	parts.Go(func() { _ = r.follow.Run(ctx) })
+	r.stop = func() {
+		cancel()
+		parts.Wait()
+	}
+	f.routers[name] = r
+	return r
+}
+
+// startAll starts all routers and waits until they are ready and know each
+// other.
+func (f *fleet) startAll() {
+	for _, name := range f.names {
+		f.start(name)
+	}
+	f.eventually(startBound, "the fleet has not formed", func(r *router) bool {
+		return r.follow.Ready() && len(r.gossip.Live("")) == len(f.names)
+	})
+}
+
+// eventually waits until the condition holds at all routers and returns the
+// time that took.
+func (f *fleet) eventually(limit time.Duration, what string, ok func(*router) bool) time.Duration {
+	f.t.Helper()
+	begin := time.Now()
+	for _, name := range f.names {
+		r := f.routers[name]
+		for r != nil && !ok(r) {
+			if time.Since(begin) > limit {
+				require.FailNow(f.t, what, "at %s", name)
+			}
+			time.Sleep(poll)
+		}
+	}
+	return time.Since(begin)
+}
+
+func (f *fleet) inForce(name string, share int) func(*router) bool {
+	return func(r *router) bool {
+		a, ok := r.follow.View().Account(name)
+		return ok && a.Weight == share*1000
+	}
+}
+
+// readers returns the readers of a zone in the order of their rank.
+func (f *fleet) readers(zone string) []string {
+	var names []string
+	for _, n := range f.names {
+		if f.zone(n) == zone {
+			names = append(names, n)
+		}
+	}
+	return rwrank.Order("reader", names)[:2]
+}
+
+func count(r *router, name string) int {
+	v := r.metrics.Counters.Get(name)
+	if v == nil {
+		return 0
+	}
+	n, err := strconv.Atoi(v.String())
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+// Guards against a change that some routers get late or never because their
+// zone's readers are served stale data or nothing.
+func TestChangeReachesAll(t *testing.T) {
+	f := newFleet(t, 8)
+	f.startAll()
+	time.Sleep(1500 * time.Millisecond)
+	a, b := f.readers("a"), f.readers("b")
+	f.replicas.Set(a[0], rwreplica.Stale)
+	f.replicas.Set(a[1], rwreplica.Down)
+	f.replicas.Set(b[0], rwreplica.Hang)
+	for share := 1; share <= 5; share++ {
+		f.replicas.Publish(account("x", share))
+		d := f.eventually(configBound, "the change is not in force", f.inForce("x", share))
+		t.Logf("change %d in force at all 8 routers after %v", share, d.Round(time.Millisecond))
+	}
+	f.replicas.Set(a[0], "")
+	f.replicas.Set(a[1], "")
+	f.replicas.Set(b[0], "")
+	f.replicas.Set(b[1], rwreplica.Down)
+	f.replicas.Publish(account("x", 9))
+	f.eventually(configBound, "the change is not in force", f.inForce("x", 9))
+}
+
+// Guards against platform calls that grow with the number of routers, and
+// against a reader that isn't replaced when it dies.
+func TestCallsGrowWithZones(t *testing.T) {
+	f := newFleet(t, 8)
+	f.startAll()
+	time.Sleep(1500 * time.Millisecond)
+	before := f.replicas.Calls("")
+	const run = 4
+	time.Sleep(run * time.Second)
+	calls := f.replicas.Calls("") - before
+	t.Logf("%d platform calls in %d s at 8 routers in 2 zones", calls, run)
+	// 4 readers with a call in 2 s.
+	require.LessOrEqual(t, calls, 4*(run/2+1))
+	reading := map[string]bool{}
+	for _, zone := range []string{"a", "b"} {
+		for _, name := range f.readers(zone) {
+			reading[name] = true
+		}
+	}
+	for _, name := range f.names {
+		n := f.replicas.Calls(name)
+		require.Equal(t, n, count(f.routers[name], "platform_calls"), name)
+		require.Positive(t, count(f.routers[name], "platform_bytes_sent"), name)
+		require.Equal(t, reading[name], n > 2, "%s called %d times", name, n)
+	}
+
+	for _, zone := range []string{"a", "b"} {
+		for _, name := range f.readers(zone) {
+			f.routers[name].stop()
+			delete(f.routers, name)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.replicas.Publish(account("x", 3))
+	d := f.eventually(configBound, "no reader took over", f.inForce("x", 3))
+	t.Logf("change in force %v after all readers died and it was published", d.Round(time.Millisecond))
+}
+
+// Guards against a reader that calls in a loop a platform which is down or
+// doesn't wait.
+func TestNoBusyLoop(t *testing.T) {
+	for _, mode := range []string{rwreplica.Down, rwreplica.Quick} {
+		f := newFleet(t, 1)
+		f.startAll()
+		time.Sleep(1500 * time.Millisecond)
+		f.replicas.Set("r0", mode)
+		before := f.replicas.Calls("")
+		time.Sleep(3 * time.Second)
+		calls := f.replicas.Calls("") - before
+		t.Logf("%s: %d calls in 3 s", mode, calls)
+		require.LessOrEqual(t, calls, 14)
+		require.Greater(t, calls, 1)
+	}
+}
+
+// Guards against a router that is ready without records, and against one that
+// can't start while the platform is down.
+func TestStartWhilePlatformIsDown(t *testing.T) {
+	f := newFleet(t, 4)
+	f.replicas.Publish(account("x", 2))
+	f.replicas.Set("r3", rwreplica.Down)
+	alone := f.start("r3")
+	time.Sleep(time.Second)
+	require.False(t, alone.follow.Ready(), "without platform and peers there are no records")
+	require.True(t, count(alone, "platform_failures") > 1)
+	alone.stop()
+	delete(f.routers, "r3")
+	for _, name := range f.names[:3] {
+		f.start(name)
+	}
+	f.eventually(startBound, "not ready", func(r *router) bool { return r.follow.Ready() })
+	late := f.start("r3", f.addrs["r0"])
+	f.eventually(startBound, "not ready", func(r *router) bool { return r.follow.Ready() })
+	require.True(t, f.inForce("x", 2)(late))
+}
+
+// Guards against a router that stays without a record whose push was lost.
+// The record's revision is below the highest, so the revision alone doesn't
+// show the loss.
+func TestLostPushIsRepaired(t *testing.T) {
+	f := newFleet(t, 6)
+	f.startAll()
+	for _, name := range f.names {
+		f.replicas.Set(name, rwreplica.Down)
+	}
+	high, low := account("high", 1), account("low", 1)
+	high.Rev, low.Rev = 1000, 999
+	for _, name := range f.names[1:] {
+		f.routers["r0"].peers.Notify(f.addrs[name], "push", rwbundle.Bundle{Items: []rwrecord.Record{high}})
+	}
+	f.routers["r1"].peers.Notify(f.addrs["r0"], "push", rwbundle.Bundle{Items: []rwrecord.Record{high}})
+	f.eventually(configBound, "no push", f.inForce("high", 1))
+	f.routers["r0"].peers.Notify(f.addrs["r3"], "push", rwbundle.Bundle{Items: []rwrecord.Record{low}})
+	d := f.eventually(configBound, "not repaired", f.inForce("low", 1))
+	t.Logf("repaired everywhere after %v", d.Round(time.Millisecond))
+}
+
+// Guards against a record set aside that is fetched in a loop, that hides the
+// record in force, or that is never replaced.
+func TestRecordSetAside(t *testing.T) {
+	f := newFleet(t, 4)
+	f.startAll()
+	f.replicas.Publish(account("x", 2))
+	f.eventually(configBound, "not in force", f.inForce("x", 2))
+	rev := f.replicas.Publish(record("account", "x", 3, map[string]any{"portion": 1}))
+	f.eventually(configBound, "the revision is hidden", func(r *router) bool { return r.follow.View().Rev() == rev })
+	f.eventually(0, "the last good record is not in force", f.inForce("x", 2))
+	time.Sleep(500 * time.Millisecond)
+	calls, pulls := f.replicas.Calls(""), f.pulls()
+	time.Sleep(2 * time.Second)
+	require.LessOrEqual(t, f.replicas.Calls("")-calls, 8)
+	require.Zero(t, f.pulls()-pulls)
+	f.replicas.Publish(account("x", 4))
+	f.eventually(configBound, "not replaced", f.inForce("x", 4))
+}
+
+func (f *fleet) pulls() int {
+	sum := 0
+	for _, r := range f.routers {
+		sum += count(r, "pulls")
+	}
+	return sum
+}
+
+// Guards against a leaving upstream that some routers go on using, or that a
+// stale record or a restarted router brings back.
+func TestLeavingUpstream(t *testing.T) {
+	f := newFleet(t, 6)
+	upstream := func(state string, inc int) rwrecord.Record {
+		return record("upstream", "e", 1, map[string]any{
+			"pool": "p", "zone": "a", "addr": "127.0.0.1:9", "type": "engine", "window": 1, "state": state, "inc": inc,
+		})
+	}
+	listed := func(want bool) func(*router) bool {
+		return func(r *router) bool { return (len(r.follow.View().Pool("p")) == 1) == want }
+	}
+	f.replicas.Publish(upstream("live", 1))
+	f.startAll()
+	f.eventually(configBound, "not listed", listed(true))
+	for _, name := range f.names {
+		f.replicas.Set(name, rwreplica.Stale)
+	}
+	// One router hears from the upstream itself; the platform lags.
+	f.routers["r2"].follow.Leave(rwleaving.Leaving{Upstream: "e", Inc: 1})
+	d := f.eventually(leavingBound, "still listed", listed(false))
+	t.Logf("not listed anywhere after %v", d.Round(time.Millisecond))
+
+	f.routers["r4"].stop()
+	f.start("r4")
+	f.eventually(startBound, "not ready", func(r *router) bool { return r.follow.Ready() })
+	f.eventually(leavingBound, "a restarted router lists it", listed(false))
+
+	for _, name := range f.names {
+		f.replicas.Set(name, "")
+	}
+	f.replicas.Publish(upstream("live", 1))
+	rev := f.replicas.Publish(account("x", 1))
+	f.eventually(configBound, "no change", func(r *router) bool { return r.follow.View().Rev() == rev })
+	f.eventually(0, "came back under the same incarnation", listed(false))
+	f.replicas.Publish(upstream("live", 2))
+	f.eventually(configBound, "a new incarnation is not listed", listed(true))
+}
--- /dev/null
+++ b/internal/rwreplica/rwreplica.go
@@ -0,0 +1,157 @@
+// Package rwreplica is a platform service for tests, with a replica for each
+// reader. Each replica may be down, hang, lag or answer watches without
+// waiting.
+package rwreplica
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"redwingworks.example/internal/rwrecord"
+)
+
+// The modes of a replica. The zero mode works.
+const (
+	// Down answers with 503.
+	Down = "down"
+	// Hang doesn't answer.
+	Hang = "hang"
+	// Stale serves the records that there were when the mode was set.
+	Stale = "stale"
+	// Quick answers watches at once, with all records.
+	Quick = "quick"
+)
+
+// Replicas serves each replica under its name as the first element of the
+// path.
+type Replicas struct {
+	mu      sync.Mutex
+	rev     int64
+	items   []rwrecord.Record
+	changed chan struct{}
+	modes   map[string]string
+	frozen  map[string]listing
+	calls   map[string]int
+}
+
+type listing struct {
+	Rev   int64             `json:"rev"`
+	Items []rwrecord.Record `json:"items"`
+}
+
+// New returns replicas without records.
+func New() *Replicas {
+	return &Replicas{
+		changed: make(chan struct{}),
+		modes:   map[string]string{},
+		frozen:  map[string]listing{},
+		calls:   map[string]int{},
+	}
+}
+
+// Publish stores records under new revisions and returns the last one.
+func (r *Replicas) Publish(items ...rwrecord.Record) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, item := range items {
+		r.rev++
+		item.Rev = r.rev
+		r.put(item)
+	}
+	r.wake()
+	return r.rev
+}
+
+// put replaces the slice, since stale replicas keep the old one.
+func (r *Replicas) put(item rwrecord.Record) {
+	var items []rwrecord.Record
+	for _, old := range r.items {
+		if old.Kind != item.Kind || old.Name != item.Name {
+			items = append(items, old)
+		}
+	}
+	r.items = append(items, item)
+}
+
+func (r *Replicas) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Set sets the mode of a replica; "" works.
+func (r *Replicas) Set(name, mode string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.modes[name] = mode
+	r.frozen[name] = listing{r.rev, r.items}
+	r.wake()
+}
+
+// Calls returns how often a replica was called; "" means all.
+func (r *Replicas) Calls(name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if name != "" {
+		return r.calls[name]
+	}
+	sum := 0
+	for _, n := range r.calls {
+		sum += n
+	}
+	return sum
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Replicas) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	name, path, _ := strings.Cut(strings.TrimPrefix(q.URL.Path, "/"), "/")
+	r.mu.Lock()
+	r.calls[name]++
+	r.mu.Unlock()
+	after, _ := strconv.ParseInt(q.URL.Query().Get("after"), 10, 64)
+	seconds, _ := strconv.Atoi(q.URL.Query().Get("wait"))
+	end := time.NewTimer(time.Duration(seconds) * time.Second)
+	defer end.Stop()
+	for {
+		l, mode, changed := r.look(name, after)
+		switch {
+		case mode == Down:
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		case mode == Hang:
+			<-q.Context().Done()
+			return
+		case mode == Quick || len(l.Items) > 0 || path == "v1/records":
+			_ = json.NewEncoder(w).Encode(l)
+			return
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			_ = json.NewEncoder(w).Encode(l)
+			return
+		case <-q.Context().Done():
+			return
+		}
+	}
+}
+
+func (r *Replicas) look(name string, after int64) (listing, string, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	mode := r.modes[name]
+	all := listing{r.rev, r.items}
+	if mode == Stale {
+		all = r.frozen[name]
+	}
+	l := listing{Rev: all.Rev, Items: []rwrecord.Record{}}
+	for _, item := range all.Items {
+		if item.Rev > after || mode == Quick {
+			l.Items = append(l.Items, item)
+		}
+	}
+	return l, mode, r.changed
+}
--- /dev/null
+++ b/test/rwfleet/config_test.go
@@ -0,0 +1,266 @@
+package rwfleet_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwrank"
+	"redwingworks.example/internal/rwrecord"
+	"redwingworks.example/internal/rwreplica"
+	"redwingworks.example/test/rwfleet"
+)
+
+const (
+	configBound = 4 * time.Second
+	startBound  = 15 * time.Second
+	routerCount = 8
+)
+
+// bin is the folder with the programs.
+var bin string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "rwfleet")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bin = dir
+	for _, p := range []string{"rwrouter", "rwplatform"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(dir, p), "./cmd/"+p)
+		build.Dir = "../.."
+		if out, err := build.CombinedOutput(); err != nil {
+			panic(string(out))
+		}
+	}
+	return m.Run()
+}
+
+// routers are router processes with a platform replica each.
+type routers struct {
+	t        *testing.T
+	ctx      context.Context
+	fleet    *rwfleet.Fleet
+	replicas *rwreplica.Replicas
+	server   *httptest.Server
+	procs    []*rwfleet.Proc
+}
+
+func newRouters(t *testing.T) *routers {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	r := &routers{t: t, ctx: ctx, fleet: rwfleet.New(bin, t.TempDir()), replicas: rwreplica.New()}
+	r.server = httptest.NewServer(r.replicas)
+	t.Cleanup(func() {
+		cancel()
+		r.fleet.Close()
+		r.server.CloseClientConnections()
+		r.server.Close()
+	})
+	for i := range routerCount {
+		p, err := rwfleet.NewRouter(fmt.Sprintf("r%d", i), string(rune('a'+i%2)))
+		require.NoError(t, err)
+		r.procs = append(r.procs, p)
+		r.replicas.Publish(rwfleet.VMRecord(p, "live"))
+	}
+	return r
+}
+
+func (r *routers) start(p *rwfleet.Proc, args ...string) {
+	platform := strings.TrimPrefix(r.server.URL, "http://") + "/" + p.Name
+	require.NoError(r.t, r.fleet.Router(p, platform, append(args, "--drain", "0s")...))
+}
+
+func (r *routers) ready(procs ...*rwfleet.Proc) {
+	ctx, cancel := context.WithTimeout(r.ctx, startBound)
+	defer cancel()
+	for _, p := range procs {
+		require.NoError(r.t, rwfleet.WaitReady(ctx, p.Addr, "/readyz"))
+	}
+}
+
+// account is a client account whose caller key is its name.
+func account(name string) rwrecord.Record {
+	sum := sha256.Sum256([]byte(name))
+	return rwfleet.Record("account", name, 1, map[string]any{"share": 1, "keys": []string{hex.EncodeToString(sum[:])}})
+}
+
+// knows reports whether a router lets the account in: the answer for a pool
+// that doesn't exist is then not about the account.
+func (r *routers) knows(p *rwfleet.Proc, name string) bool {
+	req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, "http://"+p.Addr+"/v1/chat/completions", strings.NewReader(`{"model":"none","messages":[]}`))
+	require.NoError(r.t, err)
+	req.Header.Set("Authorization", "Bearer "+name)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(r.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(r.t, err)
+	return !strings.Contains(string(text), "unauthorized") && !strings.Contains(string(text), "unknown_account")
+}
+
+// inForce publishes an account and returns how long it took until all routers
+// let it in.
+func (r *routers) inForce(name string, procs []*rwfleet.Proc) time.Duration {
+	r.t.Helper()
+	begin := time.Now()
+	r.replicas.Publish(account(name))
+	for _, p := range procs {
+		for !r.knows(p, name) {
+			require.Less(r.t, time.Since(begin), configBound, "account %s at %s", name, p.Name)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return time.Since(begin)
+}
+
+// readers returns the readers of a zone.
+func (r *routers) readers(zone string) []*rwfleet.Proc {
+	byName := map[string]*rwfleet.Proc{}
+	var names []string
+	for _, p := range r.procs {
+		if p.Zone == zone {
+			byName[p.Name] = p
+			names = append(names, p.Name)
+		}
+	}
+	names = rwrank.Order("reader", names)
+	return []*rwfleet.Proc{byName[names[0]], byName[names[1]]}
+}
+
+func without(procs []*rwfleet.Proc, drop ...*rwfleet.Proc) []*rwfleet.Proc {
+	var out []*rwfleet.Proc
+	for _, p := range procs {
+		keep := true
+		for _, d := range drop {
+			keep = keep && p != d
+		}
+		if keep {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Guards against a change that isn't in force everywhere within 4 s while the
+// platform lags for some readers and is down for others, and while readers are
+// killed, frozen and restarted.
+func TestConfigurationInForce(t *testing.T) {
+	r := newRouters(t)
+	for _, p := range r.procs {
+		r.start(p)
+	}
+	r.ready(r.procs...)
+	t.Logf("all reachable: %v", r.inForce("first", r.procs))
+	time.Sleep(2 * time.Second)
+	a, b := r.readers("a"), r.readers("b")
+	r.replicas.Set(a[0].Name, rwreplica.Stale)
+	r.replicas.Set(a[1].Name, rwreplica.Down)
+	r.replicas.Set(b[0].Name, rwreplica.Hang)
+	t.Logf("one reader of four is served: %v", r.inForce("second", r.procs))
+
+	r.replicas.Set(a[0].Name, "")
+	a[0].Kill()
+	b[1].Kill()
+	r.replicas.Set(b[0].Name, "")
+	t.Logf("two readers killed: %v", r.inForce("third", without(r.procs, a[0], b[1])))
+
+	r.start(a[0])
+	r.start(b[1])
+	r.ready(a[0], b[1])
+	t.Logf("restarted: %v", r.inForce("fourth", r.procs))
+
+	a[0].Signal(syscall.SIGSTOP)
+	t.Logf("a reader frozen: %v", r.inForce("fifth", without(r.procs, a[0])))
+	time.Sleep(3 * time.Second)
+	a[0].Signal(syscall.SIGCONT)
+	t.Logf("and woken: %v", r.inForce("sixth", r.procs))
+	for _, name := range []string{"first", "second", "third", "fourth", "fifth"} {
+		for _, p := range r.procs {
+			require.True(t, r.knows(p, name), "%s lost account %s", p.Name, name)
+		}
+	}
+}
+
+// Guards against a fleet that no router can join while the platform is down.
+func TestStartWhilePlatformIsDown(t *testing.T) {
+	r := newRouters(t)
+	r.replicas.Publish(account("first"))
+	for _, p := range r.procs[:4] {
+		r.start(p)
+	}
+	r.ready(r.procs[:4]...)
+	for _, p := range r.procs {
+		r.replicas.Set(p.Name, rwreplica.Down)
+	}
+	last := r.procs[4]
+	r.start(last, "--seeds", r.procs[0].Peer)
+	r.ready(last)
+	require.True(t, r.knows(last, "first"))
+	r.procs[1].Kill()
+	r.start(r.procs[1])
+	r.ready(r.procs[1])
+	require.True(t, r.knows(r.procs[1], "first"), "the other routers find a published one that restarts")
+}
+
+// Guards against platform calls that grow with the number of routers.
+func TestPlatformCalls(t *testing.T) {
+	fleet := rwfleet.New(bin, t.TempDir())
+	t.Cleanup(fleet.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	platform, err := fleet.Platform()
+	require.NoError(t, err)
+	require.NoError(t, rwfleet.WaitReady(ctx, platform.Addr, "/v1/records"))
+	var procs []*rwfleet.Proc
+	for i := range routerCount {
+		p, err := rwfleet.NewRouter(fmt.Sprintf("r%d", i), string(rune('a'+i%2)))
+		require.NoError(t, err)
+		procs = append(procs, p)
+		require.NoError(t, rwfleet.Publish(ctx, platform.Addr, rwfleet.VMRecord(p, "live")))
+	}
+	for _, p := range procs {
+		require.NoError(t, fleet.Router(p, platform.Addr, "--drain", "0s"))
+	}
+	for _, p := range procs {
+		require.NoError(t, rwfleet.WaitReady(ctx, p.Addr, "/readyz"))
+	}
+	time.Sleep(3 * time.Second)
+	before := calls(ctx, t, platform)
+	const run, changes = 6, 3
+	for i := range changes {
+		require.NoError(t, rwfleet.Publish(ctx, platform.Addr, account(fmt.Sprint("account", i))))
+		time.Sleep(run * time.Second / changes)
+	}
+	n := calls(ctx, t, platform) - before
+	t.Logf("%d platform calls in %d s with %d changes at %d routers in 2 zones", n, run, changes, routerCount)
+	// Each of 4 readers makes a call in 2 s and one for each change.
+	require.LessOrEqual(t, n, int64(4*(run/2+1+changes)))
+}
+
+func calls(ctx context.Context, t *testing.T, platform *rwfleet.Proc) int64 {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+platform.Addr+"/admin/calls", nil)
+	require.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var v struct{ Calls int64 }
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&v))
+	return v.Calls
+}
