--- a/cmd/rwdrill/internal/rwcut/rwcut.go
+++ b/cmd/rwdrill/internal/rwcut/rwcut.go
@@ -20,11 +20,16 @@
 
 // Cut holds the measured values.
 type Cut struct {
-	// Control is the largest number of control bytes per router and second
-	// while zones are separated in both directions or in one, or join again.
+	// Control is the largest number of control bytes per router and second,
+	// Phases that of each phase.
 	Control float64
+	Phases  map[string]float64
 }
 
+// Names are the names of the phases in their order: a zone is separated from
+// the others in both directions, joins again, and then can't send to another.
+var Names = []string{"both_ways", "rejoin", "one_way"}
+
 // Run separates one zone from the others in both directions, then in one.
 func Run(ctx context.Context, s *rwscene.Scene) (*Cut, error) {
 	limit, cancel := context.WithCancel(ctx)
@@ -37,8 +42,8 @@
 		cancel()
 		<-ended
 	}()
-	cut := &Cut{}
-	for _, separate := range []func(){
+	cut := &Cut{Phases: map[string]float64{}}
+	for i, separate := range []func(){
 		func() { both(s.Fleet) },
 		func() { s.Fleet.Heal() },
 		func() { s.Fleet.Cut(rwtoday.Zones[0], rwtoday.Zones[1]) },
@@ -48,6 +53,7 @@
 		if err != nil {
 			return nil, err
 		}
+		cut.Phases[Names[i]] = control
 		cut.Control = max(cut.Control, control)
 	}
 	s.Fleet.Heal()
--- a/cmd/rwdrill/internal/rwmeasure/rwmeasure.go
+++ b/cmd/rwdrill/internal/rwmeasure/rwmeasure.go
@@ -188,6 +188,10 @@
 			all.Baseline = max(all.Baseline, f.Baseline)
 		}
 	}
+	for _, name := range rwcut.Names {
+		phase := func(r *rwcut.Cut) float64 { return r.Phases[name] }
+		phases = append(phases, figure("control_bytes_per_node_second_partition_"+name, value(fleet.cut, phase), math.NaN()))
+	}
 	cpu := func(r *rwquiet.Quiet) float64 { return r.CPU }
 	return append(append([]rwfigure.Figure{all}, phases...), rwfigure.Figure{
 		Name: "control_cpu", Value: value(fleet.quiet, cpu), Unit: "cores", Bound: maxControlCPU, Baseline: value(base.quiet, cpu),
