--- a/internal/rwvm/rwvm.go
+++ b/internal/rwvm/rwvm.go
@@ -3,10 +3,12 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"strconv"
 
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwneed"
 	"redwingworks.example/internal/rwrecord"
 )
 
@@ -38,16 +40,29 @@
 func Decode(r rwrecord.Record) (VM, error) {
 	m := VM{Name: r.Name}
 	if r.Schema != 1 && r.Schema != 2 {
-		return m, rwfault.New(rwcode.RecordSchema, strconv.Itoa(r.Schema))
+		return m, rwfault.New(rwcode.RecordSchema, "vm "+r.Name+": schema "+strconv.Itoa(r.Schema))
 	}
 	var v schema1
 	if err := json.Unmarshal(r.Value, &v); err != nil {
-		return m, rwfault.Wrap(rwcode.RecordInvalid, err)
+		return m, rwfault.Wrap(rwcode.RecordInvalid, err).WithDetail("vm " + r.Name)
 	}
 	m.Addr, m.HTTP, m.Zone, m.Region = v.Addr, v.HTTP, v.Zone, v.Region
 	m.Leaving = v.State == "leaving"
-	if m.Addr == "" || m.Zone == "" {
-		return m, rwfault.New(rwcode.RecordInvalid, "vm "+r.Name+": addr and zone are required")
-	}
-	return m, nil
+	return m, m.check(v)
+}
+
+func (m VM) check(v schema1) error {
+	var l rwneed.List
+	l.Need(m.Name != "", "no name")
+	l.Need(address(m.Addr), "addr is not an IP address and a port")
+	l.Need(address(m.HTTP), "http is not an IP address and a port")
+	l.Need(m.Zone != "", "no zone")
+	l.Need(m.Region != "", "no region")
+	l.Need(v.State == "live" || v.State == "leaving", "state is neither live nor leaving")
+	return l.Fault(rwcode.RecordInvalid, "vm "+m.Name)
+}
+
+func address(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+	return err == nil && a.Port() != 0
 }
