--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,9 @@
 demo: build
 	@bin/rwdrill --bin bin demo
 
+prove: build
+	@bin/rwdrill --bin bin prove --seed $(SEED)
+
 measure: build
 	@bin/rwdrill --bin bin measure
 
--- /dev/null
+++ b/cmd/rwdrill/internal/rwprove/rwprove.go
@@ -0,0 +1,172 @@
+// Package rwprove runs the tests of the properties and prints which held.
+package rwprove
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strconv"
+	"time"
+
+	"redwingworks.example/cmd/rwdrill/internal/rwproof"
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+)
+
+const (
+	module    = "redwingworks.example/"
+	testLimit = 3 * time.Minute
+	// maxOutput bounds what is printed of a failing test.
+	maxOutput = 8 << 10
+)
+
+// Table lists the properties and the tests that try to break them. Each
+// property has at least one entry.
+var Table = []rwproof.Proof{
+	{Property: "P1 fair", Package: module + "test/rwbubble", Test: "TestFairAcrossRouters"},
+	{Property: "P1 fair", Package: module + "test/rwbubble", Test: "TestFairWithUnequalShares"},
+	{Property: "P1 fair", Package: module + "test/rwbubble", Test: "TestZoneCutAndRejoin"},
+	{Property: "P1 fair", Package: module + "internal/rwsched", Test: "TestGapStaysWithinBound", Race: true},
+	{Property: "P1 fair", Package: module + "internal/rwsched", Test: "TestGapWithCellCutOff", Race: true},
+	{Property: "P1 fair", Package: module + "internal/rwsched", Test: "TestGapWithOwnersThatRestart", Race: true},
+	{Property: "P1 fair", Package: module + "internal/rwsched", Test: "TestGapInRandomPools", Race: true},
+	{Property: "P2 live", Package: module + "test/rwbubble", Test: "TestFloods"},
+	{Property: "P2 live", Package: module + "internal/rwsched", Test: "TestFloodLeavesOthersTheirService", Race: true},
+	{Property: "P3 whole", Package: module + "internal/rwgate", Test: "TestBrokenStreamNeverLooksWhole", Race: true},
+	{Property: "P3 whole", Package: module + "internal/rwstream", Test: "TestEvents", Race: true},
+	{Property: "P4 notrun", Package: module + "internal/rwdispatch", Test: "TestConnectionRefusedIsNotRun", Race: true},
+	{Property: "P4 notrun", Package: module + "internal/rwentry", Test: "TestOutcomeCoversAllAttempts", Race: true},
+	{Property: "P5 once", Package: module + "internal/rwonce", Test: "TestExploration", Race: true},
+	{Property: "P5 once", Package: module + "internal/rwdispatch", Test: "TestTransportDoesNotSendAgain", Race: true},
+	{Property: "P5 once", Package: module + "internal/rwentry", Test: "TestNonIdempotentIsSentOnce", Race: true},
+	{Property: "P6 leaving"},
+	{Property: "P7 drain"},
+	{Property: "P8 config"},
+}
+
+// Prove runs the tests of a table. Its fields are set before Run.
+type Prove struct {
+	// Table lists the tests.
+	Table []rwproof.Proof
+	// Seed is passed to the tests that take one.
+	Seed uint64
+	// Test runs one test and returns the output of go test -json.
+	Test func(ctx context.Context, p rwproof.Proof, seed uint64) []byte
+}
+
+// New returns a run of the project's table.
+func New(seed uint64) *Prove {
+	return &Prove{Table: Table, Seed: seed, Test: goTest}
+}
+
+// Run runs each test and writes one line for it. It fails if a property is
+// broken; one that no test proves is not a failure.
+func (p *Prove) Run(ctx context.Context, w io.Writer) error {
+	broken := 0
+	for _, entry := range p.Table {
+		if ctx.Err() != nil {
+			return rwfault.Wrap(rwcode.Internal, ctx.Err())
+		}
+		if entry.Test == "" {
+			_, _ = fmt.Fprintf(w, "%s: not proved (no test)\n", entry.Property)
+			continue
+		}
+		output := p.Test(ctx, entry, p.Seed)
+		verdict := verdictOf(output, entry.Test)
+		_, _ = fmt.Fprintf(w, "%s: %s %s %s seed=%s\n", entry.Property, verdict, entry.Package, entry.Test, p.seedOf(entry))
+		if verdict != held {
+			_, _ = w.Write(text(output))
+		}
+		if verdict == isBroken {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return rwfault.New(rwcode.Internal, strconv.Itoa(broken)+" tests broke their property")
+	}
+	return nil
+}
+
+func (p *Prove) seedOf(entry rwproof.Proof) string {
+	if entry.Seeded {
+		return strconv.FormatUint(p.Seed, 10)
+	}
+	return "fixed"
+}
+
+func goTest(ctx context.Context, p rwproof.Proof, seed uint64) []byte {
+	limit, cancel := context.WithTimeout(ctx, testLimit)
+	defer cancel()
+	args := []string{"test", "-json", "-count=1", "-run", "^" + p.Test + "$"}
+	if p.Race {
+		args = append(args, "-race")
+	}
+	c := exec.CommandContext(limit, "go", append(args, p.Package)...)
+	c.Env = append(os.Environ(), "REDWING_SEED="+strconv.FormatUint(seed, 10))
+	output, err := c.CombinedOutput()
+	if err != nil {
+		output = append(output, "\n"+err.Error()+"\n"...)
+	}
+	return output
+}
+
+const (
+	held      = "held"
+	isBroken  = "broken"
+	notProved = "not proved"
+)
+
+type event struct {
+	Action, Test, Output string
+}
+
+func events(output []byte) []event {
+	var out []event
+	for line := range bytes.Lines(output) {
+		var e event
+		if json.Unmarshal(line, &e) != nil {
+			// A failed build prints plain text.
+			e.Output = string(line)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// verdictOf is held only if the test itself ran and passed: go test also
+// succeeds when no test has the name. A test that was skipped, was not built
+// or did not end proves nothing; a panic fails the package only.
+func verdictOf(output []byte, test string) string {
+	verdict, started, failed := notProved, false, false
+	for _, e := range events(output) {
+		switch {
+		case e.Test == test && e.Action == "run":
+			started = true
+		case e.Test == test && e.Action == "pass":
+			verdict = held
+		case e.Action == "fail":
+			failed = true
+		}
+	}
+	if started && failed {
+		return isBroken
+	}
+	if failed {
+		return notProved
+	}
+	return verdict
+}
+
+// text is the end of the readable output.
+func text(output []byte) []byte {
+	var out bytes.Buffer
+	for _, e := range events(output) {
+		out.WriteString(e.Output)
+	}
+	b := out.Bytes()
+	return b[max(0, len(b)-maxOutput):]
+}
--- a/cmd/rwdrill/main.go
+++ b/cmd/rwdrill/main.go
@@ -12,6 +12,7 @@
 
 	"redwingworks.example/cmd/rwdrill/internal/rwdemo"
 	"redwingworks.example/cmd/rwdrill/internal/rwmeasure"
+	"redwingworks.example/cmd/rwdrill/internal/rwprove"
 )
 
 func main() {
@@ -24,7 +25,7 @@
 			return rwdemo.New(*bin).Run(os.Stdout)
 		},
 	})
-	c.AddCommand(measure(bin))
+	c.AddCommand(measure(bin), prove())
 	if err := c.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -46,3 +47,18 @@
 	c.Flags().StringSliceVar(&only, "only", nil, "run only these scenarios: quiet, shares, flood, cut")
 	return c
 }
+
+func prove() *cobra.Command {
+	seed := uint64(1)
+	c := &cobra.Command{
+		Use:   "prove",
+		Short: "Run the tests of the properties that must always hold",
+		RunE: func(*cobra.Command, []string) error {
+			ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer cancel()
+			return rwprove.New(seed).Run(ctx, os.Stdout)
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", seed, "seed for the tests that take one")
+	return c
+}
