--- a/internal/rwframe/rwframe.go
+++ b/internal/rwframe/rwframe.go
@@ -41,7 +41,7 @@
 }
 
 // New returns a codec for a new link.
-func New(max int) *Codec { return &Codec{max: max} }
+func New(limit int) *Codec { return &Codec{max: limit} }
 
 // WriteObject writes a message in one call. It fails with PeerSize or
 // PeerMalformed, or with the error of the connection.
