--- a/internal/rwsched/fair_test.go
+++ b/internal/rwsched/fair_test.go
@@ -255,3 +255,27 @@
 	}
 	return worst
 }
+
+// Guards against decisions that depend on anything but the inputs, such as the
+// order of a map.
+func TestSameInputsGiveSameDecisions(t *testing.T) {
+	run := func() []float64 {
+		f := plain()
+		f.lossy, f.failures = true, 0.1
+		f.accounts = loads(16, unequal, oneAlone, kindLoad{low: 20, top: 100})
+		p := newPool(f, 1)
+		p.after(5*time.Second, func() { p.restart(p.cells[1], 2*time.Second) })
+		p.after(10*time.Second, func() { p.cut(p.cells[0], p.entries[0], true) })
+		p.after(15*time.Second, func() { p.cut(p.cells[0], p.entries[0], false) })
+		p.run(30 * time.Second)
+		var out []float64
+		for _, a := range p.accounts {
+			out = append(out, p.received(a))
+		}
+		return out
+	}
+	first := run()
+	for range 5 {
+		require.Equal(t, first, run())
+	}
+}
