--- /dev/null
+++ b/internal/rwonce/table_test.go
@@ -0,0 +1,177 @@
+package rwonce_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcall"
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwlist"
+	"redwingworks.example/internal/rwonce"
+	"redwingworks.example/internal/rwoutcome"
+	"redwingworks.example/internal/rwresult"
+	"redwingworks.example/internal/rwverdict"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// alone returns a fleet of one router; it starts to run opaque keys after the
+// repeat time.
+func alone(c rwonce.Config) *rwonce.Machine {
+	m := rwonce.New(rwidentity.Identity{Name: "a", Inc: 1}, c, epoch)
+	m.SetList(epoch, rwlist.New(1, []string{"a"}, []string{"a"}), repeat)
+	return m
+}
+
+func opaque(key, digest string) rwcall.Call {
+	return rwcall.Call{ID: key + digest, Key: key, Digest: digest, Repeat: repeat}
+}
+
+func done(body string) rwresult.Result {
+	return rwresult.Result{Outcome: rwoutcome.Ran, Status: 200, Body: []byte(body)}
+}
+
+// Guards against a wrong answer to a call in each state of its key.
+func TestVerdicts(t *testing.T) {
+	now := epoch.Add(repeat)
+	begin := func(m *rwonce.Machine, c rwcall.Call) { m.Begin(now, c) }
+	for _, c := range []struct {
+		name   string
+		before func(*rwonce.Machine)
+		call   rwcall.Call
+		want   rwverdict.Step
+		code   rwcode.Code
+		out    rwoutcome.Outcome
+	}{
+		{"a fresh key runs", nil, opaque("k", "x"), rwverdict.Run, 0, 0},
+		{"a repeat joins the call in progress", func(m *rwonce.Machine) { begin(m, opaque("k", "x")) },
+			opaque("k", "x"), rwverdict.Wait, 0, 0},
+		{"another body is refused during the call", func(m *rwonce.Machine) { begin(m, opaque("k", "x")) },
+			opaque("k", "y"), rwverdict.Answer, rwcode.BadRequest, rwoutcome.NotRun},
+		{"a repeat gets the answer", func(m *rwonce.Machine) {
+			begin(m, opaque("k", "x"))
+			m.Finish(now, "k", done("answer"))
+		}, opaque("k", "x"), rwverdict.Answer, rwcode.None, rwoutcome.Ran},
+		{"another body is refused after the call", func(m *rwonce.Machine) {
+			begin(m, opaque("k", "x"))
+			m.Finish(now, "k", done("answer"))
+		}, opaque("k", "y"), rwverdict.Answer, rwcode.BadRequest, rwoutcome.NotRun},
+		{"a call that didn't run may run again", func(m *rwonce.Machine) {
+			begin(m, opaque("k", "x"))
+			m.Finish(now, "k", rwresult.Fault(rwcode.QueueFull, rwoutcome.NotRun, ""))
+		}, rwcall.Call{ID: "next", Key: "k", Digest: "x", Repeat: repeat}, rwverdict.Run, 0, 0},
+		{"a late copy of a refused attempt doesn't run", func(m *rwonce.Machine) {
+			begin(m, opaque("k", "x"))
+			m.Finish(now, "k", rwresult.Fault(rwcode.QueueFull, rwoutcome.NotRun, ""))
+		}, opaque("k", "x"), rwverdict.Answer, rwcode.QueueFull, rwoutcome.NotRun},
+		{"an unknown outcome stays unknown", func(m *rwonce.Machine) {
+			begin(m, opaque("k", "x"))
+			m.Finish(now, "k", rwresult.Unknown(""))
+		}, opaque("k", "x"), rwverdict.Answer, rwcode.OutcomeUnknown, rwoutcome.Unknown},
+		{"an answer that was dropped is unknown", func(m *rwonce.Machine) {
+			begin(m, opaque("k", "x"))
+			m.Finish(now, "k", done("0123456789"))
+			begin(m, opaque("l", "x"))
+			m.Finish(now, "l", done("0123456789"))
+		}, opaque("k", "x"), rwverdict.Answer, rwcode.OutcomeUnknown, rwoutcome.Unknown},
+		{"a key beyond the bound is refused", func(m *rwonce.Machine) {
+			for _, k := range []string{"1", "2", "3", "4"} {
+				begin(m, opaque(k, "x"))
+			}
+		}, opaque("k", "x"), rwverdict.Answer, rwcode.QueueFull, rwoutcome.Unknown},
+		{"a call by a newer list is held", nil,
+			rwcall.Call{ID: "1", Key: "k", Digest: "x", Repeat: repeat, Version: rwlist.Version{Rev: 9}},
+			rwverdict.Answer, rwcode.KeyHeld, rwoutcome.Unknown},
+		{"a fresh ticket runs", nil,
+			rwcall.Call{ID: "1", Key: "k", Digest: "x", Repeat: repeat, Ticket: true, Birth: now}, rwverdict.Run, 0, 0},
+		{"an expired ticket doesn't run", nil,
+			rwcall.Call{ID: "1", Key: "k", Digest: "x", Repeat: repeat, Ticket: true, Birth: now.Add(-repeat - 1)},
+			rwverdict.Answer, rwcode.OutcomeUnknown, rwoutcome.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := alone(rwonce.Config{MaxKeys: 4, MaxBytes: 15})
+			m.Tick(now)
+			if c.before != nil {
+				c.before(m)
+			}
+			v := m.Begin(now, c.call)
+			require.Equal(t, c.want, v.Step)
+			if v.Step == rwverdict.Answer && c.code != rwcode.None {
+				require.Equal(t, c.code.String(), v.Result.Code)
+			}
+			require.Equal(t, c.out, v.Result.Outcome)
+		})
+	}
+}
+
+// Guards against keys that run before the hold ends, and against a proven
+// birth that is believed although it is too early or in the future.
+func TestHold(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		hold  time.Duration
+		after time.Duration
+		birth time.Duration
+		want  rwverdict.Step
+	}{
+		{"an opaque key is held", 0, repeat - 1, -1, rwverdict.Answer},
+		{"an opaque key runs after the repeat time", 0, repeat, -1, rwverdict.Run},
+		{"the setting shortens a first start", time.Second, time.Second, -1, rwverdict.Run},
+		{"the setting doesn't end it earlier", time.Second, time.Second - 1, -1, rwverdict.Answer},
+		{"a key born after the start and the skew runs", 0, 6 * time.Second, 5 * time.Second, rwverdict.Run},
+		{"a key born within the skew is held", 0, 6 * time.Second, 5*time.Second - 1, rwverdict.Answer},
+		{"a key from the future proves nothing", 0, 0, 6 * time.Second, rwverdict.Answer},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := alone(rwonce.Config{Hold: c.hold})
+			now := epoch.Add(c.after)
+			m.Tick(now)
+			call := opaque("k", "x")
+			if c.birth >= 0 {
+				call.Birth = epoch.Add(c.birth)
+			}
+			require.Equal(t, c.want, m.Begin(now, call).Step)
+		})
+	}
+}
+
+// Guards against a call that is sent after a pause of the process, after its
+// end, or by a list that is no longer the newest one known.
+func TestCommit(t *testing.T) {
+	now := epoch.Add(repeat)
+	for _, c := range []struct {
+		name   string
+		before func(*rwonce.Machine)
+		after  time.Duration
+		want   rwcode.Code
+	}{
+		{"a call may be sent", func(*rwonce.Machine) {}, time.Second, rwcode.None},
+		{"not after a pause", func(*rwonce.Machine) {}, time.Second + 1, rwcode.Paused},
+		{"not twice", func(m *rwonce.Machine) { m.Finish(now, "k", done("")) }, 0, rwcode.KeyHeld},
+		{"not by an old list", func(m *rwonce.Machine) {
+			m.Begin(now, rwcall.Call{ID: "2", Key: "l", Version: rwlist.Version{Rev: 2}})
+		}, 0, rwcode.KeyHeld},
+		{"not when the key has moved", func(m *rwonce.Machine) {
+			m.SetList(now, rwlist.New(2, []string{"b"}, []string{"b"}), repeat)
+		}, 0, rwcode.KeyHeld},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := alone(rwonce.Config{})
+			m.Tick(now)
+			require.Equal(t, rwverdict.Run, m.Begin(now, opaque("k", "x")).Step)
+			c.before(m)
+			require.Equal(t, c.want, m.Commit(now.Add(c.after), opaque("k", "x")))
+		})
+	}
+}
+
+// Guards against a list that goes back.
+func TestOlderListIsIgnored(t *testing.T) {
+	m := alone(rwonce.Config{})
+	m.SetList(epoch, rwlist.New(5, []string{"b"}, []string{"b"}), repeat)
+	m.SetList(epoch, rwlist.New(4, []string{"a"}, []string{"a"}), repeat)
+	require.Equal(t, int64(5), m.Version().Rev)
+}
