--- a/internal/rwhome/rwhome.go
+++ b/internal/rwhome/rwhome.go
@@ -41,6 +41,7 @@
 const (
 	tickInterval  = 100 * time.Millisecond
 	traceTimeout  = 500 * time.Millisecond
+	traceHedge    = 30 * time.Millisecond
 	queryTimeout  = 2 * time.Second
 	handedTimeout = 2 * time.Second
 	// orderTimeout bounds a call without a deadline. It is below the time
@@ -49,6 +50,9 @@
 	// maxBody is the largest body that still fits into a message between
 	// routers in base64.
 	maxBody = 800 << 10
+	// maxWitnesses bounds the routers that are asked to remember one key. When
+	// two thirds of the fleet are cut off, one call in 600 finds none in 16.
+	maxWitnesses = 16
 	// maxHops bounds forwarding: from the entry to a home that is leaving
 	// and on to the router that has its keys.
 	maxHops = 2
@@ -413,27 +417,47 @@
 	return r
 }
 
-// trace makes one other router remember the key.
+// trace makes one other router remember the key. It asks the next witness when
+// one refuses or is slow, so that a router that is cut off delays a call by
+// traceHedge and not by a timeout.
 func (h *Home) trace(ctx context.Context, c rwcall.Call, witnesses []string) bool {
 	h.mu.Lock()
 	n := h.machine.Trace(h.config.Now(), c.Key)
 	h.mu.Unlock()
-	for _, w := range witnesses {
-		if ctx.Err() != nil {
-			return false
-		}
-		if a, ok := call[rwack.Ack](ctx, h, traceTimeout, w, "trace", n); ok {
-			h.mu.Lock()
-			ok = h.machine.Noted(h.config.Now(), w, n, a)
-			h.mu.Unlock()
+	acks := make(chan bool, len(witnesses))
+	pending := 0
+	for _, w := range witnesses[:min(len(witnesses), maxWitnesses)] {
+		go func() { acks <- h.ask(ctx, w, n) }()
+		pending++
+		select {
+		case ok := <-acks:
 			if ok {
 				return true
 			}
+			pending--
+		case <-time.After(traceHedge):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for ; pending > 0; pending-- {
+		if <-acks {
+			return true
 		}
 	}
 	return false
 }
 
+func (h *Home) ask(ctx context.Context, witness string, n rwnote.Note) bool {
+	a, ok := call[rwack.Ack](ctx, h, traceTimeout, witness, "trace", n)
+	if !ok {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.machine.Noted(h.config.Now(), witness, n, a)
+}
+
 func call[R any](ctx context.Context, h *Home, limit time.Duration, to, method string, params any) (r R, ok bool) {
 	addr := h.addr(to)
 	if addr == "" {
--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -607,11 +607,7 @@
 	if c.Ticket || holder || len(m.list.All) == 1 || m.config.Rules.NoTrace {
 		return v
 	}
-	for _, n := range rwrank.Order(c.Key, m.list.All) {
-		if n != m.self.Name && n != m.list.Home(c.Key) {
-			v.Witnesses = append(v.Witnesses, n)
-		}
-	}
+	v.Witnesses = m.witnesses(c.Key)
 	if len(v.Witnesses) == 0 {
 		m.Abandon(c.Key)
 		return unknown("no other router can remember the key")
@@ -619,6 +615,23 @@
 	return v
 }
 
+// witnesses are the routers that may remember a key, best first. VMs that are
+// leaving come last, since their memory ends soon.
+func (m *Machine) witnesses(key string) []string {
+	home := m.list.Home(key)
+	var live, rest []string
+	for _, n := range rwrank.Order(key, m.list.All) {
+		switch {
+		case n == m.self.Name || n == home:
+		case slices.Contains(m.list.Live, n):
+			live = append(live, n)
+		default:
+			rest = append(rest, n)
+		}
+	}
+	return append(live, rest...)
+}
+
 // Commit is the last check before a call is sent to an upstream. It returns
 // rwcode.None if the call may be sent; otherwise it must not be.
 func (m *Machine) Commit(now time.Time, c rwcall.Call) rwcode.Code {
--- a/internal/rwonce/rwonce_test.go
+++ b/internal/rwonce/rwonce_test.go
@@ -144,9 +144,10 @@
 	w.run(100 * time.Millisecond)
 }
 
-func (w *world) adoptAt(version int, list ...string) {
+// adoptNewest gives the newest list to some routers.
+func (w *world) adoptNewest(list ...string) {
 	for _, n := range list {
-		w.adopt(w.routers[n], w.routers[n].inc, version)
+		w.adopt(w.routers[n], w.routers[n].inc, len(w.lists)-1)
 	}
 	w.run(time.Second)
 }
@@ -194,13 +195,13 @@
 		w.publish([]string{"a", "b", "c"}, []string{"a", "b", "c"})
 		w.crash(w.routers["d"])
 		w.restart("a")
-		w.adoptAt(1, "b", "c")
+		w.adoptNewest("b", "c")
 		w.through(a, "b")
 	}},
 	{"a frozen home wakes after a list change", rwonce.Rules{NoPromise: true}, func(w *world, a *attempt) {
 		w.routers["a"].frozen = w.now.Add(3 * time.Second)
 		w.publish([]string{"b", "c", "d"}, []string{"b", "c", "d"})
-		w.adoptAt(1, "b", "c", "d")
+		w.adoptNewest("b", "c", "d")
 		for _, via := range []string{"b", "c", "d"} {
 			w.through(a, via)
 		}
@@ -210,7 +211,7 @@
 	{"a home with an old list is cut off with a witness that restarted", rwonce.Rules{NoJoin: true}, func(w *world, a *attempt) {
 		w.publish([]string{"b", "c", "d"}, []string{"b", "c", "d"})
 		w.isolate("a")
-		w.adoptAt(1, "b", "c", "d")
+		w.adoptNewest("b", "c", "d")
 		w.through(a, "b")
 		clear(w.cut)
 		w.isolate("ac")
@@ -223,7 +224,7 @@
 	{"home and entry are cut off with an old list", rwonce.Rules{NoPromise: true}, func(w *world, a *attempt) {
 		w.publish([]string{"b", "c", "d"}, []string{"b", "c", "d"})
 		w.isolate("ad")
-		w.adoptAt(1, "b", "c")
+		w.adoptNewest("b", "c")
 		w.run(repeat)
 		w.through(a, "b")
 		w.through(a, "c")
