--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -43,6 +43,8 @@
 	// askAgain is the time between two queries to a router that has answered
 	// and lacked memory.
 	askAgain = 10 * time.Second
+	// expireInterval bounds the cost of a walk over all keys.
+	expireInterval = time.Second
 	// heldRetry is the time after which a caller may repeat a held key.
 	heldRetry = time.Second
 	// maxResults bounds the bytes of answers in one message.
@@ -156,7 +158,9 @@
 	config Config
 	start  time.Time
 	tick   time.Time
-	repeat time.Duration
+	// expired is when old keys were last dropped.
+	expired time.Time
+	repeat  time.Duration
 
 	list rwlist.List
 	// seen is the highest version that any message named. The machine acts
@@ -249,7 +253,10 @@
 // Tick reports that the process runs. Calls aren't sent after a pause.
 func (m *Machine) Tick(now time.Time) {
 	m.tick = now
-	m.expire(now)
+	if now.Sub(m.expired) >= expireInterval {
+		m.expired = now
+		m.expire(now)
+	}
 	m.evaluate(now)
 }
 
