--- a/internal/rwdemand/rwdemand.go
+++ b/internal/rwdemand/rwdemand.go
@@ -353,5 +353,8 @@
 	}
 	slices.Sort(far)
 	d.random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	return append(near, far[:min(sample, len(far))]...)
+	// With fewer than half of the cells an account at one entry can't reach its
+	// share of the pool: the cap of twice the fair share of a cell stops it.
+	draw := max(sample, (len(near)+len(far)+1)/2-len(near))
+	return append(near, far[:min(draw, len(far))]...)
 }
--- a/internal/rwdispatch/rwdispatch.go
+++ b/internal/rwdispatch/rwdispatch.go
@@ -205,6 +205,9 @@
 	if leaving(resp, q) {
 		return nil, rwfault.New(rwcode.UpstreamLeaving, u.Name)
 	}
+	if q.Fence > 0 && u.Fence && resp.StatusCode == http.StatusPreconditionFailed {
+		return nil, rwfault.New(rwcode.FenceStale, u.Name)
+	}
 	if resp.Header.Get("Redwing-Request") != q.ID {
 		return nil, rwfault.New(rwcode.UpstreamMismatch, u.Name).WithOutcome(rwoutcome.Unknown)
 	}
--- a/internal/rwhome/rwhome.go
+++ b/internal/rwhome/rwhome.go
@@ -41,6 +41,7 @@
 const (
 	tickInterval  = 100 * time.Millisecond
 	traceTimeout  = 500 * time.Millisecond
+	traceHedge    = 30 * time.Millisecond
 	queryTimeout  = 2 * time.Second
 	handedTimeout = 2 * time.Second
 	// orderTimeout bounds a call without a deadline. It is below the time
@@ -49,11 +50,12 @@
 	// maxBody is the largest body that still fits into a message between
 	// routers in base64.
 	maxBody = 800 << 10
+	// maxWitnesses bounds the routers that are asked to remember one key. When
+	// two thirds of the fleet are cut off, one call in 600 finds none in 16.
+	maxWitnesses = 16
 	// maxHops bounds forwarding: from the entry to a home that is leaving
 	// and on to the router that has its keys.
 	maxHops = 2
-	// fenceShift leaves 40 bits for the home's start in seconds.
-	fenceShift = 40
 )
 
 // Home is the part of a router that runs non-idempotent calls.
@@ -225,6 +227,7 @@
 			Digest: rwkey.Digest(q.Pool, q.Method, q.Path, string(q.Body)),
 			Repeat: q.Repeat,
 			From:   h.config.Self.Name,
+			Inc:    h.config.Self.Inc,
 		},
 		Request: request{
 			ID: q.ID, Account: q.Account, Kind: q.Kind, Pool: q.Pool, Urgency: q.Urgency, Key: q.Key,
@@ -314,7 +317,7 @@
 	if err := json.Unmarshal(params, &o); err != nil {
 		return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
 	}
-	if from.Name != o.Call.From {
+	if from.Name != o.Call.From || from.Inc != o.Call.Inc {
 		o.Call.Holds = false
 	}
 	r := h.run(ctx, o)
@@ -412,27 +415,47 @@
 	return r
 }
 
-// trace makes one other router remember the key.
+// trace makes one other router remember the key. It asks the next witness when
+// one refuses or is slow, so that a router that is cut off delays a call by
+// traceHedge and not by a timeout.
 func (h *Home) trace(ctx context.Context, c rwcall.Call, witnesses []string) bool {
 	h.mu.Lock()
 	n := h.machine.Trace(h.config.Now(), c.Key)
 	h.mu.Unlock()
-	for _, w := range witnesses {
-		if ctx.Err() != nil {
-			return false
-		}
-		if a, ok := call[rwack.Ack](ctx, h, traceTimeout, w, "trace", n); ok {
-			h.mu.Lock()
-			ok = h.machine.Noted(h.config.Now(), w, n, a)
-			h.mu.Unlock()
+	acks := make(chan bool, len(witnesses))
+	pending := 0
+	for _, w := range witnesses[:min(len(witnesses), maxWitnesses)] {
+		go func() { acks <- h.ask(ctx, w, n) }()
+		pending++
+		select {
+		case ok := <-acks:
 			if ok {
 				return true
 			}
+			pending--
+		case <-time.After(traceHedge):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for ; pending > 0; pending-- {
+		if <-acks {
+			return true
 		}
 	}
 	return false
 }
 
+func (h *Home) ask(ctx context.Context, witness string, n rwnote.Note) bool {
+	a, ok := call[rwack.Ack](ctx, h, traceTimeout, witness, "trace", n)
+	if !ok {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.machine.Noted(h.config.Now(), witness, n, a)
+}
+
 func call[R any](ctx context.Context, h *Home, limit time.Duration, to, method string, params any) (r R, ok bool) {
 	addr := h.addr(to)
 	if addr == "" {
@@ -456,7 +479,7 @@
 		q.Deadline = now.Add(o.Left)
 	}
 	h.mu.Lock()
-	q.Fence = h.machine.Version().Rev<<fenceShift + h.config.Self.Inc/int64(time.Second/time.Microsecond)
+	q.Fence = h.machine.Version().Rev
 	h.mu.Unlock()
 	return result(h.config.Run(ctx, q))
 }
@@ -471,7 +494,7 @@
 		return nil
 	}
 	if code == rwcode.Paused {
-		rwlog.Warn(&h.config.Log, rwlog.PauseDetected, rwfault.New(code, c.ID)).Send()
+		rwlog.Info(&h.config.Log, rwlog.PauseDetected).Str("request", c.ID).Send()
 	}
 	return rwfault.New(code, c.ID)
 }
--- a/internal/rwonce/explore_test.go
+++ b/internal/rwonce/explore_test.go
@@ -13,7 +13,6 @@
 	"redwingworks.example/internal/rwlist"
 	"redwingworks.example/internal/rwonce"
 	"redwingworks.example/internal/rwoutcome"
-	"redwingworks.example/internal/rwrank"
 	"redwingworks.example/internal/rwresult"
 	"redwingworks.example/internal/rwverdict"
 )
@@ -21,7 +20,7 @@
 // The model's assumptions, which docs/design.md states too:
 //   - callers don't repeat a key after the repeat time;
 //   - clocks of callers and routers differ by less than 5 s;
-//   - a VM that is no longer published has stopped within the repeat time;
+//   - a VM that is no longer published has stopped within the time Stop;
 //   - a router that starts reads a list that is at most as old as the model's
 //     staleLists allows.
 const (
@@ -30,6 +29,27 @@
 	names      = "abcde"
 )
 
+type fault int
+
+const (
+	crashed fault = iota
+	restarted
+	left
+	froze
+	splits
+	changed
+	started
+)
+
+// menus are mixes of faults. With all of them most keys are held most of the
+// time; the other mixes keep the fleet working.
+var menus = [][]fault{
+	{crashed, crashed, left, froze, splits, changed, started, started},
+	{restarted},
+	{restarted, restarted, froze, changed},
+	{left, started, started, restarted},
+}
+
 type event struct {
 	at  time.Time
 	seq int
@@ -84,14 +104,21 @@
 	rules   rwonce.Rules
 	loss    float64
 	calm    bool
+	// manual leaves the adoption of lists to the test.
+	manual bool
+	// starts is the list with which routers start in a script, -1 for the
+	// newest one.
+	starts int
+	sent   int
+	stop   time.Duration
 	// stale is how many lists a router that starts may lag behind.
 	stale int
+	menu  []fault
 
-	runs map[string]int
-	ran  int
-	bad  []string
-	log  []string
-	// mayHold is whether keys that reach no home are expected.
+	runs  map[string]int
+	ran   int
+	bad   []string
+	log   []string
 	trace bool
 }
 
@@ -99,7 +126,8 @@
 	t := time.Unix(1_800_000_000, 0)
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: t, start: t, rules: rules,
-		routers: map[string]*router{}, cut: map[[2]string]time.Time{}, runs: map[string]int{}, stale: 2,
+		routers: map[string]*router{}, cut: map[[2]string]time.Time{}, runs: map[string]int{}, stale: 2, starts: -1, stop: repeat,
+		menu: menus[seed%uint64(len(menus))],
 	}
 	return w
 }
@@ -163,10 +191,7 @@
 }
 
 func (w *world) lost(from, to string) bool {
-	if w.calm {
-		return false
-	}
-	return w.cut[[2]string{from, to}].After(w.now) || w.chance(w.loss)
+	return w.cut[[2]string{from, to}].After(w.now) || !w.calm && w.chance(w.loss)
 }
 
 // rpc carries a request to another router, and done gets the answer, or nil
@@ -214,8 +239,11 @@
 	}
 	r.inc = w.now.UnixMicro()
 	r.up, r.frozen, r.waiting = true, time.Time{}, map[string][]func(){}
-	r.m = rwonce.New(r.id(), rwonce.Config{Rules: w.rules}, w.now)
+	r.m = rwonce.New(r.id(), rwonce.Config{Rules: w.rules, Stop: w.stop}, w.now)
 	r.version = len(w.lists) - 1
+	if w.calm && w.starts >= 0 {
+		r.version = min(w.starts, r.version)
+	}
 	if !w.calm && w.chance(0.3) {
 		r.version = max(0, r.version-w.rng.IntN(w.stale+1))
 	}
@@ -227,7 +255,7 @@
 func (w *world) tick(r *router, inc int64) {
 	w.on(r, inc, func() {
 		r.m.Tick(w.now)
-		if w.calm && r.version < len(w.lists)-1 {
+		if w.calm && !w.manual && r.version < len(w.lists)-1 {
 			w.adopt(r, inc, len(w.lists)-1)
 		}
 		id := r.id()
@@ -272,6 +300,9 @@
 	w.lists = append(w.lists, l)
 	w.note("list %d: live %v all %v", len(w.lists), l.Live, l.All)
 	version := len(w.lists) - 1
+	if w.manual {
+		return
+	}
 	for _, n := range names {
 		r := w.routers[string(n)]
 		if r == nil || !r.up {
@@ -323,7 +354,7 @@
 		w.home(r, a, a.call, done)
 	case rwverdict.Forward:
 		c := a.call
-		c.From, c.Holds, c.Version = r.name, v.Holds, r.m.Version()
+		c.From, c.Inc, c.Holds, c.Version = r.name, r.inc, v.Holds, r.m.Version()
 		w.note("%s forwards %s to %s", r.name, c.Key, v.To)
 		w.order(r, v.To, a, c, func(x rwresult.Result, ok bool) {
 			next := r.m.Next(c.Key)
@@ -505,26 +536,33 @@
 	r := w.routers[n]
 	last := w.lists[len(w.lists)-1]
 	published := slices.Contains(last.All, n)
-	switch w.rng.IntN(8) {
-	case 0, 1:
+	switch w.menu[w.rng.IntN(len(w.menu))] {
+	case crashed:
 		if r != nil && r.up {
 			w.crash(r)
 		}
-	case 2:
+	case restarted:
+		if published {
+			if r != nil {
+				w.crash(r)
+			}
+			w.startRouter(n)
+		}
+	case left:
 		if r != nil && r.up {
 			w.leave(r)
 		}
-	case 3:
+	case froze:
 		if r != nil && r.up {
 			d := w.dur(8 * time.Second)
 			w.note("%s freezes for %v", n, d)
 			r.frozen = w.now.Add(d)
 		}
-	case 4:
+	case splits:
 		w.split()
-	case 5:
+	case changed:
 		w.change(n, r, last, published)
-	default:
+	case started:
 		if published && (r == nil || !r.up) {
 			w.startRouter(n)
 		}
@@ -636,5 +674,3 @@
 		}
 	}
 }
-
-var _ = rwrank.Top
--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -43,6 +43,8 @@
 	// askAgain is the time between two queries to a router that has answered
 	// and lacked memory.
 	askAgain = 10 * time.Second
+	// expireInterval bounds the cost of a walk over all keys.
+	expireInterval = time.Second
 	// heldRetry is the time after which a caller may repeat a held key.
 	heldRetry = time.Second
 	// maxResults bounds the bytes of answers in one message.
@@ -79,6 +81,9 @@
 	// Hold replaces the time that keys are held when the whole fleet starts;
 	// 0 means the repeat time.
 	Hold time.Duration
+	// Stop is the time after which a VM that is no longer published has
+	// stopped for certain; 0 means ten minutes.
+	Stop time.Duration
 	// MaxKeys and MaxBytes bound the memory for outcomes; 0 means a default.
 	MaxKeys  int
 	MaxBytes int
@@ -86,6 +91,7 @@
 }
 
 const (
+	defaultStop  = 10 * time.Minute
 	defaultKeys  = 200_000
 	defaultBytes = 32 << 20
 )
@@ -152,7 +158,9 @@
 	config Config
 	start  time.Time
 	tick   time.Time
-	repeat time.Duration
+	// expired is when old keys were last dropped.
+	expired time.Time
+	repeat  time.Duration
 
 	list rwlist.List
 	// seen is the highest version that any message named. The machine acts
@@ -191,10 +199,15 @@
 	// incarnation that did.
 	handed  map[string]int64
 	leaving bool
+	// offered are the incarnations that the keys were handed to.
+	offered map[string]int64
 }
 
 // New returns a machine that knows no list yet.
 func New(self rwidentity.Identity, c Config, now time.Time) *Machine {
+	if c.Stop == 0 {
+		c.Stop = defaultStop
+	}
 	if c.MaxKeys == 0 {
 		c.MaxKeys = defaultKeys
 	}
@@ -219,7 +232,7 @@
 	}
 	for _, n := range m.list.All {
 		if !slices.Contains(l.All, n) {
-			m.past[n] = past{rev: l.Version.Rev, until: now.Add(m.repeat)}
+			m.past[n] = past{rev: l.Version.Rev, until: now.Add(m.forget())}
 		}
 	}
 	for _, n := range l.All {
@@ -240,7 +253,10 @@
 // Tick reports that the process runs. Calls aren't sent after a pause.
 func (m *Machine) Tick(now time.Time) {
 	m.tick = now
-	m.expire(now)
+	if now.Sub(m.expired) >= expireInterval {
+		m.expired = now
+		m.expire(now)
+	}
 	m.evaluate(now)
 }
 
@@ -264,6 +280,10 @@
 	}
 }
 
+// forget is how long a VM that is no longer published matters: until its
+// traces have expired and it runs no more keys by an old list.
+func (m *Machine) forget() time.Duration { return max(m.repeat, m.config.Stop) }
+
 // Behind reports whether another router has a newer list.
 func (m *Machine) Behind() bool { return m.seen != m.list.Version }
 
@@ -589,15 +609,12 @@
 		version: m.list.Version,
 	}
 	v := rwverdict.Verdict{Step: rwverdict.Run}
-	holder := c.Holds && c.Version == m.list.Version && c.From != m.self.Name && slices.Contains(m.list.All, c.From)
+	// The trace of an earlier incarnation of the sender is lost.
+	holder := c.Holds && c.Inc >= m.incs[c.From] && c.Version == m.list.Version && c.From != m.self.Name && slices.Contains(m.list.All, c.From)
 	if c.Ticket || holder || len(m.list.All) == 1 || m.config.Rules.NoTrace {
 		return v
 	}
-	for _, n := range rwrank.Order(c.Key, m.list.All) {
-		if n != m.self.Name && n != m.list.Home(c.Key) {
-			v.Witnesses = append(v.Witnesses, n)
-		}
-	}
+	v.Witnesses = m.witnesses(c.Key)
 	if len(v.Witnesses) == 0 {
 		m.Abandon(c.Key)
 		return unknown("no other router can remember the key")
@@ -605,6 +622,23 @@
 	return v
 }
 
+// witnesses are the routers that may remember a key, best first. VMs that are
+// leaving come last, since their memory ends soon.
+func (m *Machine) witnesses(key string) []string {
+	home := m.list.Home(key)
+	var live, rest []string
+	for _, n := range rwrank.Order(key, m.list.All) {
+		switch {
+		case n == m.self.Name || n == home:
+		case slices.Contains(m.list.Live, n):
+			live = append(live, n)
+		default:
+			rest = append(rest, n)
+		}
+	}
+	return append(live, rest...)
+}
+
 // Commit is the last check before a call is sent to an upstream. It returns
 // rwcode.None if the call may be sent; otherwise it must not be.
 func (m *Machine) Commit(now time.Time, c rwcall.Call) rwcode.Code {
@@ -720,7 +754,7 @@
 		delete(m.handed, from.Name)
 	}
 	if _, ok := m.past[from.Name]; !ok && m.list.Version.Rev > 0 && !slices.Contains(m.list.All, from.Name) {
-		m.past[from.Name] = past{rev: m.list.Version.Rev, until: now.Add(m.repeat)}
+		m.past[from.Name] = past{rev: m.list.Version.Rev, until: now.Add(m.forget())}
 	}
 	return true
 }
@@ -747,7 +781,7 @@
 		}
 		if published && m.full && m.told[n] != (told{m.incs[n], m.list.Version.Rev}) && now.Sub(p.told) >= askPause {
 			p.told = now
-			out = append(out, rwpost.Post{To: n, Note: &rwnote.Note{Version: m.list.Version, Full: true, Traces: m.keys(now)}})
+			out = append(out, rwpost.Post{To: n, Note: &rwnote.Note{Version: m.list.Version, Full: true, Traces: append(m.keys(now), m.foreign(now)...)}})
 		}
 	}
 	return out
@@ -843,7 +877,7 @@
 	if q.Version != m.list.Version {
 		// The asker may not know VMs that only this router's list has.
 		for _, n := range m.list.All {
-			r.Past[n] = rwreply.Past{Rev: q.Version.Rev, Left: m.repeat}
+			r.Past[n] = rwreply.Past{Rev: q.Version.Rev, Left: m.forget()}
 		}
 	}
 	r.Traces = m.keys(now)
@@ -861,10 +895,10 @@
 		}
 	}
 	for _, k := range slices.Sorted(maps.Keys(m.marks)) {
-		if t := m.marks[k]; m.homed(from.Name, q.Version, k) {
-			c := t.trace
-			c.Left = t.expires.Sub(now)
-			r.Traces = append(r.Traces, c)
+		t := m.marks[k].trace
+		t.Left = m.marks[k].expires.Sub(now)
+		if m.homed(from.Name, q.Version, k) || t.By == m.self.Name || m.list.Home(k) == m.self.Name {
+			r.Traces = append(r.Traces, t)
 		}
 	}
 	return r
@@ -886,6 +920,9 @@
 	}
 	kept := true
 	for _, t := range r.Traces {
+		if t.By == "" && m.list.Home(t.Key) == m.self.Name {
+			t.By = m.self.Name
+		}
 		kept = m.remember(now, t) && kept
 	}
 	if !r.OK || !kept || q.Version != m.list.Version {
@@ -929,9 +966,12 @@
 	if !able {
 		return out
 	}
+	if m.offered == nil {
+		m.offered = maps.Clone(m.incs)
+	}
 	for _, n := range m.list.Live {
-		if n != m.self.Name {
-			out[n] = rwhandoff.Handoff{Version: m.list.Version}
+		if n != m.self.Name && m.offered[n] > 0 {
+			out[n] = rwhandoff.Handoff{Version: m.list.Version, Inc: m.offered[n]}
 		}
 	}
 	for _, t := range append(m.keys(now), m.foreign(now)...) {
@@ -947,13 +987,16 @@
 	return out
 }
 
-// foreign returns the keys of this home that others may have run.
+// foreign returns the keys that earlier incarnations of this router may have
+// run, and those that are at home here and that others may have run. Without
+// them a full message would let routers that lost these traces cover a home
+// whose keys they don't know.
 func (m *Machine) foreign(now time.Time) []rwtrace.Trace {
 	var out []rwtrace.Trace
 	for _, k := range slices.Sorted(maps.Keys(m.marks)) {
 		t := m.marks[k].trace
 		t.Left = m.marks[k].expires.Sub(now)
-		if m.table[k] == nil {
+		if m.table[k] == nil && (t.By == m.self.Name || m.list.Home(k) == m.self.Name) {
 			out = append(out, t)
 		}
 	}
@@ -962,7 +1005,7 @@
 
 // Handed takes the keys of a home that leaves.
 func (m *Machine) Handed(now time.Time, from rwidentity.Identity, h rwhandoff.Handoff) rwack.Ack {
-	ok := m.greet(now, from) && h.Version == m.list.Version && !m.Behind() && !m.leaving
+	ok := m.greet(now, from) && h.Version == m.list.Version && !m.Behind() && !m.leaving && h.Inc == m.self.Inc
 	m.meet(h.Version)
 	for _, t := range h.Traces {
 		ok = m.remember(now, t) && ok
--- a/internal/rwowner/rwowner.go
+++ b/internal/rwowner/rwowner.go
@@ -24,6 +24,14 @@
 	// reportInterval is the time between reports of a cell to the others of
 	// its group.
 	reportInterval = 250 * time.Millisecond
+	// maxReportInterval is the interval for which the bound on the gap is
+	// worked out: reports of 16 accounts to two other cells take that long
+	// within the budget.
+	maxReportInterval = 1200 * time.Millisecond
+	measureInterval   = 2 * time.Second
+	// tokenTarget is the time between tokens that users were promised for 95
+	// in 100.
+	tokenTarget = 60 * time.Millisecond
 	// checkInterval is the age at which an unfinished grant is checked.
 	checkInterval = 5 * time.Second
 	// reportBudget bounds the bytes of reports of one cell. With many
@@ -51,7 +59,10 @@
 	groups map[string][]string
 	// group is the group of each cell.
 	group map[string]string
-	lost  int64
+	// live are the live routers, lost those that were live before.
+	live, lost map[string]bool
+	// ignored counts messages about cells that this router doesn't own.
+	ignored int64
 }
 
 type owned struct {
@@ -67,6 +78,11 @@
 	report time.Time
 	// issued are the grants that are out.
 	issued map[uint64]issue
+	// total is the cost charged until measured, rate the cost per second of
+	// the whole pool, worked out from this cell's part.
+	total, rate float64
+	measured    time.Time
+	groupSlots  int
 }
 
 // issue is a grant whose entry has not said that it is done.
@@ -84,6 +100,8 @@
 		entries: map[string]rwidentity.Identity{},
 		owners:  map[string]rwidentity.Identity{},
 		groups:  map[string][]string{},
+		live:    map[string]bool{},
+		lost:    map[string]bool{},
 	}
 }
 
@@ -104,6 +122,8 @@
 func (o *Owner) Update(now time.Time, view *rwsnapshot.Snapshot, cells []rwcell.Cell, live []rwidentity.Identity) (taken, released []string) {
 	o.mu.Lock()
 	o.forget(now, live)
+	rejoined := o.noteLive(live)
+	before := o.owners
 	o.groups = map[string][]string{}
 	o.owners = map[string]rwidentity.Identity{}
 	o.group = map[string]string{}
@@ -136,6 +156,7 @@
 	for _, c := range o.cells {
 		c.configure(view, slots[c.cell.Group])
 	}
+	o.refresh(now, rejoined, before)
 	out := announce(taken, live)
 	out = append(out, o.pump(now)...)
 	o.mu.Unlock()
@@ -143,6 +164,44 @@
 	return taken, released
 }
 
+// noteLive takes the live routers and reports whether one of them was lost and
+// came back with its memory.
+func (o *Owner) noteLive(live []rwidentity.Identity) bool {
+	now, rejoined := map[string]bool{}, false
+	for _, r := range live {
+		k := rwcell.OwnerKey(r)
+		now[k] = true
+		rejoined = rejoined || o.lost[k]
+		delete(o.lost, k)
+	}
+	for k := range o.live {
+		if !now[k] {
+			o.lost[k] = true
+		}
+	}
+	o.live = now
+	return rejoined
+}
+
+// refresh makes the next reports complete where another cell of the group has
+// a new owner, which knows nothing of the accounts, or where a link came back.
+func (o *Owner) refresh(now time.Time, rejoined bool, before map[string]rwidentity.Identity) {
+	changed := map[string]bool{}
+	for name, r := range o.owners {
+		if before[name] != r {
+			changed[o.group[name]] = true
+		}
+	}
+	for _, c := range o.cells {
+		switch {
+		case rejoined:
+			c.sched.Rejoin(now)
+		case changed[c.cell.Group]:
+			c.sched.Refresh()
+		}
+	}
+}
+
 // Reset releases all cells. Update takes them again if they are still this
 // router's.
 func (o *Owner) Reset() {
@@ -222,7 +281,11 @@
 		}
 	}
 	for _, u := range c.cell.Upstreams {
-		c.sched.SetUpstream(u.Name, u.Window)
+		if u.Engine {
+			c.sched.SetEngine(u.Name, u.Window, tokenTarget)
+		} else {
+			c.sched.SetUpstream(u.Name, u.Window)
+		}
 	}
 	for _, a := range known.Accounts {
 		if _, ok := view.Account(a.Name); !ok {
@@ -235,7 +298,24 @@
 	for _, k := range view.Kinds() {
 		c.sched.SetKind(k.Name, k.Urgency)
 	}
-	c.sched.SetPool(groupSlots, 0, reportInterval)
+	c.groupSlots = groupSlots
+	c.sched.SetPool(groupSlots, c.rate, maxReportInterval)
+}
+
+// measure works out the pool's cost rate from what this cell charged.
+func (c *owned) measure(now time.Time) {
+	if now.Before(c.measured.Add(measureInterval)) {
+		return
+	}
+	total := 0.0
+	for _, a := range c.sched.View().Accounts {
+		total += a.Total
+	}
+	if own := c.cell.Window(); !c.measured.IsZero() && own > 0 {
+		c.rate = (total - c.total) / now.Sub(c.measured).Seconds() * float64(c.groupSlots) / float64(own)
+		c.sched.SetPool(c.groupSlots, c.rate, maxReportInterval)
+	}
+	c.total, c.measured = total, now
 }
 
 // Want takes levels and costs from an entry.
@@ -243,7 +323,7 @@
 	o.mu.Lock()
 	c := o.cells[m.Cell]
 	if c == nil {
-		o.lost++
+		o.ignored++
 		o.mu.Unlock()
 		return
 	}
@@ -268,7 +348,7 @@
 	o.mu.Lock()
 	c := o.cells[m.Cell]
 	if c == nil {
-		o.lost++
+		o.ignored++
 		o.mu.Unlock()
 		return
 	}
@@ -326,6 +406,7 @@
 	o.mu.Lock()
 	out := o.pump(now)
 	for _, c := range o.cells {
+		c.measure(now)
 		out = append(out, c.check(now, o.entries)...)
 		if !now.Before(c.report) {
 			out = append(out, o.reportOf(now, c)...)
