--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 
 lint: tools
 	@out=$$(gofmt -l internal cmd test); test -z "$$out" || { echo "gofmt would change:"; echo "$$out"; exit 1; }
-	@set -e; for m in $(MODULES); do (cd $$m && $(LINT) run ./...); done
+	@set -e; for m in $(MODULES); do (cd $$m && $(LINT) run --allow-parallel-runners ./...); done
 
 vet:
 	go vet $(PATTERNS)
