Send large tables in pages

Cause: a table of more than about 6,000 keys exceeded the size limit of a message, so no router could recover after a list change (safe, but opaque keys stayed held). A part covers nothing and hands nothing over.

--- a/internal/rwhandoff/rwhandoff.go
+++ b/internal/rwhandoff/rwhandoff.go
@@ -3,6 +3,8 @@
 package rwhandoff
 
 import (
+	"slices"
+
 	"redwingworks.example/internal/rwlist"
 	"redwingworks.example/internal/rwtrace"
 )
@@ -15,4 +17,21 @@
 	// it ran for the sender.
 	Inc    int64           `json:"inc"`
 	Traces []rwtrace.Trace `json:"traces"`
+	// Part is whether another message follows. Only the last one passes the
+	// authority on.
+	Part bool `json:"part,omitempty"`
+}
+
+// Split returns the handoff as a sequence of messages with at most size
+// traces.
+func (h Handoff) Split(size int) []Handoff {
+	var out []Handoff
+	for c := range slices.Chunk(h.Traces, size) {
+		out = append(out, Handoff{Version: h.Version, Inc: h.Inc, Traces: c, Part: true})
+	}
+	if len(out) == 0 {
+		return []Handoff{h}
+	}
+	out[len(out)-1].Part = false
+	return out
 }
--- a/internal/rwhome/rwhome.go
+++ b/internal/rwhome/rwhome.go
@@ -568,17 +568,41 @@
 
 func (h *Home) post(ctx context.Context, p rwpost.Post) {
 	if p.Query != nil {
-		if r, ok := call[rwreply.Reply](ctx, h, queryTimeout, p.To, "traces", p.Query); ok {
-			h.mu.Lock()
-			h.machine.Replied(h.config.Now(), p.To, *p.Query, r)
-			h.mu.Unlock()
-		}
+		h.query(ctx, p.To, *p.Query)
 		return
 	}
-	if a, ok := call[rwack.Ack](ctx, h, queryTimeout, p.To, "trace", p.Note); ok {
+	inc := int64(0)
+	for _, n := range p.Note.Split(rwonce.PageSize) {
+		a, ok := call[rwack.Ack](ctx, h, queryTimeout, p.To, "trace", n)
+		if !ok || !a.OK || inc != 0 && a.Inc != inc {
+			return
+		}
+		inc = a.Inc
+		h.mu.Lock()
+		h.machine.Noted(h.config.Now(), p.To, n, a)
+		h.mu.Unlock()
+	}
+}
+
+// query asks for all pages of one incarnation. If the router has become full
+// in between, the pages before may lack keys that it knows now.
+func (h *Home) query(ctx context.Context, to string, q rwquery.Query) {
+	var first rwreply.Reply
+	for {
+		r, ok := call[rwreply.Reply](ctx, h, queryTimeout, to, "traces", q)
+		if first.Inc == 0 {
+			first = r
+		}
+		if !ok || r.Inc != first.Inc || r.Full != first.Full {
+			return
+		}
 		h.mu.Lock()
-		h.machine.Noted(h.config.Now(), p.To, *p.Note, a)
+		h.machine.Replied(h.config.Now(), to, q, r)
 		h.mu.Unlock()
+		if !r.OK || !r.More {
+			return
+		}
+		q.After = r.Traces[len(r.Traces)-1].Key
 	}
 }
 
@@ -619,7 +643,11 @@
 	var all sync.WaitGroup
 	for to, o := range list {
 		all.Go(func() {
-			_, _ = call[rwack.Ack](ctx, h, handedTimeout, to, "handoff", o)
+			for _, part := range o.Split(rwonce.PageSize) {
+				if a, ok := call[rwack.Ack](ctx, h, handedTimeout, to, "handoff", part); !ok || !a.OK {
+					return
+				}
+			}
 		})
 	}
 	all.Wait()
--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -4,6 +4,7 @@
 package rwonce
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -25,6 +26,10 @@
 	"redwingworks.example/internal/rwverdict"
 )
 
+// PageSize is the largest number of traces in one message. A trace takes up to
+// 200 bytes, so a page with results stays below the size limit of a message.
+const PageSize = 2000
+
 const (
 	// clockSkew bounds the difference between the clocks of callers and
 	// routers.
@@ -835,7 +840,7 @@
 
 // Note answers a note of another router.
 func (m *Machine) Note(now time.Time, from rwidentity.Identity, n rwnote.Note) rwack.Ack {
-	ok := m.greet(now, from) && m.accepts(n.Version) && (n.Full || m.joined || m.config.Rules.NoJoin)
+	ok := m.greet(now, from) && m.accepts(n.Version) && (n.Full || n.Part || m.joined || m.config.Rules.NoJoin)
 	m.meet(n.Version)
 	for _, t := range n.Traces {
 		ok = m.remember(now, t) && ok
@@ -880,28 +885,45 @@
 			r.Past[n] = rwreply.Past{Rev: q.Version.Rev, Left: m.forget()}
 		}
 	}
-	r.Traces = m.keys(now)
-	if m.full {
+	r.Traces, r.More = m.page(now, from.Name, q)
+	if m.full && !r.More {
 		m.told[from.Name] = told{from.Inc, q.Version.Rev}
 	}
+	return r
+}
+
+// page returns the next traces for another router and whether there are more.
+func (m *Machine) page(now time.Time, to string, q rwquery.Query) ([]rwtrace.Trace, bool) {
+	list := m.keys(now)
 	bytes := 0
-	for i, t := range r.Traces {
+	for _, k := range slices.Sorted(maps.Keys(m.marks)) {
+		t := m.marks[k].trace
+		t.Left = m.marks[k].expires.Sub(now)
+		if m.homed(to, q.Version, k) || t.By == m.self.Name || m.list.Home(k) == m.self.Name {
+			list = append(list, t)
+		}
+	}
+	list = slices.DeleteFunc(list, func(t rwtrace.Trace) bool { return t.Key <= q.After })
+	slices.SortStableFunc(list, func(a, b rwtrace.Trace) int { return cmp.Compare(a.Key, b.Key) })
+	// A key of the table may have a trace too; both must be on one page.
+	more := len(list) > PageSize
+	if more {
+		end := PageSize
+		for end > 1 && list[end-1].Key == list[end].Key {
+			end--
+		}
+		list = list[:end]
+	}
+	for i, t := range list {
 		e := m.table[t.Key]
-		if e.state != ended || e.evicted || !m.homed(from.Name, q.Version, t.Key) {
+		if e == nil || e.state != ended || e.evicted || !m.homed(to, q.Version, t.Key) {
 			continue
 		}
 		if bytes += len(e.result.Body); bytes <= maxResults {
-			r.Traces[i].Result = &e.result
+			list[i].Result = &e.result
 		}
 	}
-	for _, k := range slices.Sorted(maps.Keys(m.marks)) {
-		t := m.marks[k].trace
-		t.Left = m.marks[k].expires.Sub(now)
-		if m.homed(from.Name, q.Version, k) || t.By == m.self.Name || m.list.Home(k) == m.self.Name {
-			r.Traces = append(r.Traces, t)
-		}
-	}
-	return r
+	return list, more
 }
 
 // homed reports whether a router may be the home of a key in a version.
@@ -911,7 +933,7 @@
 
 // Replied takes the answer to a query.
 func (m *Machine) Replied(now time.Time, from string, q rwquery.Query, r rwreply.Reply) {
-	m.greet(now, rwidentity.Identity{Name: from, Inc: r.Inc})
+	current := m.greet(now, rwidentity.Identity{Name: from, Inc: r.Inc})
 	m.meet(r.Seen)
 	for _, rev := range r.Revs {
 		if len(m.revs) < maxRevs {
@@ -925,7 +947,7 @@
 		}
 		kept = m.remember(now, t) && kept
 	}
-	if !r.OK || !kept || q.Version != m.list.Version {
+	if !r.OK || !kept || !current || r.More || q.Version != m.list.Version {
 		return
 	}
 	if r.Full {
@@ -974,11 +996,14 @@
 			out[n] = rwhandoff.Handoff{Version: m.list.Version, Inc: m.offered[n]}
 		}
 	}
+	bytes := map[string]int{}
 	for _, t := range append(m.keys(now), m.foreign(now)...) {
+		to := m.list.Next(t.Key, m.self.Name)
 		if e := m.table[t.Key]; e != nil && e.state == ended && !e.evicted {
-			t.Result = &e.result
+			if bytes[to] += len(e.result.Body); bytes[to] <= maxResults {
+				t.Result = &e.result
+			}
 		}
-		to := m.list.Next(t.Key, m.self.Name)
 		if h, ok := out[to]; ok && m.list.Home(t.Key) == m.self.Name {
 			h.Traces = append(h.Traces, t)
 			out[to] = h
@@ -1010,7 +1035,7 @@
 	for _, t := range h.Traces {
 		ok = m.remember(now, t) && ok
 	}
-	if ok {
+	if ok && !h.Part {
 		m.handed[from.Name] = from.Inc
 	}
 	return rwack.Ack{OK: ok, Seen: m.seen, Inc: m.self.Inc}
--- a/internal/rwonce/table_test.go
+++ b/internal/rwonce/table_test.go
@@ -1,6 +1,7 @@
 package rwonce_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,9 +11,12 @@
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwlist"
+	"redwingworks.example/internal/rwnote"
 	"redwingworks.example/internal/rwonce"
 	"redwingworks.example/internal/rwoutcome"
+	"redwingworks.example/internal/rwquery"
 	"redwingworks.example/internal/rwresult"
+	"redwingworks.example/internal/rwtrace"
 	"redwingworks.example/internal/rwverdict"
 )
 
@@ -175,3 +179,45 @@
 	m.SetList(epoch, rwlist.New(4, []string{"a"}, []string{"a"}), repeat)
 	require.Equal(t, int64(5), m.Version().Rev)
 }
+
+// Guards against keys that are lost between the pages of a large table.
+func TestPages(t *testing.T) {
+	now := epoch.Add(repeat)
+	m := alone(rwonce.Config{})
+	m.Tick(now)
+	const keys = 2*rwonce.PageSize + 100
+	for i := range keys {
+		require.Equal(t, rwverdict.Run, m.Begin(now, opaque(fmt.Sprintf("k%d", i), "x")).Step)
+	}
+	b := rwidentity.Identity{Name: "b", Inc: 2}
+	q := rwquery.Query{Version: rwlist.New(2, []string{"a", "b"}, []string{"a", "b"}).Version}
+	got := map[string]bool{}
+	pages := 0
+	for more := true; more; pages++ {
+		r := m.Query(now, b, q)
+		require.True(t, r.OK)
+		require.LessOrEqual(t, len(r.Traces), rwonce.PageSize)
+		for _, trace := range r.Traces {
+			got[trace.Key] = true
+		}
+		q.After, more = r.Traces[len(r.Traces)-1].Key, r.More
+	}
+	require.Len(t, got, keys)
+	require.Equal(t, 3, pages)
+}
+
+// Guards against a part of a full note that counts as all of it.
+func TestPartOfNoteCoversNothing(t *testing.T) {
+	m := alone(rwonce.Config{})
+	b := rwidentity.Identity{Name: "b", Inc: 2}
+	n := rwnote.Note{Version: m.Version(), Full: true, Traces: []rwtrace.Trace{{Key: "k"}, {Key: "l"}, {Key: "m"}}}
+	covers := func() map[string]int64 {
+		return m.Query(epoch, b, rwquery.Query{Version: m.Version()}).Covers
+	}
+	parts := n.Split(2)
+	require.Len(t, parts, 2)
+	require.True(t, m.Note(epoch, b, parts[0]).OK)
+	require.NotContains(t, covers(), "b")
+	require.True(t, m.Note(epoch, b, parts[1]).OK)
+	require.Contains(t, covers(), "b")
+}
--- a/internal/rwquery/rwquery.go
+++ b/internal/rwquery/rwquery.go
@@ -7,4 +7,6 @@
 // list. Whoever answers it acts on no older list from then on.
 type Query struct {
 	Version rwlist.Version `json:"version"`
+	// After is the last key of the page before, "" for the first page.
+	After string `json:"after,omitempty"`
 }
--- a/internal/rwreply/rwreply.go
+++ b/internal/rwreply/rwreply.go
@@ -24,7 +24,10 @@
 	// Covers maps the homes whose traces the router has had without a gap
 	// since they sent it all of them, to the list revision of that message.
 	Covers map[string]int64 `json:"covers,omitempty"`
-	// Traces are keys that may have run.
+	// More is whether there are further traces. Only the last page says what
+	// the router knows.
+	More bool `json:"more,omitempty"`
+	// Traces are keys that may have run, sorted by key.
 	Traces []rwtrace.Trace `json:"traces,omitempty"`
 	// Past are VMs that are no longer published and may hold traces.
 	Past map[string]Past `json:"past,omitempty"`
