--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -997,7 +997,7 @@
 		}
 	}
 	bytes := map[string]int{}
-	for _, t := range append(m.keys(now), m.foreign(now)...) {
+	for _, t := range slices.Concat(m.keys(now), m.foreign(now), m.refusals(now)) {
 		to := m.list.Next(t.Key, m.self.Name)
 		if e := m.table[t.Key]; e != nil && e.state == ended && !e.evicted {
 			if bytes[to] += len(e.result.Body); bytes[to] <= maxResults {
@@ -1012,6 +1012,32 @@
 	return out
 }
 
+// refusals returns the keys that didn't run and have attempts that were told
+// so.
+func (m *Machine) refusals(now time.Time) []rwtrace.Trace {
+	var out []rwtrace.Trace
+	for _, k := range m.order {
+		if e := m.table[k]; e != nil && !e.ticket && e.state == free && len(e.refused) > 0 {
+			t := m.trace(now, k, e)
+			t.Refused = e.refused
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// refuse takes over the refused attempts of a key.
+func (m *Machine) refuse(now time.Time, t rwtrace.Trace) {
+	if m.table[t.Key] != nil || m.marks[t.Key] != nil {
+		return
+	}
+	m.order = append(m.order, t.Key)
+	m.table[t.Key] = &entry{
+		digest: t.Digest, expires: now.Add(t.Left), refused: t.Refused,
+		result: rwresult.Fault(rwcode.KeyHeld, rwoutcome.NotRun, "an earlier home refused this attempt"),
+	}
+}
+
 // foreign returns the keys that earlier incarnations of this router may have
 // run, and those that are at home here and that others may have run. Without
 // them a full message would let routers that lost these traces cover a home
@@ -1033,6 +1059,10 @@
 	ok := m.greet(now, from) && h.Version == m.list.Version && !m.Behind() && !m.leaving && h.Inc == m.self.Inc
 	m.meet(h.Version)
 	for _, t := range h.Traces {
+		if len(t.Refused) > 0 {
+			m.refuse(now, t)
+			continue
+		}
 		ok = m.remember(now, t) && ok
 	}
 	if ok && !h.Part {
--- a/internal/rwtrace/rwtrace.go
+++ b/internal/rwtrace/rwtrace.go
@@ -19,6 +19,9 @@
 	Inc int64  `json:"inc,omitempty"`
 	// Left is how long the trace must still be kept.
 	Left time.Duration `json:"left"`
+	// Refused are attempts that were told that they didn't run. Only a handoff
+	// has them; the key then is one that has not run.
+	Refused []string `json:"refused,omitempty"`
 	// Result is the known outcome, or nil.
 	Result *rwresult.Result `json:"result,omitempty"`
 }
