--- /dev/null
+++ b/test/rwproperty/rwproperty_test.go
@@ -0,0 +1,369 @@
+// Package rwproperty_test tries to break the properties of the design in a
+// fleet of real processes, and compares what callers were told with the logs
+// of the upstreams.
+package rwproperty_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwrecord"
+	"redwingworks.example/test/rwanswer"
+	"redwingworks.example/test/rwbalancer"
+	"redwingworks.example/test/rwcaller"
+	"redwingworks.example/test/rwfleet"
+	"redwingworks.example/test/rwflow"
+	"redwingworks.example/test/rwjob"
+	"redwingworks.example/test/rwlink"
+	"redwingworks.example/test/rwpath"
+	"redwingworks.example/test/rwreport"
+	"redwingworks.example/test/rwtoday"
+	"redwingworks.example/test/rwverdict"
+	"redwingworks.example/test/rwworkload"
+)
+
+const (
+	// bin is where make build puts the programs.
+	bin = "../../bin"
+	// leavingLimit and configLimit are the bounds of P6 and P8.
+	leavingLimit = 3 * time.Second
+	configLimit  = 4 * time.Second
+	step         = 5 * time.Millisecond
+	// settle lets routers find each other.
+	settle  = 2500 * time.Millisecond
+	repeats = 6
+)
+
+// seed is that of make prove, or 1.
+func seed() uint64 {
+	n, err := strconv.ParseUint(os.Getenv("REDWING_SEED"), 10, 64)
+	if err != nil {
+		return 1
+	}
+	return n
+}
+
+type result struct {
+	job    rwjob.Job
+	answer rwanswer.Answer
+}
+
+type scene struct {
+	t        *testing.T
+	fleet    *rwtoday.Today
+	balancer *rwbalancer.Balancer
+	caller   *rwcaller.Caller
+	report   *rwreport.Report
+
+	// faults is the history of the injected faults.
+	faults []string
+
+	mu      sync.Mutex
+	results []result
+}
+
+func start(t *testing.T) *scene {
+	s := &scene{t: t, fleet: rwtoday.New(bin, t.TempDir()), report: rwreport.New()}
+	s.fleet.Step = step
+	t.Cleanup(s.fleet.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	require.NoError(t, s.fleet.Start(ctx))
+	s.balancer = rwbalancer.New(s.fleet.Addrs(), false, 200*time.Millisecond)
+	s.caller = rwcaller.New(s.balancer.Pick, repeats)
+	t.Cleanup(s.caller.Close)
+	go s.balancer.Run(t.Context())
+	time.Sleep(settle)
+	return s
+}
+
+// load runs flows; the returned function waits for the last answer.
+func (s *scene) load(flows []rwflow.Flow, duration time.Duration) (wait func()) {
+	w := &rwworkload.Workload{Seed: seed(), Name: strconv.FormatInt(time.Now().UnixNano(), 36), Flows: flows}
+	w.Send = func(ctx context.Context, j rwjob.Job) bool {
+		a := s.caller.Send(ctx, j)
+		s.report.Add(j, a)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.results = append(s.results, result{j, a})
+		return a.Verdict == rwverdict.Whole
+	}
+	ctx, cancel := context.WithTimeout(s.t.Context(), duration+20*time.Second)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx, duration)
+	}()
+	return func() {
+		<-done
+		cancel()
+	}
+}
+
+// drafts keeps requests of every account in progress.
+func (s *scene) drafts(waiting int) []rwflow.Flow {
+	var out []rwflow.Flow
+	for i, c := range s.fleet.Clients {
+		out = append(out, rwflow.Flow{
+			Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Kinds[i%4], Pool: rwtoday.ModelPool,
+			Engine: true, Waiting: waiting, MinTokens: 5, MaxTokens: 60, Prompts: 3,
+		})
+	}
+	return out
+}
+
+func (s *scene) orders(waiting int) []rwflow.Flow {
+	var out []rwflow.Flow
+	for _, c := range s.fleet.Clients {
+		out = append(out, rwflow.Flow{
+			Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Order, Pool: rwtoday.OrderPool,
+			Waiting: waiting, Keyed: true,
+		})
+	}
+	return out
+}
+
+func (s *scene) publish(records ...rwrecord.Record) {
+	require.NoError(s.t, rwfleet.Publish(s.t.Context(), s.fleet.Platform.Addr, records...))
+}
+
+func (s *scene) admin(p *rwfleet.Proc, path string, value any) {
+	require.NoError(s.t, rwfleet.Admin(s.t.Context(), p.Addr, path, value))
+}
+
+// P3: guards against a damaged stream of an engine that reaches a caller as a
+// complete answer, or as another request's.
+func TestDamagedStreamsNeverLookWhole(t *testing.T) {
+	s := start(t)
+	faults := []string{"truncate", "short", "abort", "duplicate", "reorder", "foreign", "malformed", "error"}
+	wait := s.load(s.drafts(3), 8*time.Second)
+	random := rand.New(rand.NewPCG(seed(), 3))
+	for range 60 {
+		p := s.fleet.Engines[random.IntN(len(s.fleet.Engines))]
+		s.admin(p, "faults", map[string]any{
+			"fault": faults[random.IntN(len(faults))], "after": random.IntN(8), "count": 1 + random.IntN(4),
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, p := range s.fleet.Engines {
+		s.admin(p, "faults", map[string]any{"fault": ""})
+	}
+	wait()
+	require.Empty(t, s.report.Wrong())
+	require.Greater(t, s.report.Count(rwverdict.Whole), 200)
+	t.Log(s.report.Refusals())
+}
+
+type execution struct {
+	Request, Key string
+	Fence        int64
+	Start        time.Time
+}
+
+// executions returns how each key ran.
+func (s *scene) executions() map[string][]execution {
+	out := map[string][]execution{}
+	for _, p := range s.fleet.Services {
+		var log []execution
+		require.NoError(s.t, rwfleet.Get(s.t.Context(), p.Addr, "/log", &log))
+		for _, e := range log {
+			out[e.Key] = append(out[e.Key], e)
+		}
+	}
+	return out
+}
+
+// P4, P5: guards against a call that runs twice, or that ran although its
+// caller was always told that it did not, while routers are killed, paused and
+// separated and services drop connections.
+func TestOrdersRunAtMostOnce(t *testing.T) {
+	s := start(t)
+	wait := s.load(s.orders(2), 16*time.Second)
+	random := rand.New(rand.NewPCG(seed(), 5))
+	for range 10 {
+		s.disturb(random)
+		time.Sleep(time.Duration(200+random.IntN(800)) * time.Millisecond)
+	}
+	s.fleet.Heal()
+	wait()
+	ran := s.executions()
+	whole := 0
+	for _, r := range s.results {
+		e := ran[r.job.Key]
+		if r.answer.Verdict == rwverdict.Whole {
+			whole++
+		}
+		if why := contradiction(r.answer, len(e)); why != "" {
+			t.Errorf("key %s %s\nanswer: %+v\nexecutions: %+v", r.job.Key, why, r.answer, e)
+		}
+	}
+	if t.Failed() {
+		t.Log("faults: ", s.faults)
+	}
+	require.Empty(t, s.report.Wrong())
+	require.Greater(t, whole, 100)
+	t.Log(len(s.results), "orders", whole, "answered", s.report.Refusals())
+}
+
+// contradiction says how an answer disagrees with the number of executions.
+func contradiction(a rwanswer.Answer, n int) string {
+	switch {
+	case n > 1:
+		return "ran more than once"
+	case a.Verdict == rwverdict.Whole && n == 0:
+		return "has an answer but did not run"
+	case a.Verdict != rwverdict.Whole && allNotRun(a.Claims) && n > 0:
+		return "ran though every attempt was told not_run"
+	}
+	return ""
+}
+
+func allNotRun(claims []string) bool {
+	for _, c := range claims {
+		if c != "not_run" {
+			return false
+		}
+	}
+	return true
+}
+
+// disturb causes one fault that ends before it returns or within a second.
+func (s *scene) disturb(random *rand.Rand) {
+	router := s.fleet.Routers[random.IntN(len(s.fleet.Routers))]
+	service := s.fleet.Services[random.IntN(len(s.fleet.Services))]
+	from, to := random.IntN(len(rwtoday.Zones)), random.IntN(len(rwtoday.Zones))
+	note := func(what string) {
+		s.faults = append(s.faults, time.Now().Format("15:04:05.000 ")+what)
+	}
+	switch random.IntN(5) {
+	case 0:
+		note("kill " + router.Name)
+		router.Kill()
+		time.Sleep(300 * time.Millisecond)
+		require.NoError(s.t, s.fleet.StartRouter(router))
+		note("start " + router.Name)
+	case 1:
+		note("pause " + router.Name)
+		router.Signal(syscall.SIGSTOP)
+		time.Sleep(1500 * time.Millisecond)
+		router.Signal(syscall.SIGCONT)
+		note("wake " + router.Name)
+	case 2:
+		note("drop_after " + service.Name)
+		s.admin(service, "faults", map[string]any{"fault": "drop_after", "count": 3})
+	case 3:
+		note("drop_before " + service.Name)
+		s.admin(service, "faults", map[string]any{"fault": "drop_before", "count": 3})
+	case 4:
+		note("cut " + rwtoday.Zones[from] + " " + rwtoday.Zones[to])
+		s.fleet.Cut(rwtoday.Zones[from], rwtoday.Zones[to])
+		time.Sleep(time.Second)
+		s.fleet.Heal()
+		note("heal")
+	}
+}
+
+// P6: guards against new work for an engine after it was published as leaving,
+// also when a stale replica and a router that starts again say it is live.
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	s := start(t)
+	engine := s.fleet.Engines[0]
+	var before struct{ Rev int64 }
+	require.NoError(t, rwfleet.Get(t.Context(), s.fleet.Platform.Addr, "/v1/records", &before))
+	wait := s.load(s.drafts(4), 12*time.Second)
+	time.Sleep(2 * time.Second)
+	left := time.Now()
+	s.publish(rwtoday.UpstreamRecord(engine, rwtoday.ModelPool, "engine", s.fleet.Slots, "leaving", 1))
+	time.Sleep(leavingLimit)
+	s.admin(s.fleet.Platform, "stale", map[string]any{"rev": before.Rev})
+	for _, p := range s.fleet.Routers {
+		s.fleet.UseReplica(p.Name, true)
+	}
+	restarted := s.fleet.Routers[1]
+	restarted.Kill()
+	require.NoError(t, s.fleet.StartRouter(restarted))
+	wait()
+	var log []execution
+	require.NoError(t, rwfleet.Get(t.Context(), engine.Addr, "/log", &log))
+	require.NotEmpty(t, log)
+	for _, e := range log {
+		require.Less(t, e.Start.Sub(left), leavingLimit, "the engine got work %s after it was published as leaving", e.Start.Sub(left))
+	}
+	require.Empty(t, s.report.Wrong())
+}
+
+// P7: guards against a shutdown that interrupts requests that are queued,
+// forwarded or streaming: only routers that end by themselves, one after the
+// other, and every request must be answered whole.
+func TestShutdownInterruptsNothing(t *testing.T) {
+	s := start(t)
+	wait := s.load(append(s.drafts(5), s.orders(1)...), 12*time.Second)
+	time.Sleep(time.Second)
+	for _, p := range s.fleet.Routers[:3] {
+		p.Signal(syscall.SIGTERM)
+		require.True(t, p.Wait(10*time.Second), "%s does not end", p.Name)
+	}
+	wait()
+	for _, r := range s.results {
+		require.Equal(t, rwverdict.Whole, r.answer.Verdict, "%s %s: %+v", r.job.Account, r.job.Kind, r.answer)
+	}
+	require.Greater(t, s.report.Count(rwverdict.Whole), 200)
+}
+
+// P8: guards against an accepted change that a stale replica or a router that
+// starts again reverts, and against one that needs more than 4 s to reach the
+// routers of a zone without a platform.
+func TestConfigurationNeverReverts(t *testing.T) {
+	s := start(t)
+	c := s.fleet.Clients[3]
+	var before struct{ Rev int64 }
+	require.NoError(t, rwfleet.Get(t.Context(), s.fleet.Platform.Addr, "/v1/records", &before))
+	for _, p := range s.fleet.Routers {
+		if p.Zone == rwtoday.Zones[1] {
+			s.fleet.SetPlatformLink(p.Name, rwlink.Link{Up: rwpath.Path{Stop: true}})
+		}
+	}
+	c.Key = "changed-key"
+	s.publish(rwtoday.AccountRecord(c, 2))
+	time.Sleep(configLimit)
+	inForce := func(p *rwfleet.Proc) {
+		require.True(t, s.accepts(p, "changed-key"), "%s refuses the new key", p.Name)
+		require.False(t, s.accepts(p, "caller-key-03"), "%s accepts the old key", p.Name)
+	}
+	for _, p := range s.fleet.Routers {
+		inForce(p)
+	}
+	s.admin(s.fleet.Platform, "stale", map[string]any{"rev": before.Rev})
+	for _, p := range s.fleet.Routers {
+		s.fleet.UseReplica(p.Name, true)
+	}
+	restarted := s.fleet.Routers[0]
+	restarted.Kill()
+	require.NoError(t, s.fleet.StartRouter(restarted))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, rwfleet.WaitReady(ctx, restarted.Addr, "/readyz"))
+	for until := time.Now().Add(6 * time.Second); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+		for _, p := range s.fleet.Routers {
+			inForce(p)
+		}
+	}
+}
+
+// accepts reports whether a router serves a call with the key.
+func (s *scene) accepts(p *rwfleet.Proc, key string) bool {
+	caller := rwcaller.New(func(string, ...string) string { return p.Addr }, 0)
+	defer caller.Close()
+	ctx, cancel := context.WithTimeout(s.t.Context(), 2*time.Second)
+	defer cancel()
+	a := caller.Send(ctx, rwjob.Job{CallerKey: key, Kind: rwtoday.Lookup, Pool: rwtoday.OrderPool, Body: "{}"})
+	return a.Verdict == rwverdict.Whole
+}
--- a/test/rwtoday/rwtoday.go
+++ b/test/rwtoday/rwtoday.go
@@ -36,6 +36,8 @@
 	// zoneLatency is the one-way latency between zones, in the middle of
 	// today's 0.5 to 1.5 ms.
 	zoneLatency = time.Millisecond
+	// firstHold is how long idempotency keys are held on the first start.
+	firstHold = time.Second
 )
 
 var (
@@ -111,7 +113,7 @@
 		return err
 	}
 	for _, p := range t.Routers {
-		if err := t.StartRouter(p); err != nil {
+		if err := t.StartRouter(p, "--hold", firstHold.String()); err != nil {
 			return err
 		}
 	}
@@ -254,9 +256,10 @@
 	return records, nil
 }
 
-// StartRouter starts a router, also again after its end.
+// StartRouter starts a router, also again after its end. Only the first start
+// of the whole fleet may shorten the time that keys are held.
 func (t *Today) StartRouter(p *rwfleet.Proc, args ...string) error {
-	args = append([]string{"--drain", "1s", "--hold", "1s", "--policy", t.Policy}, args...)
+	args = append([]string{"--drain", "1s", "--hold", "0s", "--policy", t.Policy}, args...)
 	return t.fleet.Router(p, t.platforms[p.Name].Addr(), args...)
 }
 
