--- a/internal/rwsched/random_test.go
+++ b/internal/rwsched/random_test.go
@@ -8,15 +8,16 @@
 )
 
 // Guards against combinations of shares, costs, places, hints, losses,
-// failures and restarts in which the gap between accounts leaves its bound or
+// failures, restarts and outages in which the gap between accounts leaves its bound or
 // an account is starved.
 func TestGapInRandomPools(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		number := func(label string, low, high int) int { return rapid.IntRange(low, high).Draw(t, label) }
 		f := figures{
-			cells: number("cells", 1, 4), upstreams: number("upstreams", 1, 3), window: number("window", 2, 12),
+			cells: number("cells", 1, 8), upstreams: number("upstreams", 1, 3), window: number("window", 2, 12),
 			slotRate: 50, entries: number("entries", 2, 6), interval: 250 * time.Millisecond,
 			late:  time.Duration(number("late", 1, 400)) * time.Millisecond,
+			reach: time.Duration(number("reach", 0, 2)) * time.Second, drawn: 3,
 			lossy: rapid.Bool().Draw(t, "lossy"), failures: float64(number("failures", 0, 2)) / 10,
 		}
 		for range number("accounts", 2, 24) {
@@ -29,20 +30,42 @@
 				}},
 			})
 		}
+		if f.reach > 0 && f.needsMoreCells() {
+			f.reach = 0
+		}
 		p := newPool(f, uint64(number("seed", 0, 1000)))
 		// One owner at a time: what all forget together, none can pass on.
-		restarts := 0
+		restarts, outage := 0, time.Duration(0)
 		if f.cells > 1 {
 			restarts = number("restarts", 0, 4)
+			outage = time.Duration(number("outage", 0, 10)) * time.Second
+		}
+		if outage > 0 {
+			restarts = 0
+			p.after(10*time.Second, func() { p.cut(p.cells[0], p.entries[0], true) })
+			p.after(10*time.Second+outage, func() { p.cut(p.cells[0], p.entries[0], false) })
 		}
 		for i := range restarts {
 			c := p.cells[number("cell", 0, f.cells-1)]
 			at := 8*i + number("at", 0, 3)
 			p.after(time.Duration(at)*time.Second, func() { p.restart(c, 2*time.Second) })
 		}
-		checkGap(t, p, 0, 40*time.Second, 0)
-		if restarts == 0 {
+		checkGap(t, p, 0, 40*time.Second, outage)
+		if restarts == 0 && outage == 0 {
 			checkWaits(t, p)
 		}
 	})
 }
+
+// needsMoreCells reports whether the share of an account is more than half of
+// what the cells have at which one entry declares its work at a time. Where it
+// comes near to all of that, others have the rest of the pool for themselves
+// and G doesn't apply.
+func (f *figures) needsMoreCells() bool {
+	for _, a := range f.accounts {
+		if a.share/f.shares() > float64(1+f.drawn)/float64(2*f.cells) {
+			return true
+		}
+	}
+	return false
+}
