--- a/internal/rwfollow/rwfollow_test.go
+++ b/internal/rwfollow/rwfollow_test.go
@@ -75,7 +75,7 @@
 		require.NoError(t, l.Close())
 		f.names = append(f.names, name)
 		f.addrs[name] = l.Addr().String()
-		f.replicas.Publish(record("vm", name, 1, map[string]any{"addr": f.addrs[name], "zone": f.zone(name), "region": "main", "state": "live"}))
+		f.replicas.Publish(record("vm", name, 1, map[string]any{"addr": f.addrs[name], "http": "127.0.0.1:1", "zone": f.zone(name), "region": "main", "state": "live"}))
 	}
 	return f
 }
