--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -651,7 +651,8 @@
 	if e == nil || e.state != running {
 		return rwcode.KeyHeld
 	}
-	if now.Sub(m.tick) > maxPause {
+	// The monotonic clock stands still while a VM is suspended.
+	if now.Sub(m.tick) > maxPause || now.Round(0).Sub(m.tick.Round(0)) > maxPause {
 		return rwcode.Paused
 	}
 	if !c.Ticket && !m.may(now, c) {
