Ask the others again after a pause

Cause: a home that woke after a freeze could pass the last check on its second attempt, since the first tick ended the pause before the home had learned of the newer list. Now it acts on nothing until the others have answered again. Test with real processes: a call that waits for its slot during the freeze is never sent.

--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -257,6 +257,9 @@
 
 // Tick reports that the process runs. Calls aren't sent after a pause.
 func (m *Machine) Tick(now time.Time) {
+	if m.paused(now) {
+		m.wake()
+	}
 	m.tick = now
 	if now.Sub(m.expired) >= expireInterval {
 		m.expired = now
@@ -265,6 +268,19 @@
 	m.evaluate(now)
 }
 
+// paused reports whether the process stood still. The monotonic clock does so
+// too while a VM is suspended, hence the wall clock.
+func (m *Machine) paused(now time.Time) bool {
+	return now.Sub(m.tick) > maxPause || now.Round(0).Sub(m.tick.Round(0)) > maxPause
+}
+
+// wake asks all others again after a pause, before this router acts on what it
+// knew, since others may have taken its keys over meanwhile.
+func (m *Machine) wake() {
+	m.peers = map[string]*peer{}
+	m.released, m.steady = false, false
+}
+
 func (m *Machine) expire(now time.Time) {
 	for k, t := range m.marks {
 		if now.After(t.expires) {
@@ -651,8 +667,7 @@
 	if e == nil || e.state != running {
 		return rwcode.KeyHeld
 	}
-	// The monotonic clock stands still while a VM is suspended.
-	if now.Sub(m.tick) > maxPause || now.Round(0).Sub(m.tick.Round(0)) > maxPause {
+	if m.paused(now) {
 		return rwcode.Paused
 	}
 	if !c.Ticket && !m.may(now, c) {
--- a/test/rwkeys/rwkeys_test.go
+++ b/test/rwkeys/rwkeys_test.go
@@ -76,7 +76,7 @@
 }
 
 // start runs a fleet of four routers and waits until each runs fresh keys.
-func start(t *testing.T, delay time.Duration) *fleet {
+func start(t *testing.T, delay time.Duration, window int) *fleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	t.Cleanup(cancel)
@@ -94,7 +94,7 @@
 		rwfleet.Record("account", account, 1, map[string]any{"share": 1, "keys": []string{hex.EncodeToString(sum[:])}}),
 		rwfleet.Record("kind", "order", 1, map[string]any{"urgency": 0, "pool": "orders", "idempotent": false, "repeat": repeat}),
 		rwfleet.Record("upstream", "orders", 1, map[string]any{
-			"pool": "orders", "zone": "za", "addr": f.service.Addr, "type": "service", "window": 64, "state": "live", "inc": 1,
+			"pool": "orders", "zone": "za", "addr": f.service.Addr, "type": "service", "window": window, "state": "live", "inc": 1,
 		}),
 	}
 	for _, n := range []string{"ra", "rb", "rc", "rd"} {
@@ -235,7 +235,7 @@
 // Guards against a second execution when the home is killed during the call
 // and callers repeat the key through the other routers.
 func TestHomeKilledDuringCall(t *testing.T) {
-	f := start(t, 500*time.Millisecond)
+	f := start(t, 500*time.Millisecond, 64)
 	keys := []string{f.key("rb"), f.key("rb"), f.key("rb")}
 	var first sync.WaitGroup
 	for i, k := range keys {
@@ -267,7 +267,7 @@
 // Guards against a second execution by a home that was frozen, lost its keys
 // to another home by a change of the list, and wakes up.
 func TestHomeFrozenOverListChange(t *testing.T) {
-	f := start(t, 20*time.Millisecond)
+	f := start(t, 20*time.Millisecond, 64)
 	frozen := f.routers["rb"]
 	var keys []string
 	for range 24 {
@@ -296,10 +296,36 @@
 	f.checkRuns()
 }
 
+// Guards against a home that is frozen while a call waits between its trace and
+// its slot, and that sends the call when it wakes, by its old list.
+func TestHomeFrozenBetweenTraceAndSending(t *testing.T) {
+	f := start(t, 1500*time.Millisecond, 1)
+	blocker, k := f.key("rb"), f.key("rb")
+	var first sync.WaitGroup
+	first.Go(func() { f.call("rb", blocker, "x") })
+	for f.runs()[blocker] == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	first.Go(func() { f.call("rb", k, "x") })
+	time.Sleep(300 * time.Millisecond)
+	f.routers["rb"].Signal(syscall.SIGSTOP)
+	f.drop("rb")
+	f.waitFresh("ra", "rc")
+	for _, via := range f.live {
+		a := f.call(via, k, "x")
+		require.Equal(t, "unknown", a.outcome, "%+v", a)
+	}
+	f.routers["rb"].Signal(syscall.SIGCONT)
+	first.Wait()
+	time.Sleep(2 * time.Second)
+	require.Zero(t, f.runs()[k])
+	f.checkRuns()
+}
+
 // Guards against a home that forgot a key with its memory and runs it again,
 // and against one that refuses fresh keys although all others remember.
 func TestHomeRestartsWithoutMemory(t *testing.T) {
-	f := start(t, 5*time.Millisecond)
+	f := start(t, 5*time.Millisecond, 64)
 	forwarded, own := f.key("rc"), f.key("rc")
 	require.Equal(t, http.StatusOK, f.call("ra", forwarded, "x").status)
 	require.Equal(t, http.StatusOK, f.call("rc", own, "x").status)
@@ -320,7 +346,7 @@
 // Guards against lost answers, second executions and refusals of fresh keys
 // while each router in turn stops gracefully and starts again.
 func TestRollingRestart(t *testing.T) {
-	f := start(t, 5*time.Millisecond)
+	f := start(t, 5*time.Millisecond, 64)
 	for i, n := range f.live {
 		via := f.live[(i+1)%len(f.live)]
 		done := f.key(n)
@@ -340,7 +366,7 @@
 // Guards against a ticket that runs at another router or incarnation, and
 // against a key that two calls share.
 func TestTicketsAndOtherBodies(t *testing.T) {
-	f := start(t, 5*time.Millisecond)
+	f := start(t, 5*time.Millisecond, 64)
 	k := f.ticket("ra")
 	first := f.call("rb", k, "x")
 	require.Equal(t, http.StatusOK, first.status, "%+v", first)
