Guard further membership and push rules by tests

The test of indirect probes showed a fault: a member without an address was accepted and made others refuse every message that mentioned it. Such identities are ignored now.

--- a/internal/rwfollow/rwfollow_test.go
+++ b/internal/rwfollow/rwfollow_test.go
@@ -55,6 +55,8 @@
 	routers  map[string]*router
 	names    []string
 	addrs    map[string]string
+	// prepare, if set, changes a router before it runs.
+	prepare func(*router)
 }
 
 // newFleet publishes the records of n routers in two zones and starts none.
@@ -109,6 +111,9 @@
 	r.peers = rwpeer.New(r.id, key, nil, zerolog.Nop(), r.metrics)
 	r.gossip = rwgossip.New(r.peers, seeds, zerolog.Nop(), r.metrics)
 	r.follow = rwfollow.New(r.peers, r.gossip, f.server.URL+"/"+name+"/", seeds, zerolog.Nop(), r.metrics)
+	if f.prepare != nil {
+		f.prepare(r)
+	}
 	var parts sync.WaitGroup
 	parts.Go(func() { _ = r.peers.Serve(ctx, l) })
 	parts.Go(func() { _ = r.gossip.Run(ctx) })
@@ -202,6 +207,33 @@
 	f.eventually(configBound, "the change is not in force", f.inForce("x", 9))
 }
 
+// Guards against changes that reach a zone only by repair: the routers here
+// don't compare revisions, so pushes alone have to carry the change.
+func TestPushReachesAll(t *testing.T) {
+	f := newFleet(t, 8)
+	f.prepare = func(r *router) { r.gossip.Heard = nil }
+	f.startAll()
+	time.Sleep(1500 * time.Millisecond)
+	for _, name := range f.readers("a") {
+		f.replicas.Set(name, rwreplica.Down)
+	}
+	f.replicas.Publish(account("x", 1))
+	d := f.eventually(configBound, "no push", f.inForce("x", 1))
+	t.Logf("pushed to all after %v", d.Round(time.Millisecond))
+}
+
+// Guards against repairs in a loop with a peer whose records differ for good.
+func TestRepairIsNotRepeated(t *testing.T) {
+	f := newFleet(t, 1)
+	f.startAll()
+	odd := rwidentity.Identity{Name: "odd", Addr: "127.0.0.1:1"}
+	for range 100 {
+		f.routers["r0"].gossip.Heard(odd, 1, 12345)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Equal(t, 1, count(f.routers["r0"], "pulls"))
+}
+
 // Guards against platform calls that grow with the number of routers, and
 // against a reader that isn't replaced when it dies.
 func TestCallsGrowWithZones(t *testing.T) {
@@ -350,6 +382,8 @@
 	t.Logf("not listed anywhere after %v", d.Round(time.Millisecond))
 
 	f.routers["r4"].stop()
+	// The restarted router learns it with its records too, before any probe.
+	f.prepare = func(r *router) { r.gossip.LeavingUpstream = nil }
 	f.start("r4")
 	f.eventually(startBound, "not ready", func(r *router) bool { return r.follow.Ready() })
 	f.eventually(leavingBound, "a restarted router lists it", listed(false))
--- a/internal/rwmember/gossip.go
+++ b/internal/rwmember/gossip.go
@@ -91,6 +91,10 @@
 		}
 		return
 	}
+	if id.Name == "" || id.Addr == "" {
+		// Others refuse an update without them, and with it the message.
+		return
+	}
 	x := m.members[id.Name]
 	switch {
 	case x == nil || id.Inc > x.id.Inc:
--- a/internal/rwmember/rwmember_test.go
+++ b/internal/rwmember/rwmember_test.go
@@ -21,6 +21,7 @@
 	"redwingworks.example/internal/rwmember"
 	"redwingworks.example/internal/rwprobe"
 	"redwingworks.example/internal/rwsend"
+	"redwingworks.example/internal/rwupdate"
 	"redwingworks.example/internal/rwvm"
 )
 
@@ -604,6 +605,11 @@
 	}
 	require.False(t, f.nodes["r001"].m.Reachable("r002"))
 	require.True(t, f.nodes["r003"].m.Reachable("r002"))
+	answer, _ := f.nodes["r002"].m.Receive(f.now, f.nodes["r001"].id, rwprobe.Probe{})
+	require.Zero(t, answer.Refuted, "probes by way of others must prevent a suspicion")
+	f.cut = func(string, string) bool { return false }
+	f.run(10 * time.Second)
+	require.True(t, f.nodes["r001"].m.Reachable("r002"))
 
 	f.cut = func(_, b string) bool { return b == "r002" }
 	others := without(f.names, "r002")
@@ -637,6 +643,41 @@
 	require.True(t, f.allSee(without(f.names, "r001")))
 }
 
+// Guards against a router that declares a suspect dead on waking, and against
+// a leaving router that comes back by a refutation that says nothing of it.
+func TestSuspectAndLeavingDetails(t *testing.T) {
+	identity := func(name string) rwidentity.Identity {
+		return rwidentity.Identity{Name: name, Zone: "z", Region: "main", Addr: "10.0.0.1:" + name, Inc: 5}
+	}
+	b, c := identity("2"), identity("3")
+	m := rwmember.New(identity("1"), 1)
+	m.Tick(epoch)
+	m.Receive(epoch, b, rwprobe.Probe{Name: b.Name, Inc: b.Inc})
+	m.Receive(epoch, c, rwprobe.Probe{Name: c.Name, Inc: c.Inc, Updates: []rwupdate.Update{{State: rwupdate.Suspect, Identity: b}}})
+	m.Wake(epoch.Add(time.Minute))
+	require.Contains(t, m.Live(""), b)
+	m.Tick(epoch.Add(time.Minute + 2*time.Second))
+	require.NotContains(t, m.Live(""), b, "the suspicion goes on")
+
+	m.Receive(epoch, c, rwprobe.Probe{Name: c.Name, Inc: c.Inc, Leaving: true})
+	require.NotContains(t, m.Live(""), c)
+	m.Receive(epoch, c, rwprobe.Probe{Name: c.Name, Inc: c.Inc, Refuted: 1})
+	require.NotContains(t, m.Live(""), c)
+	c.Inc = 6
+	m.Receive(epoch, c, rwprobe.Probe{Name: c.Name, Inc: c.Inc})
+	require.Contains(t, m.Live(""), c, "a new incarnation is not leaving")
+}
+
+// Guards against a member without a name or an address, which would make other
+// routers refuse all messages that mention it.
+func TestIncompleteIdentity(t *testing.T) {
+	m := rwmember.New(rwidentity.Identity{Name: "a", Zone: "z", Inc: 5, Addr: "10.0.0.1:1"}, 1)
+	for _, id := range []rwidentity.Identity{{}, {Name: "b", Inc: 1}, {Addr: "10.0.0.2:1", Inc: 1}} {
+		m.Receive(epoch, id, rwprobe.Probe{Name: id.Name, Inc: id.Inc})
+	}
+	require.Len(t, m.Live(""), 1)
+}
+
 // Guards against a process that goes on as owner although a later one has its
 // name.
 func TestSupersededOwnsNothing(t *testing.T) {
@@ -791,6 +832,12 @@
 	t.Logf("%d members: %d B/s a node, %d B/s in the %d s after a failure", n, quiet, failure, run)
 	require.Less(t, quiet, 800)
 	require.Less(t, failure, 1000)
+	before := f.total()
+	f.start(f.names[1])
+	f.run(run * time.Second)
+	join := (f.total() - before) / n / run
+	t.Logf("%d members: %d B/s a node in the %d s after a start", n, join, run)
+	require.Less(t, join, 800)
 }
 
 func (f *fleet) total() int {
