--- a/cmd/rwservice/internal/rwcalls/rwcalls.go
+++ b/cmd/rwservice/internal/rwcalls/rwcalls.go
@@ -19,7 +19,8 @@
 type Calls struct {
 	// Delay is the time that a call takes.
 	Delay time.Duration
-	// Fence refuses calls with a fencing number below the highest seen.
+	// Fence refuses calls with a fencing number below the highest seen. Calls
+	// without a number are not orders and run.
 	Fence bool
 
 	mu      sync.Mutex
@@ -108,7 +109,7 @@
 	if c.leaving {
 		return fault{}, http.StatusServiceUnavailable
 	}
-	if c.Fence && e.Fence < c.highest {
+	if c.Fence && e.Fence > 0 && e.Fence < c.highest {
 		c.refused++
 		return fault{}, http.StatusPreconditionFailed
 	}
--- a/internal/rwhandoff/rwhandoff.go
+++ b/internal/rwhandoff/rwhandoff.go
@@ -3,6 +3,8 @@
 package rwhandoff
 
 import (
+	"slices"
+
 	"redwingworks.example/internal/rwlist"
 	"redwingworks.example/internal/rwtrace"
 )
@@ -10,6 +12,26 @@
 // Handoff holds every key that the sender may have run and whose next rank is
 // the receiver.
 type Handoff struct {
-	Version rwlist.Version  `json:"version"`
-	Traces  []rwtrace.Trace `json:"traces"`
+	Version rwlist.Version `json:"version"`
+	// Inc is the receiver's incarnation. A later one has lost the keys that
+	// it ran for the sender.
+	Inc    int64           `json:"inc"`
+	Traces []rwtrace.Trace `json:"traces"`
+	// Part is whether another message follows. Only the last one passes the
+	// authority on.
+	Part bool `json:"part,omitempty"`
+}
+
+// Split returns the handoff as a sequence of messages with at most size
+// traces.
+func (h Handoff) Split(size int) []Handoff {
+	var out []Handoff
+	for c := range slices.Chunk(h.Traces, size) {
+		out = append(out, Handoff{Version: h.Version, Inc: h.Inc, Traces: c, Part: true})
+	}
+	if len(out) == 0 {
+		return []Handoff{h}
+	}
+	out[len(out)-1].Part = false
+	return out
 }
