--- a/cmd/rwdrill/internal/rwprove/rwprove.go
+++ b/cmd/rwdrill/internal/rwprove/rwprove.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	module    = "redwingworks.example/"
-	testLimit = 3 * time.Minute
+	module = "redwingworks.example/"
+	// fleetTests need the built programs in the folder bin.
+	fleetTests = module + "test/rwproperty"
+	testLimit  = 3 * time.Minute
 	// maxOutput bounds what is printed of a failing test.
 	maxOutput = 8 << 10
 )
@@ -36,16 +38,28 @@
 	{Property: "P1 fair", Package: module + "internal/rwsched", Test: "TestGapInRandomPools", Race: true},
 	{Property: "P2 live", Package: module + "test/rwbubble", Test: "TestFloods"},
 	{Property: "P2 live", Package: module + "internal/rwsched", Test: "TestFloodLeavesOthersTheirService", Race: true},
+	{Property: "P3 whole", Package: fleetTests, Test: "TestDamagedStreamsNeverLookWhole", Seeded: true},
 	{Property: "P3 whole", Package: module + "internal/rwgate", Test: "TestBrokenStreamNeverLooksWhole", Race: true},
 	{Property: "P3 whole", Package: module + "internal/rwstream", Test: "TestEvents", Race: true},
+	{Property: "P4 notrun", Package: fleetTests, Test: "TestOrdersRunAtMostOnce", Seeded: true},
 	{Property: "P4 notrun", Package: module + "internal/rwdispatch", Test: "TestConnectionRefusedIsNotRun", Race: true},
 	{Property: "P4 notrun", Package: module + "internal/rwentry", Test: "TestOutcomeCoversAllAttempts", Race: true},
+	{Property: "P5 once", Package: fleetTests, Test: "TestOrdersRunAtMostOnce", Seeded: true},
+	{Property: "P5 once", Package: fleetTests, Test: "TestFencedServiceServesEveryHome", Seeded: true},
+	{Property: "P5 once", Package: module + "test/rwkeys", Test: "TestHomeKilledDuringCall"},
+	{Property: "P5 once", Package: module + "test/rwkeys", Test: "TestHomeFrozenOverListChange"},
+	{Property: "P5 once", Package: module + "test/rwkeys", Test: "TestHomeRestartsWithoutMemory"},
+	{Property: "P5 once", Package: module + "test/rwkeys", Test: "TestRollingRestart"},
 	{Property: "P5 once", Package: module + "internal/rwonce", Test: "TestExploration", Race: true},
 	{Property: "P5 once", Package: module + "internal/rwdispatch", Test: "TestTransportDoesNotSendAgain", Race: true},
 	{Property: "P5 once", Package: module + "internal/rwentry", Test: "TestNonIdempotentIsSentOnce", Race: true},
-	{Property: "P6 leaving"},
-	{Property: "P7 drain"},
-	{Property: "P8 config"},
+	{Property: "P6 leaving", Package: fleetTests, Test: "TestLeavingEngineGetsNoNewWork", Seeded: true},
+	{Property: "P7 drain", Package: fleetTests, Test: "TestShutdownInterruptsNothing", Seeded: true},
+	{Property: "P7 drain", Package: fleetTests, Test: "TestShutdownLosesNoOrder", Seeded: true},
+	{Property: "P7 drain", Package: fleetTests, Test: "TestShutdownOfZoneLosesNoOrder", Seeded: true},
+	{Property: "P8 config", Package: fleetTests, Test: "TestConfigurationNeverReverts", Seeded: true},
+	{Property: "P8 config", Package: module + "test/rwfleet", Test: "TestConfigurationInForce"},
+	{Property: "P8 config", Package: module + "internal/rwstore", Test: "TestNeverReverts", Race: true},
 }
 
 // Prove runs the tests of a table. Its fields are set before Run.
