Log refusals, failures, retries, backed-off and leaving upstreams

The catalogue listed seven events that nothing wrote. Events about single requests are sampled at 10 a second, since in a flood a line for each refusal would cost more than the refusal.

--- a/internal/rwfollow/rwfollow.go
+++ b/internal/rwfollow/rwfollow.go
@@ -316,6 +316,7 @@
 		fault := rwfault.From(err)
 		f.metrics.Refused(fault.Code)
 		if fault.Code == rwcode.RecordStale {
+			rwlog.Info(&f.log, rwlog.RecordStale).Str("detail", fault.Error()).Send()
 			continue
 		}
 		rwlog.Warn(&f.log, rwlog.RecordSetAside, err).Send()
@@ -452,7 +453,6 @@
 		f.mu.Unlock()
 		if !empty && (answered || len(f.untried(tried)) == 0) {
 			f.ready.Store(true)
-			rwlog.Info(&f.log, rwlog.Ready).Int64("rev", f.View().Rev()).Send()
 			return
 		}
 		if empty && len(addrs) == 0 {
--- a/internal/rwgate/bench_test.go
+++ b/internal/rwgate/bench_test.go
@@ -103,7 +103,7 @@
 		ID: "bench", View: func() *rwsnapshot.Snapshot { return view },
 		Run: entry.Run, Do: entry.Do,
 		Ready:   func() bool { return true },
-		Refused: func(rwcode.Code) {},
+		Refused: func(*rwfault.Fault) {},
 		Now:     time.Now,
 	}
 	p.router = httptest.NewUnstartedServer(nil)
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -92,8 +92,8 @@
 	// Draining reports whether new requests are refused because the process
 	// is about to end. It may be nil.
 	Draining func() bool
-	// Refused counts a refusal.
-	Refused func(rwcode.Code)
+	// Refused counts and logs a request that ended with a fault.
+	Refused func(*rwfault.Fault)
 	// Now is the clock.
 	Now func() time.Time
 	// TLS is used by Server; nil for HTTP without TLS.
@@ -167,7 +167,7 @@
 		g.conns.Give(-1)
 	}
 	if g.conns.Used() > hardConns*g.maxConns() {
-		g.Refused(rwcode.TooManyConnections)
+		g.Refused(rwfault.New(rwcode.TooManyConnections, ""))
 		_ = c.Close()
 	}
 	return context.WithValue(ctx, connKey{}, state)
@@ -253,7 +253,7 @@
 // fail answers a request that failed before its answer began.
 func (g *Gate) fail(w http.ResponseWriter, r *http.Request, err error) {
 	f := fault(err)
-	g.Refused(f.Code)
+	g.Refused(f)
 	switch f.Code {
 	case rwcode.Draining, rwcode.TooManyConnections, rwcode.SlowBody, rwcode.BodyTooLarge:
 		w.Header().Set("Connection", "close")
@@ -580,7 +580,7 @@
 		return err
 	}
 	f := fault(err)
-	g.Refused(f.Code)
+	g.Refused(f)
 	_ = s.write([]byte("event: error\ndata: " + string(rwrefusal.New(f).Body) + "\n\n"))
 	// Ends the connection (HTTP/2: the stream) without the mark of a whole
 	// body, so that a client that knows no error events sees the fault too.
--- a/internal/rwgate/rwgate_test.go
+++ b/internal/rwgate/rwgate_test.go
@@ -101,10 +101,10 @@
 		View:  snapshot,
 		Ready: func() bool { return true },
 		Now:   time.Now,
-		Refused: func(c rwcode.Code) {
+		Refused: func(f *rwfault.Fault) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			h.refused = append(h.refused, c.String())
+			h.refused = append(h.refused, f.Code.String())
 		},
 		Ticket: func() (string, error) { return "ticket-1", nil },
 		Run: func(_ context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
--- a/internal/rwnode/cells.go
+++ b/internal/rwnode/cells.go
@@ -25,6 +25,12 @@
 }
 
 func (n *Node) adopted(view *rwsnapshot.Snapshot) {
+	for _, u := range view.Upstreams() {
+		if before, ok := n.adoptedView.Upstream(u.Name); ok && u.Leaving && !before.Leaving {
+			rwlog.Info(&n.log, rwlog.UpstreamLeaving).Str("upstream", u.Name).Int64("inc", u.Inc).Send()
+		}
+	}
+	n.adoptedView = view
 	n.gossip.Publish(view.VMs())
 	n.wake()
 }
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -30,10 +31,12 @@
 	"redwingworks.example/internal/rwlocal"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwowner"
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwsettings"
+	"redwingworks.example/internal/rwsnapshot"
 	"redwingworks.example/internal/rwstream"
 	"redwingworks.example/internal/rwupstream"
 )
@@ -46,16 +49,21 @@
 	joinWait = time.Second
 	// tick is how often owners send reports and look for grants that became
 	// possible with time.
-	tick = 50 * time.Millisecond
+	tick = 100 * time.Millisecond
+	// logBurst is how many events about single requests are logged a second.
+	logBurst = 10
 )
 
 // Node is one router.
 type Node struct {
 	settings rwsettings.Settings
 	log      zerolog.Logger
-	metrics  *rwmetric.Metrics
-	kernel   *rwkernel.Kernel
-	self     rwidentity.Identity
+	// sampled drops events beyond a few in each second. In a flood, a line
+	// for each refused request would cost more than the refusal.
+	sampled zerolog.Logger
+	metrics *rwmetric.Metrics
+	kernel  *rwkernel.Kernel
+	self    rwidentity.Identity
 
 	peers  *rwpeer.Peers
 	gossip *rwgossip.Gossip
@@ -71,6 +79,9 @@
 	// stopping is set when the process was asked to stop: the balancer is
 	// told so. draining is set later: new requests are refused.
 	stopping, draining atomic.Bool
+	// adoptedView is the last configuration that was adopted. Only the calls
+	// of adopted, which come one at a time, use it.
+	adoptedView *rwsnapshot.Snapshot
 	// changed wakes the part that works out cells and their owners.
 	changed chan struct{}
 }
@@ -85,9 +96,12 @@
 	n := &Node{
 		settings: s,
 		log:      log,
+		sampled:  log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second}),
 		metrics:  rwmetric.New(),
 		kernel:   rwkernel.New(),
 		changed:  make(chan struct{}, 1),
+
+		adoptedView: rwsnapshot.Empty(),
 		self: rwidentity.Identity{
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Addr: s.PeerAddr(), Inc: time.Now().UnixMicro(),
 		},
@@ -110,6 +124,7 @@
 	n.policy.Send = n.send
 	n.owner = rwowner.New(n.self)
 	n.owner.Send = n.send
+	n.owner.Failed = n.upstreamFailed
 	n.gossip.Changed = n.wake
 	n.gossip.Woke = n.woke
 	n.follow.Changed = n.adopted
@@ -123,7 +138,7 @@
 	if n.settings.Policy == "local" {
 		acquire = rwlocal.New(n.follow.View).Acquire
 	}
-	budget := &budget{metrics: n.metrics, tokens: rwbudget.New()}
+	budget := &budget{metrics: n.metrics, log: n.sampled, tokens: rwbudget.New()}
 	entry := &rwentry.Entry{
 		Acquire: acquire,
 		Call: func(ctx context.Context, u rwupstream.Upstream, q *rwrequest.Request) (*rwdispatch.Answer, error) {
@@ -149,7 +164,7 @@
 		Ticket:      n.home.Ticket,
 		Ready:       n.ready,
 		Draining:    n.draining.Load,
-		Refused:     n.metrics.Refused,
+		Refused:     n.refused,
 		Now:         time.Now,
 		MaxConns:    n.settings.MaxConns,
 		MaxRequests: n.settings.MaxRequests,
@@ -178,6 +193,20 @@
 	return err
 }
 
+// refused counts and logs a request that ended with a fault.
+func (n *Node) refused(f *rwfault.Fault) {
+	n.metrics.Refused(f.Code)
+	if f.Outcome == rwoutcome.NotRun {
+		rwlog.Info(&n.sampled, rwlog.RequestRefused).Stringer("code", f.Code).Str("detail", f.Error()).Send()
+		return
+	}
+	rwlog.Warn(&n.sampled, rwlog.RequestFailed, f).Stringer("outcome", f.Outcome).Send()
+}
+
+func (n *Node) upstreamFailed(upstream string, code rwcode.Code) {
+	rwlog.Warn(&n.sampled, rwlog.UpstreamBackedOff, rwfault.New(code, upstream)).Send()
+}
+
 func (n *Node) ready() bool { return n.joined.Load() && !n.stopping.Load() }
 
 // Run serves until a signal asks the process to stop, and then until the
@@ -242,6 +271,9 @@
 	m := http.NewServeMux()
 	m.Handle("GET /debug/vars", expvar.Handler())
 	m.HandleFunc("GET /v1/view", n.serveView)
+	m.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	m.Handle("GET /debug/pprof/heap", pprof.Handler("heap"))
+	m.Handle("GET /debug/pprof/goroutine", pprof.Handler("goroutine"))
 	s := &http.Server{Addr: n.settings.Ops, Handler: m, ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
@@ -267,6 +299,7 @@
 // budget is the retry budget of the router with its counters.
 type budget struct {
 	metrics *rwmetric.Metrics
+	log     zerolog.Logger
 
 	mu     sync.Mutex
 	tokens *rwbudget.Budget
@@ -278,6 +311,7 @@
 	b.mu.Unlock()
 	if ok {
 		b.metrics.Retried(f.Code)
+		rwlog.Info(&b.log, rwlog.RequestRetried).Stringer("code", f.Code).Str("detail", f.Error()).Send()
 	} else {
 		b.metrics.Refused(rwcode.RetryBudget)
 	}
--- a/internal/rwowner/rwowner.go
+++ b/internal/rwowner/rwowner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwingworks.example/internal/rwcell"
+	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwmessage"
 	"redwingworks.example/internal/rwsched"
@@ -48,6 +49,9 @@
 type Owner struct {
 	// Send sends a message to a router without waiting.
 	Send func(to rwidentity.Identity, method string, m *rwmessage.Message)
+	// Failed is told of an upstream that could not be reached or refused a
+	// request; the scheduler gives it no grants for a while. It may be nil.
+	Failed func(upstream string, code rwcode.Code)
 
 	self rwidentity.Identity
 
@@ -87,7 +91,7 @@
 
 // issue is a grant whose entry has not said that it is done.
 type issue struct {
-	entry string
+	entry, upstream string
 	// check is when the entry is asked whether the grant is still running.
 	check time.Time
 }
@@ -329,6 +333,9 @@
 	}
 	o.admit(now, from)
 	for _, s := range m.Done {
+		if o.Failed != nil && (s.Code == rwcode.UpstreamUnreachable || s.Code == rwcode.UpstreamRefused) {
+			o.Failed(c.issued[s.ID].upstream, s.Code)
+		}
 		delete(c.issued, s.ID)
 		c.sched.Done(now, s.ID, s.Cost, s.First, s.Total, s.Code)
 	}
@@ -357,7 +364,7 @@
 	c.dropEntry(now, from.Name)
 	for _, g := range m.Running {
 		g.Cell, g.Entry = m.Cell, from.Name
-		c.issued[g.ID] = issue{from.Name, now.Add(checkInterval)}
+		c.issued[g.ID] = issue{from.Name, g.Upstream, now.Add(checkInterval)}
 		c.sched.Restore(now, g)
 	}
 	for _, l := range m.Levels {
@@ -442,7 +449,7 @@
 			out = append(out, outgoing{entries[g.Entry], rwmessage.Grant, m})
 		}
 		m.Grants = append(m.Grants, g)
-		c.issued[g.ID] = issue{g.Entry, now.Add(checkInterval)}
+		c.issued[g.ID] = issue{g.Entry, g.Upstream, now.Add(checkInterval)}
 	}
 }
 
@@ -455,7 +462,7 @@
 		if now.Before(i.check) {
 			continue
 		}
-		c.issued[id] = issue{i.entry, now.Add(checkInterval)}
+		c.issued[id] = issue{i.entry, i.upstream, now.Add(checkInterval)}
 		m := byEntry[i.entry]
 		if m == nil {
 			m = &rwmessage.Message{Cell: c.cell.Name}
--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -35,7 +35,7 @@
 	helloTimeout  = time.Second
 	writeTimeout  = 2 * time.Second
 	redialPause   = 200 * time.Millisecond
-	notifyBacklog = 4096
+	notifyBacklog = 256
 )
 
 // Handler answers a message of another router. The result of a notification
@@ -219,20 +219,24 @@
 	l.conn = conn
 	go func() {
 		<-conn.DisconnectNotify()
-		l.drop(conn)
+		if l.drop(conn) {
+			rwlog.Warn(&l.peers.log, rwlog.PeerLost, rwfault.New(rwcode.PeerUnreachable, l.addr)).Send()
+		}
 	}()
 	return conn, nil
 }
 
-// drop closes the connection if it is still the given one; nil means any.
-func (l *link) drop(conn *jsonrpc2.Conn) {
+// drop closes the connection if it is still the given one; nil means any. It
+// reports whether it was open.
+func (l *link) drop(conn *jsonrpc2.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == nil || (conn != nil && l.conn != conn) {
-		return
+		return false
 	}
 	_ = l.conn.Close()
 	l.conn = nil
+	return true
 }
 
 func (l *link) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
