Protect links between routers by TLS from settings

Both ends verify that the other's certificate was signed by the fleet's own authority; names are not compared, since VMs are replaced at any time. The proof of the shared key stays in force in any case.

--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -38,6 +38,7 @@
 	"redwingworks.example/internal/rwsettings"
 	"redwingworks.example/internal/rwsnapshot"
 	"redwingworks.example/internal/rwstream"
+	"redwingworks.example/internal/rwtrust"
 	"redwingworks.example/internal/rwupstream"
 )
 
@@ -93,6 +94,11 @@
 	if err != nil {
 		return nil, err
 	}
+	trust := rwtrust.Trust{Cert: s.PeerCert, Key: s.PeerCertKey, Authority: s.PeerAuthority}
+	peerTLS, err := trust.Config()
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		settings: s,
 		log:      log,
@@ -106,7 +112,7 @@
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Addr: s.PeerAddr(), Inc: time.Now().UnixMicro(),
 		},
 	}
-	n.peers = rwpeer.New(n.self, s.Key, nil, log, n.metrics)
+	n.peers = rwpeer.New(n.self, s.Key, peerTLS, log, n.metrics)
 	n.gossip = rwgossip.New(n.peers, s.Seeds, log, n.metrics)
 	n.follow = rwfollow.New(n.peers, n.gossip, s.Platform, s.Seeds, log, n.metrics)
 	n.wireFleet()
--- a/internal/rwsettings/rwsettings.go
+++ b/internal/rwsettings/rwsettings.go
@@ -49,6 +49,11 @@
 	Hold time.Duration `env:"REDWING_HOLD" envDefault:"0s"`
 	// Cell is the largest number of upstreams in one cell.
 	Cell int `env:"REDWING_CELL" envDefault:"4"`
+	// PeerCert, PeerCertKey and PeerAuthority are PEM files for TLS between
+	// routers; all or none.
+	PeerCert      string `env:"REDWING_PEER_CERT"`
+	PeerCertKey   string `env:"REDWING_PEER_CERT_KEY"`
+	PeerAuthority string `env:"REDWING_PEER_AUTHORITY"`
 	// Cert and CertKey are PEM files for TLS towards callers; both or none.
 	Cert    string `env:"REDWING_CERT"`
 	CertKey string `env:"REDWING_CERT_KEY"`
@@ -86,6 +91,9 @@
 	f.DurationVar(&s.Drain, "drain", s.Drain, "time between not ready and closing at shutdown")
 	f.DurationVar(&s.Hold, "hold", s.Hold, "time that idempotency keys are held when the whole fleet starts; 0 for the repeat time")
 	f.IntVar(&s.Cell, "cell", s.Cell, "largest number of upstreams in a cell")
+	f.StringVar(&s.PeerCert, "peer-cert", s.PeerCert, "PEM file with the certificate for other routers")
+	f.StringVar(&s.PeerCertKey, "peer-cert-key", s.PeerCertKey, "PEM file with that certificate's key")
+	f.StringVar(&s.PeerAuthority, "peer-authority", s.PeerAuthority, "PEM file with the authority of all routers' certificates")
 	f.StringVar(&s.Cert, "cert", s.Cert, "PEM file with the certificate for callers")
 	f.StringVar(&s.CertKey, "cert-key", s.CertKey, "PEM file with the certificate's key")
 	f.IntVar(&s.MaxConns, "max-conns", s.MaxConns, "largest number of callers' connections")
@@ -114,6 +122,8 @@
 	need(s.Drain >= 0, "drain must not be negative")
 	need(s.Hold >= 0, "hold must not be negative")
 	need(s.Cell >= 1, "cell must be at least 1")
+	need((s.PeerCert == "") == (s.PeerCertKey == "") && (s.PeerCert == "") == (s.PeerAuthority == ""),
+		"peer-cert, peer-cert-key and peer-authority must be given together")
 	need((s.Cert == "") == (s.CertKey == ""), "cert and cert-key must be given together")
 	need(s.MaxConns >= 1, "max-conns must be at least 1")
 	need(s.MaxRequests >= 1, "max-requests must be at least 1")
--- /dev/null
+++ b/internal/rwtrust/rwtrust.go
@@ -0,0 +1,69 @@
+// Package rwtrust makes the TLS configuration of links between routers: both
+// ends show a certificate of the fleet's own authority.
+package rwtrust
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+)
+
+// Trust names the PEM files of a router.
+type Trust struct {
+	// Cert and Key are this router's certificate and its key.
+	Cert, Key string
+	// Authority signs the certificates of all routers of the fleet and of
+	// nothing else.
+	Authority string
+}
+
+// Config returns a configuration for both ends of a link, or nil if no files
+// are named. Names and addresses in certificates are not compared: VMs are
+// replaced at any time and a router knows its peers only by address, so that
+// membership in the fleet is all that a certificate can prove. It fails with
+// SettingsInvalid.
+func (t Trust) Config() (*tls.Config, error) {
+	if t == (Trust{}) {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.SettingsInvalid, err)
+	}
+	pem, err := os.ReadFile(t.Authority)
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.SettingsInvalid, err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, rwfault.New(rwcode.SettingsInvalid, t.Authority+": no certificate")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		MinVersion:   tls.VersionTLS13,
+		ClientAuth:   tls.RequireAnyClientCert,
+		// The chain is verified below, for both ends alike.
+		InsecureSkipVerify: true,
+		VerifyConnection:   func(s tls.ConnectionState) error { return verify(s, roots) },
+	}, nil
+}
+
+func verify(s tls.ConnectionState, roots *x509.CertPool) error {
+	if len(s.PeerCertificates) == 0 {
+		return rwfault.New(rwcode.PeerKey, "no certificate")
+	}
+	between := x509.NewCertPool()
+	for _, c := range s.PeerCertificates[1:] {
+		between.AddCert(c)
+	}
+	_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: roots, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	if err != nil {
+		return rwfault.Wrap(rwcode.PeerKey, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rwtrust/rwtrust_test.go
@@ -0,0 +1,136 @@
+package rwtrust_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwtrust"
+)
+
+const key = "0123456789abcdef"
+
+type authority struct {
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) authority {
+	a := authority{dir: t.TempDir()}
+	a.cert, a.key = a.issue(t, "authority")
+	return a
+}
+
+// issue writes a certificate and its key; the first one is self-signed.
+func (a authority) issue(t *testing.T, name string) (*x509.Certificate, *ecdsa.PrivateKey) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: a.cert == nil, BasicConstraintsValid: true,
+	}
+	parent, signer := a.cert, a.key
+	if parent == nil {
+		parent, signer = c, k
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, parent, &k.PublicKey, signer)
+	require.NoError(t, err)
+	raw, err := x509.MarshalECPrivateKey(k)
+	require.NoError(t, err)
+	a.write(t, name+".pem", "CERTIFICATE", der)
+	a.write(t, name+".key", "EC PRIVATE KEY", raw)
+	parsed, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return parsed, k
+}
+
+func (a authority) write(t *testing.T, file, kind string, data []byte) {
+	block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data})
+	require.NoError(t, os.WriteFile(filepath.Join(a.dir, file), block, 0o600))
+}
+
+func (a authority) trust(name string) rwtrust.Trust {
+	return rwtrust.Trust{
+		Cert:      filepath.Join(a.dir, name+".pem"),
+		Key:       filepath.Join(a.dir, name+".key"),
+		Authority: filepath.Join(a.dir, "authority.pem"),
+	}
+}
+
+func peers(t *testing.T, name string, trust rwtrust.Trust) (*rwpeer.Peers, string) {
+	config, err := trust.Config()
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := rwpeer.New(rwidentity.Identity{Name: name, Inc: 1}, key, config, zerolog.Nop(), rwmetric.New())
+	p.Handle("name", func(context.Context, rwidentity.Identity, json.RawMessage) (any, error) { return name, nil })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = p.Serve(ctx, l)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return p, l.Addr().String()
+}
+
+// Guards against a router that is let in, or joined, with a certificate of
+// another authority or with none.
+func TestOnlyCertificatesOfTheFleet(t *testing.T) {
+	fleet, other := newAuthority(t), newAuthority(t)
+	fleet.issue(t, "a")
+	fleet.issue(t, "b")
+	other.issue(t, "c")
+	a, _ := peers(t, "a", fleet.trust("a"))
+	_, b := peers(t, "b", fleet.trust("b"))
+	c, addrC := peers(t, "c", other.trust("c"))
+	plain, _ := peers(t, "d", rwtrust.Trust{})
+	call := func(from *rwpeer.Peers, addr string) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		var name string
+		return from.Call(ctx, addr, "name", nil, &name)
+	}
+	require.NoError(t, call(a, b))
+	require.Error(t, call(c, b))
+	require.Error(t, call(a, addrC))
+	require.Error(t, call(plain, b))
+}
+
+// Guards against a start with files that can't be used.
+func TestBadFiles(t *testing.T) {
+	fleet := newAuthority(t)
+	fleet.issue(t, "a")
+	for _, bad := range []func(*rwtrust.Trust){
+		func(x *rwtrust.Trust) { x.Cert = "missing.pem" },
+		func(x *rwtrust.Trust) { x.Authority = "missing.pem" },
+		func(x *rwtrust.Trust) { x.Authority = x.Key },
+	} {
+		trust := fleet.trust("a")
+		bad(&trust)
+		_, err := trust.Config()
+		require.Error(t, err)
+	}
+}
