Tell a router all keys that its earlier incarnations may have run

Cause: a router that had run keys for another home (handoff, or before a list change) restarted and learned only the keys that are at home with it. Traces now name every router that may have run the key, and forwarding entries name the home.

--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -525,7 +525,7 @@
 	if home == m.self.Name || m.handed[home] > 0 && m.list.Next(c.Key, home) == m.self.Name {
 		return rwverdict.Verdict{Step: rwverdict.Run}
 	}
-	if !m.remember(now, rwtrace.Trace{Key: c.Key, Digest: c.Digest, Left: c.Repeat + slack}) {
+	if !m.remember(now, rwtrace.Trace{Key: c.Key, Digest: c.Digest, By: home, Left: c.Repeat + slack}) {
 		return unknown("too many keys")
 	}
 	return rwverdict.Verdict{Step: rwverdict.Forward, To: home, Holds: m.joined && !m.leaving}
@@ -728,7 +728,7 @@
 
 // remember keeps a trace and reports whether there was room for it.
 func (m *Machine) remember(now time.Time, t rwtrace.Trace) bool {
-	if t.By == m.self.Name && t.Inc == m.self.Inc {
+	if t.By == m.self.Name && t.Inc == m.self.Inc && len(t.Also) == 0 {
 		return true
 	}
 	if e := m.table[t.Key]; e != nil && e.state == free {
@@ -745,8 +745,13 @@
 		return true
 	}
 	old.expires = later(old.expires, until)
-	if t.Result != nil || old.trace.By == "" {
-		old.trace = t
+	if t.Result != nil {
+		old.trace.Result = t.Result
+	}
+	for _, n := range append(slices.Clone(t.Also), t.By) {
+		if n != "" && !old.trace.May(n) {
+			old.trace.Also = append(slices.Clone(old.trace.Also), n)
+		}
 	}
 	return true
 }
@@ -915,7 +920,9 @@
 	for _, k := range slices.Sorted(maps.Keys(m.marks)) {
 		t := m.marks[k].trace
 		t.Left = m.marks[k].expires.Sub(now)
-		if m.homed(to, q.Version, k) || t.By == m.self.Name || m.list.Home(k) == m.self.Name {
+		// A router has to learn of all keys that its earlier incarnations may
+		// have run, also of those that are at home elsewhere.
+		if m.homed(to, q.Version, k) || t.May(to) || t.May(m.self.Name) || m.list.Home(k) == m.self.Name {
 			list = append(list, t)
 		}
 	}
@@ -958,9 +965,6 @@
 	}
 	kept := true
 	for _, t := range r.Traces {
-		if t.By == "" && m.list.Home(t.Key) == m.self.Name {
-			t.By = m.self.Name
-		}
 		kept = m.remember(now, t) && kept
 	}
 	if !r.OK || !kept || !current || r.More || q.Version != m.list.Version {
@@ -1063,7 +1067,7 @@
 	for _, k := range slices.Sorted(maps.Keys(m.marks)) {
 		t := m.marks[k].trace
 		t.Left = m.marks[k].expires.Sub(now)
-		if m.table[k] == nil && (t.By == m.self.Name || m.list.Home(k) == m.self.Name) {
+		if m.table[k] == nil && (t.May(m.self.Name) || m.list.Home(k) == m.self.Name) {
 			out = append(out, t)
 		}
 	}
