Fetch all records from two peers at a start, and count framed bytes

A starting router asked 8 peers for all records. It now asks 2 and compares digests with 8 others.

rwbubble counts bytes after rwframe, by router and method, when asked to.

The VM records of the tests in rwfollow had no caller address and were set aside, so the fleets of these tests did not form.

--- a/internal/rwfollow/rwfollow.go
+++ b/internal/rwfollow/rwfollow.go
@@ -54,7 +54,12 @@
 	roleDelay   = time.Second
 	pullTimeout = time.Second
 	startPoll   = 100 * time.Millisecond
-	startBatch  = 8
+	// startFull is the number of peers that a starting router without records
+	// asks for all of them, which is 1.9 MB before compression for 4,100
+	// records. Two, so that one unreachable peer doesn't delay the start. The
+	// startBatch peers after them send only what differs.
+	startFull  = 2
+	startBatch = 8
 	// settled is how long this router's digest must not have changed before a
 	// peer's different one is taken for a lost push. Pushes take less.
 	settled = 300 * time.Millisecond
@@ -417,7 +422,8 @@
 	}
 }
 
-// pull asks one peer until it has no more records.
+// pull asks one peer until it has no more records. An answer to sums that
+// brings nothing ends it too: the peer may only have older records.
 func (f *Follow) pull(ctx context.Context, addr string, p rwpull.Pull) ([]rwrecord.Record, error) {
 	var news []rwrecord.Record
 	for {
@@ -429,28 +435,50 @@
 		if err != nil {
 			return news, err
 		}
-		news = append(news, f.take(b.Items, b.Leaving)...)
-		if !b.More || len(b.Items) == 0 || len(p.Sums) > 0 {
+		fresh := f.take(b.Items, b.Leaving)
+		news = append(news, fresh...)
+		if !b.More || len(b.Items) == 0 || (len(p.Sums) > 0 && len(fresh) == 0) {
 			return news, nil
 		}
-		p.After = b.Items[len(b.Items)-1].Rev
+		if len(p.Sums) > 0 {
+			p = f.differing()
+		} else {
+			p.After = b.Items[len(b.Items)-1].Rev
+		}
 	}
 }
 
-// start asks peers until the router is ready.
+// differing asks for what another store has and this one doesn't.
+func (f *Follow) differing() rwpull.Pull {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return rwpull.Pull{Sums: f.store.Sums()}
+}
+
+func (f *Follow) empty() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store.Empty()
+}
+
+// start asks peers until the router is ready: when a peer has answered and
+// others were asked for what differs, or when no peer is left to ask.
 func (f *Follow) start(ctx context.Context) {
-	tried, answered := map[string]bool{}, false
+	tried, answered, compared := map[string]bool{}, false, false
 	for ctx.Err() == nil {
+		p, batch := rwpull.Pull{}, startFull
+		if !f.empty() {
+			p, batch = f.differing(), startBatch
+			compared = true
+		}
 		addrs := f.untried(tried)
-		addrs = addrs[:min(startBatch, len(addrs))]
+		addrs = addrs[:min(batch, len(addrs))]
 		for _, a := range addrs {
 			tried[a] = true
 		}
-		answered = f.askPeers(ctx, addrs) || answered
-		f.mu.Lock()
-		empty := f.store.Empty()
-		f.mu.Unlock()
-		if !empty && (answered || len(f.untried(tried)) == 0) {
+		answered = f.askPeers(ctx, addrs, p) || answered
+		empty := f.empty()
+		if !empty && ((answered && compared) || len(f.untried(tried)) == 0) {
 			f.ready.Store(true)
 			rwlog.Info(&f.log, rwlog.Ready).Int64("rev", f.View().Rev()).Send()
 			return
@@ -481,14 +509,14 @@
 }
 
 // askPeers asks all the addresses and reports whether one answered.
-func (f *Follow) askPeers(ctx context.Context, addrs []string) bool {
+func (f *Follow) askPeers(ctx context.Context, addrs []string, p rwpull.Pull) bool {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var answered atomic.Bool
 	var calls sync.WaitGroup
 	for _, a := range addrs {
 		calls.Go(func() {
-			if _, err := f.pull(ctx, a, rwpull.Pull{}); err == nil {
+			if _, err := f.pull(ctx, a, p); err == nil {
 				answered.Store(true)
 			}
 		})
--- a/internal/rwfollow/rwfollow_test.go
+++ b/internal/rwfollow/rwfollow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -75,7 +76,7 @@
 		require.NoError(t, l.Close())
 		f.names = append(f.names, name)
 		f.addrs[name] = l.Addr().String()
-		f.replicas.Publish(record("vm", name, 1, map[string]any{"addr": f.addrs[name], "zone": f.zone(name), "region": "main", "state": "live"}))
+		f.replicas.Publish(record("vm", name, 1, map[string]any{"addr": f.addrs[name], "http": f.addrs[name], "zone": f.zone(name), "region": "main", "state": "live"}))
 	}
 	return f
 }
@@ -385,3 +386,41 @@
 		require.Less(t, n, 20_000)
 	}
 }
+
+// Guards against a starting router that fetches all records from every peer
+// that it asks: eight copies of these 500 records were 208 KB after compression.
+func TestStartFetchesFewCopies(t *testing.T) {
+	const accounts = 500
+	f := newFleet(t, 10)
+	var items []rwrecord.Record
+	for i := range accounts {
+		name := fmt.Sprint("account", i)
+		keys := []string{fmt.Sprintf("%x", sha256.Sum256([]byte(name)))}
+		items = append(items, record("account", name, 1, map[string]any{"share": 1, "keys": keys}))
+	}
+	f.replicas.Publish(items...)
+	f.startAll()
+	f.routers["r9"].stop()
+	f.replicas.Set("r9", rwreplica.Down)
+	var addrs []string
+	for _, name := range f.names[:9] {
+		addrs = append(addrs, f.addrs[name])
+	}
+	before := f.sent(f.names[:9])
+	r := f.start("r9", addrs...)
+	f.eventually(startBound, "not ready", func(r *router) bool { return r.follow.Ready() })
+	got := f.sent(f.names[:9]) - before
+	require.Len(t, r.follow.View().Accounts(), accounts)
+	data, err := json.Marshal(rwbundle.Bundle{Items: items})
+	require.NoError(t, err)
+	t.Logf("peers sent %d bytes after compression; one copy has %d bytes before it", got, len(data))
+	require.Less(t, got, len(data)*3/2)
+}
+
+func (f *fleet) sent(names []string) int {
+	sum := 0
+	for _, name := range names {
+		sum += count(f.routers[name], "peer_bytes_sent")
+	}
+	return sum
+}
--- a/test/rwbubble/rwbubble.go
+++ b/test/rwbubble/rwbubble.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"redwingworks.example/internal/rwcell"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfair"
+	"redwingworks.example/internal/rwframe"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwkind"
 	"redwingworks.example/internal/rwmessage"
@@ -28,13 +30,18 @@
 const (
 	// framing is the JSON-RPC envelope of one message in bytes.
 	framing = 45
-	tick    = 50 * time.Millisecond
+	// maxMessage is the limit of the links in bytes.
+	maxMessage = 1_200_000
+	tick       = 50 * time.Millisecond
 )
 
 // Fleet is a set of routers and engines in one process.
 type Fleet struct {
 	// Delay is the one-way time of a message.
 	Delay time.Duration
+	// Compress makes Framed count. It is set before Start. Without it the
+	// large tests need no processor time for compression.
+	Compress bool
 
 	ctx     context.Context
 	view    *rwsnapshot.Snapshot
@@ -49,6 +56,9 @@
 	bytes   map[string]int64
 	count   map[string]int64
 	refused map[rwcode.Code]int
+	// codecs holds one codec for each ordered pair of routers.
+	codecs map[[2]string]*rwframe.Codec
+	framed map[string]map[string]int64
 }
 
 type router struct {
@@ -71,6 +81,8 @@
 		bytes:   map[string]int64{},
 		count:   map[string]int64{},
 		refused: map[rwcode.Code]int{},
+		codecs:  map[[2]string]*rwframe.Codec{},
+		framed:  map[string]map[string]int64{},
 	}
 	f.cells = rwcell.All(f.view, cellSize)
 	for _, u := range ups {
@@ -155,6 +167,7 @@
 	if from.Name != to.Name {
 		f.bytes[from.Name] += int64(len(data)) + framing
 		f.count[method]++
+		f.addFramed(from.Name, to.Name, method, data)
 		if f.loss > 0 && f.random.Float64() < f.loss {
 			return
 		}
@@ -169,6 +182,52 @@
 	time.AfterFunc(delay, func() { f.deliver(from, to, method, data) })
 }
 
+// notice has the JSON form of a JSON-RPC notification.
+type notice struct {
+	Version string          `json:"jsonrpc"`
+	Method  string          `json:"method"`
+	Params  json.RawMessage `json:"params"`
+}
+
+// addFramed counts a message as a link sends it. A lost message was written to
+// its link too.
+func (f *Fleet) addFramed(from, to, method string, data []byte) {
+	if !f.Compress {
+		return
+	}
+	link := [2]string{from, to}
+	if f.codecs[link] == nil {
+		f.codecs[link] = rwframe.New(maxMessage)
+	}
+	if f.framed[from] == nil {
+		f.framed[from] = map[string]int64{}
+	}
+	var n counter
+	if err := f.codecs[link].WriteObject(&n, notice{"2.0", method, data}); err != nil {
+		panic(err)
+	}
+	f.framed[from][method] += int64(n)
+}
+
+type counter int
+
+func (c *counter) Write(p []byte) (int, error) {
+	*c += counter(len(p))
+	return len(p), nil
+}
+
+// Framed returns the bytes that each router sent by method, after compression.
+// Messages to itself don't count.
+func (f *Fleet) Framed() map[string]map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]map[string]int64{}
+	for name, methods := range f.framed {
+		out[name] = maps.Clone(methods)
+	}
+	return out
+}
+
 func (f *Fleet) deliver(from, to rwidentity.Identity, method string, data []byte) {
 	f.mu.Lock()
 	r := f.routers[to.Name]
