--- /dev/null
+++ b/test/rwcapacity/processor_test.go
@@ -0,0 +1,360 @@
+//go:build capacity
+
+package rwcapacity_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwbacklog"
+	"redwingworks.example/internal/rwcell"
+	"redwingworks.example/internal/rwdemand"
+	"redwingworks.example/internal/rwfair"
+	"redwingworks.example/internal/rwgrant"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwlist"
+	"redwingworks.example/internal/rwmember"
+	"redwingworks.example/internal/rwmessage"
+	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwonce"
+	"redwingworks.example/internal/rwowner"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwprobe"
+	"redwingworks.example/internal/rwqueue"
+	"redwingworks.example/internal/rwrecord"
+	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwsnapshot"
+	"redwingworks.example/internal/rwspent"
+	"redwingworks.example/internal/rwstore"
+	"redwingworks.example/internal/rwtotal"
+	"redwingworks.example/internal/rwvm"
+)
+
+const fleetKey = "0123456789abcdef"
+
+// used is the processor time of this process. Wall time would count what other
+// processes of a shared machine take.
+func used() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// perCall returns the processor time of one call in microseconds, garbage
+// collection included: the least of five rounds, since disturbance only adds.
+func perCall(do func()) float64 {
+	const round = 60 * time.Millisecond
+	best := 0.0
+	for range 5 {
+		n, begin := 0, used()
+		for used()-begin < round {
+			do()
+			n++
+		}
+		v := float64((used() - begin).Microseconds()) / float64(n)
+		if best == 0 || v < best {
+			best = v
+		}
+	}
+	return best
+}
+
+// perSmall is perCall for calls that are short beside the reading of the clock.
+func perSmall(do func()) float64 {
+	const batch = 200
+	return perCall(func() {
+		for range batch {
+			do()
+		}
+	}) / batch
+}
+
+// full is the configuration in two years with the routers of one region.
+type full struct {
+	store *rwstore.Store
+	view  *rwsnapshot.Snapshot
+	cells []rwcell.Cell
+	live  []rwidentity.Identity
+	self  rwidentity.Identity
+}
+
+func newFull(t testing.TB, tenths int) *full {
+	f := &full{store: rwstore.New()}
+	_, faults := f.store.Adopt(configuration(tenths))
+	require.Empty(t, faults)
+	f.view = f.store.View()
+	f.self = routerID(0)
+	f.cells = rwcell.InRegion(rwcell.All(f.view, cellSize), f.view, f.self.Region)
+	for i := range nodes * tenths / 10 {
+		if id := routerID(i); id.Region == f.self.Region {
+			f.live = append(f.live, id)
+		}
+	}
+	return f
+}
+
+// owner returns an owner at the router with the most cells, past its settling.
+func (f *full) owner(now time.Time) (*rwowner.Owner, rwidentity.Identity) {
+	owned := map[string]int{}
+	top := f.live[0]
+	for _, c := range f.cells {
+		r, _ := c.Owner(f.live)
+		owned[r.Name]++
+		if owned[r.Name] > owned[top.Name] {
+			top = r
+		}
+	}
+	o := rwowner.New(top)
+	o.Send = func(rwidentity.Identity, string, *rwmessage.Message) {}
+	o.Update(now, f.view, f.cells, f.live)
+	return o, top
+}
+
+// busy is an owner whose cell has many backlogged accounts, and its grants.
+type busy struct {
+	o      *rwowner.Owner
+	cell   string
+	grants []rwgrant.Grant
+	from   rwidentity.Identity
+	now    time.Time
+}
+
+func newBusy(f *full, lines int) *busy {
+	now := time.Unix(1_700_000_000, 0)
+	b := &busy{from: f.live[1], now: now}
+	b.o, _ = f.owner(now)
+	b.o.Send = func(_ rwidentity.Identity, method string, m *rwmessage.Message) {
+		if method == rwmessage.Grant {
+			b.grants = append(b.grants, m.Grants...)
+		}
+	}
+	b.cell = b.o.Owns()[0]
+	for _, r := range f.live {
+		b.o.Sync(now, r, &rwmessage.Message{Cell: b.cell})
+	}
+	b.now = now.Add(10 * time.Second)
+	m := &rwmessage.Message{Cell: b.cell}
+	for i := range lines {
+		m.Levels = append(m.Levels, rwbacklog.Backlog{Account: accountName(i * 7), Kind: "kind-00", Count: 1 << 30})
+	}
+	b.o.Want(b.now, b.from, m)
+	b.o.Tick(b.now)
+	return b
+}
+
+// turn is the end of a request with a changed level, and the grant that
+// follows.
+func (b *busy) turn() {
+	b.now = b.now.Add(time.Millisecond)
+	g := b.grants[0]
+	b.grants = b.grants[1:]
+	b.o.Want(b.now, b.from, &rwmessage.Message{
+		Cell:   b.cell,
+		Levels: []rwbacklog.Backlog{{Account: g.Account, Kind: g.Kind, Count: 1 << 30}},
+		Done:   []rwspent.Spent{{ID: g.ID, Cost: 300, First: 100 * time.Millisecond, Total: 19 * time.Second}},
+	})
+}
+
+func (b *busy) report(n int) func() {
+	total := 0.0
+	return func() {
+		total += 300
+		m := &rwmessage.Message{Cell: "other", Inc: 1}
+		for i := range n {
+			m.Totals = append(m.Totals, rwtotal.Total{Account: accountName(i * 7), Cost: total, Lead: 1})
+		}
+		b.o.Report(b.now, m)
+	}
+}
+
+// entryTurn is the way of a request through the entry's queue.
+func entryTurn(f *full) func() {
+	d, q := rwdemand.New(1), rwqueue.New()
+	var targets []rwdemand.Target
+	for _, c := range f.cells {
+		o, _ := c.Owner(f.live)
+		targets = append(targets, rwdemand.Target{Name: c.Name, Pools: c.Pools, Owner: rwcell.OwnerKey(o), Near: c.Zone == f.self.Zone})
+	}
+	d.SetCells(targets)
+	now, i := time.Unix(1_700_000_000, 0), 0
+	going := func(string) bool { return false }
+	turn := func(l rwqueue.Line, pool string) {
+		n, hint := q.Length(l)
+		d.SetLine(now, l, pool, n, hint)
+		now = now.Add(10 * time.Millisecond)
+		d.Due(now, going)
+	}
+	return func() {
+		i++
+		pool := fmt.Sprintf("model-%02d", i%models)
+		r := &rwrequest.Request{ID: fmt.Sprint(i), Account: accountName(i % accounts), Kind: "kind-00", Pool: pool, Urgency: 1}
+		l := rwqueue.Line{Account: r.Account, Kind: r.Kind}
+		if _, err := q.Push(now, r); err != nil {
+			panic(err)
+		}
+		turn(l, pool)
+		q.Take(now, r.Account, r.Kind, []string{pool})
+		turn(l, pool)
+	}
+}
+
+// linkCost is the processor time of one message in microseconds at both ends
+// together, with the codec, JSON and the sockets.
+func linkCost(t *testing.T, method string, params any, decode func(json.RawMessage)) float64 {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	a := rwpeer.New(routerID(0), fleetKey, nil, zerolog.Nop(), rwmetric.New())
+	b := rwpeer.New(routerID(1), fleetKey, nil, zerolog.Nop(), rwmetric.New())
+	got := make(chan struct{}, 1)
+	b.Handle(method, func(_ context.Context, _ rwidentity.Identity, raw json.RawMessage) (any, error) {
+		decode(raw)
+		got <- struct{}{}
+		return nil, nil
+	})
+	go func() { _ = b.Serve(ctx, l) }()
+	return perCall(func() {
+		a.Notify(l.Addr().String(), method, params)
+		<-got
+	})
+}
+
+func decodeMessage(raw json.RawMessage) {
+	var m rwmessage.Message
+	if err := json.Unmarshal(raw, &m); err != nil {
+		panic(err)
+	}
+}
+
+func decodeProbe(raw json.RawMessage) {
+	if _, err := rwprobe.Decode(raw); err != nil {
+		panic(err)
+	}
+}
+
+// members is a membership that knows n others.
+func members(n int) (*rwmember.Members, []rwvm.VM) {
+	m := rwmember.New(routerID(0), 1)
+	var list []rwvm.VM
+	for i := range n {
+		id := routerID(i)
+		list = append(list, rwvm.VM{Name: id.Name, Addr: id.Addr, Zone: id.Zone, Region: id.Region})
+	}
+	m.Publish(list)
+	now := time.Unix(1_700_000_000, 0)
+	m.Tick(now)
+	for i := 1; i < n; i++ {
+		id := routerID(i)
+		m.Receive(now, id, rwprobe.Probe{Name: id.Name, Inc: id.Inc, Rev: 5, Sum: 7})
+	}
+	return m, list
+}
+
+// machine is the home of keys at the full size.
+func machine(now time.Time) *rwonce.Machine {
+	m := rwonce.New(routerID(0), rwonce.Config{Hold: time.Nanosecond}, now)
+	var names []string
+	for i := range nodes {
+		names = append(names, routerID(i).Name)
+	}
+	m.SetList(now, rwlist.New(5, names, names), 10*time.Minute)
+	m.Tick(now.Add(time.Second))
+	return m
+}
+
+// costs are processor times in microseconds at the full size.
+type costs struct {
+	link, probeLink, report, entry, owner, merge, probe, adopt, cells, fair, ownerConfig, ownerMember, memberTick, ownerTick, onceTick float64
+}
+
+// TestProcessor measures processor time.
+func TestProcessor(t *testing.T) { processorCosts(t) }
+
+func processorCosts(t *testing.T) costs {
+	f := newFull(t, 10)
+	want := &rwmessage.Message{
+		Cell:   "model-01/zone-1/0",
+		Levels: []rwbacklog.Backlog{{Account: accountName(77), Kind: "kind-01", Count: 3, Hint: 300}},
+		Done:   []rwspent.Spent{{ID: 123456, Cost: 317, First: 120 * time.Millisecond, Total: 19 * time.Second}},
+	}
+	var c costs
+	c.link = linkCost(t, rwmessage.Want, want, decodeMessage)
+	long := &rwmessage.Message{Cell: "model-01/zone-1/0", Inc: 1_700_000_000_000_000}
+	for i := range 16 {
+		long.Totals = append(long.Totals, rwtotal.Total{Account: accountName(i), Cost: float64(100000 + i), Lead: float64(i)})
+	}
+	c.report = linkCost(t, rwmessage.Report, long, decodeMessage)
+	id := routerID(2)
+	probe := rwprobe.Probe{Name: id.Name, Inc: id.Inc, Rev: 123456, Sum: 1 << 52}
+	c.probeLink = linkCost(t, "ping", probe, decodeProbe)
+	c.entry = perSmall(entryTurn(f))
+	b := newBusy(f, 28)
+	require.NotEmpty(t, b.grants)
+	c.owner = perSmall(b.turn)
+	c.merge = perSmall(b.report(16))
+	c.ownerTick = perCall(func() { b.now = b.now.Add(50 * time.Millisecond); b.o.Tick(b.now) })
+	m, _ := members(nodes)
+	now := time.Unix(1_700_000_001, 0)
+	c.probe = perSmall(func() { m.Receive(now, id, probe) })
+	c.memberTick = perSmall(func() { now = now.Add(time.Microsecond); m.Tick(now) })
+	rev := int64(records)
+	c.adopt = perCall(func() {
+		rev++
+		if news, _ := f.store.Adopt([]rwrecord.Record{accountRecord(5, rev)}); len(news) != 1 {
+			panic("no news")
+		}
+	})
+	c.cells = perCall(func() { rwcell.InRegion(rwcell.All(f.view, cellSize), f.view, f.self.Region) })
+	p := rwfair.New(f.self, 1)
+	c.fair = perCall(func() { p.Update(f.cells, f.live) })
+	o, top := f.owner(now)
+	c.ownerConfig = perCall(func() { o.Update(now, f.view, f.cells, f.live) })
+	var other []rwidentity.Identity
+	for _, r := range f.live {
+		if r.Name != top.Name && len(other) == 0 {
+			r.Inc++
+		}
+		other = append(other, r)
+	}
+	flip := false
+	c.ownerMember = perCall(func() {
+		flip = !flip
+		live := f.live
+		if flip {
+			live = other
+		}
+		o.Update(now, f.view, f.cells, live)
+	})
+	h := machine(now)
+	at := now
+	c.onceTick = perCall(func() { at = at.Add(100 * time.Millisecond); h.Tick(at) })
+	tb := newTable("processor", "measured at the full size", "µs of processor time")
+	tb.add("one `want` over a link, both ends, with codec, JSON and sockets", c.link)
+	tb.add("one `report` of 16 accounts over a link, both ends", c.report)
+	tb.add("one `ping` over a link, both ends", c.probeLink)
+	tb.add("a request through the entry's queue and levels", c.entry)
+	tb.add("the end of a request at the owner, with the decision about the next", c.owner)
+	tb.add("merge of a report of 16 accounts", c.merge)
+	tb.add("a probe in membership", c.probe)
+	tb.add("adoption of one record among "+fmt.Sprint(records), c.adopt)
+	tb.add("`rwcell.All` and `InRegion`", c.cells)
+	tb.add("`rwfair.Update`", c.fair)
+	tb.add("`rwowner.Update` after a change of the configuration, router with most cells", c.ownerConfig)
+	tb.add("`rwowner.Update` after a change of a member", c.ownerMember)
+	tb.add("tick of the membership, 20 a second", c.memberTick)
+	tb.add("tick of the owner, 20 a second", c.ownerTick)
+	tb.add("tick of the home, 10 a second", c.onceTick)
+	tb.write(t)
+	return c
+}
--- /dev/null
+++ b/test/rwcapacity/slots_test.go
@@ -0,0 +1,256 @@
+//go:build capacity
+
+package rwcapacity_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingworks.example/internal/rwaccount"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwkind"
+	"redwingworks.example/internal/rwmessage"
+	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwupstream"
+	"redwingworks.example/test/rwbubble"
+)
+
+const (
+	// A server has a quarter of its 160 streams and of the 60 ms between
+	// tokens. That leaves its 8.5 requests a second as they are and shortens
+	// the time until a run is steady.
+	scale      = 4
+	window     = 160 / scale
+	step       = 60 * time.Millisecond / scale
+	meanTokens = 314
+	// tokenCap cuts the longest of the exponentially distributed answers.
+	tokenCap = 2000
+	warm     = 8 * time.Second
+	measured = 12 * time.Second
+)
+
+// point is one run of rwbubble.
+type point struct {
+	nodes, accounts, backlogged, upstreams, pools int
+	// depth is the number of requests that backlogged accounts keep running
+	// or waiting, in units of the slots.
+	depth int
+	// load is the part of the capacity that arrives, 0 to keep the backlogged
+	// accounts waiting all the time.
+	load float64
+}
+
+var base = point{nodes: 12, accounts: 64, backlogged: 16, upstreams: 12, pools: 1, depth: 2}
+
+// traffic is what a run sent, after compression by rwframe.
+type traffic struct {
+	// requests is the rate of requests of the whole fleet.
+	requests float64
+	// entry, grant, report and other are bytes per second of the whole fleet,
+	// messages their number.
+	entry, grant, report, other, messages float64
+}
+
+func (tr traffic) all() float64 { return tr.entry + tr.grant + tr.report + tr.other }
+
+func (p point) run(t *testing.T) traffic {
+	var out traffic
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f, names := p.start(ctx)
+		done := p.arrivals(ctx, f, names)
+		time.Sleep(warm)
+		bytes, count, before := f.Framed(), messages(f), done()
+		time.Sleep(measured)
+		seconds := measured.Seconds()
+		out.requests = float64(done()-before) / seconds
+		out.messages = float64(messages(f)-count) / seconds
+		for name, methods := range f.Framed() {
+			for method, n := range methods {
+				rate := float64(n-bytes[name][method]) / seconds
+				switch method {
+				case rwmessage.Want, rwmessage.Sync:
+					out.entry += rate
+				case rwmessage.Grant:
+					out.grant += rate
+				case rwmessage.Report:
+					out.report += rate
+				default:
+					out.other += rate
+				}
+			}
+		}
+		cancel()
+		time.Sleep(time.Second) // lets all goroutines of the bubble end
+	})
+	return out
+}
+
+func messages(f *rwbubble.Fleet) int64 {
+	_, count := f.Traffic()
+	sum := int64(0)
+	for _, n := range count {
+		sum += n
+	}
+	return sum
+}
+
+func (p point) start(ctx context.Context) (*rwbubble.Fleet, []string) {
+	var list []rwaccount.Account
+	for i := range p.accounts {
+		list = append(list, rwaccount.Account{Name: accountName(i), Weight: rwaccount.WeightUnit})
+	}
+	var kinds []rwkind.Kind
+	for i := range p.pools {
+		kinds = append(kinds, rwkind.Kind{Name: fmt.Sprint("kind-", i), Urgency: 1, Pool: fmt.Sprint("model-", i), Idempotent: true})
+	}
+	var ups []rwupstream.Upstream
+	for i := range p.upstreams {
+		ups = append(ups, rwupstream.Upstream{
+			Name: fmt.Sprintf("engine-%03d", i), Pools: []string{fmt.Sprint("model-", i%p.pools)},
+			Zone: zoneName(i / p.pools), Window: window, Engine: true,
+		})
+	}
+	f := rwbubble.New(ctx, 1, list, kinds, ups, cellSize, step)
+	f.Compress = true
+	var live []rwidentity.Identity
+	var names []string
+	for i := range p.nodes {
+		name := fmt.Sprintf("router-%03d", i)
+		live, names = append(live, f.Start(name, zoneName(i))), append(names, name)
+	}
+	for _, name := range names {
+		f.SetLive(name, live)
+	}
+	return f, names
+}
+
+func accountName(i int) string { return fmt.Sprintf("account-%04d", i) }
+
+func zoneName(i int) string { return fmt.Sprint("zone-", i%(zones/regions)) }
+
+// arrivals starts the requests and returns a function that counts those that
+// ended.
+func (p point) arrivals(ctx context.Context, f *rwbubble.Fleet, names []string) func() int64 {
+	counts := make(chan int64, 1)
+	counts <- 0
+	request := func(r *rand.Rand, account int, id string) {
+		pool := r.IntN(p.pools)
+		q := &rwrequest.Request{
+			ID: id, Account: accountName(account), Kind: fmt.Sprint("kind-", pool), Pool: fmt.Sprint("model-", pool),
+			Idempotent: true, Urgency: 1,
+		}
+		tokens := min(max(int(r.ExpFloat64()*meanTokens), 1), tokenCap)
+		if f.Request(ctx, names[r.IntN(len(names))], q, tokens) != nil {
+			time.Sleep(100 * time.Millisecond)
+			return
+		}
+		counts <- <-counts + 1
+	}
+	capacity := float64(p.upstreams) * serverRate
+	if p.load > 0 {
+		go poisson(ctx, p.load*capacity, 1, func(r *rand.Rand, i int) {
+			request(r, r.IntN(p.accounts), fmt.Sprint("open-", i))
+		})
+		return func() int64 { n := <-counts; counts <- n; return n }
+	}
+	// Every account, backlogged or not, sends a tenth of the capacity in all.
+	go poisson(ctx, capacity/10, 1, func(r *rand.Rand, i int) {
+		request(r, r.IntN(p.accounts), fmt.Sprint("open-", i))
+	})
+	each := p.depth * p.upstreams * window / p.backlogged
+	for a := range p.backlogged {
+		for n := range each {
+			r := rand.New(rand.NewPCG(uint64(a), uint64(n)))
+			go func() {
+				for i := 0; ctx.Err() == nil; i++ {
+					request(r, a, fmt.Sprint("closed-", a, "-", n, "-", i))
+				}
+			}()
+		}
+	}
+	return func() int64 { n := <-counts; counts <- n; return n }
+}
+
+// poisson calls do in a goroutine of its own at random times.
+func poisson(ctx context.Context, rate float64, seed uint64, do func(r *rand.Rand, i int)) {
+	r := rand.New(rand.NewPCG(seed, 9))
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+		own := rand.New(rand.NewPCG(seed, uint64(i)))
+		go do(own, i)
+	}
+}
+
+// sweep is one variable and its points.
+type sweep struct {
+	name   string
+	values []int
+	with   func(p point, v int) point
+}
+
+var sweeps = []sweep{
+	{"nodes", []int{12, 24, 48, 96, nodes / regions}, func(p point, v int) point { p.nodes = v; return p }},
+	{"depth at 48 nodes", []int{2, 3, 4, 6}, func(p point, v int) point { p.nodes, p.depth = 48, v; return p }},
+	{"accounts", []int{32, 64, 128, 256}, func(p point, v int) point { p.accounts = v; return p }},
+	{"backlogged accounts", []int{4, 8, 16, 32}, func(p point, v int) point { p.backlogged = v; return p }},
+	{"upstreams", []int{4, 8, 12, 20}, func(p point, v int) point { p.upstreams = v; return p }},
+	{"models", []int{1, 2, 3, 4}, func(p point, v int) point { p.pools = v; return p }},
+	{"load in % of capacity", []int{20, 40, 60, 80}, func(p point, v int) point { p.load = float64(v) / 100; return p }},
+}
+
+// slopes are the costs of slots, in bytes after compression.
+type slopes struct {
+	// entry and grant are bytes per request while all pools are backlogged,
+	// report bytes per second and cell, messages per request.
+	entry, grant, report, messages float64
+}
+
+// TestSlots measures the messages about slots.
+func TestSlots(t *testing.T) { slotSlopes(t) }
+
+func slotSlopes(t *testing.T) slopes {
+	var out slopes
+	points := newTable("slot points", "varied", "value", "requests/s", "messages a request", "bytes a request: entry", "owner", "reports", "all", "B/s a node")
+	fits := newTable("slot fits", fitHead...)
+	for _, s := range sweeps {
+		var x, entry, grant, report, rate, all, perNode []float64
+		for _, v := range s.values {
+			p := s.with(base, v)
+			tr := p.run(t)
+			r := tr.requests
+			points.add(s.name, v, r, tr.messages/r, tr.entry/r, tr.grant/r, tr.report/r, tr.all()/r, tr.all()/float64(p.nodes))
+			x, entry, grant = append(x, float64(v)), append(entry, tr.entry/r), append(grant, tr.grant/r)
+			report, rate, all = append(report, tr.report), append(rate, r/float64(p.nodes)), append(all, tr.all()/r)
+			perNode = append(perNode, tr.all()/float64(p.nodes))
+			if s.name == "nodes" {
+				// The largest number of nodes is nearest to the links of the
+				// whole size, over which few messages share a frame.
+				out = slopes{entry: tr.entry / r, grant: tr.grant / r, report: tr.report / 3, messages: tr.messages / r}
+			}
+		}
+		if s.name == "nodes" {
+			// The cost rises with the part of the links that a level is
+			// alone on, which grows ever more slowly.
+			s.name = "log2 of the nodes"
+			for i := range x {
+				x[i] = math.Log2(x[i])
+			}
+		}
+		fits.fitted("entry, bytes a request, by "+s.name, x, entry)
+		fits.fitted("owner, bytes a request, by "+s.name, x, grant)
+		fits.fitted("reports, B/s in all, by "+s.name, x, report)
+		fits.fitted("all, bytes a request, by "+s.name, x, all)
+		if s.name == "upstreams" || s.name == "load in % of capacity" {
+			fits.fitted("all, B/s a node, by requests/s a node, varying "+s.name, rate, perNode)
+		}
+	}
+	points.write(t)
+	fits.write(t)
+	return out
+}
