Let requests wait for the first cells of a router that has started

During a rolling replacement of 8 routers, plain calls with keys failed with no_upstream/not_run: 28 of them in one run of test/rwdrain. Cause: other routers forward calls to the home of a key as soon as its links are up, which is over a second before it has worked out its cells. The policy had no cell of the pool and refused.

Now requests wait until the first cells are known; after that a pool without cells is refused as before. The unit test failed before.

--- a/internal/rwfair/rwfair.go
+++ b/internal/rwfair/rwfair.go
@@ -53,13 +53,16 @@
 
 	kick chan struct{}
 
-	mu      sync.Mutex
-	queue   *rwqueue.Queue
-	demand  *rwdemand.Demand
-	cells   map[string]target
-	waiting map[*rwrequest.Request]chan result
-	running map[grantKey]*running
-	outbox  map[rwidentity.Identity]map[string]*rwmessage.Message
+	mu     sync.Mutex
+	queue  *rwqueue.Queue
+	demand *rwdemand.Demand
+	cells  map[string]target
+	// assigned is set with the first cells. Until then requests wait: a
+	// router that has started gets forwarded calls before it knows its cells.
+	assigned bool
+	waiting  map[*rwrequest.Request]chan result
+	running  map[grantKey]*running
+	outbox   map[rwidentity.Identity]map[string]*rwmessage.Message
 	// usage waits for another message to the same cell, at most until
 	// usageDue.
 	usage    map[grantKey]float64
@@ -123,6 +126,7 @@
 		})
 	}
 	p.demand.SetCells(targets)
+	p.assigned = true
 	p.wake()
 }
 
@@ -157,7 +161,7 @@
 func (p *Policy) enter(r *rwrequest.Request) (chan result, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.serves(r.Pool) {
+	if p.assigned && !p.serves(r.Pool) {
 		return nil, rwfault.New(rwcode.NoUpstream, r.Pool).WithRetryAfter(noUpstreamRetry)
 	}
 	evicted, err := p.queue.Push(p.Now(), r)
--- /dev/null
+++ b/internal/rwfair/rwfair_test.go
@@ -0,0 +1,35 @@
+package rwfair_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfair"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwrequest"
+)
+
+// Guards against a router that has just started and refuses forwarded calls
+// with no_upstream because it has not worked out its cells yet, and against
+// one that lets requests for a pool without cells wait for ever.
+func TestRequestsWaitForTheFirstCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := rwfair.New(rwidentity.Identity{Name: "ra", Zone: "za"}, 1)
+		p.Now = time.Now
+		q := &rwrequest.Request{ID: "1", Account: "varna", Kind: "order", Pool: "orders", Arrived: time.Now()}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := p.Acquire(ctx, q)
+		require.True(t, rwfault.Is(err, rwcode.DeadlineExceeded), "%v", err)
+		require.Equal(t, context.DeadlineExceeded, ctx.Err())
+		p.Update(nil, nil)
+		_, err = p.Acquire(t.Context(), q)
+		require.True(t, rwfault.Is(err, rwcode.NoUpstream), "%v", err)
+	})
+}
--- /dev/null
+++ b/test/rwdrain/rwdrain_test.go
@@ -0,0 +1,324 @@
+// Package rwdrain_test holds tests of graceful shutdown with real processes.
+package rwdrain_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwrecord"
+	"redwingworks.example/internal/rwview"
+	"redwingworks.example/test/rwanswer"
+	"redwingworks.example/test/rwbalancer"
+	"redwingworks.example/test/rwcaller"
+	"redwingworks.example/test/rwclient"
+	"redwingworks.example/test/rwfleet"
+	"redwingworks.example/test/rwflow"
+	"redwingworks.example/test/rwjob"
+	"redwingworks.example/test/rwreport"
+	"redwingworks.example/test/rwtoday"
+	"redwingworks.example/test/rwverdict"
+	"redwingworks.example/test/rwworkload"
+)
+
+const (
+	// bin is where make build puts the programs.
+	bin = "../../bin"
+	// notice is how late the balancer notices that a router is not ready;
+	// its polls take up to 100 ms more. The rest of drain is a reserve for a
+	// busy machine.
+	notice = 500 * time.Millisecond
+	drain  = 1500 * time.Millisecond
+	// exitLimit only keeps a router that never ends from blocking the test.
+	exitLimit = 40 * time.Second
+	// step and longest give streams of up to 2 s.
+	step    = 10 * time.Millisecond
+	longest = 200
+	// loadName begins the keys that callers make.
+	loadName = "drain"
+)
+
+// rig is a fleet under load from all accounts.
+type rig struct {
+	t        *testing.T
+	ctx      context.Context
+	fleet    *rwtoday.Today
+	balancer *rwbalancer.Balancer
+	report   *rwreport.Report
+	stop     func()
+
+	mu      sync.Mutex
+	answers []ended
+}
+
+type ended struct {
+	job    rwjob.Job
+	answer rwanswer.Answer
+}
+
+// start starts a fleet and its load, which runs until stop is called. It
+// returns when each kind of request has been answered once.
+func start(t *testing.T) *rig {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	t.Cleanup(cancel)
+	r := &rig{t: t, ctx: ctx, fleet: rwtoday.New(bin, t.TempDir()), report: rwreport.New()}
+	r.fleet.Step, r.fleet.Drain = step, drain
+	t.Cleanup(r.fleet.Close)
+	require.NoError(t, r.fleet.Start(ctx))
+	for _, p := range r.fleet.Routers {
+		r.waitKeys(p)
+	}
+	r.balancer = rwbalancer.New(r.fleet.Addrs(), false, notice)
+	go r.balancer.Run(ctx)
+	loadCtx, stop := context.WithCancel(ctx)
+	var load sync.WaitGroup
+	load.Go(func() { r.load(loadCtx) })
+	r.stop = func() {
+		stop()
+		load.Wait()
+	}
+	t.Cleanup(r.stop)
+	return r
+}
+
+// waitKeys waits until calls with keys run through a router: a new fleet holds
+// them for a while.
+func (r *rig) waitKeys(p *rwfleet.Proc) {
+	caller := rwcaller.New(func(string, ...string) string { return p.Addr }, 0)
+	defer caller.Close()
+	c := r.fleet.Clients[0]
+	for good, n := 0, 0; good < len(r.fleet.Routers); n++ {
+		key := fmt.Sprintf("first-%s-%d", p.Name, n)
+		a := caller.Send(r.ctx, rwjob.Job{Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Order, Pool: rwtoday.OrderPool, Key: key, Body: `"x"`})
+		good++
+		if a.Verdict != rwverdict.Whole {
+			require.NoError(r.t, r.ctx.Err(), "calls with keys don't run: %+v", a)
+			good = 0
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func flows(clients []rwclient.Client) []rwflow.Flow {
+	var out []rwflow.Flow
+	for _, c := range clients {
+		f := rwflow.Flow{Account: c.Name, CallerKey: c.Key}
+		for _, kind := range rwtoday.Kinds {
+			m := f
+			m.Kind, m.Pool, m.Engine = kind, rwtoday.ModelPool, true
+			m.Waiting, m.MinTokens, m.MaxTokens = 1, 1, longest
+			out = append(out, m)
+		}
+		lookup, keyed, ticket := f, f, f
+		lookup.Kind, lookup.Pool, lookup.Rate = rwtoday.Lookup, rwtoday.OrderPool, 2
+		keyed.Kind, keyed.Pool, keyed.Rate, keyed.Keyed = rwtoday.Order, rwtoday.OrderPool, 2, true
+		ticket.Kind, ticket.Pool, ticket.Rate = rwtoday.Order, rwtoday.OrderPool, 1
+		out = append(out, lookup, keyed, ticket)
+	}
+	return out
+}
+
+// load sends requests until the context ends and then waits for the answers to
+// those in progress.
+func (r *rig) load(ctx context.Context) {
+	caller := rwcaller.New(r.balancer.Pick, 0)
+	defer caller.Close()
+	w := &rwworkload.Workload{Seed: 1, Name: loadName, Flows: flows(r.fleet.Clients)}
+	w.Send = func(_ context.Context, j rwjob.Job) bool {
+		a := rwanswer.Answer{Verdict: rwverdict.Refused, Code: "no_ticket"}
+		if j.Kind == rwtoday.Order && j.Key == "" {
+			j.Key = r.ticket(j)
+		}
+		if j.Kind != rwtoday.Order || j.Key != "" {
+			a = caller.Send(r.ctx, j)
+		}
+		r.report.Add(j, a)
+		r.mu.Lock()
+		r.answers = append(r.answers, ended{j, a})
+		r.mu.Unlock()
+		return a.Verdict == rwverdict.Whole
+	}
+	w.Run(ctx, time.Hour)
+}
+
+func (r *rig) ticket(j rwjob.Job) string {
+	req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, "http://"+r.balancer.Pick(j.Account)+"/v1/tickets", nil)
+	if err != nil {
+		return ""
+	}
+	req.Header.Set("Authorization", "Bearer "+j.CallerKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var ticket struct{ Key string }
+	_ = json.NewDecoder(resp.Body).Decode(&ticket)
+	return ticket.Key
+}
+
+func view(ctx context.Context, t *testing.T, p *rwfleet.Proc) rwview.View {
+	var v rwview.View
+	require.NoError(t, rwfleet.Get(ctx, p.Ops, "/v1/view", &v))
+	return v
+}
+
+// waitBusy waits until the router has both waiting and running requests.
+func (r *rig) waitBusy(p *rwfleet.Proc) {
+	for {
+		v := view(r.ctx, r.t, p)
+		if v.Waiting > 0 && v.Running > 0 {
+			return
+		}
+		require.NoError(r.t, r.ctx.Err(), "%s never had waiting requests", p.Name)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// terminate asks a busy router to stop and waits for its exit.
+func (r *rig) terminate(p *rwfleet.Proc) {
+	r.waitBusy(p)
+	p.Signal(syscall.SIGTERM)
+	require.True(r.t, p.Wait(exitLimit), "%s did not end", p.Name)
+}
+
+// count returns the number of requests that pass the filter.
+func (r *rig) count(in func(rwjob.Job) bool) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.answers {
+		if in(e.job) {
+			n++
+		}
+	}
+	return n
+}
+
+// failures lists the answers that are not whole and that pass the filter.
+func (r *rig) failures(count func(ended) bool) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, e := range r.answers {
+		if e.answer.Verdict != rwverdict.Whole && count(e) {
+			out = append(out, fmt.Sprintf("%s %s key %q at %s: %s %s %s %s", e.job.Account, e.job.Kind, e.job.Key,
+				e.answer.Router, e.answer.Verdict, e.answer.Code, e.answer.Outcome, e.answer.Detail))
+		}
+	}
+	return out
+}
+
+// Guards against a replacement of all routers, one after the other, that cuts
+// off, refuses or fails any request: streams, queued requests, plain calls and
+// calls that may run only once, by key and by ticket.
+func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
+	r := start(t)
+	for _, p := range r.fleet.Routers {
+		began := time.Now()
+		r.terminate(p)
+		ended := time.Since(began)
+		require.NoError(t, r.fleet.StartRouter(p))
+		require.NoError(t, rwfleet.WaitReady(r.ctx, p.Addr, "/readyz"))
+		t.Logf("%s: exit after %v, ready after %v, failed so far: %v", p.Name, ended, time.Since(began), r.report.Refusals())
+	}
+	r.stop()
+	require.Empty(t, r.report.Wrong())
+	groups := map[string]func(rwjob.Job) bool{
+		"model and plain calls": func(j rwjob.Job) bool { return j.Kind != rwtoday.Order },
+		"calls with a ticket":   func(j rwjob.Job) bool { return j.Kind == rwtoday.Order && !keyed(j) },
+		"calls with a key":      keyed,
+	}
+	for name, in := range groups {
+		t.Run(name, func(t *testing.T) {
+			require.Greater(t, r.count(in), 100)
+			require.Empty(t, strings.Join(r.failures(func(e ended) bool { return in(e.job) }), "\n"))
+		})
+	}
+}
+
+// keyed reports whether the caller made the key of a call by itself.
+func keyed(j rwjob.Job) bool { return strings.HasPrefix(j.Key, loadName) }
+
+// Guards against a shutdown that waits for a router that is dead or frozen, or
+// that fails requests of its own because of it. Calls that may run only once
+// are left out of the count: the other router may hold their keys.
+func TestShutdownBesideAnotherFault(t *testing.T) {
+	t.Parallel()
+	cases := map[string]syscall.Signal{
+		"another router is dead":   syscall.SIGKILL,
+		"another router is frozen": syscall.SIGSTOP,
+	}
+	for name, signal := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := start(t)
+			other, stopped := r.fleet.Routers[0], r.fleet.Routers[1]
+			r.waitBusy(other)
+			other.Signal(signal)
+			r.terminate(stopped)
+			other.Signal(syscall.SIGCONT)
+			r.stop()
+			require.Empty(t, r.report.Wrong())
+			require.Empty(t, strings.Join(r.failures(func(e ended) bool {
+				return e.answer.Router == stopped.Addr && (e.job.Kind != rwtoday.Order || e.answer.Verdict == rwverdict.Broken)
+			}), "\n"))
+		})
+	}
+}
+
+// Guards against a router without any other that drops its queue when it is
+// told to stop, for lack of an owner that grants slots.
+func TestLoneRouterServesItsQueue(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	f := rwfleet.New(bin, t.TempDir())
+	t.Cleanup(f.Close)
+	platform, err := f.Platform()
+	require.NoError(t, err)
+	engine, err := f.Engine("engine", 1, step)
+	require.NoError(t, err)
+	engine.Zone, engine.Published = "za", engine.Addr
+	router, err := rwfleet.NewRouter("router", "za")
+	require.NoError(t, err)
+	client := rwclient.Client{Name: "varna", Key: "caller-key", Share: 1}
+	require.NoError(t, rwfleet.WaitReady(ctx, platform.Addr, "/v1/records"))
+	require.NoError(t, rwfleet.Publish(ctx, platform.Addr, []rwrecord.Record{
+		rwtoday.AccountRecord(client, 1),
+		rwfleet.Record("kind", "now", 1, map[string]any{"urgency": 0, "pool": rwtoday.ModelPool, "idempotent": true}),
+		rwtoday.UpstreamRecord(engine, rwtoday.ModelPool, "engine", 1, "live", 1),
+		rwfleet.VMRecord(router, "live"),
+	}...))
+	require.NoError(t, f.Router(router, platform.Addr, "--drain", "100ms"))
+	require.NoError(t, rwfleet.WaitReady(ctx, router.Addr, "/readyz"))
+	caller := rwcaller.New(func(string, ...string) string { return router.Addr }, 0)
+	defer caller.Close()
+	const requests = 8
+	answers := make(chan rwanswer.Answer, requests)
+	for range requests {
+		go func() {
+			answers <- caller.Send(ctx, rwjob.Job{
+				Account: client.Name, CallerKey: client.Key, Kind: "now", Pool: rwtoday.ModelPool,
+				Engine: true, Stream: true, Tokens: 60,
+			})
+		}()
+	}
+	for v := (rwview.View{}); v.Running < 1 || v.Waiting < requests/2; v = view(ctx, t, router) {
+		require.NoError(t, ctx.Err(), "%+v", v)
+		time.Sleep(5 * time.Millisecond)
+	}
+	router.Signal(syscall.SIGTERM)
+	for range requests {
+		a := <-answers
+		require.Equal(t, rwverdict.Whole, a.Verdict, "%+v", a)
+	}
+	require.True(t, router.Wait(exitLimit))
+}
--- a/test/rwtoday/rwtoday.go
+++ b/test/rwtoday/rwtoday.go
@@ -48,7 +48,7 @@
 	enginesIn = []int{4, 3, 3}
 )
 
-// Today is a running fleet. Its fields up to Policy are set before Start.
+// Today is a running fleet. Its fields up to Drain are set before Start.
 type Today struct {
 	// Slots and Step are those of each engine.
 	Slots int
@@ -62,6 +62,8 @@
 	ProxyUpstreams bool
 	// Policy is the routers' policy.
 	Policy string
+	// Drain is how long a router that stops stays reachable but not ready.
+	Drain time.Duration
 
 	Clients           []rwclient.Client
 	Platform          *rwfleet.Proc
@@ -82,6 +84,7 @@
 		Slots:     4,
 		Step:      20 * time.Millisecond,
 		Policy:    "fleet",
+		Drain:     time.Second,
 		fleet:     rwfleet.New(bin, logs),
 		peers:     map[string]*rwproxy.Proxy{},
 		upstreams: map[string]*rwproxy.Proxy{},
@@ -256,7 +259,7 @@
 
 // StartRouter starts a router, also again after its end.
 func (t *Today) StartRouter(p *rwfleet.Proc, args ...string) error {
-	args = append([]string{"--drain", "1s", "--hold", "1s", "--policy", t.Policy}, args...)
+	args = append([]string{"--drain", t.Drain.String(), "--hold", "1s", "--policy", t.Policy}, args...)
 	return t.fleet.Router(p, t.platforms[p.Name].Addr(), args...)
 }
 
