Name the request in refusals too

A caller that was told not_run could not compare this with the upstreams' logs, because only whole answers carried Redwing-Request.

--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -358,6 +358,9 @@
 		return nil, err
 	}
 	q.ID = g.ID + "-" + strconv.FormatInt(g.sequence.Add(1), 10)
+	// Refusals carry the identifier too, so that a caller's report can be
+	// compared with the upstreams' logs.
+	w.Header().Set("Redwing-Request", q.ID)
 	return q, nil
 }
 
@@ -536,7 +539,6 @@
 		s.started = true
 		s.w.Header().Set("Content-Type", "text/event-stream")
 		s.w.Header().Set("Cache-Control", "no-store")
-		s.w.Header().Set("Redwing-Request", s.q.ID)
 	}
 	data := c.Raw
 	if data == nil {
@@ -613,7 +615,6 @@
 	if err != nil {
 		return rwfault.Wrap(rwcode.Internal, err).WithOutcome(rwoutcome.Ran)
 	}
-	w.Header().Set("Redwing-Request", q.ID)
 	w.Header().Set("Content-Type", "application/json")
 	g.send(w, http.StatusOK, data)
 	return nil
@@ -662,7 +663,6 @@
 			w.Header().Set(name, v)
 		}
 	}
-	w.Header().Set("Redwing-Request", q.ID)
 	g.send(w, a.Status, a.Body)
 	return nil
 }
