--- a/test/rwtoday/rwtoday.go
+++ b/test/rwtoday/rwtoday.go
@@ -50,7 +50,7 @@
 	enginesIn = []int{4, 3, 3}
 )
 
-// Today is a running fleet. Its fields up to Policy are set before Start.
+// Today is a running fleet. Its fields up to Drain are set before Start.
 type Today struct {
 	// Slots and Step are those of each engine.
 	Slots int
@@ -66,6 +66,8 @@
 	Fence bool
 	// Policy is the routers' policy.
 	Policy string
+	// Drain is how long a router that stops stays reachable but not ready.
+	Drain time.Duration
 
 	Clients           []rwclient.Client
 	Platform          *rwfleet.Proc
@@ -86,6 +88,7 @@
 		Slots:     4,
 		Step:      20 * time.Millisecond,
 		Policy:    "fleet",
+		Drain:     time.Second,
 		fleet:     rwfleet.New(bin, logs),
 		peers:     map[string]*rwproxy.Proxy{},
 		upstreams: map[string]*rwproxy.Proxy{},
@@ -260,7 +263,7 @@
 // StartRouter starts a router, also again after its end. Only the first start
 // of the whole fleet may shorten the time that keys are held.
 func (t *Today) StartRouter(p *rwfleet.Proc, args ...string) error {
-	args = append([]string{"--drain", "1s", "--hold", "0s", "--policy", t.Policy}, args...)
+	args = append([]string{"--drain", t.Drain.String(), "--hold", "0s", "--policy", t.Policy}, args...)
 	return t.fleet.Router(p, t.platforms[p.Name].Addr(), args...)
 }
 
