--- a/test/rwproperty/rwproperty_test.go
+++ b/test/rwproperty/rwproperty_test.go
@@ -34,9 +34,10 @@
 	// bin is where make build puts the programs.
 	bin = "../../bin"
 	// leavingLimit and configLimit are the bounds of P6 and P8.
-	leavingLimit = 3 * time.Second
-	configLimit  = 4 * time.Second
-	step         = 5 * time.Millisecond
+	ordersWaiting = 2 // per account
+	leavingLimit  = 3 * time.Second
+	configLimit   = 4 * time.Second
+	step          = 5 * time.Millisecond
 	// settle lets routers find each other.
 	settle  = 2500 * time.Millisecond
 	repeats = 6
@@ -124,12 +125,12 @@
 	return out
 }
 
-func (s *scene) orders(waiting int) []rwflow.Flow {
+func (s *scene) orders() []rwflow.Flow {
 	var out []rwflow.Flow
 	for _, c := range s.fleet.Clients {
 		out = append(out, rwflow.Flow{
 			Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Order, Pool: rwtoday.OrderPool,
-			Waiting: waiting, Keyed: true,
+			Waiting: ordersWaiting, Keyed: true,
 		})
 	}
 	return out
@@ -190,7 +191,7 @@
 // separated and services drop connections.
 func TestOrdersRunAtMostOnce(t *testing.T) {
 	s := start(t)
-	wait := s.load(s.orders(2), 16*time.Second)
+	wait := s.load(s.orders(), 16*time.Second)
 	random := rand.New(rand.NewPCG(seed(), 5))
 	for range 10 {
 		s.disturb(random)
@@ -206,7 +207,7 @@
 // one router started again, and a refusal must be passed on as "not run".
 func TestFencedServiceServesEveryHome(t *testing.T) {
 	s := startWith(t, true)
-	wait := s.load(s.orders(2), 6*time.Second)
+	wait := s.load(s.orders(), 6*time.Second)
 	time.Sleep(time.Second)
 	s.fleet.Routers[0].Kill()
 	require.NoError(t, s.fleet.StartRouter(s.fleet.Routers[0]))
@@ -334,7 +335,7 @@
 // to the one that ends, or which it hands over.
 func TestShutdownLosesNoOrder(t *testing.T) {
 	s := start(t)
-	s.shutDown(s.orders(2), 1)
+	s.shutDown(s.orders(), 1)
 	s.checkOrders()
 }
 
@@ -342,7 +343,7 @@
 // too, as in an operator's shutdown of a zone.
 func TestShutdownOfZoneLosesNoOrder(t *testing.T) {
 	s := start(t)
-	s.shutDown(s.orders(2), 3)
+	s.shutDown(s.orders(), 3)
 	s.checkOrders()
 }
 
