--- a/internal/rwmember/probing.go
+++ b/internal/rwmember/probing.go
@@ -150,6 +150,9 @@
 			out = append(out, m.missed(now, p)...)
 			continue
 		}
+		if p.verify {
+			m.miss(p.target)
+		}
 		m.fail(now, p)
 	}
 	for key, q := range m.queue {
@@ -193,10 +196,15 @@
 }
 
 func (m *Members) missed(now time.Time, p *probe) []rwsend.Send {
-	if x := m.members[p.target]; x != nil {
+	m.miss(p.target)
+	return append(m.askOthers(now, p), m.probeAnother(now)...)
+}
+
+func (m *Members) miss(name string) {
+	if x := m.members[name]; x != nil {
 		x.missed++
+		m.silent[name] = x
 	}
-	return append(m.askOthers(now, p), m.probeAnother(now)...)
 }
 
 // probeAnother follows a probe without an answer by one of another member.
@@ -224,7 +232,7 @@
 func (m *Members) fail(now time.Time, p *probe) {
 	delete(m.probes, p.target)
 	x := m.members[p.target]
-	if p.member && x != nil && x.state == alive {
+	if p.member && !p.verify && x != nil && x.state == alive {
 		m.suspect(now, x)
 	}
 }
@@ -250,24 +258,33 @@
 
 // verifySuspects pings each suspect, so that it hears of the suspicion and can
 // refute it. It asks no others and carries no other news: after a cut, all
-// routers do this for all members of the other side.
+// routers do this for all members of the other side. Members that answer by way
+// of others only are pinged too, so that Reachable is right within seconds.
 func (m *Members) verifySuspects(now time.Time) []rwsend.Send {
 	var out []rwsend.Send
 	for _, x := range m.inState(suspect) {
-		if now.Before(x.verify) {
-			continue
-		}
-		x.verify = now.Add(verifyInterval)
-		if m.probes[x.id.Name] != nil {
-			continue
+		out = append(out, m.verifyOne(now, x, verifyInterval)...)
+	}
+	for _, name := range sortedKeys(m.silent) {
+		if x := m.members[name]; x == m.silent[name] && x.state == alive {
+			out = append(out, m.verifyOne(now, x, silentInterval)...)
+		} else if x != m.silent[name] || x.state == dead {
+			delete(m.silent, name)
 		}
-		p := &probe{target: x.id.Name, addr: x.id.Addr, member: true, verify: true, deadline: now.Add(directTimeout)}
-		m.probes[p.target] = p
-		out = append(out, m.ping(now, p, m.short(p.target)))
 	}
 	return out
 }
 
+func (m *Members) verifyOne(now time.Time, x *member, interval time.Duration) []rwsend.Send {
+	if now.Before(x.verify) || m.probes[x.id.Name] != nil {
+		return nil
+	}
+	x.verify = now.Add(interval)
+	p := &probe{target: x.id.Name, addr: x.id.Addr, member: true, verify: true, deadline: now.Add(directTimeout)}
+	m.probes[p.target] = p
+	return []rwsend.Send{m.ping(now, p, m.short(p.target))}
+}
+
 // probeCandidates tries addresses that should have a router: published VMs,
 // seeds and dead members.
 func (m *Members) probeCandidates(now time.Time) []rwsend.Send {
@@ -454,6 +471,7 @@
 		return
 	}
 	x.missed = 0
+	delete(m.silent, name)
 	x.heard = now
 	id := x.id
 	id.Inc = msg.Inc
@@ -476,6 +494,7 @@
 		delete(m.probes, c.probe.target)
 		return nil
 	case c.probe.verify:
+		m.miss(c.probe.target)
 		delete(m.probes, c.probe.target)
 		return nil
 	case c.direct && !c.probe.asked:
--- a/internal/rwmember/rwmember.go
+++ b/internal/rwmember/rwmember.go
@@ -39,6 +39,9 @@
 	// verifyInterval is how often each router probes a suspect by itself
 	// before it declares it dead. One lost message must not be enough.
 	verifyInterval = 600 * time.Millisecond
+	// silentInterval is how often a member is pinged whose last ping had no
+	// answer.
+	silentInterval = time.Second
 	// maxProbes limits the probes that follow failed ones.
 	maxProbes = 4
 	// troubleTime is how long after a suspicion a router searches for further
@@ -135,7 +138,9 @@
 
 	members map[string]*member
 	// sick holds the members that are suspect or dead.
-	sick      map[string]*member
+	sick map[string]*member
+	// silent holds the members whose last direct ping had no answer.
+	silent    map[string]*member
 	upstreams map[string]int64
 	published []rwvm.VM
 	seeds     []string
@@ -171,6 +176,7 @@
 		random:    rand.New(rand.NewPCG(seed, score)),
 		members:   map[string]*member{},
 		sick:      map[string]*member{},
+		silent:    map[string]*member{},
 		upstreams: map[string]int64{},
 		phase:     time.Duration(score % uint64(probeSpread)),
 		calls:     map[uint64]*call{},
