Ask other routers for covers only when gaps remain

Every router asks all others after each change of the VM list, and each answer named all homes. A second query, sent when gaps remain, asks for the covers.

--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -140,6 +140,8 @@
 }
 
 type peer struct {
+	// covered is whether reply has Covers.
+	covered bool
 	reply *rwreply.Reply
 	// first is the time of the first accepted answer for this list.
 	first time.Time
@@ -802,7 +804,7 @@
 		_, published := slices.BinarySearch(m.list.All, n)
 		if m.asks(now, p, published, len(homes) > 0) {
 			p.asked = now
-			out = append(out, rwpost.Post{To: n, Query: &rwquery.Query{Version: m.list.Version}})
+			out = append(out, rwpost.Post{To: n, Query: &rwquery.Query{Version: m.list.Version, Covers: p.reply != nil}})
 		}
 		if published && m.full && m.told[n] != (told{m.incs[n], m.list.Version.Rev}) && now.Sub(p.told) >= askPause {
 			p.told = now
@@ -816,7 +818,11 @@
 	if p.reply == nil {
 		return (published || gaps) && now.Sub(p.asked) >= askPause
 	}
-	return gaps && now.Sub(p.asked) >= askAgain
+	pause := askAgain
+	if !p.covered {
+		pause = askPause
+	}
+	return gaps && now.Sub(p.asked) >= pause
 }
 
 func (m *Machine) peer(name string) *peer {
@@ -894,7 +900,10 @@
 	m.meet(q.Version)
 	r := rwreply.Reply{
 		OK: true, Seen: m.seen, Inc: m.self.Inc, Age: now.Sub(m.start), Full: m.full,
-		Covers: maps.Clone(m.covers), Past: map[string]rwreply.Past{}, Revs: slices.Sorted(maps.Keys(m.revs)),
+		Past: map[string]rwreply.Past{}, Revs: slices.Sorted(maps.Keys(m.revs)),
+	}
+	if q.Covers {
+		r.Covers = maps.Clone(m.covers)
 	}
 	for n, p := range m.past {
 		r.Past[n] = rwreply.Past{Rev: p.rev, Left: p.until.Sub(now)}
@@ -978,6 +987,7 @@
 	}
 	m.inherit(now, r.Past)
 	p := m.peer(from)
+	p.covered = q.Covers
 	if p.reply == nil {
 		p.first = now
 		p.starting = r.Age <= firstStart && now.Sub(m.start) <= firstStart
--- a/internal/rwonce/table_test.go
+++ b/internal/rwonce/table_test.go
@@ -212,7 +212,7 @@
 	b := rwidentity.Identity{Name: "b", Inc: 2}
 	n := rwnote.Note{Version: m.Version(), Full: true, Traces: []rwtrace.Trace{{Key: "k"}, {Key: "l"}, {Key: "m"}}}
 	covers := func() map[string]int64 {
-		return m.Query(epoch, b, rwquery.Query{Version: m.Version()}).Covers
+		return m.Query(epoch, b, rwquery.Query{Version: m.Version(), Covers: true}).Covers
 	}
 	parts := n.Split(2)
 	require.Len(t, parts, 2)
--- a/internal/rwquery/rwquery.go
+++ b/internal/rwquery/rwquery.go
@@ -9,4 +9,7 @@
 	Version rwlist.Version `json:"version"`
 	// After is the last key of the page before, "" for the first page.
 	After string `json:"after,omitempty"`
+	// Covers asks for the covers of the answerer. A first query doesn't need
+	// them if all homes answer it, and they grow with the number of routers.
+	Covers bool `json:"covers,omitempty"`
 }
