--- a/cmd/rwdrill/internal/rwmeasure/rwmeasure.go
+++ b/cmd/rwdrill/internal/rwmeasure/rwmeasure.go
@@ -137,6 +137,7 @@
 	for _, v := range []rwverdict.Verdict{rwverdict.Whole, rwverdict.Refused, rwverdict.Broken, rwverdict.Wrong} {
 		_, _ = fmt.Fprintf(m.notes, "# %s %s: %d answers %s\n", policy, name, s.Report.Count(v), v)
 	}
+	_, _ = fmt.Fprintf(m.notes, "# %s %s: %d arrivals not sent\n", policy, name, s.Skipped.Load())
 	_, _ = fmt.Fprintf(m.notes, "# %s %s: refused or broken: %v\n", policy, name, s.Report.Refusals())
 	m.wrong = append(m.wrong, s.Report.Wrong()...)
 	return err
--- a/cmd/rwdrill/internal/rwscene/rwscene.go
+++ b/cmd/rwdrill/internal/rwscene/rwscene.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"redwingworks.example/test/rwanswer"
@@ -33,6 +34,10 @@
 	Fleet *rwtoday.Today
 	// Report counts all answers of the scene.
 	Report *rwreport.Report
+	// Skipped is the number of arrivals that were not sent since too many
+	// requests were in progress.
+	Skipped atomic.Int64
+
 	caller *rwcaller.Caller
 	stop   context.CancelFunc
 	all    sync.WaitGroup
@@ -86,6 +91,7 @@
 		},
 	}
 	w.Run(ctx, duration)
+	s.Skipped.Add(w.Skipped())
 }
 
 // ControlBytes returns the bytes that each router has sent to other routers
--- a/test/rwworkload/rwworkload.go
+++ b/test/rwworkload/rwworkload.go
@@ -15,7 +15,7 @@
 
 // maxInProgress bounds the requests of one open loop, so that a flood can't
 // exhaust the memory or the ports of the machine.
-const maxInProgress = 4000
+const maxInProgress = 10000
 
 // refusedPause keeps a closed loop from spinning on refusals.
 const refusedPause = 20 * time.Millisecond
