Test leaving upstreams with real processes under one and two faults

Eight cases: publication alone; with the platform down after it; with one router or a whole zone on a stale replica, also with the platform down; with a router that is killed and starts on a stale replica; with a frozen router that wakes after the bound; with the zone of the engine cut off; and an engine that itself refuses as leaving. The check is the engine's own execution log after 3 s.

--- /dev/null
+++ b/test/rwleaving/rwleaving_test.go
@@ -0,0 +1,252 @@
+// Package rwleaving_test holds tests of upstreams that are leaving, with real
+// processes.
+package rwleaving_test
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwview"
+	"redwingworks.example/test/rwbalancer"
+	"redwingworks.example/test/rwcaller"
+	"redwingworks.example/test/rwfleet"
+	"redwingworks.example/test/rwflow"
+	"redwingworks.example/test/rwjob"
+	"redwingworks.example/test/rwlink"
+	"redwingworks.example/test/rwpath"
+	"redwingworks.example/test/rwreport"
+	"redwingworks.example/test/rwtoday"
+	"redwingworks.example/test/rwverdict"
+	"redwingworks.example/test/rwworkload"
+)
+
+const (
+	// bin is where make build puts the programs.
+	bin = "../../bin"
+	// bound is the design's limit, from publication to the last new request.
+	bound = 3 * time.Second
+	// watch is how long the engine's log is observed after the bound.
+	watch = 2 * time.Second
+	step  = 5 * time.Millisecond
+	// maxFleets bounds the fleets that run at one time.
+	maxFleets = 2
+	// viewLimit keeps a frozen router from blocking a test.
+	viewLimit = 200 * time.Millisecond
+)
+
+var fleets = make(chan struct{}, maxFleets)
+
+// rig is a fleet whose engines are all busy.
+type rig struct {
+	t      *testing.T
+	ctx    context.Context
+	fleet  *rwtoday.Today
+	report *rwreport.Report
+}
+
+func start(t *testing.T) *rig {
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	t.Cleanup(cancel)
+	r := &rig{t: t, ctx: ctx, fleet: rwtoday.New(bin, t.TempDir()), report: rwreport.New()}
+	r.fleet.Step, r.fleet.ProxyUpstreams = step, true
+	t.Cleanup(r.fleet.Close)
+	require.NoError(t, r.fleet.Start(ctx))
+	loadCtx, stop := context.WithCancel(ctx)
+	var load sync.WaitGroup
+	load.Go(func() { r.load(loadCtx) })
+	t.Cleanup(func() {
+		stop()
+		load.Wait()
+	})
+	return r
+}
+
+// load keeps more requests waiting than the engines have slots.
+func (r *rig) load(ctx context.Context) {
+	balancer := rwbalancer.New(r.fleet.Addrs(), false, 0)
+	go balancer.Run(ctx)
+	caller := rwcaller.New(balancer.Pick, 0)
+	defer caller.Close()
+	var flows []rwflow.Flow
+	for _, c := range r.fleet.Clients {
+		flows = append(flows, rwflow.Flow{
+			Account: c.Name, CallerKey: c.Key, Kind: rwtoday.Kinds[0], Pool: rwtoday.ModelPool,
+			Engine: true, Waiting: 4, MinTokens: 1, MaxTokens: 20,
+		})
+	}
+	w := &rwworkload.Workload{Seed: 1, Name: "leaving", Flows: flows}
+	w.Send = func(ctx context.Context, j rwjob.Job) bool {
+		a := caller.Send(ctx, j)
+		if ctx.Err() == nil {
+			r.report.Add(j, a)
+		}
+		return a.Verdict == rwverdict.Whole
+	}
+	w.Run(ctx, time.Hour)
+}
+
+type execution struct {
+	ID    string
+	Start time.Time
+}
+
+// executions returns the engine's executions that started after a time.
+func (r *rig) executions(engine *rwfleet.Proc, after time.Time) []execution {
+	var all, late []execution
+	require.NoError(r.t, rwfleet.Get(r.ctx, engine.Addr, "/log", &all))
+	for _, e := range all {
+		if e.Start.After(after) {
+			late = append(late, e)
+		}
+	}
+	return late
+}
+
+// waitUsed waits until the engine executes new requests of every router.
+func (r *rig) waitUsed(engine *rwfleet.Proc) {
+	now := time.Now()
+	for len(r.executions(engine, now)) < 2*len(r.fleet.Routers) {
+		require.NoError(r.t, r.ctx.Err(), "%s is not used", engine.Name)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (r *rig) publish(engine *rwfleet.Proc) {
+	record := rwtoday.UpstreamRecord(engine, rwtoday.ModelPool, "engine", r.fleet.Slots, "leaving", 1)
+	require.NoError(r.t, rwfleet.Publish(r.ctx, r.fleet.Platform.Addr, record))
+}
+
+// view returns what a router knows, or nothing from a router that is frozen.
+func (r *rig) view(p *rwfleet.Proc) (v rwview.View) {
+	ctx, cancel := context.WithTimeout(r.ctx, viewLimit)
+	defer cancel()
+	_ = rwfleet.Get(ctx, p.Ops, "/v1/view", &v)
+	return v
+}
+
+// waitKnown waits until some router lists the engine as leaving.
+func (r *rig) waitKnown(engine *rwfleet.Proc) {
+	for {
+		for _, p := range r.fleet.Routers {
+			for _, u := range r.view(p).Upstreams {
+				if u.Name == engine.Name && u.State == "leaving" {
+					return
+				}
+			}
+		}
+		require.NoError(r.t, r.ctx.Err(), "no router knows that %s is leaving", engine.Name)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// stale sets the replica to the present state and connects a router to it.
+func (r *rig) stale(routers ...*rwfleet.Proc) {
+	var now struct{ Rev int64 }
+	require.NoError(r.t, rwfleet.Get(r.ctx, r.fleet.Platform.Addr, "/v1/records", &now))
+	require.NoError(r.t, rwfleet.Admin(r.ctx, r.fleet.Platform.Addr, "stale", map[string]any{"rev": now.Rev}))
+	for _, p := range routers {
+		r.fleet.UseReplica(p.Name, true)
+	}
+}
+
+func (r *rig) outage() {
+	for _, p := range r.fleet.Routers {
+		r.fleet.SetPlatformLink(p.Name, rwlink.Link{Up: rwpath.Path{Stop: true}, Down: rwpath.Path{Stop: true}})
+	}
+}
+
+func (r *rig) restart(p *rwfleet.Proc) {
+	p.Kill()
+	require.NoError(r.t, r.fleet.StartRouter(p))
+}
+
+// cut separates a zone from the others in both directions.
+func (r *rig) cut(zone string) {
+	for _, other := range rwtoday.Zones {
+		if other != zone {
+			r.fleet.Cut(zone, other)
+			r.fleet.Cut(other, zone)
+		}
+	}
+}
+
+// Guards against a router that starts requests at a published leaving upstream
+// later than the bound, under one fault or two. In each case all routers can be
+// reached by one that knows, or by the platform.
+func TestPublishedLeaving(t *testing.T) {
+	cases := map[string]struct {
+		before, after func(*rig)
+	}{
+		"no fault":          {},
+		"the platform ends": {after: func(r *rig) { r.outage() }},
+		"a router reads a stale replica": {
+			before: func(r *rig) { r.stale(r.fleet.Routers[0]) },
+		},
+		"a zone reads a stale replica and the platform ends": {
+			before: func(r *rig) { r.stale(r.fleet.Routers[:3]...) },
+			after:  func(r *rig) { r.outage() },
+		},
+		"a router restarts with a stale replica": {
+			before: func(r *rig) { r.stale(r.fleet.Routers[0]) },
+			after:  func(r *rig) { r.restart(r.fleet.Routers[0]) },
+		},
+		"a router is frozen and wakes after the bound": {
+			before: func(r *rig) { r.fleet.Routers[1].Signal(syscall.SIGSTOP) },
+			after: func(r *rig) {
+				time.AfterFunc(bound, func() { r.fleet.Routers[1].Signal(syscall.SIGCONT) })
+			},
+		},
+		"the zone is cut off": {
+			before: func(r *rig) { r.cut(rwtoday.Zones[0]) },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := start(t)
+			engine := r.fleet.Engines[0]
+			r.waitUsed(engine)
+			if c.before != nil {
+				c.before(r)
+			}
+			published := time.Now()
+			r.publish(engine)
+			if c.after != nil {
+				r.waitKnown(engine)
+				c.after(r)
+			}
+			r.check(engine, published)
+		})
+	}
+}
+
+// check observes the engine's log until watch after the bound. Other engines
+// must go on, or the log would say nothing.
+func (r *rig) check(engine *rwfleet.Proc, from time.Time) {
+	limit := from.Add(bound)
+	time.Sleep(time.Until(limit.Add(watch)))
+	require.Empty(r.t, r.executions(engine, limit), "published at %v", from)
+	require.NotEmpty(r.t, r.executions(r.fleet.Engines[1], limit))
+	require.Empty(r.t, r.report.Wrong())
+}
+
+// Guards against a router that goes on asking an engine that itself refuses new
+// requests. The engine accepts requests again after the bound, so that each one
+// which a router sends shows in its log.
+func TestEngineRefusesAsLeaving(t *testing.T) {
+	r := start(t)
+	engine := r.fleet.Engines[0]
+	r.waitUsed(engine)
+	from := time.Now()
+	require.NoError(t, rwfleet.Admin(r.ctx, engine.Addr, "state", map[string]string{"state": "leaving"}))
+	time.Sleep(time.Until(from.Add(bound)))
+	require.NoError(t, rwfleet.Admin(r.ctx, engine.Addr, "state", map[string]string{"state": "live"}))
+	r.check(engine, from)
+}
