Keep the data link to a router that has started again

Cause: the membership reports an incarnation as gone also when a later one has replaced it, and the new data link to the same address was closed with calls in progress. The drop now names the incarnation. The unit test covers both.

--- a/internal/rwgossip/rwgossip.go
+++ b/internal/rwgossip/rwgossip.go
@@ -299,7 +299,7 @@
 		}
 	}
 	for _, id := range news.Gone {
-		g.peers.Drop(id.Addr)
+		g.peers.Drop(id)
 		g.metrics.Add("members_gone", 1)
 		rwlog.Info(&g.log, rwlog.MemberChanged).Str("member", id.Name).Int64("inc", id.Inc).Send()
 		if g.Gone != nil {
--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -67,8 +67,10 @@
 	data  bool
 	queue chan notice
 
-	mu     sync.Mutex
-	conn   *jsonrpc2.Conn
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+	// inc is the incarnation at the other end of conn.
+	inc    int64
 	failed time.Time
 }
 
@@ -147,15 +149,17 @@
 	}
 }
 
-// Drop closes the outgoing connections to a peer that is gone, for data too:
-// calls in progress would otherwise wait for their own time limits.
-func (p *Peers) Drop(addr string) {
-	p.Reset(addr)
+// Drop closes the outgoing connections to an incarnation of a peer that is
+// gone, for data too: calls in progress would otherwise wait for their own time
+// limits. The data link to a later incarnation at the same address stays, since
+// the end of a call in progress makes its outcome unknown.
+func (p *Peers) Drop(gone rwidentity.Identity) {
+	p.Reset(gone.Addr)
 	p.mu.Lock()
-	l := p.data[addr]
+	l := p.data[gone.Addr]
 	p.mu.Unlock()
 	if l != nil {
-		l.drop(nil)
+		l.dropUntil(gone.Inc)
 	}
 }
 
@@ -223,12 +227,12 @@
 	if time.Since(l.failed) < redialPause {
 		return nil, rwfault.New(rwcode.PeerUnreachable, l.addr)
 	}
-	conn, err := l.dial(ctx)
+	conn, inc, err := l.dial(ctx)
 	if err != nil {
 		l.failed = time.Now()
 		return nil, err
 	}
-	l.conn = conn
+	l.conn, l.inc = conn, inc
 	go func() {
 		<-conn.DisconnectNotify()
 		l.drop(conn)
@@ -247,49 +251,64 @@
 	l.conn = nil
 }
 
-func (l *link) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
+// dropUntil closes the connection if it leads to the incarnation or an earlier
+// one.
+func (l *link) dropUntil(inc int64) {
+	l.mu.Lock()
+	conn := l.conn
+	late := l.inc > inc
+	l.mu.Unlock()
+	if conn != nil && !late {
+		l.drop(conn)
+	}
+}
+
+// dial returns a connection and the incarnation at its other end.
+func (l *link) dial(ctx context.Context) (*jsonrpc2.Conn, int64, error) {
 	p := l.peers
 	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", l.addr)
 	if err != nil {
-		return nil, rwfault.Wrap(rwcode.PeerUnreachable, err)
+		return nil, 0, rwfault.Wrap(rwcode.PeerUnreachable, err)
 	}
 	if p.tls != nil {
 		raw = tls.Client(raw, p.tls)
 	}
 	stream := jsonrpc2.NewBufferedStream(&counted{Conn: raw, metrics: p.metrics, counter: counter(l.data)}, rwframe.New(maxMessage))
 	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse))
-	if err := p.greet(ctx, conn, l.data); err != nil {
+	inc, err := p.greet(ctx, conn, l.data)
+	if err != nil {
 		_ = conn.Close()
-		return nil, err
+		return nil, 0, err
 	}
-	return conn, nil
+	return conn, inc, nil
 }
 
 func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: rwcode.PeerMalformed.String()}
 }
 
-// greet authenticates both ends: each proves the key over the other's nonce.
-func (p *Peers) greet(ctx context.Context, conn *jsonrpc2.Conn, data bool) error {
+// greet authenticates both ends: each proves the key over the other's nonce. It
+// returns the other end's incarnation.
+func (p *Peers) greet(ctx context.Context, conn *jsonrpc2.Conn, data bool) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	mine := hello{Ver: version, Nonce: newNonce(), Data: data, Identity: p.self}
 	var theirs hello
 	if err := conn.Call(ctx, "hello", mine, &theirs); err != nil {
-		return rwfault.Wrap(rwcode.PeerUnreachable, err)
+		return 0, rwfault.Wrap(rwcode.PeerUnreachable, err)
 	}
 	if theirs.Ver != version {
-		return p.reject(rwcode.PeerVersion, theirs.Name)
+		return 0, p.reject(rwcode.PeerVersion, theirs.Name)
 	}
 	if !hmac.Equal([]byte(theirs.Mac), []byte(p.mac("server", mine.Nonce, theirs.Name))) {
-		return p.reject(rwcode.PeerKey, theirs.Name)
+		return 0, p.reject(rwcode.PeerKey, theirs.Name)
 	}
 	mac := p.mac("client", theirs.Nonce, p.self.Name)
 	if err := conn.Call(ctx, "prove", proof{Mac: mac}, nil); err != nil {
-		return rwfault.Wrap(rwcode.PeerUnreachable, err)
+		return 0, rwfault.Wrap(rwcode.PeerUnreachable, err)
 	}
-	return nil
+	return theirs.Inc, nil
 }
 
 func (p *Peers) reject(c rwcode.Code, name string) error {
--- a/internal/rwpeer/rwpeer_test.go
+++ b/internal/rwpeer/rwpeer_test.go
@@ -115,14 +115,15 @@
 }
 
 // Guards against a call on a data link to a peer that is gone which goes on
-// waiting for its own time limit.
+// waiting for its own time limit, and against the end of calls to an incarnation
+// that has replaced the one that is gone.
 func TestDropEndsCallsInProgress(t *testing.T) {
 	a, b := serve(t, "a", key), serve(t, "b", key)
-	began, gone := make(chan struct{}), make(chan struct{})
-	t.Cleanup(func() { close(gone) })
+	began, release := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(release) })
 	b.peers.Handle("wait", func(context.Context, rwidentity.Identity, json.RawMessage) (any, error) {
 		close(began)
-		<-gone
+		<-release
 		return nil, nil
 	})
 	ended := make(chan error, 1)
@@ -130,7 +131,15 @@
 	defer cancel()
 	go func() { ended <- a.peers.CallData(ctx, b.addr, "wait", nil, nil) }()
 	<-began
-	a.peers.Drop(b.addr)
+	gone := rwidentity.Identity{Name: "b", Addr: b.addr, Inc: b.peers.Self().Inc - 1}
+	a.peers.Drop(gone)
+	select {
+	case err := <-ended:
+		require.Fail(t, "the call to the later incarnation ended", "%v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	gone.Inc++
+	a.peers.Drop(gone)
 	require.True(t, rwfault.Is(<-ended, rwcode.PeerUnreachable))
 	require.NoError(t, ctx.Err(), "the call ended by its time limit")
 }
