--- /dev/null
+++ b/internal/rwcell/rwcell_test.go
@@ -0,0 +1,75 @@
+package rwcell_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcell"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwsnapshot"
+	"redwingworks.example/internal/rwupstream"
+	"redwingworks.example/internal/rwvm"
+)
+
+func view(upstreams int) *rwsnapshot.Snapshot {
+	var list []rwupstream.Upstream
+	for i := range upstreams {
+		list = append(list, rwupstream.Upstream{
+			Name: fmt.Sprintf("u%d", i), Pools: []string{"m"}, Zone: fmt.Sprintf("z%d", i%2), Window: 4, Engine: true,
+		})
+	}
+	list = append(list, rwupstream.Upstream{Name: "gone", Pools: []string{"m"}, Zone: "z0", Leaving: true})
+	return rwsnapshot.Empty().WithUpstreams(list)
+}
+
+// Guards against an upstream that is in no cell or in two, and against leaving
+// ones that get work.
+func TestEachUpstreamIsInOneCell(t *testing.T) {
+	seen := map[string]int{}
+	for _, c := range rwcell.All(view(40), 4) {
+		for _, u := range c.Upstreams {
+			seen[u.Name]++
+			require.Equal(t, c.Zone, u.Zone)
+			require.False(t, u.Leaving)
+		}
+	}
+	require.Len(t, seen, 40)
+	for name, n := range seen {
+		require.Equal(t, 1, n, name)
+	}
+}
+
+// Guards against an owner in another zone while the zone has a live router,
+// against a cell without an owner, and against owners that change with the
+// order of the list.
+func TestOwner(t *testing.T) {
+	router := func(name, zone string) rwidentity.Identity { return rwidentity.Identity{Name: name, Zone: zone} }
+	live := []rwidentity.Identity{router("a", "z0"), router("b", "z1"), router("c", "z1"), router("d", "z2")}
+	for _, c := range rwcell.All(view(8), 4) {
+		owner, ok := c.Owner(live)
+		require.True(t, ok)
+		require.Equal(t, c.Zone, owner.Zone)
+		reversed := []rwidentity.Identity{live[3], live[2], live[1], live[0]}
+		again, _ := c.Owner(reversed)
+		require.Equal(t, owner, again)
+		far, ok := c.Owner(live[3:])
+		require.True(t, ok)
+		require.Equal(t, "d", far.Name)
+		_, ok = c.Owner(nil)
+		require.False(t, ok)
+	}
+}
+
+// Guards against routers that use the other region's upstreams although their
+// own region has some, or none although only the other region has some.
+func TestInRegion(t *testing.T) {
+	v := view(8).WithVMs([]rwvm.VM{{Name: "a", Zone: "z0", Region: "east"}, {Name: "b", Zone: "z1", Region: "west"}})
+	all := rwcell.All(v, 4)
+	for _, c := range rwcell.InRegion(all, v, "east") {
+		require.Equal(t, "z0", c.Zone)
+	}
+	require.Len(t, rwcell.InRegion(all, v, "east"), 1)
+	require.Len(t, rwcell.InRegion(all, v, "north"), 2)
+}
--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -142,7 +142,7 @@
 type peer struct {
 	// covered is whether reply has Covers.
 	covered bool
-	reply *rwreply.Reply
+	reply   *rwreply.Reply
 	// first is the time of the first accepted answer for this list.
 	first time.Time
 	// starting is whether the peer and this router had just started then.
--- a/internal/rwowner/rwowner.go
+++ b/internal/rwowner/rwowner.go
@@ -14,6 +14,7 @@
 	"redwingworks.example/internal/rwsched"
 	"redwingworks.example/internal/rwschedview"
 	"redwingworks.example/internal/rwsnapshot"
+	"redwingworks.example/internal/rwspent"
 	"redwingworks.example/internal/rwupstream"
 )
 
@@ -321,34 +322,33 @@
 
 // Want takes levels and costs from an entry.
 func (o *Owner) Want(now time.Time, from rwidentity.Identity, m *rwmessage.Message) {
-	o.mu.Lock()
-	c := o.cells[m.Cell]
-	if c == nil {
-		o.ignored++
-		o.mu.Unlock()
-		return
-	}
-	o.admit(now, from)
-	for _, s := range m.Done {
-		if o.Failed != nil && (s.Code == rwcode.UpstreamUnreachable || s.Code == rwcode.UpstreamRefused) {
-			o.Failed(c.issued[s.ID].upstream, s.Code)
+	o.receive(now, from, m, func(c *owned) {
+		for _, s := range m.Done {
+			o.done(now, c, s)
 		}
-		delete(c.issued, s.ID)
-		c.sched.Done(now, s.ID, s.Cost, s.First, s.Total, s.Code)
-	}
-	for _, s := range m.Usage {
-		c.sched.Usage(now, s.ID, s.Cost)
-	}
-	for _, l := range m.Levels {
-		c.sched.SetLevel(now, from.Name, l.Account, l.Kind, l.Count, l.Hint)
-	}
-	out := c.pump(now, o.entries)
-	o.mu.Unlock()
-	o.send(out)
+		for _, s := range m.Usage {
+			c.sched.Usage(now, s.ID, s.Cost)
+		}
+	})
 }
 
 // Sync replaces all that is known of an entry in a cell.
 func (o *Owner) Sync(now time.Time, from rwidentity.Identity, m *rwmessage.Message) {
+	o.receive(now, from, m, func(c *owned) {
+		c.settle(now, from.Name)
+		c.dropEntry(now, from.Name)
+		for _, g := range m.Running {
+			g.Cell, g.Entry = m.Cell, from.Name
+			c.issued[g.ID] = issue{from.Name, g.Upstream, now.Add(checkInterval)}
+			c.sched.Restore(now, g)
+		}
+	})
+}
+
+// receive applies an entry's message to the cell that it names, sets the
+// entry's levels and sends the grants that became possible. A message about a
+// cell that this router doesn't own is lost: its owner asks for a sync.
+func (o *Owner) receive(now time.Time, from rwidentity.Identity, m *rwmessage.Message, apply func(*owned)) {
 	o.mu.Lock()
 	c := o.cells[m.Cell]
 	if c == nil {
@@ -357,13 +357,7 @@
 		return
 	}
 	o.admit(now, from)
-	c.settle(now, from.Name)
-	c.dropEntry(now, from.Name)
-	for _, g := range m.Running {
-		g.Cell, g.Entry = m.Cell, from.Name
-		c.issued[g.ID] = issue{from.Name, g.Upstream, now.Add(checkInterval)}
-		c.sched.Restore(now, g)
-	}
+	apply(c)
 	for _, l := range m.Levels {
 		c.sched.SetLevel(now, from.Name, l.Account, l.Kind, l.Count, l.Hint)
 	}
@@ -372,6 +366,14 @@
 	o.send(out)
 }
 
+func (o *Owner) done(now time.Time, c *owned, s rwspent.Spent) {
+	if o.Failed != nil && (s.Code == rwcode.UpstreamUnreachable || s.Code == rwcode.UpstreamRefused) {
+		o.Failed(c.issued[s.ID].upstream, s.Code)
+	}
+	delete(c.issued, s.ID)
+	c.sched.Done(now, s.ID, s.Cost, s.First, s.Total, s.Code)
+}
+
 func (c *owned) settle(now time.Time, entry string) {
 	delete(c.awaited, entry)
 	if len(c.awaited) == 0 && now.Before(c.settled) {
--- a/internal/rwsnapshot/rwsnapshot.go
+++ b/internal/rwsnapshot/rwsnapshot.go
@@ -52,13 +52,20 @@
 	return &c
 }
 
+func byName[T any](list []T, name func(T) string) map[string]T {
+	out := make(map[string]T, len(list))
+	for _, v := range list {
+		out[name(v)] = v
+	}
+	return out
+}
+
 // WithAccounts returns a copy with other accounts.
 func (s *Snapshot) WithAccounts(list []rwaccount.Account) *Snapshot {
 	c := *s
-	c.accounts = make(map[string]rwaccount.Account, len(list))
+	c.accounts = byName(list, func(a rwaccount.Account) string { return a.Name })
 	c.byKey = map[string]string{}
 	for _, a := range list {
-		c.accounts[a.Name] = a
 		for _, k := range a.Keys {
 			c.byKey[k] = a.Name
 		}
@@ -69,30 +76,21 @@
 // WithKinds returns a copy with other kinds.
 func (s *Snapshot) WithKinds(list []rwkind.Kind) *Snapshot {
 	c := *s
-	c.kinds = make(map[string]rwkind.Kind, len(list))
-	for _, k := range list {
-		c.kinds[k.Name] = k
-	}
+	c.kinds = byName(list, func(k rwkind.Kind) string { return k.Name })
 	return &c
 }
 
 // WithUpstreams returns a copy with other upstreams.
 func (s *Snapshot) WithUpstreams(list []rwupstream.Upstream) *Snapshot {
 	c := *s
-	c.upstreams = make(map[string]rwupstream.Upstream, len(list))
-	for _, u := range list {
-		c.upstreams[u.Name] = u
-	}
+	c.upstreams = byName(list, func(u rwupstream.Upstream) string { return u.Name })
 	return &c
 }
 
 // WithVMs returns a copy with other VMs.
 func (s *Snapshot) WithVMs(list []rwvm.VM) *Snapshot {
 	c := *s
-	c.vms = make(map[string]rwvm.VM, len(list))
-	for _, m := range list {
-		c.vms[m.Name] = m
-	}
+	c.vms = byName(list, func(m rwvm.VM) string { return m.Name })
 	return &c
 }
 
