Prefer engines that ran a prompt prefix last, inside the account's share

Cause: a grant took the first waiting request whatever the engine had in its cache. Ruled out: a choice in the scheduler, which would bind a request before a slot is free.

--- a/internal/rwfair/rwfair.go
+++ b/internal/rwfair/rwfair.go
@@ -18,6 +18,7 @@
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwmessage"
 	"redwingworks.example/internal/rwoutcome"
+	"redwingworks.example/internal/rwprefix"
 	"redwingworks.example/internal/rwqueue"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwslot"
@@ -50,6 +51,8 @@
 	Send func(to rwidentity.Identity, method string, m *rwmessage.Message)
 	// Now is the clock.
 	Now func() time.Time
+	// Prefixes remembers where prompt prefixes ran; nil ignores them.
+	Prefixes *rwprefix.Prefixes
 
 	kick chan struct{}
 
@@ -253,11 +256,14 @@
 		p.done(g, rwspent.Spent{ID: g.ID, Code: rwcode.UpstreamLeaving})
 		return
 	}
-	r := p.queue.Take(p.Now(), g.Account, g.Kind, up.Pools)
+	r := p.queue.Take(p.Now(), g.Account, g.Kind, up.Pools, p.preference(up.Name))
 	if r == nil {
 		p.done(g, rwspent.Spent{ID: g.ID})
 		return
 	}
+	if p.Prefixes != nil {
+		p.Prefixes.Ran(r.Prefix, up.Name)
+	}
 	p.answer(r, result{slot: &rwslot.Slot{
 		Upstream: up,
 		Expires:  p.Now().Add(slotLifetime),
@@ -271,6 +277,14 @@
 	}})
 }
 
+// preference prefers requests whose prefix the upstream ran last.
+func (p *Policy) preference(upstream string) func(*rwrequest.Request) bool {
+	if p.Prefixes == nil {
+		return nil
+	}
+	return func(r *rwrequest.Request) bool { return p.Prefixes.At(r.Prefix, upstream) }
+}
+
 // meter reports the cost of a running request when it reaches 1, 2, 4 … times
 // what was charged, so that a request of unknown cost is charged while it runs
 // with few messages.
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -481,6 +482,13 @@
 	}
 }
 
+// prefix identifies a first message.
+func prefix(message []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(message)
+	return h.Sum64()
+}
+
 func (g *Gate) chat(w http.ResponseWriter, r *http.Request) error {
 	q, err := g.accept(w, r)
 	if err != nil {
@@ -495,6 +503,7 @@
 		return err
 	}
 	q.Engine, q.Stream = true, body.Stream
+	q.Prefix = prefix(body.Messages[0])
 	if err := route(g.View(), q); err != nil {
 		return err
 	}
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -34,6 +34,7 @@
 	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwowner"
 	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwprefix"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwsettings"
 	"redwingworks.example/internal/rwsnapshot"
@@ -127,6 +128,7 @@
 	n.policy = rwfair.New(n.self, uint64(n.self.Inc))
 	n.policy.View = n.follow.View
 	n.policy.Now = time.Now
+	n.policy.Prefixes = rwprefix.New()
 	n.policy.Send = n.send
 	n.owner = rwowner.New(n.self)
 	n.owner.Send = n.send
--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -11,6 +11,8 @@
 	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"time"
@@ -279,7 +281,7 @@
 		raw = tls.Client(raw, p.tls)
 	}
 	stream := jsonrpc2.NewBufferedStream(&counted{Conn: raw, metrics: p.metrics, counter: counter(l.data)}, rwframe.New(maxMessage))
-	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse))
+	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse), quiet)
 	inc, err := p.greet(ctx, conn, l.data)
 	if err != nil {
 		_ = conn.Close()
@@ -288,6 +290,10 @@
 	return conn, inc, nil
 }
 
+// quiet keeps the library from writing plain lines to standard error, which
+// holds events only; a lost link is event 501.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: rwcode.PeerMalformed.String()}
 }
@@ -367,7 +373,7 @@
 	out := &counted{Conn: conn, metrics: p.metrics, counter: counter(false)}
 	s := &session{peers: p, out: out}
 	stream := jsonrpc2.NewBufferedStream(out, rwframe.New(maxMessage))
-	rpc := jsonrpc2.NewConn(context.Background(), stream, s)
+	rpc := jsonrpc2.NewConn(context.Background(), stream, s, quiet)
 	timer := time.AfterFunc(helloTimeout, func() {
 		if !s.proven() {
 			_ = rpc.Close()
--- a/internal/rwqueue/rwqueue.go
+++ b/internal/rwqueue/rwqueue.go
@@ -26,6 +26,11 @@
 const (
 	// rateMemory is the time constant of the measured drain rate.
 	rateMemory = 5 * time.Second
+	// lookahead is how many requests a preference may choose from, maxBypass
+	// how often in a row the first one may be passed over: it waits for at
+	// most that many grants of its own account more.
+	lookahead = 16
+	maxBypass = 4
 	// topWeight is the weight of urgency 0; each further level has half.
 	topWeight = 8
 	// minRetryAfter and maxRetryAfter bound the time that a refused caller is
@@ -62,6 +67,8 @@
 	drained float64
 	at      time.Time
 	since   time.Time
+	// bypassed counts the takes in a row that left the first item waiting.
+	bypassed int
 }
 
 // New returns an empty queue.
@@ -184,8 +191,10 @@
 
 // Take removes and returns the request that a grant for the account and kind
 // should run: the first of the kind, or of the account's most urgent other
-// kind that runs in one of the pools.
-func (q *Queue) Take(now time.Time, account, kind string, pools []string) *rwrequest.Request {
+// kind that runs in one of the pools. Among the first few, one that the
+// function prefers goes before the others; it may be nil. The choice is inside
+// the account's own share, so that it takes nothing from other accounts.
+func (q *Queue) Take(now time.Time, account, kind string, pools []string, prefer func(*rwrequest.Request) bool) *rwrequest.Request {
 	a := q.accounts[account]
 	if a == nil {
 		return nil
@@ -197,12 +206,33 @@
 	if l == nil {
 		return nil
 	}
-	r := l.items[0]
+	r := l.pick(prefer)
 	q.Cancel(r)
 	l.drain(now)
 	return r
 }
 
+func (l *line) pick(prefer func(*rwrequest.Request) bool) *rwrequest.Request {
+	first := l.items[0]
+	if prefer == nil || l.bypassed >= maxBypass {
+		l.bypassed = 0
+		return first
+	}
+	for _, r := range l.items[:min(lookahead, len(l.items))] {
+		if !r.Deadline.Equal(first.Deadline) && !first.Deadline.IsZero() {
+			break // an earlier deadline goes before a preference
+		}
+		if prefer(r) {
+			if r != first {
+				l.bypassed++
+			}
+			return r
+		}
+	}
+	l.bypassed = 0
+	return first
+}
+
 func (a *account) urgent(pools []string) *line {
 	var best *line
 	for _, l := range a.lines {
--- a/internal/rwqueue/rwqueue_test.go
+++ b/internal/rwqueue/rwqueue_test.go
@@ -35,9 +35,9 @@
 		require.NoError(t, err)
 	}
 	for _, want := range []*rwrequest.Request{early, late, third, other} {
-		require.Same(t, want, q.Take(start, "a", "x", []string{"m"}))
+		require.Same(t, want, q.Take(start, "a", "x", []string{"m"}, nil))
 	}
-	require.Nil(t, q.Take(start, "a", "x", []string{"m"}))
+	require.Nil(t, q.Take(start, "a", "x", []string{"m"}, nil))
 	require.Zero(t, q.Count())
 	require.Zero(t, q.Bytes())
 }
@@ -47,7 +47,7 @@
 	q := rwqueue.New()
 	_, err := q.Push(start, request("a", "x", 1, 1))
 	require.NoError(t, err)
-	require.Nil(t, q.Take(start, "a", "y", []string{"n"}))
+	require.Nil(t, q.Take(start, "a", "y", []string{"n"}, nil))
 }
 
 // Guards against a flood of any urgency that keeps the account's other kinds
@@ -101,7 +101,7 @@
 	}
 	for range 50 { // drains 10 requests a second
 		now = now.Add(100 * time.Millisecond)
-		require.NotNil(t, q.Take(now, "a", "x", []string{"m"}))
+		require.NotNil(t, q.Take(now, "a", "x", []string{"m"}, nil))
 	}
 	r := request("a", "x", 1, 1000)
 	r.Deadline = now.Add(time.Second)
@@ -112,3 +112,28 @@
 	_, err = q.Push(now, r)
 	require.NoError(t, err)
 }
+
+// Guards against a preference that starves the first request, and against one
+// that passes over an earlier deadline.
+func TestPreferenceIsBounded(t *testing.T) {
+	q := rwqueue.New()
+	first := request("a", "x", 1, 0)
+	_, err := q.Push(start, first)
+	require.NoError(t, err)
+	for n := range 10 {
+		r := request("a", "x", 1, n+1)
+		r.Prefix = 7
+		_, err := q.Push(start, r)
+		require.NoError(t, err)
+	}
+	prefer := func(r *rwrequest.Request) bool { return r.Prefix == 7 }
+	for range 4 {
+		require.NotSame(t, first, q.Take(start, "a", "x", []string{"m"}, prefer))
+	}
+	require.Same(t, first, q.Take(start, "a", "x", []string{"m"}, prefer))
+	urgent := request("a", "x", 1, 99)
+	urgent.Deadline = start.Add(time.Minute)
+	_, err = q.Push(start, urgent)
+	require.NoError(t, err)
+	require.Same(t, urgent, q.Take(start, "a", "x", []string{"m"}, prefer))
+}
--- a/internal/rwrequest/rwrequest.go
+++ b/internal/rwrequest/rwrequest.go
@@ -28,6 +28,9 @@
 	ContentType string
 	// Stream is whether the caller asked for server-sent events.
 	Stream bool
+	// Prefix identifies the start of the prompt, which an engine may have in
+	// its cache; 0 for none.
+	Prefix uint64
 	// Hint is the caller's estimate of the cost in tokens, 0 for none.
 	Hint float64
 	// Arrived is when the request was accepted, Deadline when the caller
--- a/test/rwbubble/fairness_test.go
+++ b/test/rwbubble/fairness_test.go
@@ -13,6 +13,7 @@
 	"redwingworks.example/internal/rwaccount"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwkind"
+	"redwingworks.example/internal/rwrank"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwupstream"
 	"redwingworks.example/test/rwbubble"
@@ -70,8 +71,10 @@
 	account, kind string
 	routers       []string
 	concurrent    int
-	tokens        func(*rand.Rand) int
-	hint          float64
+	// prefixes is how many prompt prefixes the account uses.
+	prefixes int
+	tokens   func(*rand.Rand) int
+	hint     float64
 }
 
 func (c client) start(ctx context.Context, f *rwbubble.Fleet, seed uint64) {
@@ -84,6 +87,9 @@
 					Account: c.account, Kind: c.kind, Pool: "m", Idempotent: true, Hint: c.hint,
 					Urgency: map[string]int{"now": 0, "soon": 1, "batch": 3}[c.kind],
 				}
+				if c.prefixes > 0 {
+					q.Prefix = rwrank.Score(c.account, fmt.Sprint(r.IntN(c.prefixes)))
+				}
 				if f.Request(ctx, c.routers[r.IntN(len(c.routers))], q, c.tokens(r)) != nil {
 					time.Sleep(100 * time.Millisecond)
 				}
@@ -289,3 +295,39 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against stickiness to engines with a cached prefix that gains nothing
+// or that breaks the bound on the gap: both from one run.
+func TestPrefixesStayInsideFairness(t *testing.T) {
+	without, gapWithout := prefixRun(t, false)
+	with, gapWith := prefixRun(t, true)
+	bound := gapBound(16, 1, 1)
+	t.Logf("cache hits %.3f without and %.3f with stickiness, gap %.0f and %.0f of %.0f", without, with, gapWithout, gapWith, bound)
+	require.Greater(t, with, 1.5*without)
+	require.LessOrEqual(t, gapWith, bound)
+}
+
+func prefixRun(t *testing.T, sticky bool) (hits, worst float64) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f, live := today(ctx, 6, nil)
+		f.Stick(sticky)
+		for i := range 16 {
+			client{
+				account: fmt.Sprintf("account-%02d", i), kind: "soon", routers: names(live)[i%8 : i%8+1],
+				concurrent: 40, prefixes: 6, tokens: exponential,
+			}.start(ctx, f, uint64(i))
+		}
+		time.Sleep(5 * time.Second)
+		base := f.Served()
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			worst = max(worst, gap(base, f.Served(), nil))
+		}
+		hits = f.Hits()
+		require.GreaterOrEqual(t, f.Busy(), 0.97)
+		cancel()
+		time.Sleep(time.Second)
+	})
+	return hits, worst
+}
--- a/test/rwbubble/rwbubble.go
+++ b/test/rwbubble/rwbubble.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	"redwingworks.example/internal/rwkind"
 	"redwingworks.example/internal/rwmessage"
 	"redwingworks.example/internal/rwowner"
+	"redwingworks.example/internal/rwprefix"
 	"redwingworks.example/internal/rwqueue"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwsnapshot"
@@ -28,6 +30,8 @@
 )
 
 const (
+	// cachedPrefixes is how many prompt prefixes an engine's memory holds.
+	cachedPrefixes = 12
 	// framing is the JSON-RPC envelope of one message in bytes.
 	framing = 45
 	// maxMessage is the limit of the links in bytes.
@@ -134,6 +138,17 @@
 	r.stop()
 }
 
+// Stick makes the present routers prefer engines that ran a prefix last.
+func (f *Fleet) Stick(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.routers {
+		if on {
+			r.policy.Prefixes = rwprefix.New()
+		}
+	}
+}
+
 // SetLoss sets the part of the messages that is lost.
 func (f *Fleet) SetLoss(loss float64) {
 	f.mu.Lock()
@@ -275,6 +290,7 @@
 		s.Done(0, 0, 0, rwcode.GrantExpired)
 		return fmt.Errorf("grant expired")
 	}
+	f.engines[s.Upstream.Name].look(q.Prefix)
 	first := f.engines[s.Upstream.Name].serve(f.ctx, rwqueue.Line{Account: q.Account, Kind: q.Kind}, tokens, s.Used)
 	s.Done(float64(tokens), first, time.Since(start), rwcode.None)
 	return f.ctx.Err()
@@ -311,6 +327,19 @@
 	return used / max(all, 1)
 }
 
+// Hits returns the part of the requests whose prefix was in the cache of their
+// engine.
+func (f *Fleet) Hits() float64 {
+	hits, looks := 0, 0
+	for _, e := range f.engines {
+		e.mu.Lock()
+		hits += e.hits
+		looks += e.looks
+		e.mu.Unlock()
+	}
+	return float64(hits) / max(float64(looks), 1)
+}
+
 // Traffic returns the bytes that each router sent and the messages by method.
 func (f *Fleet) Traffic() (bytes, count map[string]int64) {
 	f.mu.Lock()
@@ -336,6 +365,9 @@
 	jobs        []*job
 	used, steps int
 	served      map[rwqueue.Line]float64
+	// cache holds prefixes, the one used last at the end.
+	cache       []uint64
+	hits, looks int
 }
 
 type job struct {
@@ -364,6 +396,21 @@
 	}
 }
 
+// look counts whether a prefix is in the cache and puts it there.
+func (e *engine) look(prefix uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.looks++
+	if i := slices.Index(e.cache, prefix); i >= 0 {
+		e.hits++
+		e.cache = slices.Delete(e.cache, i, i+1)
+	}
+	e.cache = append(e.cache, prefix)
+	if len(e.cache) > cachedPrefixes {
+		e.cache = e.cache[1:]
+	}
+}
+
 func (e *engine) advance() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
