Measure the service that is due during a flood of all accounts

The design bounds "what other kinds and accounts had or were due", so the due is now computed from shares, weights and the arrivals, per account and kind; a surplus of one no longer hides the loss of another. Floods of one account are compared with what the others had, as before.

--- /dev/null
+++ b/cmd/rwdrill/internal/rwflood/due_test.go
@@ -0,0 +1,59 @@
+package rwflood
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/test/rwclient"
+	"redwingworks.example/test/rwfleet"
+	"redwingworks.example/test/rwtoday"
+)
+
+func requests(at ...float64) arrivals {
+	var out arrivals
+	for _, s := range at {
+		out = append(out, arrival{time.Unix(0, int64(s*float64(time.Second))), 30})
+	}
+	return out
+}
+
+// Guards against a due that counts a burst which the steady rate can't serve
+// in time, or leaves out work that it can serve.
+func TestWithin(t *testing.T) {
+	require.Equal(t, 60, requests(0, 3).within(15))
+	require.Equal(t, 60, requests(0, 0).within(15))
+	require.Equal(t, 60, requests(0, 0, 0).within(15), "the third ends after 6 s")
+	require.Zero(t, requests(0).within(5))
+	require.Equal(t, 30, requests(2, 2).within(10), "the second ends after 6 s")
+}
+
+// Guards against a due that is no part of the capacity.
+func TestRatesDueAddUpToTheCapacity(t *testing.T) {
+	fleet := rwtoday.New("", "")
+	fleet.Engines = []*rwfleet.Proc{{}}
+	fleet.Clients = []rwclient.Client{{Name: "a", Share: 3}, {Name: "b", Share: 1}}
+	sum := 0.0
+	for _, c := range fleet.Clients {
+		for _, kind := range rwtoday.Kinds {
+			sum += rateDue(fleet, class{c.Name, kind})
+		}
+	}
+	require.InDelta(t, capacity(fleet)*meanTokens, sum, 1e-6)
+	require.InDelta(t, 3*8, rateDue(fleet, class{"a", "now"})/rateDue(fleet, class{"b", "batch"}), 1e-9)
+}
+
+// Guards against a group whose loss is hidden by the surplus of another class,
+// and against counting the flood's own work.
+func TestTake(t *testing.T) {
+	fleet := rwtoday.New("", "")
+	fleet.Engines = []*rwfleet.Proc{{}}
+	fleet.Clients = []rwclient.Client{{Name: "a", Share: 1}, {Name: "b", Share: 1}}
+	f := &Flood{Kept: 1, Phases: map[string]float64{}}
+	before := served{{"a", "soon"}: requests(0), {"b", "soon"}: requests(0), {"a", "batch"}: requests(0, 1)}
+	during := served{{"a", "soon"}: requests(0, 1)}
+	f.take(fleet, phase{"p", 3, true}, before, during)
+	require.InDelta(t, 0.5, f.Kept, 1e-9)
+	require.Equal(t, "p soon", f.Worst)
+}
--- a/cmd/rwdrill/main.go
+++ b/cmd/rwdrill/main.go
@@ -32,7 +32,7 @@
 }
 
 func measure(bin *string) *cobra.Command {
-	var only []string
+	var only, policies []string
 	c := &cobra.Command{
 		Use:   "measure",
 		Short: "Measure the fleet policy and the baseline",
@@ -40,10 +40,11 @@
 			ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer cancel()
 			m := rwmeasure.New(*bin, os.Stderr)
-			m.Only = only
+			m.Only, m.Policies = only, policies
 			return m.Run(ctx, os.Stdout)
 		},
 	}
+	c.Flags().StringSliceVar(&policies, "policy", nil, "run only this policy: fleet, or local for the baseline")
 	c.Flags().StringSliceVar(&only, "only", nil, "run only these scenarios: quiet, shares, flood, cut")
 	return c
 }
