Let calls with a key wait for a home that has just started

Cause: 3 to 7 calls in a rolling replacement of 8 routers got key_held, because the new home had no answers to its traces request yet, and the trace of the same attempt at its entry then made the key unknown for good. Now an entry keeps no trace for a home younger than 5 s, which finds a witness itself, forgets a trace that only the refused call relied on, opens the link before it makes one, and sends the call again for up to 3 s.

--- a/internal/rwhome/rwhome.go
+++ b/internal/rwhome/rwhome.go
@@ -53,6 +53,12 @@
 	// maxWitnesses bounds the routers that are asked to remember one key. When
 	// two thirds of the fleet are cut off, one call in 600 finds none in 16.
 	maxWitnesses = 16
+	// heldPatience is how long a call waits for a home that has just started,
+	// meetPatience how long until this router has heard that it has, and
+	// heldPause the time between two attempts.
+	heldPatience = 3 * time.Second
+	meetPatience = 500 * time.Millisecond
+	heldPause    = 50 * time.Millisecond
 	// maxHops bounds forwarding: from the entry to a home that is leaving
 	// and on to the router that has its keys.
 	maxHops = 2
@@ -267,28 +273,80 @@
 	return r
 }
 
+// doOpaque sends a call to the home of its key. A home that has just started
+// refuses it until it knows what earlier incarnations ran; the call was not run
+// then, and is sent again for a while.
 func (h *Home) doOpaque(ctx context.Context, o order) rwresult.Result {
+	begin := h.config.Now()
+	for last := (rwresult.Result{}); ; {
+		h.connect(ctx, o.Call.Key)
+		h.mu.Lock()
+		h.sync()
+		v := h.machine.Route(h.config.Now(), o.Call)
+		o.Call.Version, o.Call.Holds = h.machine.Version(), v.Holds
+		next := h.machine.Next(o.Call.Key)
+		h.mu.Unlock()
+		if last.Code != "" && !v.Young && h.config.Now().Sub(begin) > meetPatience {
+			return last
+		}
+		r, refused := h.attempt(ctx, o, v, next)
+		if !refused {
+			return r
+		}
+		if v.Fresh {
+			h.mu.Lock()
+			h.machine.Forget(o.Call.Key)
+			h.mu.Unlock()
+		}
+		if last = r; h.config.Now().Sub(begin) > heldPatience || !pause(ctx, heldPause) {
+			return r
+		}
+	}
+}
+
+// connect opens the link to the home of a key. Without it, a home that starts
+// while its new link is being opened would collect the trace of the call before
+// the call itself.
+func (h *Home) connect(ctx context.Context, key string) {
 	h.mu.Lock()
 	h.sync()
-	v := h.machine.Route(h.config.Now(), o.Call)
-	o.Call.Version, o.Call.Holds = h.machine.Version(), v.Holds
-	next := h.machine.Next(o.Call.Key)
+	home := h.machine.Home(key)
+	addr := h.addrs[home]
 	h.mu.Unlock()
+	if home != h.config.Self.Name && addr != "" {
+		_ = h.config.Peers.OpenData(ctx, addr)
+	}
+}
+
+// attempt sends a call once to its home, or to the next router if the home
+// can't be reached. It reports whether the home itself refused to run it,
+// because it doesn't know yet which keys have run.
+func (h *Home) attempt(ctx context.Context, o order, v rwverdict.Verdict, next string) (r rwresult.Result, refused bool) {
 	switch v.Step {
 	case rwverdict.Run:
-		return h.run(ctx, o)
+		return h.run(ctx, o), false
 	case rwverdict.Forward:
 		r, ok := h.forward(ctx, v.To, o)
 		if ok || ctx.Err() != nil || next == "" {
-			return r
+			return r, ok && r.Code == rwcode.KeyHeld.String()
 		}
 		if next == h.config.Self.Name {
-			return h.run(ctx, o)
+			return h.run(ctx, o), false
 		}
 		r, _ = h.forward(ctx, next, o)
-		return r
+		return r, false
 	default:
-		return v.Result
+		return v.Result, false
+	}
+}
+
+// pause waits and reports whether the context is still in force.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -99,6 +99,9 @@
 	defaultStop  = 10 * time.Minute
 	defaultKeys  = 200_000
 	defaultBytes = 32 << 20
+	// youth is how long a home counts as having just started. It has the
+	// answers of the others long before, if they can be had at all.
+	youth = 5 * time.Second
 )
 
 type state int
@@ -132,6 +135,8 @@
 type mark struct {
 	trace   rwtrace.Trace
 	expires time.Time
+	// routes counts the calls of this router's own callers that rely on it.
+	routes int
 }
 
 type past struct {
@@ -178,7 +183,9 @@
 	revs map[int64]bool
 	own  map[int64]bool
 
-	incs  map[string]int64
+	incs map[string]int64
+	// met is when this router first heard of each present incarnation.
+	met   map[string]time.Time
 	peers map[string]*peer
 	heard map[string]heard
 	past  map[string]past
@@ -226,7 +233,7 @@
 	return &Machine{
 		self: self, config: c, start: now, tick: now,
 		revs: map[int64]bool{}, own: map[int64]bool{},
-		incs: map[string]int64{}, peers: map[string]*peer{}, heard: map[string]heard{},
+		incs: map[string]int64{}, met: map[string]time.Time{}, peers: map[string]*peer{}, heard: map[string]heard{},
 		past: map[string]past{}, covers: map[string]int64{}, told: map[string]told{},
 		table: map[string]*entry{}, marks: map[string]*mark{}, handed: map[string]int64{},
 	}
@@ -534,7 +541,10 @@
 }
 
 // Route decides where a call goes that a caller sent to this router. If it is
-// forwarded, this router remembers the key first.
+// forwarded, this router remembers the key first, unless the home may have
+// just started: it would collect the trace and, as it can't tell that the call
+// never reached an earlier home, answer unknown. Such a home finds a witness
+// itself.
 func (m *Machine) Route(now time.Time, c rwcall.Call) rwverdict.Verdict {
 	if m.list.Version.Rev == 0 || m.Behind() {
 		return unknown("the VM list is behind")
@@ -546,10 +556,29 @@
 	if home == m.self.Name || m.handed[home] > 0 && m.list.Next(c.Key, home) == m.self.Name {
 		return rwverdict.Verdict{Step: rwverdict.Run}
 	}
+	if now.Sub(m.met[home]) < youth {
+		return rwverdict.Verdict{Step: rwverdict.Forward, To: home, Young: true}
+	}
+	known := m.marks[c.Key] != nil
 	if !m.remember(now, rwtrace.Trace{Key: c.Key, Digest: c.Digest, By: home, Left: c.Repeat + slack}) {
 		return unknown("too many keys")
 	}
-	return rwverdict.Verdict{Step: rwverdict.Forward, To: home, Holds: m.joined && !m.leaving}
+	if t := m.marks[c.Key]; t != nil {
+		t.routes++
+	}
+	return rwverdict.Verdict{Step: rwverdict.Forward, To: home, Fresh: !known, Holds: m.joined && !m.leaving}
+}
+
+// Home is the published router that may run a key, or "".
+func (m *Machine) Home(key string) string { return m.list.Home(key) }
+
+// Forget drops the trace that Route made for a call which the home has refused
+// without running it, unless another call relies on the trace. Otherwise a
+// home that has just started would collect it and could never run the key.
+func (m *Machine) Forget(key string) {
+	if t := m.marks[key]; t != nil && t.routes == 1 && len(t.trace.Also) == 0 {
+		delete(m.marks, key)
+	}
 }
 
 // Next is the router that may hold the keys of a home that has left.
@@ -796,6 +825,9 @@
 	if from.Inc < m.incs[from.Name] {
 		return false
 	}
+	if from.Inc > m.incs[from.Name] {
+		m.met[from.Name] = now
+	}
 	m.incs[from.Name] = from.Inc
 	if m.handed[from.Name] > 0 && m.handed[from.Name] < from.Inc {
 		delete(m.handed, from.Name)
--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -128,6 +128,13 @@
 	return p.link(true, addr).call(ctx, method, params, result)
 }
 
+// OpenData opens the data connection to a peer if it is not open, so that a
+// following CallData sends at once. It fails with PeerUnreachable.
+func (p *Peers) OpenData(ctx context.Context, addr string) error {
+	_, err := p.link(true, addr).open(ctx)
+	return err
+}
+
 // Notify queues a control message without waiting. Messages to an unreachable
 // peer are dropped and counted, so every sender has to repeat what matters.
 func (p *Peers) Notify(addr, method string, params any) {
--- a/internal/rwverdict/rwverdict.go
+++ b/internal/rwverdict/rwverdict.go
@@ -26,6 +26,11 @@
 	// Witnesses are the routers of which one has to remember the key before
 	// the call may run, best first; none if no trace is needed.
 	Witnesses []string
+	// Young is whether the router To may have just started, so that it can't
+	// tell yet which keys have run.
+	Young bool
+	// Fresh is whether this router keeps a trace that it didn't have before.
+	Fresh bool
 	// Holds is whether this router keeps a trace that counts.
 	Holds bool
 }
