--- a/cmd/rwdrill/internal/rwprove/rwprove.go
+++ b/cmd/rwdrill/internal/rwprove/rwprove.go
@@ -42,6 +42,10 @@
 	{Property: "P3 whole", Package: module + "internal/rwgate", Test: "TestBrokenStreamNeverLooksWhole", Race: true},
 	{Property: "P3 whole", Package: module + "internal/rwstream", Test: "TestEvents", Race: true},
 	{Property: "P4 notrun", Package: fleetTests, Test: "TestOrdersRunAtMostOnce", Seeded: true},
+	{Property: "P2 live", Package: module + "test/rwlive", Test: "TestFloodBesideAnotherFault"},
+	{Property: "P3 whole", Package: module + "test/rwtruth", Test: "TestUpstreamFaults"},
+	{Property: "P4 notrun", Package: module + "test/rwtruth", Test: "TestRouterFaults"},
+	{Property: "P4 notrun", Package: module + "test/rwtruth", Test: "TestFullQueue"},
 	{Property: "P4 notrun", Package: module + "internal/rwdispatch", Test: "TestConnectionRefusedIsNotRun", Race: true},
 	{Property: "P4 notrun", Package: module + "internal/rwentry", Test: "TestOutcomeCoversAllAttempts", Race: true},
 	{Property: "P5 once", Package: fleetTests, Test: "TestOrdersRunAtMostOnce", Seeded: true},
@@ -60,6 +64,11 @@
 	{Property: "P8 config", Package: fleetTests, Test: "TestConfigurationNeverReverts", Seeded: true},
 	{Property: "P8 config", Package: module + "test/rwfleet", Test: "TestConfigurationInForce"},
 	{Property: "P8 config", Package: module + "internal/rwstore", Test: "TestNeverReverts", Race: true},
+	{Property: "P6 leaving", Package: module + "test/rwleaving", Test: "TestPublishedLeaving"},
+	{Property: "P6 leaving", Package: module + "test/rwleaving", Test: "TestEngineRefusesAsLeaving"},
+	{Property: "P7 drain", Package: module + "test/rwdrain", Test: "TestRollingReplacement"},
+	{Property: "P7 drain", Package: module + "test/rwdrain", Test: "TestShutdownBesideAnotherFault"},
+	{Property: "P7 drain", Package: module + "test/rwdrain", Test: "TestLoneRouterServesItsQueue"},
 }
 
 // Prove runs the tests of a table. Its fields are set before Run.
--- a/internal/rwfair/rwfair.go
+++ b/internal/rwfair/rwfair.go
@@ -18,6 +18,7 @@
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwmessage"
 	"redwingworks.example/internal/rwoutcome"
+	"redwingworks.example/internal/rwpause"
 	"redwingworks.example/internal/rwprefix"
 	"redwingworks.example/internal/rwqueue"
 	"redwingworks.example/internal/rwrequest"
@@ -36,6 +37,11 @@
 	// usageDelay bounds how late an owner learns that a running request costs
 	// more than was charged.
 	usageDelay = 200 * time.Millisecond
+	// beatInterval is how often the process shows itself that it runs, and
+	// distrustTime how long after a pause grants are returned: by then the
+	// messages that waited in sockets have been read.
+	beatInterval = 200 * time.Millisecond
+	distrustTime = 500 * time.Millisecond
 	// noUpstreamRetry is what a caller is told when a pool has no upstream.
 	noUpstreamRetry = 2 * time.Second
 )
@@ -70,6 +76,10 @@
 	// usageDue.
 	usage    map[grantKey]float64
 	usageDue time.Time
+	// beat is when this router last acted, distrust until when it returns
+	// all grants after a pause.
+	beat     time.Time
+	distrust time.Time
 }
 
 type target struct {
@@ -228,13 +238,40 @@
 func (p *Policy) Grant(from rwidentity.Identity, m *rwmessage.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	paused := p.paused()
 	for _, g := range m.Grants {
 		g.Cell, g.Entry = m.Cell, p.Self.Name
+		if paused {
+			p.giveBack(from, g)
+			continue
+		}
 		p.bind(from, g)
 	}
 	p.wake()
 }
 
+// paused reports whether the process was frozen a moment ago. Grants that waited
+// in a socket meanwhile look new, but their upstream may have left since: a
+// router that had been frozen started a request 3.08 s after the publication.
+func (p *Policy) paused() bool {
+	now := p.Now()
+	if !p.beat.IsZero() {
+		// The monotonic clock of a suspended VM may stand still.
+		late := max(now.Sub(p.beat), now.Round(0).Sub(p.beat.Round(0)))
+		if late > rwpause.Limit {
+			p.distrust = now.Add(distrustTime)
+		}
+	}
+	p.beat = now
+	return now.Before(p.distrust)
+}
+
+func (p *Policy) giveBack(from rwidentity.Identity, g rwgrant.Grant) {
+	p.demand.Granted(g.Cell, rwqueue.Line{Account: g.Account, Kind: g.Kind})
+	m := p.message(from, g.Cell)
+	m.Done = append(m.Done, rwspent.Spent{ID: g.ID, Code: rwcode.Paused})
+}
+
 // Check answers an owner with the grants that are not running here.
 func (p *Policy) Check(from rwidentity.Identity, m *rwmessage.Message) {
 	p.mu.Lock()
@@ -367,10 +404,17 @@
 func (p *Policy) Run(ctx context.Context) error {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	beat := time.NewTicker(beatInterval)
+	defer beat.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-beat.C:
+			p.mu.Lock()
+			p.paused()
+			p.mu.Unlock()
+			continue
 		case <-p.kick:
 		case <-timer.C:
 		}
