--- a/test/rwproxy/rwproxy.go
+++ b/test/rwproxy/rwproxy.go
@@ -85,6 +85,17 @@
 	}
 }
 
+// Connections returns the number of open connections by their source.
+func (p *Proxy) Connections() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]int{}
+	for c := range p.conns {
+		out[c.source]++
+	}
+	return out
+}
+
 // Close resets all connections and waits for the proxy's end.
 func (p *Proxy) Close() {
 	p.mu.Lock()
--- a/test/rwtoday/rwtoday.go
+++ b/test/rwtoday/rwtoday.go
@@ -326,6 +326,9 @@
 	t.peers[target].Set(source, link)
 }
 
+// PeerLinks returns the number of open peer links to a router by their source.
+func (t *Today) PeerLinks(target string) map[string]int { return t.peers[target].Connections() }
+
 // UseReplica connects a router to the replica of the platform that can be set
 // stale, or back to the main one. Present connections are reset.
 func (t *Today) UseReplica(router string, stale bool) {
--- a/test/rwtoday/rwtoday_test.go
+++ b/test/rwtoday/rwtoday_test.go
@@ -149,3 +149,20 @@
 	require.Greater(t, memory, int64(1<<20))
 	require.Less(t, memory, int64(1<<30))
 }
+
+// Guards against peer links that bypass the proxies or whose source the
+// proxies don't recognise: cuts between zones would have no effect on them.
+func TestPeerLinksAreRecognised(t *testing.T) {
+	fleet := start(t, func(f *rwtoday.Today) { f.Policy = "fleet" })
+	for _, target := range fleet.Routers {
+		require.Eventually(t, func() bool {
+			links := fleet.PeerLinks(target.Name)
+			for _, source := range fleet.Routers {
+				if source != target && links[source.Name] == 0 {
+					return false
+				}
+			}
+			return links[""] == 0
+		}, 20*time.Second, 100*time.Millisecond, "%s: %v", target.Name, fleet.PeerLinks(target.Name))
+	}
+}
