--- a/internal/rwcell/rwcell.go
+++ b/internal/rwcell/rwcell.go
@@ -77,21 +77,51 @@
 	return out
 }
 
-// Owner returns the router that owns the cell: the highest rank among the live
-// routers of its zone, or among all the given ones when the zone has none.
-func (c Cell) Owner(live []rwidentity.Identity) (rwidentity.Identity, bool) {
-	best, found := rwidentity.Identity{}, false
-	local := false
-	score := uint64(0)
+// Owners returns the owner of each cell by the cell's name: the highest rank
+// among the live routers of its zone, or among all the given ones when the zone
+// has none. A router that owns its even part of the zone's cells, rounded up,
+// is left out for the cells after it in the order given. By rank alone one of
+// 190 routers owned 12 of 300 upstreams and sent 7.4 KB/s.
+func Owners(cells []Cell, live []rwidentity.Identity) map[string]rwidentity.Identity {
+	routers := map[string][]rwidentity.Identity{}
 	for _, r := range live {
+		routers[r.Zone] = append(routers[r.Zone], r)
+	}
+	count := map[string]int{}
+	for _, c := range cells {
+		count[c.Zone]++
+		if len(routers[c.Zone]) == 0 {
+			routers[c.Zone] = live
+		}
+	}
+	out := make(map[string]rwidentity.Identity, len(cells))
+	owned := map[[2]string]int{}
+	for _, c := range cells {
+		list := routers[c.Zone]
+		if len(list) == 0 {
+			continue
+		}
+		limit := (count[c.Zone] + len(list) - 1) / len(list)
+		r := c.best(list, func(name string) bool { return owned[[2]string{c.Zone, name}] < limit })
+		owned[[2]string{c.Zone, r.Name}]++
+		out[c.Name] = r
+	}
+	return out
+}
+
+// best returns the router of the highest rank that has room; there is one.
+func (c Cell) best(list []rwidentity.Identity, room func(name string) bool) rwidentity.Identity {
+	best, found, score := rwidentity.Identity{}, false, uint64(0)
+	for _, r := range list {
+		if !room(r.Name) {
+			continue
+		}
 		s := rwrank.Score(c.Name, r.Name)
-		better := !found || (r.Zone == c.Zone) && !local ||
-			(r.Zone == c.Zone) == local && (s > score || s == score && r.Name < best.Name)
-		if better {
-			best, found, local, score = r, true, r.Zone == c.Zone, s
+		if !found || s > score || s == score && r.Name < best.Name {
+			best, found, score = r, true, s
 		}
 	}
-	return best, found
+	return best
 }
 
 // Window is the sum of the record windows of the upstreams.
--- a/internal/rwfair/rwfair.go
+++ b/internal/rwfair/rwfair.go
@@ -109,8 +109,9 @@
 	defer p.mu.Unlock()
 	p.cells = map[string]target{}
 	var targets []rwdemand.Target
+	owners := rwcell.Owners(cells, live)
 	for _, c := range cells {
-		owner, ok := c.Owner(live)
+		owner, ok := owners[c.Name]
 		if !ok {
 			continue
 		}
--- a/internal/rwfollow/rwfollow.go
+++ b/internal/rwfollow/rwfollow.go
@@ -55,8 +55,7 @@
 	pullTimeout = time.Second
 	startPoll   = 100 * time.Millisecond
 	// startFull is the number of peers that a starting router without records
-	// asks for all of them, which is 1.9 MB before compression for 4,100
-	// records. Two, so that one unreachable peer doesn't delay the start. The
+	// asks for all of them: 157 KB each for 4,100 records. Two, so that one unreachable peer doesn't delay the start. The
 	// startBatch peers after them send only what differs.
 	startFull  = 2
 	startBatch = 8
--- a/internal/rwnode/view.go
+++ b/internal/rwnode/view.go
@@ -28,8 +28,10 @@
 	scheds := n.owner.Views()
 	live := n.liveInRegion()
 	windows := map[string]rwschedview.Upstream{}
-	for _, c := range n.cells() {
-		owner, _ := c.Owner(live)
+	cells := n.cells()
+	owners := rwcell.Owners(cells, live)
+	for _, c := range cells {
+		owner := owners[c.Name]
 		v.Cells = append(v.Cells, rwview.Cell{Name: c.Name, Pool: c.Group, Zone: c.Zone, Owner: owner.Name})
 		s, mine := scheds[c.Name]
 		if !mine {
--- a/internal/rwowner/rwowner.go
+++ b/internal/rwowner/rwowner.go
@@ -128,8 +128,9 @@
 	o.owners = map[string]rwidentity.Identity{}
 	o.group = map[string]string{}
 	mine := map[string]bool{}
+	owners := rwcell.Owners(cells, live)
 	for _, c := range cells {
-		r, ok := c.Owner(live)
+		r, ok := owners[c.Name]
 		if !ok {
 			continue
 		}
--- a/test/rwcapacity/memory_test.go
+++ b/test/rwcapacity/memory_test.go
@@ -47,9 +47,9 @@
 }
 
 // grows returns the memory that a value takes.
-func grows(make func() any) float64 {
+func grows(build func() any) float64 {
 	before := heap()
-	v := make()
+	v := build()
 	n := heap() - before
 	runtime.KeepAlive(v)
 	return n
@@ -63,10 +63,10 @@
 
 func memorySlopes(t *testing.T) memory {
 	tb := newTable("memory fits", fitHead...)
-	each := func(what string, values []float64, make func(n int) any) float64 {
+	each := func(what string, values []float64, build func(n int) any) float64 {
 		var y []float64
 		for _, v := range values {
-			y = append(y, grows(func() any { return make(int(v)) }))
+			y = append(y, grows(func() any { return build(int(v)) }))
 		}
 		return tb.fitted(what, values, y).Slope
 	}
--- a/test/rwcapacity/processor_test.go
+++ b/test/rwcapacity/processor_test.go
@@ -109,8 +109,7 @@
 func (f *full) owner(now time.Time) (*rwowner.Owner, rwidentity.Identity) {
 	owned := map[string]int{}
 	top := f.live[0]
-	for _, c := range f.cells {
-		r, _ := c.Owner(f.live)
+	for _, r := range rwcell.Owners(f.cells, f.live) {
 		owned[r.Name]++
 		if owned[r.Name] > owned[top.Name] {
 			top = r
@@ -183,8 +182,9 @@
 func entryTurn(f *full) func() {
 	d, q := rwdemand.New(1), rwqueue.New()
 	var targets []rwdemand.Target
+	all := rwcell.Owners(f.cells, f.live)
 	for _, c := range f.cells {
-		o, _ := c.Owner(f.live)
+		o := all[c.Name]
 		targets = append(targets, rwdemand.Target{Name: c.Name, Pools: c.Pools, Owner: rwcell.OwnerKey(o), Near: c.Zone == f.self.Zone})
 	}
 	d.SetCells(targets)
--- a/test/rwcapacity/sums_test.go
+++ b/test/rwcapacity/sums_test.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"redwingworks.example/internal/rwcell"
 )
 
 const (
@@ -33,8 +35,9 @@
 // by the real cells and ranks.
 func owners(f *full) (mean float64, most load) {
 	list := map[string]load{}
+	all := rwcell.Owners(f.cells, f.live)
 	for _, c := range f.cells {
-		r, _ := c.Owner(f.live)
+		r := all[c.Name]
 		l := list[r.Name]
 		l.cells++
 		l.upstreams += len(c.Upstreams)
