--- a/internal/rwfair/rwfair.go
+++ b/internal/rwfair/rwfair.go
@@ -18,6 +18,7 @@
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwmessage"
 	"redwingworks.example/internal/rwoutcome"
+	"redwingworks.example/internal/rwprefix"
 	"redwingworks.example/internal/rwqueue"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwslot"
@@ -50,16 +51,21 @@
 	Send func(to rwidentity.Identity, method string, m *rwmessage.Message)
 	// Now is the clock.
 	Now func() time.Time
+	// Prefixes remembers where prompt prefixes ran; nil ignores them.
+	Prefixes *rwprefix.Prefixes
 
 	kick chan struct{}
 
-	mu      sync.Mutex
-	queue   *rwqueue.Queue
-	demand  *rwdemand.Demand
-	cells   map[string]target
-	waiting map[*rwrequest.Request]chan result
-	running map[grantKey]*running
-	outbox  map[rwidentity.Identity]map[string]*rwmessage.Message
+	mu     sync.Mutex
+	queue  *rwqueue.Queue
+	demand *rwdemand.Demand
+	cells  map[string]target
+	// assigned is set with the first cells. Until then requests wait: a
+	// router that has started gets forwarded calls before it knows its cells.
+	assigned bool
+	waiting  map[*rwrequest.Request]chan result
+	running  map[grantKey]*running
+	outbox   map[rwidentity.Identity]map[string]*rwmessage.Message
 	// usage waits for another message to the same cell, at most until
 	// usageDue.
 	usage    map[grantKey]float64
@@ -124,6 +130,7 @@
 		})
 	}
 	p.demand.SetCells(targets)
+	p.assigned = true
 	p.wake()
 }
 
@@ -158,7 +165,7 @@
 func (p *Policy) enter(r *rwrequest.Request) (chan result, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.serves(r.Pool) {
+	if p.assigned && !p.serves(r.Pool) {
 		return nil, rwfault.New(rwcode.NoUpstream, r.Pool).WithRetryAfter(noUpstreamRetry)
 	}
 	evicted, err := p.queue.Push(p.Now(), r)
@@ -250,11 +257,14 @@
 		p.done(g, rwspent.Spent{ID: g.ID, Code: rwcode.UpstreamLeaving})
 		return
 	}
-	r := p.queue.Take(p.Now(), g.Account, g.Kind, up.Pools)
+	r := p.queue.Take(p.Now(), g.Account, g.Kind, up.Pools, p.preference(up.Name))
 	if r == nil {
 		p.done(g, rwspent.Spent{ID: g.ID})
 		return
 	}
+	if p.Prefixes != nil {
+		p.Prefixes.Ran(r.Prefix, up.Name)
+	}
 	p.answer(r, result{slot: &rwslot.Slot{
 		Upstream: up,
 		Expires:  p.Now().Add(slotLifetime),
@@ -268,6 +278,14 @@
 	}})
 }
 
+// preference prefers requests whose prefix the upstream ran last.
+func (p *Policy) preference(upstream string) func(*rwrequest.Request) bool {
+	if p.Prefixes == nil {
+		return nil
+	}
+	return func(r *rwrequest.Request) bool { return p.Prefixes.At(r.Prefix, upstream) }
+}
+
 // meter reports the cost of a running request when it reaches 1, 2, 4 … times
 // what was charged, so that a request of unknown cost is charged while it runs
 // with few messages.
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -92,8 +93,8 @@
 	// Draining reports whether new requests are refused because the process
 	// is about to end. It may be nil.
 	Draining func() bool
-	// Refused counts a refusal.
-	Refused func(rwcode.Code)
+	// Refused counts and logs a request that ended with a fault.
+	Refused func(*rwfault.Fault)
 	// Now is the clock.
 	Now func() time.Time
 	// TLS is used by Server; nil for HTTP without TLS.
@@ -167,7 +168,7 @@
 		g.conns.Give(-1)
 	}
 	if g.conns.Used() > hardConns*g.maxConns() {
-		g.Refused(rwcode.TooManyConnections)
+		g.Refused(rwfault.New(rwcode.TooManyConnections, ""))
 		_ = c.Close()
 	}
 	return context.WithValue(ctx, connKey{}, state)
@@ -253,7 +254,7 @@
 // fail answers a request that failed before its answer began.
 func (g *Gate) fail(w http.ResponseWriter, r *http.Request, err error) {
 	f := fault(err)
-	g.Refused(f.Code)
+	g.Refused(f)
 	switch f.Code {
 	case rwcode.Draining, rwcode.TooManyConnections, rwcode.SlowBody, rwcode.BodyTooLarge:
 		w.Header().Set("Connection", "close")
@@ -358,6 +359,9 @@
 		return nil, err
 	}
 	q.ID = g.ID + "-" + strconv.FormatInt(g.sequence.Add(1), 10)
+	// Refusals carry the identifier too, so that a caller's report can be
+	// compared with the upstreams' logs.
+	w.Header().Set("Redwing-Request", q.ID)
 	return q, nil
 }
 
@@ -478,6 +482,13 @@
 	}
 }
 
+// prefix identifies a first message.
+func prefix(message []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(message)
+	return h.Sum64()
+}
+
 func (g *Gate) chat(w http.ResponseWriter, r *http.Request) error {
 	q, err := g.accept(w, r)
 	if err != nil {
@@ -492,6 +503,7 @@
 		return err
 	}
 	q.Engine, q.Stream = true, body.Stream
+	q.Prefix = prefix(body.Messages[0])
 	if err := route(g.View(), q); err != nil {
 		return err
 	}
@@ -536,7 +548,6 @@
 		s.started = true
 		s.w.Header().Set("Content-Type", "text/event-stream")
 		s.w.Header().Set("Cache-Control", "no-store")
-		s.w.Header().Set("Redwing-Request", s.q.ID)
 	}
 	data := c.Raw
 	if data == nil {
@@ -580,7 +591,7 @@
 		return err
 	}
 	f := fault(err)
-	g.Refused(f.Code)
+	g.Refused(f)
 	_ = s.write([]byte("event: error\ndata: " + string(rwrefusal.New(f).Body) + "\n\n"))
 	// Ends the connection (HTTP/2: the stream) without the mark of a whole
 	// body, so that a client that knows no error events sees the fault too.
@@ -613,7 +624,6 @@
 	if err != nil {
 		return rwfault.Wrap(rwcode.Internal, err).WithOutcome(rwoutcome.Ran)
 	}
-	w.Header().Set("Redwing-Request", q.ID)
 	w.Header().Set("Content-Type", "application/json")
 	g.send(w, http.StatusOK, data)
 	return nil
@@ -662,7 +672,6 @@
 			w.Header().Set(name, v)
 		}
 	}
-	w.Header().Set("Redwing-Request", q.ID)
 	g.send(w, a.Status, a.Body)
 	return nil
 }
--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -261,6 +261,9 @@
 
 // Tick reports that the process runs. Calls aren't sent after a pause.
 func (m *Machine) Tick(now time.Time) {
+	if m.paused(now) {
+		m.wake()
+	}
 	m.tick = now
 	if now.Sub(m.expired) >= expireInterval {
 		m.expired = now
@@ -269,6 +272,19 @@
 	m.evaluate(now)
 }
 
+// paused reports whether the process stood still. The monotonic clock does so
+// too while a VM is suspended, hence the wall clock.
+func (m *Machine) paused(now time.Time) bool {
+	return now.Sub(m.tick) > maxPause || now.Round(0).Sub(m.tick.Round(0)) > maxPause
+}
+
+// wake asks all others again after a pause, before this router acts on what it
+// knew, since others may have taken its keys over meanwhile.
+func (m *Machine) wake() {
+	m.peers = map[string]*peer{}
+	m.released, m.steady = false, false
+}
+
 func (m *Machine) expire(now time.Time) {
 	for k, t := range m.marks {
 		if now.After(t.expires) {
@@ -536,7 +552,7 @@
 	if home == m.self.Name || m.handed[home] > 0 && m.list.Next(c.Key, home) == m.self.Name {
 		return rwverdict.Verdict{Step: rwverdict.Run}
 	}
-	if !m.remember(now, rwtrace.Trace{Key: c.Key, Digest: c.Digest, Left: c.Repeat + slack}) {
+	if !m.remember(now, rwtrace.Trace{Key: c.Key, Digest: c.Digest, By: home, Left: c.Repeat + slack}) {
 		return unknown("too many keys")
 	}
 	return rwverdict.Verdict{Step: rwverdict.Forward, To: home, Holds: m.joined && !m.leaving}
@@ -678,7 +694,7 @@
 	if e == nil || e.state != running {
 		return rwcode.KeyHeld
 	}
-	if now.Sub(m.tick) > maxPause {
+	if m.paused(now) {
 		return rwcode.Paused
 	}
 	if !c.Ticket && !m.may(now, c) {
@@ -739,7 +755,7 @@
 
 // remember keeps a trace and reports whether there was room for it.
 func (m *Machine) remember(now time.Time, t rwtrace.Trace) bool {
-	if t.By == m.self.Name && t.Inc == m.self.Inc {
+	if t.By == m.self.Name && t.Inc == m.self.Inc && len(t.Also) == 0 {
 		return true
 	}
 	if e := m.table[t.Key]; e != nil && e.state == free {
@@ -756,8 +772,13 @@
 		return true
 	}
 	old.expires = later(old.expires, until)
-	if t.Result != nil || old.trace.By == "" {
-		old.trace = t
+	if t.Result != nil {
+		old.trace.Result = t.Result
+	}
+	for _, n := range append(slices.Clone(t.Also), t.By) {
+		if n != "" && !old.trace.May(n) {
+			old.trace.Also = append(slices.Clone(old.trace.Also), n)
+		}
 	}
 	return true
 }
@@ -934,7 +955,9 @@
 	for _, k := range slices.Sorted(maps.Keys(m.marks)) {
 		t := m.marks[k].trace
 		t.Left = m.marks[k].expires.Sub(now)
-		if m.homed(to, q.Version, k) || t.By == m.self.Name || m.list.Home(k) == m.self.Name {
+		// A router has to learn of all keys that its earlier incarnations may
+		// have run, also of those that are at home elsewhere.
+		if m.homed(to, q.Version, k) || t.May(to) || t.May(m.self.Name) || m.list.Home(k) == m.self.Name {
 			list = append(list, t)
 		}
 	}
@@ -977,9 +1000,6 @@
 	}
 	kept := true
 	for _, t := range r.Traces {
-		if t.By == "" && m.list.Home(t.Key) == m.self.Name {
-			t.By = m.self.Name
-		}
 		kept = m.remember(now, t) && kept
 	}
 	if !r.OK || !kept || !current || r.More || q.Version != m.list.Version {
@@ -1084,7 +1104,7 @@
 	for _, k := range slices.Sorted(maps.Keys(m.marks)) {
 		t := m.marks[k].trace
 		t.Left = m.marks[k].expires.Sub(now)
-		if m.table[k] == nil && (t.By == m.self.Name || m.list.Home(k) == m.self.Name) {
+		if m.table[k] == nil && (t.May(m.self.Name) || m.list.Home(k) == m.self.Name) {
 			out = append(out, t)
 		}
 	}
--- a/internal/rwowner/rwowner.go
+++ b/internal/rwowner/rwowner.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"redwingworks.example/internal/rwcell"
+	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwmessage"
 	"redwingworks.example/internal/rwsched"
 	"redwingworks.example/internal/rwschedview"
 	"redwingworks.example/internal/rwsnapshot"
+	"redwingworks.example/internal/rwspent"
 	"redwingworks.example/internal/rwupstream"
 )
 
@@ -48,6 +50,9 @@
 type Owner struct {
 	// Send sends a message to a router without waiting.
 	Send func(to rwidentity.Identity, method string, m *rwmessage.Message)
+	// Failed is told of an upstream that could not be reached or refused a
+	// request; the scheduler gives it no grants for a while. It may be nil.
+	Failed func(upstream string, code rwcode.Code)
 
 	self rwidentity.Identity
 
@@ -87,7 +92,7 @@
 
 // issue is a grant whose entry has not said that it is done.
 type issue struct {
-	entry string
+	entry, upstream string
 	// check is when the entry is asked whether the grant is still running.
 	check time.Time
 }
@@ -318,31 +323,33 @@
 
 // Want takes levels and costs from an entry.
 func (o *Owner) Want(now time.Time, from rwidentity.Identity, m *rwmessage.Message) {
-	o.mu.Lock()
-	c := o.cells[m.Cell]
-	if c == nil {
-		o.ignored++
-		o.mu.Unlock()
-		return
-	}
-	o.admit(now, from)
-	for _, s := range m.Done {
-		delete(c.issued, s.ID)
-		c.sched.Done(now, s.ID, s.Cost, s.First, s.Total, s.Code)
-	}
-	for _, s := range m.Usage {
-		c.sched.Usage(now, s.ID, s.Cost)
-	}
-	for _, l := range m.Levels {
-		c.sched.SetLevel(now, from.Name, l.Account, l.Kind, l.Count, l.Hint)
-	}
-	out := c.pump(now, o.entries)
-	o.mu.Unlock()
-	o.send(out)
+	o.receive(now, from, m, func(c *owned) {
+		for _, s := range m.Done {
+			o.done(now, c, s)
+		}
+		for _, s := range m.Usage {
+			c.sched.Usage(now, s.ID, s.Cost)
+		}
+	})
 }
 
 // Sync replaces all that is known of an entry in a cell.
 func (o *Owner) Sync(now time.Time, from rwidentity.Identity, m *rwmessage.Message) {
+	o.receive(now, from, m, func(c *owned) {
+		c.settle(now, from.Name)
+		c.dropEntry(now, from.Name)
+		for _, g := range m.Running {
+			g.Cell, g.Entry = m.Cell, from.Name
+			c.issued[g.ID] = issue{from.Name, g.Upstream, now.Add(checkInterval)}
+			c.sched.Restore(now, g)
+		}
+	})
+}
+
+// receive applies an entry's message to the cell that it names, sets the
+// entry's levels and sends the grants that became possible. A message about a
+// cell that this router doesn't own is lost: its owner asks for a sync.
+func (o *Owner) receive(now time.Time, from rwidentity.Identity, m *rwmessage.Message, apply func(*owned)) {
 	o.mu.Lock()
 	c := o.cells[m.Cell]
 	if c == nil {
@@ -351,13 +358,7 @@
 		return
 	}
 	o.admit(now, from)
-	c.settle(now, from.Name)
-	c.dropEntry(now, from.Name)
-	for _, g := range m.Running {
-		g.Cell, g.Entry = m.Cell, from.Name
-		c.issued[g.ID] = issue{from.Name, now.Add(checkInterval)}
-		c.sched.Restore(now, g)
-	}
+	apply(c)
 	for _, l := range m.Levels {
 		c.sched.SetLevel(now, from.Name, l.Account, l.Kind, l.Count, l.Hint)
 	}
@@ -366,6 +367,14 @@
 	o.send(out)
 }
 
+func (o *Owner) done(now time.Time, c *owned, s rwspent.Spent) {
+	if o.Failed != nil && (s.Code == rwcode.UpstreamUnreachable || s.Code == rwcode.UpstreamRefused) {
+		o.Failed(c.issued[s.ID].upstream, s.Code)
+	}
+	delete(c.issued, s.ID)
+	c.sched.Done(now, s.ID, s.Cost, s.First, s.Total, s.Code)
+}
+
 func (c *owned) settle(now time.Time, entry string) {
 	delete(c.awaited, entry)
 	if len(c.awaited) == 0 && now.Before(c.settled) {
@@ -440,7 +449,7 @@
 			out = append(out, outgoing{entries[g.Entry], rwmessage.Grant, m})
 		}
 		m.Grants = append(m.Grants, g)
-		c.issued[g.ID] = issue{g.Entry, now.Add(checkInterval)}
+		c.issued[g.ID] = issue{g.Entry, g.Upstream, now.Add(checkInterval)}
 	}
 }
 
@@ -453,7 +462,7 @@
 		if now.Before(i.check) {
 			continue
 		}
-		c.issued[id] = issue{i.entry, now.Add(checkInterval)}
+		c.issued[id] = issue{i.entry, i.upstream, now.Add(checkInterval)}
 		m := byEntry[i.entry]
 		if m == nil {
 			m = &rwmessage.Message{Cell: c.cell.Name}
--- a/test/rwtoday/rwtoday.go
+++ b/test/rwtoday/rwtoday.go
@@ -50,7 +50,7 @@
 	enginesIn = []int{4, 3, 3}
 )
 
-// Today is a running fleet. Its fields up to Policy are set before Start.
+// Today is a running fleet. Its fields up to Drain are set before Start.
 type Today struct {
 	// Slots and Step are those of each engine.
 	Slots int
@@ -62,8 +62,12 @@
 	// ProxyUpstreams puts proxies in front of upstreams too, so that a cut
 	// between zones also separates routers from upstreams.
 	ProxyUpstreams bool
+	// Fence makes the services of the first zone check fencing numbers.
+	Fence bool
 	// Policy is the routers' policy.
 	Policy string
+	// Drain is how long a router that stops stays reachable but not ready.
+	Drain time.Duration
 
 	Clients           []rwclient.Client
 	Platform          *rwfleet.Proc
@@ -84,6 +88,7 @@
 		Slots:     4,
 		Step:      20 * time.Millisecond,
 		Policy:    "fleet",
+		Drain:     time.Second,
 		fleet:     rwfleet.New(bin, logs),
 		peers:     map[string]*rwproxy.Proxy{},
 		upstreams: map[string]*rwproxy.Proxy{},
@@ -195,7 +200,7 @@
 				return nil, err
 			}
 		}
-		p, err := t.fleet.Service("orders-"+zone, "--fence="+fmt.Sprint(z == 0))
+		p, err := t.fleet.Service("orders-"+zone, "--fence="+fmt.Sprint(t.Fence && z == 0))
 		if err != nil {
 			return nil, err
 		}
@@ -218,16 +223,15 @@
 		t.upstreams[p.Name] = proxy
 		p.Published = proxy.Addr()
 	}
-	return append(records, UpstreamRecord(p, pool, kind, t.Slots, "live", 1)), nil
+	return append(records, t.UpstreamRecord(p, pool, kind, "live", 1)), nil
 }
 
 // UpstreamRecord returns the record of an engine or service of this fleet.
-// Only the services of the first zone check fencing numbers.
-func UpstreamRecord(p *rwfleet.Proc, pool, kind string, window int, state string, inc int64) rwrecord.Record {
+func (t *Today) UpstreamRecord(p *rwfleet.Proc, pool, kind, state string, inc int64) rwrecord.Record {
 	return rwfleet.Record("upstream", p.Name, 1, map[string]any{
 		"pool": pool, "zone": p.Zone, "addr": p.Published, "type": kind,
-		"window": window, "state": state, "inc": inc,
-		"fence": kind == "service" && p.Zone == Zones[0],
+		"window": t.Slots, "state": state, "inc": inc,
+		"fence": t.Fence && kind == "service" && p.Zone == Zones[0],
 	})
 }
 
@@ -259,7 +263,7 @@
 // StartRouter starts a router, also again after its end. Only the first start
 // of the whole fleet may shorten the time that keys are held.
 func (t *Today) StartRouter(p *rwfleet.Proc, args ...string) error {
-	args = append([]string{"--drain", "1s", "--hold", "0s", "--policy", t.Policy}, args...)
+	args = append([]string{"--drain", t.Drain.String(), "--hold", "0s", "--policy", t.Policy}, args...)
 	return t.fleet.Router(p, t.platforms[p.Name].Addr(), args...)
 }
 
