--- a/internal/rwcell/rwcell_test.go
+++ b/internal/rwcell/rwcell_test.go
@@ -47,17 +47,17 @@
 func TestOwner(t *testing.T) {
 	router := func(name, zone string) rwidentity.Identity { return rwidentity.Identity{Name: name, Zone: zone} }
 	live := []rwidentity.Identity{router("a", "z0"), router("b", "z1"), router("c", "z1"), router("d", "z2")}
-	for _, c := range rwcell.All(view(8), 4) {
-		owner, ok := c.Owner(live)
+	cells := rwcell.All(view(8), 4)
+	reversed := []rwidentity.Identity{live[3], live[2], live[1], live[0]}
+	owners, again := rwcell.Owners(cells, live), rwcell.Owners(cells, reversed)
+	far, none := rwcell.Owners(cells, live[3:]), rwcell.Owners(cells, nil)
+	for _, c := range cells {
+		owner, ok := owners[c.Name]
 		require.True(t, ok)
 		require.Equal(t, c.Zone, owner.Zone)
-		reversed := []rwidentity.Identity{live[3], live[2], live[1], live[0]}
-		again, _ := c.Owner(reversed)
-		require.Equal(t, owner, again)
-		far, ok := c.Owner(live[3:])
-		require.True(t, ok)
-		require.Equal(t, "d", far.Name)
-		_, ok = c.Owner(nil)
+		require.Equal(t, owner, again[c.Name])
+		require.Equal(t, "d", far[c.Name].Name)
+		_, ok = none[c.Name]
 		require.False(t, ok)
 	}
 }
--- a/test/rwcapacity/processor_test.go
+++ b/test/rwcapacity/processor_test.go
@@ -205,7 +205,7 @@
 			panic(err)
 		}
 		turn(l, pool)
-		q.Take(now, r.Account, r.Kind, []string{pool})
+		q.Take(now, r.Account, r.Kind, []string{pool}, nil)
 		turn(l, pool)
 	}
 }
