--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -473,6 +473,12 @@
 		}
 	}
 	m.joined = m.joined || missing <= 1 && missing < max(len(m.list.All)-1, 1)
+	if missing > 1 && !m.config.Rules.NoHold && !m.config.Rules.NoPromise {
+		// Each home that has not answered is then neither traced by all
+		// others nor known to have stopped. Without this, the answers after
+		// a change of a list of 380 took 1.5 s of processor time.
+		return
+	}
 	homes, since, ok := m.gaps()
 	if len(homes) == 0 || m.config.Rules.NoHold {
 		m.full, m.steady = true, m.steady || m.live()
