Let the handoff of keys survive further shutdowns

Cause: a leaving router handed keys only to the next rank, and only its own. A router now runs a key if all routers of higher rank have left with a handoff to it, each with every key that it may have run, for up to three left; entries try the ranks in order. Ruled out: passing on a received authority as a whole, since a lost message could then hide keys that the one in between ran.

--- a/internal/rwhome/rwhome.go
+++ b/internal/rwhome/rwhome.go
@@ -60,8 +60,8 @@
 	meetPatience = 500 * time.Millisecond
 	heldPause    = 50 * time.Millisecond
 	// maxHops bounds forwarding: from the entry to a home that is leaving
-	// and on to the router that has its keys.
-	maxHops = 2
+	// and on to the router that has its keys, which may be leaving too.
+	maxHops = 4
 )
 
 // Home is the part of a router that runs non-idempotent calls.
@@ -284,12 +284,12 @@
 		h.sync()
 		v := h.machine.Route(h.config.Now(), o.Call)
 		o.Call.Version, o.Call.Holds = h.machine.Version(), v.Holds
-		next := h.machine.Next(o.Call.Key)
+		ranks := h.machine.Ranks(o.Call.Key)
 		h.mu.Unlock()
 		if last.Code != "" && !v.Young && h.config.Now().Sub(begin) > meetPatience {
 			return last
 		}
-		r, refused := h.attempt(ctx, o, v, next)
+		r, refused := h.attempt(ctx, o, v, ranks)
 		if !refused {
 			return r
 		}
@@ -318,26 +318,27 @@
 	}
 }
 
-// attempt sends a call once to its home, or to the next router if the home
-// can't be reached. It reports whether the home itself refused to run it,
-// because it doesn't know yet which keys have run.
-func (h *Home) attempt(ctx context.Context, o order, v rwverdict.Verdict, next string) (r rwresult.Result, refused bool) {
+// attempt sends a call once to its home, or to the next routers in their order
+// as long as none can be reached. It reports whether the home itself refused to
+// run it, because it doesn't know yet which keys have run.
+func (h *Home) attempt(ctx context.Context, o order, v rwverdict.Verdict, ranks []string) (r rwresult.Result, refused bool) {
 	switch v.Step {
 	case rwverdict.Run:
 		return h.run(ctx, o), false
 	case rwverdict.Forward:
-		r, ok := h.forward(ctx, v.To, o)
-		if ok || ctx.Err() != nil || next == "" {
-			return r, ok && r.Code == rwcode.KeyHeld.String()
-		}
-		if next == h.config.Self.Name {
-			return h.run(ctx, o), false
-		}
-		r, _ = h.forward(ctx, next, o)
-		return r, false
 	default:
 		return v.Result, false
 	}
+	for i, to := range ranks {
+		if to == h.config.Self.Name {
+			return h.run(ctx, o), false
+		}
+		var ok bool
+		if r, ok = h.forward(ctx, to, o); ok || ctx.Err() != nil {
+			return r, ok && i == 0 && r.Code == rwcode.KeyHeld.String()
+		}
+	}
+	return r, false
 }
 
 // pause waits and reports whether the context is still in force.
--- a/internal/rwlist/rwlist.go
+++ b/internal/rwlist/rwlist.go
@@ -8,6 +8,11 @@
 	"redwingworks.example/internal/rwrank"
 )
 
+// depth is how many routers, the home included, may leave before the list
+// changes without a key being unknown. Each further one costs a copy of the
+// keys at every graceful shutdown.
+const depth = 4
+
 // Version orders lists by revision. The sum tells lists of the same revision apart, which
 // exist while a router has received only a part of the records.
 type Version struct {
@@ -42,12 +47,9 @@
 // Home is the live VM of the highest rank for a key, or "".
 func (l List) Home(key string) string { return rwrank.Top(key, l.Live) }
 
-// Next is the live VM of the highest rank for a key without one VM, or "".
-func (l List) Next(key, without string) string {
-	for _, n := range rwrank.Order(key, l.Live) {
-		if n != without {
-			return n
-		}
-	}
-	return ""
+// Ranks are the live VMs of the highest ranks for a key: its home, and those
+// that may hold the key one after the other when the ones before have left.
+func (l List) Ranks(key string) []string {
+	order := rwrank.Order(key, l.Live)
+	return order[:min(depth, len(order))]
 }
--- a/internal/rwonce/explore_test.go
+++ b/internal/rwonce/explore_test.go
@@ -332,6 +332,9 @@
 	}
 }
 
+// heldTries is how often an entry sends a call again that a new home refused.
+const heldTries = 3
+
 // send is a caller's attempt through a router.
 func (w *world) send(a *attempt, via string, done func(rwresult.Result)) {
 	r := w.routers[via]
@@ -340,14 +343,34 @@
 	}
 	inc := r.inc
 	w.on(r, inc, func() {
-		w.entry(r, a, func(x rwresult.Result) {
+		w.entry(r, a, heldTries, func(x rwresult.Result) {
 			w.told(a, x)
 			done(x)
 		})
 	})
 }
 
-func (w *world) entry(r *router, a *attempt, done func(rwresult.Result)) {
+// forward sends a call to the routers that may run it, in their order as long as
+// none answers. It reports whether the home refused because it doesn't know yet
+// which keys have run.
+func (w *world) forward(r *router, a *attempt, c rwcall.Call, ranks []string, done func(rwresult.Result, bool)) {
+	w.order(r, ranks[0], a, c, func(x rwresult.Result, ok bool) {
+		switch {
+		case ok:
+			done(x, x.Code == rwcode.KeyHeld.String() && ranks[0] == r.m.Home(c.Key))
+		case len(ranks) == 1:
+			done(x, false)
+		case ranks[1] == r.name:
+			w.home(r, a, c, func(x rwresult.Result) { done(x, false) })
+		default:
+			w.forward(r, a, c, ranks[1:], done)
+		}
+	})
+}
+
+// entry is the part of a call's entry router. It sends a call that the home
+// refused again, tries times at most.
+func (w *world) entry(r *router, a *attempt, tries int, done func(rwresult.Result)) {
 	if a.call.Ticket {
 		if a.issuer == r.name {
 			w.home(r, a, a.call, done)
@@ -364,13 +387,18 @@
 		c := a.call
 		c.From, c.Inc, c.Holds, c.Version = r.name, r.inc, v.Holds, r.m.Version()
 		w.note("%s forwards %s to %s", r.name, c.Key, v.To)
-		w.order(r, v.To, a, c, func(x rwresult.Result, ok bool) {
-			next := r.m.Next(c.Key)
-			if ok || next == "" || next == r.name {
+		w.forward(r, a, c, r.m.Ranks(c.Key), func(x rwresult.Result, refused bool) {
+			if !refused || tries == 0 {
 				done(x)
 				return
 			}
-			w.order(r, next, a, c, func(x rwresult.Result, _ bool) { done(x) })
+			if v.Fresh {
+				r.m.Forget(c.Key)
+			}
+			inc := r.inc
+			w.at(50*time.Millisecond, func() {
+				w.on(r, inc, func() { w.entry(r, a, tries-1, done) })
+			})
 		})
 	default:
 		done(v.Result)
--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -510,9 +510,7 @@
 	}
 	home := m.list.Home(c.Key)
 	if home != m.self.Name {
-		inc, ok := m.handed[home]
-		ok = ok && inc >= m.incs[home] || m.config.Rules.Suspect
-		return ok && !m.leaving && m.list.Next(c.Key, home) == m.self.Name
+		return !m.leaving && m.heir(c.Key)
 	}
 	homes, since, ok := m.gaps()
 	if len(homes) == 0 || m.released || m.config.Rules.NoHold {
@@ -524,6 +522,41 @@
 	return m.kept(c.Key, homes)
 }
 
+// heir reports whether this router is not the home of a key but has the
+// handoffs of all routers of higher rank. Each of them gave up all keys before
+// and said which of them it may have run.
+func (m *Machine) heir(key string) bool {
+	for i, n := range m.list.Ranks(key) {
+		if n == m.self.Name {
+			return i > 0
+		}
+		if !m.left(n) {
+			return false
+		}
+	}
+	return false
+}
+
+// left reports whether a router has handed its keys over to this one and did
+// not start again since.
+func (m *Machine) left(name string) bool {
+	inc, ok := m.handed[name]
+	return ok && inc >= m.incs[name] || m.config.Rules.Suspect
+}
+
+// successor is the router that this one, which leaves, passes a call on to, or
+// "".
+func (m *Machine) successor(key string) string {
+	after := false
+	for _, n := range m.list.Ranks(key) {
+		if after && !m.left(n) {
+			return n
+		}
+		after = after || n == m.self.Name
+	}
+	return ""
+}
+
 // kept reports whether this router was the home of a key in all lists since
 // it knew all of its keys, so that the unknown keys of the other homes don't
 // matter.
@@ -559,7 +592,7 @@
 	if home == "" {
 		return unknown("no VM is published")
 	}
-	if home == m.self.Name || m.handed[home] > 0 && m.list.Next(c.Key, home) == m.self.Name {
+	if home == m.self.Name || m.heir(c.Key) {
 		return rwverdict.Verdict{Step: rwverdict.Run}
 	}
 	if now.Sub(m.met[home]) < youth {
@@ -587,10 +620,9 @@
 	}
 }
 
-// Next is the router that may hold the keys of a home that has left.
-func (m *Machine) Next(key string) string {
-	return m.list.Next(key, m.list.Home(key))
-}
+// Ranks are the routers that may run a key: its home, and those that may hold
+// it when the ones before have left.
+func (m *Machine) Ranks(key string) []string { return m.list.Ranks(key) }
 
 func unknown(detail string) rwverdict.Verdict {
 	return rwverdict.Verdict{Result: rwresult.Unknown(detail)}
@@ -609,8 +641,8 @@
 	if t := m.marks[c.Key]; t != nil {
 		return t.verdict(c)
 	}
-	if m.leaving && m.list.Home(c.Key) == m.self.Name {
-		return rwverdict.Verdict{Step: rwverdict.Forward, To: m.list.Next(c.Key, m.self.Name)}
+	if m.leaving && (m.list.Home(c.Key) == m.self.Name || m.heir(c.Key)) {
+		return rwverdict.Verdict{Step: rwverdict.Forward, To: m.successor(c.Key)}
 	}
 	if !m.may(now, c) {
 		return m.held(c)
@@ -1066,8 +1098,8 @@
 	}
 }
 
-// Leave hands the keys over to the routers of the next rank. The first call
-// ends this router's authority for keys that it doesn't know; later calls
+// Leave hands the keys over to the routers of the next ranks, with those that
+// this router ran for others that had left before. The first call ends this router's authority for keys that it doesn't know; later calls
 // return the same keys with the results that are known by then.
 func (m *Machine) Leave(now time.Time) map[string]rwhandoff.Handoff {
 	out := map[string]rwhandoff.Handoff{}
@@ -1087,13 +1119,17 @@
 	}
 	bytes := map[string]int{}
 	for _, t := range slices.Concat(m.keys(now), m.foreign(now), m.refusals(now)) {
-		to := m.list.Next(t.Key, m.self.Name)
-		if e := m.table[t.Key]; e != nil && e.state == ended && !e.evicted {
-			if bytes[to] += len(e.result.Body); bytes[to] <= maxResults {
-				t.Result = &e.result
+		for _, to := range m.heirs(t.Key) {
+			h, ok := out[to]
+			if !ok {
+				continue
+			}
+			t.Result = nil
+			if e := m.table[t.Key]; e != nil && e.state == ended && !e.evicted {
+				if bytes[to] += len(e.result.Body); bytes[to] <= maxResults {
+					t.Result = &e.result
+				}
 			}
-		}
-		if h, ok := out[to]; ok && m.list.Home(t.Key) == m.self.Name {
 			h.Traces = append(h.Traces, t)
 			out[to] = h
 		}
@@ -1101,6 +1137,13 @@
 	return out
 }
 
+// heirs are the routers that may run a key after this one has left. All of
+// them get its trace, since each acts on the handoffs that it has itself.
+func (m *Machine) heirs(key string) []string {
+	ranks := m.list.Ranks(key)
+	return ranks[slices.Index(ranks, m.self.Name)+1:]
+}
+
 // refusals returns the keys that didn't run and have attempts that were told
 // so.
 func (m *Machine) refusals(now time.Time) []rwtrace.Trace {
