Run keys that a leaving heir had begun, and drop traces that stand for nothing

Cause of the last unknown orders at shutdowns, by reading: a router that held keys for another began a call, was told to leave while the call waited for a slot, and then refused to send it, although its handoff named the key as in progress; and an entry that became the heir took its own trace of a forwarded call for an earlier run. The crowd of TestFullQueue is twice the queue, since 1,100 callers did not fill it once.

--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -137,6 +137,8 @@
 	expires time.Time
 	// routes counts the calls of this router's own callers that rely on it.
 	routes int
+	// handed is whether a handoff had the key: the sender may have run it.
+	handed bool
 }
 
 type past struct {
@@ -503,14 +505,16 @@
 	return min(m.config.Hold, m.repeat)
 }
 
-// may reports whether this router may run a key that it doesn't know.
+// may reports whether this router may run a key that it doesn't know. A router
+// that leaves begins no key, but it may still run those that it had begun: its
+// handoffs name them.
 func (m *Machine) may(now time.Time, c rwcall.Call) bool {
 	if m.list.Version.Rev == 0 || m.Behind() {
 		return false
 	}
 	home := m.list.Home(c.Key)
 	if home != m.self.Name {
-		return !m.leaving && m.heir(c.Key)
+		return m.heir(c.Key)
 	}
 	homes, since, ok := m.gaps()
 	if len(homes) == 0 || m.released || m.config.Rules.NoHold {
@@ -537,6 +541,15 @@
 	return false
 }
 
+// resolved reports whether a trace is known to stand for nothing: this router
+// only forwarded the key to its home, which has left since without having run
+// it, or its handoff would have named the key. Without this, a call that a home
+// in its shutdown sent back to its entry, now the heir, was unknown.
+func (m *Machine) resolved(t *mark, key string) bool {
+	only := t.trace.Inc == 0 && len(t.trace.Also) == 0 && t.trace.Result == nil
+	return only && !t.handed && t.trace.By == m.list.Home(key) && m.heir(key) && !m.config.Rules.Suspect
+}
+
 // left reports whether a router has handed its keys over to this one and did
 // not start again since.
 func (m *Machine) left(name string) bool {
@@ -639,12 +652,15 @@
 		return m.ticket(now, c)
 	}
 	if t := m.marks[c.Key]; t != nil {
-		return t.verdict(c)
+		if !m.resolved(t, c.Key) {
+			return t.verdict(c)
+		}
+		delete(m.marks, c.Key)
 	}
 	if m.leaving && (m.list.Home(c.Key) == m.self.Name || m.heir(c.Key)) {
 		return rwverdict.Verdict{Step: rwverdict.Forward, To: m.successor(c.Key)}
 	}
-	if !m.may(now, c) {
+	if m.leaving || !m.may(now, c) {
 		return m.held(c)
 	}
 	return m.reserve(now, c)
@@ -1196,6 +1212,9 @@
 			continue
 		}
 		ok = m.remember(now, t) && ok
+		if k := m.marks[t.Key]; k != nil {
+			k.handed = true
+		}
 	}
 	if ok && !h.Part {
 		m.handed[from.Name] = from.Inc
--- a/test/rwbubble/fairness_test.go
+++ b/test/rwbubble/fairness_test.go
@@ -110,28 +110,29 @@
 	return out
 }
 
-// gapBound is G of docs/design.md for accounts of two weights: for each of the
-// two, what may be charged and not yet received, plus what it can get from
-// other cells between two reports, both at twice its fair share at most.
-func gapBound(sum, one, two float64) float64 {
+// gapBound is G of docs/design.md for an account of a weight and one of weight
+// 1, where sum is the sum of all weights: for each of the two, what may be
+// charged and not yet received, plus what it can get from other cells between
+// two reports, both at twice its fair share at most.
+func gapBound(sum, one float64) float64 {
 	rate := float64(engines*slots) / step.Seconds()
 	of := func(w float64) float64 {
 		return maxTokens*(1+2*float64(engines*slots)*w/sum)/w + 2*rate*report.Seconds()/sum
 	}
-	return of(one) + of(two)
+	return of(one) + of(1)
 }
 
 // Guards against shares that depend on the router that a request reaches: one
 // account sends all its work to one router, the others spread theirs, and the
 // callers' hints are misleading.
 func TestFairAcrossRouters(t *testing.T) {
-	fair(t, nil, gapBound(16, 1, 1))
+	fair(t, nil, gapBound(16, 1))
 }
 
 // Guards against shares that aren't weighted, under the same load.
 func TestFairWithUnequalShares(t *testing.T) {
 	weights := map[string]int{"account-00": 4000, "account-05": 4000}
-	fair(t, weights, max(gapBound(22, 4, 1), gapBound(22, 1, 1)))
+	fair(t, weights, max(gapBound(22, 4), gapBound(22, 1)))
 }
 
 func fair(t *testing.T, weights map[string]int, bound float64) {
@@ -301,7 +302,7 @@
 func TestPrefixesStayInsideFairness(t *testing.T) {
 	without, gapWithout := prefixRun(t, false)
 	with, gapWith := prefixRun(t, true)
-	bound := gapBound(16, 1, 1)
+	bound := gapBound(16, 1)
 	t.Logf("cache hits %.3f without and %.3f with stickiness, gap %.0f and %.0f of %.0f", without, with, gapWithout, gapWith, bound)
 	require.Greater(t, with, 1.5*without)
 	require.LessOrEqual(t, gapWith, bound)
--- a/test/rwtruth/rwtruth_test.go
+++ b/test/rwtruth/rwtruth_test.go
@@ -38,8 +38,9 @@
 	exitLimit = 30 * time.Second
 	// short is a deadline that a part of the waiting requests miss.
 	short = 60 * time.Millisecond
-	// crowd is more than the queue of one account holds in one router.
-	crowd = 1100
+	// crowd is twice what the queue of one account holds in one router, so that
+	// it fills up on a busy machine too, where callers are slow to send.
+	crowd = 2000
 	// frozen is longer than a grant may be used.
 	frozen = 1300 * time.Millisecond
 )
