Test that records move between schema versions under load

Guards the promise that old and new records stand side by side: accounts, kinds and engines move to the other version and half of the accounts back under load, and a record of an unknown version changes nothing.

--- a/cmd/rwdrill/internal/rwprove/rwprove.go
+++ b/cmd/rwdrill/internal/rwprove/rwprove.go
@@ -68,6 +68,7 @@
 	{Property: "P7 drain", Package: fleetTests, Test: "TestShutdownLosesNoOrder", Seeded: true},
 	{Property: "P7 drain", Package: fleetTests, Test: "TestShutdownOfZoneLosesNoOrder", Seeded: true},
 	{Property: "P8 config", Package: fleetTests, Test: "TestConfigurationNeverReverts", Seeded: true},
+	{Property: "P8 config", Package: fleetTests, Test: "TestSchemasMoveUnderLoad", Seeded: true},
 	{Property: "P8 config", Package: module + "test/rwfleet", Test: "TestConfigurationInForce"},
 	{Property: "P8 config", Package: module + "internal/rwstore", Test: "TestNeverReverts", Race: true},
 	{Property: "P6 leaving", Package: module + "test/rwleaving", Test: "TestPublishedLeaving"},
--- a/test/rwproperty/rwproperty_test.go
+++ b/test/rwproperty/rwproperty_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -420,3 +421,57 @@
 	a := caller.Send(ctx, rwjob.Job{CallerKey: key, Kind: rwtoday.Lookup, Pool: rwtoday.OrderPool, Body: "{}"})
 	return a.Verdict == rwverdict.Whole
 }
+
+// P8: guards against a move from one schema version to the other that interrupts
+// service: every account, kind and engine moves to the other version under load,
+// half of the accounts move back, and a record of an unknown version is published, which
+// must leave the last good one in force.
+func TestSchemasMoveUnderLoad(t *testing.T) {
+	s := start(t)
+	const pause = 60 * time.Millisecond
+	wait := s.load(append(s.drafts(3), s.orders()...), 6*time.Second)
+	time.Sleep(500 * time.Millisecond)
+	for _, c := range s.fleet.Clients {
+		s.publish(rwtoday.AccountRecord(c, 2))
+		time.Sleep(pause)
+	}
+	for urgency, name := range rwtoday.Kinds {
+		s.publish(rwfleet.Record("kind", name, 2-urgency%2, kindValue(urgency, name)))
+		time.Sleep(pause)
+	}
+	for _, e := range s.fleet.Engines {
+		s.publish(moved(t, s.fleet.UpstreamRecord(e, rwtoday.ModelPool, "engine", "live", 1)))
+		time.Sleep(pause)
+	}
+	for _, c := range s.fleet.Clients[:len(s.fleet.Clients)/2] {
+		s.publish(rwtoday.AccountRecord(c, 1))
+		time.Sleep(pause)
+	}
+	s.publish(rwfleet.Record("account", s.fleet.Clients[0].Name, 3, map[string]any{"future": true}))
+	wait()
+	for _, r := range s.results {
+		require.Equal(t, rwverdict.Whole, r.answer.Verdict, "%s %s: %+v", r.job.Account, r.job.Kind, r.answer)
+	}
+	require.Greater(t, s.report.Count(rwverdict.Whole), 200)
+}
+
+// kindValue is the value of a kind in the version that it doesn't have at the
+// start, which is 1 for even urgencies and 2 for odd ones.
+func kindValue(urgency int, name string) map[string]any {
+	v := map[string]any{"pool": rwtoday.ModelPool, "idempotent": true}
+	if urgency%2 == 0 {
+		v["class"] = name
+	} else {
+		v["urgency"] = urgency
+	}
+	return v
+}
+
+// moved returns an upstream's record in schema version 2.
+func moved(t *testing.T, r rwrecord.Record) rwrecord.Record {
+	v := map[string]any{}
+	require.NoError(t, json.Unmarshal(r.Value, &v))
+	v["pools"] = []any{v["pool"]}
+	delete(v, "pool")
+	return rwfleet.Record(r.Kind, r.Name, 2, v)
+}
