--- a/internal/rwnode/cells.go
+++ b/internal/rwnode/cells.go
@@ -31,7 +31,6 @@
 		}
 	}
 	n.adoptedView = view
-	n.gossip.Publish(view.VMs())
 	n.wake()
 }
 
--- a/internal/rwowner/rwowner.go
+++ b/internal/rwowner/rwowner.go
@@ -66,8 +66,6 @@
 	group map[string]string
 	// live are the live routers, lost those that were live before.
 	live, lost map[string]bool
-	// ignored counts messages about cells that this router doesn't own.
-	ignored int64
 }
 
 type owned struct {
@@ -353,7 +351,6 @@
 	o.mu.Lock()
 	c := o.cells[m.Cell]
 	if c == nil {
-		o.ignored++
 		o.mu.Unlock()
 		return
 	}
@@ -435,19 +432,13 @@
 	if now.Before(c.settled) {
 		return nil
 	}
-	byEntry := map[string]*rwmessage.Message{}
-	var out []outgoing
+	batch := batch{cell: c.cell.Name, method: rwmessage.Grant, entries: entries}
 	for {
 		g, ok := c.sched.Next(now)
 		if !ok {
-			return out
-		}
-		m := byEntry[g.Entry]
-		if m == nil {
-			m = &rwmessage.Message{Cell: c.cell.Name}
-			byEntry[g.Entry] = m
-			out = append(out, outgoing{entries[g.Entry], rwmessage.Grant, m})
+			return batch.out
 		}
+		m := batch.message(g.Entry)
 		m.Grants = append(m.Grants, g)
 		c.issued[g.ID] = issue{g.Entry, g.Upstream, now.Add(checkInterval)}
 	}
@@ -456,22 +447,38 @@
 // check asks entries about grants that have been out for long. A grant or its
 // end that was lost with a connection would otherwise hold its slot for ever.
 func (c *owned) check(now time.Time, entries map[string]rwidentity.Identity) []outgoing {
-	byEntry := map[string]*rwmessage.Message{}
-	var out []outgoing
+	batch := batch{cell: c.cell.Name, method: rwmessage.Check, entries: entries}
 	for id, i := range c.issued {
 		if now.Before(i.check) {
 			continue
 		}
 		c.issued[id] = issue{i.entry, i.upstream, now.Add(checkInterval)}
-		m := byEntry[i.entry]
-		if m == nil {
-			m = &rwmessage.Message{Cell: c.cell.Name}
-			byEntry[i.entry] = m
-			out = append(out, outgoing{entries[i.entry], rwmessage.Check, m})
-		}
+		m := batch.message(i.entry)
 		m.IDs = append(m.IDs, id)
 	}
-	return out
+	return batch.out
+}
+
+// batch collects the messages of one cell, one for each entry.
+type batch struct {
+	cell, method string
+	entries      map[string]rwidentity.Identity
+	byEntry      map[string]*rwmessage.Message
+	out          []outgoing
+}
+
+func (b *batch) message(entry string) *rwmessage.Message {
+	m := b.byEntry[entry]
+	if m != nil {
+		return m
+	}
+	if b.byEntry == nil {
+		b.byEntry = map[string]*rwmessage.Message{}
+	}
+	m = &rwmessage.Message{Cell: b.cell}
+	b.byEntry[entry] = m
+	b.out = append(b.out, outgoing{b.entries[entry], b.method, m})
+	return m
 }
 
 // reportOf sends the changed totals of a cell to the owners of the other cells
--- a/internal/rwsnapshot/rwsnapshot.go
+++ b/internal/rwsnapshot/rwsnapshot.go
@@ -169,16 +169,6 @@
 	})
 }
 
-// HasPool reports whether any upstream serves the pool.
-func (s *Snapshot) HasPool(pool string) bool {
-	for _, u := range s.upstreams {
-		if slices.Contains(u.Pools, pool) {
-			return true
-		}
-	}
-	return false
-}
-
 // Serves reports whether any upstream of the type (engine or plain service)
 // serves the pool.
 func (s *Snapshot) Serves(pool string, engine bool) bool {
