--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 LINT_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
-PROGRAMS := rwctl rwdrill rwengine rwload rwplatform rwrouter rwservice
-MODULES := internal test $(addprefix cmd/,$(PROGRAMS))
+PROGRAMS := rwctl rwdrill rwengine rwfront rwload rwplatform rwrouter rwservice
+MODULES := internal platform test $(addprefix cmd/,$(PROGRAMS))
 PATTERNS := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 SEED ?= 1
 # The tests of KNOWN-RED.txt, as the pattern of go test: each entry starts with
--- /dev/null
+++ b/internal/rwbroker/rwbroker.go
@@ -0,0 +1,498 @@
+// Package rwbroker asks the router that owns an engine's cell for a place, and
+// answers for the cells that this router owns. Each cell is a part of a pool's
+// engines and has one owner, the live router with the highest rank, so that
+// requests of all routers wait in one order. An owner keeps soft state only: if
+// it is gone, the next in rank begins anew.
+package rwbroker
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"strconv"
+	"sync"
+	"time"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwplace"
+	"redwingworks.example/internal/rwplan"
+	"redwingworks.example/internal/rwprompt"
+	"redwingworks.example/internal/rwpublished"
+	"redwingworks.example/internal/rwrank"
+)
+
+const (
+	// askTimeout bounds the wait for an owner's answer, which comes at once
+	// even if the request has to wait. A machine whose processor share is
+	// used up stands still for up to a tenth of a second.
+	askTimeout = 120 * time.Millisecond
+	// suspectTime is how long an owner that didn't answer is passed over, at
+	// least; after that it has to answer pings again.
+	suspectTime = 700 * time.Millisecond
+	// waitSlack is added to the target of a request that waits at an owner,
+	// in case its decision is lost.
+	waitSlack = 100 * time.Millisecond
+	// wholePool is the largest number of engines in a pool of one cell.
+	wholePool = 24
+	// cellSize is the mean number of engines of a cell in larger pools.
+	cellSize = 12
+	// fastTick is the step of decisions while requests wait, slowTick while
+	// none does.
+	fastTick  = 5 * time.Millisecond
+	slowTick  = 50 * time.Millisecond
+	maxOwners = 6
+)
+
+// Broker is the part of one router. All function fields are set before Run.
+type Broker struct {
+	// Published is the view in force.
+	Published func() *rwpublished.Published
+	// Live are the live routers with this one, Reachable whether one answers
+	// pings.
+	Live      func() []rwidentity.Identity
+	Reachable func(name string) bool
+	// Missed is told how far forecasts of this router's cells were off.
+	Missed func(time.Duration)
+	// Window is the time over which accounts' shares are compared.
+	Window time.Duration
+
+	self    rwidentity.Identity
+	peers   *rwpeer.Peers
+	metrics *rwmetric.Metrics
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	cells   map[cellKey]*cell
+	waits   map[string]chan rwplace.Decision
+	suspect map[string]time.Time
+	seq     uint64
+}
+
+type cellKey struct {
+	Service string `json:"svc"`
+	Cell    int    `json:"cell"`
+}
+
+func (k cellKey) String() string { return k.Service + "/" + strconv.Itoa(k.Cell) }
+
+type cell struct {
+	placer *rwplace.Placer
+	// rev is the revision of the view that the placer was set up with.
+	view *rwpublished.Published
+	// from are the routers that asked, by the ids of waiting requests.
+	from map[string]rwidentity.Identity
+}
+
+type order struct {
+	cellKey
+	Ask rwplace.Ask `json:"ask"`
+}
+
+type report struct {
+	cellKey
+	ID  string      `json:"id"`
+	End rwplace.End `json:"end"`
+}
+
+// New returns a broker and registers its messages.
+func New(self rwidentity.Identity, peers *rwpeer.Peers, metrics *rwmetric.Metrics) *Broker {
+	b := &Broker{
+		self: self, peers: peers, metrics: metrics, wake: make(chan struct{}, 1),
+		cells: map[cellKey]*cell{}, waits: map[string]chan rwplace.Decision{}, suspect: map[string]time.Time{},
+	}
+	handle(peers, "place", func(from rwidentity.Identity, o order) (any, error) {
+		return b.askOwn(o.cellKey, o.Ask, from), nil
+	})
+	handle(peers, "placed", func(_ rwidentity.Identity, d rwplace.Decision) (any, error) {
+		b.decided(d)
+		return nil, nil
+	})
+	handle(peers, "first", func(_ rwidentity.Identity, r report) (any, error) {
+		b.update(r.cellKey, func(p *rwplace.Placer) { p.First(time.Now(), r.ID) })
+		return nil, nil
+	})
+	handle(peers, "ended", func(_ rwidentity.Identity, r report) (any, error) {
+		b.update(r.cellKey, func(p *rwplace.Placer) { p.Ended(time.Now(), r.ID, r.End) })
+		return nil, nil
+	})
+	handle(peers, "forget", func(_ rwidentity.Identity, r report) (any, error) {
+		b.update(r.cellKey, func(p *rwplace.Placer) { p.Drop(r.ID) })
+		return nil, nil
+	})
+	return b
+}
+
+func handle[T any](peers *rwpeer.Peers, method string, h func(rwidentity.Identity, T) (any, error)) {
+	peers.Handle(method, func(_ context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
+		var v T
+		if err := json.Unmarshal(params, &v); err != nil {
+			return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
+		}
+		return h(from, v)
+	})
+}
+
+// Grant is the right to run one request on one engine. First and End report
+// its progress to the owner; End is called exactly once.
+type Grant struct {
+	rwplace.Decision
+	Instance rwinstance.Instance
+	// Source is the address of an engine to copy prompt parts from, or empty.
+	Source string
+	// Owner is the router that decided.
+	Owner string
+
+	broker *Broker
+	key    cellKey
+	addr   string
+}
+
+// Acquire returns a place for a request, or a fault with the outcome NotRun and
+// a time after which the caller may return.
+func (b *Broker) Acquire(ctx context.Context, service string, a rwplace.Ask) (Grant, *rwfault.Fault) {
+	key, ok := b.cellOf(service, a)
+	if !ok {
+		return Grant{}, rwfault.New(rwcode.NoUpstream, service)
+	}
+	b.mu.Lock()
+	b.seq++
+	a.ID = b.self.Name + "." + strconv.FormatUint(b.seq, 36)
+	a.Zone = b.self.Zone
+	decided := make(chan rwplace.Decision, 1)
+	b.waits[a.ID] = decided
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		delete(b.waits, a.ID)
+		b.mu.Unlock()
+	}()
+
+	d, owner, fault := b.ask(ctx, order{key, a})
+	if fault != nil {
+		return Grant{}, fault
+	}
+	g := Grant{broker: b, key: key, addr: owner.Addr, Owner: owner.Name}
+	if d.Verdict == rwplace.Wait {
+		var fault *rwfault.Fault
+		if d, fault = b.await(ctx, g, a, decided); fault != nil {
+			return Grant{}, fault
+		}
+	}
+	return b.granted(g, d)
+}
+
+// granted turns a decision into a grant or a fault.
+func (b *Broker) granted(g Grant, d rwplace.Decision) (Grant, *rwfault.Fault) {
+	g.Decision = d
+	if code := codes[d.Verdict]; code != rwcode.None {
+		return Grant{}, rwfault.New(code, d.Verdict.String()).WithRetryAfter(d.Retry)
+	}
+	view := b.Published()
+	in, ok := view.Instance(d.Engine)
+	if !ok {
+		// The owner's view is older than this router's: the engine is leaving.
+		g.End(rwplace.Abandoned)
+		return Grant{}, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
+	}
+	g.Instance = in
+	if src, ok := view.Instance(d.Source); ok {
+		g.Source = src.Addr
+	}
+	return g, nil
+}
+
+var codes = map[rwplace.Verdict]rwcode.Code{
+	rwplace.Late:      rwcode.DeadlineUnreachable,
+	rwplace.OverShare: rwcode.ShareExceeded,
+	rwplace.NoEngine:  rwcode.NoUpstream,
+	rwplace.Full:      rwcode.QueueFull,
+}
+
+// await waits for the decision on a request that waits at its owner.
+func (b *Broker) await(ctx context.Context, g Grant, a rwplace.Ask, decided <-chan rwplace.Decision) (rwplace.Decision, *rwfault.Fault) {
+	timer := time.NewTimer(a.Target + waitSlack)
+	defer timer.Stop()
+	select {
+	case d := <-decided:
+		return d, nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	g.ID = a.ID
+	g.report("forget", rwplace.Abandoned)
+	// A decision that crossed the timer holds a place.
+	select {
+	case d := <-decided:
+		if d.Verdict == rwplace.Granted {
+			g.Decision = d
+			g.End(rwplace.Abandoned)
+		}
+	default:
+	}
+	if f := rwfault.Ended(ctx); f != nil {
+		return rwplace.Decision{}, f
+	}
+	return rwplace.Decision{}, rwfault.New(rwcode.DeadlineUnreachable, "no decision in time").WithRetryAfter(waitSlack)
+}
+
+// ask sends a request to the owner of its cell, and to the next in rank if the
+// owner doesn't answer.
+func (b *Broker) ask(ctx context.Context, o order) (rwplace.Decision, rwidentity.Identity, *rwfault.Fault) {
+	for range maxOwners {
+		owner := b.owner(o.cellKey)
+		if owner.Name == b.self.Name {
+			return b.askOwn(o.cellKey, o.Ask, b.self), owner, nil
+		}
+		start := time.Now()
+		var d rwplace.Decision
+		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+		err := b.peers.Call(callCtx, owner.Addr, "place", o, &d)
+		cancel()
+		if err == nil {
+			return d, owner, nil
+		}
+		if f := rwfault.Ended(ctx); f != nil {
+			return d, owner, f
+		}
+		b.metrics.Add("owners_passed_over", 1)
+		b.doubt(owner.Name)
+		o.Ask.Elapsed += time.Since(start)
+	}
+	return b.askOwn(o.cellKey, o.Ask, b.self), b.self, nil
+}
+
+func (b *Broker) doubt(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspect[name] = time.Now()
+}
+
+// owner returns the highest router in rank that is live and answered of late.
+func (b *Broker) owner(k cellKey) rwidentity.Identity {
+	now := time.Now()
+	best, bestScore := b.self, uint64(0)
+	for _, id := range b.Live() {
+		if id.Name != b.self.Name && b.doubtful(now, id.Name) {
+			continue
+		}
+		s := rwrank.Score(k.String(), id.Name)
+		if s > bestScore {
+			best, bestScore = id, s
+		}
+	}
+	return best
+}
+
+func (b *Broker) doubtful(now time.Time, name string) bool {
+	b.mu.Lock()
+	since, ok := b.suspect[name]
+	b.mu.Unlock()
+	if !ok {
+		return !b.Reachable(name)
+	}
+	if now.Sub(since) < suspectTime || !b.Reachable(name) {
+		return true
+	}
+	b.mu.Lock()
+	delete(b.suspect, name)
+	b.mu.Unlock()
+	return false
+}
+
+// cellOf returns the cell of the engine that a request's prompt belongs to.
+func (b *Broker) cellOf(service string, a rwplace.Ask) (cellKey, bool) {
+	list := b.Published().Usable(service)
+	if len(list) == 0 {
+		return cellKey{}, false
+	}
+	n := cells(len(list))
+	if n == 1 {
+		return cellKey{Service: service}, true
+	}
+	home := rwprompt.Prompt{Parts: a.Parts}.Home()
+	best, bestScore := "", uint64(0)
+	for _, in := range list {
+		if s := rwrank.Score(home, in.ID); best == "" || s > bestScore {
+			best, bestScore = in.ID, s
+		}
+	}
+	return cellKey{Service: service, Cell: cellIndex(best, n)}, true
+}
+
+// cells is the number of cells of a pool. It changes only when the pool grows
+// or shrinks by half, because each change makes owners begin anew.
+func cells(engines int) int {
+	if engines <= wholePool {
+		return 1
+	}
+	return 1 << int(math.Round(math.Log2(float64(engines)/cellSize)))
+}
+
+func cellIndex(engine string, n int) int { return int(rwrank.Score("cell", engine) % uint64(n)) }
+
+// askOwn decides on a request in a cell of this router.
+func (b *Broker) askOwn(k cellKey, a rwplace.Ask, from rwidentity.Identity) rwplace.Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.cell(k)
+	d := c.placer.Ask(time.Now(), a)
+	if d.Verdict == rwplace.Wait {
+		c.from[a.ID] = from
+		select {
+		case b.wake <- struct{}{}:
+		default:
+		}
+	}
+	return d
+}
+
+func (b *Broker) update(k cellKey, f func(*rwplace.Placer)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f(b.cell(k).placer)
+}
+
+// cell returns the state of a cell, set up for the view in force. The caller
+// holds the lock.
+func (b *Broker) cell(k cellKey) *cell {
+	view := b.Published()
+	c := b.cells[k]
+	if c != nil && c.view == view {
+		return c
+	}
+	spec, engines := b.spec(view, k)
+	if c == nil {
+		c = &cell{placer: rwplace.New(spec), from: map[string]rwidentity.Identity{}}
+		c.placer.Missed = b.Missed
+		b.cells[k] = c
+	}
+	c.view = view
+	c.placer.Configure(spec)
+	c.placer.Engines(engines)
+	return c
+}
+
+func (b *Broker) spec(view *rwpublished.Published, k cellKey) (rwplace.Spec, []rwplace.Engine) {
+	list := view.Usable(k.Service)
+	n := cells(len(list))
+	var engines []rwplace.Engine
+	for _, in := range list {
+		if cellIndex(in.ID, n) == k.Cell {
+			engines = append(engines, rwplace.Engine{ID: in.ID, Zone: in.Zone})
+		}
+	}
+	spec := rwplace.Spec{Slots: 1, Window: b.Window}
+	service, ok := rwplan.Service{}, false
+	if view.Plan != nil {
+		service, ok = view.Plan.Service(k.Service)
+	}
+	if e := service.Engine; ok && e != nil {
+		spec.Slots, spec.Memory = e.Slots, e.Memory
+		spec.TokenBytes, spec.LinkBytes = float64(e.TokenBytes), e.LinkBits/8
+		spec.Capacity = view.Plan.Limits.TokensPerSecond * float64(len(engines)) / float64(max(len(list), 1))
+	}
+	return spec, engines
+}
+
+// Run decides on waiting requests until the context ends.
+func (b *Broker) Run(ctx context.Context) error {
+	for {
+		step := slowTick
+		if b.tick() {
+			step = fastTick
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-b.wake:
+			sleep(ctx, fastTick)
+		case <-time.After(step):
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// tick passes on decisions and reports whether requests still wait.
+func (b *Broker) tick() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	busy := false
+	now := time.Now()
+	for k := range b.cells {
+		c := b.cell(k)
+		for _, d := range c.placer.Tick(now) {
+			from, ok := c.from[d.ID]
+			delete(c.from, d.ID)
+			switch {
+			case !ok:
+			case from.Name == b.self.Name:
+				b.decidedLocked(d)
+			default:
+				b.peers.Notify(from.Addr, "placed", d)
+			}
+		}
+		if c.placer.Waiting() == 0 {
+			clear(c.from)
+		}
+		busy = busy || c.placer.Waiting() > 0
+	}
+	return busy
+}
+
+func (b *Broker) decided(d rwplace.Decision) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.decidedLocked(d)
+}
+
+func (b *Broker) decidedLocked(d rwplace.Decision) {
+	if ch := b.waits[d.ID]; ch != nil {
+		select {
+		case ch <- d:
+		default:
+		}
+	}
+}
+
+// Reset forgets all cells. It follows a pause of the process, in which another
+// router took them over.
+func (b *Broker) Reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	clear(b.cells)
+}
+
+// First reports the first event of the request.
+func (g Grant) First() { g.report("first", rwplace.Served) }
+
+// End reports the end of the request.
+func (g Grant) End(end rwplace.End) { g.report("ended", end) }
+
+func (g Grant) report(method string, end rwplace.End) {
+	b := g.broker
+	if g.addr != b.self.Addr {
+		b.peers.Notify(g.addr, method, report{g.key, g.ID, end})
+		return
+	}
+	b.update(g.key, func(p *rwplace.Placer) {
+		switch method {
+		case "first":
+			p.First(time.Now(), g.ID)
+		case "forget":
+			p.Drop(g.ID)
+		default:
+			p.Ended(time.Now(), g.ID, end)
+		}
+	})
+}
--- /dev/null
+++ b/internal/rwcatalog/rwcatalog.go
@@ -0,0 +1,182 @@
+// Package rwcatalog decides which configuration and which upstreams are in
+// force. Items come from the platform's store, by listing or by watch, and
+// from other routers, in any order and more than once; a revision that is not
+// newer than the one held changes nothing. It holds no clock and no I/O.
+package rwcatalog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwplan"
+)
+
+const (
+	// lapseGrace is how long an upstream stays in use whose entry vanished
+	// around an outage of the store: entries that lapsed are back within two
+	// seconds of its return, and a leaving upstream must get no work after
+	// that time either.
+	lapseGrace = 1500 * time.Millisecond
+	// outageTail is how long after the last failed call to the store a
+	// removal may still be a lapse.
+	outageTail = 3 * time.Second
+)
+
+// Fact is what a decoded item says; at most one field is set. An item of no
+// concern has none.
+type Fact struct {
+	Plan     *rwplan.Plan
+	Instance *rwinstance.Instance
+}
+
+// Catalog is the state of one router. It is not safe for concurrent use.
+type Catalog struct {
+	// Decode reads an item's value; an error sets the item aside and the last
+	// good value stays in force.
+	Decode func(rwitem.Item) (Fact, error)
+
+	plan *rwplan.Plan
+	// items holds the newest revision of each key, removals too, so that an
+	// old copy can't bring a removed upstream back.
+	items map[string]*entry
+	// rev is the revision up to which no change is missing.
+	rev       int64
+	outage    time.Time
+	instances []rwinstance.Instance
+}
+
+type entry struct {
+	item rwitem.Item
+	// instance is the last good value, nil if there was none.
+	instance *rwinstance.Instance
+	// until is set for a removed entry that may be a lapse.
+	until time.Time
+}
+
+// New returns an empty catalog.
+func New(decode func(rwitem.Item) (Fact, error)) *Catalog {
+	return &Catalog{Decode: decode, items: map[string]*entry{}}
+}
+
+// Plan is the configuration in force, or nil before the first.
+func (c *Catalog) Plan() *rwplan.Plan { return c.plan }
+
+// Rev is the revision up to which no change is missing.
+func (c *Catalog) Rev() int64 { return c.rev }
+
+// Advance notes that all changes up to a revision were applied.
+func (c *Catalog) Advance(rev int64) { c.rev = max(c.rev, rev) }
+
+// Instances are the upstreams that may get work, and those that are leaving.
+// The result must not be changed.
+func (c *Catalog) Instances() []rwinstance.Instance { return c.instances }
+
+// Outage notes that the store failed to answer.
+func (c *Catalog) Outage(now time.Time) { c.outage = now }
+
+// Apply takes items in any order and reports whether anything changed. Items
+// that can't be read are returned as errors by key.
+func (c *Catalog) Apply(now time.Time, items []rwitem.Item) (bool, map[string]error) {
+	changed := false
+	var bad map[string]error
+	for _, it := range items {
+		ok, err := c.apply(now, it)
+		changed = changed || ok
+		if err != nil {
+			if bad == nil {
+				bad = map[string]error{}
+			}
+			bad[it.Key] = err
+		}
+	}
+	if changed {
+		c.rebuild(now)
+	}
+	return changed, bad
+}
+
+func (c *Catalog) apply(now time.Time, it rwitem.Item) (bool, error) {
+	e := c.items[it.Key]
+	if e != nil && it.Rev <= e.item.Rev {
+		return false, nil
+	}
+	if e == nil {
+		e = &entry{}
+		c.items[it.Key] = e
+	}
+	e.item, e.until = it, time.Time{}
+	if it.Gone {
+		if e.instance != nil && !e.instance.Leaving && now.Sub(c.outage) < outageTail {
+			e.until = now.Add(lapseGrace)
+		}
+		return true, nil
+	}
+	f, err := c.Decode(it)
+	switch {
+	case err != nil:
+		// An unreadable entry names no upstream to use.
+		e.instance = nil
+	case f.Plan != nil:
+		if c.plan == nil || f.Plan.Version > c.plan.Version {
+			c.plan = f.Plan
+		}
+	default:
+		e.instance = f.Instance
+	}
+	return true, err
+}
+
+// Listed takes a complete listing of keys with a prefix as of a revision: keys
+// that are held, not listed and not newer than the listing were removed.
+func (c *Catalog) Listed(now time.Time, asOf int64, keys map[string]bool, within func(key string) bool) bool {
+	var gone []rwitem.Item
+	for key, e := range c.items {
+		if !e.item.Gone && within(key) && !keys[key] && e.item.Rev <= asOf {
+			gone = append(gone, rwitem.Item{Key: key, Rev: asOf, Gone: true})
+		}
+	}
+	changed, _ := c.Apply(now, gone)
+	return changed
+}
+
+// Tick drops entries whose lapse has lasted too long, and reports whether any
+// was dropped.
+func (c *Catalog) Tick(now time.Time) bool {
+	due := false
+	for _, e := range c.items {
+		if e.item.Gone && e.instance != nil && !now.Before(e.until) {
+			e.instance = nil
+			due = true
+		}
+	}
+	if due {
+		c.rebuild(now)
+	}
+	return due
+}
+
+// Since returns the items with a revision above rev, for another router.
+func (c *Catalog) Since(rev int64) []rwitem.Item {
+	var out []rwitem.Item
+	for _, e := range c.items {
+		if e.item.Rev > rev {
+			out = append(out, e.item)
+		}
+	}
+	slices.SortFunc(out, func(a, b rwitem.Item) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+func (c *Catalog) rebuild(now time.Time) {
+	c.instances = nil
+	for _, e := range c.items {
+		if e.instance == nil || (e.item.Gone && !now.Before(e.until)) {
+			continue
+		}
+		c.instances = append(c.instances, *e.instance)
+	}
+	slices.SortFunc(c.instances, func(a, b rwinstance.Instance) int { return cmp.Compare(a.ID, b.ID) })
+}
--- a/internal/rwcode/rwcode.go
+++ b/internal/rwcode/rwcode.go
@@ -60,10 +60,12 @@
 	FenceStale                      // fence_stale
 	TooManyRequests                 // too_many_requests
 	UnknownPath                     // unknown_path
+	ShareExceeded                   // share_exceeded
+	UpstreamFailed                  // upstream_failed
 )
 
 // last is the highest code.
-const last = UnknownPath
+const last = UpstreamFailed
 
 // Parse returns the code of a text, or Internal for an unknown text, which a
 // router of a later version may send.
--- /dev/null
+++ b/internal/rwconn/rwconn.go
@@ -0,0 +1,365 @@
+// Package rwconn keeps connections to upstreams and sends one request at a
+// time on each. The transport of net/http is not used because it sends some
+// requests again by itself, and because it doesn't say whether any byte of a
+// request has left.
+package rwconn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwdialect"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwoutcome"
+)
+
+const (
+	// dialTimeout bounds opening a connection; the zones are milliseconds
+	// apart.
+	dialTimeout = 300 * time.Millisecond
+	// silence is how long sent bytes may stay without an acknowledgement: a
+	// connection can go silent for good without a reset.
+	silence       = 1500 * time.Millisecond
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 2
+	// defaultIdle is how long a connection is kept if the upstream doesn't
+	// say how long it keeps it.
+	defaultIdle = 800 * time.Millisecond
+	// idleMargin is taken from the time that the upstream says, for the way
+	// of the request and the coarse clock of the upstream.
+	idleMargin = 700 * time.Millisecond
+	// maxIdle bounds the kept connections to one upstream.
+	maxIdle = 128
+	// maxStray is how many answers to earlier requests are passed over.
+	maxStray = 2
+	// maxStrayBytes bounds their bodies.
+	maxStrayBytes = 1 << 20
+	// inlineBody is the largest body that is written before the answer is
+	// read; it fits into the socket's buffer.
+	inlineBody = 16 << 10
+)
+
+// Key names the connections of one incarnation of an upstream.
+type Key struct {
+	ID   string
+	Addr string
+	Born int64
+}
+
+// Pool holds the kept connections of a router.
+type Pool struct {
+	// Judge reads the heads of answers.
+	Judge func(*http.Response) rwdialect.Judgement
+	// Opened, if set, is called for each new connection.
+	Opened func()
+
+	mu   sync.Mutex
+	idle map[Key][]*conn
+}
+
+// New returns an empty pool.
+func New(judge func(*http.Response) rwdialect.Judgement) *Pool {
+	return &Pool{Judge: judge, idle: map[Key][]*conn{}}
+}
+
+type conn struct {
+	net.Conn
+	br *bufio.Reader
+	// until is when the upstream may close the idle connection.
+	until time.Time
+	// wrote receives the result of writing a body beside reading the answer.
+	wrote chan error
+}
+
+// Order is a request to send.
+type Order struct {
+	Key    Key
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ID is the id that the answer must bear.
+	ID string
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// Answer is the head of an answer; its body is read from Body. Close must be
+// called and gives the connection back if the body was read to its end.
+type Answer struct {
+	Response  *http.Response
+	Judgement rwdialect.Judgement
+
+	pool *Pool
+	key  Key
+	conn *conn
+	stop func() bool
+	body *tracked
+}
+
+// tracked notes whether a body was read to its end.
+type tracked struct {
+	io.Reader
+	done bool
+}
+
+func (t *tracked) Read(p []byte) (int, error) {
+	n, err := t.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		t.done = true
+	}
+	return n, err
+}
+
+// Body is the body of the answer.
+func (a *Answer) Body() io.Reader { return a.body }
+
+// Close ends the exchange.
+func (a *Answer) Close() {
+	stopped := a.stop()
+	written := true
+	if a.conn.wrote != nil {
+		select {
+		case err := <-a.conn.wrote:
+			written = err == nil
+		default:
+			// The upstream answered before it read the whole body; the rest
+			// would be taken for the next request.
+			written = false
+		}
+	}
+	a.conn.wrote = nil
+	if !stopped || !written || !a.body.done || a.Response.Close || a.conn.br.Buffered() > 0 {
+		_ = a.conn.Close()
+		return
+	}
+	a.pool.put(a.key, a.conn, a.Judgement.KeepAlive)
+}
+
+// Do sends a request and returns the head of its answer. When the context
+// ends, the connection is closed, which tells the upstream to stop. It fails
+// with UpstreamUnreachable and the outcome NotRun if no byte was sent, and with
+// UpstreamTruncated, UpstreamMalformed or the context's fault and the outcome
+// Unknown after that.
+func (p *Pool) Do(ctx context.Context, o Order) (*Answer, error) {
+	c, err := p.take(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	sent, err := c.send(o)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		if !sent {
+			return nil, rwfault.Wrap(rwcode.UpstreamUnreachable, err)
+		}
+		return nil, broken(ctx, err)
+	}
+	resp, judgement, err := p.receive(c, o)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		return nil, broken(ctx, err)
+	}
+	return &Answer{
+		Response: resp, Judgement: judgement, pool: p, key: o.Key, conn: c, stop: stop,
+		body: &tracked{Reader: resp.Body},
+	}, nil
+}
+
+// broken is the fault of a request that was sent.
+func broken(ctx context.Context, err error) error {
+	if f := rwfault.Ended(ctx); f != nil {
+		return f.WithOutcome(rwoutcome.Unknown)
+	}
+	var f *rwfault.Fault
+	if errors.As(err, &f) {
+		return f.WithOutcome(rwoutcome.Unknown)
+	}
+	return rwfault.Wrap(rwcode.UpstreamTruncated, err).WithOutcome(rwoutcome.Unknown)
+}
+
+func (p *Pool) receive(c *conn, o Order) (*http.Response, rwdialect.Judgement, error) {
+	req := &http.Request{Method: o.Method}
+	for stray := 0; ; {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, rwdialect.Judgement{}, readFault(err)
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			continue
+		}
+		j := p.Judge(resp)
+		if j.ID == "" || j.ID == o.ID {
+			return resp, j, nil
+		}
+		// A late answer to an earlier request on this connection.
+		if stray++; stray > maxStray || resp.Close {
+			return nil, j, rwfault.New(rwcode.UpstreamMismatch, j.ID)
+		}
+		n, err := io.CopyN(io.Discard, resp.Body, maxStrayBytes)
+		if !errors.Is(err, io.EOF) || n == maxStrayBytes {
+			return nil, j, rwfault.New(rwcode.UpstreamMismatch, j.ID)
+		}
+	}
+}
+
+// readFault tells bytes that are no answer from a connection that broke.
+func readFault(err error) error {
+	var netErr net.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
+		return rwfault.Wrap(rwcode.UpstreamTruncated, err)
+	}
+	return rwfault.Wrap(rwcode.UpstreamMalformed, err)
+}
+
+// send writes the request and reports whether any byte may have left.
+func (c *conn) send(o Order) (bool, error) {
+	var b bytes.Buffer
+	b.WriteString(o.Method + " " + o.Target + " HTTP/1.1\r\nHost: " + o.Host + "\r\n")
+	_ = o.Header.Write(&b)
+	if len(o.Body) > 0 || (o.Method != http.MethodGet && o.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(o.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	inline := o.Body
+	if len(inline) > inlineBody {
+		inline = inline[:inlineBody]
+	}
+	b.Write(inline)
+	n, err := c.Write(b.Bytes())
+	if err != nil {
+		return n > 0, err
+	}
+	if rest := o.Body[len(inline):]; len(rest) > 0 {
+		c.wrote = make(chan error, 1)
+		go func() {
+			_, err := c.Write(rest)
+			c.wrote <- err
+		}()
+	}
+	return true, nil
+}
+
+// take returns a kept connection that is still open, or a new one.
+func (p *Pool) take(ctx context.Context, o Order) (*conn, error) {
+	for !o.Fresh {
+		c := p.pop(o.Key)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.until) && c.quiet() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	return p.dial(ctx, o.Key.Addr)
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
+	d := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var set error
+			err := raw.Control(func(fd uintptr) {
+				set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+			})
+			return errors.Join(err, set)
+		},
+	}
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		if f := rwfault.Ended(ctx); f != nil {
+			return nil, f
+		}
+		return nil, rwfault.Wrap(rwcode.UpstreamUnreachable, err)
+	}
+	if p.Opened != nil {
+		p.Opened()
+	}
+	return &conn{Conn: raw, br: bufio.NewReader(raw)}, nil
+}
+
+// quiet reports whether nothing has arrived on an idle connection: neither its
+// end nor bytes that belong to no request.
+func (c *conn) quiet() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+func (p *Pool) pop(k Key) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[k]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[k] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(k Key, c *conn, keep time.Duration) {
+	idle := defaultIdle
+	if keep > 0 {
+		idle = max(keep-idleMargin, keep/4)
+	}
+	c.until = time.Now().Add(idle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[k]) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[k] = append(p.idle[k], c)
+}
+
+// Sweep closes connections that are idle for too long, and those of upstreams
+// for which keep is false.
+func (p *Pool) Sweep(now time.Time, keep func(Key) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.until) && keep(k) {
+				kept = append(kept, c)
+			} else {
+				_ = c.Close()
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, k)
+			continue
+		}
+		p.idle[k] = kept
+	}
+}
--- /dev/null
+++ b/internal/rwedge/rwedge.go
@@ -0,0 +1,473 @@
+// Package rwedge puts the parts of a front router together and runs them.
+package rwedge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"redwingworks.example/internal/rwbroker"
+	"redwingworks.example/internal/rwcatalog"
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwconn"
+	"redwingworks.example/internal/rwdeployment"
+	"redwingworks.example/internal/rwdialect"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwfront"
+	"redwingworks.example/internal/rwgossip"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwkernel"
+	"redwingworks.example/internal/rwlog"
+	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwpublished"
+	"redwingworks.example/internal/rwrepeat"
+	"redwingworks.example/internal/rwshare"
+	"redwingworks.example/internal/rwsink"
+	"redwingworks.example/internal/rwtimes"
+	"redwingworks.example/internal/rwtrack"
+)
+
+const (
+	// headerTimeout and headerBytes bound the head of a caller's request
+	// before a configuration is known, idleTimeout an idle connection. Callers
+	// drop idle connections themselves before that.
+	headerTimeout = 5 * time.Second
+	headerBytes   = 64 << 10
+	idleTimeout   = 30 * time.Second
+	// acceptTime is how long after a request to stop new requests are still
+	// served: the balancer needs two checks a second apart to notice.
+	acceptTime = 3200 * time.Millisecond
+	// stopMargin is left of the grace time for the end of the process.
+	stopMargin = 400 * time.Millisecond
+	// maxGrace is used if the settings name no grace time.
+	maxGrace = 8 * time.Second
+	// memoryUse is the part of the memory limit that the heap may take before
+	// the collector works harder.
+	memoryUse = 0.7
+	sweep     = 250 * time.Millisecond
+	// reloadInterval is how often the settings file is compared; it can change
+	// without a signal.
+	reloadInterval = 2 * time.Second
+)
+
+// Config is what the platform's adapter gives a front router.
+type Config struct {
+	Deployment rwdeployment.Deployment
+	// Reload reads the settings again.
+	Reload  func() (rwdeployment.Deployment, error)
+	Dialect rwdialect.Dialect
+	// Prefixes, List, Watch and Decode read the platform's store.
+	Prefixes []string
+	List     func(ctx context.Context, prefix string) (rwtrack.Batch, error)
+	Watch    func(ctx context.Context, prefix string, after int64, wait time.Duration) (rwtrack.Batch, error)
+	Decode   func(rwitem.Item) (rwcatalog.Fact, error)
+	// Key authenticates routers to each other.
+	Key string
+	Out io.Writer
+}
+
+// Edge is one front router.
+type Edge struct {
+	config  Config
+	deploy  rwdeployment.Deployment
+	sink    *rwsink.Sink
+	log     zerolog.Logger
+	metrics *rwmetric.Metrics
+	kernel  *rwkernel.Kernel
+	self    rwidentity.Identity
+	peers   *rwpeer.Peers
+	gossip  *rwgossip.Gossip
+	broker  *rwbroker.Broker
+	share   *rwshare.Share
+	tracker *rwtrack.Tracker
+	pool    *rwconn.Pool
+	server  *http.Server
+	latency *rwtimes.Times
+	missed  *rwtimes.Times
+
+	mu      sync.Mutex
+	catalog *rwcatalog.Catalog
+	// lost is whether the last call to the store failed.
+	lost      bool
+	published atomic.Pointer[rwpublished.Published]
+	// active is the number of requests in progress.
+	active             atomic.Int64
+	stopping, refusing atomic.Bool
+	// most is the largest number of live routers seen: a router that is cut
+	// off must not take the retry budget of those it doesn't see.
+	most atomic.Int64
+}
+
+// New returns a front router that is not running yet.
+func New(c Config) *Edge {
+	e := &Edge{
+		config: c, deploy: c.Deployment, sink: rwsink.New(c.Out), metrics: rwmetric.New(), kernel: rwkernel.New(),
+		catalog: rwcatalog.New(c.Decode), latency: rwtimes.New("first_answer"), missed: rwtimes.New("forecast_error"),
+		self: rwidentity.Identity{
+			Name: c.Deployment.Name, Zone: c.Deployment.Zone, Region: c.Deployment.Region,
+			Addr: c.Deployment.Peer, Inc: time.Now().UnixMicro(),
+		},
+	}
+	e.log = rwlog.New(e.sink, "rwfront").With().Str("router", e.self.Name).Logger()
+	e.published.Store(rwpublished.New(nil, 0, time.Now(), nil))
+	e.peers = rwpeer.New(e.self, c.Key, nil, e.log, e.metrics)
+	e.gossip = rwgossip.New(e.peers, e.deploy.Seeds, e.log, e.metrics)
+	e.share = rwshare.New(e.peers)
+	e.broker = rwbroker.New(e.self, e.peers, e.metrics)
+	e.pool = rwconn.New(c.Dialect.Judge)
+	e.pool.Opened = func() { e.metrics.Add("upstream_connections", 1) }
+	e.wireShare()
+	e.wireRequests()
+	return e
+}
+
+// wireShare connects the parts that learn what is published.
+func (e *Edge) wireShare() {
+	e.share.Rev = func() int64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.catalog.Rev()
+	}
+	e.share.Since = func(rev int64) []rwitem.Item {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.catalog.Since(rev)
+	}
+	e.share.Adopt = func(from string, rev int64, items []rwitem.Item) {
+		e.change(from, func(now time.Time) (bool, map[string]error) {
+			changed, bad := e.catalog.Apply(now, items)
+			e.catalog.Advance(rev)
+			return changed, bad
+		})
+	}
+	e.share.Live = e.gossip.Live
+	e.gossip.Heard = func(from rwidentity.Identity, rev int64, _ uint64) { e.share.Heard(from, rev) }
+	e.gossip.Changed = e.membersChanged
+	e.gossip.Woke = func(time.Duration) { e.broker.Reset() }
+	e.tracker = &rwtrack.Tracker{
+		Prefixes: e.config.Prefixes, List: e.config.List, Watch: e.config.Watch,
+		Listed: e.listed, Changed: e.watched, Failed: e.storeFailed, Reader: e.share.Reader,
+	}
+}
+
+// wireRequests connects the parts that serve callers.
+func (e *Edge) wireRequests() {
+	e.broker.Published = e.published.Load
+	e.broker.Live = func() []rwidentity.Identity { return e.gossip.Live("") }
+	e.broker.Reachable = e.gossip.Reachable
+	e.broker.Window = e.deploy.ShareWindow / 2
+	e.broker.Missed = e.missed.Add
+	front := &rwfront.Front{
+		Dialect: e.config.Dialect, Published: e.published.Load, Acquire: e.broker.Acquire, Pool: e.pool,
+		Routers: func() int { return int(e.most.Load()) },
+		Budget: func() *rwrepeat.Budget {
+			return rwrepeat.New(e.deploy.RetryShare, e.deploy.RetryExtra, e.deploy.RetryWindow)
+		},
+		Closing: e.stopping.Load, Refusing: e.refusing.Load,
+		Zone: e.self.Zone, Log: e.log, Metrics: e.metrics, Observe: e.latency.Add,
+	}
+	e.server = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			e.active.Add(1)
+			defer e.active.Add(-1)
+			front.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: nil,
+	}
+}
+
+// Run serves until a signal asks the process to stop, and then until the
+// requests in progress have ended.
+func (e *Edge) Run() error {
+	if m := e.deploy.MemoryBytes; m > 0 {
+		debug.SetMemoryLimit(int64(float64(m) * memoryUse))
+	}
+	rwlog.Info(&e.log, rwlog.Started).Int64("inc", e.self.Inc).Str("zone", e.self.Zone).
+		Str("front", e.deploy.Front).Str("metrics", e.deploy.Metrics).Send()
+	sinkDone := make(chan struct{})
+	sinkCtx, stopSink := context.WithCancel(context.Background())
+	go func() {
+		defer close(sinkDone)
+		// The sink has no failure of its own.
+		_ = e.sink.Run(sinkCtx)
+	}()
+	e.kernel.Register("peers", e.peers, e.servePeers)
+	e.kernel.Register("gossip", e.gossip, e.gossip.Run)
+	e.kernel.Register("tracker", e.tracker, e.tracker.Run)
+	e.kernel.Register("broker", e.broker, e.broker.Run)
+	e.kernel.Register("front", e.server, e.serveFront)
+	e.kernel.Register("ready", nil, e.serveReady)
+	e.kernel.Register("metrics", e.metrics, e.serveMetrics)
+	e.kernel.Register("upkeep", nil, e.upkeep)
+	e.kernel.Register("signals", nil, e.waitSignal)
+	err := e.kernel.Run()
+	rwlog.Info(&e.log, rwlog.Stopped).Send()
+	stopSink()
+	<-sinkDone
+	return err
+}
+
+func listen(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.SettingsInvalid, err).WithDetail("listen on " + addr)
+	}
+	return l, nil
+}
+
+func (e *Edge) servePeers(ctx context.Context) error {
+	l, err := listen(e.deploy.Peer)
+	if err != nil {
+		return err
+	}
+	return e.peers.Serve(ctx, l)
+}
+
+func (e *Edge) serveFront(ctx context.Context) error { return serve(ctx, e.server, e.deploy.Front) }
+
+func (e *Edge) serveReady(ctx context.Context) error {
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !e.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return serve(ctx, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}, e.deploy.Ready)
+}
+
+func (e *Edge) serveMetrics(ctx context.Context) error {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /metrics", e.writeMetrics)
+	return serve(ctx, &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout}, e.deploy.Metrics)
+}
+
+func serve(ctx context.Context, s *http.Server, addr string) error {
+	l, err := listen(addr)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	return nil
+}
+
+// ready is whether the balancer may send callers here.
+func (e *Edge) ready() bool {
+	return !e.stopping.Load() && e.published.Load().Plan != nil
+}
+
+func (e *Edge) membersChanged() {
+	n := int64(len(e.gossip.Live("")))
+	if n > e.most.Load() {
+		e.most.Store(n)
+	}
+}
+
+func (e *Edge) listed(prefix string, b rwtrack.Batch) {
+	keys := map[string]bool{}
+	for _, it := range b.Items {
+		keys[it.Key] = true
+	}
+	e.answered()
+	e.change("store", func(now time.Time) (bool, map[string]error) {
+		changed, bad := e.catalog.Apply(now, b.Items)
+		gone := e.catalog.Listed(now, b.Rev, keys, func(key string) bool { return rwtrack.Within(prefix, key) })
+		return changed || gone, bad
+	})
+}
+
+func (e *Edge) watched(_ string, b rwtrack.Batch) {
+	e.answered()
+	e.change("store", func(now time.Time) (bool, map[string]error) { return e.catalog.Apply(now, b.Items) })
+}
+
+// change applies a change to the catalog and puts the result in force.
+func (e *Edge) change(source string, apply func(time.Time) (bool, map[string]error)) {
+	now := time.Now()
+	e.mu.Lock()
+	before := e.published.Load()
+	changed, bad := apply(now)
+	if source == "store" {
+		e.catalog.Advance(e.tracker.Complete())
+	}
+	rev := e.catalog.Rev()
+	e.gossip.Configure(rev, 0)
+	if changed {
+		e.published.Store(rwpublished.New(e.catalog.Plan(), rev, now, e.catalog.Instances()))
+	}
+	e.mu.Unlock()
+	for key, err := range bad {
+		rwlog.Warn(&e.log, rwlog.RecordSetAside, err).Str("key", key).Send()
+	}
+	if changed {
+		e.logChange(source, before, e.published.Load())
+		e.share.Tell()
+	}
+}
+
+func (e *Edge) logChange(source string, before, after *rwpublished.Published) {
+	if after.Plan != nil && (before.Plan == nil || before.Plan.Version != after.Plan.Version) {
+		rwlog.Info(&e.log, rwlog.PlanAdopted).Int64("version", after.Plan.Version).Int64("rev", after.Rev).
+			Str("source", source).Send()
+	}
+	if usable, leaving := after.Count(); before.Rev == 0 || !after.SameUpstreams(before) {
+		rwlog.Info(&e.log, rwlog.UpstreamsChanged).Int("usable", usable).Int("leaving", leaving).
+			Int64("rev", after.Rev).Str("source", source).Send()
+	}
+}
+
+func (e *Edge) storeFailed(prefix string, err error) {
+	e.metrics.Add("store_failures", 1)
+	e.mu.Lock()
+	e.catalog.Outage(time.Now())
+	first := !e.lost
+	e.lost = true
+	e.mu.Unlock()
+	if first {
+		rwlog.Warn(&e.log, rwlog.PlatformLost, err).Str("prefix", prefix).Send()
+	}
+}
+
+func (e *Edge) answered() {
+	e.mu.Lock()
+	restored := e.lost
+	e.lost = false
+	e.mu.Unlock()
+	if restored {
+		rwlog.Info(&e.log, rwlog.PlatformRestored).Send()
+	}
+}
+
+// upkeep drops lapsed upstreams and idle connections, and notices changes of
+// the settings file.
+func (e *Edge) upkeep(ctx context.Context) error {
+	ticker := time.NewTicker(sweep)
+	defer ticker.Stop()
+	reloaded := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			e.change("time", func(now time.Time) (bool, map[string]error) { return e.catalog.Tick(now), nil })
+			view := e.published.Load()
+			e.pool.Sweep(now, func(k rwconn.Key) bool {
+				in, ok := view.Instance(k.ID)
+				return ok && in.Addr == k.Addr && in.Born == k.Born
+			})
+			if n := e.sink.Dropped.Swap(0); n > 0 {
+				e.metrics.Add("log_lines_dropped", n)
+				rwlog.Info(&e.log, rwlog.LinesDropped).Int64("lines", n).Send()
+			}
+			if now.Sub(reloaded) >= reloadInterval {
+				reloaded = now
+				e.reload(false)
+			}
+		}
+	}
+}
+
+// reload reads the settings file. What a running process can't change, its
+// addresses and its name, stays as it was.
+func (e *Edge) reload(asked bool) {
+	d, err := e.config.Reload()
+	if err != nil {
+		rwlog.Warn(&e.log, rwlog.SettingsInvalid, err).Send()
+		return
+	}
+	if asked {
+		rwlog.Info(&e.log, rwlog.SettingsReloaded).Strs("seeds", d.Seeds).Send()
+	}
+	e.gossip.Seed(d.Seeds)
+}
+
+// waitSignal ends the process gracefully when it is asked to.
+func (e *Edge) waitSignal(ctx context.Context) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				e.reload(true)
+				continue
+			}
+			e.drain(ctx)
+			return nil
+		}
+	}
+}
+
+// drain stops being ready, serves what still arrives and returns when nothing
+// is in progress, or when the grace time ends.
+func (e *Edge) drain(ctx context.Context) {
+	start := time.Now()
+	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.active.Load()).Send()
+	e.stopping.Store(true)
+	e.gossip.Leave(ctx)
+	grace := e.deploy.Grace
+	if grace <= 0 {
+		grace = maxGrace
+	}
+	const step = 20 * time.Millisecond
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		spent := time.Since(start)
+		if spent >= acceptTime && !e.refusing.Load() {
+			e.refusing.Store(true)
+			e.server.SetKeepAlivesEnabled(false)
+		}
+		if spent >= grace-stopMargin || (spent >= acceptTime+step*10 && e.active.Load() == 0) {
+			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.active.Load()).Dur("took", spent).Send()
+			return
+		}
+	}
+}
+
+// writeMetrics writes counters and histograms as text, a line each.
+func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	view := e.published.Load()
+	usable, leaving := view.Count()
+	lines := map[string]int64{
+		"active_requests": e.active.Load(), "routers": int64(len(e.gossip.Live(""))),
+		"revision": view.Rev, "upstreams_usable": int64(usable), "upstreams_leaving": int64(leaving),
+	}
+	if view.Plan != nil {
+		lines["version"] = view.Plan.Version
+	}
+	for name, v := range lines {
+		_, _ = io.WriteString(w, name+" "+strconv.FormatInt(v, 10)+"\n")
+	}
+	e.metrics.WriteText(w)
+	for _, t := range []*rwtimes.Times{e.latency, e.missed} {
+		if _, err := t.WriteTo(w); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/rwevents/rwevents.go
@@ -0,0 +1,78 @@
+// Package rwevents splits a stream of server-sent events into whole events, so
+// that a stream which breaks off within an event passes none of its bytes on.
+package rwevents
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+)
+
+// maxEvent bounds one event in bytes.
+const maxEvent = 1 << 20
+
+// Event is one whole event.
+type Event struct {
+	// Raw holds the bytes of the event with its closing empty line, valid
+	// until the next call.
+	Raw []byte
+	// ID is the event's id, or -1 if it has none.
+	ID int64
+}
+
+// Reader reads events.
+type Reader struct {
+	lines *bufio.Reader
+	buf   []byte
+}
+
+// New returns a reader.
+func New(r io.Reader) *Reader { return &Reader{lines: bufio.NewReader(r)} }
+
+var idField = []byte("id:")
+
+// Next returns the next event. At the end of the stream after a whole event it
+// returns io.EOF. Other errors are faults: UpstreamTruncated if the stream
+// breaks or ends within an event, UpstreamMalformed if an event is too long.
+func (r *Reader) Next() (Event, error) {
+	r.buf = r.buf[:0]
+	e := Event{ID: -1}
+	for {
+		start := len(r.buf)
+		err := r.line()
+		line := bytes.TrimRight(r.buf[start:], "\r\n")
+		switch {
+		case errors.Is(err, io.EOF) && len(r.buf) == 0:
+			return e, io.EOF
+		case err != nil:
+			return e, rwfault.Wrap(rwcode.UpstreamTruncated, err)
+		case len(r.buf) > maxEvent:
+			return e, rwfault.New(rwcode.UpstreamMalformed, "event too long")
+		}
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			if n, err := strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64); err == nil {
+				e.ID = n
+			}
+		}
+		if len(line) == 0 {
+			e.Raw = r.buf
+			return e, nil
+		}
+	}
+}
+
+// line appends the next line to the buffer.
+func (r *Reader) line() error {
+	for {
+		part, err := r.lines.ReadSlice('\n')
+		r.buf = append(r.buf, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) || len(r.buf) > maxEvent {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/rwexchange/rwexchange.go
@@ -0,0 +1,60 @@
+// Package rwexchange is the state of one caller's request on its way through a
+// router.
+package rwexchange
+
+import (
+	"time"
+
+	"redwingworks.example/internal/rwinbound"
+	"redwingworks.example/internal/rwplan"
+)
+
+// Exchange is one request in progress. One goroutine uses it.
+type Exchange struct {
+	Request rwinbound.Request
+	Route   *rwplan.Route
+	// Service is the one that runs the request, Engine is not nil for model
+	// engines.
+	Service string
+	Engine  *rwplan.Engine
+	Account rwplan.Account
+	Start   time.Time
+	// Until is when the answer must have ended.
+	Until time.Time
+	// Elapsed is how long before Start the caller first asked.
+	Elapsed time.Duration
+
+	// Sent counts the upstreams that got the request, Ran those that may have
+	// run it; Ran is at most Route.MaxAttempts.
+	Sent, Ran int
+	// Avoid are upstreams that failed this request.
+	Avoid []string
+	// First is when the first event was passed on; zero before that.
+	First time.Time
+	// Last is the id of the last event that was passed on, or -1.
+	Last int64
+	// Begun is whether the head of an answer was passed on.
+	Begun bool
+	// Upstream, Owner, Forecast, Ahead and Kept describe the last placement.
+	Upstream, Owner string
+	Forecast        time.Duration
+	Ahead, Kept     int
+}
+
+// Urgency is the account's if it has one, else the route's.
+func (x *Exchange) Urgency() int {
+	if x.Account.Urgency >= 0 && x.Account.Name != "" {
+		return x.Account.Urgency
+	}
+	return x.Route.Urgency
+}
+
+// Avoids reports whether an upstream failed this request.
+func (x *Exchange) Avoids(id string) bool {
+	for _, a := range x.Avoid {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rwfront/attempt.go
@@ -0,0 +1,213 @@
+package rwfront
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwconn"
+	"redwingworks.example/internal/rwdialect"
+	"redwingworks.example/internal/rwevents"
+	"redwingworks.example/internal/rwexchange"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwlog"
+	"redwingworks.example/internal/rwoutcome"
+	"redwingworks.example/internal/rwplace"
+	"redwingworks.example/internal/rwplan"
+)
+
+// attempt sends the request to one upstream and passes its answer on. It
+// returns a fault unless the caller has a whole answer.
+func (f *Front) attempt(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, p place) (rwplace.End, *rwfault.Fault) {
+	// A pending exchange ends with this function, whatever its result.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, err := f.Pool.Do(ctx, f.order(x, p))
+	if err != nil {
+		fault := rwfault.From(err)
+		if fault.Outcome != rwoutcome.NotRun {
+			x.Sent++
+			x.Ran++
+		}
+		return endOf(fault), fault
+	}
+	defer answer.Close()
+	x.Sent++
+	switch j := answer.Judgement; {
+	case j.Wrong:
+		drain(answer)
+		return rwplace.Unreachable, rwfault.New(rwcode.UpstreamMismatch, "another upstream has the address")
+	case j.NotRun:
+		drain(answer)
+		return rwplace.Refused, rwfault.New(rwcode.UpstreamRefused, p.id)
+	}
+	x.Ran++
+	if x.Route.Kind == rwplan.Stream && answer.Response.StatusCode == http.StatusOK {
+		return f.stream(ctx, w, x, p, answer)
+	}
+	return f.whole(ctx, w, x, answer)
+}
+
+func (f *Front) order(x *rwexchange.Exchange, p place) rwconn.Order {
+	q := x.Request
+	after := q.After
+	if x.Last >= 0 {
+		after = strconv.FormatInt(x.Last, 10)
+	}
+	return rwconn.Order{
+		Key:    rwconn.Key{ID: p.id, Addr: p.addr, Born: p.born},
+		Method: q.Method, Target: q.Target, Host: q.Host, Body: q.Body, ID: q.ID,
+		Header: f.Dialect.Encode(q, rwdialect.Order{
+			Account: x.Account.Name, Instance: p.id, Left: time.Until(x.Until), After: after, Source: p.source,
+		}),
+	}
+}
+
+// drain reads the short body of a refusal, so that the connection can be kept.
+func drain(a *rwconn.Answer) {
+	const most = 64 << 10
+	_, _ = io.CopyN(io.Discard, a.Body(), most)
+}
+
+// endOf says what a fault means for the upstream.
+func endOf(fault *rwfault.Fault) rwplace.End {
+	switch fault.Code {
+	case rwcode.CallerGone, rwcode.DeadlineExceeded:
+		return rwplace.Abandoned
+	case rwcode.UpstreamUnreachable:
+		return rwplace.Unreachable
+	default:
+		return rwplace.Failed
+	}
+}
+
+// unknown is the fault of an attempt that may have run.
+func unknown(ctx context.Context, code rwcode.Code, err error) *rwfault.Fault {
+	if f := rwfault.Ended(ctx); f != nil {
+		return f.WithOutcome(rwoutcome.Unknown)
+	}
+	return rwfault.Wrap(code, err).WithOutcome(rwoutcome.Unknown)
+}
+
+// whole passes an answer on that is not a stream, once all of it is there.
+func (f *Front) whole(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, a *rwconn.Answer) (rwplace.End, *rwfault.Fault) {
+	body, err := io.ReadAll(io.LimitReader(a.Body(), maxAnswer))
+	if err != nil {
+		fault := unknown(ctx, rwcode.UpstreamTruncated, err)
+		return endOf(fault), fault
+	}
+	status := a.Response.StatusCode
+	if !a.Judgement.Genuine && status < http.StatusBadRequest {
+		return rwplace.Failed, rwfault.New(rwcode.UpstreamMalformed, "the answer is not the upstream's").
+			WithOutcome(rwoutcome.Unknown)
+	}
+	failed := status >= http.StatusInternalServerError
+	if failed && f.another(x) {
+		return rwplace.Failed, rwfault.New(rwcode.UpstreamFailed, strconv.Itoa(status)).WithOutcome(rwoutcome.Ran)
+	}
+	if x.Begun {
+		// A resumed stream can't turn into another answer.
+		return rwplace.Failed, rwfault.New(rwcode.UpstreamFailed, strconv.Itoa(status)).WithOutcome(rwoutcome.Ran)
+	}
+	f.head(w, a, status, len(body))
+	_, _ = w.Write(body)
+	f.served(x, status)
+	if failed {
+		return rwplace.Failed, nil
+	}
+	return rwplace.Served, nil
+}
+
+// another reports whether a request that an upstream failed may be sent to
+// another one; the failure is passed on otherwise.
+func (f *Front) another(x *rwexchange.Exchange) bool {
+	return x.Route.Repeatable() && x.Ran < x.Route.MaxAttempts && x.Sent < maxSends
+}
+
+// head passes on the head of an answer. A negative length means chunks.
+func (f *Front) head(w http.ResponseWriter, a *rwconn.Answer, status, length int) {
+	h := w.Header()
+	closing := h.Get("Connection")
+	maps.Copy(h, a.Response.Header)
+	for _, name := range []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Content-Length"} {
+		h.Del(name)
+	}
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
+	w.WriteHeader(status)
+}
+
+// stream passes events on as they arrive.
+func (f *Front) stream(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, p place, a *rwconn.Answer) (rwplace.End, *rwfault.Fault) {
+	if !a.Judgement.Genuine {
+		return rwplace.Failed, rwfault.New(rwcode.UpstreamMalformed, "the answer is not the upstream's").
+			WithOutcome(rwoutcome.Unknown)
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(x.Until.Add(time.Second))
+	events := rwevents.New(a.Body())
+	reported := false
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if !x.Begun {
+				f.head(w, a, http.StatusOK, -1)
+				x.Begun = true
+			}
+			f.served(x, http.StatusOK)
+			return rwplace.Served, nil
+		}
+		if err != nil {
+			fault := unknown(ctx, rwfault.From(err).Code, err)
+			return endOf(fault), fault
+		}
+		if !reported {
+			p.first()
+			reported = true
+		}
+		if e.ID >= 0 && e.ID <= x.Last {
+			continue
+		}
+		if x.Last >= 0 && e.ID > x.Last+1 {
+			return rwplace.Failed, rwfault.New(rwcode.UpstreamMalformed, "an event is missing before "+strconv.FormatInt(e.ID, 10)).
+				WithOutcome(rwoutcome.Unknown)
+		}
+		if !x.Begun {
+			f.head(w, a, http.StatusOK, -1)
+			x.Begun = true
+			x.First = time.Now()
+		}
+		if _, err := w.Write(e.Raw); err != nil {
+			return rwplace.Abandoned, rwfault.Wrap(rwcode.CallerGone, err).WithOutcome(rwoutcome.Unknown)
+		}
+		_ = rc.Flush()
+		if e.ID >= 0 {
+			x.Last = e.ID
+		}
+	}
+}
+
+// served notes a request that has its answer.
+func (f *Front) served(x *rwexchange.Exchange, status int) {
+	first := time.Since(x.Start)
+	if !x.First.IsZero() {
+		first = x.First.Sub(x.Start)
+	}
+	if f.Observe != nil {
+		f.Observe(first)
+	}
+	f.Metrics.Add("served", 1)
+	rwlog.Info(&f.Log, rwlog.RequestFinished).Str("id", x.Request.ID).Int("status", status).
+		Str("route", x.Route.Name).Str("account", x.Account.Name).Str("upstream", x.Upstream).
+		Int("attempts", x.Ran).Dur("first", first).Dur("took", time.Since(x.Start)).
+		Dur("forecast", x.Forecast).Int64("last", x.Last).Send()
+}
--- /dev/null
+++ b/internal/rwfront/rwfront.go
@@ -0,0 +1,454 @@
+// Package rwfront takes callers' requests and forwards them to upstreams by the
+// published routes.
+package rwfront
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"redwingworks.example/internal/rwbroker"
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwconn"
+	"redwingworks.example/internal/rwdialect"
+	"redwingworks.example/internal/rwexchange"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwlog"
+	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwoutcome"
+	"redwingworks.example/internal/rwplace"
+	"redwingworks.example/internal/rwpublished"
+	"redwingworks.example/internal/rwrank"
+	"redwingworks.example/internal/rwrepeat"
+	"redwingworks.example/internal/rwsteer"
+)
+
+const (
+	// defaultWait is the time limit of a request whose caller and route name
+	// none.
+	defaultWait = 30 * time.Second
+	// bodyTimeout bounds the wait for a request's body.
+	bodyTimeout = 10 * time.Second
+	// maxAnswer bounds the answers that are not streams, which are held in
+	// memory until they are whole.
+	maxAnswer = 16 << 20
+	// maxSends bounds the upstreams that are tried for one request.
+	maxSends = 4
+	// notReadyRetry, unreachableRetry and drainRetry are when callers may
+	// come back if nothing better is known.
+	notReadyRetry    = 300 * time.Millisecond
+	unreachableRetry = 250 * time.Millisecond
+	drainRetry       = 50 * time.Millisecond
+	// returnSpread spreads the callers that come back over this part of their
+	// time, so that those refused together don't return together.
+	returnSpread = 0.5
+	// backAfter is the smallest difference in a caller's deadline that means
+	// that it asked before.
+	backAfter = 20 * time.Millisecond
+	// engineTarget is the target of a route that names none.
+	engineTarget = time.Second
+)
+
+// Front serves callers. All exported fields are set before it serves.
+type Front struct {
+	Dialect   rwdialect.Dialect
+	Published func() *rwpublished.Published
+	// Acquire returns a place on an engine.
+	Acquire func(context.Context, string, rwplace.Ask) (rwbroker.Grant, *rwfault.Fault)
+	Pool    *rwconn.Pool
+	// Routers is the number of routers that share the fleet's retry budget.
+	Routers func() int
+	// Budget returns a new retry budget of a service.
+	Budget func() *rwrepeat.Budget
+	// Closing is whether connections of callers close after their answer,
+	// Refusing whether new requests are refused.
+	Closing, Refusing func() bool
+	Zone              string
+	Log               zerolog.Logger
+	Metrics           *rwmetric.Metrics
+	// Observe, if set, takes the time to the answer of each request, or to
+	// the first event of a stream.
+	Observe func(time.Duration)
+
+	mu      sync.Mutex
+	steers  map[string]*rwsteer.Steer
+	budgets map[string]*rwrepeat.Budget
+	// patience is the longest deadline that callers of a route have named.
+	patience map[string]time.Duration
+}
+
+// place is the upstream of one attempt.
+type place struct {
+	id, addr string
+	born     int64
+	source   string
+	first    func()
+	end      func(rwplace.End)
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	f.Metrics.Add("requests", 1)
+	if f.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+	x, fault := f.admit(w, r, start)
+	if fault != nil {
+		f.refuse(w, x, fault)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.Until)
+	defer cancel()
+	if fault := f.run(ctx, w, x); fault != nil {
+		f.finish(ctx, w, x, fault)
+	}
+}
+
+// admit finds the route and the account of a request and reads its body. The
+// exchange is not nil.
+func (f *Front) admit(w http.ResponseWriter, r *http.Request, start time.Time) (*rwexchange.Exchange, *rwfault.Fault) {
+	x := &rwexchange.Exchange{Request: f.Dialect.Decode(r), Start: start, Last: -1}
+	view := f.Published()
+	switch {
+	case view.Plan == nil:
+		return x, rwfault.New(rwcode.NotReady, "no configuration yet").WithRetryAfter(notReadyRetry)
+	case f.Refusing():
+		return x, rwfault.New(rwcode.Draining, "shutting down").WithRetryAfter(drainRetry)
+	}
+	x.Route = view.Plan.Match(x.Request.Host, x.Request.Path)
+	if x.Route == nil {
+		return x, rwfault.New(rwcode.UnknownPath, x.Request.Host+x.Request.Path)
+	}
+	if view.Plan.Keyed() && !x.Route.Public {
+		account, ok := view.Plan.Account(x.Request.Key)
+		if !ok {
+			return x, rwfault.New(rwcode.Unauthorized, "unknown key")
+		}
+		x.Account = account
+	}
+	if x.Request.ID == "" {
+		return x, rwfault.New(rwcode.BadRequest, "the request has no id")
+	}
+	if fault := readBody(w, r, x, view.Plan.Limits.BodyBytes); fault != nil {
+		return x, fault
+	}
+	f.limits(x)
+	f.choose(view, x)
+	return x, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
+	if r.ContentLength == 0 {
+		return nil
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body := r.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	data, err := readAll(body, r.ContentLength)
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		x.Request.Body = data
+		return nil
+	case errors.As(err, &tooLarge):
+		return rwfault.Wrap(rwcode.BodyTooLarge, err)
+	case r.Context().Err() != nil:
+		return rwfault.Wrap(rwcode.CallerGone, err)
+	default:
+		return rwfault.Wrap(rwcode.SlowBody, err)
+	}
+}
+
+func readAll(r io.Reader, size int64) ([]byte, error) {
+	const trusted = 1 << 20
+	if size < 0 || size > trusted {
+		return io.ReadAll(r)
+	}
+	data := make([]byte, size)
+	_, err := io.ReadFull(r, data)
+	return data, err
+}
+
+// limits sets how long the request may take, and how long ago its caller first
+// asked: a caller that comes back has less time left than others of the route.
+func (f *Front) limits(x *rwexchange.Exchange) {
+	wait := defaultWait
+	if x.Request.Deadline > 0 {
+		wait = x.Request.Deadline
+	}
+	if t := x.Route.Timeout; t > 0 {
+		wait = min(wait, t)
+	}
+	x.Until = x.Start.Add(wait)
+	if x.Request.Deadline <= 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.patience == nil {
+		f.patience = map[string]time.Duration{}
+	}
+	longest := max(f.patience[x.Route.Name], x.Request.Deadline)
+	f.patience[x.Route.Name] = longest
+	x.Elapsed = longest - x.Request.Deadline
+}
+
+// choose sets the service: the one that the request's id selects, or another of
+// the route if that one has no upstream.
+func (f *Front) choose(view *rwpublished.Published, x *rwexchange.Exchange) {
+	names := x.Route.Services(x.Request.ID)
+	x.Service = names[0]
+	for _, name := range names {
+		if len(view.Usable(name)) > 0 {
+			x.Service = name
+			break
+		}
+	}
+	if s, ok := view.Plan.Service(x.Service); ok {
+		x.Engine = s.Engine
+	}
+	f.budget(x.Service, func(b *rwrepeat.Budget) { b.Request(x.Start) })
+}
+
+func (f *Front) budget(service string, use func(*rwrepeat.Budget)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.budgets == nil {
+		f.budgets = map[string]*rwrepeat.Budget{}
+	}
+	b := f.budgets[service]
+	if b == nil {
+		b = f.Budget()
+		f.budgets[service] = b
+	}
+	use(b)
+}
+
+// run tries upstreams until one has answered. It returns nil if the caller has
+// its answer, and otherwise the fault of the last attempt.
+func (f *Front) run(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange) *rwfault.Fault {
+	var last *rwfault.Fault
+	for {
+		p, fault := f.acquire(ctx, x)
+		if fault != nil {
+			return worse(last, fault)
+		}
+		if x.Sent > 0 && !f.mayRepeat(x, last) {
+			p.end(rwplace.Abandoned)
+			return last
+		}
+		end, fault := f.attempt(ctx, w, x, p)
+		p.end(end)
+		if fault == nil {
+			return nil
+		}
+		last = worse(last, fault)
+		x.Avoid = append(x.Avoid, p.id)
+		if !f.retryable(x, fault) {
+			return last
+		}
+	}
+}
+
+// worse keeps the fault that tells most about whether the request ran: once it
+// may have run, a later refusal doesn't make that untrue.
+func worse(last, next *rwfault.Fault) *rwfault.Fault {
+	if last != nil && last.Outcome != rwoutcome.NotRun && next.Outcome == rwoutcome.NotRun {
+		return last
+	}
+	return next
+}
+
+// retryable reports whether another upstream may get the request.
+func (f *Front) retryable(x *rwexchange.Exchange, fault *rwfault.Fault) bool {
+	switch {
+	case fault.Code == rwcode.CallerGone || fault.Code == rwcode.DeadlineExceeded:
+		return false
+	case x.Sent >= maxSends || len(x.Avoid) >= 2*maxSends:
+		return false
+	case fault.Outcome == rwoutcome.NotRun:
+		return x.Ran < x.Route.MaxAttempts
+	}
+	return x.Route.Repeatable() && x.Ran < x.Route.MaxAttempts && (!x.Begun || x.Last >= 0)
+}
+
+// mayRepeat takes a repeat from the fleet's budget. A request that reached no
+// upstream is not a repeat.
+func (f *Front) mayRepeat(x *rwexchange.Exchange, last *rwfault.Fault) bool {
+	ok := false
+	routers := f.Routers()
+	f.budget(x.Service, func(b *rwrepeat.Budget) { ok = b.Allow(time.Now(), routers) })
+	if !ok {
+		f.Metrics.RetryDenied(last.Code)
+		return false
+	}
+	f.Metrics.Retried(last.Code)
+	event := rwlog.RequestRetried
+	if x.Begun {
+		event = rwlog.RequestResumed
+	}
+	rwlog.Info(&f.Log, event).Str("id", x.Request.ID).Stringer("code", last.Code).
+		Str("upstream", x.Upstream).Int("sent", x.Sent).Int64("after", x.Last).Str("detail", last.Error()).Send()
+	return true
+}
+
+// acquire returns an upstream for the next attempt.
+func (f *Front) acquire(ctx context.Context, x *rwexchange.Exchange) (place, *rwfault.Fault) {
+	if fault := rwfault.Ended(ctx); fault != nil {
+		return place{}, fault
+	}
+	if x.Engine != nil {
+		return f.acquireEngine(ctx, x)
+	}
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.steers == nil {
+		f.steers = map[string]*rwsteer.Steer{}
+	}
+	s := f.steers[x.Service]
+	if s == nil {
+		s = rwsteer.New(f.Zone)
+		f.steers[x.Service] = s
+	}
+	list := f.Published().Usable(x.Service)
+	in, ok := s.Pick(now, list, x.Avoids)
+	if !ok {
+		return place{}, rwfault.New(rwcode.NoUpstream, x.Service).WithRetryAfter(unreachableRetry)
+	}
+	x.Upstream = in.ID
+	end := func(e rwplace.End) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		done := time.Now()
+		s.Done(done, in.ID, e, done.Sub(now))
+	}
+	return place{id: in.ID, addr: in.Addr, born: in.Born, first: func() {}, end: end}, nil
+}
+
+func (f *Front) acquireEngine(ctx context.Context, x *rwexchange.Exchange) (place, *rwfault.Fault) {
+	p := x.Request.Prompt
+	target := x.Route.Target
+	if target <= 0 {
+		target = engineTarget
+	}
+	elapsed := x.Elapsed + time.Since(x.Start)
+	if x.Begun {
+		elapsed = 0
+	}
+	g, fault := f.Acquire(ctx, x.Service, rwplace.Ask{
+		Account: x.Account.Name, Parts: p.Parts, Own: p.Own(), Work: p.Work(),
+		Urgency: x.Urgency(), Target: target, Elapsed: elapsed,
+		Back: x.Elapsed > backAfter || x.Begun, Avoid: x.Avoid,
+	})
+	if fault != nil {
+		return place{}, fault
+	}
+	x.Upstream, x.Owner, x.Forecast, x.Ahead, x.Kept = g.Instance.ID, g.Owner, g.Forecast, g.Ahead, g.Kept
+	rwlog.Info(&f.Log, rwlog.RequestPlaced).Str("id", x.Request.ID).Str("upstream", x.Upstream).
+		Str("owner", x.Owner).Dur("forecast", x.Forecast).Int("ahead", x.Ahead).Int("kept", x.Kept).
+		Int("own", p.Own()).Str("source", g.Source).Int64("rev", f.Published().Rev).
+		Dur("waited", time.Since(x.Start)).Send()
+	in := g.Instance
+	return place{id: in.ID, addr: in.Addr, born: in.Born, source: g.Source, first: g.First, end: g.End}, nil
+}
+
+// finish answers a request that no upstream answered.
+func (f *Front) finish(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, fault *rwfault.Fault) {
+	if ended := rwfault.Ended(ctx); ended != nil && ended.Code == rwcode.CallerGone {
+		f.Metrics.Refused(rwcode.CallerGone)
+		rwlog.Info(&f.Log, rwlog.RequestFailed).Str("id", x.Request.ID).Stringer("code", ended.Code).
+			Str("upstream", x.Upstream).Int("sent", x.Sent).Dur("took", time.Since(x.Start)).Send()
+		panic(http.ErrAbortHandler)
+	}
+	if x.Begun {
+		f.note(x, fault, 0)
+		// The caller must not take what it got for the whole answer.
+		panic(http.ErrAbortHandler)
+	}
+	f.refuse(w, x, fault)
+}
+
+// refuse writes the final answer to a request that failed.
+func (f *Front) refuse(w http.ResponseWriter, x *rwexchange.Exchange, fault *rwfault.Fault) {
+	status := statusOf(fault)
+	f.note(x, fault, status)
+	h := w.Header()
+	h.Set("Content-Type", "text/plain")
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		after := fault.RetryAfter
+		if after <= 0 {
+			after = unreachableRetry
+		}
+		h.Set("Retry-After", strconv.FormatFloat(spread(x.Request.ID, after).Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, fault.Code.String()+"\n")
+}
+
+// spread lengthens a time by a part that depends on the request.
+func spread(id string, d time.Duration) time.Duration {
+	const steps = 1000
+	part := float64(rwrank.Score("return", id)%steps) / steps
+	return d + time.Duration(float64(d)*returnSpread*part)
+}
+
+// note counts and logs a request that failed.
+func (f *Front) note(x *rwexchange.Exchange, fault *rwfault.Fault, status int) {
+	f.Metrics.Refused(fault.Code)
+	e := rwlog.Info(&f.Log, rwlog.RequestRefused)
+	if fault.Outcome != rwoutcome.NotRun {
+		e = rwlog.Warn(&f.Log, rwlog.RequestFailed, fault).Stringer("outcome", fault.Outcome)
+	} else {
+		e = e.Stringer("code", fault.Code).Str("detail", fault.Error())
+	}
+	e = e.Str("id", x.Request.ID).Int("status", status).Str("account", x.Account.Name).
+		Str("service", x.Service).Str("upstream", x.Upstream).Str("owner", x.Owner).Int("sent", x.Sent).
+		Dur("took", time.Since(x.Start)).Dur("before", x.Elapsed).Dur("retry", fault.RetryAfter)
+	view := f.Published()
+	if view.Plan != nil {
+		e = e.Int64("version", view.Plan.Version)
+	}
+	if x.Route != nil {
+		e = e.Str("route", x.Route.Name)
+	}
+	e.Int64("rev", view.Rev).Dur("age", time.Since(view.At)).Send()
+}
+
+// statusOf is the status of a fault. A request that didn't run gets a status
+// that says so; one that may have run gets one that promises nothing.
+func statusOf(f *rwfault.Fault) int {
+	if f.Outcome != rwoutcome.NotRun {
+		if f.Code == rwcode.DeadlineExceeded {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch f.Code {
+	case rwcode.UnknownPath:
+		return http.StatusNotFound
+	case rwcode.Unauthorized:
+		return http.StatusUnauthorized
+	case rwcode.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case rwcode.BadRequest:
+		return http.StatusBadRequest
+	case rwcode.SlowBody:
+		return http.StatusRequestTimeout
+	case rwcode.ShareExceeded:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- a/internal/rwgossip/rwgossip.go
+++ b/internal/rwgossip/rwgossip.go
@@ -120,6 +120,13 @@
 	g.members.Publish(list)
 }
 
+// Seed replaces the peer addresses to join by.
+func (g *Gossip) Seed(addrs []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.Seed(addrs)
+}
+
 // Configure sets the configuration revision and digest that probes carry.
 func (g *Gossip) Configure(rev int64, sum uint64) {
 	g.mu.Lock()
--- a/internal/rwlog/event_string.go
+++ b/internal/rwlog/event_string.go
@@ -15,16 +15,23 @@
 	_ = x[Ready-104]
 	_ = x[DrainFinished-105]
 	_ = x[PauseDetected-106]
+	_ = x[LinesDropped-107]
+	_ = x[SettingsReloaded-108]
 	_ = x[RecordAdopted-200]
 	_ = x[RecordSetAside-201]
 	_ = x[RecordStale-202]
 	_ = x[PlatformLost-203]
 	_ = x[PlatformRestored-204]
 	_ = x[UpstreamLeaving-205]
+	_ = x[PlanAdopted-206]
+	_ = x[UpstreamsChanged-207]
 	_ = x[MemberChanged-300]
 	_ = x[RequestRefused-400]
 	_ = x[RequestFailed-401]
 	_ = x[RequestRetried-402]
+	_ = x[RequestPlaced-403]
+	_ = x[RequestResumed-404]
+	_ = x[RequestFinished-405]
 	_ = x[PeerRefused-500]
 	_ = x[PeerLost-501]
 	_ = x[CellTaken-600]
@@ -36,19 +43,19 @@
 }
 
 const (
-	_Event_name_0 = "startedstoppedstop requestedsettings invalidreadydrain finishedpause detected"
-	_Event_name_1 = "record adoptedrecord set asidestale record ignoredplatform lostplatform restoredupstream leaving"
+	_Event_name_0 = "startedstoppedstop requestedsettings invalidreadydrain finishedpause detectedlog lines droppedsettings reloaded"
+	_Event_name_1 = "record adoptedrecord set asidestale record ignoredplatform lostplatform restoredupstream leavingconfiguration adoptedupstreams changed"
 	_Event_name_2 = "member changed"
-	_Event_name_3 = "request refusedrequest failedrequest retried"
+	_Event_name_3 = "request refusedrequest failedrequest retriedrequest placedrequest resumedrequest finished"
 	_Event_name_4 = "peer refusedpeer lost"
 	_Event_name_5 = "cell ownership takencell ownership releasedupstream backed off"
 	_Event_name_6 = "idempotency keys heldidempotency keys releasedidempotency keys handed over"
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 7, 14, 28, 44, 49, 63, 77}
-	_Event_index_1 = [...]uint8{0, 14, 30, 50, 63, 80, 96}
-	_Event_index_3 = [...]uint8{0, 15, 29, 44}
+	_Event_index_0 = [...]uint8{0, 7, 14, 28, 44, 49, 63, 77, 94, 111}
+	_Event_index_1 = [...]uint8{0, 14, 30, 50, 63, 80, 96, 117, 134}
+	_Event_index_3 = [...]uint8{0, 15, 29, 44, 58, 73, 89}
 	_Event_index_4 = [...]uint8{0, 12, 21}
 	_Event_index_5 = [...]uint8{0, 20, 43, 62}
 	_Event_index_6 = [...]uint8{0, 21, 46, 74}
@@ -56,15 +63,15 @@
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 106:
+	case 100 <= i && i <= 108:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
-	case 200 <= i && i <= 205:
+	case 200 <= i && i <= 207:
 		i -= 200
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
 	case i == 300:
 		return _Event_name_2
-	case 400 <= i && i <= 402:
+	case 400 <= i && i <= 405:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 500 <= i && i <= 501:
--- a/internal/rwmetric/rwmetric.go
+++ b/internal/rwmetric/rwmetric.go
@@ -3,6 +3,7 @@
 
 import (
 	"expvar"
+	"io"
 
 	"redwingworks.example/internal/rwcode"
 )
@@ -50,3 +51,14 @@
 
 // Add adds to a counter.
 func (m *Metrics) Add(name string, n int64) { m.Counters.Add(name, n) }
+
+// WriteText writes all counters, a line each, as name and value.
+func (m *Metrics) WriteText(w io.Writer) {
+	for prefix, vars := range map[string]*expvar.Map{
+		"refusals_": m.Refusals, "retries_": m.Retries, "denied_": m.Denied, "": m.Counters,
+	} {
+		vars.Do(func(kv expvar.KeyValue) {
+			_, _ = io.WriteString(w, prefix+kv.Key+" "+kv.Value.String()+"\n")
+		})
+	}
+}
--- /dev/null
+++ b/internal/rwplace/rwplace.go
@@ -0,0 +1,682 @@
+// Package rwplace decides which engine runs a model request, when, and which
+// requests are refused. It answers three load patterns:
+//
+//   - Shared prompt parts that fit into the caches of all engines once only:
+//     requests go to the engine that keeps their parts, and leave it when the
+//     wait there costs more than a copy of the parts.
+//   - More prompt tokens than the engines can read before the first events are
+//     due: work waits here and not in the engines, where it would delay
+//     everything behind it, and what can't be on time is refused.
+//   - A few accounts that ask for many times their share: the accounts that
+//     got least go first, and what an account asks beyond its max-min share is
+//     refused while others wait.
+//
+// The package holds no clock and no I/O.
+package rwplace
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"redwingworks.example/internal/rwcache"
+	"redwingworks.example/internal/rwprompt"
+	"redwingworks.example/internal/rwrank"
+	"redwingworks.example/internal/rwwater"
+)
+
+//go:generate go tool stringer -type=Verdict,End -linecomment
+
+// Verdict is the decision on a request.
+type Verdict int
+
+// The verdicts.
+const (
+	Wait      Verdict = iota // wait
+	Granted                  // granted
+	Late                     // late
+	OverShare                // over_share
+	NoEngine                 // no_engine
+	Full                     // full
+)
+
+// End is how a granted request ended.
+type End int
+
+// The ends.
+const (
+	Served      End = iota // served
+	Failed                 // failed
+	Refused                // refused
+	Unreachable            // unreachable
+	Abandoned              // abandoned
+)
+
+const (
+	// baseLatency is the time to the first event of an idle engine beside the
+	// prefill: one step and the engine's own setup.
+	baseLatency = 40 * time.Millisecond
+	// firstRate is the prefill speed in tokens a second that is assumed until
+	// first events show the real one.
+	firstRate        = 100_000.0
+	minRate, maxRate = 5_000.0, 600_000.0
+	// rateWeight is the weight of a new sample of the prefill speed.
+	rateWeight = 0.15
+	// rateTokens is the smallest backlog that tells something about the speed.
+	rateTokens = 4_000.0
+	// useOfTarget is the part of the latency target that a forecast may use.
+	useOfTarget = 0.8
+	// overShareUse replaces it for accounts above their share, so that the
+	// others find room when they come.
+	overShareUse = 0.45
+	// crowded is the part of the target that the shortest backlog may take
+	// before accounts above their share are refused.
+	crowded = 0.2
+	// idleUse is the part of the target that may be queued ahead of a request
+	// which can't be on time anywhere.
+	idleUse = 0.25
+	// shareSlack is how far an account may exceed its share before that is
+	// held against it.
+	shareSlack = 1.1
+	// levelInterval is how long a computed share stays valid.
+	levelInterval = 50 * time.Millisecond
+	// fetchSetup is the time that a copy of KV cache takes beside its bytes.
+	fetchSetup = 10 * time.Millisecond
+	// fetchCost weighs the price of copied tokens against waiting: copying
+	// 10,000 tokens is worth a wait of 40 ms.
+	fetchCost = 4 * time.Microsecond
+	// fetchMin is the smallest number of tokens worth a copy.
+	fetchMin = 1_500
+	// rereadScale is the mean backlog at which reading shared parts again
+	// counts twice.
+	rereadScale = 40 * time.Millisecond
+	// cachePart is the part of an engine's memory that keeps parts, the rest
+	// is left to running requests.
+	cachePart = 0.75
+	// runningPart bounds the tokens of running requests, beyond which engines
+	// preempt.
+	runningPart = 0.7
+	// firstTimeout drops a grant whose first event was never reported.
+	firstTimeout = 4 * time.Second
+	// grantTimeout drops a grant whose end was never reported.
+	grantTimeout = 30 * time.Second
+	// refusedPause keeps requests off an engine that refused one.
+	refusedPause = 150 * time.Millisecond
+	// downPause keeps requests of a zone off an engine that the zone can't
+	// reach; it doubles up to maxDownPause.
+	downPause    = time.Second
+	maxDownPause = 4 * time.Second
+	// failureWeight is the weight of one outcome in an engine's failure rate,
+	// failureHalf the time in which the rate halves, failureCost the wait
+	// that a rate of 1 is worth.
+	failureWeight = 0.25
+	failureHalf   = 2 * time.Second
+	failureCost   = time.Second
+	// overdue is how long after its forecast a first event counts as a
+	// failure of the engine.
+	overdue = 800 * time.Millisecond
+	// maxWaiting bounds the requests that wait.
+	maxWaiting = 512
+	// minRetry and maxRetry bound the time after which a caller may return.
+	minRetry = 150 * time.Millisecond
+	maxRetry = 2500 * time.Millisecond
+)
+
+// Spec describes the engines of a pool.
+type Spec struct {
+	// Slots is how many requests an engine runs at once, Memory its KV cache
+	// in tokens.
+	Slots, Memory int
+	// TokenBytes is the size of a token of KV cache, LinkBytes the bandwidth
+	// between engines in bytes a second; 0 means that nothing can be copied.
+	TokenBytes, LinkBytes float64
+	// Capacity is what all engines of the placer produce in tokens a second,
+	// 0 if it is not known.
+	Capacity float64
+	// Window is the time over which accounts' shares are compared.
+	Window time.Duration
+}
+
+// Engine is an engine that may get work.
+type Engine struct {
+	// ID names the start of the engine.
+	ID   string
+	Zone string
+}
+
+// Ask is a request that wants to run.
+type Ask struct {
+	// ID is unique among the requests of all routers.
+	ID      string          `json:"id"`
+	Account string          `json:"acc"`
+	Parts   []rwprompt.Part `json:"parts,omitempty"`
+	// Own is the number of prompt tokens that no other request shares, Work
+	// the number of generated tokens to expect.
+	Own  int `json:"own"`
+	Work int `json:"work"`
+	// Zone is that of the router that asks.
+	Zone    string `json:"zone"`
+	Urgency int    `json:"urg,omitempty"`
+	// Target is the time to the first event, Elapsed the part of it that is
+	// over.
+	Target  time.Duration `json:"tgt"`
+	Elapsed time.Duration `json:"ela"`
+	// Back is whether the caller comes back after a refusal.
+	Back bool `json:"back,omitempty"`
+	// Avoid are engines that failed this request.
+	Avoid []string `json:"avoid,omitempty"`
+}
+
+// Decision answers an Ask.
+type Decision struct {
+	ID      string  `json:"id"`
+	Verdict Verdict `json:"v"`
+	// Engine is set for Granted; Source is an engine to copy prompt parts
+	// from, or empty.
+	Engine string `json:"eng,omitempty"`
+	Source string `json:"src,omitempty"`
+	// Forecast is the expected time to the first event, Ahead the tokens that
+	// the engine has to read before it, its own included, Kept the tokens
+	// that it keeps already.
+	Forecast time.Duration `json:"fc,omitempty"`
+	Ahead    int           `json:"ahead,omitempty"`
+	Kept     int           `json:"kept,omitempty"`
+	// Retry is when a refused caller should come back.
+	Retry time.Duration `json:"retry,omitempty"`
+}
+
+type engine struct {
+	Engine
+	cache *rwcache.Cache
+	// ahead is the number of prompt tokens of granted requests without a
+	// first event.
+	ahead float64
+	// running is the number of granted requests, tokens what they hold in
+	// memory beside shared parts.
+	running, tokens int
+	// rate is the prefill speed in tokens a second.
+	rate float64
+	// failures is the decayed part of requests that failed, as of failedAt.
+	failures float64
+	failedAt time.Time
+	refused  time.Time
+	down     map[string]outage
+}
+
+type outage struct {
+	until time.Time
+	pause time.Duration
+}
+
+type grant struct {
+	ask    Ask
+	engine *engine
+	at     time.Time
+	// ahead is what the engine had to read at the grant, own included.
+	ahead, uncached float64
+	forecast        time.Duration
+	first, overdue  bool
+}
+
+type account struct {
+	// got and asked are tokens, decayed over the window, as of at.
+	got, asked float64
+	at         time.Time
+}
+
+type waiter struct {
+	ask Ask
+	at  time.Time
+}
+
+// Placer is the state for the engines of one cell. It is not safe for
+// concurrent use.
+type Placer struct {
+	// Missed, if set, is told how far a forecast was off; negative means that
+	// the first event came earlier.
+	Missed func(time.Duration)
+
+	spec     Spec
+	engines  map[string]*engine
+	names    []string
+	grants   map[string]*grant
+	accounts map[string]*account
+	waiting  []*waiter
+	level    float64
+	levelAt  time.Time
+}
+
+// New returns a placer without engines.
+func New(spec Spec) *Placer {
+	return &Placer{
+		spec: spec, engines: map[string]*engine{}, grants: map[string]*grant{},
+		accounts: map[string]*account{}, level: math.Inf(1),
+	}
+}
+
+// Waiting is the number of requests that wait.
+func (p *Placer) Waiting() int { return len(p.waiting) }
+
+// Configure changes the description of the engines.
+func (p *Placer) Configure(spec Spec) { p.spec = spec }
+
+// Engines sets the engines that may get work. Requests on engines that are no
+// longer listed run on.
+func (p *Placer) Engines(list []Engine) {
+	next := map[string]*engine{}
+	for _, e := range list {
+		old := p.engines[e.ID]
+		if old == nil {
+			old = &engine{
+				Engine: e, rate: firstRate, down: map[string]outage{},
+				cache: rwcache.New(int(float64(p.spec.Memory) * cachePart)),
+			}
+		}
+		next[e.ID] = old
+	}
+	p.engines = next
+	p.names = slices.Sorted(maps.Keys(next))
+}
+
+// Ask decides on a new request. With the verdict Wait, the decision comes from
+// a later Tick.
+func (p *Placer) Ask(now time.Time, a Ask) Decision {
+	acc := p.account(now, a.Account)
+	acc.asked += cost(a)
+	over := p.over(now, acc)
+	if over && p.shortestBacklog() > fraction(a.Target, crowded) {
+		return p.refuse(now, a, OverShare)
+	}
+	w := &waiter{ask: a, at: now}
+	if len(p.waiting) == 0 {
+		if d, ok := p.place(now, w); ok {
+			return d
+		}
+	}
+	if len(p.engines) == 0 {
+		return p.refuse(now, a, NoEngine)
+	}
+	if len(p.waiting) >= maxWaiting {
+		return p.refuse(now, a, Full)
+	}
+	if !p.canWait(now, w) {
+		return p.refuse(now, a, Late)
+	}
+	p.waiting = append(p.waiting, w)
+	return Decision{ID: a.ID, Verdict: Wait}
+}
+
+// Drop forgets a request that waits.
+func (p *Placer) Drop(id string) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool { return w.ask.ID == id })
+}
+
+// First notes the first event of a request.
+func (p *Placer) First(now time.Time, id string) {
+	g := p.grants[id]
+	if g == nil || g.first {
+		return
+	}
+	p.read(g)
+	took := now.Sub(g.at)
+	if p.Missed != nil {
+		p.Missed(took - g.forecast)
+	}
+	if g.ahead >= rateTokens && took > baseLatency {
+		sample := g.ahead / max(took-baseLatency, 5*time.Millisecond).Seconds()
+		e := g.engine
+		e.rate = clamp(e.rate+rateWeight*(sample-e.rate), minRate, maxRate)
+	}
+}
+
+// read takes a request's prompt from what its engine has to read.
+func (p *Placer) read(g *grant) {
+	g.first = true
+	g.engine.ahead = max(g.engine.ahead-g.uncached, 0)
+}
+
+// Ended notes the end of a granted request.
+func (p *Placer) Ended(now time.Time, id string, end End) {
+	g := p.grants[id]
+	if g == nil {
+		return
+	}
+	delete(p.grants, id)
+	e := g.engine
+	if !g.first {
+		p.read(g)
+		if end != Served {
+			// The account got nothing for what it was charged.
+			acc := p.account(now, g.ask.Account)
+			acc.got = max(acc.got-cost(g.ask), 0)
+		}
+	}
+	e.running--
+	e.tokens -= g.ask.Own + g.ask.Work
+	switch end {
+	case Served:
+		e.outcome(now, 0)
+		delete(e.down, g.ask.Zone)
+	case Failed:
+		e.outcome(now, 1)
+	case Refused:
+		e.refused = now.Add(refusedPause)
+	case Unreachable:
+		e.unreachable(now, g.ask.Zone)
+	case Abandoned:
+	}
+}
+
+func (e *engine) outcome(now time.Time, failed float64) {
+	rate := e.failureRate(now)
+	e.failures, e.failedAt = rate+failureWeight*(failed-rate), now
+}
+
+func (e *engine) failureRate(now time.Time) float64 {
+	return e.failures * math.Exp2(-now.Sub(e.failedAt).Seconds()/failureHalf.Seconds())
+}
+
+func (e *engine) unreachable(now time.Time, zone string) {
+	pause := downPause
+	if o, ok := e.down[zone]; ok {
+		if now.Before(o.until) {
+			return
+		}
+		pause = min(2*o.pause, maxDownPause)
+	}
+	e.down[zone] = outage{until: now.Add(pause), pause: pause}
+}
+
+// Tick returns the decisions on requests that waited.
+func (p *Placer) Tick(now time.Time) []Decision {
+	p.expire(now)
+	var out []Decision
+	for len(p.waiting) > 0 {
+		d, ok := p.next(now)
+		if !ok {
+			break
+		}
+		out = append(out, d)
+	}
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
+		if p.canWait(now, w) {
+			return false
+		}
+		out = append(out, p.refuse(now, w.ask, Late))
+		return true
+	})
+	return out
+}
+
+// next grants one waiting request: of the most urgent ones, one of the account
+// that got least.
+func (p *Placer) next(now time.Time) (Decision, bool) {
+	order := slices.Clone(p.waiting)
+	slices.SortStableFunc(order, func(x, y *waiter) int {
+		return cmp.Or(
+			cmp.Compare(x.ask.Urgency, y.ask.Urgency),
+			cmp.Compare(p.account(now, x.ask.Account).got, p.account(now, y.ask.Account).got),
+			x.at.Add(-x.ask.Elapsed).Compare(y.at.Add(-y.ask.Elapsed)),
+		)
+	})
+	for _, w := range order {
+		if d, ok := p.place(now, w); ok {
+			p.Drop(w.ask.ID)
+			return d, true
+		}
+	}
+	return Decision{}, false
+}
+
+// expire forgets grants whose reports were lost, and counts first events that
+// are overdue against their engine.
+func (p *Placer) expire(now time.Time) {
+	for id, g := range p.grants {
+		age := now.Sub(g.at)
+		switch {
+		case age > grantTimeout:
+			p.Ended(now, id, Abandoned)
+		case !g.first && age > firstTimeout:
+			p.read(g)
+		case !g.first && !g.overdue && age > g.forecast+overdue:
+			g.overdue = true
+			g.engine.outcome(now, 1)
+		}
+	}
+}
+
+// option is an engine that could run a request.
+type option struct {
+	engine   *engine
+	source   *engine
+	kept     int
+	uncached float64
+	wait     time.Duration
+	forecast time.Duration
+	cost     time.Duration
+}
+
+func (p *Placer) place(now time.Time, w *waiter) (Decision, bool) {
+	a := w.ask
+	use := useOfTarget
+	if p.over(now, p.account(now, a.Account)) {
+		use = overShareUse
+	}
+	left := fraction(a.Target, use) - p.elapsed(now, w)
+	best, ok := p.best(now, a, func(o option) bool {
+		return o.forecast <= left || o.wait <= fraction(a.Target, idleUse*use/useOfTarget)
+	})
+	if !ok {
+		return Decision{}, false
+	}
+	return p.grant(now, a, best), true
+}
+
+// elapsed is the part of a request's target that is over. Callers that come
+// back after a refusal start anew: to refuse them twice serves nobody.
+func (p *Placer) elapsed(now time.Time, w *waiter) time.Duration {
+	d := now.Sub(w.at)
+	if !w.ask.Back {
+		d += w.ask.Elapsed
+	}
+	return d
+}
+
+// canWait reports whether a request could still be on time if an engine had
+// nothing else to do.
+func (p *Placer) canWait(now time.Time, w *waiter) bool {
+	rate := firstRate
+	for _, e := range p.engines {
+		rate = max(rate, e.rate)
+	}
+	need := baseLatency + seconds(float64(w.ask.Own)/rate)
+	limit := max(fraction(w.ask.Target, useOfTarget), fraction(w.ask.Target, idleUse)+need)
+	return p.elapsed(now, w)+need < limit
+}
+
+func (p *Placer) best(now time.Time, a Ask, fits func(option) bool) (option, bool) {
+	mean := p.meanBacklog()
+	home := rwrank.Top(homeKey(a), p.names)
+	var best option
+	found := false
+	for _, name := range p.names {
+		e := p.engines[name]
+		if slices.Contains(a.Avoid, name) || !p.usable(now, e, a) {
+			continue
+		}
+		o := p.option(now, a, e, name == home, mean)
+		if fits(o) && (!found || o.cost < best.cost) {
+			best, found = o, true
+		}
+	}
+	return best, found
+}
+
+func homeKey(a Ask) string { return rwprompt.Prompt{Parts: a.Parts}.Home() }
+
+func (p *Placer) usable(now time.Time, e *engine, a Ask) bool {
+	return e.running < p.spec.Slots &&
+		float64(e.tokens+a.Own+a.Work) <= float64(p.spec.Memory)*runningPart &&
+		!now.Before(e.refused) && !now.Before(e.down[a.Zone].until)
+}
+
+func (p *Placer) option(now time.Time, a Ask, e *engine, home bool, mean time.Duration) option {
+	o := option{engine: e, kept: e.cache.Kept(a.Parts)}
+	total := a.Own
+	if len(a.Parts) > 0 {
+		total = 0
+		for _, part := range a.Parts {
+			total += part.Tokens
+		}
+	}
+	shared := total - a.Own
+	missing := max(shared-o.kept, 0)
+	o.uncached = float64(total - min(o.kept, total))
+	o.wait = seconds(e.ahead / e.rate)
+	var extra time.Duration
+	if missing > 0 {
+		if src, n := p.source(a, e); n-o.kept >= fetchMin {
+			copied := float64(n - o.kept)
+			o.source = src
+			o.uncached -= copied
+			extra = fetchSetup + seconds(copied*p.spec.TokenBytes/p.spec.LinkBytes)
+			o.cost = time.Duration(copied) * fetchCost
+			missing -= n - o.kept
+		}
+		again := seconds(float64(max(missing, 0)) / e.rate)
+		o.cost += time.Duration(float64(again) * float64(mean) / float64(rereadScale))
+		if home && o.kept == 0 && o.source == nil {
+			// Nothing is known of the parts: the home is where a placer
+			// before this one put them.
+			o.cost -= seconds(float64(shared) / e.rate)
+		}
+	}
+	o.forecast = baseLatency + o.wait + extra + seconds(o.uncached/e.rate)
+	o.cost += o.forecast + time.Duration(e.failureRate(now)*float64(failureCost))
+	return o
+}
+
+// source returns the engine that keeps most of a prompt, and how much.
+func (p *Placer) source(a Ask, except *engine) (*engine, int) {
+	if p.spec.TokenBytes <= 0 || p.spec.LinkBytes <= 0 {
+		return nil, 0
+	}
+	var best *engine
+	most := 0
+	for _, name := range p.names {
+		e := p.engines[name]
+		if n := e.cache.Kept(a.Parts[:max(len(a.Parts)-1, 0)]); e != except && n > most {
+			best, most = e, n
+		}
+	}
+	return best, most
+}
+
+func (p *Placer) grant(now time.Time, a Ask, o option) Decision {
+	e := o.engine
+	e.cache.Use(a.Parts)
+	e.ahead += o.uncached
+	e.running++
+	e.tokens += a.Own + a.Work
+	p.account(now, a.Account).got += cost(a)
+	p.grants[a.ID] = &grant{
+		ask: a, engine: e, at: now, ahead: e.ahead, uncached: o.uncached, forecast: o.forecast,
+	}
+	d := Decision{
+		ID: a.ID, Verdict: Granted, Engine: e.ID, Forecast: o.forecast, Ahead: int(e.ahead), Kept: o.kept,
+	}
+	if o.source != nil {
+		d.Source = o.source.ID
+	}
+	return d
+}
+
+func (p *Placer) refuse(now time.Time, a Ask, v Verdict) Decision {
+	retry := minRetry + p.meanBacklog()
+	if p.spec.Capacity > 0 {
+		asked := 0.0
+		for name := range p.accounts {
+			asked += p.account(now, name).asked
+		}
+		// The part of the demand that the engines can't serve comes back
+		// later by as much.
+		if load := asked / (p.spec.Capacity * p.spec.Window.Seconds()); load > 1 {
+			retry += seconds(load - 1)
+		}
+	}
+	return Decision{ID: a.ID, Verdict: v, Retry: min(retry, maxRetry)}
+}
+
+// Level is the share of an account over the window while the engines can't
+// serve all, and infinite while they can.
+func (p *Placer) Level(now time.Time) float64 {
+	if p.spec.Capacity <= 0 {
+		return math.Inf(1)
+	}
+	if now.Sub(p.levelAt) < levelInterval {
+		return p.level
+	}
+	demands := make([]float64, 0, len(p.accounts))
+	for name, acc := range p.accounts {
+		p.account(now, name)
+		if acc.asked < 1 && acc.got < 1 {
+			delete(p.accounts, name)
+			continue
+		}
+		demands = append(demands, acc.asked)
+	}
+	p.level, p.levelAt = rwwater.Level(p.spec.Capacity*p.spec.Window.Seconds(), demands), now
+	return p.level
+}
+
+func (p *Placer) over(now time.Time, acc *account) bool {
+	return acc.got > shareSlack*p.Level(now)
+}
+
+// account returns the counters of an account, decayed up to now.
+func (p *Placer) account(now time.Time, name string) *account {
+	acc := p.accounts[name]
+	if acc == nil {
+		acc = &account{at: now}
+		p.accounts[name] = acc
+	}
+	if d := now.Sub(acc.at); d > 0 {
+		f := math.Exp(-d.Seconds() / p.spec.Window.Seconds())
+		acc.got, acc.asked, acc.at = acc.got*f, acc.asked*f, now
+	}
+	return acc
+}
+
+func (p *Placer) meanBacklog() time.Duration {
+	if len(p.engines) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, e := range p.engines {
+		sum += e.ahead / e.rate
+	}
+	return seconds(sum / float64(len(p.engines)))
+}
+
+func (p *Placer) shortestBacklog() time.Duration {
+	least := math.Inf(1)
+	for _, e := range p.engines {
+		least = min(least, e.ahead/e.rate)
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return seconds(least)
+}
+
+// cost is the engine time of a request in tokens: its own prompt once and what
+// it generates twice. Shared parts are read once for many.
+func cost(a Ask) float64 { return float64(a.Own + 2*a.Work) }
+
+func fraction(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func clamp(x, low, high float64) float64 { return min(max(x, low), high) }
--- /dev/null
+++ b/internal/rwplan/rwplan.go
@@ -0,0 +1,182 @@
+// Package rwplan is the published configuration in the product's own terms:
+// routes, services, limits and client accounts.
+package rwplan
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"redwingworks.example/internal/rwrank"
+)
+
+//go:generate go tool stringer -type=Kind -linecomment
+
+// Kind says what may be repeated on a route.
+type Kind int
+
+// The kinds of routes.
+const (
+	Safe   Kind = iota // safe
+	Unsafe             // unsafe
+	Stream             // stream
+)
+
+// Route sends requests of one host and path prefix to services.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout bounds the time to the final answer; zero means no bound.
+	Timeout time.Duration
+	// Target is the time to the answer, or to the first event of a stream,
+	// within which the answer is on time.
+	Target time.Duration
+	// Gap is the longest pause between events of an answer on time.
+	Gap time.Duration
+	// Urgency orders work; 0 is the most urgent.
+	Urgency int
+	// Split is never empty and its weights are positive.
+	Split []Weight
+	// MaxAttempts is the number of upstreams that one request may reach, at
+	// least 1.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Resume is whether a stream may go on at another upstream.
+	Resume bool
+}
+
+// Weight is a service's part of a route's requests.
+type Weight struct {
+	Service string
+	Weight  int
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Safe || (r.Kind == Stream && r.Resume)
+}
+
+// Services returns the services of the route, the one that serves the request
+// with the identifier first. Equal identifiers give equal orders on every
+// router.
+func (r *Route) Services(id string) []string {
+	total := 0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	pick := int(rwrank.Score(id, r.Name) % uint64(max(total, 1)))
+	out := make([]string, 0, len(r.Split))
+	for _, w := range r.Split {
+		if pick >= 0 && pick < w.Weight {
+			out = append([]string{w.Service}, out...)
+		} else {
+			out = append(out, w.Service)
+		}
+		pick -= w.Weight
+	}
+	return out
+}
+
+// Service is a pool of upstreams that run the same requests.
+type Service struct {
+	Name string
+	// MaxConns is how many connections one upstream accepts from all routers.
+	MaxConns int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is how many requests run at once.
+	Slots int
+	// Memory holds running requests and cached prompt parts, in tokens.
+	Memory int
+	// TokenBytes is the size of one token of KV cache.
+	TokenBytes int
+	// LinkBits is the bandwidth between engines in bits a second.
+	LinkBits float64
+}
+
+// Limits bound what callers send.
+type Limits struct {
+	BodyBytes     int64
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	// TokensPerSecond is what all engines produce together: each token read
+	// once, each generated token twice. Zero means unknown.
+	TokensPerSecond float64
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	// Urgency replaces that of the route if it is not negative.
+	Urgency int
+}
+
+// Plan is one version of the configuration. It is immutable.
+type Plan struct {
+	// Version increases with each published change.
+	Version  int64
+	Limits   Limits
+	services map[string]Service
+	hosts    map[string][]Route
+	keys     map[string]Account
+}
+
+// New returns a plan. Routes of a host are matched longest prefix first.
+func New(version int64, limits Limits, routes []Route, services []Service, keys map[string]Account) *Plan {
+	p := &Plan{Version: version, Limits: limits, services: map[string]Service{}, hosts: map[string][]Route{}, keys: keys}
+	for _, s := range services {
+		p.services[s.Name] = s
+	}
+	for _, r := range routes {
+		p.hosts[r.Host] = append(p.hosts[r.Host], r)
+	}
+	for _, list := range p.hosts {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	return p
+}
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (p *Plan) Match(host, path string) *Route {
+	list := p.hosts[host]
+	for i := range list {
+		if strings.HasPrefix(path, list[i].Prefix) {
+			return &list[i]
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name.
+func (p *Plan) Service(name string) (Service, bool) {
+	s, ok := p.services[name]
+	return s, ok
+}
+
+// Services returns all services in no order.
+func (p *Plan) Services() []Service {
+	out := make([]Service, 0, len(p.services))
+	for _, s := range p.services {
+		out = append(out, s)
+	}
+	return out
+}
+
+// Account returns the account that holds a key.
+func (p *Plan) Account(key string) (Account, bool) {
+	a, ok := p.keys[key]
+	return a, ok
+}
+
+// Keyed reports whether any account holds a key; without accounts, requests
+// need none.
+func (p *Plan) Keyed() bool { return len(p.keys) > 0 }
--- /dev/null
+++ b/internal/rwpublished/rwpublished.go
@@ -0,0 +1,64 @@
+// Package rwpublished is what is in force at one moment: the configuration and
+// the upstreams that may get work.
+package rwpublished
+
+import (
+	"maps"
+	"time"
+
+	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rwplan"
+)
+
+// Published is one view. It is immutable.
+type Published struct {
+	// Plan is nil before the first configuration.
+	Plan *rwplan.Plan
+	// Rev is the revision of the platform's store that the view reflects, At
+	// the time when it was made.
+	Rev int64
+	At  time.Time
+
+	services map[string][]rwinstance.Instance
+	ids      map[string]rwinstance.Instance
+}
+
+// New returns a view of a configuration and all known upstreams.
+func New(plan *rwplan.Plan, rev int64, at time.Time, instances []rwinstance.Instance) *Published {
+	p := &Published{
+		Plan: plan, Rev: rev, At: at,
+		services: map[string][]rwinstance.Instance{}, ids: map[string]rwinstance.Instance{},
+	}
+	for _, in := range instances {
+		p.ids[in.ID] = in
+		if !in.Leaving {
+			p.services[in.Service] = append(p.services[in.Service], in)
+		}
+	}
+	return p
+}
+
+// Usable returns the upstreams of a service that may get work, ordered by ID.
+func (p *Published) Usable(service string) []rwinstance.Instance { return p.services[service] }
+
+// Instance returns an upstream that may get work.
+func (p *Published) Instance(id string) (rwinstance.Instance, bool) {
+	in, ok := p.ids[id]
+	return in, ok && !in.Leaving
+}
+
+// Count returns the number of upstreams that may get work, and of those that
+// are leaving.
+func (p *Published) Count() (usable, leaving int) {
+	for _, in := range p.ids {
+		if in.Leaving {
+			leaving++
+		} else {
+			usable++
+		}
+	}
+	return usable, leaving
+}
+
+// SameUpstreams reports whether both views have the same upstreams.
+func (p *Published) SameUpstreams(other *Published) bool { return maps.Equal(p.ids, other.ids) }
--- /dev/null
+++ b/internal/rwshare/rwshare.go
@@ -0,0 +1,150 @@
+// Package rwshare passes what is published on between routers, so that not all
+// of them have to read the platform's store, and so that a router which the
+// store refuses still learns of changes.
+package rwshare
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwrank"
+)
+
+const (
+	// allRead is the size of a fleet in which every router reads the store.
+	allRead = 12
+	// readers is how many routers of a zone read in larger fleets.
+	readers = 2
+	// pullDelay leaves a reader time to get a change from the store itself.
+	pullDelay = 250 * time.Millisecond
+	// pullTimeout bounds a pull, pullPause is the time between two.
+	pullTimeout = 500 * time.Millisecond
+	pullPause   = 100 * time.Millisecond
+)
+
+// Share is the part of one router. All fields are set before the first message.
+type Share struct {
+	// Rev is the revision up to which this router has all changes.
+	Rev func() int64
+	// Since returns the items above a revision.
+	Since func(rev int64) []rwitem.Item
+	// Adopt takes items from another router, which has all up to rev.
+	Adopt func(from string, rev int64, items []rwitem.Item)
+	// Live are the live routers with this one, of a zone or of all.
+	Live func(zone string) []rwidentity.Identity
+
+	self  rwidentity.Identity
+	peers *rwpeer.Peers
+
+	mu      sync.Mutex
+	pulling bool
+}
+
+type position struct {
+	Rev int64 `json:"rev"`
+}
+
+type news struct {
+	Rev   int64         `json:"rev"`
+	Items []rwitem.Item `json:"items"`
+}
+
+// New returns a share and registers its messages.
+func New(peers *rwpeer.Peers) *Share {
+	s := &Share{self: peers.Self(), peers: peers}
+	peers.Handle("fresh", s.handleFresh)
+	peers.Handle("pull", s.handlePull)
+	return s
+}
+
+// Reader reports whether this router reads the store for its zone.
+func (s *Share) Reader() bool {
+	if len(s.Live("")) <= allRead {
+		return true
+	}
+	above := 0
+	mine := rwrank.Score("reader", s.self.Name)
+	for _, id := range s.Live(s.self.Zone) {
+		if id.Name != s.self.Name && rwrank.Score("reader", id.Name) > mine {
+			above++
+		}
+	}
+	return above < readers
+}
+
+// Tell lets the other routers of the zone know that there is something new, if
+// they don't read the store themselves.
+func (s *Share) Tell() {
+	if len(s.Live("")) <= allRead {
+		return
+	}
+	p := position{s.Rev()}
+	for _, id := range s.Live(s.self.Zone) {
+		if id.Name != s.self.Name {
+			s.peers.Notify(id.Addr, "fresh", p)
+		}
+	}
+}
+
+// Heard takes another router's revision, which comes with every probe.
+func (s *Share) Heard(from rwidentity.Identity, rev int64) {
+	if rev <= s.Rev() {
+		return
+	}
+	delay := time.Duration(0)
+	if s.Reader() {
+		delay = pullDelay
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pulling {
+		return
+	}
+	s.pulling = true
+	time.AfterFunc(delay, func() {
+		if rev > s.Rev() {
+			s.pull(from)
+		}
+		time.AfterFunc(pullPause, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.pulling = false
+		})
+	})
+}
+
+// pull asks another router for what this one doesn't have. A failed pull is
+// repaired by the next probe that shows a higher revision.
+func (s *Share) pull(from rwidentity.Identity) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	var n news
+	if err := s.peers.CallData(ctx, from.Addr, "pull", position{s.Rev()}, &n); err != nil {
+		return
+	}
+	s.Adopt(from.Name, n.Rev, n.Items)
+}
+
+func (s *Share) handleFresh(_ context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
+	var p position
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
+	}
+	s.Heard(from, p.Rev)
+	return nil, nil
+}
+
+func (s *Share) handlePull(_ context.Context, _ rwidentity.Identity, params json.RawMessage) (any, error) {
+	var p position
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
+	}
+	return news{Rev: s.Rev(), Items: s.Since(p.Rev)}, nil
+}
--- /dev/null
+++ b/internal/rwsteer/rwsteer.go
@@ -0,0 +1,150 @@
+// Package rwsteer chooses upstreams of plain services. It answers upstreams
+// that fail, refuse, slow down or can't be reached while they look healthy: the
+// choice follows the outcomes of this router's own requests, and a sick
+// upstream gets a request now and then, so that no separate probes are needed.
+// It holds no clock and no I/O.
+package rwsteer
+
+import (
+	"math"
+	"time"
+
+	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rwplace"
+)
+
+const (
+	// otherZone is the load that an upstream of another zone must be below
+	// this zone's to be preferred, as a part of its slots.
+	otherZone = 0.35
+	// failureScale weighs an upstream's failure rate against its load.
+	failureScale = 3
+	// failureWeight is the weight of one outcome in the rate, failureHalf the
+	// time in which the rate halves.
+	failureWeight = 0.3
+	failureHalf   = 2 * time.Second
+	// refusedPause keeps requests off an upstream that refused one, downPause
+	// off one that can't be reached; the latter doubles up to maxDownPause.
+	refusedPause = 100 * time.Millisecond
+	downPause    = 500 * time.Millisecond
+	maxDownPause = 4 * time.Second
+	// latencyWeight is the weight of one answer in the mean latency.
+	latencyWeight = 0.2
+	// slowScale weighs a mean latency of twice the fastest's against load.
+	slowScale = 0.5
+	// forget drops what is known of an upstream that is no longer chosen.
+	forget = time.Minute
+)
+
+// Steer is the state of one router for one service. It is not safe for
+// concurrent use.
+type Steer struct {
+	zone  string
+	stats map[string]*stat
+}
+
+type stat struct {
+	active   int
+	failures float64
+	at       time.Time
+	latency  time.Duration
+	until    time.Time
+	pause    time.Duration
+}
+
+// New returns the state for a router of a zone.
+func New(zone string) *Steer { return &Steer{zone: zone, stats: map[string]*stat{}} }
+
+// Pick returns the upstream for a request and counts it as active. It fails if
+// all upstreams are to be avoided.
+func (s *Steer) Pick(now time.Time, list []rwinstance.Instance, avoid func(id string) bool) (rwinstance.Instance, bool) {
+	fastest := time.Duration(math.MaxInt64)
+	for _, in := range list {
+		if st := s.stats[in.ID]; st != nil && st.latency > 0 {
+			fastest = min(fastest, st.latency)
+		}
+	}
+	best, bestCost := -1, math.Inf(1)
+	for i, in := range list {
+		if avoid(in.ID) {
+			continue
+		}
+		if c := s.cost(now, in, fastest); c < bestCost {
+			best, bestCost = i, c
+		}
+	}
+	if best < 0 {
+		return rwinstance.Instance{}, false
+	}
+	s.stat(now, list[best].ID).active++
+	return list[best], true
+}
+
+// cost is finite, so that the least bad upstream is chosen if all are sick.
+func (s *Steer) cost(now time.Time, in rwinstance.Instance, fastest time.Duration) float64 {
+	c := 0.0
+	if in.Zone != s.zone {
+		c += otherZone
+	}
+	st := s.stats[in.ID]
+	if st == nil {
+		return c
+	}
+	c += float64(st.active) / float64(in.Slots)
+	c += failureScale * st.failureRate(now)
+	if st.latency > fastest {
+		c += slowScale * (float64(st.latency)/float64(fastest) - 1)
+	}
+	if now.Before(st.until) {
+		c += 100 + st.until.Sub(now).Seconds()
+	}
+	return c
+}
+
+// Done notes the end of a request on an upstream.
+func (s *Steer) Done(now time.Time, id string, end rwplace.End, took time.Duration) {
+	st := s.stat(now, id)
+	st.active--
+	switch end {
+	case rwplace.Served:
+		st.outcome(now, 0)
+		st.pause = 0
+		if st.latency == 0 {
+			st.latency = took
+		}
+		st.latency += time.Duration(latencyWeight * float64(took-st.latency))
+	case rwplace.Failed:
+		st.outcome(now, 1)
+	case rwplace.Refused:
+		st.until = now.Add(refusedPause)
+	case rwplace.Unreachable:
+		if !now.Before(st.until) {
+			st.pause = min(max(2*st.pause, downPause), maxDownPause)
+			st.until = now.Add(st.pause)
+		}
+	case rwplace.Abandoned:
+	}
+}
+
+func (s *Steer) stat(now time.Time, id string) *stat {
+	st := s.stats[id]
+	if st == nil {
+		for old, x := range s.stats {
+			if x.active == 0 && now.Sub(x.at) > forget {
+				delete(s.stats, old)
+			}
+		}
+		st = &stat{at: now}
+		s.stats[id] = st
+	}
+	return st
+}
+
+func (st *stat) outcome(now time.Time, failed float64) {
+	rate := st.failureRate(now)
+	st.failures, st.at = rate+failureWeight*(failed-rate), now
+}
+
+func (st *stat) failureRate(now time.Time) float64 {
+	return st.failures * math.Exp2(-now.Sub(st.at).Seconds()/failureHalf.Seconds())
+}
--- /dev/null
+++ b/internal/rwtrack/rwtrack.go
@@ -0,0 +1,160 @@
+// Package rwtrack keeps the catalog of a router up to date from the platform's
+// store. It watches for changes and, beside the watch, lists everything again
+// at an interval: a watch can stay silent while changes are made.
+package rwtrack
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwitem"
+)
+
+const (
+	watchWait = 20 * time.Second
+	// listInterval is the time between two listings of a prefix. It has to
+	// leave room for one lost answer inside the two seconds in which a
+	// configuration or a leaving upstream must be known.
+	listInterval = 700 * time.Millisecond
+	// slowInterval is the same for a router that learns of changes from those
+	// that read: the listing only repairs what they missed.
+	slowInterval = 5 * time.Second
+	// pause follows a failed call, so that a store that refuses calls isn't
+	// flooded.
+	pause = 150 * time.Millisecond
+	step  = 50 * time.Millisecond
+)
+
+// Batch is an answer of the store.
+type Batch struct {
+	Items []rwitem.Item
+	// Rev is the revision up to which the batch leaves nothing out.
+	Rev int64
+}
+
+// Tracker reads the store for one router. All fields are set before Run.
+type Tracker struct {
+	Prefixes []string
+	List     func(ctx context.Context, prefix string) (Batch, error)
+	Watch    func(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
+	// Listed takes a complete listing of a prefix, Changed the events of a
+	// watch, Failed a failed call.
+	Listed  func(prefix string, b Batch)
+	Changed func(prefix string, b Batch)
+	Failed  func(prefix string, err error)
+	// Reader is whether this router reads for others too.
+	Reader func() bool
+
+	mu   sync.Mutex
+	last map[string]int64
+}
+
+// Run reads until the context ends.
+func (t *Tracker) Run(ctx context.Context) error {
+	t.last = map[string]int64{}
+	g, ctx := errgroup.WithContext(ctx)
+	for _, prefix := range t.Prefixes {
+		g.Go(func() error { t.listLoop(ctx, prefix); return nil })
+		g.Go(func() error { t.watchLoop(ctx, prefix); return nil })
+	}
+	return g.Wait()
+}
+
+func (t *Tracker) listLoop(ctx context.Context, prefix string) {
+	for ctx.Err() == nil {
+		start := time.Now()
+		b, err := t.List(ctx, prefix)
+		if err != nil {
+			t.Failed(prefix, err)
+			sleep(ctx, pause)
+			continue
+		}
+		t.advance(prefix, b.Rev)
+		t.Listed(prefix, b)
+		for ctx.Err() == nil && time.Since(start) < t.interval() {
+			sleep(ctx, step)
+		}
+	}
+}
+
+func (t *Tracker) interval() time.Duration {
+	if t.Reader() {
+		return listInterval
+	}
+	return slowInterval
+}
+
+func (t *Tracker) watchLoop(ctx context.Context, prefix string) {
+	for ctx.Err() == nil {
+		after := t.position(prefix)
+		if after == 0 || !t.Reader() {
+			sleep(ctx, step)
+			continue
+		}
+		b, err := t.Watch(ctx, prefix, after, watchWait)
+		switch {
+		case err == nil:
+			t.advance(prefix, b.Rev)
+			t.Changed(prefix, b)
+		case rwfault.Is(err, rwcode.RecordStale):
+			t.relist(ctx, prefix)
+		default:
+			t.Failed(prefix, err)
+			sleep(ctx, pause)
+		}
+	}
+}
+
+// relist reads everything when the store has dropped the history that a watch
+// would go on from.
+func (t *Tracker) relist(ctx context.Context, prefix string) {
+	b, err := t.List(ctx, prefix)
+	if err != nil {
+		t.Failed(prefix, err)
+		sleep(ctx, pause)
+		return
+	}
+	t.advance(prefix, b.Rev)
+	t.Listed(prefix, b)
+}
+
+func (t *Tracker) position(prefix string) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.last[prefix]
+}
+
+func (t *Tracker) advance(prefix string, rev int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last[prefix] = max(t.last[prefix], rev)
+}
+
+// Complete is the revision up to which all prefixes have been read.
+func (t *Tracker) Complete() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	least := int64(0)
+	for i, prefix := range t.Prefixes {
+		if rev := t.last[prefix]; i == 0 || rev < least {
+			least = rev
+		}
+	}
+	return least
+}
+
+// Within reports whether a key belongs to a prefix.
+func Within(prefix, key string) bool { return strings.HasPrefix(key, prefix) }
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
