Keep engine queues short and choose the engine by cost before room

Callers' deadlines vary from caller to caller, so a short one does not mean that the caller comes back; the own prompt part does.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -200,7 +200,7 @@
 		return Grant{}, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
 	}
 	g.Instance = in
-	if src, ok := view.Instance(d.Source); ok {
+	if src, ok := view.Known(d.Source); ok {
 		g.Source = src.Addr
 	}
 	return g, nil
@@ -386,6 +386,10 @@
 			engines = append(engines, rwplace.Engine{ID: in.ID, Zone: in.Zone})
 		}
 	}
+	working := len(engines)
+	for _, in := range view.Leaving(k.Service) {
+		engines = append(engines, rwplace.Engine{ID: in.ID, Zone: in.Zone, Leaving: true})
+	}
 	spec := rwplace.Spec{Slots: 1, Window: b.Window}
 	service, ok := rwplan.Service{}, false
 	if view.Plan != nil {
@@ -394,7 +398,7 @@
 	if e := service.Engine; ok && e != nil {
 		spec.Slots, spec.Memory = e.Slots, e.Memory
 		spec.TokenBytes, spec.LinkBytes = float64(e.TokenBytes), e.LinkBits/8
-		spec.Capacity = view.Plan.Limits.TokensPerSecond * float64(len(engines)) / float64(max(len(list), 1))
+		spec.Capacity = view.Plan.Limits.TokensPerSecond * float64(working) / float64(max(len(list), 1))
 	}
 	return spec, engines
 }
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -21,8 +21,6 @@
 	Start   time.Time
 	// Until is when the answer must have ended.
 	Until time.Time
-	// Elapsed is how long before Start the caller first asked.
-	Elapsed time.Duration
 
 	// Sent counts the upstreams that got the request, Ran those that may have
 	// run it; Ran is at most Route.MaxAttempts.
@@ -33,12 +31,15 @@
 	First time.Time
 	// Last is the id of the last event that was passed on, or -1.
 	Last int64
+	// Moved is when the last event was passed on, Gap the longest pause
+	// between two.
+	Moved time.Time
+	Gap   time.Duration
 	// Begun is whether the head of an answer was passed on.
 	Begun bool
-	// Upstream, Owner, Forecast, Ahead and Kept describe the last placement.
+	// Upstream, Owner and Forecast describe the last placement.
 	Upstream, Owner string
 	Forecast        time.Duration
-	Ahead, Kept     int
 }
 
 // Urgency is the account's if it has one, else the route's.
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -181,11 +181,13 @@
 			return rwplace.Failed, rwfault.New(rwcode.UpstreamMalformed, "an event is missing before "+strconv.FormatInt(e.ID, 10)).
 				WithOutcome(rwoutcome.Unknown)
 		}
+		now := time.Now()
 		if !x.Begun {
 			f.head(w, a, http.StatusOK, -1)
 			x.Begun = true
-			x.First = time.Now()
+			x.First, x.Moved = now, now
 		}
+		x.Gap, x.Moved = max(x.Gap, now.Sub(x.Moved)), now
 		if _, err := w.Write(e.Raw); err != nil {
 			return rwplace.Abandoned, rwfault.Wrap(rwcode.CallerGone, err).WithOutcome(rwoutcome.Unknown)
 		}
@@ -209,5 +211,5 @@
 	rwlog.Info(&f.Log, rwlog.RequestFinished).Str("id", x.Request.ID).Int("status", status).
 		Str("route", x.Route.Name).Str("account", x.Account.Name).Str("upstream", x.Upstream).
 		Int("attempts", x.Ran).Dur("first", first).Dur("took", time.Since(x.Start)).
-		Dur("forecast", x.Forecast).Int64("last", x.Last).Send()
+		Dur("forecast", x.Forecast).Dur("gap", x.Gap).Int64("last", x.Last).Send()
 }
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -48,9 +48,6 @@
 	// returnSpread spreads the callers that come back over this part of their
 	// time, so that those refused together don't return together.
 	returnSpread = 0.5
-	// backAfter is the smallest difference in a caller's deadline that means
-	// that it asked before.
-	backAfter = 20 * time.Millisecond
 	// engineTarget is the target of a route that names none.
 	engineTarget = time.Second
 )
@@ -79,8 +76,6 @@
 	mu      sync.Mutex
 	steers  map[string]*rwsteer.Steer
 	budgets map[string]*rwrepeat.Budget
-	// patience is the longest deadline that callers of a route have named.
-	patience map[string]time.Duration
 }
 
 // place is the upstream of one attempt.
@@ -180,8 +175,7 @@
 	return data, err
 }
 
-// limits sets how long the request may take, and how long ago its caller first
-// asked: a caller that comes back has less time left than others of the route.
+// limits sets how long the request may take.
 func (f *Front) limits(x *rwexchange.Exchange) {
 	wait := defaultWait
 	if x.Request.Deadline > 0 {
@@ -191,17 +185,6 @@
 		wait = min(wait, t)
 	}
 	x.Until = x.Start.Add(wait)
-	if x.Request.Deadline <= 0 {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.patience == nil {
-		f.patience = map[string]time.Duration{}
-	}
-	longest := max(f.patience[x.Route.Name], x.Request.Deadline)
-	f.patience[x.Route.Name] = longest
-	x.Elapsed = longest - x.Request.Deadline
 }
 
 // choose sets the service: the one that the request's id selects, or another of
@@ -343,22 +326,18 @@
 	if target <= 0 {
 		target = engineTarget
 	}
-	elapsed := x.Elapsed + time.Since(x.Start)
-	if x.Begun {
-		elapsed = 0
-	}
 	g, fault := f.Acquire(ctx, x.Service, rwplace.Ask{
 		Account: x.Account.Name, Parts: p.Parts, Own: p.Own(), Work: p.Work(),
-		Urgency: x.Urgency(), Target: target, Elapsed: elapsed,
-		Back: x.Elapsed > backAfter || x.Begun, Avoid: x.Avoid,
+		Urgency: x.Urgency(), Target: target, Elapsed: time.Since(x.Start),
+		Resumed: x.Begun, Avoid: x.Avoid,
 	})
 	if fault != nil {
 		return place{}, fault
 	}
-	x.Upstream, x.Owner, x.Forecast, x.Ahead, x.Kept = g.Instance.ID, g.Owner, g.Forecast, g.Ahead, g.Kept
+	x.Upstream, x.Owner, x.Forecast = g.Instance.ID, g.Owner, g.Forecast
 	rwlog.Info(&f.Log, rwlog.RequestPlaced).Str("id", x.Request.ID).Str("upstream", x.Upstream).
-		Str("owner", x.Owner).Dur("forecast", x.Forecast).Int("ahead", x.Ahead).Int("kept", x.Kept).
-		Int("own", p.Own()).Str("source", g.Source).Int64("rev", f.Published().Rev).
+		Str("owner", x.Owner).Dur("forecast", x.Forecast).Int("ahead", g.Ahead).Int("kept", g.Kept).
+		Int("uncached", g.Uncached).Int("input", p.Input).Int("own", p.Own()).Str("source", g.Source).Int64("rev", f.Published().Rev).
 		Dur("waited", time.Since(x.Start)).Send()
 	in := g.Instance
 	return place{id: in.ID, addr: in.Addr, born: in.Born, source: g.Source, first: g.First, end: g.End}, nil
@@ -415,7 +394,7 @@
 	}
 	e = e.Str("id", x.Request.ID).Int("status", status).Str("account", x.Account.Name).
 		Str("service", x.Service).Str("upstream", x.Upstream).Str("owner", x.Owner).Int("sent", x.Sent).
-		Dur("took", time.Since(x.Start)).Dur("before", x.Elapsed).Dur("retry", fault.RetryAfter)
+		Dur("took", time.Since(x.Start)).Dur("retry", fault.RetryAfter)
 	view := f.Published()
 	if view.Plan != nil {
 		e = e.Int64("version", view.Plan.Version)
--- a/internal/rwplace/rwplace.go
+++ b/internal/rwplace/rwplace.go
@@ -68,15 +68,25 @@
 	rateTokens = 4_000.0
 	// useOfTarget is the part of the latency target that a forecast may use.
 	useOfTarget = 0.8
+	// queueUse is the part of the shortest target that may be queued at an
+	// engine. More would not make the engine faster and leaves no room for
+	// large prompts.
+	queueUse = 0.3
 	// overShareUse replaces it for accounts above their share, so that the
 	// others find room when they come.
-	overShareUse = 0.45
+	overShareUse = 0.15
 	// crowded is the part of the target that the shortest backlog may take
 	// before accounts above their share are refused.
 	crowded = 0.2
 	// idleUse is the part of the target that may be queued ahead of a request
 	// which can't be on time anywhere.
-	idleUse = 0.25
+	idleUse = 0.08
+	// targetDrift is how fast the shortest target that was seen is forgotten
+	// with each request.
+	targetDrift = 1.002
+	// returnTime is how long a refused request is remembered, so that it is
+	// known when its caller comes back.
+	returnTime = 6 * time.Second
 	// shareSlack is how far an account may exceed its share before that is
 	// held against it.
 	shareSlack = 1.1
@@ -84,9 +94,11 @@
 	levelInterval = 50 * time.Millisecond
 	// fetchSetup is the time that a copy of KV cache takes beside its bytes.
 	fetchSetup = 10 * time.Millisecond
-	// fetchCost weighs the price of copied tokens against waiting: copying
-	// 10,000 tokens is worth a wait of 40 ms.
-	fetchCost = 4 * time.Microsecond
+	// fetchCost weighs copied tokens against waiting: a copy of 10,000 tokens
+	// is worth a wait of 80 ms. Copies push other parts out of the caches, and
+	// with half of this weight a third of all that entered the caches was
+	// copies.
+	fetchCost = 8 * time.Microsecond
 	// fetchMin is the smallest number of tokens worth a copy.
 	fetchMin = 1_500
 	// rereadScale is the mean backlog at which reading shared parts again
@@ -139,11 +151,13 @@
 	Window time.Duration
 }
 
-// Engine is an engine that may get work.
+// Engine is an engine of the placer.
 type Engine struct {
 	// ID names the start of the engine.
 	ID   string
 	Zone string
+	// Leaving engines get no work, but their cache can be copied.
+	Leaving bool
 }
 
 // Ask is a request that wants to run.
@@ -163,8 +177,8 @@
 	// over.
 	Target  time.Duration `json:"tgt"`
 	Elapsed time.Duration `json:"ela"`
-	// Back is whether the caller comes back after a refusal.
-	Back bool `json:"back,omitempty"`
+	// Resumed is whether the request goes on with a stream that broke.
+	Resumed bool `json:"res,omitempty"`
 	// Avoid are engines that failed this request.
 	Avoid []string `json:"avoid,omitempty"`
 }
@@ -178,10 +192,11 @@
 	Engine string `json:"eng,omitempty"`
 	Source string `json:"src,omitempty"`
 	// Forecast is the expected time to the first event, Ahead the tokens that
-	// the engine has to read before it, its own included, Kept the tokens
-	// that it keeps already.
+	// the engine has to read before it, its own included, Uncached its own,
+	// Kept the tokens that the engine keeps already.
 	Forecast time.Duration `json:"fc,omitempty"`
 	Ahead    int           `json:"ahead,omitempty"`
+	Uncached int           `json:"unc,omitempty"`
 	Kept     int           `json:"kept,omitempty"`
 	// Retry is when a refused caller should come back.
 	Retry time.Duration `json:"retry,omitempty"`
@@ -226,9 +241,14 @@
 	at         time.Time
 }
 
+// waiter is a request without a decision.
 type waiter struct {
 	ask Ask
 	at  time.Time
+	// back is whether the caller was refused before.
+	back bool
+	// gain is the size of the request for each token that has to be read.
+	gain float64
 }
 
 // Placer is the state for the engines of one cell. It is not safe for
@@ -238,21 +258,29 @@
 	// the first event came earlier.
 	Missed func(time.Duration)
 
-	spec     Spec
-	engines  map[string]*engine
-	names    []string
+	spec    Spec
+	engines map[string]*engine
+	names   []string
+	// homes are the names of engines that may get work.
+	homes    []string
 	grants   map[string]*grant
 	accounts map[string]*account
 	waiting  []*waiter
 	level    float64
 	levelAt  time.Time
+	// target is the shortest target seen of late.
+	target time.Duration
+	// refused holds when requests were refused, by their own prompt part,
+	// which stays the same when the caller comes back.
+	refused   map[string]time.Time
+	refusedAt time.Time
 }
 
 // New returns a placer without engines.
 func New(spec Spec) *Placer {
 	return &Placer{
 		spec: spec, engines: map[string]*engine{}, grants: map[string]*grant{},
-		accounts: map[string]*account{}, level: math.Inf(1),
+		accounts: map[string]*account{}, level: math.Inf(1), refused: map[string]time.Time{},
 	}
 }
 
@@ -268,7 +296,9 @@
 	next := map[string]*engine{}
 	for _, e := range list {
 		old := p.engines[e.ID]
-		if old == nil {
+		if old != nil {
+			old.Leaving = e.Leaving
+		} else {
 			old = &engine{
 				Engine: e, rate: firstRate, down: map[string]outage{},
 				cache: rwcache.New(int(float64(p.spec.Memory) * cachePart)),
@@ -278,6 +308,12 @@
 	}
 	p.engines = next
 	p.names = slices.Sorted(maps.Keys(next))
+	p.homes = p.names[:0:0]
+	for _, name := range p.names {
+		if !next[name].Leaving {
+			p.homes = append(p.homes, name)
+		}
+	}
 }
 
 // Ask decides on a new request. With the verdict Wait, the decision comes from
@@ -285,17 +321,23 @@
 func (p *Placer) Ask(now time.Time, a Ask) Decision {
 	acc := p.account(now, a.Account)
 	acc.asked += cost(a)
+	if p.target == 0 || a.Target < p.target {
+		p.target = a.Target
+	} else {
+		p.target = fraction(p.target, targetDrift)
+	}
 	over := p.over(now, acc)
 	if over && p.shortestBacklog() > fraction(a.Target, crowded) {
 		return p.refuse(now, a, OverShare)
 	}
-	w := &waiter{ask: a, at: now}
+	w := &waiter{ask: a, at: now, gain: p.gain(a)}
+	w.back = now.Sub(p.refused[ownPart(a)]) < returnTime
 	if len(p.waiting) == 0 {
 		if d, ok := p.place(now, w); ok {
 			return d
 		}
 	}
-	if len(p.engines) == 0 {
+	if len(p.homes) == 0 {
 		return p.refuse(now, a, NoEngine)
 	}
 	if len(p.waiting) >= maxWaiting {
@@ -411,14 +453,15 @@
 }
 
 // next grants one waiting request: of the most urgent ones, one of the account
-// that got least.
+// that got least, and of its requests the one that gives most for each token
+// that an engine has to read.
 func (p *Placer) next(now time.Time) (Decision, bool) {
 	order := slices.Clone(p.waiting)
 	slices.SortStableFunc(order, func(x, y *waiter) int {
 		return cmp.Or(
 			cmp.Compare(x.ask.Urgency, y.ask.Urgency),
 			cmp.Compare(p.account(now, x.ask.Account).got, p.account(now, y.ask.Account).got),
-			x.at.Add(-x.ask.Elapsed).Compare(y.at.Add(-y.ask.Elapsed)),
+			cmp.Compare(y.gain, x.gain),
 		)
 	})
 	for _, w := range order {
@@ -460,45 +503,85 @@
 
 func (p *Placer) place(now time.Time, w *waiter) (Decision, bool) {
 	a := w.ask
-	use := useOfTarget
-	if p.over(now, p.account(now, a.Account)) {
-		use = overShareUse
-	}
-	left := fraction(a.Target, use) - p.elapsed(now, w)
-	best, ok := p.best(now, a, func(o option) bool {
-		return o.forecast <= left || o.wait <= fraction(a.Target, idleUse*use/useOfTarget)
-	})
-	if !ok {
+	o, ok := p.best(now, a)
+	if !ok || !p.fits(now, w, o) {
 		return Decision{}, false
 	}
-	return p.grant(now, a, best), true
+	return p.grant(now, a, o), true
+}
+
+// fits reports whether a request may go to its best engine now. The second best
+// is no choice while the best is busy: it would get a copy of the parts, and
+// under load all caches would end up with copies of everything.
+func (p *Placer) fits(now time.Time, w *waiter, o option) bool {
+	queue := queueUse
+	if p.over(now, p.account(now, w.ask.Account)) {
+		queue = overShareUse
+	}
+	limit := fraction(w.ask.Target, useOfTarget)
+	if o.forecast-o.wait > limit {
+		return o.wait <= fraction(w.ask.Target, idleUse)
+	}
+	return o.wait <= fraction(p.target, queue) && o.forecast <= limit-p.elapsed(now, w)
 }
 
 // elapsed is the part of a request's target that is over. Callers that come
 // back after a refusal start anew: to refuse them twice serves nobody.
 func (p *Placer) elapsed(now time.Time, w *waiter) time.Duration {
 	d := now.Sub(w.at)
-	if !w.ask.Back {
+	if !w.back && !w.ask.Resumed {
 		d += w.ask.Elapsed
 	}
 	return d
 }
 
+// gain is the number of tokens that a request is about, generated ones counted
+// ten times, for each token that has to be read for it.
+func (p *Placer) gain(a Ask) float64 {
+	return (float64(total(a)) + 10*float64(a.Work)) / (cost(a) + 1)
+}
+
+// ownPart is the id of the prompt part that only this request has.
+func ownPart(a Ask) string {
+	if len(a.Parts) == 0 {
+		return ""
+	}
+	return a.Parts[len(a.Parts)-1].ID
+}
+
+// total is the number of prompt tokens.
+func total(a Ask) int {
+	if len(a.Parts) == 0 {
+		return a.Own
+	}
+	n := 0
+	for _, part := range a.Parts {
+		n += part.Tokens
+	}
+	return n
+}
+
 // canWait reports whether a request could still be on time if an engine had
 // nothing else to do.
 func (p *Placer) canWait(now time.Time, w *waiter) bool {
-	rate := firstRate
+	rate := 0.0
 	for _, e := range p.engines {
 		rate = max(rate, e.rate)
 	}
+	if rate == 0 {
+		return false
+	}
 	need := baseLatency + seconds(float64(w.ask.Own)/rate)
-	limit := max(fraction(w.ask.Target, useOfTarget), fraction(w.ask.Target, idleUse)+need)
+	limit := fraction(w.ask.Target, useOfTarget)
+	if need > limit {
+		return p.elapsed(now, w) < fraction(w.ask.Target, idleUse)
+	}
 	return p.elapsed(now, w)+need < limit
 }
 
-func (p *Placer) best(now time.Time, a Ask, fits func(option) bool) (option, bool) {
+func (p *Placer) best(now time.Time, a Ask) (option, bool) {
 	mean := p.meanBacklog()
-	home := rwrank.Top(homeKey(a), p.names)
+	home := rwrank.Top(homeKey(a), p.homes)
 	var best option
 	found := false
 	for _, name := range p.names {
@@ -506,8 +589,7 @@
 		if slices.Contains(a.Avoid, name) || !p.usable(now, e, a) {
 			continue
 		}
-		o := p.option(now, a, e, name == home, mean)
-		if fits(o) && (!found || o.cost < best.cost) {
+		if o := p.option(now, a, e, name == home, mean); !found || o.cost < best.cost {
 			best, found = o, true
 		}
 	}
@@ -517,23 +599,17 @@
 func homeKey(a Ask) string { return rwprompt.Prompt{Parts: a.Parts}.Home() }
 
 func (p *Placer) usable(now time.Time, e *engine, a Ask) bool {
-	return e.running < p.spec.Slots &&
+	return !e.Leaving && e.running < p.spec.Slots &&
 		float64(e.tokens+a.Own+a.Work) <= float64(p.spec.Memory)*runningPart &&
 		!now.Before(e.refused) && !now.Before(e.down[a.Zone].until)
 }
 
 func (p *Placer) option(now time.Time, a Ask, e *engine, home bool, mean time.Duration) option {
 	o := option{engine: e, kept: e.cache.Kept(a.Parts)}
-	total := a.Own
-	if len(a.Parts) > 0 {
-		total = 0
-		for _, part := range a.Parts {
-			total += part.Tokens
-		}
-	}
-	shared := total - a.Own
+	all := total(a)
+	shared := all - a.Own
 	missing := max(shared-o.kept, 0)
-	o.uncached = float64(total - min(o.kept, total))
+	o.uncached = float64(all - min(o.kept, all))
 	o.wait = seconds(e.ahead / e.rate)
 	var extra time.Duration
 	if missing > 0 {
@@ -585,7 +661,7 @@
 		ask: a, engine: e, at: now, ahead: e.ahead, uncached: o.uncached, forecast: o.forecast,
 	}
 	d := Decision{
-		ID: a.ID, Verdict: Granted, Engine: e.ID, Forecast: o.forecast, Ahead: int(e.ahead), Kept: o.kept,
+		ID: a.ID, Verdict: Granted, Engine: e.ID, Forecast: o.forecast, Ahead: int(e.ahead), Uncached: int(o.uncached), Kept: o.kept,
 	}
 	if o.source != nil {
 		d.Source = o.source.ID
@@ -606,6 +682,13 @@
 			retry += seconds(load - 1)
 		}
 	}
+	if part := ownPart(a); part != "" {
+		p.refused[part] = now
+	}
+	if now.Sub(p.refusedAt) > returnTime {
+		p.refusedAt = now
+		maps.DeleteFunc(p.refused, func(_ string, at time.Time) bool { return now.Sub(at) > returnTime })
+	}
 	return Decision{ID: a.ID, Verdict: v, Retry: min(retry, maxRetry)}
 }
 
@@ -650,20 +733,22 @@
 }
 
 func (p *Placer) meanBacklog() time.Duration {
-	if len(p.engines) == 0 {
-		return 0
-	}
-	sum := 0.0
+	sum, n := 0.0, 0.0
 	for _, e := range p.engines {
-		sum += e.ahead / e.rate
+		if !e.Leaving {
+			sum += e.ahead / e.rate
+			n++
+		}
 	}
-	return seconds(sum / float64(len(p.engines)))
+	return seconds(sum / max(n, 1))
 }
 
 func (p *Placer) shortestBacklog() time.Duration {
 	least := math.Inf(1)
 	for _, e := range p.engines {
-		least = min(least, e.ahead/e.rate)
+		if !e.Leaving {
+			least = min(least, e.ahead/e.rate)
+		}
 	}
 	if math.IsInf(least, 1) {
 		return 0
--- a/internal/rwpublished/rwpublished.go
+++ b/internal/rwpublished/rwpublished.go
@@ -20,6 +20,7 @@
 	At  time.Time
 
 	services map[string][]rwinstance.Instance
+	leaving  map[string][]rwinstance.Instance
 	ids      map[string]rwinstance.Instance
 }
 
@@ -27,11 +28,13 @@
 func New(plan *rwplan.Plan, rev int64, at time.Time, instances []rwinstance.Instance) *Published {
 	p := &Published{
 		Plan: plan, Rev: rev, At: at,
-		services: map[string][]rwinstance.Instance{}, ids: map[string]rwinstance.Instance{},
+		services: map[string][]rwinstance.Instance{}, leaving: map[string][]rwinstance.Instance{}, ids: map[string]rwinstance.Instance{},
 	}
 	for _, in := range instances {
 		p.ids[in.ID] = in
-		if !in.Leaving {
+		if in.Leaving {
+			p.leaving[in.Service] = append(p.leaving[in.Service], in)
+		} else {
 			p.services[in.Service] = append(p.services[in.Service], in)
 		}
 	}
@@ -41,6 +44,15 @@
 // Usable returns the upstreams of a service that may get work, ordered by ID.
 func (p *Published) Usable(service string) []rwinstance.Instance { return p.services[service] }
 
+// Leaving returns the upstreams of a service that are leaving.
+func (p *Published) Leaving(service string) []rwinstance.Instance { return p.leaving[service] }
+
+// Known returns an upstream that may get work or is leaving.
+func (p *Published) Known(id string) (rwinstance.Instance, bool) {
+	in, ok := p.ids[id]
+	return in, ok
+}
+
 // Instance returns an upstream that may get work.
 func (p *Published) Instance(id string) (rwinstance.Instance, bool) {
 	in, ok := p.ids[id]
