Model the prefill of engines between events

Cause: a prompt counted as waiting until its first event, which follows the prefill by several steps; engines read 650,000 tokens a second while requests were refused.

--- a/internal/rwcache/rwcache.go
+++ b/internal/rwcache/rwcache.go
@@ -48,6 +48,16 @@
 		c.parts[p.ID] = c.order.PushFront(p)
 		c.held += p.Tokens
 	}
+	c.yield()
+}
+
+// Resize changes the size in tokens.
+func (c *Cache) Resize(room int) {
+	c.room = room
+	c.yield()
+}
+
+func (c *Cache) yield() {
 	for c.held > c.room && c.order.Len() > 0 {
 		c.drop(c.order.Back())
 	}
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -337,7 +337,7 @@
 	x.Upstream, x.Owner, x.Forecast = g.Instance.ID, g.Owner, g.Forecast
 	rwlog.Info(&f.Log, rwlog.RequestPlaced).Str("id", x.Request.ID).Str("upstream", x.Upstream).
 		Str("owner", x.Owner).Dur("forecast", x.Forecast).Int("ahead", g.Ahead).Int("kept", g.Kept).
-		Int("uncached", g.Uncached).Int("input", p.Input).Int("own", p.Own()).Str("source", g.Source).Int64("rev", f.Published().Rev).
+		Int("uncached", g.Uncached).Int("rate", g.Rate).Int("input", p.Input).Int("own", p.Own()).Str("source", g.Source).Int64("rev", f.Published().Rev).
 		Dur("waited", time.Since(x.Start)).Send()
 	in := g.Instance
 	return place{id: in.ID, addr: in.Addr, born: in.Born, source: g.Source, first: g.First, end: g.End}, nil
--- a/internal/rwplace/rwplace.go
+++ b/internal/rwplace/rwplace.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"redwingworks.example/internal/rwcache"
+	"redwingworks.example/internal/rwprefill"
 	"redwingworks.example/internal/rwprompt"
 	"redwingworks.example/internal/rwrank"
 	"redwingworks.example/internal/rwwater"
@@ -55,17 +56,6 @@
 )
 
 const (
-	// baseLatency is the time to the first event of an idle engine beside the
-	// prefill: one step and the engine's own setup.
-	baseLatency = 40 * time.Millisecond
-	// firstRate is the prefill speed in tokens a second that is assumed until
-	// first events show the real one.
-	firstRate        = 100_000.0
-	minRate, maxRate = 5_000.0, 600_000.0
-	// rateWeight is the weight of a new sample of the prefill speed.
-	rateWeight = 0.15
-	// rateTokens is the smallest backlog that tells something about the speed.
-	rateTokens = 4_000.0
 	// useOfTarget is the part of the latency target that a forecast may use.
 	useOfTarget = 0.8
 	// queueUse is the part of the shortest target that may be queued at an
@@ -87,6 +77,9 @@
 	// returnTime is how long a refused request is remembered, so that it is
 	// known when its caller comes back.
 	returnTime = 6 * time.Second
+	// backGain weighs requests whose callers come back: most of them are past
+	// their target already.
+	backGain = 0.4
 	// shareSlack is how far an account may exceed its share before that is
 	// held against it.
 	shareSlack = 1.1
@@ -104,9 +97,9 @@
 	// rereadScale is the mean backlog at which reading shared parts again
 	// counts twice.
 	rereadScale = 40 * time.Millisecond
-	// cachePart is the part of an engine's memory that keeps parts, the rest
-	// is left to running requests.
-	cachePart = 0.75
+	// cachePart is the part of an engine's memory, beside what running
+	// requests take, that keeps parts.
+	cachePart = 0.95
 	// runningPart bounds the tokens of running requests, beyond which engines
 	// preempt.
 	runningPart = 0.7
@@ -197,6 +190,8 @@
 	Forecast time.Duration `json:"fc,omitempty"`
 	Ahead    int           `json:"ahead,omitempty"`
 	Uncached int           `json:"unc,omitempty"`
+	// Rate is the prefill speed in tokens a second that the forecast uses.
+	Rate int `json:"rate,omitempty"`
 	Kept     int           `json:"kept,omitempty"`
 	// Retry is when a refused caller should come back.
 	Retry time.Duration `json:"retry,omitempty"`
@@ -205,14 +200,10 @@
 type engine struct {
 	Engine
 	cache *rwcache.Cache
-	// ahead is the number of prompt tokens of granted requests without a
-	// first event.
-	ahead float64
+	model *rwprefill.Model
 	// running is the number of granted requests, tokens what they hold in
 	// memory beside shared parts.
 	running, tokens int
-	// rate is the prefill speed in tokens a second.
-	rate float64
 	// failures is the decayed part of requests that failed, as of failedAt.
 	failures float64
 	failedAt time.Time
@@ -229,10 +220,10 @@
 	ask    Ask
 	engine *engine
 	at     time.Time
-	// ahead is what the engine had to read at the grant, own included.
-	ahead, uncached float64
-	forecast        time.Duration
-	first, overdue  bool
+	prompt *rwprefill.Prompt
+
+	forecast       time.Duration
+	first, overdue bool
 }
 
 type account struct {
@@ -300,8 +291,8 @@
 			old.Leaving = e.Leaving
 		} else {
 			old = &engine{
-				Engine: e, rate: firstRate, down: map[string]outage{},
-				cache: rwcache.New(int(float64(p.spec.Memory) * cachePart)),
+				Engine: e, model: rwprefill.New(), down: map[string]outage{},
+				cache: rwcache.New(p.spec.Memory),
 			}
 		}
 		next[e.ID] = old
@@ -327,11 +318,13 @@
 		p.target = fraction(p.target, targetDrift)
 	}
 	over := p.over(now, acc)
-	if over && p.shortestBacklog() > fraction(a.Target, crowded) {
+	if over && p.shortestBacklog(now) > fraction(a.Target, crowded) {
 		return p.refuse(now, a, OverShare)
 	}
-	w := &waiter{ask: a, at: now, gain: p.gain(a)}
-	w.back = now.Sub(p.refused[ownPart(a)]) < returnTime
+	w := &waiter{ask: a, at: now, gain: gain(a), back: now.Sub(p.refused[ownPart(a)]) < returnTime}
+	if w.back {
+		w.gain *= backGain
+	}
 	if len(p.waiting) == 0 {
 		if d, ok := p.place(now, w); ok {
 			return d
@@ -361,22 +354,17 @@
 	if g == nil || g.first {
 		return
 	}
-	p.read(g)
-	took := now.Sub(g.at)
+	g.first = true
+	g.engine.model.First(now, g.prompt)
 	if p.Missed != nil {
-		p.Missed(took - g.forecast)
-	}
-	if g.ahead >= rateTokens && took > baseLatency {
-		sample := g.ahead / max(took-baseLatency, 5*time.Millisecond).Seconds()
-		e := g.engine
-		e.rate = clamp(e.rate+rateWeight*(sample-e.rate), minRate, maxRate)
+		p.Missed(now.Sub(g.at) - g.forecast)
 	}
 }
 
-// read takes a request's prompt from what its engine has to read.
-func (p *Placer) read(g *grant) {
+// cancel takes a prompt without a first event off its engine.
+func (p *Placer) cancel(now time.Time, g *grant) {
 	g.first = true
-	g.engine.ahead = max(g.engine.ahead-g.uncached, 0)
+	g.engine.model.Cancel(now, g.prompt)
 }
 
 // Ended notes the end of a granted request.
@@ -388,7 +376,7 @@
 	delete(p.grants, id)
 	e := g.engine
 	if !g.first {
-		p.read(g)
+		p.cancel(now, g)
 		if end != Served {
 			// The account got nothing for what it was charged.
 			acc := p.account(now, g.ask.Account)
@@ -482,7 +470,7 @@
 		case age > grantTimeout:
 			p.Ended(now, id, Abandoned)
 		case !g.first && age > firstTimeout:
-			p.read(g)
+			p.cancel(now, g)
 		case !g.first && !g.overdue && age > g.forecast+overdue:
 			g.overdue = true
 			g.engine.outcome(now, 1)
@@ -537,7 +525,7 @@
 
 // gain is the number of tokens that a request is about, generated ones counted
 // ten times, for each token that has to be read for it.
-func (p *Placer) gain(a Ask) float64 {
+func gain(a Ask) float64 {
 	return (float64(total(a)) + 10*float64(a.Work)) / (cost(a) + 1)
 }
 
@@ -564,15 +552,14 @@
 // canWait reports whether a request could still be on time if an engine had
 // nothing else to do.
 func (p *Placer) canWait(now time.Time, w *waiter) bool {
-	rate := 0.0
+	need := time.Duration(math.MaxInt64)
 	for _, e := range p.engines {
-		rate = max(rate, e.rate)
+		need = min(need, e.model.Tail()+e.model.Read(float64(w.ask.Own)))
 	}
-	if rate == 0 {
+	limit := fraction(w.ask.Target, useOfTarget)
+	if len(p.homes) == 0 {
 		return false
 	}
-	need := baseLatency + seconds(float64(w.ask.Own)/rate)
-	limit := fraction(w.ask.Target, useOfTarget)
 	if need > limit {
 		return p.elapsed(now, w) < fraction(w.ask.Target, idleUse)
 	}
@@ -580,7 +567,7 @@
 }
 
 func (p *Placer) best(now time.Time, a Ask) (option, bool) {
-	mean := p.meanBacklog()
+	mean := p.meanBacklog(now)
 	home := rwrank.Top(homeKey(a), p.homes)
 	var best option
 	found := false
@@ -610,7 +597,7 @@
 	shared := all - a.Own
 	missing := max(shared-o.kept, 0)
 	o.uncached = float64(all - min(o.kept, all))
-	o.wait = seconds(e.ahead / e.rate)
+	o.wait = e.model.Wait(now)
 	var extra time.Duration
 	if missing > 0 {
 		if src, n := p.source(a, e); n-o.kept >= fetchMin {
@@ -621,15 +608,15 @@
 			o.cost = time.Duration(copied) * fetchCost
 			missing -= n - o.kept
 		}
-		again := seconds(float64(max(missing, 0)) / e.rate)
+		again := e.model.Read(float64(max(missing, 0)))
 		o.cost += time.Duration(float64(again) * float64(mean) / float64(rereadScale))
 		if home && o.kept == 0 && o.source == nil {
 			// Nothing is known of the parts: the home is where a placer
 			// before this one put them.
-			o.cost -= seconds(float64(shared) / e.rate)
+			o.cost -= e.model.Read(float64(shared))
 		}
 	}
-	o.forecast = baseLatency + o.wait + extra + seconds(o.uncached/e.rate)
+	o.forecast = e.model.Tail() + o.wait + extra + e.model.Read(o.uncached)
 	o.cost += o.forecast + time.Duration(e.failureRate(now)*float64(failureCost))
 	return o
 }
@@ -652,16 +639,18 @@
 
 func (p *Placer) grant(now time.Time, a Ask, o option) Decision {
 	e := o.engine
+	e.cache.Resize(int(float64(p.spec.Memory-e.tokens) * cachePart))
 	e.cache.Use(a.Parts)
-	e.ahead += o.uncached
+	prompt := e.model.Send(now, o.uncached)
 	e.running++
 	e.tokens += a.Own + a.Work
 	p.account(now, a.Account).got += cost(a)
 	p.grants[a.ID] = &grant{
-		ask: a, engine: e, at: now, ahead: e.ahead, uncached: o.uncached, forecast: o.forecast,
+		ask: a, engine: e, at: now, prompt: prompt, forecast: o.forecast,
 	}
 	d := Decision{
-		ID: a.ID, Verdict: Granted, Engine: e.ID, Forecast: o.forecast, Ahead: int(e.ahead), Uncached: int(o.uncached), Kept: o.kept,
+		ID: a.ID, Verdict: Granted, Engine: e.ID, Forecast: o.forecast, Ahead: int(e.model.Ahead(now)), Uncached: int(o.uncached), Kept: o.kept,
+		Rate: int(e.model.Rate()),
 	}
 	if o.source != nil {
 		d.Source = o.source.ID
@@ -670,7 +659,7 @@
 }
 
 func (p *Placer) refuse(now time.Time, a Ask, v Verdict) Decision {
-	retry := minRetry + p.meanBacklog()
+	retry := minRetry + p.meanBacklog(now)
 	if p.spec.Capacity > 0 {
 		asked := 0.0
 		for name := range p.accounts {
@@ -732,28 +721,23 @@
 	return acc
 }
 
-func (p *Placer) meanBacklog() time.Duration {
-	sum, n := 0.0, 0.0
-	for _, e := range p.engines {
-		if !e.Leaving {
-			sum += e.ahead / e.rate
-			n++
-		}
+func (p *Placer) meanBacklog(now time.Time) time.Duration {
+	sum := time.Duration(0)
+	for _, name := range p.homes {
+		sum += p.engines[name].model.Wait(now)
 	}
-	return seconds(sum / max(n, 1))
+	return sum / time.Duration(max(len(p.homes), 1))
 }
 
-func (p *Placer) shortestBacklog() time.Duration {
-	least := math.Inf(1)
-	for _, e := range p.engines {
-		if !e.Leaving {
-			least = min(least, e.ahead/e.rate)
-		}
-	}
-	if math.IsInf(least, 1) {
+func (p *Placer) shortestBacklog(now time.Time) time.Duration {
+	if len(p.homes) == 0 {
 		return 0
 	}
-	return seconds(least)
+	least := time.Duration(math.MaxInt64)
+	for _, name := range p.homes {
+		least = min(least, p.engines[name].model.Wait(now))
+	}
+	return least
 }
 
 // cost is the engine time of a request in tokens: its own prompt once and what
@@ -763,5 +747,3 @@
 func fraction(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-func clamp(x, low, high float64) float64 { return min(max(x, low), high) }
