Compare accounts by whole prompts and by what the engines did serve

Shares counted only prompt tokens that had to be read, and compared them with a capacity in other units, so that no account was ever above its share.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -386,7 +386,6 @@
 			engines = append(engines, rwplace.Engine{ID: in.ID, Zone: in.Zone})
 		}
 	}
-	working := len(engines)
 	for _, in := range view.Leaving(k.Service) {
 		engines = append(engines, rwplace.Engine{ID: in.ID, Zone: in.Zone, Leaving: true})
 	}
@@ -398,7 +397,6 @@
 	if e := service.Engine; ok && e != nil {
 		spec.Slots, spec.Memory = e.Slots, e.Memory
 		spec.TokenBytes, spec.LinkBytes = float64(e.TokenBytes), e.LinkBits/8
-		spec.Capacity = view.Plan.Limits.TokensPerSecond * float64(working) / float64(max(len(list), 1))
 	}
 	return spec, engines
 }
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -40,6 +40,8 @@
 	// Upstream, Owner and Forecast describe the last placement.
 	Upstream, Owner string
 	Forecast        time.Duration
+	// Keep is how long the upstream keeps the idle connection.
+	Keep time.Duration
 }
 
 // Urgency is the account's if it has one, else the route's.
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -47,6 +47,7 @@
 		return rwplace.Refused, rwfault.New(rwcode.UpstreamRefused, p.id)
 	}
 	x.Ran++
+	x.Keep = answer.Judgement.KeepAlive
 	if x.Route.Kind == rwplan.Stream && answer.Response.StatusCode == http.StatusOK {
 		return f.stream(ctx, w, x, p, answer)
 	}
@@ -211,5 +212,5 @@
 	rwlog.Info(&f.Log, rwlog.RequestFinished).Str("id", x.Request.ID).Int("status", status).
 		Str("route", x.Route.Name).Str("account", x.Account.Name).Str("upstream", x.Upstream).
 		Int("attempts", x.Ran).Dur("first", first).Dur("took", time.Since(x.Start)).
-		Dur("forecast", x.Forecast).Dur("gap", x.Gap).Int64("last", x.Last).Send()
+		Dur("forecast", x.Forecast).Dur("gap", x.Gap).Int64("last", x.Last).Dur("keep", x.Keep).Send()
 }
--- a/internal/rwplace/rwplace.go
+++ b/internal/rwplace/rwplace.go
@@ -83,6 +83,9 @@
 	// shareSlack is how far an account may exceed its share before that is
 	// held against it.
 	shareSlack = 1.1
+	// servedAll is how far the demand may exceed what was served before shares
+	// are held against accounts.
+	servedAll = 1.05
 	// levelInterval is how long a computed share stays valid.
 	levelInterval = 50 * time.Millisecond
 	// fetchSetup is the time that a copy of KV cache takes beside its bytes.
@@ -137,9 +140,6 @@
 	// TokenBytes is the size of a token of KV cache, LinkBytes the bandwidth
 	// between engines in bytes a second; 0 means that nothing can be copied.
 	TokenBytes, LinkBytes float64
-	// Capacity is what all engines of the placer produce in tokens a second,
-	// 0 if it is not known.
-	Capacity float64
 	// Window is the time over which accounts' shares are compared.
 	Window time.Duration
 }
@@ -192,7 +192,7 @@
 	Uncached int           `json:"unc,omitempty"`
 	// Rate is the prefill speed in tokens a second that the forecast uses.
 	Rate int `json:"rate,omitempty"`
-	Kept     int           `json:"kept,omitempty"`
+	Kept int `json:"kept,omitempty"`
 	// Retry is when a refused caller should come back.
 	Retry time.Duration `json:"retry,omitempty"`
 }
@@ -311,7 +311,7 @@
 // a later Tick.
 func (p *Placer) Ask(now time.Time, a Ask) Decision {
 	acc := p.account(now, a.Account)
-	acc.asked += cost(a)
+	acc.asked += service(a)
 	if p.target == 0 || a.Target < p.target {
 		p.target = a.Target
 	} else {
@@ -380,7 +380,7 @@
 		if end != Served {
 			// The account got nothing for what it was charged.
 			acc := p.account(now, g.ask.Account)
-			acc.got = max(acc.got-cost(g.ask), 0)
+			acc.got = max(acc.got-service(g.ask), 0)
 		}
 	}
 	e.running--
@@ -526,7 +526,7 @@
 // gain is the number of tokens that a request is about, generated ones counted
 // ten times, for each token that has to be read for it.
 func gain(a Ask) float64 {
-	return (float64(total(a)) + 10*float64(a.Work)) / (cost(a) + 1)
+	return (float64(total(a)) + 10*float64(a.Work)) / float64(a.Own+2*a.Work+1)
 }
 
 // ownPart is the id of the prompt part that only this request has.
@@ -644,7 +644,7 @@
 	prompt := e.model.Send(now, o.uncached)
 	e.running++
 	e.tokens += a.Own + a.Work
-	p.account(now, a.Account).got += cost(a)
+	p.account(now, a.Account).got += service(a)
 	p.grants[a.ID] = &grant{
 		ask: a, engine: e, at: now, prompt: prompt, forecast: o.forecast,
 	}
@@ -659,17 +659,12 @@
 }
 
 func (p *Placer) refuse(now time.Time, a Ask, v Verdict) Decision {
+	asked, got := p.totals(now)
 	retry := minRetry + p.meanBacklog(now)
-	if p.spec.Capacity > 0 {
-		asked := 0.0
-		for name := range p.accounts {
-			asked += p.account(now, name).asked
-		}
+	if load := asked / max(got, 1); load > 1 {
 		// The part of the demand that the engines can't serve comes back
 		// later by as much.
-		if load := asked / (p.spec.Capacity * p.spec.Window.Seconds()); load > 1 {
-			retry += seconds(load - 1)
-		}
+		retry += seconds(min(load-1, 1))
 	}
 	if part := ownPart(a); part != "" {
 		p.refused[part] = now
@@ -682,25 +677,38 @@
 }
 
 // Level is the share of an account over the window while the engines can't
-// serve all, and infinite while they can.
+// serve all, and infinite while they can. What they can serve is what they did
+// serve: it depends on how much of the prompts they kept.
 func (p *Placer) Level(now time.Time) float64 {
-	if p.spec.Capacity <= 0 {
-		return math.Inf(1)
-	}
 	if now.Sub(p.levelAt) < levelInterval {
 		return p.level
 	}
+	p.levelAt = now
+	asked, got := p.totals(now)
+	p.level = math.Inf(1)
+	if asked <= got*servedAll {
+		return p.level
+	}
 	demands := make([]float64, 0, len(p.accounts))
-	for name, acc := range p.accounts {
-		p.account(now, name)
+	for _, acc := range p.accounts {
+		demands = append(demands, acc.asked)
+	}
+	p.level = rwwater.Level(got, demands)
+	return p.level
+}
+
+// totals returns what all accounts asked for and got over the window.
+func (p *Placer) totals(now time.Time) (asked, got float64) {
+	for name := range p.accounts {
+		acc := p.account(now, name)
 		if acc.asked < 1 && acc.got < 1 {
 			delete(p.accounts, name)
 			continue
 		}
-		demands = append(demands, acc.asked)
+		asked += acc.asked
+		got += acc.got
 	}
-	p.level, p.levelAt = rwwater.Level(p.spec.Capacity*p.spec.Window.Seconds(), demands), now
-	return p.level
+	return asked, got
 }
 
 func (p *Placer) over(now time.Time, acc *account) bool {
@@ -740,9 +748,9 @@
 	return least
 }
 
-// cost is the engine time of a request in tokens: its own prompt once and what
-// it generates twice. Shared parts are read once for many.
-func cost(a Ask) float64 { return float64(a.Own + 2*a.Work) }
+// service is what an account gets with a request: all tokens of the prompt,
+// whoever read them first, and generated ones twice.
+func service(a Ask) float64 { return float64(total(a) + 2*a.Work) }
 
 func fraction(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
--- a/internal/rwprefill/rwprefill.go
+++ b/internal/rwprefill/rwprefill.go
@@ -28,9 +28,10 @@
 	tailWeight = 0.1
 	maxTail    = 350 * time.Millisecond
 	// tailHalf and rateHalf are the times in which an estimate moves half of
-	// the way back to its first value while nothing confirms it. A bad
-	// estimate keeps requests away, and with them the events that would
-	// correct it.
+	// the way back to its first value once nothing has confirmed it for the
+	// time quiet. A bad estimate keeps requests away, and with them the events
+	// that would correct it.
+	quiet    = 300 * time.Millisecond
 	tailHalf = 300 * time.Millisecond
 	rateHalf = 2 * time.Second
 	// late is how long after its due time a missing event means that the
@@ -104,7 +105,7 @@
 	m.sample(now, p)
 	tail := min(max(now.Sub(p.sent)-p.wait, 0), maxTail)
 	m.tail += time.Duration(tailWeight * float64(tail-m.tail))
-	m.relaxed = now
+	m.relaxed = now.Add(quiet)
 	m.done = max(m.done, min(p.to, m.granted))
 }
 
