--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -63,8 +63,9 @@
 type Pool struct {
 	// Judge reads the heads of answers.
 	Judge func(*http.Response) rwdialect.Judgement
-	// Opened, if set, is called for each new connection.
-	Opened func()
+	// Count, if set, is told why a connection was opened, used again or
+	// closed.
+	Count func(reason string)
 
 	mu   sync.Mutex
 	idle map[Key][]*conn
@@ -143,7 +144,21 @@
 		}
 	}
 	a.conn.wrote = nil
-	if !stopped || !written || !a.body.done || a.Response.Close || a.conn.br.Buffered() > 0 {
+	reason := ""
+	switch {
+	case !stopped:
+		reason = "cancelled"
+	case !written:
+		reason = "body_unread"
+	case !a.body.done:
+		reason = "answer_unread"
+	case a.Response.Close:
+		reason = "asked"
+	case a.conn.br.Buffered() > 0:
+		reason = "stray_bytes"
+	}
+	if reason != "" {
+		a.pool.count("connections_closed_" + reason)
 		_ = a.conn.Close()
 		return
 	}
@@ -264,8 +279,10 @@
 			break
 		}
 		if time.Now().Before(c.until) && c.quiet() {
+			p.count("connections_reused")
 			return c, nil
 		}
+		p.count("connections_closed_stale")
 		_ = c.Close()
 	}
 	return p.dial(ctx, o.Key.Addr)
@@ -292,9 +309,7 @@
 		}
 		return nil, rwfault.Wrap(rwcode.UpstreamUnreachable, err)
 	}
-	if p.Opened != nil {
-		p.Opened()
-	}
+	p.count("connections_opened")
 	return &conn{Conn: raw, br: bufio.NewReader(raw)}, nil
 }
 
@@ -315,6 +330,12 @@
 	return err == nil && quiet
 }
 
+func (p *Pool) count(reason string) {
+	if p.Count != nil {
+		p.Count(reason)
+	}
+}
+
 func (p *Pool) pop(k Key) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -129,7 +129,7 @@
 	e.share = rwshare.New(e.peers)
 	e.broker = rwbroker.New(e.self, e.peers, e.metrics)
 	e.pool = rwconn.New(c.Dialect.Judge)
-	e.pool.Opened = func() { e.metrics.Add("upstream_connections", 1) }
+	e.pool.Count = func(reason string) { e.metrics.Add(reason, 1) }
 	e.wireShare()
 	e.wireRequests()
 	return e
