--- /dev/null
+++ b/internal/rwcallers/rwcallers.go
@@ -0,0 +1,67 @@
+// Package rwcallers keeps the connections of callers within bounds. Callers
+// retry on new connections, so in a flood of refusals their old ones add up
+// until a router has no descriptors left.
+package rwcallers
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Callers are the open connections of callers.
+type Callers struct {
+	mu sync.Mutex
+	// since holds when a connection became idle; busy ones have the zero time.
+	since map[net.Conn]time.Time
+}
+
+// New returns an empty set.
+func New() *Callers { return &Callers{since: map[net.Conn]time.Time{}} }
+
+// State is the ConnState hook of an http.Server.
+func (c *Callers) State(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateNew, http.StateActive:
+		c.since[conn] = time.Time{}
+	case http.StateIdle:
+		c.since[conn] = time.Now()
+	case http.StateHijacked, http.StateClosed:
+		delete(c.since, conn)
+	}
+}
+
+// Open is the number of open connections.
+func (c *Callers) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.since)
+}
+
+// Sweep closes connections that are idle for longer than a limit, and beyond a
+// number of connections those that are idle for longest. It returns how many.
+func (c *Callers) Sweep(now time.Time, limit time.Duration, most int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var idle []net.Conn
+	for conn, since := range c.since {
+		if !since.IsZero() {
+			idle = append(idle, conn)
+		}
+	}
+	slices.SortFunc(idle, func(a, b net.Conn) int { return c.since[a].Compare(c.since[b]) })
+	closed := 0
+	for _, conn := range idle {
+		if now.Sub(c.since[conn]) < limit && len(c.since) <= most {
+			break
+		}
+		_ = conn.Close()
+		delete(c.since, conn)
+		closed++
+	}
+	return closed
+}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"redwingworks.example/internal/rwbroker"
+	"redwingworks.example/internal/rwcallers"
 	"redwingworks.example/internal/rwcatalog"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwconn"
@@ -42,12 +43,18 @@
 )
 
 const (
-	// headerTimeout and headerBytes bound the head of a caller's request
-	// before a configuration is known, idleTimeout an idle connection. Callers
-	// drop idle connections themselves before that.
+	// headerTimeout and headerBytes bound the head of a caller's request, and
+	// idleTimeout an idle connection, before a configuration is known.
 	headerTimeout = 5 * time.Second
 	headerBytes   = 64 << 10
 	idleTimeout   = 30 * time.Second
+	// callerPart is the part of the descriptors that callers' connections may
+	// take before idle ones are closed early, crowdedPart the part above which
+	// refused callers' connections are closed.
+	callerPart  = 0.5
+	crowdedPart = 0.3
+	// defaultDescriptors is used if the settings name no limit.
+	defaultDescriptors = 4096
 	// acceptTime is how long after a request to stop new requests are still
 	// served: the balancer needs two checks a second apart to notice.
 	acceptTime = 3200 * time.Millisecond
@@ -96,6 +103,7 @@
 	tracker *rwtrack.Tracker
 	pool    *rwconn.Pool
 	server  *http.Server
+	callers *rwcallers.Callers
 	latency *rwtimes.Times
 	missed  *rwtimes.Times
 
@@ -128,6 +136,7 @@
 	e.gossip = rwgossip.New(e.peers, e.deploy.Seeds, e.log, e.metrics)
 	e.share = rwshare.New(e.peers)
 	e.broker = rwbroker.New(e.self, e.peers, e.metrics)
+	e.callers = rwcallers.New()
 	e.pool = rwconn.New(c.Dialect.Judge)
 	e.pool.Count = func(reason string) { e.metrics.Add(reason, 1) }
 	e.wireShare()
@@ -178,7 +187,8 @@
 			return rwrepeat.New(e.deploy.RetryShare, e.deploy.RetryExtra, e.deploy.RetryWindow)
 		},
 		Closing: e.stopping.Load, Refusing: e.refusing.Load,
-		Zone: e.self.Zone, Log: e.log, Metrics: e.metrics, Observe: e.latency.Add,
+		Crowded: func() bool { return e.callers.Open() > e.descriptors(crowdedPart) },
+		Zone:    e.self.Zone, Log: e.log, Metrics: e.metrics, Observe: e.latency.Add,
 	}
 	e.server = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -187,7 +197,26 @@
 			front.ServeHTTP(w, r)
 		}),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: nil,
+		ConnState: e.callers.State,
+	}
+}
+
+func (e *Edge) descriptors(part float64) int {
+	n := e.deploy.Descriptors
+	if n <= 0 {
+		n = defaultDescriptors
+	}
+	return int(part * float64(n))
+}
+
+// sweepCallers closes idle connections of callers by the published limit.
+func (e *Edge) sweepCallers(now time.Time, view *rwpublished.Published) {
+	limit := idleTimeout
+	if view.Plan != nil && view.Plan.Limits.IdleTimeout > 0 {
+		limit = view.Plan.Limits.IdleTimeout
+	}
+	if n := e.callers.Sweep(now, limit, e.descriptors(callerPart)); n > 0 {
+		e.metrics.Add("caller_connections_closed", int64(n))
 	}
 }
 
@@ -216,7 +245,11 @@
 	e.kernel.Register("upkeep", nil, e.upkeep)
 	e.kernel.Register("signals", nil, e.waitSignal)
 	err := e.kernel.Run()
-	rwlog.Info(&e.log, rwlog.Stopped).Send()
+	if err != nil {
+		rwlog.Warn(&e.log, rwlog.Stopped, err).Send()
+	} else {
+		rwlog.Info(&e.log, rwlog.Stopped).Send()
+	}
 	stopSink()
 	<-sinkDone
 	return err
@@ -372,6 +405,7 @@
 				in, ok := view.Instance(k.ID)
 				return ok && in.Addr == k.Addr && in.Born == k.Born
 			})
+			e.sweepCallers(now, view)
 			if n := e.sink.Dropped.Swap(0); n > 0 {
 				e.metrics.Add("log_lines_dropped", n)
 				rwlog.Info(&e.log, rwlog.LinesDropped).Int64("lines", n).Send()
@@ -455,7 +489,7 @@
 	view := e.published.Load()
 	usable, leaving := view.Count()
 	lines := map[string]int64{
-		"active_requests": e.active.Load(), "routers": int64(len(e.gossip.Live(""))),
+		"active_requests": e.active.Load(), "caller_connections": int64(e.callers.Open()), "routers": int64(len(e.gossip.Live(""))),
 		"revision": view.Rev, "upstreams_usable": int64(usable), "upstreams_leaving": int64(leaving),
 	}
 	if view.Plan != nil {
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -66,9 +66,12 @@
 	// Closing is whether connections of callers close after their answer,
 	// Refusing whether new requests are refused.
 	Closing, Refusing func() bool
-	Zone              string
-	Log               zerolog.Logger
-	Metrics           *rwmetric.Metrics
+	// Crowded is whether the connections of refused callers close: they come
+	// back on new ones.
+	Crowded func() bool
+	Zone    string
+	Log     zerolog.Logger
+	Metrics *rwmetric.Metrics
 	// Observe, if set, takes the time to the answer of each request, or to
 	// the first event of a stream.
 	Observe func(time.Duration)
@@ -371,6 +374,9 @@
 	status := statusOf(fault)
 	f.note(x, fault, status)
 	h := w.Header()
+	if f.Crowded() {
+		h.Set("Connection", "close")
+	}
 	h.Set("Content-Type", "text/plain")
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		after := fault.RetryAfter
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -141,7 +141,8 @@
 		Routers: func() int { return 1 },
 		Budget:  func() *rwrepeat.Budget { return rwrepeat.New(0.2, 50, 10*time.Second) },
 		Closing: func() bool { return false }, Refusing: func() bool { return false },
-		Zone: "z", Log: zerolog.Nop(), Metrics: rwmetric.New(),
+		Crowded: func() bool { return false },
+		Zone:    "z", Log: zerolog.Nop(), Metrics: rwmetric.New(),
 	}
 	s := httptest.NewServer(f.front)
 	t.Cleanup(s.Close)
--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -38,6 +38,8 @@
 	writeTimeout  = 2 * time.Second
 	redialPause   = 200 * time.Millisecond
 	notifyBacklog = 256
+	// acceptPause is the time between two attempts to accept a link.
+	acceptPause = 50 * time.Millisecond
 )
 
 // Handler answers a message of another router. The result of a notification
@@ -362,9 +364,16 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return rwfault.Wrap(rwcode.Internal, err)
 		}
+		if err != nil {
+			// A router that is out of descriptors for a moment goes on; it
+			// once ended here in a flood of callers.
+			p.metrics.Add("peer_accept_failures", 1)
+			time.Sleep(acceptPause)
+			continue
+		}
 		p.accept(conn)
 	}
 }
--- a/internal/rwpeer/rwpeer_test.go
+++ b/internal/rwpeer/rwpeer_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -143,3 +145,36 @@
 	require.True(t, rwfault.Is(<-ended, rwcode.PeerUnreachable))
 	require.NoError(t, ctx.Err(), "the call ended by its time limit")
 }
+
+// flaky is a listener whose first accepts fail.
+type flaky struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (f *flaky) Accept() (net.Conn, error) {
+	if f.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return f.Listener.Accept()
+}
+
+// Guards against a router that ends because it has no descriptors left for a
+// moment.
+func TestServeSurvivesFailedAccepts(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &flaky{Listener: l}
+	f.failures.Store(2)
+	p := rwpeer.New(rwidentity.Identity{Name: "a", Addr: l.Addr().String()}, key, nil, zerolog.Nop(), rwmetric.New())
+	p.Handle("echo", func(context.Context, rwidentity.Identity, json.RawMessage) (any, error) { return 7, nil })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- p.Serve(ctx, f) }()
+	q := rwpeer.New(rwidentity.Identity{Name: "b"}, key, nil, zerolog.Nop(), rwmetric.New())
+	var n int
+	require.NoError(t, q.Call(t.Context(), l.Addr().String(), "echo", nil, &n))
+	require.Equal(t, 7, n)
+	cancel()
+	require.NoError(t, <-done)
+}
