--- a/internal/rwplace/rwplace.go
+++ b/internal/rwplace/rwplace.go
@@ -130,8 +130,10 @@
 	// overdue is how long after its forecast a first event counts as a
 	// failure of the engine.
 	overdue = 800 * time.Millisecond
-	// maxWaiting bounds the requests that wait.
-	maxWaiting = 512
+	// maxWaiting bounds the requests of one account that wait. Without it a
+	// flood of two accounts kept the owner's processor busy with putting
+	// hundreds of requests in order, while the engines idled.
+	maxWaiting = 24
 	// minRetry and maxRetry bound the time after which a caller may return.
 	minRetry = 150 * time.Millisecond
 	maxRetry = 2500 * time.Millisecond
@@ -249,6 +251,10 @@
 	back bool
 	// gain is the size of the request for each token that has to be read.
 	gain float64
+	// got is what the account got when the requests were put in order.
+	got float64
+	// decided requests no longer wait.
+	decided bool
 }
 
 // Placer is the state for the engines of one cell. It is not safe for
@@ -342,7 +348,7 @@
 	if len(p.homes) == 0 {
 		return p.refuse(now, a, NoEngine)
 	}
-	if len(p.waiting) >= maxWaiting {
+	if p.crowdedOut(a.Account) {
 		return p.refuse(now, a, Full)
 	}
 	if !p.canWait(now, w) {
@@ -352,6 +358,18 @@
 	return Decision{ID: a.ID, Verdict: Wait}
 }
 
+// crowdedOut reports whether so many requests of an account wait that another
+// one could not be served in time.
+func (p *Placer) crowdedOut(account string) bool {
+	n := 0
+	for _, w := range p.waiting {
+		if w.ask.Account == account {
+			n++
+		}
+	}
+	return n >= maxWaiting
+}
+
 // Drop forgets a request that waits.
 func (p *Placer) Drop(id string) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool { return w.ask.ID == id })
@@ -432,53 +450,78 @@
 func (p *Placer) Tick(now time.Time) []Decision {
 	p.expire(now)
 	var out []Decision
-	for len(p.waiting) > 0 {
-		d, ok := p.next(now)
-		if !ok {
+	order := p.order(now)
+	for len(order) > 0 && p.room(now) {
+		decided := p.pass(now, order)
+		if len(decided) == 0 {
 			break
 		}
-		out = append(out, d)
+		out = append(out, decided...)
+		order = slices.DeleteFunc(order, func(w *waiter) bool { return w.decided })
 	}
-	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
-		o, ok := p.best(now, w.ask)
-		if p.canWait(now, w) && (!ok || p.hopeless(w, o) || p.feasible(now, w, o)) {
-			return false
+	for _, w := range order {
+		if !p.canWait(now, w) {
+			w.decided = true
+			out = append(out, p.refuse(now, w.ask, Late))
 		}
-		out = append(out, p.refuse(now, w.ask, Late))
-		return true
-	})
+	}
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool { return w.decided })
 	return out
 }
 
-// next grants one waiting request: one of the account that got least, of its
-// requests one of the most urgent, and of these the one that gives most for each
-// token that an engine has to read. Urgency never beats shares: accounts have
-// urgencies too, and the urgent ones would leave nothing to the others.
-func (p *Placer) next(now time.Time) (Decision, bool) {
+// order returns the waiting requests, first those of the account that got
+// least, of its requests the most urgent, and of these the one that gives most
+// for each token that an engine has to read. Urgency never beats shares:
+// accounts have urgencies too, and the urgent ones would leave nothing to the
+// others.
+func (p *Placer) order(now time.Time) []*waiter {
 	order := slices.Clone(p.waiting)
+	for _, w := range order {
+		w.got = p.account(now, w.ask.Account).got
+	}
 	slices.SortStableFunc(order, func(x, y *waiter) int {
 		return cmp.Or(
-			cmp.Compare(p.account(now, x.ask.Account).got, p.account(now, y.ask.Account).got),
-			cmp.Compare(x.ask.Urgency, y.ask.Urgency),
-			cmp.Compare(y.gain, x.gain),
+			cmp.Compare(x.got, y.got), cmp.Compare(x.ask.Account, y.ask.Account),
+			cmp.Compare(x.ask.Urgency, y.ask.Urgency), cmp.Compare(y.gain, x.gain),
 		)
 	})
+	return order
+}
+
+// room reports whether any engine takes requests: in a flood most ticks find
+// none, and then the waiting requests need not be looked at.
+func (p *Placer) room(now time.Time) bool {
+	return p.shortestBacklog(now) <= fraction(p.target, queueUse)
+}
+
+// pass grants at most one request of each account, in order, and refuses those
+// that can't be on time any more.
+func (p *Placer) pass(now time.Time, order []*waiter) []Decision {
+	var out []Decision
 	// An engine that the first in order waits for is kept from those behind
 	// it: they would refill its queue, and a request that needs a shorter
 	// queue would never find one.
 	kept := map[*engine]bool{}
+	granted := map[string]bool{}
 	for _, w := range order {
+		if granted[w.ask.Account] {
+			continue
+		}
 		o, ok := p.best(now, w.ask)
 		switch {
 		case !ok || kept[o.engine]:
 		case p.fits(now, w, o):
-			p.Drop(w.ask.ID)
-			return p.grant(now, w.ask, o), true
+			w.decided = true
+			granted[w.ask.Account] = true
+			out = append(out, p.grant(now, w.ask, o))
 		case p.feasible(now, w, o):
 			kept[o.engine] = true
+		case !p.hopeless(w, o):
+			w.decided = true
+			out = append(out, p.refuse(now, w.ask, Late))
 		}
 	}
-	return Decision{}, false
+	return out
 }
 
 // expire forgets grants whose reports were lost, and counts first events that
@@ -619,14 +662,19 @@
 func (p *Placer) best(now time.Time, a Ask) (option, bool) {
 	mean := p.meanBacklog(now)
 	home := rwrank.Top(homeKey(a), p.homes)
+	first, second := p.sources(a)
 	var best option
 	found := false
-	for _, name := range p.names {
+	for _, name := range p.homes {
 		e := p.engines[name]
 		if slices.Contains(a.Avoid, name) || !p.usable(now, e, a) {
 			continue
 		}
-		if o := p.option(now, a, e, name == home, mean); !found || o.cost < best.cost {
+		source := first
+		if first.engine == e {
+			source = second
+		}
+		if o := p.option(now, a, e, source, name == home, mean); !found || o.cost < best.cost {
 			best, found = o, true
 		}
 	}
@@ -641,7 +689,7 @@
 		!now.Before(e.refused) && !now.Before(e.down[a.Zone].until)
 }
 
-func (p *Placer) option(now time.Time, a Ask, e *engine, home bool, mean time.Duration) option {
+func (p *Placer) option(now time.Time, a Ask, e *engine, src source, home bool, mean time.Duration) option {
 	o := option{engine: e, kept: e.cache.Kept(a.Parts)}
 	all := total(a)
 	shared := all - a.Own
@@ -650,13 +698,13 @@
 	o.wait = e.model.Wait(now)
 	var extra time.Duration
 	if missing > 0 {
-		if src, n := p.source(a, e); n-o.kept >= fetchMin {
-			copied := float64(n - o.kept)
-			o.source = src
+		if src.engine != nil && src.kept-o.kept >= fetchMin {
+			copied := float64(src.kept - o.kept)
+			o.source = src.engine
 			o.uncached -= copied
 			extra = fetchSetup + seconds(copied*p.spec.TokenBytes/p.spec.LinkBytes)
 			o.cost = time.Duration(copied) * fetchCost
-			missing -= n - o.kept
+			missing -= src.kept - o.kept
 		}
 		again := e.model.Read(float64(max(missing, 0)))
 		o.cost += time.Duration(float64(again) * float64(mean) / float64(rereadScale))
@@ -671,20 +719,28 @@
 	return o
 }
 
-// source returns the engine that keeps most of a prompt, and how much.
-func (p *Placer) source(a Ask, except *engine) (*engine, int) {
+// source is an engine that prompt parts can be copied from.
+type source struct {
+	engine *engine
+	kept   int
+}
+
+// sources returns the engines that keep most and second most of a prompt.
+func (p *Placer) sources(a Ask) (first, second source) {
 	if p.spec.TokenBytes <= 0 || p.spec.LinkBytes <= 0 {
-		return nil, 0
+		return first, second
 	}
-	var best *engine
-	most := 0
+	shared := a.Parts[:max(len(a.Parts)-1, 0)]
 	for _, name := range p.names {
 		e := p.engines[name]
-		if n := e.cache.Kept(a.Parts[:max(len(a.Parts)-1, 0)]); e != except && n > most {
-			best, most = e, n
+		switch n := e.cache.Kept(shared); {
+		case n > first.kept:
+			first, second = source{e, n}, first
+		case n > second.kept:
+			second = source{e, n}
 		}
 	}
-	return best, most
+	return first, second
 }
 
 func (p *Placer) grant(now time.Time, a Ask, o option) Decision {
@@ -699,8 +755,8 @@
 		ask: a, engine: e, at: now, prompt: prompt, forecast: o.forecast,
 	}
 	d := Decision{
-		ID: a.ID, Verdict: Granted, Engine: e.ID, Forecast: o.forecast, Ahead: int(e.model.Ahead(now)), Uncached: int(o.uncached), Kept: o.kept,
-		Rate: int(e.model.Rate()),
+		ID: a.ID, Verdict: Granted, Engine: e.ID, Forecast: o.forecast, Ahead: int(e.model.Ahead(now)),
+		Uncached: int(o.uncached), Kept: o.kept, Rate: int(e.model.Rate()),
 	}
 	if o.source != nil {
 		d.Source = o.source.ID
