--- /dev/null
+++ b/internal/rwbroker/rwbroker_test.go
@@ -0,0 +1,196 @@
+package rwbroker
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwplace"
+	"redwingworks.example/internal/rwplan"
+	"redwingworks.example/internal/rwprompt"
+	"redwingworks.example/internal/rwpublished"
+)
+
+const key = "0123456789abcdef"
+
+// node is one router with its links.
+type node struct {
+	*Broker
+	id   rwidentity.Identity
+	stop context.CancelFunc
+}
+
+// fleet is a set of routers that believe the same routers to be live.
+type fleet struct {
+	mu    sync.Mutex
+	live  []rwidentity.Identity
+	nodes map[string]*node
+}
+
+func view(engines, slots int) *rwpublished.Published {
+	var list []rwinstance.Instance
+	for i := range engines {
+		list = append(list, rwinstance.Instance{ID: "e" + strconv.Itoa(i), Service: "model", Addr: "10.0.0.1:" + strconv.Itoa(100+i), Zone: "z"})
+	}
+	list = append(list, rwinstance.Instance{ID: "gone", Service: "model", Addr: "10.0.0.2:1", Leaving: true})
+	plan := rwplan.New(1, rwplan.Limits{}, nil, []rwplan.Service{{Name: "model", Engine: &rwplan.Engine{Slots: slots, Memory: 1e6}}}, nil)
+	return rwpublished.New(plan, 1, time.Now(), list)
+}
+
+func newFleet(t *testing.T, routers int, published *rwpublished.Published) *fleet {
+	f := &fleet{nodes: map[string]*node{}}
+	for i := range routers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		id := rwidentity.Identity{Name: "r" + strconv.Itoa(i), Zone: "z", Addr: l.Addr().String(), Inc: int64(i + 1)}
+		metrics := rwmetric.New()
+		peers := rwpeer.New(id, key, nil, zerolog.Nop(), metrics)
+		b := New(id, peers, metrics)
+		b.Published = func() *rwpublished.Published { return published }
+		b.Live = f.members
+		b.Reachable = func(string) bool { return true }
+		b.Window = 2 * time.Second
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go func() { _ = peers.Serve(ctx, l) }()
+		go func() { _ = b.Run(ctx) }()
+		f.live = append(f.live, id)
+		f.nodes[id.Name] = &node{Broker: b, id: id, stop: cancel}
+	}
+	return f
+}
+
+func (f *fleet) members() []rwidentity.Identity {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]rwidentity.Identity(nil), f.live...)
+}
+
+func ask(own string) rwplace.Ask {
+	return rwplace.Ask{
+		Account: "acc", Own: 500, Work: 10, Target: 400 * time.Millisecond,
+		Parts: []rwprompt.Part{{ID: "shared", Tokens: 5000}, {ID: own, Tokens: 500}},
+	}
+}
+
+// Guards against routers that place the same prompts on different engines, and
+// against reports that don't reach the owner.
+func TestAllRoutersAskOneOwner(t *testing.T) {
+	f := newFleet(t, 3, view(4, 2))
+	engines, owners := map[string]bool{}, map[string]bool{}
+	var grants []Grant
+	for i, n := range []string{"r0", "r1", "r2"} {
+		g, fault := f.nodes[n].Acquire(t.Context(), "model", ask(strconv.Itoa(i)))
+		require.Nil(t, fault)
+		engines[g.Instance.ID], owners[g.Owner] = true, true
+		grants = append(grants, g)
+		if i == 1 {
+			grants[0].First()
+			grants[0].End(rwplace.Served)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	require.Len(t, owners, 1)
+	require.Len(t, engines, 1, "the engine that keeps the parts has a slot again")
+}
+
+// Guards against a request that is never decided because it waits at its owner.
+func TestWaitingRequestGetsItsGrant(t *testing.T) {
+	f := newFleet(t, 2, view(1, 1))
+	first, fault := f.nodes["r0"].Acquire(t.Context(), "model", ask("1"))
+	require.Nil(t, fault)
+	time.AfterFunc(50*time.Millisecond, func() {
+		first.First()
+		first.End(rwplace.Served)
+	})
+	for _, n := range []string{"r1", "r0"} {
+		g, fault := f.nodes[n].Acquire(t.Context(), "model", ask("2"+n))
+		require.Nil(t, fault)
+		g.First()
+		g.End(rwplace.Served)
+	}
+}
+
+// Guards against requests that hang or fail because the owner of their cell is
+// gone.
+func TestNextInRankTakesOver(t *testing.T) {
+	f := newFleet(t, 3, view(4, 8))
+	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", ask("1"))
+	require.Nil(t, fault)
+	owner := g.Owner
+	f.nodes[owner].stop()
+	for name, n := range f.nodes {
+		if name == owner {
+			continue
+		}
+		start := time.Now()
+		g, fault := n.Acquire(t.Context(), "model", ask("2"+name))
+		require.Nil(t, fault)
+		require.NotEqual(t, owner, g.Owner)
+		require.Less(t, time.Since(start), time.Second)
+	}
+}
+
+// Guards against an owner that is called dead because its answer takes as long
+// as a request may wait.
+func TestRefusalNamesATime(t *testing.T) {
+	f := newFleet(t, 2, view(1, 1))
+	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", ask("1"))
+	require.Nil(t, fault)
+	defer g.End(rwplace.Served)
+	start := time.Now()
+	_, fault = f.nodes["r1"].Acquire(t.Context(), "model", ask("2"))
+	require.NotNil(t, fault)
+	require.Equal(t, rwcode.DeadlineUnreachable, fault.Code)
+	require.Positive(t, fault.RetryAfter)
+	require.Less(t, time.Since(start), 500*time.Millisecond)
+	_, fault = f.nodes["r0"].Acquire(t.Context(), "other", ask("3"))
+	require.Equal(t, rwcode.NoUpstream, fault.Code)
+}
+
+// Guards against a caller who left and still holds a place in the order.
+func TestCallerLeavesWhileWaiting(t *testing.T) {
+	f := newFleet(t, 1, view(1, 1))
+	n := f.nodes["r0"]
+	g, fault := n.Acquire(t.Context(), "model", ask("1"))
+	require.Nil(t, fault)
+	defer g.End(rwplace.Served)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	_, fault = n.Acquire(ctx, "model", ask("2"))
+	require.True(t, rwfault.Is(fault, rwcode.DeadlineExceeded))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.cells {
+		require.Zero(t, c.placer.Waiting())
+	}
+	require.Empty(t, n.waits)
+}
+
+// Guards against cells of very different sizes, and against a small pool that
+// is divided.
+func TestCells(t *testing.T) {
+	require.Equal(t, 1, cells(9))
+	require.Equal(t, 1, cells(wholePool))
+	sizes := map[int]int{}
+	n := cells(90)
+	for i := range 90 {
+		sizes[cellIndex("e"+strconv.Itoa(i), n)]++
+	}
+	require.Equal(t, 8, n)
+	for _, size := range sizes {
+		require.Less(t, size, 3*cellSize)
+	}
+}
--- /dev/null
+++ b/internal/rwshare/rwshare_test.go
@@ -0,0 +1,122 @@
+package rwshare
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwpeer"
+)
+
+// router holds what one router has adopted.
+type router struct {
+	*Share
+	mu    sync.Mutex
+	rev   int64
+	items []rwitem.Item
+}
+
+func (r *router) at() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rev
+}
+
+// fleet starts links for the first two of a number of routers in two zones.
+func fleet(t *testing.T, size int) []*router {
+	var live []rwidentity.Identity
+	var listeners []net.Listener
+	for i := range size {
+		id := rwidentity.Identity{Name: "r" + strconv.Itoa(i), Zone: "z" + strconv.Itoa(i/2%2), Addr: "127.0.0.1:1"}
+		if i < 2 {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			id.Addr = l.Addr().String()
+			listeners = append(listeners, l)
+		}
+		live = append(live, id)
+	}
+	var out []*router
+	for i := range 2 {
+		peers := rwpeer.New(live[i], "0123456789abcdef", nil, zerolog.Nop(), rwmetric.New())
+		r := &router{Share: New(peers)}
+		r.Rev = r.at
+		r.Since = func(rev int64) []rwitem.Item {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			var list []rwitem.Item
+			for _, it := range r.items {
+				if it.Rev > rev {
+					list = append(list, it)
+				}
+			}
+			return list
+		}
+		r.Adopt = func(_ string, rev int64, items []rwitem.Item) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.rev, r.items = rev, append(r.items, items...)
+		}
+		r.Live = func(zone string) []rwidentity.Identity {
+			var list []rwidentity.Identity
+			for _, id := range live {
+				if zone == "" || id.Zone == zone {
+					list = append(list, id)
+				}
+			}
+			return list
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go func() { _ = peers.Serve(ctx, listeners[i]) }()
+		out = append(out, r)
+	}
+	return out
+}
+
+// Guards against a router that the platform's store refuses and that stays
+// behind although its peers know better.
+func TestRouterPullsWhatItLacks(t *testing.T) {
+	r := fleet(t, 4)
+	r[0].Adopt("store", 7, []rwitem.Item{{Key: "a", Rev: 3}, {Key: "b", Rev: 7}})
+	r[1].Adopt("store", 3, []rwitem.Item{{Key: "a", Rev: 3}})
+	r[1].Heard(r[0].self, 7)
+	require.Eventually(t, func() bool { return r[1].at() == 7 }, 5*time.Second, 5*time.Millisecond)
+	require.Len(t, r[1].items, 2, "only what was missing came")
+	r[1].Heard(r[0].self, 7)
+}
+
+// Guards against a large fleet that learns of a change only by chance.
+func TestReadersTellTheirZone(t *testing.T) {
+	r := fleet(t, 30)
+	r[0].Adopt("store", 9, []rwitem.Item{{Key: "a", Rev: 9}})
+	r[0].Tell()
+	require.Eventually(t, func() bool { return r[1].at() == 9 }, 5*time.Second, 5*time.Millisecond)
+}
+
+// Guards against a store that is read by every router of a large fleet, or by
+// none of a zone.
+func TestReaders(t *testing.T) {
+	small := fleet(t, allRead)
+	require.True(t, small[0].Reader())
+	require.True(t, small[1].Reader())
+	big := fleet(t, 40)
+	live := big[0].Live("z0")
+	count := 0
+	for _, id := range live {
+		s := &Share{self: id, Live: big[0].Live}
+		if s.Reader() {
+			count++
+		}
+	}
+	require.Equal(t, readers, count)
+}
