--- a/cmd/rwctl/main.go
+++ b/cmd/rwctl/main.go
@@ -17,6 +17,7 @@
 	"redwingworks.example/cmd/rwctl/internal/rwshow"
 	"redwingworks.example/cmd/rwctl/internal/rwstate"
 	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwexplain"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwsource"
 )
@@ -35,10 +36,43 @@
 
 func command() *cobra.Command {
 	c := &cobra.Command{Use: "rwctl", Short: "Read-only command for operators", SilenceUsage: true}
-	c.AddCommand(check(), view(), follow())
+	c.AddCommand(check(), view(), follow(), explain())
 	return c
 }
 
+// explain tells the story of a request from log files, or from standard input
+// if none is named.
+func explain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain ID [FILE…]",
+		Short: "Tell from routers' logs what happened to a request and why",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			story := rwexplain.New(args[0])
+			if len(args) == 1 {
+				if err := story.Read(c.InOrStdin()); err != nil {
+					return err
+				}
+			}
+			for _, name := range args[1:] {
+				if err := readLog(story, name); err != nil {
+					return err
+				}
+			}
+			return story.Write(c.OutOrStdout())
+		},
+	}
+}
+
+func readLog(story *rwexplain.Story, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return rwfault.Wrap(rwcode.SettingsInvalid, err)
+	}
+	defer func() { _ = f.Close() }()
+	return story.Read(f)
+}
+
 func check() *cobra.Command {
 	var platform string
 	c := &cobra.Command{
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -246,10 +246,9 @@
 	e.kernel.Register("signals", nil, e.waitSignal)
 	err := e.kernel.Run()
 	if err != nil {
-		rwlog.Warn(&e.log, rwlog.Stopped, err).Send()
-	} else {
-		rwlog.Info(&e.log, rwlog.Stopped).Send()
+		rwlog.Warn(&e.log, rwlog.ProcessFailed, err).Send()
 	}
+	rwlog.Info(&e.log, rwlog.Stopped).Send()
 	stopSink()
 	<-sinkDone
 	return err
--- /dev/null
+++ b/internal/rwexplain/rwexplain.go
@@ -0,0 +1,145 @@
+// Package rwexplain tells the story of one request from the logs of routers:
+// what was decided on it, by which inputs, and what the routers believed then.
+package rwexplain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwlog"
+)
+
+const (
+	// maxLine bounds one log line in bytes.
+	maxLine = 1 << 20
+	// before is how long before a request changes of belief are shown.
+	before = 5 * time.Second
+)
+
+// beliefs are the events that change what a router believes or can do.
+var beliefs = map[rwlog.Event]bool{
+	rwlog.Started: true, rwlog.Stopped: true, rwlog.StopRequested: true, rwlog.DrainFinished: true,
+	rwlog.PauseDetected: true, rwlog.LinesDropped: true, rwlog.RecordSetAside: true, rwlog.PlatformLost: true,
+	rwlog.PlatformRestored: true, rwlog.PlanAdopted: true, rwlog.UpstreamsChanged: true, rwlog.MemberChanged: true,
+	rwlog.PeerLost: true,
+}
+
+// Story collects log lines. It is not safe for concurrent use.
+type Story struct {
+	id    string
+	lines []line
+}
+
+type line struct {
+	at     time.Time
+	router string
+	event  rwlog.Event
+	name   string
+	fields map[string]any
+	own    bool
+}
+
+// New returns an empty story of the request with an id.
+func New(id string) *Story { return &Story{id: id} }
+
+// Read takes the log of one or more routers. Lines that are no log lines are
+// passed over, since other output may be mixed in. It fails with Internal if
+// reading fails.
+func (s *Story) Read(r io.Reader) error {
+	scan := bufio.NewScanner(r)
+	scan.Buffer(nil, maxLine)
+	for scan.Scan() {
+		text := scan.Bytes()
+		if i := slices.Index(text, '{'); i > 0 {
+			// Collectors put the time and the machine before a line.
+			text = text[i:]
+		}
+		s.take(text)
+	}
+	if err := scan.Err(); err != nil {
+		return rwfault.Wrap(rwcode.Internal, err)
+	}
+	return nil
+}
+
+func (s *Story) take(text []byte) {
+	var fields map[string]any
+	if json.Unmarshal(text, &fields) != nil {
+		return
+	}
+	number, _ := fields["event"].(float64)
+	name, _ := fields["name"].(string)
+	router, _ := fields["router"].(string)
+	stamp, _ := fields["time"].(string)
+	at, err := time.Parse(time.RFC3339Nano, stamp)
+	if err != nil || number == 0 {
+		return
+	}
+	own := fields["id"] == s.id
+	if !own && !beliefs[rwlog.Event(number)] {
+		return
+	}
+	for _, k := range []string{"event", "name", "router", "time", "process", "level", "id"} {
+		delete(fields, k)
+	}
+	s.lines = append(s.lines, line{at, router, rwlog.Event(number), name, fields, own})
+}
+
+// Write writes the lines of the request in the order of time, and before them
+// the changes of belief of the same routers. It fails with UnknownPath if no
+// line names the request.
+func (s *Story) Write(w io.Writer) error {
+	var first, last time.Time
+	routers := map[string]bool{}
+	for _, l := range s.lines {
+		if !l.own {
+			continue
+		}
+		if first.IsZero() || l.at.Before(first) {
+			first = l.at
+		}
+		if l.at.After(last) {
+			last = l.at
+		}
+		routers[l.router] = true
+		if owner, ok := l.fields["owner"].(string); ok {
+			routers[owner] = true
+		}
+	}
+	if first.IsZero() {
+		return rwfault.New(rwcode.UnknownPath, "no line of request "+s.id+"; it may have been left out (event 107)")
+	}
+	slices.SortStableFunc(s.lines, func(a, b line) int { return a.at.Compare(b.at) })
+	for _, l := range s.lines {
+		near := !l.at.Before(first.Add(-before)) && !l.at.After(last)
+		if !l.own && !(near && routers[l.router]) {
+			continue
+		}
+		mark := "  "
+		if l.own {
+			mark = "* "
+		}
+		if _, err := fmt.Fprintf(w, "%s%s %s %s%s\n", mark, l.at.Format("15:04:05.000"), l.router, l.name, l.text()); err != nil {
+			return rwfault.Wrap(rwcode.Internal, err)
+		}
+	}
+	return nil
+}
+
+func (l line) text() string {
+	var b strings.Builder
+	for _, k := range slices.Sorted(maps.Keys(l.fields)) {
+		if v := l.fields[k]; v != "" && v != float64(0) {
+			fmt.Fprintf(&b, " %s=%v", k, v)
+		}
+	}
+	return b.String()
+}
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -357,7 +357,7 @@
 func (f *Front) finish(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, fault *rwfault.Fault) {
 	if ended := rwfault.Ended(ctx); ended != nil && ended.Code == rwcode.CallerGone {
 		f.Metrics.Refused(rwcode.CallerGone)
-		rwlog.Info(&f.Log, rwlog.RequestFailed).Str("id", x.Request.ID).Stringer("code", ended.Code).
+		rwlog.Info(&f.Log, rwlog.RequestAbandoned).Str("id", x.Request.ID).Stringer("code", ended.Code).
 			Str("upstream", x.Upstream).Int("sent", x.Sent).Dur("took", time.Since(x.Start)).Send()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/rwlog/event_string.go
+++ b/internal/rwlog/event_string.go
@@ -17,6 +17,7 @@
 	_ = x[PauseDetected-106]
 	_ = x[LinesDropped-107]
 	_ = x[SettingsReloaded-108]
+	_ = x[ProcessFailed-109]
 	_ = x[RecordAdopted-200]
 	_ = x[RecordSetAside-201]
 	_ = x[RecordStale-202]
@@ -32,6 +33,7 @@
 	_ = x[RequestPlaced-403]
 	_ = x[RequestResumed-404]
 	_ = x[RequestFinished-405]
+	_ = x[RequestAbandoned-406]
 	_ = x[PeerRefused-500]
 	_ = x[PeerLost-501]
 	_ = x[CellTaken-600]
@@ -43,19 +45,19 @@
 }
 
 const (
-	_Event_name_0 = "startedstoppedstop requestedsettings invalidreadydrain finishedpause detectedlog lines droppedsettings reloaded"
+	_Event_name_0 = "startedstoppedstop requestedsettings invalidreadydrain finishedpause detectedlog lines droppedsettings reloadedprocess failed"
 	_Event_name_1 = "record adoptedrecord set asidestale record ignoredplatform lostplatform restoredupstream leavingconfiguration adoptedupstreams changed"
 	_Event_name_2 = "member changed"
-	_Event_name_3 = "request refusedrequest failedrequest retriedrequest placedrequest resumedrequest finished"
+	_Event_name_3 = "request refusedrequest failedrequest retriedrequest placedrequest resumedrequest finishedrequest abandoned"
 	_Event_name_4 = "peer refusedpeer lost"
 	_Event_name_5 = "cell ownership takencell ownership releasedupstream backed off"
 	_Event_name_6 = "idempotency keys heldidempotency keys releasedidempotency keys handed over"
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 7, 14, 28, 44, 49, 63, 77, 94, 111}
+	_Event_index_0 = [...]uint8{0, 7, 14, 28, 44, 49, 63, 77, 94, 111, 125}
 	_Event_index_1 = [...]uint8{0, 14, 30, 50, 63, 80, 96, 117, 134}
-	_Event_index_3 = [...]uint8{0, 15, 29, 44, 58, 73, 89}
+	_Event_index_3 = [...]uint8{0, 15, 29, 44, 58, 73, 89, 106}
 	_Event_index_4 = [...]uint8{0, 12, 21}
 	_Event_index_5 = [...]uint8{0, 20, 43, 62}
 	_Event_index_6 = [...]uint8{0, 21, 46, 74}
@@ -63,7 +65,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 108:
+	case 100 <= i && i <= 109:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 200 <= i && i <= 207:
@@ -71,7 +73,7 @@
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
 	case i == 300:
 		return _Event_name_2
-	case 400 <= i && i <= 405:
+	case 400 <= i && i <= 406:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 500 <= i && i <= 501:
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -28,6 +28,7 @@
 	PauseDetected     Event = 106 // pause detected
 	LinesDropped      Event = 107 // log lines dropped
 	SettingsReloaded  Event = 108 // settings reloaded
+	ProcessFailed     Event = 109 // process failed
 	RecordAdopted     Event = 200 // record adopted
 	RecordSetAside    Event = 201 // record set aside
 	RecordStale       Event = 202 // stale record ignored
@@ -43,6 +44,7 @@
 	RequestPlaced     Event = 403 // request placed
 	RequestResumed    Event = 404 // request resumed
 	RequestFinished   Event = 405 // request finished
+	RequestAbandoned  Event = 406 // request abandoned
 	PeerRefused       Event = 500 // peer refused
 	PeerLost          Event = 501 // peer lost
 	CellTaken         Event = 600 // cell ownership taken
@@ -53,6 +55,9 @@
 	KeysHandedOver    Event = 702 // idempotency keys handed over
 )
 
+// A request passes through two routers within milliseconds.
+func init() { zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" }
+
 // New returns a logger that writes JSON lines with the process name.
 func New(w io.Writer, process string) zerolog.Logger {
 	return zerolog.New(w).With().Timestamp().Str("process", process).Logger()
