List the caches of the engines when a cell begins anew

Cause: after the closing faults the new owner knew no caches and had 30 to 45% of the shared parts read again from their homes (kept 0 of them).

--- a/cmd/rwfront/main.go
+++ b/cmd/rwfront/main.go
@@ -71,6 +71,7 @@
 		List:       feed.List,
 		Watch:      feed.Watch,
 		Decode:     rwfeed.Decode,
+		Inventory:  rwwire.Inventory(),
 		Key:        os.Getenv(keyVariable),
 		Out:        os.Stdout,
 	}).Run()
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -60,6 +60,9 @@
 	Missed func(time.Duration)
 	// Window is the time over which accounts' shares are compared.
 	Window time.Duration
+	// Inventory, if set, lists the prompt parts that the engine at an address
+	// keeps. It is asked once for each engine of a cell that begins anew.
+	Inventory func(ctx context.Context, addr string) ([]rwprompt.Part, error)
 
 	self    rwidentity.Identity
 	peers   *rwpeer.Peers
@@ -374,6 +377,7 @@
 		c = &cell{placer: rwplace.New(spec), from: map[string]rwidentity.Identity{}}
 		c.placer.Missed = b.Missed
 		b.cells[k] = c
+		b.learn(k, view, engines)
 	}
 	c.view = view
 	c.placer.Configure(spec)
@@ -381,6 +385,29 @@
 	return c
 }
 
+// learn asks the engines of a new cell for what they keep.
+func (b *Broker) learn(k cellKey, view *rwpublished.Published, engines []rwplace.Engine) {
+	if b.Inventory == nil {
+		return
+	}
+	for _, e := range engines {
+		in, ok := view.Known(e.ID)
+		if !ok {
+			continue
+		}
+		go func() {
+			parts, err := b.Inventory(context.Background(), in.Addr)
+			if err != nil {
+				// The home of a prompt is a good guess without it.
+				b.metrics.Add("inventories_failed", 1)
+				return
+			}
+			b.metrics.Add("inventories", 1)
+			b.update(k, func(p *rwplace.Placer) { p.Learn(in.ID, parts) })
+		}()
+	}
+}
+
 func (b *Broker) spec(view *rwpublished.Published, k cellKey) (rwplace.Spec, []rwplace.Engine) {
 	list := view.Usable(k.Service)
 	n := cells(len(list))
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -34,6 +34,7 @@
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwprompt"
 	"redwingworks.example/internal/rwpublished"
 	"redwingworks.example/internal/rwrepeat"
 	"redwingworks.example/internal/rwshare"
@@ -82,6 +83,8 @@
 	List     func(ctx context.Context, prefix string) (rwtrack.Batch, error)
 	Watch    func(ctx context.Context, prefix string, after int64, wait time.Duration) (rwtrack.Batch, error)
 	Decode   func(rwitem.Item) (rwcatalog.Fact, error)
+	// Inventory lists the prompt parts that the engine at an address keeps.
+	Inventory func(ctx context.Context, addr string) ([]rwprompt.Part, error)
 	// Key authenticates routers to each other.
 	Key string
 	Out io.Writer
@@ -180,6 +183,7 @@
 	e.broker.Reachable = e.gossip.Reachable
 	e.broker.Window = e.deploy.ShareWindow / 2
 	e.broker.Missed = e.missed.Add
+	e.broker.Inventory = e.config.Inventory
 	front := &rwfront.Front{
 		Dialect: e.config.Dialect, Published: e.published.Load, Acquire: e.broker.Acquire, Pool: e.pool,
 		Routers: func() int { return int(e.most.Load()) },
--- a/internal/rwplace/rwplace.go
+++ b/internal/rwplace/rwplace.go
@@ -322,6 +322,17 @@
 	}
 }
 
+// Learn notes prompt parts that an engine keeps, as it told itself. A placer
+// that begins anew would otherwise have parts read again that its predecessor
+// had put elsewhere than at their home.
+func (p *Placer) Learn(id string, parts []rwprompt.Part) {
+	if e := p.engines[id]; e != nil {
+		for _, part := range parts {
+			e.cache.Use([]rwprompt.Part{part})
+		}
+	}
+}
+
 // Ask decides on a new request. With the verdict Wait, the decision comes from
 // a later Tick.
 func (p *Placer) Ask(now time.Time, a Ask) Decision {
--- a/internal/rwplace/rwplace_test.go
+++ b/internal/rwplace/rwplace_test.go
@@ -403,3 +403,19 @@
 		p.Tick(at(n))
 	}
 }
+
+// Guards against a new placer that has parts read again which an engine other
+// than their home keeps.
+func TestLearnedPartsAreFound(t *testing.T) {
+	home := placer("a", "b").Ask(at(0), ask("0", "acc", "s", 1000)).Engine
+	other := "a"
+	if home == "a" {
+		other = "b"
+	}
+	p := placer("a", "b")
+	p.Learn(other, []rwprompt.Part{{ID: "s", Tokens: 13_000}})
+	p.Learn("gone", []rwprompt.Part{{ID: "s", Tokens: 13_000}})
+	d := p.Ask(at(0), ask("1", "acc", "s", 1000))
+	require.Equal(t, other, d.Engine)
+	require.Equal(t, 13_000, d.Kept)
+}
