--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -173,9 +174,16 @@
 	e.tracker = &rwtrack.Tracker{
 		Prefixes: e.config.Prefixes, List: e.config.List, Watch: e.config.Watch,
 		Listed: e.listed, Changed: e.watched, Failed: e.storeFailed, Reader: e.share.Reader,
+		Wait: e.waitForPeers, Within: e.deploy.ConfigWithin,
 	}
 }
 
+// waitForPeers is whether a router that starts may still learn from its peers
+// what is published. Seeds read the store at once.
+func (e *Edge) waitForPeers() bool {
+	return !slices.Contains(e.deploy.Seeds, e.deploy.Peer) && e.published.Load().Plan == nil
+}
+
 // wireRequests connects the parts that serve callers.
 func (e *Edge) wireRequests() {
 	e.broker.Published = e.published.Load
--- a/internal/rwtrack/rwtrack.go
+++ b/internal/rwtrack/rwtrack.go
@@ -18,10 +18,19 @@
 
 const (
 	watchWait = 20 * time.Second
-	// listInterval is the time between two listings of a prefix. It has to
-	// leave room for one lost answer inside the two seconds in which a
-	// configuration or a leaving upstream must be known.
-	listInterval = 700 * time.Millisecond
+	// listPart is the part of the time in which a change must be in force that
+	// lies between two listings of a prefix. It leaves room for one lost
+	// answer.
+	listPart = 0.35
+	// defaultWithin is used if that time is not known.
+	defaultWithin = 2 * time.Second
+	// gather is the time between two watches of a prefix. Changes come in
+	// groups, and each answer of the store is counted.
+	gather = 120 * time.Millisecond
+	// joinWait is how long a router that starts waits for its peers to tell it
+	// what is published, before it reads the store itself. Without it every
+	// router of a large fleet is a reader until it knows the others.
+	joinWait = 1200 * time.Millisecond
 	// slowInterval is the same for a router that learns of changes from those
 	// that read: the listing only repairs what they missed.
 	slowInterval = 5 * time.Second
@@ -50,6 +59,11 @@
 	Failed  func(prefix string, err error)
 	// Reader is whether this router reads for others too.
 	Reader func() bool
+	// Wait, if set, is whether a router that starts should first wait for its
+	// peers.
+	Wait func() bool
+	// Within is the time in which a change must be in force; 0 is unknown.
+	Within time.Duration
 
 	mu   sync.Mutex
 	last map[string]int64
@@ -58,6 +72,9 @@
 // Run reads until the context ends.
 func (t *Tracker) Run(ctx context.Context) error {
 	t.last = map[string]int64{}
+	for start := time.Now(); t.Wait != nil && t.Wait() && time.Since(start) < joinWait && ctx.Err() == nil; {
+		sleep(ctx, step)
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	for _, prefix := range t.Prefixes {
 		g.Go(func() error { t.listLoop(ctx, prefix); return nil })
@@ -84,8 +101,12 @@
 }
 
 func (t *Tracker) interval() time.Duration {
+	within := t.Within
+	if within <= 0 {
+		within = defaultWithin
+	}
 	if t.Reader() {
-		return listInterval
+		return time.Duration(listPart * float64(within))
 	}
 	return slowInterval
 }
@@ -102,6 +123,9 @@
 		case err == nil:
 			t.advance(prefix, b.Rev)
 			t.Changed(prefix, b)
+			if len(b.Items) > 0 {
+				sleep(ctx, gather)
+			}
 		case rwfault.Is(err, rwcode.RecordStale):
 			t.relist(ctx, prefix)
 		default:
