--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -185,16 +185,13 @@
 		}
 		return nil, broken(ctx, err)
 	}
-	resp, judgement, err := p.receive(c, o)
-	if err != nil {
+	a := &Answer{pool: p, key: o.Key, conn: c, stop: stop}
+	if err := a.receive(o); err != nil {
 		stop()
 		_ = c.Close()
 		return nil, broken(ctx, err)
 	}
-	return &Answer{
-		Response: resp, Judgement: judgement, pool: p, key: o.Key, conn: c, stop: stop,
-		body: &tracked{Reader: resp.Body},
-	}, nil
+	return a, nil
 }
 
 // broken is the fault of a request that was sent.
@@ -209,27 +206,30 @@
 	return rwfault.Wrap(rwcode.UpstreamTruncated, err).WithOutcome(rwoutcome.Unknown)
 }
 
-func (p *Pool) receive(c *conn, o Order) (*http.Response, rwdialect.Judgement, error) {
+// receive reads the head of the answer to an order.
+func (a *Answer) receive(o Order) error {
 	req := &http.Request{Method: o.Method}
 	for stray := 0; ; {
-		resp, err := http.ReadResponse(c.br, req)
+		resp, err := http.ReadResponse(a.conn.br, req)
 		if err != nil {
-			return nil, rwdialect.Judgement{}, readFault(err)
+			return readFault(err)
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		j := p.Judge(resp)
+		j := a.pool.Judge(resp)
 		if j.ID == "" || j.ID == o.ID {
-			return resp, j, nil
+			a.Response, a.Judgement, a.body = resp, j, &tracked{Reader: resp.Body}
+			return nil
 		}
 		// A late answer to an earlier request on this connection.
 		if stray++; stray > maxStray || resp.Close {
-			return nil, j, rwfault.New(rwcode.UpstreamMismatch, j.ID)
+			return rwfault.New(rwcode.UpstreamMismatch, j.ID)
 		}
 		n, err := io.CopyN(io.Discard, resp.Body, maxStrayBytes)
+		_ = resp.Body.Close()
 		if !errors.Is(err, io.EOF) || n == maxStrayBytes {
-			return nil, j, rwfault.New(rwcode.UpstreamMismatch, j.ID)
+			return rwfault.New(rwcode.UpstreamMismatch, j.ID)
 		}
 	}
 }
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -55,6 +55,9 @@
 	// refused callers' connections are closed.
 	callerPart  = 0.5
 	crowdedPart = 0.3
+	// joinWait is how long after its start a router is still learning which
+	// other routers there are.
+	joinWait = 1200 * time.Millisecond
 	// defaultDescriptors is used if the settings name no limit.
 	defaultDescriptors = 4096
 	// acceptTime is how long after a request to stop new requests are still
@@ -95,6 +98,7 @@
 type Edge struct {
 	config  Config
 	deploy  rwdeployment.Deployment
+	started time.Time
 	sink    *rwsink.Sink
 	log     zerolog.Logger
 	metrics *rwmetric.Metrics
@@ -127,7 +131,7 @@
 // New returns a front router that is not running yet.
 func New(c Config) *Edge {
 	e := &Edge{
-		config: c, deploy: c.Deployment, sink: rwsink.New(c.Out), metrics: rwmetric.New(), kernel: rwkernel.New(),
+		config: c, deploy: c.Deployment, started: time.Now(), sink: rwsink.New(c.Out), metrics: rwmetric.New(), kernel: rwkernel.New(),
 		catalog: rwcatalog.New(c.Decode), latency: rwtimes.New("first_answer"), missed: rwtimes.New("forecast_error"),
 		self: rwidentity.Identity{
 			Name: c.Deployment.Name, Zone: c.Deployment.Zone, Region: c.Deployment.Region,
@@ -173,15 +177,19 @@
 	e.gossip.Woke = func(time.Duration) { e.broker.Reset() }
 	e.tracker = &rwtrack.Tracker{
 		Prefixes: e.config.Prefixes, List: e.config.List, Watch: e.config.Watch,
-		Listed: e.listed, Changed: e.watched, Failed: e.storeFailed, Reader: e.share.Reader,
-		Wait: e.waitForPeers, Within: e.deploy.ConfigWithin,
+		Listed: e.listed, Changed: e.watched, Failed: e.storeFailed, Reader: e.reader,
+		Within: e.deploy.ConfigWithin,
 	}
 }
 
-// waitForPeers is whether a router that starts may still learn from its peers
-// what is published. Seeds read the store at once.
-func (e *Edge) waitForPeers() bool {
-	return !slices.Contains(e.deploy.Seeds, e.deploy.Peer) && e.published.Load().Plan == nil
+// reader is whether this router reads the store more than once. In a large fleet
+// that starts as a whole every router would be a reader until it knows the
+// others, so only the seeds are at first.
+func (e *Edge) reader() bool {
+	if !slices.Contains(e.deploy.Seeds, e.deploy.Peer) && time.Since(e.started) < joinWait {
+		return false
+	}
+	return e.share.Reader()
 }
 
 // wireRequests connects the parts that serve callers.
--- a/internal/rwexplain/rwexplain.go
+++ b/internal/rwexplain/rwexplain.go
@@ -120,7 +120,7 @@
 	slices.SortStableFunc(s.lines, func(a, b line) int { return a.at.Compare(b.at) })
 	for _, l := range s.lines {
 		near := !l.at.Before(first.Add(-before)) && !l.at.After(last)
-		if !l.own && !(near && routers[l.router]) {
+		if !l.own && (!near || !routers[l.router]) {
 			continue
 		}
 		mark := "  "
--- a/internal/rwsink/rwsink.go
+++ b/internal/rwsink/rwsink.go
@@ -14,10 +14,10 @@
 const (
 	// backlog is how many lines wait for a slow reader.
 	backlog = 2048
-	// Rate bounds the informational lines in each second, WarnRate the
+	// infoRate bounds the informational lines in each second, warnRate the
 	// warnings, so that failures are never left out for the sake of others.
-	Rate     = 400
-	WarnRate = 400
+	infoRate = 400
+	warnRate = 400
 )
 
 // Sink is a writer for zerolog.
@@ -52,13 +52,11 @@
 
 // WriteLevel queues a line, or counts it if it is over the bound.
 func (s *Sink) WriteLevel(level zerolog.Level, p []byte) (int, error) {
-	ok := true
+	limit, rate := &s.warn, int64(warnRate)
 	if level < zerolog.WarnLevel {
-		ok = s.info.take(Rate)
-	} else {
-		ok = s.warn.take(WarnRate)
+		limit, rate = &s.info, infoRate
 	}
-	if ok {
+	if limit.take(rate) {
 		select {
 		case s.lines <- append([]byte(nil), p...):
 			return len(p), nil
--- a/internal/rwtrack/rwtrack.go
+++ b/internal/rwtrack/rwtrack.go
@@ -27,10 +27,6 @@
 	// gather is the time between two watches of a prefix. Changes come in
 	// groups, and each answer of the store is counted.
 	gather = 120 * time.Millisecond
-	// joinWait is how long a router that starts waits for its peers to tell it
-	// what is published, before it reads the store itself. Without it every
-	// router of a large fleet is a reader until it knows the others.
-	joinWait = 1200 * time.Millisecond
 	// slowInterval is the same for a router that learns of changes from those
 	// that read: the listing only repairs what they missed.
 	slowInterval = 5 * time.Second
@@ -59,9 +55,6 @@
 	Failed  func(prefix string, err error)
 	// Reader is whether this router reads for others too.
 	Reader func() bool
-	// Wait, if set, is whether a router that starts should first wait for its
-	// peers.
-	Wait func() bool
 	// Within is the time in which a change must be in force; 0 is unknown.
 	Within time.Duration
 
@@ -72,9 +65,6 @@
 // Run reads until the context ends.
 func (t *Tracker) Run(ctx context.Context) error {
 	t.last = map[string]int64{}
-	for start := time.Now(); t.Wait != nil && t.Wait() && time.Since(start) < joinWait && ctx.Err() == nil; {
-		sleep(ctx, step)
-	}
 	g, ctx := errgroup.WithContext(ctx)
 	for _, prefix := range t.Prefixes {
 		g.Go(func() error { t.listLoop(ctx, prefix); return nil })
