Refuse early on a router that can't keep up; write log lines in batches

Cause: at 81 machines one router with 0.192 cores got the callers of a hot account, read requests a second late, forwarded some whose callers had left (GONE) and was killed at its memory limit. Ruled out: a leak (the other routers stay at 30 MB).

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -32,6 +32,7 @@
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwitem"
 	"redwingworks.example/internal/rwkernel"
+	"redwingworks.example/internal/rwlag"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rwpeer"
@@ -58,6 +59,12 @@
 	// joinWait is how long after its start a router is still learning which
 	// other routers there are.
 	joinWait = 1200 * time.Millisecond
+	// requestBytes is what a request in progress takes, with its buffers,
+	// stacks and body; requestPart is the part of the memory that all may take.
+	requestBytes = 160 << 10
+	requestPart  = 0.4
+	// defaultRequests bounds the requests if the settings name no memory.
+	defaultRequests = 1024
 	// defaultDescriptors is used if the settings name no limit.
 	defaultDescriptors = 4096
 	// acceptTime is how long after a request to stop new requests are still
@@ -112,6 +119,7 @@
 	pool    *rwconn.Pool
 	server  *http.Server
 	callers *rwcallers.Callers
+	lag     *rwlag.Lag
 	latency *rwtimes.Times
 	missed  *rwtimes.Times
 
@@ -144,7 +152,7 @@
 	e.gossip = rwgossip.New(e.peers, e.deploy.Seeds, e.log, e.metrics)
 	e.share = rwshare.New(e.peers)
 	e.broker = rwbroker.New(e.self, e.peers, e.metrics)
-	e.callers = rwcallers.New()
+	e.callers, e.lag = rwcallers.New(), rwlag.New()
 	e.pool = rwconn.New(c.Dialect.Judge)
 	e.pool.Count = func(reason string) { e.metrics.Add(reason, 1) }
 	e.wireShare()
@@ -207,8 +215,9 @@
 			return rwrepeat.New(e.deploy.RetryShare, e.deploy.RetryExtra, e.deploy.RetryWindow)
 		},
 		Closing: e.stopping.Load, Refusing: e.refusing.Load,
-		Crowded: func() bool { return e.callers.Open() > e.descriptors(crowdedPart) },
-		Zone:    e.self.Zone, Log: e.log, Metrics: e.metrics, Observe: e.latency.Add,
+		Overloaded: e.overloaded,
+		Crowded:    func() bool { return e.callers.Open() > e.descriptors(crowdedPart) },
+		Zone:       e.self.Zone, Log: e.log, Metrics: e.metrics, Observe: e.latency.Add,
 	}
 	e.server = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -221,6 +230,16 @@
 	}
 }
 
+// overloaded is whether the router has as many requests as its memory takes, or
+// reads them late.
+func (e *Edge) overloaded() bool {
+	most := int64(defaultRequests)
+	if m := e.deploy.MemoryBytes; m > 0 {
+		most = int64(requestPart * float64(m) / requestBytes)
+	}
+	return e.lag.Behind() || e.active.Load() > most
+}
+
 func (e *Edge) descriptors(part float64) int {
 	n := e.deploy.Descriptors
 	if n <= 0 {
@@ -263,6 +282,7 @@
 	e.kernel.Register("ready", nil, e.serveReady)
 	e.kernel.Register("metrics", e.metrics, e.serveMetrics)
 	e.kernel.Register("upkeep", nil, e.upkeep)
+	e.kernel.Register("lag", e.lag, e.lag.Run)
 	e.kernel.Register("signals", nil, e.waitSignal)
 	err := e.kernel.Run()
 	if err != nil {
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -40,11 +40,12 @@
 	maxAnswer = 16 << 20
 	// maxSends bounds the upstreams that are tried for one request.
 	maxSends = 4
-	// notReadyRetry, unreachableRetry and drainRetry are when callers may
+	// notReadyRetry, unreachableRetry, drainRetry and overloadRetry are when callers may
 	// come back if nothing better is known.
 	notReadyRetry    = 300 * time.Millisecond
 	unreachableRetry = 250 * time.Millisecond
 	drainRetry       = 50 * time.Millisecond
+	overloadRetry    = 200 * time.Millisecond
 	// returnSpread spreads the callers that come back over this part of their
 	// time, so that those refused together don't return together.
 	returnSpread = 0.5
@@ -66,6 +67,8 @@
 	// Closing is whether connections of callers close after their answer,
 	// Refusing whether new requests are refused.
 	Closing, Refusing func() bool
+	// Overloaded is whether this router can't take more requests now.
+	Overloaded func() bool
 	// Crowded is whether the connections of refused callers close: they come
 	// back on new ones.
 	Crowded func() bool
@@ -117,6 +120,10 @@
 	switch {
 	case view.Plan == nil:
 		return x, rwfault.New(rwcode.NotReady, "no configuration yet").WithRetryAfter(notReadyRetry)
+	case f.Overloaded():
+		// Before the body is read and the route is known, so that it costs
+		// little.
+		return x, rwfault.New(rwcode.TooManyRequests, "router overloaded").WithRetryAfter(overloadRetry)
 	case f.Refusing():
 		return x, rwfault.New(rwcode.Draining, "shutting down").WithRetryAfter(drainRetry)
 	}
@@ -374,7 +381,7 @@
 	status := statusOf(fault)
 	f.note(x, fault, status)
 	h := w.Header()
-	if f.Crowded() {
+	if f.Crowded() || fault.Code == rwcode.TooManyRequests {
 		h.Set("Connection", "close")
 	}
 	h.Set("Content-Type", "text/plain")
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -141,8 +141,8 @@
 		Routers: func() int { return 1 },
 		Budget:  func() *rwrepeat.Budget { return rwrepeat.New(0.2, 50, 10*time.Second) },
 		Closing: func() bool { return false }, Refusing: func() bool { return false },
-		Crowded: func() bool { return false },
-		Zone:    "z", Log: zerolog.Nop(), Metrics: rwmetric.New(),
+		Crowded: func() bool { return false }, Overloaded: func() bool { return false },
+		Zone: "z", Log: zerolog.Nop(), Metrics: rwmetric.New(),
 	}
 	s := httptest.NewServer(f.front)
 	t.Cleanup(s.Close)
@@ -435,3 +435,15 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, status)
 }
+
+// Guards against an overloaded router that holds ever more requests, and
+// against one that refuses without a time to come back.
+func TestOverloadedRouterRefuses(t *testing.T) {
+	f := serve(t, map[string]http.HandlerFunc{"a": sealed(200, "x")})
+	f.front.Overloaded = func() bool { return true }
+	status, _, h, err := f.ask(t, "/unsafe/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, h.Get("Retry-After"))
+	require.Zero(t, f.runs())
+}
--- a/internal/rwsink/rwsink.go
+++ b/internal/rwsink/rwsink.go
@@ -14,6 +14,8 @@
 const (
 	// backlog is how many lines wait for a slow reader.
 	backlog = 2048
+	// maxBatch is the size in bytes from which lines are written.
+	maxBatch = 32 << 10
 	// infoRate bounds the informational lines in each second, warnRate the
 	// warnings, so that failures are never left out for the sake of others.
 	infoRate = 400
@@ -75,17 +77,33 @@
 			s.flush()
 			return nil
 		case line := <-s.lines:
-			// The log has no other place to report its own failure.
-			_, _ = s.out.Write(line)
+			s.write(line)
 		}
 	}
 }
 
+// write writes a line and all that wait behind it in one call, since each call
+// costs more than a line.
+func (s *Sink) write(first []byte) {
+	batch := first
+	for len(batch) < maxBatch {
+		select {
+		case line := <-s.lines:
+			batch = append(batch, line...)
+			continue
+		default:
+		}
+		break
+	}
+	// The log has no other place to report its own failure.
+	_, _ = s.out.Write(batch)
+}
+
 func (s *Sink) flush() {
 	for {
 		select {
 		case line := <-s.lines:
-			_, _ = s.out.Write(line)
+			s.write(line)
 		default:
 			return
 		}
