--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -77,6 +77,10 @@
 	// memoryUse is the part of the memory limit that the heap may take before
 	// the collector works harder.
 	memoryUse = 0.7
+	// gcPercent lets the heap grow further between collections than by
+	// default: a router's live heap is a few megabytes, and each request
+	// allocates its body and buffers.
+	gcPercent = 300
 	sweep     = 250 * time.Millisecond
 	// reloadInterval is how often the settings file is compared; it can change
 	// without a signal.
@@ -215,9 +219,9 @@
 			return rwrepeat.New(e.deploy.RetryShare, e.deploy.RetryExtra, e.deploy.RetryWindow)
 		},
 		Closing: e.stopping.Load, Refusing: e.refusing.Load,
-		Overloaded: e.overloaded,
-		Crowded:    func() bool { return e.callers.Open() > e.descriptors(crowdedPart) },
-		Zone:       e.self.Zone, Log: e.log, Metrics: e.metrics, Observe: e.latency.Add,
+		Overloaded: e.overloaded, Behind: e.lag.Behind,
+		Crowded: func() bool { return e.callers.Open() > e.descriptors(crowdedPart) },
+		Zone:    e.self.Zone, Log: e.log, Metrics: e.metrics, Observe: e.latency.Add,
 	}
 	e.server = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -262,6 +266,7 @@
 // Run serves until a signal asks the process to stop, and then until the
 // requests in progress have ended.
 func (e *Edge) Run() error {
+	debug.SetGCPercent(gcPercent)
 	if m := e.deploy.MemoryBytes; m > 0 {
 		debug.SetMemoryLimit(int64(float64(m) * memoryUse))
 	}
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -69,6 +69,9 @@
 	Closing, Refusing func() bool
 	// Overloaded is whether this router can't take more requests now.
 	Overloaded func() bool
+	// Behind is whether this router reads requests late: the callers of those
+	// that it holds may have left without its knowing.
+	Behind func() bool
 	// Crowded is whether the connections of refused callers close: they come
 	// back on new ones.
 	Crowded func() bool
@@ -237,6 +240,10 @@
 		if fault != nil {
 			return worse(last, fault)
 		}
+		if x.Sent == 0 && f.Behind() {
+			p.end(rwplace.Abandoned)
+			return rwfault.New(rwcode.TooManyRequests, "router behind").WithRetryAfter(overloadRetry)
+		}
 		if x.Sent > 0 && !f.mayRepeat(x, last) {
 			p.end(rwplace.Abandoned)
 			return last
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -142,7 +142,8 @@
 		Budget:  func() *rwrepeat.Budget { return rwrepeat.New(0.2, 50, 10*time.Second) },
 		Closing: func() bool { return false }, Refusing: func() bool { return false },
 		Crowded: func() bool { return false }, Overloaded: func() bool { return false },
-		Zone: "z", Log: zerolog.Nop(), Metrics: rwmetric.New(),
+		Behind: func() bool { return false },
+		Zone:   "z", Log: zerolog.Nop(), Metrics: rwmetric.New(),
 	}
 	s := httptest.NewServer(f.front)
 	t.Cleanup(s.Close)
@@ -447,3 +448,17 @@
 	require.NotEmpty(t, h.Get("Retry-After"))
 	require.Zero(t, f.runs())
 }
+
+// Guards against a router that is behind and forwards requests whose callers
+// may have left.
+func TestRouterBehindForwardsNothing(t *testing.T) {
+	f := serve(t, map[string]http.HandlerFunc{"a": sealed(200, "x"), "m": events(1, 3, true)})
+	f.front.Behind = func() bool { return true }
+	for _, path := range []string{"/safe/x", "/stream/x"} {
+		status, _, h, err := f.ask(t, path)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		require.NotEmpty(t, h.Get("Retry-After"))
+	}
+	require.Zero(t, f.runs())
+}
