--- a/cmd/rwfront/main.go
+++ b/cmd/rwfront/main.go
@@ -8,12 +8,10 @@
 
 	"github.com/spf13/cobra"
 
-	"redwingworks.example/internal/rwdeployment"
 	"redwingworks.example/internal/rwedge"
 	"redwingworks.example/internal/rwlog"
-	"redwingworks.example/platform/rwfeed"
+	"redwingworks.example/platform/rwadapter"
 	"redwingworks.example/platform/rwsite"
-	"redwingworks.example/platform/rwwire"
 )
 
 // keyVariable is the environment variable with the key that routers
@@ -33,7 +31,13 @@
 		Short:         "Front router of the redwingworks fleet on the users' platform",
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		RunE:          func(*cobra.Command, []string) error { return run(path) },
+		RunE: func(*cobra.Command, []string) error {
+			config, err := load(path)
+			if err != nil {
+				return err
+			}
+			return rwedge.New(config).Run()
+		},
 	}
 	c.PersistentFlags().StringVar(&path, "settings", os.Getenv(rwsite.Variable), "settings file of the platform")
 	c.AddCommand(&cobra.Command{
@@ -47,32 +51,12 @@
 	return c
 }
 
-// load reads the settings and reports what is wrong with them.
-func load(path string) (rwdeployment.Deployment, error) {
-	d, err := rwsite.Load(path)
+// load reads the settings and logs what is wrong with them.
+func load(path string) (rwedge.Config, error) {
+	config, err := rwadapter.Config(path, os.Getenv(keyVariable), os.Stdout)
 	if err != nil {
 		log := rwlog.New(os.Stdout, "rwfront")
 		rwlog.Warn(&log, rwlog.SettingsInvalid, err).Send()
 	}
-	return d, err
-}
-
-func run(path string) error {
-	d, err := load(path)
-	if err != nil {
-		return err
-	}
-	feed := rwfeed.New(d.Store)
-	return rwedge.New(rwedge.Config{
-		Deployment: d,
-		Reload:     func() (rwdeployment.Deployment, error) { return rwsite.Load(path) },
-		Dialect:    rwwire.New(),
-		Prefixes:   rwfeed.Prefixes(),
-		List:       feed.List,
-		Watch:      feed.Watch,
-		Decode:     rwfeed.Decode,
-		Inventory:  rwwire.Inventory(),
-		Key:        os.Getenv(keyVariable),
-		Out:        os.Stdout,
-	}).Run()
+	return config, err
 }
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -443,19 +443,12 @@
 		case <-ctx.Done():
 			return nil
 		case <-b.wake:
-			sleep(ctx, fastTick)
+			time.Sleep(fastTick)
 		case <-time.After(step):
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // tick passes on decisions and reports whether requests still wait.
 func (b *Broker) tick() bool {
 	b.mu.Lock()
--- a/internal/rwplace/rwplace.go
+++ b/internal/rwplace/rwplace.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"redwingworks.example/internal/rwcache"
+	"redwingworks.example/internal/rwfailure"
 	"redwingworks.example/internal/rwprefill"
 	"redwingworks.example/internal/rwprompt"
 	"redwingworks.example/internal/rwrank"
@@ -122,10 +123,8 @@
 	downPause    = time.Second
 	maxDownPause = 4 * time.Second
 	// failureWeight is the weight of one outcome in an engine's failure rate,
-	// failureHalf the time in which the rate halves, failureCost the wait
-	// that a rate of 1 is worth.
+	// failureCost the wait that a rate of 1 is worth.
 	failureWeight = 0.25
-	failureHalf   = 2 * time.Second
 	failureCost   = time.Second
 	// overdue is how long after its forecast a first event counts as a
 	// failure of the engine.
@@ -215,11 +214,11 @@
 	// running is the number of granted requests, tokens what they hold in
 	// memory beside shared parts.
 	running, tokens int
-	// failures is the decayed part of requests that failed, as of failedAt.
-	failures float64
-	failedAt time.Time
-	refused  time.Time
-	down     map[string]outage
+	failures        rwfailure.Rate
+	// refused is the time up to which the engine gets no requests after it
+	// refused one, down the same for zones that can't reach it.
+	refused time.Time
+	down    map[string]outage
 }
 
 type outage struct {
@@ -425,10 +424,10 @@
 	e.tokens -= g.ask.Own + g.ask.Work
 	switch end {
 	case Served:
-		e.outcome(now, 0)
+		e.failures.Note(now, false, failureWeight)
 		delete(e.down, g.ask.Zone)
 	case Failed:
-		e.outcome(now, 1)
+		e.failures.Note(now, true, failureWeight)
 	case Refused:
 		e.refused = now.Add(refusedPause)
 	case Unreachable:
@@ -437,15 +436,6 @@
 	}
 }
 
-func (e *engine) outcome(now time.Time, failed float64) {
-	rate := e.failureRate(now)
-	e.failures, e.failedAt = rate+failureWeight*(failed-rate), now
-}
-
-func (e *engine) failureRate(now time.Time) float64 {
-	return e.failures * math.Exp2(-now.Sub(e.failedAt).Seconds()/failureHalf.Seconds())
-}
-
 func (e *engine) unreachable(now time.Time, zone string) {
 	pause := downPause
 	if o, ok := e.down[zone]; ok {
@@ -547,7 +537,7 @@
 			p.cancel(now, g)
 		case !g.first && !g.overdue && age > g.forecast+overdue:
 			g.overdue = true
-			g.engine.outcome(now, 1)
+			g.engine.failures.Note(now, true, failureWeight)
 		}
 	}
 }
@@ -726,7 +716,7 @@
 		}
 	}
 	o.forecast = e.model.Tail() + o.wait + extra + e.model.Read(o.uncached)
-	o.cost += o.forecast + time.Duration(e.failureRate(now)*float64(failureCost))
+	o.cost += o.forecast + time.Duration(e.failures.At(now)*float64(failureCost))
 	return o
 }
 
--- a/internal/rwsteer/rwsteer.go
+++ b/internal/rwsteer/rwsteer.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"redwingworks.example/internal/rwfailure"
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwplace"
 )
@@ -19,10 +20,8 @@
 	otherZone = 0.35
 	// failureScale weighs an upstream's failure rate against its load.
 	failureScale = 3
-	// failureWeight is the weight of one outcome in the rate, failureHalf the
-	// time in which the rate halves.
+	// failureWeight is the weight of one outcome in the rate.
 	failureWeight = 0.3
-	failureHalf   = 2 * time.Second
 	// refusedPause keeps requests off an upstream that refused one, downPause
 	// off one that can't be reached; the latter doubles up to maxDownPause.
 	refusedPause = 100 * time.Millisecond
@@ -51,11 +50,12 @@
 
 type stat struct {
 	active   int
-	failures float64
-	at       time.Time
-	latency  time.Duration
-	until    time.Time
-	pause    time.Duration
+	failures rwfailure.Rate
+	// at is when a request last ended.
+	at      time.Time
+	latency time.Duration
+	until   time.Time
+	pause   time.Duration
 	// used is when the upstream was last chosen.
 	used time.Time
 }
@@ -104,7 +104,7 @@
 		c -= exploreGain
 	}
 	c += float64(st.active) / float64(in.Slots)
-	c += failureScale * st.failureRate(now)
+	c += failureScale * st.failures.At(now)
 	if st.latency > fastest {
 		c += slowScale * (float64(st.latency)/float64(fastest) - 1)
 	}
@@ -118,16 +118,17 @@
 func (s *Steer) Done(now time.Time, id string, end rwplace.End, took time.Duration) {
 	st := s.stat(now, id)
 	st.active--
+	st.at = now
 	switch end {
 	case rwplace.Served:
-		st.outcome(now, 0)
+		st.failures.Note(now, false, failureWeight)
 		st.pause = 0
 		if st.latency == 0 {
 			st.latency = took
 		}
 		st.latency += time.Duration(latencyWeight * float64(took-st.latency))
 	case rwplace.Failed:
-		st.outcome(now, 1)
+		st.failures.Note(now, true, failureWeight)
 	case rwplace.Refused:
 		st.until = now.Add(refusedPause)
 	case rwplace.Unreachable:
@@ -152,12 +153,3 @@
 	}
 	return st
 }
-
-func (st *stat) outcome(now time.Time, failed float64) {
-	rate := st.failureRate(now)
-	st.failures, st.at = rate+failureWeight*(failed-rate), now
-}
-
-func (st *stat) failureRate(now time.Time) float64 {
-	return st.failures * math.Exp2(-now.Sub(st.at).Seconds()/failureHalf.Seconds())
-}
