--- a/internal/rwcallers/rwcallers.go
+++ b/internal/rwcallers/rwcallers.go
@@ -35,6 +35,30 @@
 	}
 }
 
+// Limit returns a listener that closes new connections at once while more than
+// a number are open. Their callers know that nothing was read and go to another
+// router; bytes that wait unread in the sockets would count as this router's
+// memory.
+func (c *Callers) Limit(l net.Listener, most int) net.Listener {
+	return &limited{Listener: l, callers: c, most: most}
+}
+
+type limited struct {
+	net.Listener
+	callers *Callers
+	most    int
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || l.callers.Open() < l.most {
+			return conn, err
+		}
+		_ = conn.Close()
+	}
+}
+
 // Open is the number of open connections.
 func (c *Callers) Open() int {
 	c.mu.Lock()
--- a/internal/rwcallers/rwcallers_test.go
+++ b/internal/rwcallers/rwcallers_test.go
@@ -1,6 +1,7 @@
 package rwcallers
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -38,3 +39,38 @@
 		require.Zero(t, c.Open())
 	})
 }
+
+// Guards against connections beyond what the memory takes, whose unread bytes
+// would end the process.
+func TestLimit(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c := New()
+	l := c.Limit(inner, 1)
+	defer func() { _ = l.Close() }()
+	open := func() net.Conn {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		return conn
+	}
+	first := open()
+	conn, err := l.Accept()
+	require.NoError(t, err)
+	c.State(conn, http.StateNew)
+	second := open()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := l.Accept(); err == nil {
+			accepted <- conn
+		}
+	}()
+	require.NoError(t, second.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = second.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "closed without an answer")
+	c.State(conn, http.StateClosed)
+	third := open()
+	require.Equal(t, third.LocalAddr().String(), (<-accepted).RemoteAddr().String())
+	for _, conn := range []net.Conn{first, second, third} {
+		_ = conn.Close()
+	}
+}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -51,11 +51,17 @@
 	headerTimeout = 5 * time.Second
 	headerBytes   = 64 << 10
 	idleTimeout   = 30 * time.Second
-	// callerPart is the part of the descriptors that callers' connections may
-	// take before idle ones are closed early, crowdedPart the part above which
-	// refused callers' connections are closed.
-	callerPart  = 0.5
-	crowdedPart = 0.3
+	// callerDescriptors and callerMemory are the parts of the descriptors and
+	// of the memory that callers' connections may take, connectionBytes what a
+	// connection takes with a request that waits unread in its socket.
+	callerDescriptors = 0.5
+	callerMemory      = 0.25
+	connectionBytes   = 40 << 10
+	// idlePart is the part of these connections above which idle ones are
+	// closed early, crowdedPart the part above which those of refused callers
+	// are closed.
+	idlePart    = 0.8
+	crowdedPart = 0.5
 	// joinWait is how long after its start a router is still learning which
 	// other routers there are.
 	joinWait = 1200 * time.Millisecond
@@ -220,7 +226,7 @@
 		},
 		Closing: e.stopping.Load, Refusing: e.refusing.Load,
 		Overloaded: e.overloaded, Behind: e.lag.Behind,
-		Crowded: func() bool { return e.callers.Open() > e.descriptors(crowdedPart) },
+		Crowded: func() bool { return e.callers.Open() > e.connections(crowdedPart) },
 		Zone:    e.self.Zone, Log: e.log, Metrics: e.metrics, Observe: e.latency.Add,
 	}
 	e.server = &http.Server{
@@ -244,12 +250,18 @@
 	return e.lag.Behind() || e.active.Load() > most
 }
 
-func (e *Edge) descriptors(part float64) int {
-	n := e.deploy.Descriptors
-	if n <= 0 {
-		n = defaultDescriptors
+// connections is a part of the number of callers' connections that the router
+// takes.
+func (e *Edge) connections(part float64) int {
+	descriptors := e.deploy.Descriptors
+	if descriptors <= 0 {
+		descriptors = defaultDescriptors
 	}
-	return int(part * float64(n))
+	most := callerDescriptors * float64(descriptors)
+	if m := e.deploy.MemoryBytes; m > 0 {
+		most = min(most, callerMemory*float64(m)/connectionBytes)
+	}
+	return int(part * most)
 }
 
 // sweepCallers closes idle connections of callers by the published limit.
@@ -258,7 +270,7 @@
 	if view.Plan != nil && view.Plan.Limits.IdleTimeout > 0 {
 		limit = view.Plan.Limits.IdleTimeout
 	}
-	if n := e.callers.Sweep(now, limit, e.descriptors(callerPart)); n > 0 {
+	if n := e.callers.Sweep(now, limit, e.connections(idlePart)); n > 0 {
 		e.metrics.Add("caller_connections_closed", int64(n))
 	}
 }
@@ -315,7 +327,13 @@
 	return e.peers.Serve(ctx, l)
 }
 
-func (e *Edge) serveFront(ctx context.Context) error { return serve(ctx, e.server, e.deploy.Front) }
+func (e *Edge) serveFront(ctx context.Context) error {
+	l, err := listen(e.deploy.Front)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, e.server, e.callers.Limit(l, e.connections(1)))
+}
 
 func (e *Edge) serveReady(ctx context.Context) error {
 	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -323,20 +341,25 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return serve(ctx, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}, e.deploy.Ready)
+	return listenAndServe(ctx, h, e.deploy.Ready)
 }
 
 func (e *Edge) serveMetrics(ctx context.Context) error {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /metrics", e.writeMetrics)
-	return serve(ctx, &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout}, e.deploy.Metrics)
+	return listenAndServe(ctx, m, e.deploy.Metrics)
 }
 
-func serve(ctx context.Context, s *http.Server, addr string) error {
+func listenAndServe(ctx context.Context, h http.Handler, addr string) error {
 	l, err := listen(addr)
 	if err != nil {
 		return err
 	}
+	return serve(ctx, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}, l)
+}
+
+// serve serves on a listener until the context ends.
+func serve(ctx context.Context, s *http.Server, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
