Let engines of TestFullQueue serve less than callers send

Cause: the test relied on callers that send faster than engines serve.

Engines of this test now take 100 ms a token in place of 5 ms. The checks are the same.

--- a/test/rwtruth/rwtruth_test.go
+++ b/test/rwtruth/rwtruth_test.go
@@ -38,9 +38,12 @@
 	exitLimit = 30 * time.Second
 	// short is a deadline that a part of the waiting requests miss.
 	short = 60 * time.Millisecond
-	// crowd is twice what the queue of one account holds in one router, so that
-	// it fills up on a busy machine too, where callers are slow to send.
+	// crowd is twice what the queue of one account holds in one router.
 	crowd = 2000
+	// slowStep lets engines serve less than callers send on a busy machine: with
+	// the usual step, beside 24 busy processes, requests left the queue as fast
+	// as they came and it never filled.
+	slowStep = 20 * step
 	// frozen is longer than a grant may be used.
 	frozen = 1300 * time.Millisecond
 )
@@ -68,7 +71,10 @@
 
 type execution struct{ ID, Request, Key string }
 
-func start(t *testing.T) *rig {
+func start(t *testing.T) *rig { return startAt(t, step) }
+
+// startAt starts a fleet whose engines take the step for one token.
+func startAt(t *testing.T, step time.Duration) *rig {
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
 	t.Cleanup(cancel)
 	r := &rig{ctx: ctx, patience: patience, fleet: rwtoday.New(bin, t.TempDir())}
@@ -303,7 +309,7 @@
 // Guards against a request that ran and is reported as refused by a full queue,
 // or as evicted from it.
 func TestFullQueue(t *testing.T) {
-	r := start(t)
+	r := startAt(t, slowStep)
 	c := r.fleet.Clients[2]
 	flows := r.flows()
 	for _, kind := range []string{rwtoday.Kinds[0], rwtoday.Kinds[3]} {
