Apply the published limit of heads; drop settings that nothing reads

Cause: maxHeaderBytes was decoded and the router used its own constant, so a published change had no effect. A head above the limit now gets 431, a test guards both sides of it.

Removed: the decoded number of connections, tokens a second and head time-out, and the list of services of a plan, which nothing reads. The time for a head stays a constant of rwedge: net/http takes it once a server. make fmt and make lint now check the format of platform/ too.

--- a/Makefile
+++ b/Makefile
@@ -22,13 +22,13 @@
 		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 fmt:
-	gofmt -l -w internal cmd test
+	gofmt -l -w internal platform cmd test
 
 generate:
 	go generate $(PATTERNS)
 
 lint: tools
-	@out=$$(gofmt -l internal cmd test); test -z "$$out" || { echo "gofmt would change:"; echo "$$out"; exit 1; }
+	@out=$$(gofmt -l internal platform cmd test); test -z "$$out" || { echo "gofmt would change:"; echo "$$out"; exit 1; }
 	@set -e; for m in $(MODULES); do (cd $$m && $(LINT) run --allow-parallel-runners ./...); done
 
 vet:
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -123,6 +123,8 @@
 	switch {
 	case view.Plan == nil:
 		return x, rwfault.New(rwcode.NotReady, "no configuration yet").WithRetryAfter(notReadyRetry)
+	case view.Plan.Limits.HeaderBytes > 0 && headBytes(r) > view.Plan.Limits.HeaderBytes:
+		return x, rwfault.New(rwcode.HeaderTooLarge, strconv.Itoa(headBytes(r))+" bytes")
 	case f.Overloaded():
 		// Before the body is read and the route is known, so that it costs
 		// little.
@@ -152,6 +154,19 @@
 	return x, nil
 }
 
+// headBytes is the size of a request's head on the wire: its first line, and
+// each header with its colon, space and line end.
+func headBytes(r *http.Request) int {
+	const lineBytes, headerBytes = len("  HTTP/1.1\r\n"), len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + lineBytes + len("Host") + len(r.Host) + headerBytes + len("\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + headerBytes
+		}
+	}
+	return n
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
 	if r.ContentLength == 0 {
 		return nil
@@ -453,6 +468,8 @@
 		return http.StatusRequestEntityTooLarge
 	case rwcode.BadRequest:
 		return http.StatusBadRequest
+	case rwcode.HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case rwcode.SlowBody:
 		return http.StatusRequestTimeout
 	case rwcode.ShareExceeded:
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -121,7 +121,7 @@
 		})
 	}
 	services := []rwplan.Service{{Name: "plain"}, {Name: "model", Engine: &rwplan.Engine{Slots: 4}}}
-	plan := rwplan.New(1, rwplan.Limits{BodyBytes: 1 << 20}, routes(), services, map[string]rwplan.Account{"key": {Name: "acc"}})
+	plan := rwplan.New(1, rwplan.Limits{BodyBytes: 1 << 20, HeaderBytes: 2 << 10}, routes(), services, map[string]rwplan.Account{"key": {Name: "acc"}})
 	view := rwpublished.New(plan, 1, time.Now(), list)
 	pool := rwconn.New(dialect().Judge)
 	f.front = &Front{
@@ -365,6 +365,19 @@
 	require.Less(t, time.Since(start), time.Second)
 }
 
+// Guards against a published limit of heads that has no effect, and against a
+// refusal of heads within it.
+func TestLargeHead(t *testing.T) {
+	f := serve(t, map[string]http.HandlerFunc{"a": sealed(200, "x")})
+	status, _, _, err := f.ask(t, "/open/x", "X-Long", strings.Repeat("x", 1800))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	status, _, _, err = f.ask(t, "/open/x", "X-Long", strings.Repeat("x", 2<<10))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status)
+	require.Equal(t, 1, f.runs())
+}
+
 // Guards against bodies above the published limit that fill the memory.
 func TestLargeBody(t *testing.T) {
 	f := serve(t, map[string]http.HandlerFunc{"a": sealed(200, "x")})
--- a/internal/rwplan/rwplan.go
+++ b/internal/rwplan/rwplan.go
@@ -84,8 +84,6 @@
 // Service is a pool of upstreams that run the same requests.
 type Service struct {
 	Name string
-	// MaxConns is how many connections one upstream accepts from all routers.
-	MaxConns int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -104,13 +102,12 @@
 
 // Limits bound what callers send.
 type Limits struct {
-	BodyBytes     int64
-	HeaderBytes   int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-	// TokensPerSecond is what all engines produce together: each token read
-	// once, each generated token twice. Zero means unknown.
-	TokensPerSecond float64
+	// BodyBytes and HeaderBytes are the largest body and head of a request,
+	// IdleTimeout is how long a connection is kept without one. Zero means
+	// that this router's own bounds apply alone.
+	BodyBytes   int64
+	HeaderBytes int
+	IdleTimeout time.Duration
 }
 
 // Account is a client account.
@@ -162,15 +159,6 @@
 	return s, ok
 }
 
-// Services returns all services in no order.
-func (p *Plan) Services() []Service {
-	out := make([]Service, 0, len(p.services))
-	for _, s := range p.services {
-		out = append(out, s)
-	}
-	return out
-}
-
 // Account returns the account that holds a key.
 func (p *Plan) Account(key string) (Account, bool) {
 	a, ok := p.keys[key]
