Take the waits of goroutines as the sign of a saturated machine

Cause: timers of a saturated router fire within a millisecond or two most of the time, because the runtime serves them first, while its requests wait: the machine of 0.192 cores held 470 requests, its bound by memory, read 980 a second and gave up most of them late. The ninth decile of the time that goroutines wait for the processor (runtime/metrics) shows it within 100 ms.

--- a/internal/rwlag/rwlag.go
+++ b/internal/rwlag/rwlag.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"runtime/metrics"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -22,8 +24,11 @@
 
 // Lag measures how late timers fire.
 type Lag struct {
-	// Measured, if set before Run, is told after each step how late its timer
-	// fired.
+	// Measured, if set before Run, is told after each step how late the process
+	// is: how late a timer fired, or how long a tenth of the goroutines waited
+	// for the processor, whichever is more. A timer's goroutine runs at once;
+	// the others of a saturated machine waited for seconds while timers fired
+	// within a millisecond.
 	Measured func(now time.Time, late time.Duration)
 
 	// until is the end of the time in which the process counts as behind, in
@@ -37,6 +42,7 @@
 
 // Run measures until the context ends.
 func (l *Lag) Run(ctx context.Context) error {
+	waits := newWaits()
 	for {
 		due := time.Now().Add(tick)
 		select {
@@ -47,11 +53,56 @@
 		now := time.Now()
 		l.note(now, due)
 		if l.Measured != nil {
-			l.Measured(now, now.Sub(due))
+			l.Measured(now, max(now.Sub(due), waits.since()))
 		}
 	}
 }
 
+// waits reads how long goroutines waited until they ran.
+type waits struct {
+	sample []metrics.Sample
+	last   []uint64
+}
+
+func newWaits() *waits {
+	w := &waits{sample: []metrics.Sample{{Name: "/sched/latencies:seconds"}}}
+	w.since()
+	return w
+}
+
+// since returns the ninth decile of the waits that ended since the last call.
+func (w *waits) since() time.Duration {
+	metrics.Read(w.sample)
+	if w.sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+		return 0
+	}
+	h := w.sample[0].Value.Float64Histogram()
+	counts := slices.Clone(h.Counts)
+	total := uint64(0)
+	if len(w.last) == len(h.Counts) {
+		for i := range counts {
+			counts[i] -= w.last[i]
+		}
+	}
+	w.last = slices.Clone(h.Counts)
+	for _, n := range counts {
+		total += n
+	}
+	return ninth(counts, h.Buckets, total)
+}
+
+// ninth returns the lower end of the bucket that holds the ninth decile.
+func ninth(counts []uint64, buckets []float64, total uint64) time.Duration {
+	seen := uint64(0)
+	for i, n := range counts {
+		seen += n
+		if n > 0 && 10*seen >= 9*total {
+			return time.Duration(max(buckets[i], 0) * float64(time.Second))
+		}
+	}
+	return 0
+}
+
 func (l *Lag) note(now, due time.Time) {
 	if now.Sub(due) >= Limit {
 		l.until.Store(int64(now.Add(hold).Sub(l.start)))
--- a/internal/rwlag/rwlag_test.go
+++ b/internal/rwlag/rwlag_test.go
@@ -1,6 +1,9 @@
 package rwlag
 
 import (
+	"math"
+	"runtime"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,3 +27,29 @@
 		require.False(t, l.Behind())
 	})
 }
+
+// Guards against a saturated machine that counts as one with room because its
+// timers are served first: goroutines that wait count too.
+func TestWaitingGoroutinesCount(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	w := newWaits()
+	var group sync.WaitGroup
+	for range 200 {
+		group.Go(func() {
+			for start := time.Now(); time.Since(start) < 500*time.Microsecond; {
+				continue
+			}
+		})
+	}
+	group.Wait()
+	require.Greater(t, w.since(), 10*time.Millisecond, "the last ones waited for 100 ms")
+}
+
+// Guards against a decile that is taken from the wrong end.
+func TestNinth(t *testing.T) {
+	buckets := []float64{math.Inf(-1), 0.001, 0.01, 0.1, math.Inf(1)}
+	require.Zero(t, ninth([]uint64{0, 0, 0, 0}, buckets, 0))
+	require.Zero(t, ninth([]uint64{95, 0, 5, 0}, buckets, 100))
+	require.Equal(t, 10*time.Millisecond, ninth([]uint64{85, 0, 15, 0}, buckets, 100))
+	require.Equal(t, time.Millisecond, ninth([]uint64{10, 85, 5, 0}, buckets, 100))
+}
