--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -58,7 +58,7 @@
 	// of the memory that callers' connections may take, connectionBytes what a
 	// connection takes with a request that waits unread in its socket.
 	callerDescriptors = 0.5
-	callerMemory      = 0.25
+	callerMemory      = 0.2
 	connectionBytes   = 40 << 10
 	// idlePart is the part of these connections above which idle ones are
 	// closed early, crowdedPart the part above which those of refused callers
@@ -71,7 +71,7 @@
 	// requestBytes is what a request in progress takes, with its buffers,
 	// stacks and body; requestPart is the part of the memory that all may take.
 	requestBytes = 160 << 10
-	requestPart  = 0.4
+	requestPart  = 0.3
 	// defaultRequests bounds the requests if the settings name no memory.
 	defaultRequests = 1024
 	// defaultDescriptors is used if the settings name no limit.
@@ -87,9 +87,11 @@
 	stopMargin = 400 * time.Millisecond
 	// maxGrace is used if the settings name no grace time.
 	maxGrace = 8 * time.Second
-	// memoryUse is the part of the memory limit that the heap may take before
-	// the collector works harder.
-	memoryUse = 0.7
+	// memoryUse is the part of the memory limit that the heap and the stacks
+	// may take before the collector works harder. With callerMemory it leaves a
+	// fifth to the program's own pages and to the upstreams' sockets: with 0.7
+	// and 0.25 a machine was over its limit in a flood.
+	memoryUse = 0.6
 	// gcPercent lets the heap grow further between collections than by
 	// default: a router's live heap is a few megabytes, and each request
 	// allocates its body and buffers.
@@ -395,12 +397,12 @@
 	return !e.stopping.Load() && e.published.Load().Plan != nil && !e.pressure.Out()
 }
 
-// press notes how late the router's timers fire.
+// press notes how late the router does its work.
 func (e *Edge) press(now time.Time, late time.Duration) {
 	if e.pressure.Note(now, late) {
 		out := e.pressure.Out()
 		if out {
-			e.metrics.Add("pressure_left", 1)
+			e.metrics.Add("rotation_left", 1)
 		}
 		rwlog.Info(&e.log, rwlog.RotationChanged).Bool("out", out).Int64("active", e.active.Load()).
 			Int64("connections", int64(e.callers.Open())).Send()
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -67,7 +67,8 @@
 	// Closing is whether connections of callers close after their answer,
 	// Refusing whether new requests are refused.
 	Closing, Refusing func() bool
-	// Overloaded is whether this router can't take more requests now.
+	// Overloaded is whether to refuse a request because this router has too
+	// many; it may draw a part of them.
 	Overloaded func() bool
 	// Behind is whether this router reads requests late: the callers of those
 	// that it holds may have left without its knowing.
--- a/internal/rwpressure/rwpressure.go
+++ b/internal/rwpressure/rwpressure.go
@@ -19,8 +19,8 @@
 	// asked the router for anything, moves the average by 3 ms only.
 	longest = 60 * time.Millisecond
 	// leaveAt is the average lateness from which the router leaves, returnAt
-	// the one up to which it may return. Timers of a machine with room fire
-	// within a millisecond, those of a saturated one 20 to 40 ms late.
+	// the one up to which it may return. Goroutines of a machine with room wait
+	// under a millisecond, those of a saturated one 5 to 130 ms.
 	leaveAt  = 12 * time.Millisecond
 	returnAt = 2 * time.Millisecond
 	// shortWeight and shortLongest are weight and longest of the average that
@@ -63,8 +63,8 @@
 // New returns a router that has room.
 func New() *Pressure { return &Pressure{} }
 
-// Note takes how late a timer of the router fired, every 50 ms. It reports
-// whether Out changed.
+// Note takes how late the router does its work, every 50 ms. It reports whether
+// Out changed.
 func (p *Pressure) Note(now time.Time, late time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
