Choose test ports that outgoing connections don't take

The test stops a router and starts it again at the same address, and the port came from the range of outgoing connections, of which other tests open hundreds.

--- a/internal/rwfollow/rwfollow_test.go
+++ b/internal/rwfollow/rwfollow_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"strconv"
@@ -60,6 +61,23 @@
 	prepare func(*router)
 }
 
+// freeAddr returns a loopback address that no socket uses now. A router stops and
+// starts again at its address, so the port is below those that the kernel gives
+// to outgoing connections: beside other tests one of them took port 40855 in
+// between.
+func freeAddr(t *testing.T) string {
+	const first, ports = 10000, 22000
+	for range 100 {
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+rand.IntN(ports))))
+		if err == nil {
+			require.NoError(t, l.Close())
+			return l.Addr().String()
+		}
+	}
+	require.FailNow(t, "no free port")
+	return ""
+}
+
 // newFleet publishes the records of n routers in two zones and starts none.
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{t: t, replicas: rwreplica.New(), routers: map[string]*router{}, addrs: map[string]string{}}
@@ -73,11 +91,8 @@
 	})
 	for i := range n {
 		name := fmt.Sprintf("r%d", i)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		require.NoError(t, l.Close())
 		f.names = append(f.names, name)
-		f.addrs[name] = l.Addr().String()
+		f.addrs[name] = freeAddr(t)
 		f.replicas.Publish(record("vm", name, 1, map[string]any{"addr": f.addrs[name], "http": f.addrs[name], "zone": f.zone(name), "region": "main", "state": "live"}))
 	}
 	return f
