--- a/internal/rwfollow/rwfollow_test.go
+++ b/internal/rwfollow/rwfollow_test.go
@@ -57,42 +57,46 @@
 	routers  map[string]*router
 	names    []string
 	addrs    map[string]string
+	// listeners are those of routers that did not start yet.
+	listeners map[string]net.Listener
 	// prepare, if set, changes a router before it runs.
 	prepare func(*router)
 }
 
-// freeAddr returns a loopback address that no socket uses now. A router stops and
-// starts again at its address, so the port is below those that the kernel gives
-// to outgoing connections: beside other tests one of them took port 40855 in
-// between.
-func freeAddr(t *testing.T) string {
+// listen takes a loopback address. A router stops and starts again at its
+// address, so the port is below those that the kernel gives to outgoing
+// connections: beside other tests one of them took port 40855 in between.
+func listen(t *testing.T) net.Listener {
 	const first, ports = 10000, 22000
 	for range 100 {
 		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+rand.IntN(ports))))
 		if err == nil {
-			require.NoError(t, l.Close())
-			return l.Addr().String()
+			return l
 		}
 	}
 	require.FailNow(t, "no free port")
-	return ""
+	return nil
 }
 
 // newFleet publishes the records of n routers in two zones and starts none.
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, replicas: rwreplica.New(), routers: map[string]*router{}, addrs: map[string]string{}}
+	f := &fleet{t: t, replicas: rwreplica.New(), routers: map[string]*router{}, addrs: map[string]string{}, listeners: map[string]net.Listener{}}
 	f.server = httptest.NewServer(f.replicas)
 	t.Cleanup(func() {
 		for _, r := range f.routers {
 			r.stop()
 		}
+		for _, l := range f.listeners {
+			_ = l.Close()
+		}
 		f.server.CloseClientConnections()
 		f.server.Close()
 	})
 	for i := range n {
 		name := fmt.Sprintf("r%d", i)
 		f.names = append(f.names, name)
-		f.addrs[name] = freeAddr(t)
+		l := listen(t)
+		f.listeners[name], f.addrs[name] = l, l.Addr().String()
 		f.replicas.Publish(record("vm", name, 1, map[string]any{"addr": f.addrs[name], "http": f.addrs[name], "zone": f.zone(name), "region": "main", "state": "live"}))
 	}
 	return f
@@ -117,8 +121,13 @@
 }
 
 func (f *fleet) start(name string, seeds ...string) *router {
-	l, err := net.Listen("tcp", f.addrs[name])
-	require.NoError(f.t, err)
+	l := f.listeners[name]
+	delete(f.listeners, name)
+	if l == nil {
+		var err error
+		l, err = net.Listen("tcp", f.addrs[name])
+		require.NoError(f.t, err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &router{
 		id:      rwidentity.Identity{Name: name, Zone: f.zone(name), Region: "main", Addr: f.addrs[name], Inc: time.Now().UnixMicro()},
