Use one piece of code where the change had written twins

Found in a read of the whole change; behaviour stays as it is.

- What an owner does with a report stood once for reports over a link and once for its own (rwbroker); both now use one table.
- The home of a prompt was looked up by a loop of rwbroker beside rwrank.Top, and its key was made in two packages: rwbroker and rwplace now use rwrank.Top and Ask.Home.
The ids are made once a view and not once a request.
- rwtrack listed a prefix in two places; rwtrack.Within was strings.HasPrefix.
- rwbroker.Fixed served a test only, which now writes the grant itself.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"strconv"
 	"sync"
@@ -127,40 +126,40 @@
 		cells: map[cellKey]*cell{}, waits: map[string]chan rwplace.Decision{}, suspect: map[string]time.Time{},
 		owners: map[cellKey]ranked{},
 	}
-	handle(peers, "place", func(from rwidentity.Identity, o order) (any, error) {
+	peers.Handle("place", rwpeer.Typed(func(_ context.Context, from rwidentity.Identity, o order) (any, error) {
 		return b.askOwn(o.cellKey, o.Ask, from), nil
-	})
-	handle(peers, "placed", func(_ rwidentity.Identity, d rwplace.Decision) (any, error) {
+	}))
+	peers.Handle("placed", rwpeer.Typed(func(_ context.Context, _ rwidentity.Identity, d rwplace.Decision) (any, error) {
 		b.decided(d)
 		return nil, nil
-	})
-	handle(peers, "first", func(_ rwidentity.Identity, r report) (any, error) {
-		b.update(r.cellKey, func(p *rwplace.Placer) { p.First(time.Now(), r.ID) })
-		return nil, nil
-	})
-	handle(peers, "ended", func(_ rwidentity.Identity, r report) (any, error) {
-		b.update(r.cellKey, func(p *rwplace.Placer) { p.Ended(time.Now(), r.ID, r.End) })
-		return nil, nil
-	})
-	handle(peers, "forget", func(_ rwidentity.Identity, r report) (any, error) {
-		b.update(r.cellKey, func(p *rwplace.Placer) { p.Drop(r.ID) })
-		return nil, nil
-	})
+	}))
+	for method, take := range reports {
+		peers.Handle(method, rwpeer.Typed(func(_ context.Context, _ rwidentity.Identity, r report) (any, error) {
+			b.update(r.cellKey, func(p *rwplace.Placer) { take(p, r) })
+			return nil, nil
+		}))
+	}
 	return b
 }
 
-func handle[T any](peers *rwpeer.Peers, method string, h func(rwidentity.Identity, T) (any, error)) {
-	peers.Handle(method, func(_ context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
-		var v T
-		if err := json.Unmarshal(params, &v); err != nil {
-			return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
-		}
-		return h(from, v)
-	})
+// The messages that report the progress of a request to its owner.
+const (
+	firstReport  = "first"
+	endedReport  = "ended"
+	forgetReport = "forget"
+)
+
+// reports are what an owner does with them, whether they come over a link or
+// from itself.
+var reports = map[string]func(*rwplace.Placer, report){
+	firstReport:  func(p *rwplace.Placer, r report) { p.First(time.Now(), r.ID) },
+	endedReport:  func(p *rwplace.Placer, r report) { p.Ended(time.Now(), r.ID, r.End) },
+	forgetReport: func(p *rwplace.Placer, r report) { p.Drop(r.ID) },
 }
 
 // Grant is the right to run one request on one engine. First and End report
-// its progress to the owner; End is called exactly once.
+// its progress to the owner; End is called exactly once. No owner hears of a
+// grant that doesn't come from Acquire.
 type Grant struct {
 	rwplace.Decision
 	Instance rwinstance.Instance
@@ -174,9 +173,6 @@
 	addr   string
 }
 
-// Fixed returns a grant for an upstream that no owner hears of.
-func Fixed(in rwinstance.Instance) Grant { return Grant{Instance: in} }
-
 // Acquire returns a place for a request, or a fault with the outcome NotRun and
 // a time after which the caller may return. With a refusal of an owner, the
 // grant holds what decided it.
@@ -251,7 +247,7 @@
 	case <-timer.C:
 	}
 	g.ID = a.ID
-	g.report("forget", rwplace.Abandoned)
+	g.report(forgetReport, rwplace.Abandoned)
 	// A decision that crossed the timer holds a place.
 	select {
 	case d := <-decided:
@@ -355,22 +351,17 @@
 
 // cellOf returns the cell of the engine that a request's prompt belongs to.
 func (b *Broker) cellOf(service string, a rwplace.Ask) (cellKey, bool) {
-	list := b.Published().Usable(service)
-	if len(list) == 0 {
+	view := b.Published()
+	engines := len(view.Usable(service))
+	if engines == 0 {
 		return cellKey{}, false
 	}
-	n := cells(len(list))
+	n := cells(engines)
 	if n == 1 {
 		return cellKey{Service: service}, true
 	}
-	home := rwprompt.Prompt{Parts: a.Parts}.Home()
-	best, bestScore := "", uint64(0)
-	for _, in := range list {
-		if s := rwrank.Score(home, in.ID); best == "" || s > bestScore {
-			best, bestScore = in.ID, s
-		}
-	}
-	return cellKey{Service: service, Cell: cellIndex(best, n)}, true
+	home := rwrank.Top(a.Home(), view.IDs(service))
+	return cellKey{Service: service, Cell: cellIndex(home, n)}, true
 }
 
 // cells is the number of cells of a pool. It changes only when the pool grows
@@ -556,28 +547,20 @@
 }
 
 // First reports the first event of the request.
-func (g Grant) First() { g.report("first", rwplace.Served) }
+func (g Grant) First() { g.report(firstReport, rwplace.Served) }
 
 // End reports the end of the request.
-func (g Grant) End(end rwplace.End) { g.report("ended", end) }
+func (g Grant) End(end rwplace.End) { g.report(endedReport, end) }
 
 func (g Grant) report(method string, end rwplace.End) {
 	b := g.broker
 	if b == nil {
 		return
 	}
+	r := report{g.key, g.ID, end}
 	if g.addr != b.self.Addr {
-		b.peers.Notify(g.addr, method, report{g.key, g.ID, end})
+		b.peers.Notify(g.addr, method, r)
 		return
 	}
-	b.update(g.key, func(p *rwplace.Placer) {
-		switch method {
-		case "first":
-			p.First(time.Now(), g.ID)
-		case "forget":
-			p.Drop(g.ID)
-		default:
-			p.Ended(time.Now(), g.ID, end)
-		}
-	})
+	b.update(g.key, func(p *rwplace.Placer) { reports[method](p, r) })
 }
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -424,7 +425,7 @@
 	e.answered()
 	e.change("store", func(now time.Time) (bool, map[string]error) {
 		changed, bad := e.catalog.Apply(now, b.Items)
-		gone := e.catalog.Listed(now, b.Rev, keys, func(key string) bool { return rwtrack.Within(prefix, key) })
+		gone := e.catalog.Listed(now, b.Rev, keys, func(key string) bool { return strings.HasPrefix(key, prefix) })
 		return changed || gone, bad
 	})
 }
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -133,7 +133,7 @@
 					avoid = avoid || id == in.ID
 				}
 				if !avoid {
-					return rwbroker.Fixed(in), nil
+					return rwbroker.Grant{Instance: in}, nil
 				}
 			}
 			return rwbroker.Grant{}, rwfault.New(rwcode.NoUpstream, service).WithRetryAfter(time.Second)
--- a/internal/rwhome/rwhome.go
+++ b/internal/rwhome/rwhome.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -136,7 +135,7 @@
 		addrs:   map[string]string{},
 		running: map[string]chan struct{}{},
 	}
-	c.Peers.Handle("order", h.handleOrder)
+	c.Peers.Handle("order", rwpeer.Typed(h.handleOrder))
 	c.Peers.Handle("trace", handle(h, func(from rwidentity.Identity, n rwnote.Note) rwack.Ack {
 		return h.machine.Note(c.Now(), from, n)
 	}))
@@ -149,13 +148,9 @@
 	return h
 }
 
-// handle decodes a message and passes it to the machine.
+// handle passes a message to the machine.
 func handle[P, R any](h *Home, answer func(rwidentity.Identity, P) R) rwpeer.Handler {
-	return func(_ context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
-		var p P
-		if err := json.Unmarshal(params, &p); err != nil {
-			return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
-		}
+	return rwpeer.Typed(func(_ context.Context, from rwidentity.Identity, p P) (any, error) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.sync()
@@ -163,7 +158,7 @@
 			h.addrs[from.Name] = from.Addr
 		}
 		return answer(from, p), nil
-	}
+	})
 }
 
 // sync takes over the VM list in force. The lock is held.
@@ -371,11 +366,7 @@
 	return r, true
 }
 
-func (h *Home) handleOrder(ctx context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
-	var o order
-	if err := json.Unmarshal(params, &o); err != nil {
-		return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
-	}
+func (h *Home) handleOrder(ctx context.Context, from rwidentity.Identity, o order) (any, error) {
 	if from.Name != o.Call.From || from.Inc != o.Call.Inc {
 		o.Call.Holds = false
 	}
--- a/internal/rwnode/messages.go
+++ b/internal/rwnode/messages.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"redwingworks.example/internal/rwcode"
-	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwmessage"
+	"redwingworks.example/internal/rwpeer"
 )
 
 // handler takes one message about slots.
@@ -28,14 +26,10 @@
 // handleMessages registers the messages about slots on the links.
 func (n *Node) handleMessages() {
 	for method, h := range n.handlers() {
-		n.peers.Handle(method, func(_ context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
-			var m rwmessage.Message
-			if err := json.Unmarshal(params, &m); err != nil {
-				return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
-			}
+		n.peers.Handle(method, rwpeer.Typed(func(_ context.Context, from rwidentity.Identity, m rwmessage.Message) (any, error) {
 			h(from, &m)
 			return nil, nil
-		})
+		}))
 	}
 }
 
--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -47,6 +47,18 @@
 // concurrently.
 type Handler = func(ctx context.Context, from rwidentity.Identity, params json.RawMessage) (any, error)
 
+// Typed returns a handler that decodes the parameters of a message. What can't
+// be decoded fails with PeerMalformed.
+func Typed[P any](h func(ctx context.Context, from rwidentity.Identity, params P) (any, error)) Handler {
+	return func(ctx context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
+		var p P
+		if err := json.Unmarshal(params, &p); err != nil {
+			return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
+		}
+		return h(ctx, from, p)
+	}
+}
+
 // Peers is the set of links of a router. Handlers are registered before Serve
 // and before the first Call.
 type Peers struct {
--- a/internal/rwpeer/rwpeer_test.go
+++ b/internal/rwpeer/rwpeer_test.go
@@ -178,3 +178,21 @@
 	cancel()
 	require.NoError(t, <-done)
 }
+
+// Guards against a message that can't be decoded and reaches its handler, and
+// against parameters that get lost on the way.
+func TestTyped(t *testing.T) {
+	var got []int
+	h := rwpeer.Typed(func(_ context.Context, _ rwidentity.Identity, n int) (any, error) {
+		got = append(got, n)
+		return n + 1, nil
+	})
+	answer, err := h(t.Context(), rwidentity.Identity{}, json.RawMessage(`4`))
+	require.NoError(t, err)
+	require.Equal(t, 5, answer)
+	for _, bad := range []string{``, `"x"`, `{`} {
+		_, err = h(t.Context(), rwidentity.Identity{}, json.RawMessage(bad))
+		require.True(t, rwfault.Is(err, rwcode.PeerMalformed), bad)
+	}
+	require.Equal(t, []int{4}, got)
+}
--- a/internal/rwplace/rwplace.go
+++ b/internal/rwplace/rwplace.go
@@ -183,6 +183,9 @@
 	Avoid []string `json:"avoid,omitempty"`
 }
 
+// Home is the key by which requests that share a prompt find the same engine.
+func (a Ask) Home() string { return rwprompt.Prompt{Parts: a.Parts}.Home() }
+
 // Decision answers an Ask.
 type Decision struct {
 	ID      string  `json:"id"`
@@ -674,7 +677,7 @@
 
 func (p *Placer) best(now time.Time, a Ask) (option, bool) {
 	mean := p.meanBacklog(now)
-	home := rwrank.Top(homeKey(a), p.homes)
+	home := rwrank.Top(a.Home(), p.homes)
 	first, second := p.sources(a)
 	var best option
 	found := false
@@ -694,8 +697,6 @@
 	return best, found
 }
 
-func homeKey(a Ask) string { return rwprompt.Prompt{Parts: a.Parts}.Home() }
-
 func (p *Placer) usable(now time.Time, e *engine, a Ask) bool {
 	return !e.Leaving && e.running < p.spec.Slots &&
 		float64(e.tokens+a.Own+a.Work) <= float64(p.spec.Memory)*runningPart &&
--- a/internal/rwpublished/rwpublished.go
+++ b/internal/rwpublished/rwpublished.go
@@ -20,6 +20,7 @@
 	At  time.Time
 
 	services map[string][]rwinstance.Instance
+	names    map[string][]string
 	leaving  map[string][]rwinstance.Instance
 	ids      map[string]rwinstance.Instance
 }
@@ -28,7 +29,7 @@
 func New(plan *rwplan.Plan, rev int64, at time.Time, instances []rwinstance.Instance) *Published {
 	p := &Published{
 		Plan: plan, Rev: rev, At: at,
-		services: map[string][]rwinstance.Instance{}, leaving: map[string][]rwinstance.Instance{}, ids: map[string]rwinstance.Instance{},
+		services: map[string][]rwinstance.Instance{}, names: map[string][]string{}, leaving: map[string][]rwinstance.Instance{}, ids: map[string]rwinstance.Instance{},
 	}
 	for _, in := range instances {
 		p.ids[in.ID] = in
@@ -36,6 +37,7 @@
 			p.leaving[in.Service] = append(p.leaving[in.Service], in)
 		} else {
 			p.services[in.Service] = append(p.services[in.Service], in)
+			p.names[in.Service] = append(p.names[in.Service], in.ID)
 		}
 	}
 	return p
@@ -44,6 +46,10 @@
 // Usable returns the upstreams of a service that may get work, ordered by ID.
 func (p *Published) Usable(service string) []rwinstance.Instance { return p.services[service] }
 
+// IDs returns the ids of the upstreams of a service that may get work, in the
+// order of Usable.
+func (p *Published) IDs(service string) []string { return p.names[service] }
+
 // Leaving returns the upstreams of a service that are leaving.
 func (p *Published) Leaving(service string) []rwinstance.Instance { return p.leaving[service] }
 
--- a/internal/rwshare/rwshare.go
+++ b/internal/rwshare/rwshare.go
@@ -5,12 +5,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
-	"redwingworks.example/internal/rwcode"
-	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwitem"
 	"redwingworks.example/internal/rwpeer"
@@ -59,8 +56,8 @@
 // New returns a share and registers its messages.
 func New(peers *rwpeer.Peers) *Share {
 	s := &Share{self: peers.Self(), peers: peers}
-	peers.Handle("fresh", s.handleFresh)
-	peers.Handle("pull", s.handlePull)
+	peers.Handle("fresh", rwpeer.Typed(s.handleFresh))
+	peers.Handle("pull", rwpeer.Typed(s.handlePull))
 	return s
 }
 
@@ -132,19 +129,11 @@
 	s.Adopt(from.Name, n.Rev, n.Items)
 }
 
-func (s *Share) handleFresh(_ context.Context, from rwidentity.Identity, params json.RawMessage) (any, error) {
-	var p position
-	if err := json.Unmarshal(params, &p); err != nil {
-		return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
-	}
+func (s *Share) handleFresh(_ context.Context, from rwidentity.Identity, p position) (any, error) {
 	s.Heard(from, p.Rev)
 	return nil, nil
 }
 
-func (s *Share) handlePull(_ context.Context, _ rwidentity.Identity, params json.RawMessage) (any, error) {
-	var p position
-	if err := json.Unmarshal(params, &p); err != nil {
-		return nil, rwfault.Wrap(rwcode.PeerMalformed, err)
-	}
+func (s *Share) handlePull(_ context.Context, _ rwidentity.Identity, p position) (any, error) {
 	return news{Rev: s.Rev(), Items: s.Since(p.Rev)}, nil
 }
--- a/internal/rwtrack/rwtrack.go
+++ b/internal/rwtrack/rwtrack.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -76,14 +75,9 @@
 func (t *Tracker) listLoop(ctx context.Context, prefix string) {
 	for ctx.Err() == nil {
 		start := time.Now()
-		b, err := t.List(ctx, prefix)
-		if err != nil {
-			t.Failed(prefix, err)
-			sleep(ctx, pause)
+		if !t.list(ctx, prefix) {
 			continue
 		}
-		t.advance(prefix, b.Rev)
-		t.Listed(prefix, b)
 		for ctx.Err() == nil && time.Since(start) < t.interval() {
 			sleep(ctx, step)
 		}
@@ -117,7 +111,8 @@
 				sleep(ctx, gather)
 			}
 		case rwfault.Is(err, rwcode.RecordStale):
-			t.relist(ctx, prefix)
+			// The store has dropped the history that the watch would go on from.
+			t.list(ctx, prefix)
 		default:
 			t.Failed(prefix, err)
 			sleep(ctx, pause)
@@ -125,17 +120,17 @@
 	}
 }
 
-// relist reads everything when the store has dropped the history that a watch
-// would go on from.
-func (t *Tracker) relist(ctx context.Context, prefix string) {
+// list reads everything and reports whether it could; if not, it pauses.
+func (t *Tracker) list(ctx context.Context, prefix string) bool {
 	b, err := t.List(ctx, prefix)
 	if err != nil {
 		t.Failed(prefix, err)
 		sleep(ctx, pause)
-		return
+		return false
 	}
 	t.advance(prefix, b.Rev)
 	t.Listed(prefix, b)
+	return true
 }
 
 func (t *Tracker) position(prefix string) int64 {
@@ -163,9 +158,6 @@
 	return least
 }
 
-// Within reports whether a key belongs to a prefix.
-func Within(prefix, key string) bool { return strings.HasPrefix(key, prefix) }
-
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
