Correct two comments of rwcatalog

They said that the last good value of an unreadable entry stays in force. That holds for the configuration; an upstream whose entry can't be read gets no work, as the code and its test have it.

--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -34,8 +34,8 @@
 
 // Catalog is the state of one router. It is not safe for concurrent use.
 type Catalog struct {
-	// Decode reads an item's value; an error sets the item aside and the last
-	// good value stays in force.
+	// Decode reads an item's value. After an error the configuration in force
+	// stays, and an upstream gets no work.
 	Decode func(rwitem.Item) (Fact, error)
 
 	plan *rwplan.Plan
@@ -50,7 +50,7 @@
 
 type entry struct {
 	item rwitem.Item
-	// instance is the last good value, nil if there was none.
+	// instance is nil for an entry that names no upstream to use.
 	instance *rwinstance.Instance
 	// until is set for a removed entry that may be a lapse.
 	until time.Time
