Count and log why callers' connections are closed

Event 111 has both closings four times a second at most, and counts the idle connections that were closed although the process had read their next request.

--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -21,10 +21,33 @@
 	// idleSince is when each connection became idle, or the zero time if it is
 	// active.
 	idleSince map[net.Conn]time.Time
+	// closing holds the connections that CloseIdle has closed and that are not
+	// reported as closed yet.
+	closing map[net.Conn]struct{}
+	stats   Stats
+}
+
+// Stats counts what a limiter did since its start.
+type Stats struct {
+	// Turned is the number of new connections that were closed unread because
+	// too many were open.
+	Turned int64
+	// Closed is the number of idle connections that were closed; Crossed is how
+	// many of them had a request that the process had read.
+	Closed, Crossed int64
 }
 
 // New returns a limiter without connections.
-func New() *Limiter { return &Limiter{idleSince: map[net.Conn]time.Time{}} }
+func New() *Limiter {
+	return &Limiter{idleSince: map[net.Conn]time.Time{}, closing: map[net.Conn]struct{}{}}
+}
+
+// Stats returns the counts since the start.
+func (c *Limiter) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stats
+}
 
 // ConnState is the ConnState hook of an http.Server.
 func (c *Limiter) ConnState(conn net.Conn, s http.ConnState) {
@@ -33,10 +56,14 @@
 	switch s {
 	case http.StateNew, http.StateActive:
 		c.idleSince[conn] = time.Time{}
+		if _, ok := c.closing[conn]; ok {
+			c.stats.Crossed++
+		}
 	case http.StateIdle:
 		c.idleSince[conn] = time.Now()
 	case http.StateHijacked, http.StateClosed:
 		delete(c.idleSince, conn)
+		delete(c.closing, conn)
 	}
 }
 
@@ -92,9 +119,16 @@
 			return conn, err
 		}
 		_ = conn.Close()
+		l.limiter.countTurned()
 	}
 }
 
+func (c *Limiter) countTurned() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stats.Turned++
+}
+
 // Open returns the number of open connections.
 func (c *Limiter) Open() int {
 	c.mu.Lock()
@@ -122,6 +156,8 @@
 		}
 		_ = conn.Close()
 		delete(c.idleSince, conn)
+		c.closing[conn] = struct{}{}
+		c.stats.Closed++
 		closed++
 	}
 	return closed
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -305,9 +305,23 @@
 	if snapshot.Config != nil && snapshot.Config.Limits.IdleTimeout > 0 {
 		limit = snapshot.Config.Limits.IdleTimeout
 	}
-	if n := e.connLimiter.CloseIdle(now, limit, e.maxConnections(closeIdleRatio)); n > 0 {
-		e.metrics.Add("caller_connections_closed", int64(n))
+	e.connLimiter.CloseIdle(now, limit, e.maxConnections(closeIdleRatio))
+}
+
+// reportClosed counts and logs the callers' connections that were closed since
+// the last report.
+func (e *Edge) reportClosed(last rwconnlimit.Stats) rwconnlimit.Stats {
+	stats := e.connLimiter.Stats()
+	if stats == last {
+		return last
 	}
+	idle, unread, crossed := stats.Closed-last.Closed, stats.Turned-last.Turned, stats.Crossed-last.Crossed
+	e.metrics.Add("caller_connections_closed", idle)
+	e.metrics.Add("caller_connections_closed_unread", unread)
+	e.metrics.Add("caller_connections_crossed", crossed)
+	rwlog.Info(&e.log, rwlog.ConnectionsClosed).Int64("idle", idle).Int64("unread", unread).Int64("crossed", crossed).
+		Int("open", e.connLimiter.Open()).Send()
+	return stats
 }
 
 // Run serves until a signal asks the process to stop or a part ends by itself.
@@ -509,6 +523,7 @@
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
 	reloaded := time.Now()
+	var closed rwconnlimit.Stats
 	for {
 		select {
 		case <-ctx.Done():
@@ -521,6 +536,7 @@
 				return ok && in.Addr == k.Addr && in.StartMillis == k.StartMillis
 			})
 			e.closeIdleCallers(now, snapshot)
+			closed = e.reportClosed(closed)
 			if n := e.sink.Dropped.Swap(0); n > 0 {
 				e.metrics.Add("log_lines_dropped", n)
 				rwlog.Info(&e.log, rwlog.LinesDropped).Int64("lines", n).Send()
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -404,7 +404,7 @@
 	if ended := rwfault.FromContext(ctx); fault.Code == rwcode.CallerGone || ended != nil && ended.Code == rwcode.CallerGone {
 		f.Metrics.Refused(rwcode.CallerGone)
 		rwlog.Info(&f.Log, rwlog.RequestAbandoned).Str("id", x.Request.ID).Stringer("code", rwcode.CallerGone).
-			Str("upstream", x.Upstream).Int("sent", x.Sent).Dur("took", time.Since(x.Start)).Send()
+			Str("upstream", x.Upstream).Int("sent", x.Sent).Dur("took", time.Since(x.Start)).Str("detail", fault.Error()).Send()
 		panic(http.ErrAbortHandler)
 	}
 	if x.HeadSent {
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -30,6 +30,7 @@
 	SettingsReloaded     Event = 108 // settings reloaded
 	ProcessFailed        Event = 109 // process failed
 	RotationChanged      Event = 110 // rotation changed
+	ConnectionsClosed    Event = 111 // connections closed
 	RecordAdopted        Event = 200 // record adopted
 	RecordSetAside       Event = 201 // record set aside
 	RecordStale          Event = 202 // stale record ignored
