--- a/internal/rwconnlimit/rwconnlimit_test.go
+++ b/internal/rwconnlimit/rwconnlimit_test.go
@@ -1,6 +1,7 @@
 package rwconnlimit
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -99,3 +100,65 @@
 	require.True(t, CallerClosed(ctx))
 	require.False(t, CallerClosed(t.Context()), "not known")
 }
+
+// readHook is a connection that calls a function after each read that returned
+// bytes, before its caller continues. On a saturated machine other goroutines
+// run at that point for hundreds of milliseconds.
+type readHook struct {
+	*net.TCPConn
+	afterRead func()
+}
+
+func (h *readHook) Read(p []byte) (int, error) {
+	n, err := h.TCPConn.Read(p)
+	if n > 0 {
+		h.afterRead()
+	}
+	return n, err
+}
+
+type hookedListener struct {
+	net.Listener
+	afterRead func()
+}
+
+func (l *hookedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &readHook{TCPConn: conn.(*net.TCPConn), afterRead: l.afterRead}, nil
+}
+
+// Guards against closing an idle connection whose next request the process has
+// read: the caller got neither a response nor a refusal.
+func TestRequestReadBeforeItsConnectionIsClosed(t *testing.T) {
+	c := New()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closeIdle := func() {}
+	s := &http.Server{
+		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }),
+		ConnState: c.ConnState, ConnContext: c.ConnContext,
+	}
+	defer func() { _ = s.Close() }()
+	go func() { _ = s.Serve(c.Listener(&hookedListener{inner, func() { closeIdle() }}, 10)) }()
+
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	responses := bufio.NewReader(conn)
+	exchange := func() string {
+		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(responses, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return string(body)
+	}
+	require.Equal(t, "served", exchange())
+	closeIdle = func() { c.CloseIdle(time.Now(), 0, 0) }
+	require.Equal(t, "served", exchange())
+}
