Close idle connections only if no request has arrived on them

Cause: CloseIdle closed connections that net/http had reported as idle. net/http reports the next request only once its head was read and parsed, and on a machine without spare CPU time the goroutine waits for up to hundreds of milliseconds between the read and the report.

Change: the limiter's listener wraps connections. The read itself decides, so there is no moment in which a request is read and the connection taken as idle. Requests that wait unread in the socket are served or refused as well.

--- /dev/null
+++ b/internal/rwconnlimit/conn.go
@@ -0,0 +1,153 @@
+package rwconnlimit
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// conn is a caller's connection. To close it while it is idle, the limiter
+// retires it: its reads fail, and the server closes it, once no bytes are left
+// to read. Closing it directly would lose a request that the process has read
+// and that the server has not reported yet.
+type conn struct {
+	net.Conn
+	// onKept is called when the connection is not closed after all because a
+	// request has arrived.
+	onKept func()
+
+	mu sync.Mutex
+	// active is whether bytes were read since the connection was accepted or
+	// became idle.
+	active bool
+	// idleSince is when the connection became idle, or the zero time if it is
+	// new or active.
+	idleSince time.Time
+	// retired is whether reads fail if there are no bytes to read. A retired
+	// connection is not active.
+	retired bool
+	// readDeadline is the read deadline that the server has set. It applies
+	// unless the connection is retired.
+	readDeadline time.Time
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		switch {
+		case n > 0:
+			if c.activate() {
+				c.onKept()
+			}
+			return n, err
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() && hasUnread(c.Conn):
+			c.activate()
+			c.onKept()
+		default:
+			return n, err
+		}
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.retired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite lets http.Server close a connection without a reset that would
+// discard the response.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// activate records that a request has arrived, and reports whether the
+// connection was retired until now.
+func (c *conn) activate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.retired
+	c.active, c.idleSince, c.retired = true, time.Time{}, false
+	if was {
+		// It fails only if the connection is closed; the next read reports that.
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+	return was
+}
+
+func (c *conn) becomeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active, c.idleSince = false, now
+}
+
+// retire makes reads fail once there are no bytes to read, and reports whether
+// the connection was neither active nor retired.
+func (c *conn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active || c.retired {
+		return false
+	}
+	c.retired = true
+	// It fails only if the connection is closed.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// state returns when the connection became idle, or the zero time, and whether
+// it is retired.
+func (c *conn) state() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, c.retired
+}
+
+func (c *conn) isRetired() bool {
+	_, retired := c.state()
+	return retired
+}
+
+// hasUnread reports whether bytes can be read from a connection at once.
+func hasUnread(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	n, err := peek(sc)
+	return err == nil && n > 0
+}
+
+// peek returns the number of bytes, zero or one, that can be read at once. It
+// returns zero without an error at the end of the stream, EAGAIN if nothing has
+// arrived, and net.ErrClosed if the connection was closed on this side.
+func peek(sc syscall.Conn) (int, error) {
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var next [1]byte
+	var n int
+	var peekErr error
+	err = raw.Control(func(fd uintptr) {
+		n, _, peekErr = unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0, err
+	}
+	return n, peekErr
+}
--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -5,73 +5,75 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-// Limiter tracks the open connections of callers.
+// Limiter tracks the open connections that its listener has accepted.
 type Limiter struct {
-	mu sync.Mutex
-	// idleSince is when each connection became idle, or the zero time if it is
-	// active.
-	idleSince map[net.Conn]time.Time
-	// closing holds the connections that CloseIdle has closed and that are not
-	// reported as closed yet.
-	closing map[net.Conn]struct{}
-	stats   Stats
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	stats Stats
 }
 
 // Stats counts what a limiter did since its start.
 type Stats struct {
-	// Turned is the number of new connections that were closed unread because
-	// too many were open.
-	Turned int64
-	// Closed is the number of idle connections that were closed; Crossed is how
-	// many of them had a request that the process had read.
-	Closed, Crossed int64
+	// Unread is the number of new connections that were closed unread.
+	Unread int64
+	// Idle is the number of idle connections that were closed. Kept is how often
+	// one was not closed after all because a request had arrived.
+	Idle, Kept int64
 }
 
 // New returns a limiter without connections.
-func New() *Limiter {
-	return &Limiter{idleSince: map[net.Conn]time.Time{}, closing: map[net.Conn]struct{}{}}
-}
+func New() *Limiter { return &Limiter{conns: map[*conn]struct{}{}} }
 
 // Stats returns the counts since the start.
-func (c *Limiter) Stats() Stats {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.stats
+func (l *Limiter) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stats
 }
 
-// ConnState is the ConnState hook of an http.Server.
-func (c *Limiter) ConnState(conn net.Conn, s http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// ConnState is the ConnState hook of an http.Server that serves the limiter's
+// listener.
+func (l *Limiter) ConnState(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	switch s {
-	case http.StateNew, http.StateActive:
-		c.idleSince[conn] = time.Time{}
-		if _, ok := c.closing[conn]; ok {
-			c.stats.Crossed++
+	case http.StateNew:
+		// Registered by Accept.
+	case http.StateActive:
+		if c.activate() {
+			l.stats.Kept++
 		}
 	case http.StateIdle:
-		c.idleSince[conn] = time.Now()
+		c.becomeIdle(time.Now())
 	case http.StateHijacked, http.StateClosed:
-		delete(c.idleSince, conn)
-		delete(c.closing, conn)
+		if _, ok := l.conns[c]; ok && c.isRetired() {
+			l.stats.Idle++
+		}
+		delete(l.conns, c)
 	}
 }
 
 type connKey struct{}
 
 // ConnContext is the ConnContext hook of an http.Server. CallerClosed needs it.
-func (c *Limiter) ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+func (l *Limiter) ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*conn); ok {
+		nc = c.Conn
+	}
+	return context.WithValue(ctx, connKey{}, nc)
 }
 
 // CallerClosed reports whether the caller of a request has closed its
@@ -80,30 +82,20 @@
 // the request in the milliseconds before its context is cancelled. It returns
 // false if the state is not known.
 func CallerClosed(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(syscall.Conn)
+	nc, ok := ctx.Value(connKey{}).(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		n, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = (err == nil && n == 0) || err == unix.ECONNRESET
-	})
-	// The connection was closed on this side.
-	return closed || err != nil
+	n, err := peek(nc)
+	return (err == nil && n == 0) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
 }
 
 // Listener wraps a listener so that it closes new connections at once while at
 // least a maximum number are open. Their callers see that nothing was read and
 // retry on another router, and unread bytes in sockets don't add to this
 // router's memory.
-func (c *Limiter) Listener(l net.Listener, maxOpen int) net.Listener {
-	return &limitedListener{Listener: l, limiter: c, maxOpen: maxOpen}
+func (l *Limiter) Listener(inner net.Listener, maxOpen int) net.Listener {
+	return &limitedListener{Listener: inner, limiter: l, maxOpen: maxOpen}
 }
 
 type limitedListener struct {
@@ -114,51 +106,78 @@
 
 func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
-		if err != nil || l.limiter.Open() < l.maxOpen {
-			return conn, err
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
 		}
-		_ = conn.Close()
-		l.limiter.countTurned()
+		if c := l.limiter.register(nc, l.maxOpen); c != nil {
+			return c, nil
+		}
+		_ = nc.Close()
+	}
+}
+
+// register tracks a new connection. It returns nil if the connection must be
+// closed.
+func (l *Limiter) register(nc net.Conn, maxOpen int) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) >= maxOpen {
+		l.stats.Unread++
+		return nil
 	}
+	c := &conn{Conn: nc, onKept: l.countKept}
+	l.conns[c] = struct{}{}
+	return c
 }
 
-func (c *Limiter) countTurned() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stats.Turned++
+func (l *Limiter) countKept() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stats.Kept++
 }
 
 // Open returns the number of open connections.
-func (c *Limiter) Open() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.idleSince)
+func (l *Limiter) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
 }
 
 // CloseIdle closes connections that have been idle longer than a limit, and
 // beyond a maximum number of connections also those that have been idle
-// longest. It returns the number closed.
-func (c *Limiter) CloseIdle(now time.Time, limit time.Duration, maxOpen int) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var idle []net.Conn
-	for conn, since := range c.idleSince {
+// longest. A connection whose next request has arrived is not closed, even if
+// the process has not read it yet. CloseIdle returns the number of connections
+// that it chose; they close soon afterwards.
+func (l *Limiter) CloseIdle(now time.Time, limit time.Duration, maxOpen int) int {
+	type idleConn struct {
+		*conn
+		since time.Time
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var idle []idleConn
+	open := 0
+	for c := range l.conns {
+		since, retired := c.state()
+		if retired {
+			continue
+		}
+		open++
 		if !since.IsZero() {
-			idle = append(idle, conn)
+			idle = append(idle, idleConn{c, since})
 		}
 	}
-	slices.SortFunc(idle, func(a, b net.Conn) int { return c.idleSince[a].Compare(c.idleSince[b]) })
-	closed := 0
-	for _, conn := range idle {
-		if now.Sub(c.idleSince[conn]) < limit && len(c.idleSince) <= maxOpen {
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	chosen := 0
+	for _, c := range idle {
+		if now.Sub(c.since) < limit && open <= maxOpen {
 			break
 		}
-		_ = conn.Close()
-		delete(c.idleSince, conn)
-		c.closing[conn] = struct{}{}
-		c.stats.Closed++
-		closed++
+		if c.retire() {
+			open--
+			chosen++
+		}
 	}
-	return closed
+	return chosen
 }
--- a/internal/rwconnlimit/rwconnlimit_test.go
+++ b/internal/rwconnlimit/rwconnlimit_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,32 +14,54 @@
 	"github.com/stretchr/testify/require"
 )
 
+// serveUntilClosed reads from a connection like an http.Server that waits for
+// the next request, and closes it when a read fails.
+func serveUntilClosed(l *Limiter, c *conn) {
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		_ = c.Close()
+		l.ConnState(c, http.StateClosed)
+	}
+}
+
 // Guards against connections that add up until the file descriptors run out,
 // and against closing one that serves a request.
 func TestSweep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New()
-		var conns []net.Conn
+		l := New()
+		var conns []*conn
+		var callers []net.Conn
 		for range 5 {
-			conn, other := net.Pipe()
-			defer func() { _ = other.Close() }()
-			c.ConnState(conn, http.StateNew)
-			conns = append(conns, conn)
+			nc, caller := net.Pipe()
+			defer func() { _ = caller.Close() }()
+			c := l.register(nc, 10)
+			l.ConnState(c, http.StateNew)
+			conns, callers = append(conns, c), append(callers, caller)
 		}
-		for i, conn := range conns[1:] {
+		for i, c := range conns[1:] {
 			time.Sleep(time.Second)
-			c.ConnState(conn, http.StateIdle)
-			require.Equal(t, 5, c.Open(), i)
+			l.ConnState(c, http.StateIdle)
+			go serveUntilClosed(l, c)
+			require.Equal(t, 5, l.Open(), i)
+		}
+		closeIdle := func(limit time.Duration, maxOpen int) int {
+			n := l.CloseIdle(time.Now(), limit, maxOpen)
+			synctest.Wait()
+			return n
 		}
-		require.Equal(t, 1, c.CloseIdle(time.Now(), 3*time.Second, 10), "one is idle for three seconds")
-		require.Equal(t, 2, c.CloseIdle(time.Now(), time.Minute, 2))
-		require.Equal(t, 2, c.Open())
-		_, err := conns[2].Write([]byte("x"))
-		require.Error(t, err, "the oldest idle ones were closed")
-		require.Equal(t, 1, c.CloseIdle(time.Now(), 0, 0))
-		require.Equal(t, 1, c.Open(), "an active connection stays")
-		c.ConnState(conns[0], http.StateClosed)
-		require.Zero(t, c.Open())
+		require.Equal(t, 1, closeIdle(3*time.Second, 10), "one is idle for three seconds")
+		require.Equal(t, 4, l.Open())
+		require.Equal(t, 2, closeIdle(time.Minute, 2))
+		require.Equal(t, 2, l.Open())
+		for i, closed := range []bool{false, true, true, true, false} {
+			_ = callers[i].SetReadDeadline(time.Now().Add(time.Second))
+			_, err := callers[i].Read(make([]byte, 1))
+			require.Equal(t, closed, errors.Is(err, io.EOF), "the oldest idle ones were closed: %d", i)
+		}
+		require.Equal(t, 1, closeIdle(0, 0))
+		require.Equal(t, 1, l.Open(), "an active connection stays")
+		require.Equal(t, Stats{Idle: 4}, l.Stats())
+		l.ConnState(conns[0], http.StateClosed)
+		require.Zero(t, l.Open())
 	})
 }
 
@@ -101,64 +125,119 @@
 	require.False(t, CallerClosed(t.Context()), "not known")
 }
 
-// readHook is a connection that calls a function after each read that returned
-// bytes, before its caller continues. On a saturated machine other goroutines
-// run at that point for hundreds of milliseconds.
+// readHook is a connection that calls a function before and after each read, at
+// which points other goroutines may run for long on a saturated machine.
 type readHook struct {
 	*net.TCPConn
-	afterRead func()
+	before, after func()
 }
 
 func (h *readHook) Read(p []byte) (int, error) {
+	h.before()
 	n, err := h.TCPConn.Read(p)
 	if n > 0 {
-		h.afterRead()
+		h.after()
 	}
 	return n, err
 }
 
 type hookedListener struct {
 	net.Listener
-	afterRead func()
+	before, after func()
 }
 
-func (l *hookedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+func (h *hookedListener) Accept() (net.Conn, error) {
+	nc, err := h.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &readHook{TCPConn: conn.(*net.TCPConn), afterRead: l.afterRead}, nil
+	return &readHook{TCPConn: nc.(*net.TCPConn), before: h.before, after: h.after}, nil
 }
 
-// Guards against closing an idle connection whose next request the process has
-// read: the caller got neither a response nor a refusal.
-func TestRequestReadBeforeItsConnectionIsClosed(t *testing.T) {
-	c := New()
+// caller is a client that keeps its connection open.
+type caller struct {
+	t         *testing.T
+	conn      net.Conn
+	responses *bufio.Reader
+}
+
+func (c *caller) send() {
+	_, err := io.WriteString(c.conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+	require.NoError(c.t, err)
+}
+
+func (c *caller) receive() string {
+	resp, err := http.ReadResponse(c.responses, nil)
+	require.NoError(c.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(c.t, err)
+	return string(body)
+}
+
+// serve starts a server whose connections call before and after around each
+// read, and connects a caller that has received a response.
+func serve(t *testing.T, l *Limiter, before, after func()) *caller {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	closeIdle := func() {}
 	s := &http.Server{
 		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }),
-		ConnState: c.ConnState, ConnContext: c.ConnContext,
+		ConnState: l.ConnState, ConnContext: l.ConnContext,
 	}
-	defer func() { _ = s.Close() }()
-	go func() { _ = s.Serve(c.Listener(&hookedListener{inner, func() { closeIdle() }}, 10)) }()
-
-	conn, err := net.Dial("tcp", inner.Addr().String())
+	t.Cleanup(func() { _ = s.Close() })
+	go func() { _ = s.Serve(l.Listener(&hookedListener{inner, before, after}, 10)) }()
+	nc, err := net.Dial("tcp", inner.Addr().String())
 	require.NoError(t, err)
-	defer func() { _ = conn.Close() }()
-	require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
-	responses := bufio.NewReader(conn)
-	exchange := func() string {
-		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
-		require.NoError(t, err)
-		resp, err := http.ReadResponse(responses, nil)
-		require.NoError(t, err)
-		body, err := io.ReadAll(resp.Body)
-		require.NoError(t, err)
-		return string(body)
+	t.Cleanup(func() { _ = nc.Close() })
+	require.NoError(t, nc.SetDeadline(time.Now().Add(5*time.Second)))
+	c := &caller{t, nc, bufio.NewReader(nc)}
+	c.send()
+	require.Equal(t, "served", c.receive())
+	return c
+}
+
+// Guards against closing an idle connection whose next request the process has
+// read: the caller got neither a response nor a refusal.
+func TestRequestReadBeforeItsConnectionIsClosed(t *testing.T) {
+	l := New()
+	var sweep atomic.Bool
+	c := serve(t, l, func() {}, func() {
+		if sweep.Load() {
+			l.CloseIdle(time.Now(), 0, 0)
+		}
+	})
+	sweep.Store(true)
+	c.send()
+	require.Equal(t, "served", c.receive())
+	c.send()
+	require.Equal(t, "served", c.receive(), "the connection can still be used")
+	require.Equal(t, Stats{Kept: 2}, l.Stats())
+}
+
+// Guards against closing an idle connection whose next request waits in the
+// socket because the process gets no CPU time.
+func TestUnreadRequestBeforeItsConnectionIsClosed(t *testing.T) {
+	l := New()
+	idle := func() *conn {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for c := range l.conns {
+			if since, _ := c.state(); !since.IsZero() {
+				return c
+			}
+		}
+		return nil
 	}
-	require.Equal(t, "served", exchange())
-	closeIdle = func() { c.CloseIdle(time.Now(), 0, 0) }
-	require.Equal(t, "served", exchange())
+	resume := make(chan struct{})
+	c := serve(t, l, func() {
+		if idle() != nil {
+			<-resume
+		}
+	}, func() {})
+	c.send()
+	require.Eventually(t, func() bool { return idle() != nil && hasUnread(idle().Conn) }, 5*time.Second, time.Millisecond)
+	require.Equal(t, 1, l.CloseIdle(time.Now(), 0, 0))
+	close(resume)
+	require.Equal(t, "served", c.receive())
+	require.Equal(t, Stats{Kept: 1}, l.Stats())
 }
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -315,11 +315,11 @@
 	if stats == last {
 		return last
 	}
-	idle, unread, crossed := stats.Closed-last.Closed, stats.Turned-last.Turned, stats.Crossed-last.Crossed
+	idle, unread, kept := stats.Idle-last.Idle, stats.Unread-last.Unread, stats.Kept-last.Kept
 	e.metrics.Add("caller_connections_closed", idle)
 	e.metrics.Add("caller_connections_closed_unread", unread)
-	e.metrics.Add("caller_connections_crossed", crossed)
-	rwlog.Info(&e.log, rwlog.ConnectionsClosed).Int64("idle", idle).Int64("unread", unread).Int64("crossed", crossed).
+	e.metrics.Add("caller_connections_kept", kept)
+	rwlog.Info(&e.log, rwlog.ConnectionsClosed).Int64("idle", idle).Int64("unread", unread).Int64("kept", kept).
 		Int("open", e.connLimiter.Open()).Send()
 	return stats
 }
