Close connections in a drain only if no request has arrived on them

The drain now closes idle connections through the limiter, which lets the read of the connection decide. Once no request is in progress, the limiter closes new connections unread, and the process ends when none is open. Callers that keep idle connections open don't delay it.

--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -18,7 +18,10 @@
 type Limiter struct {
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	stats Stats
+	// stopping is whether new connections are closed at once, and open ones as
+	// soon as they are not active.
+	stopping bool
+	stats    Stats
 }
 
 // Stats counts what a limiter did since its start.
@@ -58,6 +61,9 @@
 		}
 	case http.StateIdle:
 		c.becomeIdle(time.Now())
+		if l.stopping {
+			c.retire()
+		}
 	case http.StateHijacked, http.StateClosed:
 		if _, ok := l.conns[c]; ok && c.isRetired() {
 			l.stats.Idle++
@@ -122,7 +128,7 @@
 func (l *Limiter) register(nc net.Conn, maxOpen int) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= maxOpen {
+	if l.stopping || len(l.conns) >= maxOpen {
 		l.stats.Unread++
 		return nil
 	}
@@ -181,3 +187,14 @@
 	}
 	return chosen
 }
+
+// Stop closes new connections at once and open ones as soon as no request is
+// in progress or has arrived on them.
+func (l *Limiter) Stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = true
+	for c := range l.conns {
+		c.retire()
+	}
+}
--- a/internal/rwconnlimit/rwconnlimit_test.go
+++ b/internal/rwconnlimit/rwconnlimit_test.go
@@ -241,3 +241,28 @@
 	require.Equal(t, "served", c.receive())
 	require.Equal(t, Stats{Kept: 1}, l.Stats())
 }
+
+// Guards against a stop that loses a request that has arrived, and against one
+// that waits for callers that keep their connections open.
+func TestStop(t *testing.T) {
+	l := New()
+	var stop atomic.Bool
+	c := serve(t, l, func() {}, func() {
+		if stop.Load() {
+			l.Stop()
+		}
+	})
+	stop.Store(true)
+	c.send()
+	require.Equal(t, "served", c.receive())
+	require.Eventually(t, func() bool { return l.Open() == 0 }, 5*time.Second, time.Millisecond)
+	_, err := c.responses.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	late, err := net.Dial("tcp", c.conn.RemoteAddr().String())
+	require.NoError(t, err)
+	defer func() { _ = late.Close() }()
+	require.NoError(t, late.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = late.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "closed unread")
+	require.Equal(t, Stats{Idle: 1, Unread: 1, Kept: 1}, l.Stats())
+}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -584,9 +584,10 @@
 }
 
 // drain takes the router out of rotation. It serves the requests that arrive
-// within drainAcceptTime and refuses later ones. It returns shortly after
-// drainAcceptTime, once no request is in progress, but at the latest
-// graceMargin before the grace period ends.
+// within drainAcceptTime, then refuses later ones and closes idle connections.
+// It returns shortly after drainAcceptTime, once no request is in progress and
+// all connections are closed, but at the latest graceMargin before the grace
+// period ends.
 func (e *Edge) drain(ctx context.Context) {
 	start := time.Now()
 	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
@@ -606,11 +607,16 @@
 		case <-ticker.C:
 		}
 		spent := time.Since(start)
-		if spent >= drainAcceptTime && !e.refusing.Load() {
+		if spent >= drainAcceptTime {
 			e.refusing.Store(true)
-			e.server.SetKeepAlivesEnabled(false)
+			// SetKeepAlivesEnabled of the server would close connections whose
+			// next request has arrived.
+			e.connLimiter.CloseIdle(time.Now(), 0, 0)
 		}
-		if spent >= grace-graceMargin || (spent >= drainAcceptTime+step*10 && e.activeRequests.Load() == 0) {
+		if spent >= drainAcceptTime+step*10 && e.activeRequests.Load() == 0 {
+			e.connLimiter.Stop()
+		}
+		if spent >= grace-graceMargin || (spent >= drainAcceptTime+step*10 && e.connLimiter.Open() == 0) {
 			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Dur("took", spent).Send()
 			return
 		}
