Leave the idle timeout of callers' connections to the limiter

The read deadline of http.Server.IdleTimeout closes a connection although its next request waits in the socket, which happens if the process gets no CPU time when the timeout ends. Its caller gets neither a response nor a refusal.

It now applies idleTimeout also if the published limit is longer, as the comment of the constant says.

--- a/internal/rwedge/drain_test.go
+++ b/internal/rwedge/drain_test.go
@@ -16,6 +16,13 @@
 	"redwingworks.example/internal/rwinboundrequest"
 )
 
+func newEdge() *Edge {
+	return New(Config{
+		Deployment: rwdeployment.Deployment{Name: "r", Zone: "z"}, Out: io.Discard,
+		Dialect: rwdialect.Dialect{Decode: func(*http.Request) rwinboundrequest.Request { return rwinboundrequest.Request{} }},
+	})
+}
+
 // slowConn is a connection that calls a function after each read, at which point
 // other goroutines may run for long on a saturated machine.
 type slowConn struct {
@@ -47,10 +54,7 @@
 // Guards against a drain that closes a kept connection whose next request the
 // process has read, and against one that waits for idle callers.
 func TestDrainRespondsToARequestThatWasRead(t *testing.T) {
-	e := New(Config{
-		Deployment: rwdeployment.Deployment{Name: "r", Zone: "z"}, Out: io.Discard,
-		Dialect: rwdialect.Dialect{Decode: func(*http.Request) rwinboundrequest.Request { return rwinboundrequest.Request{} }},
-	})
+	e := newEdge()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	var draining atomic.Bool
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -261,7 +261,9 @@
 			defer e.activeRequests.Add(-1)
 			front.ServeHTTP(w, r)
 		}),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		// There is no IdleTimeout, because net/http would close a connection
+		// whose next request has arrived. closeIdleCallers bounds the idle time.
+		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
 		ConnState: e.connLimiter.ConnState, ConnContext: e.connLimiter.ConnContext,
 	}
 }
@@ -303,7 +305,7 @@
 func (e *Edge) closeIdleCallers(now time.Time, snapshot *rwconfigsnapshot.Snapshot) {
 	limit := idleTimeout
 	if snapshot.Config != nil && snapshot.Config.Limits.IdleTimeout > 0 {
-		limit = snapshot.Config.Limits.IdleTimeout
+		limit = min(limit, snapshot.Config.Limits.IdleTimeout)
 	}
 	e.connLimiter.CloseIdle(now, limit, e.maxConnections(closeIdleRatio))
 }
