--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -261,7 +261,9 @@
 			defer e.activeRequests.Add(-1)
 			front.ServeHTTP(w, r)
 		}),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		// There is no IdleTimeout, because net/http would close a connection
+		// whose next request has arrived. closeIdleCallers bounds the idle time.
+		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
 		ConnState: e.connLimiter.ConnState, ConnContext: e.connLimiter.ConnContext,
 	}
 }
@@ -303,11 +305,25 @@
 func (e *Edge) closeIdleCallers(now time.Time, snapshot *rwconfigsnapshot.Snapshot) {
 	limit := idleTimeout
 	if snapshot.Config != nil && snapshot.Config.Limits.IdleTimeout > 0 {
-		limit = snapshot.Config.Limits.IdleTimeout
+		limit = min(limit, snapshot.Config.Limits.IdleTimeout)
 	}
-	if n := e.connLimiter.CloseIdle(now, limit, e.maxConnections(closeIdleRatio)); n > 0 {
-		e.metrics.Add("caller_connections_closed", int64(n))
+	e.connLimiter.CloseIdle(now, limit, e.maxConnections(closeIdleRatio))
+}
+
+// reportClosed counts and logs the callers' connections that were closed since
+// the last report.
+func (e *Edge) reportClosed(last rwconnlimit.Stats) rwconnlimit.Stats {
+	stats := e.connLimiter.Stats()
+	if stats == last {
+		return last
 	}
+	idle, unread, kept := stats.Idle-last.Idle, stats.Unread-last.Unread, stats.Kept-last.Kept
+	e.metrics.Add("caller_connections_closed", idle)
+	e.metrics.Add("caller_connections_closed_unread", unread)
+	e.metrics.Add("caller_connections_kept", kept)
+	rwlog.Info(&e.log, rwlog.ConnectionsClosed).Int64("idle", idle).Int64("unread", unread).Int64("kept", kept).
+		Int("open", e.connLimiter.Open()).Send()
+	return stats
 }
 
 // Run serves until a signal asks the process to stop or a part ends by itself.
@@ -509,6 +525,7 @@
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
 	reloaded := time.Now()
+	var closed rwconnlimit.Stats
 	for {
 		select {
 		case <-ctx.Done():
@@ -521,6 +538,7 @@
 				return ok && in.Addr == k.Addr && in.StartMillis == k.StartMillis
 			})
 			e.closeIdleCallers(now, snapshot)
+			closed = e.reportClosed(closed)
 			if n := e.sink.Dropped.Swap(0); n > 0 {
 				e.metrics.Add("log_lines_dropped", n)
 				rwlog.Info(&e.log, rwlog.LinesDropped).Int64("lines", n).Send()
@@ -568,9 +586,10 @@
 }
 
 // drain takes the router out of rotation. It serves the requests that arrive
-// within drainAcceptTime and refuses later ones. It returns shortly after
-// drainAcceptTime, once no request is in progress, but at the latest
-// graceMargin before the grace period ends.
+// within drainAcceptTime, then refuses later ones and closes idle connections.
+// It returns shortly after drainAcceptTime, once no request is in progress and
+// all connections are closed, but at the latest graceMargin before the grace
+// period ends.
 func (e *Edge) drain(ctx context.Context) {
 	start := time.Now()
 	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
@@ -590,11 +609,16 @@
 		case <-ticker.C:
 		}
 		spent := time.Since(start)
-		if spent >= drainAcceptTime && !e.refusing.Load() {
+		if spent >= drainAcceptTime {
 			e.refusing.Store(true)
-			e.server.SetKeepAlivesEnabled(false)
+			// SetKeepAlivesEnabled of the server would close connections whose
+			// next request has arrived.
+			e.connLimiter.CloseIdle(time.Now(), 0, 0)
+		}
+		if spent >= drainAcceptTime+step*10 && e.activeRequests.Load() == 0 {
+			e.connLimiter.Stop()
 		}
-		if spent >= grace-graceMargin || (spent >= drainAcceptTime+step*10 && e.activeRequests.Load() == 0) {
+		if spent >= grace-graceMargin || (spent >= drainAcceptTime+step*10 && e.connLimiter.Open() == 0) {
 			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Dur("took", spent).Send()
 			return
 		}
