Refuse the request on a connection that was closed as one too many

Since idle connections are kept if a request has arrived, a router with too many connections would work for requests that had waited in its sockets. Before, those callers lost their connections, which shed the load.

Such a request now gets a refusal at once, with a retry delay, and its connection ends: the router says that it did not run. Connections that are closed for the idle timeout or in a drain are not concerned.

--- a/internal/rwconnlimit/conn.go
+++ b/internal/rwconnlimit/conn.go
@@ -31,6 +31,9 @@
 	// retired is whether reads fail if there are no bytes to read. A retired
 	// connection is not active.
 	retired bool
+	// excess is whether the connection was retired because too many were open.
+	// It stays set during the next request if there is one.
+	excess bool
 	// readDeadline is the read deadline that the server has set. It applies
 	// unless the connection is retired.
 	readDeadline time.Time
@@ -92,18 +95,19 @@
 func (c *conn) becomeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active, c.idleSince = false, now
+	c.active, c.excess, c.idleSince = false, false, now
 }
 
 // retire makes reads fail once there are no bytes to read, and reports whether
-// the connection was neither active nor retired.
-func (c *conn) retire() bool {
+// the connection was neither active nor retired. Excess says that too many
+// connections are open.
+func (c *conn) retire(excess bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.active || c.retired {
 		return false
 	}
-	c.retired = true
+	c.retired, c.excess = true, excess
 	// It fails only if the connection is closed.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	return true
@@ -122,6 +126,12 @@
 	return retired
 }
 
+func (c *conn) isExcess() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.excess
+}
+
 // hasUnread reports whether bytes can be read from a connection at once.
 func hasUnread(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -62,7 +62,7 @@
 	case http.StateIdle:
 		c.becomeIdle(time.Now())
 		if l.stopping {
-			c.retire()
+			c.retire(false)
 		}
 	case http.StateHijacked, http.StateClosed:
 		if _, ok := l.conns[c]; ok && c.isRetired() {
@@ -74,25 +74,34 @@
 
 type connKey struct{}
 
-// ConnContext is the ConnContext hook of an http.Server. CallerClosed needs it.
+// ConnContext is the ConnContext hook of an http.Server. CallerClosed and Excess
+// need it.
 func (l *Limiter) ConnContext(ctx context.Context, nc net.Conn) context.Context {
-	if c, ok := nc.(*conn); ok {
-		nc = c.Conn
-	}
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
+// Excess reports whether the connection of a request was to be closed because
+// too many were open, and was kept only because the request had arrived.
+func Excess(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.isExcess()
+}
+
 // CallerClosed reports whether the caller of a request has closed its
 // connection, even if net/http has not noticed yet: a router that reads late
 // finds the end of the connection right after the request, and would forward
 // the request in the milliseconds before its context is cancelled. It returns
 // false if the state is not known.
 func CallerClosed(ctx context.Context) bool {
-	nc, ok := ctx.Value(connKey{}).(syscall.Conn)
+	nc := ctx.Value(connKey{})
+	if c, ok := nc.(*conn); ok {
+		nc = c.Conn
+	}
+	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	n, err := peek(nc)
+	n, err := peek(sc)
 	return (err == nil && n == 0) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
 }
 
@@ -177,10 +186,11 @@
 	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
 	chosen := 0
 	for _, c := range idle {
-		if now.Sub(c.since) < limit && open <= maxOpen {
+		expired := now.Sub(c.since) >= limit
+		if !expired && open <= maxOpen {
 			break
 		}
-		if c.retire() {
+		if c.retire(!expired) {
 			open--
 			chosen++
 		}
@@ -195,6 +205,6 @@
 	defer l.mu.Unlock()
 	l.stopping = true
 	for c := range l.conns {
-		c.retire()
+		c.retire(false)
 	}
 }
--- a/internal/rwconnlimit/rwconnlimit_test.go
+++ b/internal/rwconnlimit/rwconnlimit_test.go
@@ -181,7 +181,13 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &http.Server{
-		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			result := "served"
+			if Excess(r.Context()) {
+				result = "excess"
+			}
+			_, _ = io.WriteString(w, result)
+		}),
 		ConnState: l.ConnState, ConnContext: l.ConnContext,
 	}
 	t.Cleanup(func() { _ = s.Close() })
@@ -214,6 +220,25 @@
 	require.Equal(t, Stats{Kept: 2}, l.Stats())
 }
 
+// Guards against serving a request as usual on a connection that is open only
+// because the request had arrived, and against refusing the next one.
+func TestExcess(t *testing.T) {
+	l := New()
+	var sweep atomic.Bool
+	c := serve(t, l, func() {}, func() {
+		if sweep.Load() {
+			l.CloseIdle(time.Now(), time.Hour, 0)
+		}
+	})
+	sweep.Store(true)
+	c.send()
+	require.Equal(t, "excess", c.receive())
+	sweep.Store(false)
+	c.send()
+	require.Equal(t, "served", c.receive())
+	require.False(t, Excess(t.Context()), "not known")
+}
+
 // Guards against closing an idle connection whose next request waits in the
 // socket because the process gets no CPU time.
 func TestUnreadRequestBeforeItsConnectionIsClosed(t *testing.T) {
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -268,14 +268,15 @@
 	}
 }
 
-// overloaded reports whether to refuse a request because the router reads
-// requests late, has as many in progress as its memory takes, or sheds load.
-func (e *Edge) overloaded() bool {
+// overloaded reports whether to refuse the request with this context because the
+// router reads requests late, has as many in progress as its memory takes, sheds
+// load, or was about to close the connection because too many are open.
+func (e *Edge) overloaded(ctx context.Context) bool {
 	limit := int64(defaultMaxRequests)
 	if m := e.deployment.MemoryBytes; m > 0 {
 		limit = int64(requestMemoryRatio * float64(m) / requestBytes)
 	}
-	return e.lagMonitor.Lagging() || e.activeRequests.Load() > limit || e.overload.ShouldRefuse(rand.Float64())
+	return e.lagMonitor.Lagging() || e.activeRequests.Load() > limit || rwconnlimit.Excess(ctx) || e.overload.ShouldRefuse(rand.Float64())
 }
 
 // flushDelay returns how long to collect stream events between writes.
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -71,9 +71,9 @@
 	// CloseConnections reports whether to close callers' connections after
 	// their responses; Draining reports whether to refuse new requests.
 	CloseConnections, Draining func() bool
-	// Overloaded reports whether to refuse this request because the router has
-	// too many; it may select a random fraction.
-	Overloaded func() bool
+	// Overloaded reports whether to refuse the request with this context because
+	// the router has too many; it may select a random fraction.
+	Overloaded func(context.Context) bool
 	// Lagging reports whether the router reads requests late, so that callers
 	// may have disconnected unnoticed.
 	Lagging func() bool
@@ -138,7 +138,7 @@
 		return x, rwfault.New(rwcode.NotReady, "no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	case snapshot.Config.Limits.MaxHeaderBytes > 0 && headSize(r) > snapshot.Config.Limits.MaxHeaderBytes:
 		return x, rwfault.New(rwcode.HeaderTooLarge, strconv.Itoa(headSize(r))+" bytes")
-	case f.Overloaded():
+	case f.Overloaded(r.Context()):
 		// This check comes before routing and before the body is read, so that
 		// a refusal costs little.
 		return x, rwfault.New(rwcode.TooManyRequests, "router overloaded").WithRetryAfter(overloadRetryAfter)
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -141,7 +141,7 @@
 		RouterCount:      func() int { return 1 },
 		NewBudget:        func() *rwretrywindow.Budget { return rwretrywindow.New(0.2, 50, 10*time.Second) },
 		CloseConnections: func() bool { return false }, Draining: func() bool { return false },
-		CloseRefused: func() bool { return false }, Overloaded: func() bool { return false },
+		CloseRefused: func() bool { return false }, Overloaded: func(context.Context) bool { return false },
 		Lagging: func() bool { return false }, CallerClosed: func(context.Context) bool { return false },
 		FlushDelay: func() time.Duration { return 0 },
 		Zone:       "z", Log: zerolog.Nop(), Metrics: rwmetric.New(),
@@ -457,7 +457,7 @@
 // against refusals without a retry delay.
 func TestOverloadedRouterRefuses(t *testing.T) {
 	f := serve(t, map[string]http.HandlerFunc{"a": respond(200, "x")})
-	f.front.Overloaded = func() bool { return true }
+	f.front.Overloaded = func(context.Context) bool { return true }
 	status, _, h, err := f.send(t, "/unsafe/x")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, status)
