Bound the time for the first bytes of a request on an idle connection

A caller that sends one to three bytes on an idle connection kept it for ever: the limiter takes the connection as active, and net/http waits for four bytes before it sets a timeout. Enough of them would use up the limit on connections.

The limiter now sets the timeout for the head when bytes arrive on an idle connection without a deadline. TestFirstBytesOfARequestDontKeepAConnection guards it.

--- a/internal/rwconnlimit/conn.go
+++ b/internal/rwconnlimit/conn.go
@@ -20,6 +20,10 @@
 	// onKept is called when the connection is not closed after all because a
 	// request has arrived.
 	onKept func()
+	// headTimeout bounds the time from the first bytes of a request on an idle
+	// connection until the server sets its own read deadline, which it does once
+	// it has four bytes. Zero means no bound.
+	headTimeout time.Duration
 
 	mu sync.Mutex
 	// active is whether bytes were read since the connection was accepted or
@@ -45,12 +49,12 @@
 		n, err := c.Conn.Read(p)
 		switch {
 		case n > 0:
-			if c.activate() {
+			if c.arrive() {
 				c.onKept()
 			}
 			return n, err
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() && hasUnread(c.Conn):
-			c.activate()
+			c.arrive()
 			c.onKept()
 		default:
 			return n, err
@@ -78,20 +82,43 @@
 	return nil
 }
 
-// activate records that a request has arrived, and reports whether the
+// arrive records that bytes of a request have arrived, and reports whether the
 // connection was retired until now.
-func (c *conn) activate() bool {
+func (c *conn) arrive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idleSince.IsZero() && c.readDeadline.IsZero() && c.headTimeout > 0 {
+		c.readDeadline = time.Now().Add(c.headTimeout)
+		c.applyReadDeadline()
+	}
+	return c.activate()
+}
+
+// reportActive records that the server has read the head of a request, and
+// reports whether the connection was retired until now.
+func (c *conn) reportActive() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.activate()
+}
+
+// activate ends the idle time. The caller must hold the lock.
+func (c *conn) activate() bool {
 	was := c.retired
 	c.active, c.idleSince, c.retired = true, time.Time{}, false
 	if was {
-		// It fails only if the connection is closed; the next read reports that.
-		_ = c.Conn.SetReadDeadline(c.readDeadline)
+		c.applyReadDeadline()
 	}
 	return was
 }
 
+// applyReadDeadline sets the read deadline of the server. The caller must hold
+// the lock.
+func (c *conn) applyReadDeadline() {
+	// It fails only if the connection is closed; the next read reports that.
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
+}
+
 func (c *conn) becomeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -16,6 +16,11 @@
 
 // Limiter tracks the open connections that its listener has accepted.
 type Limiter struct {
+	// HeadTimeout, if set before the listener accepts, bounds the time from the
+	// first bytes of a request on an idle connection until the server's own
+	// timeout for the head applies.
+	HeadTimeout time.Duration
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	// stopping is whether new connections are closed at once, and open ones as
@@ -28,8 +33,9 @@
 type Stats struct {
 	// Unread is the number of new connections that were closed unread.
 	Unread int64
-	// Idle is the number of idle connections that were closed. Kept is how often
-	// one was not closed after all because a request had arrived.
+	// Idle is the number of connections that ended after they were chosen to be
+	// closed. Kept is how often a chosen one was not closed after all because a
+	// request had arrived.
 	Idle, Kept int64
 }
 
@@ -56,7 +62,7 @@
 	case http.StateNew:
 		// Registered by Accept.
 	case http.StateActive:
-		if c.activate() {
+		if c.reportActive() {
 			l.stats.Kept++
 		}
 	case http.StateIdle:
@@ -141,7 +147,7 @@
 		l.stats.Unread++
 		return nil
 	}
-	c := &conn{Conn: nc, onKept: l.countKept}
+	c := &conn{Conn: nc, onKept: l.countKept, headTimeout: l.HeadTimeout}
 	l.conns[c] = struct{}{}
 	return c
 }
@@ -162,8 +168,10 @@
 // CloseIdle closes connections that have been idle longer than a limit, and
 // beyond a maximum number of connections also those that have been idle
 // longest. A connection whose next request has arrived is not closed, even if
-// the process has not read it yet. CloseIdle returns the number of connections
-// that it chose; they close soon afterwards.
+// the process has not read it yet. A request of which only the first byte has
+// arrived before the response to the previous one was complete doesn't count.
+// CloseIdle returns the number of connections that it chose; they close soon
+// afterwards.
 func (l *Limiter) CloseIdle(now time.Time, limit time.Duration, maxOpen int) int {
 	type idleConn struct {
 		*conn
--- a/internal/rwconnlimit/rwconnlimit_test.go
+++ b/internal/rwconnlimit/rwconnlimit_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -178,17 +179,26 @@
 // serve starts a server whose connections call before and after around each
 // read, and connects a caller that has received a response.
 func serve(t *testing.T, l *Limiter, before, after func()) *caller {
+	return serveWithHook(t, l, before, after, l.ConnState)
+}
+
+func serveWithHook(t *testing.T, l *Limiter, before, after func(), connState func(net.Conn, http.ConnState)) *caller {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := io.ReadAll(r.Body)
+			if err != nil {
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
 			result := "served"
 			if Excess(r.Context()) {
 				result = "excess"
 			}
 			_, _ = io.WriteString(w, result)
 		}),
-		ConnState: l.ConnState, ConnContext: l.ConnContext,
+		ConnState: connState, ConnContext: l.ConnContext, ReadHeaderTimeout: time.Minute,
 	}
 	t.Cleanup(func() { _ = s.Close() })
 	go func() { _ = s.Serve(l.Listener(&hookedListener{inner, before, after}, 10)) }()
@@ -267,6 +277,68 @@
 	require.Equal(t, Stats{Kept: 1}, l.Stats())
 }
 
+// Guards against closing a connection whose next request net/http has already
+// buffered when it reports the connection as idle.
+func TestBufferedRequestBeforeItsConnectionIsClosed(t *testing.T) {
+	l := New()
+	var sweep atomic.Bool
+	c := serveWithHook(t, l, func() {}, func() {}, func(nc net.Conn, s http.ConnState) {
+		l.ConnState(nc, s)
+		if s == http.StateIdle && sweep.Load() {
+			l.CloseIdle(time.Now(), 0, 0)
+		}
+	})
+	sweep.Store(true)
+	const head, body = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n", "body"
+	_, err := io.WriteString(c.conn, head+body+head)
+	require.NoError(t, err)
+	require.Equal(t, "served", c.receive())
+	time.Sleep(20 * time.Millisecond)
+	_, err = io.WriteString(c.conn, body)
+	require.NoError(t, err)
+	require.Equal(t, "served", c.receive())
+}
+
+// Guards against a caller that keeps a connection, and one place of the limit,
+// with fewer bytes than net/http waits for before it sets a timeout.
+func TestFirstBytesOfARequestDontKeepAConnection(t *testing.T) {
+	l := New()
+	l.HeadTimeout = 50 * time.Millisecond
+	c := serve(t, l, func() {}, func() {})
+	_, err := io.WriteString(c.conn, "\r\n")
+	require.NoError(t, err)
+	_, err = c.responses.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Eventually(t, func() bool { return l.Open() == 0 }, 5*time.Second, time.Millisecond)
+}
+
+// Guards against a read deadline that is lost or stays in force when a
+// connection is kept, and against counting a chosen connection as open.
+func TestKeptConnectionHasTheDeadlineOfTheServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New()
+		var conns []*conn
+		for range 3 {
+			nc, caller := net.Pipe()
+			defer func() { _ = caller.Close() }()
+			c := l.register(nc, 10)
+			l.ConnState(c, http.StateIdle)
+			conns = append(conns, c)
+		}
+		require.Equal(t, 2, l.CloseIdle(time.Now(), time.Hour, 1))
+		require.Zero(t, l.CloseIdle(time.Now(), time.Hour, 1), "the chosen ones are still open")
+		for _, c := range conns {
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+			l.ConnState(c, http.StateActive)
+			start := time.Now()
+			_, err := c.Read(make([]byte, 1))
+			require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+			require.Equal(t, time.Second, time.Since(start))
+		}
+		require.Equal(t, Stats{Kept: 2}, l.Stats())
+	})
+}
+
 // Guards against a stop that loses a request that has arrived, and against one
 // that waits for callers that keep their connections open.
 func TestStop(t *testing.T) {
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -184,6 +184,7 @@
 	e.syncer = rwcatalogsync.New(e.peers)
 	e.broker = rwbroker.New(e.self, e.peers, e.metrics)
 	e.connLimiter, e.lagMonitor, e.overload = rwconnlimit.New(), rwlag.New(), rwoverload.New()
+	e.connLimiter.HeadTimeout = headerTimeout
 	e.lagMonitor.OnMeasure = e.observeLateness
 	e.pool = rwconn.New(c.Dialect.Inspect)
 	e.pool.Count = func(name string) { e.metrics.Add(name, 1) }
--- a/internal/rwedge/rwedge_test.go
+++ b/internal/rwedge/rwedge_test.go
@@ -56,6 +56,11 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		e.closeIdleCallers(time.Now().Add(limit+time.Second), snapshot)
-		require.Error(t, <-read)
+		select {
+		case err := <-read:
+			require.Error(t, err)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "not closed", published)
+		}
 	}
 }
