Close new connections unread before a drain ends

It could also end while the listener still accepted, if no connection happened to be open.

New connections are now closed unread at the latest a second before the end, and the drain ends early only after that. Idle connections are closed in a drain once they are idle for one step, since the first byte of the next request may have been read before a connection becomes idle.

TestDrainClosesNewConnectionsBeforeItsEnd guards the first, TestDrainRespondsToARequestThatWasRead now also an exit before the response and callers that send nothing.

--- a/internal/rwedge/conn_test.go
+++ b/internal/rwedge/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -65,7 +66,7 @@
 	conn, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	require.NoError(t, conn.SetDeadline(time.Now().Add(2*drainAcceptTime)))
+	require.NoError(t, conn.SetDeadline(time.Now().Add(time.Minute)))
 	return &caller{t, conn, bufio.NewReader(conn)}
 }
 
@@ -82,7 +83,8 @@
 }
 
 // Guards against a drain that closes a kept connection whose next request the
-// process has read, and against one that waits for idle callers.
+// process has read, against an exit before that request has its response, and
+// against a drain that waits for callers that send nothing.
 func TestDrainRespondsToARequestThatWasRead(t *testing.T) {
 	e := newEdge()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
@@ -93,32 +95,73 @@
 			time.Sleep(time.Millisecond)
 		}
 		if draining.Load() {
-			time.Sleep(100 * time.Millisecond)
+			// The request is read before the drain may end, and handled after it.
+			time.Sleep(500 * time.Millisecond)
 		}
 	}}
 	go func() { _ = serve(t.Context(), e.server, e.connLimiter.Listener(slow, 10)) }()
-
 	busy, idle := connect(t, inner), connect(t, inner)
 	for _, c := range []*caller{busy, idle} {
 		status, _ := c.exchange()
 		require.Equal(t, http.StatusServiceUnavailable, status, "there is no configuration")
 	}
+	silent := connect(t, inner)
 
 	draining.Store(true)
-	took := make(chan time.Duration)
+	took := make(chan time.Duration, 1)
 	go func() {
 		start := time.Now()
 		e.drain(t.Context())
 		took <- time.Since(start)
+		// The process exits.
+		_ = e.server.Close()
 	}()
 	status, _ := busy.exchange()
 	require.Equal(t, http.StatusServiceUnavailable, status)
-	_, err = idle.responses.ReadByte()
-	require.ErrorIs(t, err, io.EOF)
-	require.Less(t, <-took, drainAcceptTime+2*time.Second)
+	for _, c := range []*caller{idle, silent} {
+		_, err = c.responses.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+	require.Less(t, <-took, defaultGrace-graceMargin)
 	require.Zero(t, e.connLimiter.Open())
 }
 
+// Guards against new connections that are accepted until the end of a drain that
+// a long request delays: the end would cut their requests.
+func TestDrainClosesNewConnectionsBeforeItsEnd(t *testing.T) {
+	e := newEdge()
+	e.deployment.Grace = drainAcceptTime + graceMargin + 2*drainStopMargin
+	e.activeRequests.Store(1)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := e.connLimiter.Listener(inner, 10)
+	go func() { _ = serve(t.Context(), e.server, l) }()
+	held := connect(t, inner)
+	_, err = io.WriteString(held.conn, "GET /")
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.drain(t.Context())
+	}()
+	closedUnread := func() bool {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+		_, err = conn.Read(make([]byte, 1))
+		return errors.Is(err, io.EOF)
+	}
+	require.False(t, closedUnread())
+	require.Eventually(t, closedUnread, e.deployment.Grace, 100*time.Millisecond)
+	select {
+	case <-done:
+		require.Fail(t, "the drain ended before new connections were closed")
+	default:
+	}
+	<-done
+}
+
 // Guards against work for a request that arrived on a connection which a router
 // with too many connections was about to close.
 func TestRequestOnExcessConnectionIsRefused(t *testing.T) {
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -92,6 +93,9 @@
 	// graceMargin is the part of the grace period that is left for the process
 	// to exit.
 	graceMargin = 400 * time.Millisecond
+	// drainStopMargin is how long before the end of a drain new connections are
+	// closed unread, so that none has a request in progress at the end.
+	drainStopMargin = time.Second
 	// defaultGrace is used if the settings set no grace period.
 	defaultGrace = 8 * time.Second
 	// memoryLimitRatio is the fraction of the memory limit that the heap and
@@ -591,7 +595,8 @@
 // within drainAcceptTime, then refuses later ones and closes idle connections.
 // It returns shortly after drainAcceptTime, once no request is in progress and
 // all connections are closed, but at the latest graceMargin before the grace
-// period ends.
+// period ends. New connections are closed unread as soon as no request is in
+// progress, and at the latest drainStopMargin before that.
 func (e *Edge) drain(ctx context.Context) {
 	start := time.Now()
 	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
@@ -604,23 +609,27 @@
 	const step = 20 * time.Millisecond
 	ticker := time.NewTicker(step)
 	defer ticker.Stop()
+	limit := grace - graceMargin
+	stopped := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
+			if time.Since(start) >= drainAcceptTime {
+				e.refusing.Store(true)
+				// SetKeepAlivesEnabled of the server would close connections
+				// whose next request has arrived.
+				e.connLimiter.CloseIdle(now, step, math.MaxInt)
+			}
 		}
 		spent := time.Since(start)
-		if spent >= drainAcceptTime {
-			e.refusing.Store(true)
-			// SetKeepAlivesEnabled of the server would close connections whose
-			// next request has arrived.
-			e.connLimiter.CloseIdle(time.Now(), 0, 0)
-		}
-		if spent >= drainAcceptTime+step*10 && e.activeRequests.Load() == 0 {
+		idle := spent >= drainAcceptTime+step*10 && e.activeRequests.Load() == 0
+		if !stopped && (idle || spent >= limit-drainStopMargin) {
+			stopped = true
 			e.connLimiter.Stop()
 		}
-		if spent >= grace-graceMargin || (spent >= drainAcceptTime+step*10 && e.connLimiter.Open() == 0) {
+		if spent >= limit || (stopped && e.connLimiter.Open() == 0) {
 			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Dur("took", spent).Send()
 			return
 		}
