Raise shrunken windows to their start values after an outage

During the partition two owners fill each engine and shrink their windows. Requests that were granted in the partition and end after it still report that their first token was queued: all further shrinks of these windows before the measurement came from such requests. From there a window grows only when a request ends, which takes up to 8 s with 400 tokens.

PeersReconnected now raises the windows of engines that are below their start values, and the raised windows ignore requests granted before. A new owner of a cell starts with the same values. Windows above the start value and those of plain services don't change.

--- a/internal/rwsched/rwsched.go
+++ b/internal/rwsched/rwsched.go
@@ -558,11 +558,19 @@
 	}
 }
 
-// PeersReconnected calls ReportAll and records the time. It is called when a
-// router, which may own another cell, can be reached again after an outage.
+// PeersReconnected calls ReportAll, records the time and raises the windows of
+// engines to at least their start values. It is called when a router can be
+// reached again after an outage. During the outage it may have owned this cell
+// too and filled its engines, which shrinks the windows of both owners.
 func (s *Scheduler) PeersReconnected(now time.Time) {
 	s.recordTime(now)
 	s.reconnectedAt = now
+	for _, u := range s.upstreams {
+		if u.learned != nil {
+			u.learned.RaiseToStart(now)
+			u.window = u.learned.Size()
+		}
+	}
 	s.ReportAll()
 }
 
--- a/internal/rwsched/rwsched_test.go
+++ b/internal/rwsched/rwsched_test.go
@@ -381,6 +381,45 @@
 	}
 }
 
+// Guards against an engine that stays almost idle for seconds after an outage.
+// Another owner filled it during the outage, so its window shrank to 1, which
+// grows only when a request ends. Requests granted during the outage end after
+// it and must not shrink the window again.
+func TestWindowAfterOutage(t *testing.T) {
+	s := rwsched.New("cell", 1)
+	s.SetEngine("up", 8, 60*time.Millisecond)
+	s.SetBacklog(at(0), "e", "a", "k", 100, 0)
+	window := func() int { return s.View().Upstreams[0].Window }
+	finish := func(ms int, g rwgrant.Grant, first time.Duration) {
+		s.Finish(at(ms), g.ID, 10, first, first+200*time.Millisecond, rwcode.None)
+	}
+	next := func() rwgrant.Grant {
+		g, ok := s.Next(at(0))
+		require.True(t, ok)
+		return g
+	}
+	finish(220, next(), 20*time.Millisecond)
+	duringOutage := next()
+	for i := range 20 {
+		_, grants := drain(s, at(1000*i))
+		for _, g := range grants {
+			finish(1000*i+900, g, 700*time.Millisecond)
+		}
+	}
+	require.Equal(t, 1, window())
+
+	s.PeersReconnected(at(20000))
+	require.Equal(t, 8, window())
+	finish(20500, duringOutage, 10*time.Second)
+	require.Equal(t, 8, window())
+
+	// The window shrinks again if the engine is still overloaded.
+	_, grants := drain(s, at(21000))
+	require.Len(t, grants, 8)
+	finish(22000, grants[0], 800*time.Millisecond)
+	require.Equal(t, 7, window())
+}
+
 // Guards against an account that loses its lag whenever its entry router
 // selects other cells, although its work waits in the pool throughout; and
 // against one that keeps its lag because of an old report of a cell that no
--- a/internal/rwwindow/rwwindow.go
+++ b/internal/rwwindow/rwwindow.go
@@ -29,17 +29,19 @@
 // Window is the learned window of one upstream: the number of requests that may
 // run at once. It is not safe for concurrent use.
 type Window struct {
-	size   int
-	target time.Duration
-	engine bool
+	size, start int
+	target      time.Duration
+	engine      bool
 
 	// tokenInterval is the mean time between tokens, 0 before the first sample
-	// and after the window shrank. The next sample then counts in full.
+	// and after the window shrank or was raised to its start value. The next
+	// sample then counts in full.
 	tokenInterval time.Duration
 	// lowestFirst is the lowest recent time to the first token.
 	lowestFirst time.Duration
-	// shrunkAt is when the window last shrank. Requests that began before then
-	// are ignored, since they ran with the old window.
+	// shrunkAt is when the window last shrank or was raised to its start value.
+	// Requests that began before then are ignored, since they ran with the old
+	// window.
 	shrunkAt time.Time
 	// fullRequests counts the requests since the size last changed that found
 	// the window in full use and no overload.
@@ -50,7 +52,8 @@
 // the longest acceptable time between tokens. The window of a plain service
 // (engine is false) never changes.
 func New(start int, target time.Duration, engine bool) *Window {
-	return &Window{size: max(start, 1), target: target, engine: engine}
+	start = max(start, 1)
+	return &Window{size: start, start: start, target: target, engine: engine}
 }
 
 // Size returns the number of requests that may run at once.
@@ -93,7 +96,23 @@
 }
 
 func (w *Window) shrink(now time.Time) {
-	w.size = max(w.size-max(w.size/10, 1), 1)
+	w.resize(now, max(w.size-max(w.size/10, 1), 1))
+}
+
+// RaiseToStart sets a window that is below its start value to that value. It is
+// called when the requests of another owner of the upstream, which shrank the
+// window, no longer compete with it. A window of 1 grows only when its request
+// ends: without the raise, an engine with 8 slots ran one request at a time for 8 s
+// after a partition in some runs of TestZoneCutAndRejoin.
+func (w *Window) RaiseToStart(now time.Time) {
+	if w.size < w.start {
+		w.resize(now, w.start)
+	}
+}
+
+// resize sets the size and discards the measurements made with the old one.
+func (w *Window) resize(now time.Time, size int) {
+	w.size = size
 	w.shrunkAt = now
 	w.tokenInterval = 0
 	w.fullRequests = 0
--- a/internal/rwwindow/rwwindow_test.go
+++ b/internal/rwwindow/rwwindow_test.go
@@ -71,6 +71,25 @@
 	require.Equal(t, 1, w.Size())
 }
 
+// Guards against a raise that changes a window above its start value or the
+// window of a plain service.
+func TestRaiseToStartKeepsLargerWindows(t *testing.T) {
+	w := rwwindow.New(40, target, true)
+	w.Observe(start.Add(time.Minute), 101, target, target+100*target/2, 40)
+	require.Equal(t, 41, w.Size())
+	w.RaiseToStart(start.Add(2 * time.Minute))
+	require.Equal(t, 41, w.Size())
+
+	// A request that began before the raise still counts, as the window did
+	// not change.
+	w.Observe(start.Add(2*time.Minute), 101, time.Second, time.Second+100*target/2, 41)
+	require.Equal(t, 37, w.Size())
+
+	service := rwwindow.New(40, target, false)
+	service.RaiseToStart(start)
+	require.Equal(t, 40, service.Size())
+}
+
 // Guards against a window that doesn't converge to the knee of an engine. This
 // engine takes 1 ms between tokens per running request, so that 60 requests meet
 // the target.
