--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -37,6 +37,7 @@
 	"redwingworks.example/internal/rwregistry"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwretrybudget"
+	"redwingworks.example/internal/rwserver"
 	"redwingworks.example/internal/rwsettings"
 	"redwingworks.example/internal/rwsnapshot"
 	"redwingworks.example/internal/rwstream"
@@ -75,7 +76,7 @@
 	owner      *rwowner.Owner
 	executor   *rwexecutor.Executor
 	gate       *rwgate.Gate
-	server     *http.Server
+	server     *rwserver.Server
 
 	// joined is set once the router has joined and its cells are assigned.
 	joined atomic.Bool
@@ -121,7 +122,7 @@
 	n.connectFleet()
 	n.connectCallers()
 	n.gate.TLS = tlsConfig
-	n.server = n.gate.Server()
+	n.server = rwserver.New(n.gate.Server())
 	return n, nil
 }
 
@@ -256,7 +257,7 @@
 		return rwfault.Wrap(rwcode.Internal, err)
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- n.serveOn(l) }()
+	go func() { failed <- n.server.Serve(l) }()
 	select {
 	case err := <-failed:
 		if !errors.Is(err, http.ErrServerClosed) {
@@ -269,13 +270,6 @@
 	return nil
 }
 
-func (n *Node) serveOn(l net.Listener) error {
-	if n.server.TLSConfig != nil {
-		return n.server.ServeTLS(l, "", "")
-	}
-	return n.server.Serve(l)
-}
-
 // serveOps serves operators until the services stop.
 func (n *Node) serveOps(ctx context.Context) error {
 	m := http.NewServeMux()
