Shut rwrouter down without losing requests on kept connections

Callers of a router that got SIGTERM could see their kept HTTP/1.1 connection closed with neither a response nor a refusal.

Cause: http.Server.Shutdown closes connections that net/http has reported as idle although the process may have read their next request, and net/http drops an HTTP/1.1 request if the shutdown began while it read it. It also drops the request of a connection that was accepted just before.

Change: rwserver closes the listener and waits until Serve has returned, so that all accepted connections are known. It then retires idle HTTP/1.1 connections through the listener of rwconnlimit, whose reads decide, while the gate refuses new requests, and calls http.Server.Shutdown once no HTTP/1.1 connection is open. Only HTTP/2 connections are left then, which net/http ends with GOAWAY: their ids name the requests that were not processed.

HTTP/2 connections are never retired: frames of the next request may have been read when they are reported as idle. They are told apart by their first report, which comes before any request; an HTTP/1.1 connection becomes idle only after one. TestHTTP2IsServedWhileHTTP1Ends fails if they are retired.

A caller that never sends a whole request holds the shutdown for twice the ReadHeaderTimeout at most, counted in ticks, so that a pause of the process does not use it up. The limit of the drain stays.

While the router drains, all of its responses carry "Connection: close", as they did through http.Server.Shutdown, now from the refusal of new requests on.

--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -206,7 +206,19 @@
 	m.HandleFunc("/", g.handler(func(_ http.ResponseWriter, r *http.Request) error {
 		return rwfault.New(rwcode.UnknownPath, r.Method+" "+r.URL.Path)
 	}))
-	return m
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.closeIfDraining(w)
+		m.ServeHTTP(w, r)
+	})
+}
+
+// closeIfDraining asks the caller to close its connection after the response if
+// the process is shutting down. A request can have begun before, so it is called
+// right before each response too.
+func (g *Gate) closeIfDraining(w http.ResponseWriter) {
+	if g.draining() {
+		w.Header().Set("Connection", "close")
+	}
 }
 
 func (g *Gate) ready(w http.ResponseWriter, _ *http.Request) {
@@ -266,6 +278,7 @@
 func (g *Gate) writeFault(w http.ResponseWriter, r *http.Request, err error) {
 	f := toFault(err)
 	g.ReportFault(f)
+	g.closeIfDraining(w)
 	switch f.Code {
 	case rwcode.Draining, rwcode.TooManyConnections, rwcode.SlowBody, rwcode.BodyTooLarge:
 		w.Header().Set("Connection", "close")
@@ -560,6 +573,7 @@
 			return rwfault.New(rwcode.DeadlineExceeded, s.q.ID).WithOutcome(rwoutcome.Unknown)
 		}
 		s.started = true
+		s.gate.closeIfDraining(s.w)
 		s.w.Header().Set("Content-Type", "text/event-stream")
 		s.w.Header().Set("Cache-Control", "no-store")
 	}
@@ -647,6 +661,7 @@
 // clients detect a truncated response.
 func (g *Gate) writeResponse(w http.ResponseWriter, status int, body []byte) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	g.closeIfDraining(w)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
--- a/internal/rwgate/rwgate_test.go
+++ b/internal/rwgate/rwgate_test.go
@@ -709,6 +709,34 @@
 	})
 }
 
+// Guards against callers who keep their connections open, and send requests on
+// them, because a response during a shutdown does not tell them to close.
+func TestDrainingClosesConnections(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		var draining atomic.Bool
+		h.Draining = draining.Load
+		run := h.RunInference
+		h.RunInference = func(ctx context.Context, q *rwrequest.Request, emit func(*rwstream.Chunk) error) error {
+			draining.Store(true)
+			return run(ctx, q, emit)
+		}
+		h.start()
+		for _, body := range []string{goodBody, streamBody} {
+			draining.Store(false)
+			resp, _ := h.do(t, c, request(t, "POST", chatPath, "draft", body))
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			synctest.Wait()
+		}
+		resp, _ := h.do(t, c, request(t, "GET", "/healthz", "", ""))
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		synctest.Wait()
+		draining.Store(false)
+		resp, _ = h.do(t, c, request(t, "GET", "/healthz", "", ""))
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, int64(4), h.accepted.Load(), "each connection is closed after its response")
+	})
+}
+
 // Guards against two requests with the same identifier.
 func TestIdentifiersAreUnique(t *testing.T) {
 	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
--- a/internal/rwnode/drain.go
+++ b/internal/rwnode/drain.go
@@ -34,9 +34,9 @@
 
 // drain shuts the router down gracefully: it becomes not ready and hands its cells
 // and idempotency keys to other routers while the load balancer has time to
-// notice, then refuses new requests and waits for those in progress and for the
-// handover of the keys. The links stay open meanwhile, since waiting requests
-// still need grants.
+// notice, then refuses new requests and waits for those in progress, for callers'
+// connections to end and for the handover of the keys. The links stay open
+// meanwhile, since waiting requests still need grants.
 func (n *Node) drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, drainLimit)
 	defer cancel()
--- a/internal/rwserver/rwserver_test.go
+++ b/internal/rwserver/rwserver_test.go
@@ -25,6 +25,17 @@
 	readHeaderTimeout = time.Second
 )
 
+// hook is a function that can be set while the server runs.
+type hook struct{ fn atomic.Pointer[func()] }
+
+func (h *hook) set(fn func()) { h.fn.Store(&fn) }
+
+func (h *hook) call() {
+	if fn := h.fn.Load(); fn != nil {
+		(*fn)()
+	}
+}
+
 // readHook is a connection that calls functions before and after each read, at
 // which points other goroutines may run for long on a saturated machine.
 type readHook struct {
@@ -41,11 +52,12 @@
 	return n, err
 }
 
-// hookedListener accepts connections with hooks. Its channel closed is closed
-// when the listener is.
+// hookedListener accepts connections with hooks and calls accepted before it
+// returns one. Its channel closed is closed when the listener is.
 type hookedListener struct {
 	net.Listener
 	before, after func()
+	accepted      func()
 	once          sync.Once
 	closed        chan struct{}
 }
@@ -55,6 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.accepted()
 	return &readHook{TCPConn: nc.(*net.TCPConn), before: l.before, after: l.after}, nil
 }
 
@@ -88,21 +101,31 @@
 	roots    *x509.CertPool
 	stopped  chan error
 	// before and after are called around each read of a connection that the
-	// server has reported as idle. They are set before the first connection.
-	before, after func()
-	idle          atomic.Bool
+	// server has reported as idle; accepted is called for each accepted
+	// connection before the server gets it.
+	before, after, accepted hook
+	idle                    atomic.Bool
+	// started receives a value for each request to /slow, which ends when
+	// release is closed.
+	started, release chan struct{}
 }
 
 func newFixture(t *testing.T, useTLS bool) *fixture {
-	f := &fixture{t: t, before: func() {}, after: func() {}, stopped: make(chan error, 1)}
+	f := &fixture{
+		t: t, stopped: make(chan error, 1),
+		started: make(chan struct{}), release: make(chan struct{}),
+	}
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	f.listener = &hookedListener{Listener: inner, closed: make(chan struct{}), before: f.hook(&f.before), after: f.hook(&f.after)}
+	f.listener = &hookedListener{
+		Listener: inner, closed: make(chan struct{}),
+		before: f.ifIdle(&f.before), after: f.ifIdle(&f.after), accepted: f.accepted.call,
+	}
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(!useTLS)
-	s := &http.Server{Protocols: &p, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute, Handler: http.HandlerFunc(respond)}
+	s := &http.Server{Protocols: &p, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute, Handler: http.HandlerFunc(f.respond)}
 	s.ConnState = func(_ net.Conn, state http.ConnState) { f.idle.Store(state == http.StateIdle) }
 	if useTLS {
 		cert, pool := certificate(t)
@@ -118,15 +141,19 @@
 	return f
 }
 
-func (f *fixture) hook(call *func()) func() {
+func (f *fixture) ifIdle(h *hook) func() {
 	return func() {
 		if f.idle.Load() {
-			(*call)()
+			h.call()
 		}
 	}
 }
 
-func respond(w http.ResponseWriter, _ *http.Request) {
+func (f *fixture) respond(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/slow" {
+		f.started <- struct{}{}
+		<-f.release
+	}
 	_, _ = io.WriteString(w, "served")
 }
 
@@ -134,7 +161,7 @@
 // listener.
 func (f *fixture) shutdown() {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), 4*testTimeout)
 		defer cancel()
 		f.stopped <- f.server.Shutdown(ctx)
 	}()
@@ -151,6 +178,59 @@
 	}
 }
 
+// client returns an HTTP client for one version of the protocol.
+func (f *fixture) client(http2 bool) *http.Client {
+	var p http.Protocols
+	p.SetHTTP1(!http2)
+	p.SetHTTP2(http2 && f.roots != nil)
+	p.SetUnencryptedHTTP2(http2 && f.roots == nil)
+	transport := &http.Transport{Protocols: &p, TLSClientConfig: &tls.Config{RootCAs: f.roots}}
+	f.t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: testTimeout}
+}
+
+// get returns the protocol and the body of a response.
+func (f *fixture) get(c *http.Client, path string) (string, error) {
+	scheme := "http"
+	if f.roots != nil {
+		scheme = "https"
+	}
+	resp, err := c.Get(scheme + "://" + f.listener.Addr().String() + path)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.Proto + " " + string(body), err
+}
+
+func (f *fixture) requireServed(c *http.Client, proto string) {
+	got, err := f.get(c, "/")
+	require.NoError(f.t, err)
+	require.Equal(f.t, proto+" served", got)
+}
+
+// startSlow sends a request and returns once it is in progress. The returned
+// function lets it end and requires that it is served.
+func (f *fixture) startSlow(c *http.Client, proto string) func() {
+	type result struct {
+		got string
+		err error
+	}
+	done := make(chan result, 1)
+	go func() {
+		got, err := f.get(c, "/slow")
+		done <- result{got, err}
+	}()
+	<-f.started
+	return func() {
+		close(f.release)
+		r := <-done
+		require.NoError(f.t, r.err)
+		require.Equal(f.t, proto+" served", r.got)
+	}
+}
+
 // caller is an HTTP/1.1 client that keeps its connection open and never sends a
 // request again.
 type caller struct {
@@ -193,7 +273,10 @@
 // forEachTransport runs a test without and with TLS.
 func forEachTransport(t *testing.T, run func(*fixture)) {
 	for name, useTLS := range map[string]bool{"cleartext": false, "TLS": true} {
-		t.Run(name, func(t *testing.T) { run(newFixture(t, useTLS)) })
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			run(newFixture(t, useTLS))
+		})
 	}
 }
 
@@ -203,7 +286,7 @@
 func TestRequestReadAsShutdownBegins(t *testing.T) {
 	forEachTransport(t, func(f *fixture) {
 		var once sync.Once
-		f.after = func() { once.Do(f.shutdown) }
+		f.after.set(func() { once.Do(f.shutdown) })
 		c := f.newCaller()
 		c.send()
 		c.requireServed()
@@ -217,12 +300,12 @@
 	forEachTransport(t, func(f *fixture) {
 		reading, resume := make(chan struct{}), make(chan struct{})
 		var once sync.Once
-		f.before = func() {
+		f.before.set(func() {
 			once.Do(func() {
 				close(reading)
 				<-resume
 			})
-		}
+		})
 		c := f.newCaller()
 		<-reading
 		c.send()
@@ -232,3 +315,92 @@
 		f.requireStopped()
 	})
 }
+
+// Guards against dropping a request on a connection that is accepted as the
+// shutdown begins and that the server does not know yet.
+func TestConnectionAcceptedAsShutdownBegins(t *testing.T) {
+	forEachTransport(t, func(f *fixture) {
+		f.accepted.set(func() {
+			f.shutdown()
+			time.Sleep(5 * shutdownInterval)
+		})
+		f.newCaller()
+		f.requireStopped()
+	})
+}
+
+// Guards against a shutdown that cuts off a request in progress, and against one
+// that waits for callers that keep their connections open without a request.
+func TestShutdownEndsAfterLastRequest(t *testing.T) {
+	for proto, http2 := range map[string]bool{"HTTP/1.1": false, "HTTP/2.0": true} {
+		t.Run(proto, func(t *testing.T) {
+			t.Parallel()
+			forEachTransport(t, func(f *fixture) {
+				idle, busy := f.client(http2), f.client(http2)
+				f.requireServed(idle, proto)
+				finish := f.startSlow(busy, proto)
+				f.shutdown()
+				time.Sleep(quietFactor*readHeaderTimeout + settleTime)
+				require.Empty(f.t, f.stopped, "a request is in progress")
+				finish()
+				f.requireStopped()
+			})
+		})
+	}
+}
+
+// Guards against a shutdown that waits for the idle timeout of connections on
+// which callers send no further request.
+func TestShutdownClosesIdleConnections(t *testing.T) {
+	forEachTransport(t, func(f *fixture) {
+		c := f.newCaller()
+		start := time.Now()
+		f.shutdown()
+		_, err := c.responses.ReadByte()
+		require.ErrorIs(f.t, err, io.EOF)
+		f.requireStopped()
+		require.Less(f.t, time.Since(start), quietFactor*readHeaderTimeout)
+	})
+}
+
+// Guards against closing an idle HTTP/2 connection like one of HTTP/1.1: frames
+// of its next request may have been read.
+func TestHTTP2IsServedWhileHTTP1Ends(t *testing.T) {
+	forEachTransport(t, func(f *fixture) {
+		multiplexed, busy := f.client(true), f.client(false)
+		f.requireServed(multiplexed, "HTTP/2.0")
+		finish := f.startSlow(busy, "HTTP/1.1")
+		f.shutdown()
+		time.Sleep(3 * settleTime)
+		f.requireServed(multiplexed, "HTTP/2.0")
+		finish()
+		f.requireStopped()
+	})
+}
+
+// Guards against a shutdown that waits for callers that never send a whole
+// request.
+func TestShutdownEndsWithoutWholeRequest(t *testing.T) {
+	forEachTransport(t, func(f *fixture) {
+		silent, err := net.Dial("tcp", f.listener.Addr().String())
+		require.NoError(f.t, err)
+		defer func() { _ = silent.Close() }()
+		partial := f.newCaller()
+		_, err = io.WriteString(partial.conn, "PO")
+		require.NoError(f.t, err)
+		f.shutdown()
+		f.requireStopped()
+	})
+}
+
+// Guards against serving after a shutdown, and against a shutdown that waits for
+// a listener that was never served.
+func TestServeAfterShutdown(t *testing.T) {
+	s := New(&http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: readHeaderTimeout})
+	require.NoError(t, s.Shutdown(t.Context()))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.ErrorIs(t, s.Serve(l), http.ErrServerClosed)
+	_, err = l.Accept()
+	require.ErrorIs(t, err, net.ErrClosed)
+}
