Log when a request arrived relative to the signal to stop

The lines of a request didn't tell whether it arrived in a drain. Events 400, 401, 403, 405 and 406 have the field "stopping" once a signal was handled. The handler also keeps the table of requests in progress up to date, with the upstream of the current attempt.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -36,6 +36,7 @@
 	"redwingworks.example/internal/rwgossip"
 	"redwingworks.example/internal/rwhistogram"
 	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwinflight"
 	"redwingworks.example/internal/rwitem"
 	"redwingworks.example/internal/rwlag"
 	"redwingworks.example/internal/rwlog"
@@ -165,6 +166,9 @@
 	// activeRequests is the number of requests in progress.
 	activeRequests     atomic.Int64
 	stopping, refusing atomic.Bool
+	// stopTime is when the signal to stop was handled, or nil before.
+	stopTime atomic.Pointer[time.Time]
+	inFlight rwinflight.Table
 	// maxRouters is the largest number of live routers seen: a partitioned
 	// router must not use the retry budget of the routers that it can't reach.
 	maxRouters atomic.Int64
@@ -259,6 +263,7 @@
 		Overloaded:       e.overloaded, Lagging: e.lagMonitor.Lagging, CallerClosed: rwconnlimit.CallerClosed, FlushDelay: e.flushDelay,
 		CloseRefused: func() bool { return e.connLimiter.Open() > e.maxConnections(closeRefusedRatio) },
 		Zone:         e.self.Zone, Log: e.log, Metrics: e.metrics, ObserveLatency: e.latency.Record,
+		Stopping: e.stopRequested, InFlight: &e.inFlight,
 	}
 	e.server = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -599,6 +604,7 @@
 // progress, and at the latest drainStopMargin before that.
 func (e *Edge) drain(ctx context.Context) {
 	start := time.Now()
+	e.stopTime.Store(&start)
 	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
 	e.stopping.Store(true)
 	e.gossip.Leave(ctx)
@@ -636,6 +642,15 @@
 	}
 }
 
+// stopRequested returns when a signal asked the process to stop, and whether one
+// did.
+func (e *Edge) stopRequested() (time.Time, bool) {
+	if at := e.stopTime.Load(); at != nil {
+		return *at, true
+	}
+	return time.Time{}, false
+}
+
 // writeMetrics writes counters and histograms as text, one per line.
 func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	snapshot := e.published.Load()
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -44,6 +44,8 @@
 	// it.
 	Decision rwplacement.Decision
 	Owner    string
+	// InFlight is the key of the request in the table of requests in progress.
+	InFlight uint64
 	// KeepAlive is how long the upstream keeps an idle connection open.
 	KeepAlive time.Duration
 }
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -20,6 +20,7 @@
 	"redwingworks.example/internal/rwdialect"
 	"redwingworks.example/internal/rwexchange"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwinflight"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rwoutcome"
@@ -94,6 +95,11 @@
 	// forwarded, with the time to the response or to the first event of a
 	// stream.
 	ObserveLatency func(time.Duration)
+	// Stopping returns when the router was asked to stop, and whether it was. If
+	// nil, the router never stops.
+	Stopping func() (time.Time, bool)
+	// InFlight holds the requests in progress.
+	InFlight *rwinflight.Table
 
 	mu      sync.Mutex
 	pickers map[string]*rwpicker.Picker
@@ -112,11 +118,13 @@
 // ServeHTTP implements http.Handler.
 func (f *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	inFlight := f.InFlight.Add(rwinflight.Request{Start: start})
+	defer f.InFlight.Remove(inFlight)
 	f.Metrics.Add("requests", 1)
 	if f.CloseConnections() {
 		w.Header().Set("Connection", "close")
 	}
-	x, fault := f.admit(w, r, start)
+	x, fault := f.admit(w, r, start, inFlight)
 	if fault != nil {
 		f.refuse(w, x, fault)
 		return
@@ -130,8 +138,9 @@
 
 // admit finds the route and the account of a request and reads its body. The
 // exchange is never nil.
-func (f *Handler) admit(w http.ResponseWriter, r *http.Request, start time.Time) (*rwexchange.Exchange, *rwfault.Fault) {
-	x := &rwexchange.Exchange{Request: f.Dialect.Decode(r), Start: start, LastEventID: -1}
+func (f *Handler) admit(w http.ResponseWriter, r *http.Request, start time.Time, inFlight uint64) (*rwexchange.Exchange, *rwfault.Fault) {
+	x := &rwexchange.Exchange{Request: f.Dialect.Decode(r), Start: start, LastEventID: -1, InFlight: inFlight}
+	f.InFlight.Update(inFlight, func(p *rwinflight.Request) { p.ID = x.Request.ID })
 	snapshot := f.Published()
 	switch {
 	case snapshot.Config == nil:
@@ -149,6 +158,7 @@
 	if x.Route == nil {
 		return x, rwfault.New(rwcode.UnknownPath, x.Request.Host+x.Request.Path)
 	}
+	f.InFlight.Update(inFlight, func(p *rwinflight.Request) { p.Route = x.Route.Name })
 	if snapshot.Config.RequiresKeys() && !x.Route.Public {
 		account, ok := snapshot.Config.Account(x.Request.Key)
 		if !ok {
@@ -280,7 +290,9 @@
 			dest.end(rwplacement.Abandoned)
 			return last
 		}
+		f.trackAttempt(x, dest.id)
 		end, fault := f.attempt(ctx, w, x, dest)
+		f.trackAttempt(x, "")
 		dest.end(end)
 		if fault == nil {
 			return nil
@@ -293,6 +305,12 @@
 	}
 }
 
+// trackAttempt updates the table of requests in progress at the start of an
+// attempt at an upstream, and at its end with no upstream.
+func (f *Handler) trackAttempt(x *rwexchange.Exchange, upstream string) {
+	f.InFlight.Update(x.InFlight, func(p *rwinflight.Request) { p.Upstream, p.Sent = upstream, x.Sent })
+}
+
 // moreCertain returns the fault that says more about whether the request ran:
 // once it may have run, a later refusal doesn't change that.
 func moreCertain(last, next *rwfault.Fault) *rwfault.Fault {
@@ -385,7 +403,7 @@
 		return destination{}, fault
 	}
 	x.Upstream = g.Instance.ID
-	addDecision(rwlog.Info(&f.Log, rwlog.RequestPlaced), x).Str("id", x.Request.ID).
+	f.addStopping(addDecision(rwlog.Info(&f.Log, rwlog.RequestPlaced), x), x).Str("id", x.Request.ID).
 		Str("account", x.Account.Name).Str("upstream", x.Upstream).Int("input", p.Input).Int("own", p.UniqueTokens()).
 		Str("source", g.Source).Int64("rev", f.Published().Rev).Dur("waited", time.Since(x.Start)).Send()
 	in := g.Instance
@@ -399,11 +417,24 @@
 		Int("kept", d.CachedTokens).Int("uncached", d.UncachedTokens).Int("rate", d.PrefillRate).Int("got", d.Usage).Int("level", d.FairShare)
 }
 
+// addStopping adds the field "stopping" to a log line if the router was asked to
+// stop: the time from then to the arrival of the request, which is negative if
+// the request arrived before.
+func (f *Handler) addStopping(e *zerolog.Event, x *rwexchange.Exchange) *zerolog.Event {
+	if f.Stopping == nil {
+		return e
+	}
+	if at, ok := f.Stopping(); ok {
+		e = e.Dur("stopping", x.Start.Sub(at))
+	}
+	return e
+}
+
 // fail ends a request for which run returned a fault.
 func (f *Handler) fail(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, fault *rwfault.Fault) {
 	if ended := rwfault.FromContext(ctx); fault.Code == rwcode.CallerGone || ended != nil && ended.Code == rwcode.CallerGone {
 		f.Metrics.Refused(rwcode.CallerGone)
-		rwlog.Info(&f.Log, rwlog.RequestAbandoned).Str("id", x.Request.ID).Stringer("code", rwcode.CallerGone).
+		f.addStopping(rwlog.Info(&f.Log, rwlog.RequestAbandoned), x).Str("id", x.Request.ID).Stringer("code", rwcode.CallerGone).
 			Str("upstream", x.Upstream).Int("sent", x.Sent).Dur("took", time.Since(x.Start)).Str("detail", fault.Error()).Send()
 		panic(http.ErrAbortHandler)
 	}
@@ -455,7 +486,7 @@
 	if x.Owner != "" {
 		e = addDecision(e, x)
 	}
-	e = e.Str("id", x.Request.ID).Int("status", status).Str("account", x.Account.Name).
+	e = f.addStopping(e, x).Str("id", x.Request.ID).Int("status", status).Str("account", x.Account.Name).
 		Str("service", x.Service).Str("upstream", x.Upstream).Int("sent", x.Sent).
 		Dur("took", time.Since(x.Start)).Dur("retry", fault.RetryAfter)
 	snapshot := f.Published()
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -1,7 +1,9 @@
 package rwfront
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,7 +26,9 @@
 	"redwingworks.example/internal/rwdialect"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwinboundrequest"
+	"redwingworks.example/internal/rwinflight"
 	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rwplacement"
 	"redwingworks.example/internal/rwretrywindow"
@@ -144,7 +149,7 @@
 		CloseRefused: func() bool { return false }, Overloaded: func(context.Context) bool { return false },
 		Lagging: func() bool { return false }, CallerClosed: func(context.Context) bool { return false },
 		FlushDelay: func() time.Duration { return 0 },
-		Zone:       "z", Log: zerolog.Nop(), Metrics: rwmetric.New(),
+		Zone:       "z", Log: zerolog.Nop(), Metrics: rwmetric.New(), InFlight: new(rwinflight.Table),
 	}
 	s := httptest.NewServer(f.front)
 	t.Cleanup(s.Close)
@@ -528,3 +533,129 @@
 	require.Equal(t, streamText(many), got)
 	require.Less(t, reads, many/2, "events of one delay are written together")
 }
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// stopping returns the field "stopping" of the lines of the events, or nil for a
+// line without it, and empties the buffer.
+func (b *logBuffer) stopping(t *testing.T) map[rwlog.Event]*float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[rwlog.Event]*float64{}
+	for text := range strings.SplitSeq(strings.TrimSpace(b.text.String()), "\n") {
+		var line struct {
+			Event    rwlog.Event
+			Stopping *float64
+		}
+		require.NoError(t, json.Unmarshal([]byte(text), &line), text)
+		out[line.Event] = line.Stopping
+	}
+	b.text.Reset()
+	return out
+}
+
+// Guards against lines that don't tell whether a request arrived before or after
+// the signal to stop, and against the field on a router that isn't stopping.
+func TestLinesTellArrivalInDrain(t *testing.T) {
+	f := serve(t, map[string]http.HandlerFunc{"a": abort, "m": events(1, 3, true)})
+	var log logBuffer
+	f.front.Log = zerolog.New(&log)
+	var closed atomic.Bool
+	f.front.CallerClosed = func(context.Context) bool { return closed.Load() }
+	for _, stop := range []struct {
+		name     string
+		stopping func() (time.Time, bool)
+		// least and most bound the field in milliseconds; the field is left out
+		// if both are zero.
+		least, most float64
+	}{
+		{"never", nil, 0, 0},
+		{"not yet", func() (time.Time, bool) { return time.Time{}, false }, 0, 0},
+		{"before the request", func() (time.Time, bool) { return time.Now().Add(-time.Hour), true }, 3_590_000, 3_600_000},
+		{"after the request", func() (time.Time, bool) { return time.Now().Add(time.Hour), true }, -3_610_000, -3_600_000},
+	} {
+		f.front.Stopping = stop.stopping
+		for _, c := range []struct {
+			path   string
+			closed bool
+			events []rwlog.Event
+		}{
+			{"/nowhere/x", false, []rwlog.Event{rwlog.RequestRefused}},
+			{"/unsafe/x", false, []rwlog.Event{rwlog.RequestFailed}},
+			{"/stream/x", false, []rwlog.Event{rwlog.RequestPlaced, rwlog.RequestFinished}},
+			{"/unsafe/x", true, []rwlog.Event{rwlog.RequestAbandoned}},
+		} {
+			closed.Store(c.closed)
+			_, _, _, err := f.send(t, c.path)
+			require.Equal(t, c.closed, err != nil)
+			lines := log.stopping(t)
+			for _, e := range c.events {
+				require.Contains(t, lines, e, stop.name)
+				if stop.least == 0 {
+					require.Nil(t, lines[e], "%s: %s", stop.name, e)
+					continue
+				}
+				require.NotNil(t, lines[e], "%s: %s", stop.name, e)
+				require.GreaterOrEqual(t, *lines[e], stop.least, "%s: %s", stop.name, e)
+				require.LessOrEqual(t, *lines[e], stop.most, "%s: %s", stop.name, e)
+			}
+		}
+	}
+}
+
+// Guards against a table of the requests in progress that names an upstream
+// while a request waits for one, omits the one that has it, or keeps requests
+// that have ended.
+func TestRequestsInProgress(t *testing.T) {
+	var (
+		f    *fleet
+		mu   sync.Mutex
+		seen []rwinflight.Request
+	)
+	look := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		list, total := f.front.InFlight.Latest(2)
+		if total != 1 || time.Since(list[0].Start) > time.Minute {
+			t.Errorf("%d requests in progress, %v", total, list)
+			return
+		}
+		list[0].Start = time.Time{}
+		seen = append(seen, list[0])
+	}
+	f = serve(t, map[string]http.HandlerFunc{
+		"m": func(w http.ResponseWriter, r *http.Request) { look(); abort(w, r) },
+		"n": func(w http.ResponseWriter, r *http.Request) { look(); events(1, 3, true)(w, r) },
+	})
+	acquire := f.front.Acquire
+	f.front.Acquire = func(ctx context.Context, service string, r rwplacement.Request) (rwbroker.Grant, *rwfault.Fault) {
+		look()
+		return acquire(ctx, service, r)
+	}
+	status, _, _, err := f.send(t, "/stream/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	mu.Lock()
+	defer mu.Unlock()
+	require.Equal(t, []rwinflight.Request{
+		{ID: "r1", Route: "stream"},
+		{ID: "r1", Route: "stream", Upstream: "m"},
+		{ID: "r1", Route: "stream", Sent: 1},
+		{ID: "r1", Route: "stream", Upstream: "n", Sent: 1},
+	}, seen)
+	status, _, _, err = f.send(t, "/nowhere/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNotFound, status)
+	_, total := f.front.InFlight.Latest(0)
+	require.Zero(t, total)
+}
