Log when a drain refuses requests and which requests its end cuts

The log of a drain didn't tell when the router began to refuse requests, and a request that was cut left no line. Event 112 marks the first refusal, event 407 names the requests that are cut, at most 20 of them, and event 105 and the counter drain_cut have the number of all.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -110,6 +110,9 @@
 	// allocates its body and buffers.
 	gcPercent      = 300
 	upkeepInterval = 250 * time.Millisecond
+	// maxCutLines is the largest number of log lines about requests that the
+	// end of a drain cuts.
+	maxCutLines = 20
 	// reloadInterval is how often the settings file is read again; it can
 	// change without a signal.
 	reloadInterval = 2 * time.Second
@@ -623,7 +626,10 @@
 			return
 		case now := <-ticker.C:
 			if time.Since(start) >= drainAcceptTime {
-				e.refusing.Store(true)
+				if e.refusing.CompareAndSwap(false, true) {
+					rwlog.Info(&e.log, rwlog.DrainRefusing).Dur("after", time.Since(start)).
+						Int64("active", e.activeRequests.Load()).Send()
+				}
 				// SetKeepAlivesEnabled of the server would close connections
 				// whose next request has arrived.
 				e.connLimiter.CloseIdle(now, step, math.MaxInt)
@@ -636,7 +642,9 @@
 			e.connLimiter.Stop()
 		}
 		if spent >= limit || (stopped && e.connLimiter.Open() == 0) {
-			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Dur("took", spent).Send()
+			cut := e.reportCut(start)
+			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Int("cut", cut).
+				Dur("took", spent).Send()
 			return
 		}
 	}
@@ -651,6 +659,20 @@
 	return time.Time{}, false
 }
 
+// reportCut returns the number of requests that the end of a drain cuts and adds
+// it to a counter. It logs at most maxCutLines of them, those that arrived last:
+// the drain had the most reason to refuse these.
+func (e *Edge) reportCut(stopped time.Time) int {
+	requests, total := e.inFlight.Latest(maxCutLines)
+	e.metrics.Add("drain_cut", int64(total))
+	for _, r := range requests {
+		rwlog.Warn(&e.log, rwlog.RequestCut, rwfault.New(rwcode.Draining, "the drain ended before the response")).
+			Str("id", r.ID).Str("route", r.Route).Str("upstream", r.Upstream).Int("sent", r.Sent).
+			Dur("took", time.Since(r.Start)).Dur("stopping", r.Start.Sub(stopped)).Send()
+	}
+	return total
+}
+
 // writeMetrics writes counters and histograms as text, one per line.
 func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	snapshot := e.published.Load()
--- a/internal/rwlog/event_string.go
+++ b/internal/rwlog/event_string.go
@@ -20,6 +20,7 @@
 	_ = x[ProcessFailed-109]
 	_ = x[RotationChanged-110]
 	_ = x[ConnectionsClosed-111]
+	_ = x[DrainRefusing-112]
 	_ = x[RecordAdopted-200]
 	_ = x[RecordSetAside-201]
 	_ = x[RecordStale-202]
@@ -36,6 +37,7 @@
 	_ = x[RequestResumed-404]
 	_ = x[RequestFinished-405]
 	_ = x[RequestAbandoned-406]
+	_ = x[RequestCut-407]
 	_ = x[PeerRefused-500]
 	_ = x[PeerLost-501]
 	_ = x[CellTaken-600]
@@ -47,19 +49,19 @@
 }
 
 const (
-	_Event_name_0 = "startedstoppedstop requestedsettings invalidreadydrain finishedpause detectedlog lines droppedsettings reloadedprocess failedrotation changedconnections closed"
+	_Event_name_0 = "startedstoppedstop requestedsettings invalidreadydrain finishedpause detectedlog lines droppedsettings reloadedprocess failedrotation changedconnections closeddrain refuses requests"
 	_Event_name_1 = "record adoptedrecord set asidestale record ignoredplatform lostplatform restoredupstream leavingconfiguration adoptedupstreams changed"
 	_Event_name_2 = "member changed"
-	_Event_name_3 = "request refusedrequest failedrequest retriedrequest placedrequest resumedrequest finishedrequest abandoned"
+	_Event_name_3 = "request refusedrequest failedrequest retriedrequest placedrequest resumedrequest finishedrequest abandonedrequest cut"
 	_Event_name_4 = "peer refusedpeer lost"
 	_Event_name_5 = "cell ownership takencell ownership releasedupstream backed off"
 	_Event_name_6 = "idempotency keys heldidempotency keys releasedidempotency keys handed over"
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 7, 14, 28, 44, 49, 63, 77, 94, 111, 125, 141, 159}
+	_Event_index_0 = [...]uint8{0, 7, 14, 28, 44, 49, 63, 77, 94, 111, 125, 141, 159, 181}
 	_Event_index_1 = [...]uint8{0, 14, 30, 50, 63, 80, 96, 117, 134}
-	_Event_index_3 = [...]uint8{0, 15, 29, 44, 58, 73, 89, 106}
+	_Event_index_3 = [...]uint8{0, 15, 29, 44, 58, 73, 89, 106, 117}
 	_Event_index_4 = [...]uint8{0, 12, 21}
 	_Event_index_5 = [...]uint8{0, 20, 43, 62}
 	_Event_index_6 = [...]uint8{0, 21, 46, 74}
@@ -67,7 +69,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 111:
+	case 100 <= i && i <= 112:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 200 <= i && i <= 207:
@@ -75,7 +77,7 @@
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
 	case i == 300:
 		return _Event_name_2
-	case 400 <= i && i <= 406:
+	case 400 <= i && i <= 407:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 500 <= i && i <= 501:
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -31,6 +31,7 @@
 	ProcessFailed        Event = 109 // process failed
 	RotationChanged      Event = 110 // rotation changed
 	ConnectionsClosed    Event = 111 // connections closed
+	DrainRefusing        Event = 112 // drain refuses requests
 	RecordAdopted        Event = 200 // record adopted
 	RecordSetAside       Event = 201 // record set aside
 	RecordStale          Event = 202 // stale record ignored
@@ -47,6 +48,7 @@
 	RequestResumed       Event = 404 // request resumed
 	RequestFinished      Event = 405 // request finished
 	RequestAbandoned     Event = 406 // request abandoned
+	RequestCut           Event = 407 // request cut
 	PeerRefused          Event = 500 // peer refused
 	PeerLost             Event = 501 // peer lost
 	CellTaken            Event = 600 // cell ownership taken
