--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -36,6 +36,7 @@
 	"redwingworks.example/internal/rwgossip"
 	"redwingworks.example/internal/rwhistogram"
 	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwinflight"
 	"redwingworks.example/internal/rwitem"
 	"redwingworks.example/internal/rwlag"
 	"redwingworks.example/internal/rwlog"
@@ -109,6 +110,9 @@
 	// allocates its body and buffers.
 	gcPercent      = 300
 	upkeepInterval = 250 * time.Millisecond
+	// maxCutLines is the largest number of log lines about requests that the
+	// end of a drain cuts.
+	maxCutLines = 20
 	// reloadInterval is how often the settings file is read again; it can
 	// change without a signal.
 	reloadInterval = 2 * time.Second
@@ -165,6 +169,9 @@
 	// activeRequests is the number of requests in progress.
 	activeRequests     atomic.Int64
 	stopping, refusing atomic.Bool
+	// stopTime is when the signal to stop was handled, or nil before.
+	stopTime atomic.Pointer[time.Time]
+	inFlight rwinflight.Table
 	// maxRouters is the largest number of live routers seen: a partitioned
 	// router must not use the retry budget of the routers that it can't reach.
 	maxRouters atomic.Int64
@@ -259,6 +266,7 @@
 		Overloaded:       e.overloaded, Lagging: e.lagMonitor.Lagging, CallerClosed: rwconnlimit.CallerClosed, FlushDelay: e.flushDelay,
 		CloseRefused: func() bool { return e.connLimiter.Open() > e.maxConnections(closeRefusedRatio) },
 		Zone:         e.self.Zone, Log: e.log, Metrics: e.metrics, ObserveLatency: e.latency.Record,
+		Stopping: e.stopRequested, InFlight: &e.inFlight,
 	}
 	e.server = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -599,6 +607,7 @@
 // progress, and at the latest drainStopMargin before that.
 func (e *Edge) drain(ctx context.Context) {
 	start := time.Now()
+	e.stopTime.Store(&start)
 	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
 	e.stopping.Store(true)
 	e.gossip.Leave(ctx)
@@ -617,7 +626,10 @@
 			return
 		case now := <-ticker.C:
 			if time.Since(start) >= drainAcceptTime {
-				e.refusing.Store(true)
+				if e.refusing.CompareAndSwap(false, true) {
+					rwlog.Info(&e.log, rwlog.DrainRefusing).Dur("after", time.Since(start)).
+						Int64("active", e.activeRequests.Load()).Send()
+				}
 				// SetKeepAlivesEnabled of the server would close connections
 				// whose next request has arrived.
 				e.connLimiter.CloseIdle(now, step, math.MaxInt)
@@ -630,12 +642,37 @@
 			e.connLimiter.Stop()
 		}
 		if spent >= limit || (stopped && e.connLimiter.Open() == 0) {
-			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Dur("took", spent).Send()
+			cut := e.reportCut(start)
+			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Int("cut", cut).
+				Dur("took", spent).Send()
 			return
 		}
 	}
 }
 
+// stopRequested returns when a signal asked the process to stop, and whether one
+// did.
+func (e *Edge) stopRequested() (time.Time, bool) {
+	if at := e.stopTime.Load(); at != nil {
+		return *at, true
+	}
+	return time.Time{}, false
+}
+
+// reportCut returns the number of requests that the end of a drain cuts and adds
+// it to a counter. It logs at most maxCutLines of them, those that arrived last:
+// the drain had the most reason to refuse these.
+func (e *Edge) reportCut(stopped time.Time) int {
+	requests, total := e.inFlight.Latest(maxCutLines)
+	e.metrics.Add("drain_cut", int64(total))
+	for _, r := range requests {
+		rwlog.Warn(&e.log, rwlog.RequestCut, rwfault.New(rwcode.Draining, "the drain ended before the response")).
+			Str("id", r.ID).Str("route", r.Route).Str("upstream", r.Upstream).Int("sent", r.Sent).
+			Dur("took", time.Since(r.Start)).Dur("stopping", r.Start.Sub(stopped)).Send()
+	}
+	return total
+}
+
 // writeMetrics writes counters and histograms as text, one per line.
 func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	snapshot := e.published.Load()
