Show that a stopping router cuts a forwarded call with its ticket

Leave returns once no call is in progress, but the router accepts forwarded calls until it exits, and nothing waits for them. The caller gets outcome_unknown.

--- a/test/rwdrain/rwdrain_test.go
+++ b/test/rwdrain/rwdrain_test.go
@@ -323,3 +323,56 @@
 	}
 	require.True(t, router.Wait(exitTimeout))
 }
+
+// Guards against a router that exits while it executes a call with its ticket
+// that another router forwarded: the call may run although its caller gets no
+// result.
+func TestForwardedCallOutlivesShutdown(t *testing.T) {
+	t.Parallel()
+	const drain, callTime = 800 * time.Millisecond, 2 * time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	f := rwfleet.New(bin, t.TempDir())
+	t.Cleanup(f.Close)
+	platform, err := f.StartPlatform()
+	require.NoError(t, err)
+	service, err := f.StartService("orders", "--delay", callTime.String())
+	require.NoError(t, err)
+	service.Zone, service.PublishedPeer = "za", service.Addr
+	client := rwtestaccount.Account{Name: "varna", Key: "caller-key", Share: 1}
+	records := []rwrecord.Record{
+		rwtestbed.AccountRecord(client, 1),
+		rwfleet.Record("kind", rwtestbed.Order, 1, map[string]any{"urgency": 0, "pool": rwtestbed.OrderPool, "idempotent": false, "repeat": 60}),
+		(&rwtestbed.Testbed{Slots: 4}).UpstreamRecord(service, rwtestbed.OrderPool, "service", "live", 1),
+	}
+	var routers []*rwfleet.Proc
+	for _, name := range []string{"issuer", "entry"} {
+		p, err := rwfleet.NewRouter(name, "za")
+		require.NoError(t, err)
+		routers = append(routers, p)
+		records = append(records, rwfleet.VMRecord(p, "live"))
+	}
+	require.NoError(t, rwfleet.WaitReady(ctx, platform.Addr, "/v1/records"))
+	require.NoError(t, rwfleet.Publish(ctx, platform.Addr, records...))
+	for _, p := range routers {
+		require.NoError(t, f.StartRouter(p, platform.Addr, "--drain", drain.String()))
+	}
+	for _, p := range routers {
+		require.NoError(t, rwfleet.WaitReady(ctx, p.Addr, "/readyz"))
+	}
+	issuer, entry := routers[0], routers[1]
+	r := &fixture{t: t, ctx: ctx, balancer: rwbalancer.New([]string{issuer.Addr}, false, detectionDelay)}
+	job := rwjob.Job{Account: client.Name, CallerKey: client.Key, Kind: rwtestbed.Order, Pool: rwtestbed.OrderPool, Body: `"x"`}
+	job.Key = r.newTicket(job)
+	require.NotEmpty(t, job.Key)
+	caller := rwcaller.New(func(string, ...string) string { return entry.Addr }, 0)
+	defer caller.Close()
+
+	issuer.Signal(syscall.SIGTERM)
+	time.Sleep(drain / 2)
+	a := caller.Send(ctx, job)
+	// A refusal is fine if it is true that the call did not run.
+	refused := a.Verdict == rwverdict.Refused && a.Outcome == "not_run"
+	require.True(t, a.Verdict == rwverdict.Complete || refused, "%+v", a)
+	require.True(t, issuer.Wait(exitTimeout))
+}
