Show that a request stays queued at a placement owner that has left

An owner that leaves neither returns the requests in its queue nor refuses new ones, and the routers that sent them don't notice its end. They wait for their whole target and are refused.

--- a/internal/rwbroker/rwbroker_test.go
+++ b/internal/rwbroker/rwbroker_test.go
@@ -143,6 +143,51 @@
 	}
 }
 
+// Guards against a request that stays queued at an owner which has left: the next
+// owner has a free engine, but the request waits for its whole target and is
+// then refused.
+func TestQueuedRequestOutlivesItsOwner(t *testing.T) {
+	f := newFleet(t, 2, newSnapshot(1, 1))
+	first, fault := f.nodes["r0"].Acquire(t.Context(), "model", newRequest("1"))
+	require.Nil(t, fault)
+	owner, other := f.nodes[first.Owner], f.nodes["r0"]
+	if owner == other {
+		other = f.nodes["r1"]
+	}
+	type result struct {
+		grant Grant
+		fault *rwfault.Fault
+		took  time.Duration
+	}
+	results := make(chan result, 1)
+	go func() {
+		r := newRequest("2")
+		r.Target = 5 * time.Second
+		start := time.Now()
+		g, fault := other.Acquire(t.Context(), "model", r)
+		results <- result{g, fault, time.Since(start)}
+	}()
+	require.Eventually(t, func() bool {
+		owner.mu.Lock()
+		defer owner.mu.Unlock()
+		return owner.cells[cellKey{Service: "model"}].placer.QueueLength() == 1
+	}, time.Second, time.Millisecond)
+	// The owner leaves, its process ends once it has announced that, and then the
+	// engine becomes free.
+	f.mu.Lock()
+	f.live = []rwidentity.Identity{other.id}
+	f.mu.Unlock()
+	time.Sleep(2 * ownerCacheTTL)
+	owner.stop()
+	other.RemoveRouter(owner.id)
+	time.Sleep(2 * slowTick)
+	first.End(rwplacement.Served)
+	got := <-results
+	require.Nil(t, got.fault, "after %v", got.took)
+	require.Less(t, got.took, 2*time.Second)
+	require.Equal(t, other.id.Name, got.grant.Owner)
+}
+
 // Guards against treating an owner as failed because its answer takes as long
 // as a request may be queued.
 func TestRefusalHasARetryDelay(t *testing.T) {
