--- a/internal/rwserver/rwserver_test.go
+++ b/internal/rwserver/rwserver_test.go
@@ -329,6 +329,44 @@
 	})
 }
 
+// Guards against resetting a connection that waits in the listen queue, with its
+// request, when the shutdown closes the listener: on a saturated machine,
+// connections wait there for long.
+func TestConnectionQueuedAsShutdownBegins(t *testing.T) {
+	forEachTransport(t, func(f *fixture) {
+		var once sync.Once
+		accepting, resume := make(chan struct{}), make(chan struct{})
+		f.accepted.set(func() {
+			once.Do(func() {
+				close(accepting)
+				<-resume
+			})
+		})
+		first, err := net.Dial("tcp", f.listener.Addr().String())
+		require.NoError(f.t, err)
+		defer func() { _ = first.Close() }()
+		<-accepting
+		queued, err := net.Dial("tcp", f.listener.Addr().String())
+		require.NoError(f.t, err)
+		defer func() { _ = queued.Close() }()
+		require.NoError(f.t, queued.SetDeadline(time.Now().Add(testTimeout)))
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 4*testTimeout)
+			defer cancel()
+			f.stopped <- f.server.Shutdown(ctx)
+		}()
+		time.Sleep(2 * settleTime)
+		close(resume)
+		if f.roots != nil {
+			queued = tls.Client(queued, &tls.Config{RootCAs: f.roots, ServerName: "127.0.0.1"})
+		}
+		c := &caller{f.t, queued, bufio.NewReader(queued)}
+		c.send()
+		c.requireServed()
+		f.requireStopped()
+	})
+}
+
 // Guards against a shutdown that cuts off a request in progress, and against one
 // that waits for callers that keep their connections open without a request.
 func TestShutdownEndsAfterLastRequest(t *testing.T) {
