Accept in a drain only what can end before it

Cause: a drain accepted every request until 3.2 s after the signal, whatever it might last, and looked at the clock only when the head was read. Callers may expect a response to what they send later than 3 s after the signal; requests that were sent between 3.0 and 3.2 s and ran for over 4.4 s were cut. Class of fault: work is accepted without a check that it can end before the process does.

TestDrainGivesUpNoRequestThatArrivesLate failed in both cases before.

Change: rwshutdown plans a drain from the time of the signal and the grace period. Every request is accepted for 2.4 of 8 s, in which the load balancer notices twice; later ones only if their deadline lies before the drain ends. The decision depends on the time alone, no longer on a goroutine that may be late, and is repeated once the body has been read. 0.2 s before the end, requests in progress are cancelled: 503 if no upstream has them, 502 if one has, an aborted connection if the response has begun.

Two tests change. TestDrainGivesUpNoRequestThatArrivesLate holds a request from the start, since a drain may now end before its late request; without the fix it still fails in both cases. TestDrainLogsWhatItCuts takes the time of the first refusals from the plan.

--- a/internal/rwedge/conn_test.go
+++ b/internal/rwedge/conn_test.go
@@ -18,6 +18,7 @@
 	"redwingworks.example/internal/rwdialect"
 	"redwingworks.example/internal/rwinboundrequest"
 	"redwingworks.example/internal/rwrouteconfig"
+	"redwingworks.example/internal/rwshutdown"
 )
 
 func newEdge() *Edge {
@@ -91,7 +92,7 @@
 	require.NoError(t, err)
 	var draining atomic.Bool
 	slow := &slowListener{inner, func() {
-		for draining.Load() && !e.refusing.Load() {
+		for draining.Load() && !e.draining(time.Now().Add(time.Hour)) {
 			time.Sleep(time.Millisecond)
 		}
 		if draining.Load() {
@@ -109,8 +110,8 @@
 
 	draining.Store(true)
 	took := make(chan time.Duration, 1)
+	start := time.Now()
 	go func() {
-		start := time.Now()
 		e.drain(t.Context())
 		took <- time.Since(start)
 		// The process exits.
@@ -122,7 +123,7 @@
 		_, err = c.responses.ReadByte()
 		require.ErrorIs(t, err, io.EOF)
 	}
-	require.Less(t, <-took, defaultGrace-graceMargin)
+	require.Less(t, <-took, rwshutdown.New(start, defaultGrace).End().Sub(start))
 	require.Zero(t, e.connLimiter.Open())
 }
 
@@ -130,7 +131,7 @@
 // a long request delays: the end would cut their requests.
 func TestDrainClosesNewConnectionsBeforeItsEnd(t *testing.T) {
 	e := newEdge()
-	e.deployment.Grace = drainAcceptTime + graceMargin + 2*drainStopMargin
+	e.deployment.Grace = 6 * time.Second
 	e.activeRequests.Store(1)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/rwedge/drain_test.go
+++ b/internal/rwedge/drain_test.go
@@ -88,6 +88,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			e, l := drainedEdge(t)
+			// A request in progress keeps the drain from ending early.
+			early, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = early.Close() }()
+			_, err = io.WriteString(early, head+"body")
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return e.activeRequests.Load() == 1 }, time.Second, time.Millisecond)
 			go func() {
 				e.drain(t.Context())
 				// The process exits.
--- a/internal/rwedge/drainlog_test.go
+++ b/internal/rwedge/drainlog_test.go
@@ -21,6 +21,7 @@
 	"redwingworks.example/internal/rwinflight"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwrouteconfig"
+	"redwingworks.example/internal/rwshutdown"
 )
 
 // logLine has the fields of the lines about a drain.
@@ -76,7 +77,8 @@
 	require.Equal(t, rwlog.StopRequested, lines[0].Event)
 
 	require.Equal(t, rwlog.DrainRefusing, refusing.Event)
-	require.GreaterOrEqual(t, refusing.After, 3200.0)
+	plan := rwshutdown.New(time.Time{}, e.deployment.Grace)
+	require.GreaterOrEqual(t, refusing.After, float64(plan.AcceptEnd().Sub(plan.Start()).Milliseconds()))
 	require.Less(t, refusing.After, finished.Took)
 	require.Equal(t, 1, refusing.Active)
 
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -46,6 +46,7 @@
 	"redwingworks.example/internal/rwprompt"
 	"redwingworks.example/internal/rwregistry"
 	"redwingworks.example/internal/rwretrywindow"
+	"redwingworks.example/internal/rwshutdown"
 	"redwingworks.example/internal/rwsink"
 	"redwingworks.example/internal/rwstorewatch"
 )
@@ -87,16 +88,6 @@
 	// which events are collected; the rest allows for the lateness of a machine
 	// that is short of CPU time.
 	flushDelayRatio = 0.3
-	// drainAcceptTime is how long new requests are still served after a stop
-	// was requested: the load balancer needs two health checks a second apart
-	// to notice.
-	drainAcceptTime = 3200 * time.Millisecond
-	// graceMargin is the part of the grace period that is left for the process
-	// to exit.
-	graceMargin = 400 * time.Millisecond
-	// drainStopMargin is how long before the end of a drain new connections are
-	// closed unread, so that none has a request in progress at the end.
-	drainStopMargin = time.Second
 	// defaultGrace is used if the settings set no grace period.
 	defaultGrace = 8 * time.Second
 	// memoryLimitRatio is the fraction of the memory limit that the heap and
@@ -167,11 +158,12 @@
 	storeLost bool
 	published atomic.Pointer[rwconfigsnapshot.Snapshot]
 	// activeRequests is the number of requests in progress.
-	activeRequests     atomic.Int64
-	stopping, refusing atomic.Bool
-	// stopTime is when the signal to stop was handled, or nil before.
-	stopTime atomic.Pointer[time.Time]
-	inFlight rwinflight.Table
+	activeRequests atomic.Int64
+	inFlight       rwinflight.Table
+	// shutdown is nil until a signal asks the process to stop.
+	shutdown atomic.Pointer[rwshutdown.Plan]
+	// cancelRequests cancels the contexts of all requests in progress.
+	cancelRequests context.CancelCauseFunc
 	// maxRouters is the largest number of live routers seen: a partitioned
 	// router must not use the retry budget of the routers that it can't reach.
 	maxRouters atomic.Int64
@@ -261,14 +253,17 @@
 		NewBudget: func() *rwretrywindow.Budget {
 			return rwretrywindow.New(e.deployment.RetryRatio, e.deployment.RetryExtra, e.deployment.RetryWindow)
 		},
-		CloseConnections: func() bool { return e.stopping.Load() || e.overload.CloseConnections(time.Now()) },
-		Draining:         e.refusing.Load,
+		CloseConnections: func() bool { return e.stopping() || e.overload.CloseConnections(time.Now()) },
+		Draining:         e.draining,
 		Overloaded:       e.overloaded, Lagging: e.lagMonitor.Lagging, CallerClosed: rwconnlimit.CallerClosed, FlushDelay: e.flushDelay,
 		CloseRefused: func() bool { return e.connLimiter.Open() > e.maxConnections(closeRefusedRatio) },
 		Zone:         e.self.Zone, Log: e.log, Metrics: e.metrics, ObserveLatency: e.latency.Record,
 		Stopping: e.stopRequested, InFlight: &e.inFlight,
 	}
+	requests, cancel := context.WithCancelCause(context.Background())
+	e.cancelRequests = cancel
 	e.server = &http.Server{
+		BaseContext: func(net.Listener) context.Context { return requests },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			e.activeRequests.Add(1)
 			defer e.activeRequests.Add(-1)
@@ -435,7 +430,7 @@
 
 // ready reports whether the load balancer may send callers here.
 func (e *Edge) ready() bool {
-	return !e.stopping.Load() && e.published.Load().Config != nil && !e.overload.OutOfRotation()
+	return !e.stopping() && e.published.Load().Config != nil && !e.overload.OutOfRotation()
 }
 
 // observeLateness passes a lateness sample to the overload controller and logs
@@ -599,52 +594,65 @@
 	}
 }
 
-// drain takes the router out of rotation. It serves the requests that arrive
-// within drainAcceptTime, then refuses later ones and closes idle connections.
-// It returns shortly after drainAcceptTime, once no request is in progress and
-// all connections are closed, but at the latest graceMargin before the grace
-// period ends. New connections are closed unread as soon as no request is in
-// progress, and at the latest drainStopMargin before that.
+// stopping reports whether a signal has asked the process to stop.
+func (e *Edge) stopping() bool { return e.shutdown.Load() != nil }
+
+// draining reports whether to refuse a request with this deadline because the
+// router is about to end.
+func (e *Edge) draining(deadline time.Time) bool {
+	p := e.shutdown.Load()
+	return p != nil && !p.Accepts(time.Now(), deadline)
+}
+
+// drain takes the router out of rotation. It serves the requests that the plan
+// of the shutdown accepts, refuses the others, and closes idle connections. It
+// returns soon after the plan's AcceptEnd, once no request is in progress and
+// all connections are closed, but at the latest at the plan's End. New
+// connections are closed unread as soon as no request is in progress, and at the
+// latest at the plan's ListenEnd. Requests that are in progress at its CancelAt
+// are cancelled.
 func (e *Edge) drain(ctx context.Context) {
-	start := time.Now()
-	e.stopTime.Store(&start)
-	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
-	e.stopping.Store(true)
-	e.gossip.Leave(ctx)
 	grace := e.deployment.Grace
 	if grace <= 0 {
 		grace = defaultGrace
 	}
+	plan := rwshutdown.New(time.Now(), grace)
+	e.shutdown.Store(&plan)
+	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
+	e.gossip.Leave(ctx)
 	const step = 20 * time.Millisecond
 	ticker := time.NewTicker(step)
 	defer ticker.Stop()
-	limit := grace - graceMargin
-	stopped := false
+	refusing, stopped := false, false
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			if time.Since(start) >= drainAcceptTime {
-				if e.refusing.CompareAndSwap(false, true) {
-					rwlog.Info(&e.log, rwlog.DrainRefusing).Dur("after", time.Since(start)).
-						Int64("active", e.activeRequests.Load()).Send()
-				}
-				// SetKeepAlivesEnabled of the server would close connections
-				// whose next request has arrived.
-				e.connLimiter.CloseIdle(now, step, math.MaxInt)
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if !now.Before(plan.AcceptEnd()) {
+			if !refusing {
+				refusing = true
+				rwlog.Info(&e.log, rwlog.DrainRefusing).Dur("after", now.Sub(plan.Start())).
+					Int64("active", e.activeRequests.Load()).Send()
 			}
+			// SetKeepAlivesEnabled of the server would close connections
+			// whose next request has arrived.
+			e.connLimiter.CloseIdle(now, step, math.MaxInt)
 		}
-		spent := time.Since(start)
-		idle := spent >= drainAcceptTime+step*10 && e.activeRequests.Load() == 0
-		if !stopped && (idle || spent >= limit-drainStopMargin) {
+		idle := now.Sub(plan.AcceptEnd()) >= step*10 && e.activeRequests.Load() == 0
+		if !stopped && (idle || !now.Before(plan.ListenEnd())) {
 			stopped = true
 			e.connLimiter.Stop()
 		}
-		if spent >= limit || (stopped && e.connLimiter.Open() == 0) {
-			cut := e.reportCut(start)
+		if !now.Before(plan.CancelAt()) {
+			e.cancelRequests(rwfront.ShuttingDown())
+		}
+		if !now.Before(plan.End()) || (stopped && e.connLimiter.Open() == 0) {
+			cut := e.reportCut(plan.Start())
 			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Int("cut", cut).
-				Dur("took", spent).Send()
+				Dur("took", now.Sub(plan.Start())).Send()
 			return
 		}
 	}
@@ -653,8 +661,8 @@
 // stopRequested returns when a signal asked the process to stop, and whether one
 // did.
 func (e *Edge) stopRequested() (time.Time, bool) {
-	if at := e.stopTime.Load(); at != nil {
-		return *at, true
+	if p := e.shutdown.Load(); p != nil {
+		return p.Start(), true
 	}
 	return time.Time{}, false
 }
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -70,8 +70,11 @@
 	// NewBudget returns a new retry budget for a service.
 	NewBudget func() *rwretrywindow.Budget
 	// CloseConnections reports whether to close callers' connections after
-	// their responses; Draining reports whether to refuse new requests.
-	CloseConnections, Draining func() bool
+	// their responses.
+	CloseConnections func() bool
+	// Draining reports whether the router is about to end and may not finish a
+	// request with this deadline.
+	Draining func(deadline time.Time) bool
 	// Overloaded reports whether to refuse the request with this context because
 	// the router has too many; it may select a random fraction.
 	Overloaded func(context.Context) bool
@@ -151,8 +154,6 @@
 		// This check comes before routing and before the body is read, so that
 		// a refusal costs little.
 		return x, rwfault.New(rwcode.TooManyRequests, "router overloaded").WithRetryAfter(overloadRetryAfter)
-	case f.Draining():
-		return x, rwfault.New(rwcode.Draining, "shutting down").WithRetryAfter(drainRetryAfter)
 	}
 	x.Route = snapshot.Config.Match(x.Request.Host, x.Request.Path)
 	if x.Route == nil {
@@ -169,14 +170,27 @@
 	if x.Request.ID == "" {
 		return x, rwfault.New(rwcode.BadRequest, "request has no id")
 	}
+	f.setDeadline(x)
+	if f.Draining(x.Deadline) {
+		return x, ShuttingDown()
+	}
 	if fault := readBody(w, r, x, snapshot.Config.Limits.MaxBodyBytes); fault != nil {
 		return x, fault
 	}
-	f.setDeadline(x)
+	if f.Draining(x.Deadline) {
+		// The body took so long that the request is late now.
+		return x, ShuttingDown()
+	}
 	f.chooseService(snapshot, x)
 	return x, nil
 }
 
+// ShuttingDown returns the fault of a request that a stopping router doesn't
+// finish.
+func ShuttingDown() *rwfault.Fault {
+	return rwfault.New(rwcode.Draining, "shutting down").WithRetryAfter(drainRetryAfter)
+}
+
 // headSize returns the size of a request's head on the wire: the request line,
 // and each header field with its colon, space and line end.
 func headSize(r *http.Request) int {
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -145,7 +145,7 @@
 		},
 		RouterCount:      func() int { return 1 },
 		NewBudget:        func() *rwretrywindow.Budget { return rwretrywindow.New(0.2, 50, 10*time.Second) },
-		CloseConnections: func() bool { return false }, Draining: func() bool { return false },
+		CloseConnections: func() bool { return false }, Draining: func(time.Time) bool { return false },
 		CloseRefused: func() bool { return false }, Overloaded: func(context.Context) bool { return false },
 		Lagging: func() bool { return false }, CallerClosed: func(context.Context) bool { return false },
 		FlushDelay: func() time.Duration { return 0 },
@@ -452,12 +452,85 @@
 	require.NoError(t, resp.Body.Close())
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.True(t, resp.Close)
-	f.front.Draining = func() bool { return true }
+	f.front.Draining = func(time.Time) bool { return true }
 	status, _, _, err := f.send(t, "/safe/x")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, status)
 }
 
+// Guards against a router that forwards a request whose body arrived too late in
+// a drain, and against a refusal that comes only because its head was late.
+func TestDrainingRouterRefusesLateBody(t *testing.T) {
+	f := serve(t, map[string]http.HandlerFunc{"a": respond(200, "x")})
+	checks := 0
+	f.front.Draining = func(deadline time.Time) bool {
+		require.WithinDuration(t, time.Now().Add(2*time.Second), deadline, time.Second)
+		checks++
+		return checks > 1
+	}
+	status, _, h, err := f.send(t, "/unsafe/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, h.Get("Retry-After"))
+	require.Equal(t, 2, checks)
+	require.Zero(t, f.runs())
+}
+
+// Guards against a router that ends without a final response to requests in
+// progress, that claims that a request which an upstream has didn't run, and
+// that ends a stream as if it were complete.
+func TestShutdownEndsRequestsInProgress(t *testing.T) {
+	hang := func(_ http.ResponseWriter, r *http.Request) {
+		// The server notices a closed connection only after the body.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	for name, c := range map[string]struct {
+		path      string
+		upstream  http.HandlerFunc
+		noGrant   bool
+		status    int
+		truncated bool
+	}{
+		"no grant yet":   {"/stream/x", hang, true, http.StatusServiceUnavailable, false},
+		"at an upstream": {"/unsafe/x", hang, false, http.StatusBadGateway, false},
+		"retryable":      {"/safe/x", hang, false, http.StatusBadGateway, false},
+		"stream": {"/stream/x", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Seal", "s")
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+			_ = http.NewResponseController(w).Flush()
+			hang(w, r)
+		}, false, http.StatusOK, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := serve(t, map[string]http.HandlerFunc{"a": c.upstream, "b": c.upstream, "m": c.upstream, "n": c.upstream})
+			if c.noGrant {
+				f.front.Acquire = func(ctx context.Context, _ string, _ rwplacement.Request) (rwbroker.Grant, *rwfault.Fault) {
+					<-ctx.Done()
+					return rwbroker.Grant{}, rwfault.FromContext(ctx)
+				}
+			}
+			ctx, cancel := context.WithCancelCause(t.Context())
+			s := httptest.NewUnstartedServer(f.front)
+			s.Config.BaseContext = func(net.Listener) context.Context { return ctx }
+			s.Start()
+			defer s.Close()
+			f.url = s.URL
+			time.AfterFunc(50*time.Millisecond, func() { cancel(ShuttingDown()) })
+			start := time.Now()
+			status, _, h, err := f.send(t, c.path)
+			require.Less(t, time.Since(start), time.Second)
+			require.Equal(t, c.status, status)
+			if c.truncated {
+				require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, c.status == http.StatusServiceUnavailable, h.Get("Retry-After") != "")
+		})
+	}
+}
+
 // Guards against an overloaded router that holds ever more requests, and
 // against refusals without a retry delay.
 func TestOverloadedRouterRefuses(t *testing.T) {
--- /dev/null
+++ b/internal/rwshutdown/rwshutdown_test.go
@@ -0,0 +1,45 @@
+package rwshutdown
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a drain that accepts a request which its end may cut, or that
+// refuses requests before the load balancer has noticed.
+func TestAccepts(t *testing.T) {
+	start := time.Now()
+	p := New(start, 8*time.Second)
+	for _, c := range []struct {
+		at, timeout time.Duration
+		want        bool
+	}{
+		{0, 10 * time.Second, true},
+		{2 * time.Second, 10 * time.Second, true},
+		{3 * time.Second, 10 * time.Second, false},
+		{3 * time.Second, 4500 * time.Millisecond, false},
+		{3 * time.Second, 4 * time.Second, true},
+		{6500 * time.Millisecond, 600 * time.Millisecond, true},
+		{7200 * time.Millisecond, 600 * time.Millisecond, false},
+	} {
+		now := start.Add(c.at)
+		require.Equal(t, c.want, p.Accepts(now, now.Add(c.timeout)), "%+v", c)
+	}
+}
+
+// Guards against phases of a drain in the wrong order, and against an exit after
+// the grace period, whatever its length.
+func TestPhasesAreInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(int64(2500*time.Millisecond), int64(time.Minute)).Draw(t, "grace"))
+		p := New(time.Unix(0, 0), grace)
+		require.True(t, p.Start().Before(p.AcceptEnd()))
+		require.True(t, p.AcceptEnd().Before(p.ListenEnd()))
+		require.True(t, p.ListenEnd().Before(p.CancelAt()))
+		require.True(t, p.CancelAt().Before(p.End()))
+		require.True(t, p.End().Before(p.Start().Add(grace)))
+	})
+}
