Log the software of upstreams and what a caller resumes

Lines about a request now name the version of its upstream's software, the attempt that its caller resumes and the last event that it has. The router reads the version of upstreams and the header Resumes for this; no decision changes.

--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -38,8 +38,9 @@
 	MaxGap      time.Duration
 	// HeadSent is whether the head of a response was forwarded.
 	HeadSent bool
-	// Upstream is the last one picked for the request.
-	Upstream string
+	// Upstream is the last one picked for the request; UpstreamSoftware is the
+	// version of its software.
+	Upstream, UpstreamSoftware string
 	// Decision is the last placement decision; Owner is the router that made
 	// it.
 	Decision rwplacement.Decision
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -219,7 +219,7 @@
 		f.ObserveLatency(first)
 	}
 	f.Metrics.Add("served", 1)
-	f.addStopping(rwlog.Info(&f.Log, rwlog.RequestFinished), x).Str("id", x.Request.ID).Int("status", status).
+	f.addRequest(rwlog.Info(&f.Log, rwlog.RequestFinished), x).Int("status", status).
 		Str("route", x.Route.Name).Str("account", x.Account.Name).Str("upstream", x.Upstream).
 		Int("attempts", x.Ran).Dur("first", first).Dur("took", time.Since(x.Start)).
 		Dur("forecast", x.Decision.Forecast).Dur("gap", x.MaxGap).Int64("last", x.LastEventID).Dur("keep", x.KeepAlive).Send()
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -362,7 +362,7 @@
 	if x.HeadSent {
 		event = rwlog.RequestResumed
 	}
-	rwlog.Info(&f.Log, event).Str("id", x.Request.ID).Stringer("code", last.Code).
+	f.addRequest(rwlog.Info(&f.Log, event), x).Stringer("code", last.Code).
 		Str("upstream", x.Upstream).Int("sent", x.Sent).Int64("after", x.LastEventID).Str("detail", last.Error()).Send()
 	return true
 }
@@ -391,7 +391,7 @@
 	if !ok {
 		return destination{}, rwfault.New(rwcode.NoUpstream, x.Service).WithRetryAfter(unreachableRetryAfter)
 	}
-	x.Upstream = in.ID
+	x.Upstream, x.UpstreamSoftware = in.ID, in.Software
 	end := func(e rwplacement.End) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -416,8 +416,8 @@
 	if fault != nil {
 		return destination{}, fault
 	}
-	x.Upstream = g.Instance.ID
-	f.addStopping(addDecision(rwlog.Info(&f.Log, rwlog.RequestPlaced), x), x).Str("id", x.Request.ID).
+	x.Upstream, x.UpstreamSoftware = g.Instance.ID, g.Instance.Software
+	f.addRequest(addDecision(rwlog.Info(&f.Log, rwlog.RequestPlaced), x), x).
 		Str("account", x.Account.Name).Str("upstream", x.Upstream).Int("input", p.Input).Int("own", p.UniqueTokens()).
 		Str("source", g.Source).Int64("rev", f.Published().Rev).Dur("waited", time.Since(x.Start)).Send()
 	in := g.Instance
@@ -431,10 +431,18 @@
 		Int("kept", d.CachedTokens).Int("uncached", d.UncachedTokens).Int("rate", d.PrefillRate).Int("got", d.Usage).Int("level", d.FairShare)
 }
 
-// addStopping adds the field "stopping" to a log line if the router was asked to
-// stop: the time from then to the arrival of the request, which is negative if
-// the request arrived before.
-func (f *Handler) addStopping(e *zerolog.Event, x *rwexchange.Exchange) *zerolog.Event {
+// addRequest adds the fields that all lines about a request have: its id, the
+// software of its upstream, what its caller resumes, and the field "stopping" if
+// the router was asked to stop: the time from then to the arrival of the request,
+// which is negative if the request arrived before.
+func (f *Handler) addRequest(e *zerolog.Event, x *rwexchange.Exchange) *zerolog.Event {
+	e = e.Str("id", x.Request.ID)
+	if x.UpstreamSoftware != "" {
+		e = e.Str("software", x.UpstreamSoftware)
+	}
+	if x.Request.Resumes != "" {
+		e = e.Str("resumes", x.Request.Resumes).Str("events", x.Request.LastEventID)
+	}
 	if f.Stopping == nil {
 		return e
 	}
@@ -448,7 +456,7 @@
 func (f *Handler) fail(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, fault *rwfault.Fault) {
 	if ended := rwfault.FromContext(ctx); fault.Code == rwcode.CallerGone || ended != nil && ended.Code == rwcode.CallerGone {
 		f.Metrics.Refused(rwcode.CallerGone)
-		f.addStopping(rwlog.Info(&f.Log, rwlog.RequestAbandoned), x).Str("id", x.Request.ID).Stringer("code", rwcode.CallerGone).
+		f.addRequest(rwlog.Info(&f.Log, rwlog.RequestAbandoned), x).Stringer("code", rwcode.CallerGone).
 			Str("upstream", x.Upstream).Int("sent", x.Sent).Dur("took", time.Since(x.Start)).Str("detail", fault.Error()).Send()
 		panic(http.ErrAbortHandler)
 	}
@@ -500,7 +508,7 @@
 	if x.Owner != "" {
 		e = addDecision(e, x)
 	}
-	e = f.addStopping(e, x).Str("id", x.Request.ID).Int("status", status).Str("account", x.Account.Name).
+	e = f.addRequest(e, x).Int("status", status).Str("account", x.Account.Name).
 		Str("service", x.Service).Str("upstream", x.Upstream).Int("sent", x.Sent).
 		Dur("took", time.Since(x.Start)).Dur("retry", fault.RetryAfter)
 	snapshot := f.Published()
--- a/internal/rwinboundrequest/rwinboundrequest.go
+++ b/internal/rwinboundrequest/rwinboundrequest.go
@@ -23,7 +23,10 @@
 	// LastEventID is the id of the last stream event that the caller has, or
 	// empty.
 	LastEventID string
-	Prompt      rwprompt.Prompt
+	// Resumes is the id of the attempt that brought the first event of the
+	// stream that the caller resumes, or empty.
+	Resumes string
+	Prompt  rwprompt.Prompt
 	// Header holds the fields to forward to the upstream.
 	Header http.Header
 	Body   []byte
--- a/internal/rwinstance/rwinstance.go
+++ b/internal/rwinstance/rwinstance.go
@@ -11,6 +11,9 @@
 	// Addr is host:port, where the host is an IP address.
 	Addr string
 	Zone string
+	// Software is the version of the software that it runs. A stream may go on
+	// only at an upstream with the software that began it.
+	Software string
 	// Slots is the number of requests that it runs concurrently, at least 1.
 	Slots int
 	// Leaving is whether it must get no new work.
