Let no forwarded call outlive its router

Callers whose call another router forwarded to a stopping router got outcome_unknown, "peer_unreachable", although the call was running.

Cause: a stopping router accepted forwarded calls until its links closed, and waited only for those that ran while Leave looked, and for the connections of its own callers. Calls that came later with its ticket, calls that it passed on and calls that went on without their caller were not counted. Class of fault: work is accepted without a check that it can end before the process does.

Ruled out: opaque keys as the cause in the test, since a router that has handed its keys over begins none; and a refusal that doesn't look at the key. Another copy of the call may run, so "not run" could be false.

Change: the executor counts all work that it accepts, forwarded calls until their result is written to the link. Once the callers are served, Close makes the state machine begin nothing: a ticket that this router has not executed gets draining with not_run, which is true and final, since no other router executes it. Repeats still get the result or wait for the call. Opaque keys are not passed on any more; they fail without a result, so that the entry router tries the next ranks.

No test covers an opaque key at a closed router with real processes.

--- a/internal/rwexecutor/rwexecutor.go
+++ b/internal/rwexecutor/rwexecutor.go
@@ -82,6 +82,12 @@
 	// handoffSent is closed when the keys have been sent to the next routers.
 	// It is nil before Leave.
 	handoffSent chan struct{}
+	// active counts the work that must end before the process does: calls of
+	// this router's callers, calls of other routers until their result is
+	// written, and calls that continue without their caller.
+	active int
+	// idle is closed when active becomes 0. It is nil unless Close waits for it.
+	idle chan struct{}
 }
 
 // Config holds the dependencies of an Executor. All fields are required except
@@ -207,6 +213,10 @@
 // it, one without a key at this router. The outcome of a returned fault shows
 // whether the call was executed, as far as this is known.
 func (e *Executor) Do(ctx context.Context, q *rwrequest.Request) (*rwdispatch.Response, error) {
+	if !e.accept() {
+		return nil, rwfault.New(rwcode.Draining, q.ID)
+	}
+	defer e.release()
 	if q.IdempotencyKey == "" {
 		return e.config.Run(ctx, q)
 	}
@@ -377,7 +387,47 @@
 	return r, true
 }
 
+// accept counts a call of this router's caller as active, unless the router is
+// closed.
+func (e *Executor) accept() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.machine.Closed() {
+		return false
+	}
+	e.active++
+	return true
+}
+
+// acceptForwarded counts a call of another router as active. A closed router
+// still returns what it knows, and refuses tickets that it has not executed. It
+// passes no calls on: they fail with Draining, so that the sender tries the next
+// candidates.
+func (e *Executor) acceptForwarded(c rwcall.Call) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.updateList()
+	if e.machine.Closed() && e.machine.Begin(e.config.Now(), c).Action == rwdecision.Forward {
+		return rwfault.New(rwcode.Draining, c.ID)
+	}
+	e.active++
+	return nil
+}
+
+func (e *Executor) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active--
+	if e.active == 0 && e.idle != nil {
+		close(e.idle)
+		e.idle = nil
+	}
+}
+
 func (e *Executor) handleCall(ctx context.Context, from rwidentity.Identity, fc forwardedCall) (any, error) {
+	if err := e.acceptForwarded(fc.Call); err != nil {
+		return nil, err
+	}
 	if from.Name != fc.Call.From || from.Inc != fc.Call.Inc {
 		fc.Call.FromIsWitness = false
 	}
@@ -385,7 +435,7 @@
 	if len(r.Body) > maxBodyBytes {
 		r = rwresult.Fault(rwcode.UpstreamMalformed, rwoutcome.Ran, "the response is too large to forward")
 	}
-	return r, nil
+	return rwpeer.Reply{Result: r, Written: e.release}, nil
 }
 
 // runOrJoin executes a call on this router or waits for the same call in
@@ -446,7 +496,11 @@
 		limit = fc.Timeout
 	}
 	done := make(chan rwresult.Result, 1)
+	e.mu.Lock()
+	e.active++
+	e.mu.Unlock()
 	go func() {
+		defer e.release()
 		detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 		defer cancel()
 		done <- e.execute(detached, fc, witnesses)
@@ -670,7 +724,8 @@
 
 // Leave hands the keys over to the next routers. It returns when the calls in
 // progress have ended and their results are handed over, or when the context
-// ends. The router continues to forward calls. Leave must be called only once.
+// ends. The router continues to forward calls and to execute its tickets until
+// Close. Leave must be called only once.
 func (e *Executor) Leave(ctx context.Context) error {
 	e.mu.Lock()
 	e.handoffSent = make(chan struct{})
@@ -697,6 +752,27 @@
 	return ctx.Err()
 }
 
+// Close makes the router begin no call any more and returns when the calls that
+// it has accepted have ended and their results are written, or with an error
+// when the context ends. Leave must be called before, and Close only once.
+func (e *Executor) Close(ctx context.Context) error {
+	e.mu.Lock()
+	e.machine.Close()
+	if e.active == 0 {
+		e.mu.Unlock()
+		return nil
+	}
+	idle := make(chan struct{})
+	e.idle = idle
+	e.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return rwfault.FromContext(ctx)
+	}
+}
+
 func (e *Executor) sendHandoffs(ctx context.Context) {
 	e.mu.Lock()
 	e.updateList()
--- a/internal/rwnode/drain.go
+++ b/internal/rwnode/drain.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 	"time"
 
@@ -27,29 +27,31 @@
 		return nil
 	}
 	rwlog.Info(&n.log, rwlog.StopRequested).Send()
-	n.drain(ctx)
-	rwlog.Info(&n.log, rwlog.DrainFinished).Send()
+	err := n.drain(ctx)
+	rwlog.Info(&n.log, rwlog.DrainFinished).AnErr("detail", err).Send()
 	return nil
 }
 
 // drain shuts the router down gracefully: it becomes not ready and hands its cells
 // and idempotency keys to other routers while the load balancer has time to
-// notice, then refuses new requests and waits for those in progress, for callers'
-// connections to end and for the handover of the keys. The links stay open
-// meanwhile, since waiting requests still need grants.
-func (n *Node) drain(ctx context.Context) {
+// notice, then refuses new requests and waits for those in progress and for
+// callers' connections to end. Then it refuses the calls of other routers and
+// waits for those in progress and for the handover of the keys. The links stay
+// open meanwhile, since waiting requests still need grants. It fails if the time
+// for any of this is over.
+func (n *Node) drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, drainLimit)
 	defer cancel()
 	n.stopping.Store(true)
 	n.gossip.Leave(ctx)
 	n.requestAssignment()
-	var handover sync.WaitGroup
-	handover.Go(func() { _ = n.executor.Leave(ctx) })
+	handover := make(chan error, 1)
+	go func() { handover <- n.executor.Leave(ctx) }()
 	select {
 	case <-time.After(n.settings.Drain):
 	case <-ctx.Done():
 	}
 	n.draining.Store(true)
-	_ = n.server.Shutdown(ctx)
-	handover.Wait()
+	err := n.server.Shutdown(ctx)
+	return errors.Join(err, n.executor.Close(ctx), <-handover)
 }
--- a/internal/rwonce/calls.go
+++ b/internal/rwonce/calls.go
@@ -127,6 +127,10 @@
 	if now.Sub(c.KeyCreated) > c.KeyRetention {
 		return unknown("the ticket has expired")
 	}
+	if m.closed {
+		// No other router executes the ticket, so this is final.
+		return rwdecision.Decision{Result: rwresult.Fault(rwcode.Draining, rwoutcome.NotRun, "the router is shutting down")}
+	}
 	return m.startRun(now, c)
 }
 
--- a/internal/rwonce/explore_test.go
+++ b/internal/rwonce/explore_test.go
@@ -414,6 +414,10 @@
 
 func (sim *simulation) forwardTo(r *router, to string, a *attempt, c rwcall.Call, done func(rwresult.Result, bool)) {
 	sim.rpc(r, to, func(h *router, answer func(any)) {
+		if h.machine.Closed() && h.machine.Begin(sim.now, c).Action == rwdecision.Forward {
+			answer(nil)
+			return
+		}
 		sim.begin(h, a, c, func(x rwresult.Result) { answer(x) })
 	}, func(x any) {
 		if x == nil {
@@ -440,6 +444,9 @@
 		c.From, c.FromIsWitness = r.name, false
 		sim.forwardTo(r, v.To, a, c, func(x rwresult.Result, _ bool) { done(x) })
 	case rwdecision.Run:
+		if r.machine.Closed() {
+			sim.failf("%s began %s after Close", r.name, c.Key)
+		}
 		sim.logf("%s begins %s witnesses %v", r.name, c.Key, v.Witnesses)
 		if len(v.Witnesses) == 0 {
 			sim.dispatch(r, a, c, done)
@@ -557,7 +564,10 @@
 		sim.logf("%s leaves", r.name)
 		sim.sendHandoffs(r)
 		sim.after(sim.randomDuration(3*time.Second), func() {
-			sim.onRouter(r, inc, func() { sim.sendHandoffs(r) })
+			sim.onRouter(r, inc, func() {
+				sim.sendHandoffs(r)
+				r.machine.Close()
+			})
 			sim.after(sim.randomDuration(time.Second), func() {
 				if r.inc == inc {
 					sim.crash(r)
--- a/internal/rwonce/handoff.go
+++ b/internal/rwonce/handoff.go
@@ -101,6 +101,14 @@
 	return out
 }
 
+// Close makes this router begin no key any more, tickets included. Keys in
+// progress go on, and known results are still returned. Leave must be called
+// before.
+func (m *Machine) Close() { m.closed = true }
+
+// Closed reports whether Close was called.
+func (m *Machine) Closed() bool { return m.closed }
+
 // successors returns the routers that may execute a key after this one has
 // left. All of them get its intent, since each router acts only on the handoffs
 // that it received itself.
--- a/internal/rwonce/rwonce.go
+++ b/internal/rwonce/rwonce.go
@@ -230,6 +230,9 @@
 	// home's incarnation.
 	handoffs map[string]int64
 	leaving  bool
+	// closed reports whether this router, which is leaving, begins no tickets
+	// any more either.
+	closed bool
 	// handoffTargets are the incarnations that this router hands its keys over
 	// to.
 	handoffTargets map[string]int64
--- a/internal/rwonce/table_test.go
+++ b/internal/rwonce/table_test.go
@@ -34,6 +34,10 @@
 	return rwcall.Call{ID: key + digest, Key: key, Digest: digest, KeyRetention: repeat}
 }
 
+func ticketCall(issued time.Time) rwcall.Call {
+	return rwcall.Call{ID: "1", Key: "k", Digest: "x", KeyRetention: repeat, Ticket: true, KeyCreated: issued}
+}
+
 func ranResult(body string) rwresult.Result {
 	return rwresult.Result{Outcome: rwoutcome.Ran, Status: 200, Body: []byte(body)}
 }
@@ -42,6 +46,11 @@
 func TestVerdicts(t *testing.T) {
 	now := startTime.Add(repeat)
 	begin := func(m *rwonce.Machine, c rwcall.Call) { m.Begin(now, c) }
+	leave := func(m *rwonce.Machine) { m.Leave(now) }
+	closeRouter := func(m *rwonce.Machine) {
+		m.Leave(now)
+		m.Close()
+	}
 	for _, c := range []struct {
 		name   string
 		before func(*rwonce.Machine)
@@ -94,6 +103,21 @@
 		{"an expired ticket doesn't run", nil,
 			rwcall.Call{ID: "1", Key: "k", Digest: "x", KeyRetention: repeat, Ticket: true, KeyCreated: now.Add(-repeat - 1)},
 			rwdecision.Answer, rwcode.OutcomeUnknown, rwoutcome.Unknown},
+		{"a leaving router runs a ticket", leave, ticketCall(now), rwdecision.Run, 0, 0},
+		{"a closed router refuses a fresh ticket", closeRouter,
+			ticketCall(now), rwdecision.Answer, rwcode.Draining, rwoutcome.NotRun},
+		{"a closed router doesn't call an expired ticket not run", closeRouter,
+			ticketCall(now.Add(-repeat - 1)), rwdecision.Answer, rwcode.OutcomeUnknown, rwoutcome.Unknown},
+		{"a retry at a closed router joins the call in progress", func(m *rwonce.Machine) {
+			begin(m, ticketCall(now))
+			closeRouter(m)
+		}, ticketCall(now), rwdecision.Wait, 0, 0},
+		{"a retry at a closed router gets the response", func(m *rwonce.Machine) {
+			begin(m, ticketCall(now))
+			closeRouter(m)
+			m.Finish(now, "k", ranResult("answer"))
+		}, ticketCall(now), rwdecision.Answer, rwcode.None, rwoutcome.Ran},
+		{"a closed router passes an opaque key on", closeRouter, opaqueCall("k", "x"), rwdecision.Forward, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := singleRouter(rwonce.Config{MaxKeys: 4, MaxBytes: 15})
--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -47,6 +47,13 @@
 // concurrently.
 type Handler = func(ctx context.Context, from rwidentity.Identity, params json.RawMessage) (any, error)
 
+// Reply is a result of a Handler with a function that is called once the result
+// was written to the link, can't be written or isn't wanted.
+type Reply struct {
+	Result  any
+	Written func()
+}
+
 // Typed returns a handler that decodes the parameters of a message. Parameters
 // that can't be decoded fail with PeerMalformed.
 func Typed[P any](h func(ctx context.Context, from rwidentity.Identity, params P) (any, error)) Handler {
@@ -474,7 +481,10 @@
 	case !s.isAuthenticated():
 		_ = conn.Close()
 	case req.Notif:
-		_, _ = s.answer(ctx, req)
+		if result, _ := s.answer(ctx, req); result != nil {
+			_, written := unwrap(result)
+			written()
+		}
 	default:
 		go s.reply(ctx, conn, req)
 	}
@@ -533,6 +543,8 @@
 
 func (s *session) reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	result, err := s.answer(ctx, req)
+	result, written := unwrap(result)
+	defer written()
 	if err != nil {
 		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{
 			Code:    jsonrpc2.CodeInternalError,
@@ -543,6 +555,14 @@
 	_ = conn.Reply(ctx, req.ID, result)
 }
 
+// unwrap returns the result to write, and the function to call afterwards.
+func unwrap(result any) (any, func()) {
+	if r, ok := result.(Reply); ok {
+		return r.Result, r.Written
+	}
+	return result, func() {}
+}
+
 func byteCounter(data bool) string {
 	if data {
 		return "peer_data_bytes_sent"
--- a/internal/rwpeer/rwpeer_test.go
+++ b/internal/rwpeer/rwpeer_test.go
@@ -76,6 +76,37 @@
 	require.True(t, rwfault.Is(err, rwcode.KeyHeld), "%v", err)
 }
 
+// Guards against a router that closes its links while it writes a result, since
+// it doesn't know that the result is not written yet.
+func TestWrittenIsCalledAfterReply(t *testing.T) {
+	a, b := serve(t, "a", key), serve(t, "b", key)
+	written := make(chan struct{})
+	b.peers.Handle("tracked", func(context.Context, rwidentity.Identity, json.RawMessage) (any, error) {
+		return rwpeer.Reply{Result: result{written: written}, Written: func() { close(written) }}, nil
+	})
+	out, err := call(t, a, b, "tracked", nil)
+	require.NoError(t, err)
+	require.Equal(t, "open", out)
+	select {
+	case <-written:
+	case <-time.After(limit):
+		require.Fail(t, "Written was not called")
+	}
+}
+
+// result tells whether a channel was closed at the time at which it is encoded.
+type result struct{ written chan struct{} }
+
+// MarshalJSON implements json.Marshaler.
+func (r result) MarshalJSON() ([]byte, error) {
+	select {
+	case <-r.written:
+		return json.Marshal("closed")
+	default:
+		return json.Marshal("open")
+	}
+}
+
 // Guards against a peer that is accepted without the fleet's key.
 func TestWrongKeyIsRejected(t *testing.T) {
 	a, b := serve(t, "a", "another-key-of-16"), serve(t, "b", key)
--- a/test/rwdrain/rwdrain_test.go
+++ b/test/rwdrain/rwdrain_test.go
@@ -324,14 +324,21 @@
 	require.True(t, router.Wait(exitTimeout))
 }
 
-// Guards against a router that exits while it executes a call with its ticket
-// that another router forwarded: the call may run although its caller gets no
-// result.
-func TestForwardedCallOutlivesShutdown(t *testing.T) {
-	t.Parallel()
-	const drain, callTime = 800 * time.Millisecond, 2 * time.Second
+// issuer is a router that has issued tickets for calls that another one forwards
+// to it.
+type issuer struct {
+	*rwfleet.Proc
+	*rwcaller.Caller
+	ctx context.Context
+	// jobs are calls with a ticket of this router.
+	jobs []rwjob.Job
+}
+
+// startIssuer starts two routers and a service that works on each call for some
+// time.
+func startIssuer(t *testing.T, drain, callTime time.Duration, tickets int) *issuer {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
+	t.Cleanup(cancel)
 	f := rwfleet.New(bin, t.TempDir())
 	t.Cleanup(f.Close)
 	platform, err := f.StartPlatform()
@@ -360,19 +367,51 @@
 	for _, p := range routers {
 		require.NoError(t, rwfleet.WaitReady(ctx, p.Addr, "/readyz"))
 	}
-	issuer, entry := routers[0], routers[1]
-	r := &fixture{t: t, ctx: ctx, balancer: rwbalancer.New([]string{issuer.Addr}, false, detectionDelay)}
-	job := rwjob.Job{Account: client.Name, CallerKey: client.Key, Kind: rwtestbed.Order, Pool: rwtestbed.OrderPool, Body: `"x"`}
-	job.Key = r.newTicket(job)
-	require.NotEmpty(t, job.Key)
-	caller := rwcaller.New(func(string, ...string) string { return entry.Addr }, 0)
-	defer caller.Close()
+	entry := routers[1]
+	i := &issuer{Proc: routers[0], ctx: ctx, Caller: rwcaller.New(func(string, ...string) string { return entry.Addr }, 0)}
+	t.Cleanup(i.Close)
+	r := &fixture{t: t, ctx: ctx, balancer: rwbalancer.New([]string{i.Addr}, false, detectionDelay)}
+	for range tickets {
+		job := rwjob.Job{Account: client.Name, CallerKey: client.Key, Kind: rwtestbed.Order, Pool: rwtestbed.OrderPool, Body: `"x"`}
+		job.Key = r.newTicket(job)
+		require.NotEmpty(t, job.Key)
+		i.jobs = append(i.jobs, job)
+	}
+	return i
+}
 
-	issuer.Signal(syscall.SIGTERM)
+// Guards against a router that exits while it executes a call with its ticket
+// that another router forwarded: the call may run although its caller gets no
+// result.
+func TestForwardedCallOutlivesShutdown(t *testing.T) {
+	t.Parallel()
+	const drain, callTime = 800 * time.Millisecond, 2 * time.Second
+	i := startIssuer(t, drain, callTime, 1)
+	i.Signal(syscall.SIGTERM)
 	time.Sleep(drain / 2)
-	a := caller.Send(ctx, job)
+	a := i.Send(i.ctx, i.jobs[0])
 	// A refusal is fine if it is true that the call did not run.
 	refused := a.Verdict == rwverdict.Refused && a.Outcome == "not_run"
 	require.True(t, a.Verdict == rwverdict.Complete || refused, "%+v", a)
-	require.True(t, issuer.Wait(exitTimeout))
+	require.True(t, i.Wait(exitTimeout))
+}
+
+// Guards against a router that still begins forwarded calls while it waits for
+// those in progress to end, so that it either never exits or cuts the last ones.
+func TestForwardedCallAfterDrainIsRefused(t *testing.T) {
+	t.Parallel()
+	const drain, callTime = 800 * time.Millisecond, 3 * time.Second
+	i := startIssuer(t, drain, callTime, 2)
+	i.Signal(syscall.SIGTERM)
+	time.Sleep(drain / 2)
+	first := make(chan rwresponse.Response, 1)
+	go func() { first <- i.Send(i.ctx, i.jobs[0]) }()
+	time.Sleep(drain/2 + callTime/2)
+	a := i.Send(i.ctx, i.jobs[1])
+	require.Equal(t, rwverdict.Refused, a.Verdict, "%+v", a)
+	require.Equal(t, "draining", a.Code, "%+v", a)
+	require.Equal(t, "not_run", a.Outcome, "%+v", a)
+	a = <-first
+	require.Equal(t, rwverdict.Complete, a.Verdict, "%+v", a)
+	require.True(t, i.Wait(exitTimeout))
 }
