Accept the listen queue before closing the listener

Callers whose connection waited in the listen queue when a router's shutdown began got "connection reset by peer" in place of a response or a refusal.

Cause: the shutdown closed the listener at once. The kernel then resets the connections that wait in its queue, which is not empty if the process accepts late. Class of fault: the kernel has accepted the connection, and nothing checks that its request is answered before the listener ends.

Ruled out: to close the listener only once nothing was accepted for a settle time. Callers or health checks that go on connecting would keep the shutdown waiting. A settle time alone doesn't show a delayed accept either.

Change: the shutdown asks the kernel whether the queue is empty and closes the listener as soon as it is, or after twice the ReadHeaderTimeout, since a flood may never let it become empty (TestShutdownBesideFullQueue, new). What is accepted meanwhile is refused by the gate like other requests of a drain.

Left open: a connection that is established in the moment between the last check and the close is still reset.

--- a/internal/rwserver/rwserver.go
+++ b/internal/rwserver/rwserver.go
@@ -5,13 +5,17 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"math"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"redwingworks.example/internal/rwconnlimit"
 )
 
@@ -21,11 +25,12 @@
 	// when it reports a connection as idle; the others arrive meanwhile.
 	settleTime = 100 * time.Millisecond
 	// shutdownInterval is the time between checks for idle connections during a
-	// shutdown.
+	// shutdown, and between checks of the listen queue.
 	shutdownInterval = 20 * time.Millisecond
 	// quietFactor times the ReadHeaderTimeout is how long a shutdown waits for
 	// connections that deliver no request: it allows for a TLS handshake and
-	// the head of a request.
+	// the head of a request. It also bounds the wait for an empty listen queue,
+	// which a flood of callers may never let happen.
 	quietFactor = 2
 )
 
@@ -161,28 +166,68 @@
 	return s.inner.Serve(l)
 }
 
-// Shutdown stops accepting connections and returns once all connections have
-// ended, or with an error if the context ends first. Requests that arrive
-// meanwhile on open connections reach the handler.
+// Shutdown accepts the connections that wait in the listen queue, closes the
+// listener and returns once all connections have ended, or with an error if the
+// context ends first. Requests that arrive meanwhile on open connections reach
+// the handler. A listener without a file descriptor is closed at once.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.stopAccepting()
+	s.stopAccepting(ctx)
 	s.endHTTP1(ctx)
 	return s.inner.Shutdown(ctx)
 }
 
-// stopAccepting closes the listener and returns once all accepted connections
-// are registered.
-func (s *Server) stopAccepting() {
+// stopAccepting closes the listener once its queue is empty and returns once all
+// accepted connections are registered. The kernel resets the connections that
+// wait in the queue of a listener that is closed.
+func (s *Server) stopAccepting(ctx context.Context) {
 	s.mu.Lock()
 	s.stopping = true
 	l, served := s.listener, s.served
 	s.mu.Unlock()
 	if l != nil {
+		s.awaitEmptyQueue(ctx, l, served)
 		_ = l.Close()
 		<-served
 	}
 }
 
+// awaitEmptyQueue returns once no connection waits in the queue of the listener,
+// if that takes too long, or if Serve or the context has ended. It counts ticks
+// like endHTTP1.
+func (s *Server) awaitEmptyQueue(ctx context.Context, l net.Listener, served <-chan struct{}) {
+	ticker := time.NewTicker(shutdownInterval)
+	defer ticker.Stop()
+	for waited := time.Duration(0); hasQueued(l) && waited <= quietFactor*s.inner.ReadHeaderTimeout; waited += shutdownInterval {
+		select {
+		case <-ticker.C:
+		case <-served:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// hasQueued reports whether a connection waits in the queue of a listener. It
+// returns false if that is not known.
+func hasQueued(l net.Listener) bool {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, pollErr := unix.Poll(fds, 0)
+		queued = errors.Is(pollErr, unix.EINTR) || pollErr == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
+	})
+	return err == nil && queued
+}
+
 // endHTTP1 returns once all HTTP/1.1 connections have ended, if none has
 // delivered a request for long, or if the context ends. It counts ticks, so that
 // a pause of the process does not end it.
--- a/internal/rwserver/rwserver_test.go
+++ b/internal/rwserver/rwserver_test.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -71,6 +72,11 @@
 	return &readHook{TCPConn: nc.(*net.TCPConn), before: l.before, after: l.after}, nil
 }
 
+// SyscallConn implements syscall.Conn, as the listener of a router does.
+func (l *hookedListener) SyscallConn() (syscall.RawConn, error) {
+	return l.Listener.(syscall.Conn).SyscallConn()
+}
+
 func (l *hookedListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
@@ -367,6 +373,30 @@
 	})
 }
 
+// Guards against a shutdown that waits for a listen queue that never becomes
+// empty: the listener is closed after a limited time.
+func TestShutdownBesideFullQueue(t *testing.T) {
+	forEachTransport(t, func(f *fixture) {
+		accepting, resume := make(chan struct{}), make(chan struct{})
+		var once sync.Once
+		f.accepted.set(func() {
+			once.Do(func() { close(accepting) })
+			<-resume
+		})
+		for range 2 {
+			nc, err := net.Dial("tcp", f.listener.Addr().String())
+			require.NoError(f.t, err)
+			defer func() { _ = nc.Close() }()
+		}
+		<-accepting
+		start := time.Now()
+		f.shutdown()
+		require.Greater(f.t, time.Since(start), quietFactor*readHeaderTimeout)
+		close(resume)
+		f.requireStopped()
+	})
+}
+
 // Guards against a shutdown that cuts off a request in progress, and against one
 // that waits for callers that keep their connections open without a request.
 func TestShutdownEndsAfterLastRequest(t *testing.T) {
