Ask the next owner when a queued request's owner leaves or dies

Callers whose request was queued at a placement owner that left or died got 503 after their whole target, although the next owner had a free engine.

Cause: only the owner resolves a queued request. A leaving owner went on queueing requests that its process might not decide on, and a requester dropped nothing but its own cells' state when membership said that the owner was gone. Class of fault: work is accepted without a check that it can end before the process does.

Ruled out: a lack of engines (the next owner grants the same request at once) and a requester that doesn't know that the owner is gone (the test tells it).

Change: the new verdict "moved" makes the requester ask the owner that ranks next, with the elapsed time counted, at most maxOwnersTried times; then it decides itself. Broker.Leave, called by the drain after the announcement, gives this verdict to all queued requests and to later ones of other routers. RemoveRouter and changes of the live routers give it at the requester to what is pending at a router that is gone. A leaving router decides only on its own requests, when it reaches no other live router.

No request is granted twice: each owner that is asked gets a new request id, and the message that withdraws a request now ends a grant that was made meanwhile. That also covers owners that were passed over because they answered late, for which the id was the same before.

Unknown verdicts are now refused as peer_version explicitly.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -62,8 +62,8 @@
 type Broker struct {
 	// Published returns the active snapshot.
 	Published func() *rwconfigsnapshot.Snapshot
-	// Live returns the live routers including this one; Reachable reports
-	// whether a router answers pings.
+	// Live returns the live routers, including this one unless it is leaving;
+	// Reachable reports whether a router answers pings.
 	Live      func() []rwidentity.Identity
 	Reachable func(name string) bool
 	// Saturated, if set, reports whether this router's machine is short of CPU
@@ -85,12 +85,23 @@
 	metrics *rwmetric.Metrics
 	wake    chan struct{}
 
-	mu               sync.Mutex
-	cells            map[cellKey]*cell
-	pendingDecisions map[string]chan rwplacement.Decision
+	mu    sync.Mutex
+	cells map[cellKey]*cell
+	// pendingDecisions holds the requests that this router has asked an owner
+	// to place, by request id. Each owner that is asked gets a new id.
+	pendingDecisions map[string]pendingDecision
 	suspects         map[string]time.Time
 	ownerCache       map[cellKey]cachedOwner
 	seq              uint64
+	// leaving is never reset.
+	leaving bool
+}
+
+// pendingDecision is a request that its owner may have queued. The channel has
+// room for one decision; later ones are dropped.
+type pendingDecision struct {
+	owner   rwidentity.Identity
+	decided chan rwplacement.Decision
 }
 
 // cachedOwner is the result of ranking the live routers for a cell. Without the
@@ -132,7 +143,7 @@
 func New(self rwidentity.Identity, peers *rwpeer.Peers, metrics *rwmetric.Metrics) *Broker {
 	b := &Broker{
 		self: self, peers: peers, metrics: metrics, wake: make(chan struct{}, 1),
-		cells: map[cellKey]*cell{}, pendingDecisions: map[string]chan rwplacement.Decision{}, suspects: map[string]time.Time{},
+		cells: map[cellKey]*cell{}, pendingDecisions: map[string]pendingDecision{}, suspects: map[string]time.Time{},
 		ownerCache: map[cellKey]cachedOwner{},
 	}
 	peers.Handle("place", rwpeer.Typed(func(_ context.Context, from rwidentity.Identity, m placeMessage) (any, error) {
@@ -163,7 +174,11 @@
 var reportHandlers = map[string]func(*rwplacement.Placer, progressMessage){
 	firstEventReport: func(p *rwplacement.Placer, r progressMessage) { p.FirstEvent(time.Now(), r.ID) },
 	endReport:        func(p *rwplacement.Placer, r progressMessage) { p.Ended(time.Now(), r.ID, r.End) },
-	cancelReport:     func(p *rwplacement.Placer, r progressMessage) { p.Cancel(r.ID) },
+	cancelReport: func(p *rwplacement.Placer, r progressMessage) {
+		p.Cancel(r.ID)
+		// The request may have been granted while the message was under way.
+		p.Ended(time.Now(), r.ID, rwplacement.Abandoned)
+	},
 }
 
 // Grant is the right to run one request on one engine. FirstEvent and End
@@ -184,19 +199,34 @@
 
 // Acquire returns a grant for a request, or a fault with the outcome NotRun. If
 // the owner refused the request, the fault has a retry delay and the grant
-// holds the decision.
+// holds the decision. If the router that was asked doesn't answer or stops being
+// the owner, the next one is asked, and after maxOwnersTried this router decides.
 func (b *Broker) Acquire(ctx context.Context, service string, r rwplacement.Request) (Grant, *rwfault.Fault) {
 	key, ok := b.cellOf(service, r)
 	if !ok {
 		return Grant{}, rwfault.New(rwcode.NoUpstream, service)
 	}
+	r.Router, r.Zone = incarnationID(b.self), b.self.Zone
+	start, elapsed := time.Now(), r.Elapsed
+	for range maxOwnersTried {
+		g, fault := b.acquireFrom(ctx, b.owner(key), placeMessage{key, r})
+		if g.Verdict != rwplacement.Moved {
+			return g, fault
+		}
+		r.Elapsed = elapsed + time.Since(start)
+	}
+	return b.acquireFrom(ctx, b.self, placeMessage{key, r})
+}
+
+// acquireFrom is Acquire with one owner. If the grant's verdict is Moved, the
+// owner was told to drop the request.
+func (b *Broker) acquireFrom(ctx context.Context, owner rwidentity.Identity, m placeMessage) (Grant, *rwfault.Fault) {
+	r := &m.Request
+	decided := make(chan rwplacement.Decision, 1)
 	b.mu.Lock()
 	b.seq++
-	r.Router = incarnationID(b.self)
 	r.ID = r.Router + "." + strconv.FormatUint(b.seq, 36)
-	r.Zone = b.self.Zone
-	decided := make(chan rwplacement.Decision, 1)
-	b.pendingDecisions[r.ID] = decided
+	b.pendingDecisions[r.ID] = pendingDecision{owner, decided}
 	b.mu.Unlock()
 	defer func() {
 		b.mu.Lock()
@@ -204,24 +234,33 @@
 		b.mu.Unlock()
 	}()
 
-	d, owner, fault := b.askOwner(ctx, placeMessage{key, r})
+	d, fault := b.ask(ctx, owner, m)
 	if fault != nil {
 		return Grant{}, fault
 	}
-	g := Grant{broker: b, key: key, addr: owner.Addr, Owner: owner.Name}
+	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name}
 	if d.Verdict == rwplacement.Queued {
-		var fault *rwfault.Fault
-		if d, fault = b.await(ctx, g, r, decided); fault != nil {
+		if d, fault = b.await(ctx, g, *r, decided); fault != nil {
 			return g, fault
 		}
 	}
+	if d.Verdict == rwplacement.Moved {
+		// An owner that is still running may grant the request late.
+		g.ID = r.ID
+		g.report(cancelReport, rwplacement.Abandoned)
+	}
 	return b.toGrant(g, d)
 }
 
 // toGrant turns a decision into a grant or a fault.
 func (b *Broker) toGrant(g Grant, d rwplacement.Decision) (Grant, *rwfault.Fault) {
 	g.Decision = d
-	if code := refusalCodes[d.Verdict]; code != rwcode.None {
+	if d.Verdict != rwplacement.Granted {
+		code, known := refusalCodes[d.Verdict]
+		if !known {
+			// The owner runs a later version.
+			code = rwcode.PeerVersion
+		}
 		return g, rwfault.New(code, d.Verdict.String()).WithRetryAfter(d.RetryAfter)
 	}
 	snapshot := b.Published()
@@ -244,6 +283,7 @@
 	rwplacement.OverShare: rwcode.ShareExceeded,
 	rwplacement.NoEngine:  rwcode.NoUpstream,
 	rwplacement.QueueFull: rwcode.QueueFull,
+	rwplacement.Moved:     rwcode.PeerUnreachable,
 }
 
 // await waits for the decision on a request that is queued at its owner.
@@ -273,34 +313,31 @@
 	return rwplacement.Decision{}, rwfault.New(rwcode.DeadlineUnreachable, "no decision in time").WithRetryAfter(decisionSlack)
 }
 
-// askOwner sends a request to the owner of its cell, and to the router that
-// ranks next if the owner doesn't answer.
-func (b *Broker) askOwner(ctx context.Context, m placeMessage) (rwplacement.Decision, rwidentity.Identity, *rwfault.Fault) {
-	for range maxOwnersTried {
-		owner := b.owner(m.cellKey)
-		if owner.Name == b.self.Name {
-			return b.decide(m.cellKey, m.Request, b.self), owner, nil
-		}
-		start := time.Now()
-		var d rwplacement.Decision
-		timeout := ownerTimeout
-		if b.Saturated != nil && b.Saturated() {
-			timeout = saturatedOwnerTimeout
-		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		err := b.peers.Call(callCtx, owner.Addr, "place", m, &d)
-		cancel()
-		if err == nil {
-			return d, owner, nil
-		}
+// ask sends a request to an owner. The verdict is Moved if the owner is leaving
+// or doesn't answer; it is then passed over.
+func (b *Broker) ask(ctx context.Context, owner rwidentity.Identity, m placeMessage) (rwplacement.Decision, *rwfault.Fault) {
+	if owner.Name == b.self.Name {
+		return b.decide(m.cellKey, m.Request, b.self), nil
+	}
+	timeout := ownerTimeout
+	if b.Saturated != nil && b.Saturated() {
+		timeout = saturatedOwnerTimeout
+	}
+	var d rwplacement.Decision
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	err := b.peers.Call(callCtx, owner.Addr, "place", m, &d)
+	cancel()
+	if err != nil {
 		if f := rwfault.FromContext(ctx); f != nil {
-			return d, owner, f
+			return d, f
 		}
 		b.metrics.Add("owners_passed_over", 1)
+		d = rwplacement.Decision{ID: m.Request.ID, Verdict: rwplacement.Moved}
+	}
+	if d.Verdict == rwplacement.Moved {
 		b.markSuspect(owner.Name)
-		m.Request.Elapsed += time.Since(start)
 	}
-	return b.decide(m.cellKey, m.Request, b.self), b.self, nil
+	return d, nil
 }
 
 func (b *Broker) markSuspect(name string) {
@@ -388,10 +425,14 @@
 
 func cellIndex(engine string, n int) int { return int(rwrendezvous.Score("cell", engine) % uint64(n)) }
 
-// decide decides on a request in a cell that this router owns.
+// decide decides on a request in a cell that this router owns. A leaving router
+// decides only on its own requests, which it keeps if no other router is live.
 func (b *Broker) decide(k cellKey, r rwplacement.Request, from rwidentity.Identity) rwplacement.Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.leaving && from.Name != b.self.Name {
+		return rwplacement.Decision{ID: r.ID, Verdict: rwplacement.Moved}
+	}
 	c := b.cell(k)
 	d := c.placer.Submit(time.Now(), r)
 	if d.Verdict == rwplacement.Queued {
@@ -508,12 +549,8 @@
 		for _, d := range c.placer.Tick(now) {
 			from, ok := c.requesters[d.ID]
 			delete(c.requesters, d.ID)
-			switch {
-			case !ok:
-			case from.Name == b.self.Name:
-				b.deliverLocked(d)
-			default:
-				b.peers.Notify(from.Addr, "placed", d)
+			if ok {
+				b.sendDecision(from, d)
 			}
 		}
 		if c.placer.QueueLength() == 0 {
@@ -524,6 +561,16 @@
 	return busy
 }
 
+// sendDecision delivers a decision on a queued request to its router. The caller
+// must hold the lock.
+func (b *Broker) sendDecision(to rwidentity.Identity, d rwplacement.Decision) {
+	if to.Name == b.self.Name {
+		b.deliverLocked(d)
+		return
+	}
+	b.peers.Notify(to.Addr, "placed", d)
+}
+
 func (b *Broker) deliver(d rwplacement.Decision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -531,9 +578,9 @@
 }
 
 func (b *Broker) deliverLocked(d rwplacement.Decision) {
-	if ch := b.pendingDecisions[d.ID]; ch != nil {
+	if pending, ok := b.pendingDecisions[d.ID]; ok {
 		select {
-		case ch <- d:
+		case pending.decided <- d:
 		default:
 		}
 	}
@@ -547,13 +594,56 @@
 }
 
 // RemoveRouter drops the grants and queued requests of a router incarnation
-// that was declared dead or replaced.
+// that was declared dead or replaced. This router's requests that it had queued
+// are asked for again.
 func (b *Broker) RemoveRouter(id rwidentity.Identity) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range b.cells {
 		c.placer.RemoveRouter(time.Now(), incarnationID(id))
 	}
+	b.movePending(func(owner rwidentity.Identity) bool { return incarnationID(owner) == incarnationID(id) })
+}
+
+// MembersChanged asks again for this router's requests that are queued at a
+// router that is no longer live. It is called after a change of the live routers.
+func (b *Broker) MembersChanged() {
+	live := map[string]bool{incarnationID(b.self): true}
+	for _, id := range b.Live() {
+		live[incarnationID(id)] = true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.movePending(func(owner rwidentity.Identity) bool { return !live[incarnationID(owner)] })
+}
+
+// movePending resolves the pending decisions of owners that are gone. The caller
+// must hold the lock.
+func (b *Broker) movePending(gone func(owner rwidentity.Identity) bool) {
+	clear(b.ownerCache)
+	for id, pending := range b.pendingDecisions {
+		if gone(pending.owner) {
+			b.deliverLocked(rwplacement.Decision{ID: id, Verdict: rwplacement.Moved})
+		}
+	}
+}
+
+// Leave stops deciding for other routers and has all queued requests asked for
+// again at the owners that rank next. It is called once Live no longer returns
+// this router. If no other router is live, this router's requests are queued here
+// again.
+func (b *Broker) Leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = true
+	clear(b.ownerCache)
+	for _, c := range b.cells {
+		for id, from := range c.requesters {
+			c.placer.Cancel(id)
+			b.sendDecision(from, rwplacement.Decision{ID: id, Verdict: rwplacement.Moved})
+		}
+		clear(c.requesters)
+	}
 }
 
 // Reset drops all cells. It is called after a pause of the process, during
--- a/internal/rwbroker/rwbroker_test.go
+++ b/internal/rwbroker/rwbroker_test.go
@@ -17,6 +17,7 @@
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwplacement"
 	"redwingworks.example/internal/rwprompt"
@@ -143,28 +144,22 @@
 	}
 }
 
-// Guards against a request that stays queued at an owner which has left: the next
-// owner has a free engine, but the request waits for its whole target and is
-// then refused.
-func TestQueuedRequestOutlivesItsOwner(t *testing.T) {
-	f := newFleet(t, 2, newSnapshot(1, 1))
-	first, fault := f.nodes["r0"].Acquire(t.Context(), "model", newRequest("1"))
-	require.Nil(t, fault)
-	owner, other := f.nodes[first.Owner], f.nodes["r0"]
-	if owner == other {
-		other = f.nodes["r1"]
-	}
-	type result struct {
-		grant Grant
-		fault *rwfault.Fault
-		took  time.Duration
-	}
+// result is what Acquire returned.
+type result struct {
+	grant Grant
+	fault *rwfault.Fault
+	took  time.Duration
+}
+
+// acquireQueued starts Acquire for a request with a target of 5 s and returns
+// once the request is the only one queued at the owner of the cell.
+func acquireQueued(t *testing.T, requester, owner *node) <-chan result {
 	results := make(chan result, 1)
 	go func() {
 		r := newRequest("2")
 		r.Target = 5 * time.Second
 		start := time.Now()
-		g, fault := other.Acquire(t.Context(), "model", r)
+		g, fault := requester.Acquire(context.Background(), "model", r)
 		results <- result{g, fault, time.Since(start)}
 	}()
 	require.Eventually(t, func() bool {
@@ -172,11 +167,37 @@
 		defer owner.mu.Unlock()
 		return owner.cells[cellKey{Service: "model"}].placer.QueueLength() == 1
 	}, time.Second, time.Millisecond)
+	return results
+}
+
+// newBusyFleet returns a fleet of two routers whose only engine is busy with a
+// request, the owner of its cell and the other router.
+func newBusyFleet(t *testing.T) (f *fleet, first Grant, owner, other *node) {
+	f = newFleet(t, 2, newSnapshot(1, 1))
+	first, fault := f.nodes["r0"].Acquire(t.Context(), "model", newRequest("1"))
+	require.Nil(t, fault)
+	owner, other = f.nodes[first.Owner], f.nodes["r0"]
+	if owner == other {
+		other = f.nodes["r1"]
+	}
+	return f, first, owner, other
+}
+
+func (f *fleet) setLive(live ...rwidentity.Identity) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live = live
+}
+
+// Guards against a request that stays queued at an owner which has left: the next
+// owner has a free engine, but the request waits for its whole target and is
+// then refused.
+func TestQueuedRequestOutlivesItsOwner(t *testing.T) {
+	f, first, owner, other := newBusyFleet(t)
+	results := acquireQueued(t, other, owner)
 	// The owner leaves, its process ends once it has announced that, and then the
 	// engine becomes free.
-	f.mu.Lock()
-	f.live = []rwidentity.Identity{other.id}
-	f.mu.Unlock()
+	f.setLive(other.id)
 	time.Sleep(2 * ownerCacheTTL)
 	owner.stop()
 	other.RemoveRouter(owner.id)
@@ -188,6 +209,119 @@
 	require.Equal(t, other.id.Name, got.grant.Owner)
 }
 
+// Guards against requests, of another router or its own, that stay queued at a
+// router that has announced that it leaves, and against one that is queued there
+// afterwards.
+func TestLeavingOwnerHandsItsQueueOver(t *testing.T) {
+	for name, c := range map[string]struct{ own, announced bool }{
+		"request of another router":                         {false, true},
+		"request of another router that hasn't heard of it": {false, false},
+		"own request": {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, _, owner, other := newBusyFleet(t)
+			requester := other
+			if c.own {
+				requester = owner
+			}
+			results := acquireQueued(t, requester, owner)
+			if c.announced {
+				f.setLive(other.id)
+			}
+			owner.Leave()
+			got := <-results
+			require.Nil(t, got.fault, "after %v", got.took)
+			require.Less(t, got.took, time.Second)
+			require.Equal(t, other.id.Name, got.grant.Owner)
+			require.Positive(t, got.grant.Forecast)
+
+			d := owner.decide(cellKey{Service: "model"}, newRequest("3"), other.id)
+			require.Equal(t, rwplacement.Moved, d.Verdict)
+			require.Equal(t, other.id.Name, requester.owner(cellKey{Service: "model"}).Name, "the leaving router is asked again")
+			require.Empty(t, requester.pendingDecisions)
+		})
+	}
+}
+
+// Guards against a request that waits for a router which was declared dead or has
+// announced that it leaves, and against a slot that stays taken because that
+// router still grants the request.
+func TestLateGrantOfPreviousOwner(t *testing.T) {
+	f, first, owner, other := newBusyFleet(t)
+	results := acquireQueued(t, other, owner)
+	f.setLive(other.id)
+	// While the owner's lock is held, its handlers read no message.
+	owner.mu.Lock()
+	other.MembersChanged()
+	got := <-results
+	c := owner.cells[cellKey{Service: "model"}]
+	c.placer.Ended(time.Now(), first.ID, rwplacement.Served)
+	decisions := c.placer.Tick(time.Now())
+	for _, d := range decisions {
+		owner.sendDecision(other.id, d)
+	}
+	owner.mu.Unlock()
+	require.Len(t, decisions, 1)
+	require.Equal(t, rwplacement.Granted, decisions[0].Verdict)
+	require.Nil(t, got.fault, "after %v", got.took)
+	require.Equal(t, other.id.Name, got.grant.Owner)
+	require.NotEqual(t, decisions[0].ID, got.grant.ID)
+
+	f.setLive(owner.id)
+	owner.MembersChanged()
+	r := newRequest("3")
+	r.Target = 2 * time.Second
+	g, fault := owner.Acquire(t.Context(), "model", r)
+	require.Nil(t, fault, "the late grant still holds the slot")
+	require.Equal(t, owner.id.Name, g.Owner)
+}
+
+// Guards against requests that are refused because no other router can decide on
+// them.
+func TestOnlyRouterLeaves(t *testing.T) {
+	f := newFleet(t, 1, newSnapshot(1, 1))
+	n := f.nodes["r0"]
+	first, fault := n.Acquire(t.Context(), "model", newRequest("1"))
+	require.Nil(t, fault)
+	results := acquireQueued(t, n, n)
+	f.setLive()
+	n.Leave()
+	for range 2 * maxOwnersTried {
+		n.MembersChanged()
+		time.Sleep(2 * fastTick)
+	}
+	first.End(rwplacement.Served)
+	got := <-results
+	require.Nil(t, got.fault, "after %v", got.took)
+	require.Less(t, got.took, 2*time.Second)
+	got.grant.End(rwplacement.Served)
+	g, fault := n.Acquire(t.Context(), "model", newRequest("3"))
+	require.Nil(t, fault)
+	require.Equal(t, "r0", g.Owner)
+}
+
+// Guards against requests that are passed on without end while all routers leave.
+func TestAllRoutersLeave(t *testing.T) {
+	f := newFleet(t, 3, newSnapshot(1, 1))
+	for _, n := range f.nodes {
+		n.Leave()
+	}
+	for _, n := range f.nodes {
+		g, fault := n.Acquire(t.Context(), "model", newRequest("1"+n.id.Name))
+		require.Nil(t, fault)
+		require.Equal(t, n.id.Name, g.Owner)
+	}
+}
+
+// Guards against taking the decision of a router of a later version for a grant.
+func TestUnknownVerdictIsARefusal(t *testing.T) {
+	n := newFleet(t, 1, newSnapshot(1, 1)).nodes["r0"]
+	_, fault := n.toGrant(Grant{}, rwplacement.Decision{Verdict: rwplacement.Moved + 1, Engine: "e0"})
+	require.NotNil(t, fault)
+	require.Equal(t, rwcode.PeerVersion, fault.Code)
+	require.Equal(t, rwoutcome.NotRun, fault.Outcome)
+}
+
 // Guards against treating an owner as failed because its answer takes as long
 // as a request may be queued.
 func TestRefusalHasARetryDelay(t *testing.T) {
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -451,6 +451,7 @@
 	if n > e.maxRouters.Load() {
 		e.maxRouters.Store(n)
 	}
+	e.broker.MembersChanged()
 }
 
 func (e *Edge) onList(prefix string, b rwstorewatch.Batch) {
@@ -620,6 +621,7 @@
 	e.shutdown.Store(&plan)
 	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
 	e.gossip.Leave(ctx)
+	e.broker.Leave()
 	const step = 20 * time.Millisecond
 	ticker := time.NewTicker(step)
 	defer ticker.Stop()
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -42,6 +42,9 @@
 	OverShare                // over_share
 	NoEngine                 // no_engine
 	QueueFull                // full
+	// Moved means that the router which was asked doesn't decide on the request,
+	// so that the cell's next owner has to be asked.
+	Moved // moved
 )
 
 // End is how a granted request ended.
--- a/internal/rwplacement/verdict_string.go
+++ b/internal/rwplacement/verdict_string.go
@@ -14,11 +14,12 @@
 	_ = x[OverShare-3]
 	_ = x[NoEngine-4]
 	_ = x[QueueFull-5]
+	_ = x[Moved-6]
 }
 
-const _Verdict_name = "waitgrantedlateover_shareno_enginefull"
+const _Verdict_name = "waitgrantedlateover_shareno_enginefullmoved"
 
-var _Verdict_index = [...]uint8{0, 4, 11, 15, 25, 34, 38}
+var _Verdict_index = [...]uint8{0, 4, 11, 15, 25, 34, 38, 43}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
