Let streams go on only at the software that began them

Cause: nothing knew at which version a stream had begun. A caller's resumption was placed like a new request, and a router's own resumption within a response went to any engine. Class of fault: an action that depends on a fact which only an earlier process knew. The caller may come to any router, also to one that has just started, is cut off or lies in another zone, and names only the attempt that brought the first event.

Change: the owner of an engine's cell, which grants each stream, remembers the version by the id of the attempt, and copies it every 50 ms to two routers that may own the cell next, one of them in another zone. The router that forwards the first event remembers it too. A router that gets a resumption asks its own table, the owner and the owner's successors, then all routers, and lets the placement use only engines of that version in the service that began the stream. If nobody knows the stream, it goes on only if the service had one version for as long as streams last, by a router that has just read the store or by most of the fleet. A router that has just started asks others for that. Otherwise the caller gets 503 at once, which is true, as it does if no engine of the version is left. While only one version serves, nothing is copied.

Ruled out: choosing the version by a hash of the attempt, which needs no memory but gives prefix affinity away and is wrong while the set of versions changes; asking engines for cached prompt parts, which belong to sessions and not to attempts.

--- /dev/null
+++ b/internal/rwbroker/origin.go
@@ -0,0 +1,266 @@
+package rwbroker
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rworigin"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwplacement"
+	"redwingworks.example/internal/rwrendezvous"
+)
+
+// originRetryAfter is the retry delay given to a caller whose stream's origin is
+// not known: the router that knows it may be reachable again.
+const originRetryAfter = 500 * time.Millisecond
+
+// originRecord is the origin of one stream.
+type originRecord struct {
+	ID string `json:"id"`
+	rworigin.Origin
+}
+
+type originsMessage struct {
+	List []originRecord `json:"list"`
+}
+
+type originQuery struct {
+	ID      string `json:"id"`
+	Service string `json:"svc"`
+}
+
+type originAnswer struct {
+	Found  bool            `json:"ok,omitempty"`
+	Origin rworigin.Origin `json:"at"`
+	// Seen holds the versions of the service that the router saw lately; Whole
+	// is whether it saw them for as long as streams last, and Current whether
+	// it did so up to now.
+	Seen    []string `json:"seen,omitempty"`
+	Whole   bool     `json:"whole,omitempty"`
+	Current bool     `json:"cur,omitempty"`
+}
+
+// handleOrigins registers the handlers of the messages about origins.
+func (b *Broker) handleOrigins() {
+	b.peers.Handle("origins", rwpeer.Typed(func(_ context.Context, _ rwidentity.Identity, m originsMessage) (any, error) {
+		now := time.Now()
+		for _, r := range m.List {
+			b.Origins.Add(now, r.ID, r.Origin)
+		}
+		return nil, nil
+	}))
+	b.peers.Handle("origin", rwpeer.Typed(func(_ context.Context, _ rwidentity.Identity, q originQuery) (any, error) {
+		return b.originHere(q), nil
+	}))
+}
+
+// originHere returns what this router knows about the origin of a stream.
+func (b *Broker) originHere(q originQuery) originAnswer {
+	now := time.Now()
+	var a originAnswer
+	if a.Origin, a.Found = b.Origins.Find(now, q.ID); !a.Found {
+		a.Seen, a.Whole, a.Current = b.Origins.Seen(now, q.Service, b.StreamWindow())
+	}
+	return a
+}
+
+// noteOrigin records where a stream begins that was granted in a cell of this
+// router. The stream may be resumed at a router that this one can't reach later,
+// so a copy goes to others, unless all streams begin at one version. The caller
+// must hold the lock.
+func (b *Broker) noteOrigin(k cellKey, d rwplacement.Decision) {
+	if d.Verdict != rwplacement.Granted || d.Stream == "" {
+		return
+	}
+	now := time.Now()
+	o := rworigin.Origin{Service: k.Service, Software: d.Software}
+	b.Origins.Add(now, d.Stream, o)
+	if b.Origins.Mixed(now, k.Service, b.StreamWindow()) {
+		b.unsentOrigins[k] = append(b.unsentOrigins[k], originRecord{d.Stream, o})
+	}
+}
+
+// sendOrigins copies new origins to the routers that own their cells if this one
+// ends.
+func (b *Broker) sendOrigins(now time.Time) {
+	b.mu.Lock()
+	if len(b.unsentOrigins) == 0 || now.Sub(b.originsSentAt) < originFlushInterval {
+		b.mu.Unlock()
+		return
+	}
+	b.originsSentAt = now
+	unsent := b.unsentOrigins
+	b.unsentOrigins = map[cellKey][]originRecord{}
+	b.mu.Unlock()
+	for k, list := range unsent {
+		for _, id := range b.successors(k, originCopies) {
+			b.peers.Notify(id.Addr, "origins", originsMessage{list})
+		}
+	}
+}
+
+// successors returns the routers other than this one that rank highest for a
+// cell, one of them at least in another zone than the first if there is one.
+func (b *Broker) successors(k cellKey, n int) []rwidentity.Identity {
+	key := k.String()
+	scores := map[string]float64{}
+	var list []rwidentity.Identity
+	for _, id := range b.Live() {
+		if id.Name != b.self.Name {
+			scores[id.Name] = rwrendezvous.WeightedScore(key, id.Name, ownerWeight(id))
+			list = append(list, id)
+		}
+	}
+	slices.SortFunc(list, func(x, y rwidentity.Identity) int { return cmp.Compare(scores[y.Name], scores[x.Name]) })
+	if len(list) <= n {
+		return list
+	}
+	if i := slices.IndexFunc(list, func(id rwidentity.Identity) bool { return id.Zone != list[0].Zone }); i >= n {
+		list[n-1] = list[i]
+	}
+	return list[:n]
+}
+
+// inheritVersions asks other routers which versions of a service they saw, until
+// this router has watched it for as long as streams last.
+func (b *Broker) inheritVersions(ctx context.Context, now time.Time) {
+	if now.Sub(b.inheritedAt) < inheritInterval {
+		return
+	}
+	b.inheritedAt = now
+	for _, service := range b.Origins.Young(now, b.StreamWindow()) {
+		go func() {
+			near := b.successors(cellKey{Service: service}, originCopies)
+			_, answers := b.askOrigin(ctx, originQuery{Service: service}, near, map[string]bool{})
+			for _, a := range answers {
+				if a.Whole && a.Current {
+					b.Origins.Inherit(time.Now(), service, a.Seen, b.StreamWindow())
+				}
+			}
+		}()
+	}
+}
+
+// FindOrigin returns where a stream began that a caller resumes. It asks this
+// router's table, then the owner of the request's cell and those who would own
+// it next, then all routers. If those that answer don't know the stream but know
+// that the service had only one version for as long as streams last, it began at
+// that one. Otherwise FindOrigin fails with OriginUnknown.
+func (b *Broker) FindOrigin(ctx context.Context, service string, r rwplacement.Request, id string) (rworigin.Origin, *rwfault.Fault) {
+	q := originQuery{ID: id, Service: service}
+	here := b.originHere(q)
+	if here.Found {
+		return here.Origin, nil
+	}
+	b.metrics.Add("origins_asked", 1)
+	asked := map[string]bool{b.self.Name: true}
+	answers := []originAnswer{here}
+	if k, ok := b.cellOf(service, r); ok {
+		near := append([]rwidentity.Identity{b.owner(k)}, b.successors(k, originCopies+1)...)
+		found, got := b.askOrigin(ctx, q, near, asked)
+		if found != nil {
+			return *found, nil
+		}
+		answers = append(answers, got...)
+	}
+	if software, ok := onlySoftware(answers, b.FleetSize()); ok {
+		return rworigin.Origin{Service: service, Software: software}, nil
+	}
+	if b.beginSearch() {
+		found, got := b.askOrigin(ctx, q, b.Live(), asked)
+		b.endSearch()
+		if found != nil {
+			return *found, nil
+		}
+		answers = append(answers, got...)
+	}
+	if f := rwfault.FromContext(ctx); f != nil {
+		return rworigin.Origin{}, f
+	}
+	if software, ok := onlySoftware(answers, b.FleetSize()); ok {
+		return rworigin.Origin{Service: service, Software: software}, nil
+	}
+	return rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, id).WithRetryAfter(originRetryAfter)
+}
+
+// askOrigin asks those of the routers that are not in asked, to which it adds
+// them. It returns the origin if one of them knows it, and otherwise their
+// answers.
+func (b *Broker) askOrigin(ctx context.Context, q originQuery, routers []rwidentity.Identity, asked map[string]bool) (*rworigin.Origin, []originAnswer) {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	results := make(chan *originAnswer, len(routers))
+	calls := 0
+	for _, id := range routers {
+		if asked[id.Name] {
+			continue
+		}
+		asked[id.Name] = true
+		calls++
+		go func() {
+			var a originAnswer
+			if err := b.peers.Call(ctx, id.Addr, "origin", q, &a); err != nil {
+				// The router can't be reached or runs an older release.
+				b.metrics.Add("origin_calls_failed", 1)
+				results <- nil
+				return
+			}
+			results <- &a
+		}()
+	}
+	var answers []originAnswer
+	for range calls {
+		a := <-results
+		if a == nil {
+			continue
+		}
+		if a.Found {
+			return &a.Origin, nil
+		}
+		answers = append(answers, *a)
+	}
+	return nil, answers
+}
+
+// onlySoftware returns the only version that the answering routers saw for as
+// long as streams last. It fails if a router may have begun streams at a version
+// that these didn't see: if none of them has read the store just now, while most
+// routers of the fleet didn't answer. Routers learn of upstreams from the store
+// alone.
+func onlySoftware(answers []originAnswer, fleetSize int) (string, bool) {
+	most := 2*len(answers) > fleetSize
+	software, complete := "", false
+	for _, a := range answers {
+		complete = complete || a.Whole && (a.Current || most)
+		for _, s := range a.Seen {
+			if software != "" && s != software {
+				return "", false
+			}
+			software = s
+		}
+	}
+	return software, complete && software != ""
+}
+
+// beginSearch reports whether this router may ask all routers now; endSearch must
+// be called then.
+func (b *Broker) beginSearch() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.originSearches >= maxOriginSearches {
+		return false
+	}
+	b.originSearches++
+	return true
+}
+
+func (b *Broker) endSearch() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.originSearches--
+}
--- /dev/null
+++ b/internal/rwbroker/origin_test.go
@@ -0,0 +1,178 @@
+package rwbroker
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwconfigsnapshot"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rworigin"
+	"redwingworks.example/internal/rwplacement"
+	"redwingworks.example/internal/rwrouteconfig"
+)
+
+// newVersionedSnapshot returns a snapshot with engines that run the given
+// versions.
+func newVersionedSnapshot(software ...string) *rwconfigsnapshot.Snapshot {
+	var list []rwinstance.Instance
+	for i, s := range software {
+		list = append(list, rwinstance.Instance{
+			ID: "e" + strconv.Itoa(i), Service: "model", Addr: "10.0.0.1:" + strconv.Itoa(100+i), Zone: "z", Software: s,
+		})
+	}
+	config := rwrouteconfig.New(1, rwrouteconfig.Limits{}, nil, []rwrouteconfig.Service{{Name: "model", Engine: &rwrouteconfig.Engine{Slots: 64, KVCapacity: 1e6}}}, nil)
+	return rwconfigsnapshot.New(config, 1, time.Now(), list)
+}
+
+// observe lets routers see upstreams for longer than streams last.
+func (f *fleet) observe(routers []string, software ...string) {
+	now := time.Now()
+	for _, name := range routers {
+		table := f.nodes[name].Origins
+		for _, s := range software {
+			for _, at := range []time.Time{now.Add(-2 * testStreamWindow), now} {
+				table.Observe(at, []rwinstance.Instance{{Service: "model", Software: s}})
+			}
+		}
+	}
+}
+
+// Guards against an origin that only the router or the owner of a stream knows:
+// its caller takes it up anywhere, also after both have ended.
+func TestOriginOutlivesItsOwner(t *testing.T) {
+	f := newFleet(t, 5, newVersionedSnapshot("v1", "v2", "v2"))
+	f.observe([]string{"r0", "r1", "r2", "r3", "r4"}, "v1", "v2")
+	want := map[string]string{}
+	var owner string
+	for i := range 8 {
+		r := newRequest("x" + strconv.Itoa(i))
+		r.Stream = "s" + strconv.Itoa(i)
+		g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+		require.Nil(t, fault)
+		want[r.Stream], owner = g.Instance.Software, g.Owner
+	}
+	find := func(n *node, id string) string {
+		o, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), id)
+		require.Nil(t, fault, "%s at %s", id, n.id.Name)
+		require.Equal(t, "model", o.Service)
+		return o.Software
+	}
+	for id, software := range want {
+		for _, n := range f.nodes {
+			require.Equal(t, software, find(n, id))
+		}
+	}
+	// The routers forget what they asked for, and the owner ends.
+	time.Sleep(4 * originFlushInterval)
+	var left []rwidentity.Identity
+	for name, n := range f.nodes {
+		if name != owner && name != "r0" {
+			left = append(left, n.id)
+		}
+	}
+	f.mu.Lock()
+	f.live = left
+	f.mu.Unlock()
+	f.nodes[owner].stop()
+	time.Sleep(2 * ownerCacheTTL)
+	for id, software := range want {
+		for _, n := range left {
+			require.Equal(t, software, find(f.nodes[n.Name], id))
+		}
+	}
+}
+
+// Guards against a stream that goes on at a guessed version: while several serve,
+// shortly after a start, and at a router that is cut off from the store and from
+// most others.
+func TestUnknownOriginIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		seen      []string
+		young     bool
+		live      int
+		current   bool
+		wantFault bool
+	}{
+		"several versions":         {[]string{"v1", "v2"}, false, 3, true, true},
+		"one version":              {[]string{"v1"}, false, 3, true, false},
+		"store away":               {[]string{"v1"}, false, 3, false, false},
+		"just started":             {[]string{"v1"}, true, 3, true, true},
+		"cut off":                  {[]string{"v1"}, false, 1, false, true},
+		"cut off from routers":     {[]string{"v1"}, false, 1, true, false},
+		"cut off, several before":  {[]string{"v1", "v2"}, false, 1, true, true},
+		"started while all others": {nil, true, 3, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3, newVersionedSnapshot("v1"))
+			if c.young {
+				for _, n := range f.nodes {
+					for _, s := range c.seen {
+						n.Origins.Observe(time.Now(), []rwinstance.Instance{{Service: "model", Software: s}})
+					}
+				}
+			} else {
+				f.observe([]string{"r0", "r1", "r2"}, c.seen...)
+			}
+			if c.current {
+				f.nodes["r0"].Origins.MarkCurrent(time.Now())
+			}
+			f.mu.Lock()
+			f.live = f.live[:c.live]
+			f.mu.Unlock()
+			start := time.Now()
+			o, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
+			require.Less(t, time.Since(start), time.Second)
+			if c.wantFault {
+				require.NotNil(t, fault)
+				require.Equal(t, rwcode.OriginUnknown, fault.Code)
+				require.Positive(t, fault.RetryAfter)
+				return
+			}
+			require.Nil(t, fault)
+			require.Equal(t, rworigin.Origin{Service: "model", Software: "v1"}, o)
+		})
+	}
+}
+
+// Guards against routers that restart one after the other until none knows any
+// more that only one version served.
+func TestVersionsAreInherited(t *testing.T) {
+	f := newFleet(t, 3, newVersionedSnapshot("v1"))
+	f.observe([]string{"r0"}, "v1")
+	for _, name := range []string{"r1", "r2"} {
+		f.nodes[name].Origins.Observe(time.Now(), []rwinstance.Instance{{Service: "model", Software: "v1"}})
+	}
+	require.Eventually(t, func() bool {
+		f.nodes["r0"].Origins.MarkCurrent(time.Now())
+		return !f.nodes["r1"].Origins.Mixed(time.Now(), "model", testStreamWindow) && !f.nodes["r2"].Origins.Mixed(time.Now(), "model", testStreamWindow)
+	}, 10*time.Second, 50*time.Millisecond)
+}
+
+// Guards against a resumption that is refused because the cell of its prompt has
+// no engine of its version, although another cell has one.
+func TestResumptionFindsTheCellOfItsVersion(t *testing.T) {
+	software := make([]string, 2*maxSingleCellPool)
+	for i := range software {
+		software[i] = "v2"
+	}
+	software[3] = "v1"
+	f := newFleet(t, 2, newVersionedSnapshot(software...))
+	for i := range 20 {
+		r := newRequest("x" + strconv.Itoa(i))
+		r.Software, r.Resumed = "v1", true
+		g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+		require.Nil(t, fault)
+		require.Equal(t, "e3", g.Instance.ID)
+		g.End(rwplacement.Served)
+	}
+	r := newRequest("y")
+	r.Software = "v3"
+	_, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+	require.NotNil(t, fault)
+	require.Equal(t, rwcode.NoUpstream, fault.Code)
+}
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -19,6 +19,7 @@
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rworigin"
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwplacement"
 	"redwingworks.example/internal/rwprompt"
@@ -52,6 +53,17 @@
 	fastTick       = 5 * time.Millisecond
 	slowTick       = 50 * time.Millisecond
 	maxOwnersTried = 6
+	// originFlushInterval is how long an owner collects the origins of streams
+	// before it sends them to originCopies other routers.
+	originFlushInterval = 50 * time.Millisecond
+	originCopies        = 2
+	// inheritInterval is how often a router that has just started asks others
+	// which versions served before.
+	inheritInterval = time.Second
+	// originTimeout bounds the wait for another router's answer about an origin.
+	originTimeout = 150 * time.Millisecond
+	// maxOriginSearches bounds the searches that ask all routers at one time.
+	maxOriginSearches = 8
 	// ownerCacheTTL is how long the owner of a cell is cached. The cache is
 	// cleared when an owner doesn't answer.
 	ownerCacheTTL = 50 * time.Millisecond
@@ -80,6 +92,14 @@
 	// creates the cell's state, but not for engines that join later.
 	Inventory func(ctx context.Context, addr string) ([]rwprompt.Part, error)
 
+	// Origins holds the origins of streams that this router knows. New sets it.
+	Origins *rworigin.Table
+	// StreamWindow returns how long streams last at most.
+	StreamWindow func() time.Duration
+	// FleetSize returns the largest number of live routers that this one has
+	// seen, including itself.
+	FleetSize func() int
+
 	self    rwidentity.Identity
 	peers   *rwpeer.Peers
 	metrics *rwmetric.Metrics
@@ -95,6 +115,15 @@
 	seq              uint64
 	// leaving is never reset.
 	leaving bool
+	// unsentOrigins are the origins of streams in this router's cells that it
+	// has not copied to other routers yet; originsSentAt is when it last did.
+	unsentOrigins map[cellKey][]originRecord
+	originsSentAt time.Time
+	// inheritedAt is when this router last asked others which versions served
+	// before it started. Only Run uses it.
+	inheritedAt time.Time
+	// originSearches is the number of searches that ask all routers.
+	originSearches int
 }
 
 // pendingDecision is a request that its owner may have queued. The channel has
@@ -144,7 +173,7 @@
 	b := &Broker{
 		self: self, peers: peers, metrics: metrics, wake: make(chan struct{}, 1),
 		cells: map[cellKey]*cell{}, pendingDecisions: map[string]pendingDecision{}, suspects: map[string]time.Time{},
-		ownerCache: map[cellKey]cachedOwner{},
+		ownerCache: map[cellKey]cachedOwner{}, Origins: rworigin.New(), unsentOrigins: map[cellKey][]originRecord{},
 	}
 	peers.Handle("place", rwpeer.Typed(func(_ context.Context, from rwidentity.Identity, m placeMessage) (any, error) {
 		return b.decide(m.cellKey, m.Request, from), nil
@@ -153,6 +182,7 @@
 		b.deliver(d)
 		return nil, nil
 	}))
+	b.handleOrigins()
 	for method, handle := range reportHandlers {
 		peers.Handle(method, rwpeer.Typed(func(_ context.Context, _ rwidentity.Identity, r progressMessage) (any, error) {
 			b.updateCell(r.cellKey, func(p *rwplacement.Placer) { handle(p, r) })
@@ -195,6 +225,9 @@
 	broker *Broker
 	key    cellKey
 	addr   string
+	// software is the only version of software that may run the request, or
+	// empty.
+	software string
 }
 
 // Acquire returns a grant for a request, or a fault with the outcome NotRun. If
@@ -238,7 +271,7 @@
 	if fault != nil {
 		return Grant{}, fault
 	}
-	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name}
+	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name, software: m.Request.Software}
 	if d.Verdict == rwplacement.Queued {
 		if d, fault = b.await(ctx, g, *r, decided); fault != nil {
 			return g, fault
@@ -271,6 +304,11 @@
 		g.End(rwplacement.Abandoned)
 		return Grant{}, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
 	}
+	if want := g.software; want != "" && in.Software != want {
+		// The owner runs a release that doesn't know versions of software.
+		g.End(rwplacement.Abandoned)
+		return Grant{}, rwfault.New(rwcode.SoftwareUnavailable, want)
+	}
 	g.Instance = in
 	if src, ok := snapshot.Known(d.Source); ok {
 		g.Source = src.Addr
@@ -409,7 +447,19 @@
 	if n == 1 {
 		return cellKey{Service: service}, true
 	}
-	preferred := rwrendezvous.Top(r.AffinityKey(), snapshot.IDs(service))
+	ids := snapshot.IDs(service)
+	if r.Software != "" {
+		ids = nil
+		for _, in := range snapshot.Usable(service) {
+			if in.Software == r.Software {
+				ids = append(ids, in.ID)
+			}
+		}
+		if len(ids) == 0 {
+			return cellKey{}, false
+		}
+	}
+	preferred := rwrendezvous.Top(r.AffinityKey(), ids)
 	return cellKey{Service: service, Cell: cellIndex(preferred, n)}, true
 }
 
@@ -435,6 +485,7 @@
 	}
 	c := b.cell(k)
 	d := c.placer.Submit(time.Now(), r)
+	b.noteOrigin(k, d)
 	if d.Verdict == rwplacement.Queued {
 		c.requesters[r.ID] = from
 		select {
@@ -502,11 +553,11 @@
 	var engines []rwplacement.Engine
 	for _, in := range list {
 		if cellIndex(in.ID, n) == k.Cell {
-			engines = append(engines, rwplacement.Engine{ID: in.ID})
+			engines = append(engines, rwplacement.Engine{ID: in.ID, Software: in.Software})
 		}
 	}
 	for _, in := range snapshot.Leaving(k.Service) {
-		engines = append(engines, rwplacement.Engine{ID: in.ID, Leaving: true})
+		engines = append(engines, rwplacement.Engine{ID: in.ID, Leaving: true, Software: in.Software})
 	}
 	spec := rwplacement.Spec{Slots: 1, Window: b.ShareWindow}
 	service, ok := rwrouteconfig.Service{}, false
@@ -527,6 +578,8 @@
 		if b.decideQueued() {
 			step = fastTick
 		}
+		b.sendOrigins(time.Now())
+		b.inheritVersions(ctx, time.Now())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -547,6 +600,7 @@
 	for k := range b.cells {
 		c := b.cell(k)
 		for _, d := range c.placer.Tick(now) {
+			b.noteOrigin(k, d)
 			from, ok := c.requesters[d.ID]
 			delete(c.requesters, d.ID)
 			if ok {
--- a/internal/rwbroker/rwbroker_test.go
+++ b/internal/rwbroker/rwbroker_test.go
@@ -24,7 +24,11 @@
 	"redwingworks.example/internal/rwrouteconfig"
 )
 
-const key = "0123456789abcdef"
+const (
+	key = "0123456789abcdef"
+	// testStreamWindow is how long streams last at most.
+	testStreamWindow = 10 * time.Second
+)
 
 // node is one router with its peer links.
 type node struct {
@@ -63,6 +67,8 @@
 		b.Live = f.members
 		b.Reachable = func(string) bool { return true }
 		b.ShareWindow = 2 * time.Second
+		b.StreamWindow = func() time.Duration { return testStreamWindow }
+		b.FleetSize = func() int { return routers }
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go func() { _ = peers.Serve(ctx, l) }()
--- a/internal/rwcode/rwcode.go
+++ b/internal/rwcode/rwcode.go
@@ -62,10 +62,12 @@
 	UnknownPath                     // unknown_path
 	ShareExceeded                   // share_exceeded
 	UpstreamFailed                  // upstream_failed
+	OriginUnknown                   // origin_unknown
+	SoftwareUnavailable             // software_unavailable
 )
 
 // last is the highest code.
-const last = UpstreamFailed
+const last = SoftwareUnavailable
 
 // Parse returns the code with a text, or Internal for an unknown text, which a
 // router of a later version may send.
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -41,6 +41,7 @@
 	"redwingworks.example/internal/rwlag"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rworigin"
 	"redwingworks.example/internal/rwoverload"
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwprompt"
@@ -101,6 +102,10 @@
 	// allocates its body and buffers.
 	gcPercent      = 300
 	upkeepInterval = 250 * time.Millisecond
+	// maxStreamWindow is how long streams are assumed to last if their routes
+	// set no timeout; streamWindowMargin is added to the longest timeout.
+	maxStreamWindow    = 30 * time.Second
+	streamWindowMargin = 2 * time.Second
 	// maxCutLines is the largest number of log lines about requests that the
 	// end of a drain cuts.
 	maxCutLines = 20
@@ -220,7 +225,10 @@
 	e.gossip.OnMessage = func(from rwidentity.Identity, rev int64, _ uint64) { e.syncer.ObserveRev(from, rev) }
 	e.gossip.OnLiveChange = e.onMembersChanged
 	e.gossip.OnGone = e.broker.RemoveRouter
-	e.gossip.OnResume = func(time.Duration) { e.broker.Reset() }
+	e.gossip.OnResume = func(time.Duration) {
+		e.broker.Reset()
+		e.broker.Origins.Interrupt(time.Now())
+	}
 	e.watcher = &rwstorewatch.Watcher{
 		Prefixes: e.config.Prefixes, List: e.config.List, Watch: e.config.Watch,
 		OnList: e.onList, OnChange: e.onChange, OnError: e.onStoreError, IsReader: e.isReader,
@@ -247,8 +255,10 @@
 	e.broker.ShareWindow = e.deployment.ShareWindow / 2
 	e.broker.OnForecastError = e.forecastErrors.Record
 	e.broker.Inventory = e.config.Inventory
+	e.broker.StreamWindow = e.streamWindow
+	e.broker.FleetSize = func() int { return int(e.maxRouters.Load()) }
 	front := &rwfront.Handler{
-		Dialect: e.config.Dialect, Published: e.published.Load, Acquire: e.broker.Acquire, Pool: e.pool,
+		Dialect: e.config.Dialect, Published: e.published.Load, Acquire: e.broker.Acquire, FindOrigin: e.broker.FindOrigin, Begun: e.streamBegun, Pool: e.pool,
 		RouterCount: func() int { return int(e.maxRouters.Load()) },
 		NewBudget: func() *rwretrywindow.Budget {
 			return rwretrywindow.New(e.deployment.RetryRatio, e.deployment.RetryExtra, e.deployment.RetryWindow)
@@ -287,6 +297,19 @@
 	return e.lagMonitor.Lagging() || e.activeRequests.Load() > limit || rwconnlimit.Excess(ctx) || e.overload.ShouldRefuse(rand.Float64())
 }
 
+// streamBegun records where a stream began whose first event is forwarded.
+func (e *Edge) streamBegun(id string, o rworigin.Origin) { e.broker.Origins.Add(time.Now(), id, o) }
+
+// streamWindow returns how long streams last at most, with a reserve for the time
+// until this router knows the upstreams that other routers use.
+func (e *Edge) streamWindow() time.Duration {
+	c := e.published.Load().Config
+	if c == nil || c.LongestStream() <= 0 {
+		return maxStreamWindow
+	}
+	return min(c.LongestStream()+streamWindowMargin, maxStreamWindow)
+}
+
 // flushDelay returns how long to collect stream events between writes.
 func (e *Edge) flushDelay() time.Duration {
 	if !e.overload.Saturated() {
@@ -465,6 +488,8 @@
 		removed := e.catalog.ApplyListing(now, b.Rev, keys, func(key string) bool { return strings.HasPrefix(key, prefix) })
 		return changed || removed, bad
 	})
+	// A watch can stay silent while changes are made, so only a listing counts.
+	e.broker.Origins.MarkCurrent(time.Now())
 }
 
 func (e *Edge) onChange(_ string, b rwstorewatch.Batch) {
@@ -486,6 +511,7 @@
 	if changed {
 		e.published.Store(rwconfigsnapshot.New(e.catalog.Config(), rev, now, e.catalog.Instances()))
 	}
+	e.broker.Origins.Observe(now, e.catalog.Instances())
 	e.mu.Unlock()
 	for key, err := range bad {
 		rwlog.Warn(&e.log, rwlog.RecordSetAside, err).Str("key", key).Send()
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwingworks.example/internal/rwinboundrequest"
+	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwplacement"
 	"redwingworks.example/internal/rwrouteconfig"
 )
@@ -30,6 +31,8 @@
 	Avoid []string
 	// FirstEventAt is when the first event was forwarded, or zero.
 	FirstEventAt time.Time
+	// Software is the version at which the stream began, or empty before it did.
+	Software string
 	// LastEventID is the id of the last event that was forwarded, or -1.
 	LastEventID int64
 	// LastEventAt is when the last event was forwarded; MaxGap is the longest
@@ -60,6 +63,35 @@
 	return x.Route.Urgency
 }
 
+// StreamID returns the id by which the request's stream is resumed: that of the
+// attempt that brought its first event.
+func (x *Exchange) StreamID() string {
+	if x.Request.Resumes != "" {
+		return x.Request.Resumes
+	}
+	return x.Request.ID
+}
+
+// ResumesStream reports whether the caller takes up a stream that has begun.
+func (x *Exchange) ResumesStream() bool {
+	return x.Route.Kind == rwrouteconfig.Stream && (x.Request.LastEventID != "" || x.Request.Resumes != "")
+}
+
+// Suitable returns those of the upstreams that may go on with the request's
+// stream, or all before it has begun.
+func (x *Exchange) Suitable(list []rwinstance.Instance) []rwinstance.Instance {
+	if x.Software == "" {
+		return list
+	}
+	var out []rwinstance.Instance
+	for _, in := range list {
+		if in.Software == x.Software {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
 // Avoids reports whether an upstream has failed this request.
 func (x *Exchange) Avoids(id string) bool {
 	for _, a := range x.Avoid {
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -15,6 +15,7 @@
 	"redwingworks.example/internal/rwexchange"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwlog"
+	"redwingworks.example/internal/rworigin"
 	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwplacement"
 	"redwingworks.example/internal/rwrouteconfig"
@@ -178,6 +179,8 @@
 		if !reported {
 			dest.firstEvent()
 			reported = true
+			x.Software = dest.software
+			f.Begun(x.StreamID(), rworigin.Origin{Service: x.Service, Software: x.Software})
 		}
 		if e.ID >= 0 && e.ID <= x.LastEventID {
 			continue
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -23,11 +24,13 @@
 	"redwingworks.example/internal/rwinflight"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rworigin"
 	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwpicker"
 	"redwingworks.example/internal/rwplacement"
 	"redwingworks.example/internal/rwrendezvous"
 	"redwingworks.example/internal/rwretrywindow"
+	"redwingworks.example/internal/rwrouteconfig"
 )
 
 const (
@@ -49,6 +52,9 @@
 	unreachableRetryAfter = 250 * time.Millisecond
 	drainRetryAfter       = 50 * time.Millisecond
 	overloadRetryAfter    = 200 * time.Millisecond
+	// softwareRetryAfter is the retry delay given to callers whose stream's
+	// version doesn't serve; an upstream that crashed may come back with it.
+	softwareRetryAfter = time.Second
 	// retryAfterJitter is the largest fraction by which a retry delay is
 	// lengthened, so that callers refused together don't retry together.
 	retryAfterJitter = 0.5
@@ -64,7 +70,11 @@
 	Published func() *rwconfigsnapshot.Snapshot
 	// Acquire returns a grant on an engine.
 	Acquire func(context.Context, string, rwplacement.Request) (rwbroker.Grant, *rwfault.Fault)
-	Pool    *rwconn.Pool
+	// FindOrigin returns where the stream with an id began, and Begun records it.
+	// FindOrigin fails with OriginUnknown.
+	FindOrigin func(ctx context.Context, service string, r rwplacement.Request, id string) (rworigin.Origin, *rwfault.Fault)
+	Begun      func(id string, o rworigin.Origin)
+	Pool       *rwconn.Pool
 	// RouterCount is the number of routers that share the fleet's retry budget.
 	RouterCount func() int
 	// NewBudget returns a new retry budget for a service.
@@ -112,6 +122,7 @@
 // destination is the upstream of one attempt.
 type destination struct {
 	id, addr    string
+	software    string
 	startMillis int64
 	copySource  string
 	firstEvent  func()
@@ -255,7 +266,7 @@
 // chooseService sets the service to the one that the request's id selects, or
 // to another service of the route if that one has no usable upstream.
 func (f *Handler) chooseService(snapshot *rwconfigsnapshot.Snapshot, x *rwexchange.Exchange) {
-	names := x.Route.Services(x.Request.ID)
+	names := x.Route.Services(x.StreamID())
 	x.Service = names[0]
 	for _, name := range names {
 		if len(snapshot.Usable(name)) > 0 {
@@ -287,6 +298,11 @@
 // then, and otherwise the fault to report.
 func (f *Handler) run(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange) *rwfault.Fault {
 	var last *rwfault.Fault
+	if x.ResumesStream() {
+		if fault := f.findOrigin(ctx, x); fault != nil {
+			return fault
+		}
+	}
 	for {
 		dest, fault := f.acquire(ctx, x)
 		if fault != nil {
@@ -325,6 +341,29 @@
 	f.InFlight.Update(x.InFlight, func(p *rwinflight.Request) { p.Upstream, p.Sent = upstream, x.Sent })
 }
 
+// findOrigin restricts the request to the service and the software version that
+// began the stream which the caller resumes. It fails if they are not known, or
+// if no upstream has them.
+func (f *Handler) findOrigin(ctx context.Context, x *rwexchange.Exchange) *rwfault.Fault {
+	origin, fault := f.FindOrigin(ctx, x.Service, placementRequest(x), x.StreamID())
+	if fault != nil {
+		return fault
+	}
+	unavailable := rwfault.New(rwcode.SoftwareUnavailable, origin.Software).WithRetryAfter(softwareRetryAfter)
+	if !slices.Contains(x.Route.Services(x.StreamID()), origin.Service) {
+		return unavailable
+	}
+	snapshot := f.Published()
+	x.Service, x.Software, x.Engine = origin.Service, origin.Software, nil
+	if s, ok := snapshot.Config.Service(x.Service); ok {
+		x.Engine = s.Engine
+	}
+	if len(x.Suitable(snapshot.Usable(x.Service))) == 0 {
+		return unavailable
+	}
+	return nil
+}
+
 // moreCertain returns the fault that says more about whether the request ran:
 // once it may have run, a later refusal doesn't change that.
 func moreCertain(last, next *rwfault.Fault) *rwfault.Fault {
@@ -386,7 +425,7 @@
 		picker = rwpicker.New(f.Zone)
 		f.pickers[x.Service] = picker
 	}
-	list := f.Published().Usable(x.Service)
+	list := x.Suitable(f.Published().Usable(x.Service))
 	in, ok := picker.Pick(now, list, x.Avoids)
 	if !ok {
 		return destination{}, rwfault.New(rwcode.NoUpstream, x.Service).WithRetryAfter(unreachableRetryAfter)
@@ -398,20 +437,32 @@
 		ended := time.Now()
 		picker.Done(ended, in.ID, e, ended.Sub(now))
 	}
-	return destination{id: in.ID, addr: in.Addr, startMillis: in.StartMillis, firstEvent: func() {}, end: end}, nil
+	return destination{
+		id: in.ID, addr: in.Addr, software: in.Software, startMillis: in.StartMillis, firstEvent: func() {}, end: end,
+	}, nil
 }
 
-func (f *Handler) acquireEngine(ctx context.Context, x *rwexchange.Exchange) (destination, *rwfault.Fault) {
+// placementRequest returns the request for an engine.
+func placementRequest(x *rwexchange.Exchange) rwplacement.Request {
 	p := x.Request.Prompt
 	target := x.Route.Target
 	if target <= 0 {
 		target = defaultEngineTarget
 	}
-	g, fault := f.Acquire(ctx, x.Service, rwplacement.Request{
+	stream := ""
+	if x.Route.Kind == rwrouteconfig.Stream && x.Route.Resumable {
+		stream = x.StreamID()
+	}
+	return rwplacement.Request{
 		Account: x.Account.Name, Parts: p.Parts, UniqueTokens: p.UniqueTokens(), ExpectedOutput: p.ExpectedOutput(),
 		Urgency: x.Urgency(), Target: target, Elapsed: time.Since(x.Start),
-		Resumed: x.HeadSent, Avoid: x.Avoid,
-	})
+		Resumed: x.Software != "", Stream: stream, Software: x.Software, Avoid: x.Avoid,
+	}
+}
+
+func (f *Handler) acquireEngine(ctx context.Context, x *rwexchange.Exchange) (destination, *rwfault.Fault) {
+	p := x.Request.Prompt
+	g, fault := f.Acquire(ctx, x.Service, placementRequest(x))
 	x.Decision, x.Owner = g.Decision, g.Owner
 	if fault != nil {
 		return destination{}, fault
@@ -421,7 +472,10 @@
 		Str("account", x.Account.Name).Str("upstream", x.Upstream).Int("input", p.Input).Int("own", p.UniqueTokens()).
 		Str("source", g.Source).Int64("rev", f.Published().Rev).Dur("waited", time.Since(x.Start)).Send()
 	in := g.Instance
-	return destination{id: in.ID, addr: in.Addr, startMillis: in.StartMillis, copySource: g.Source, firstEvent: g.FirstEvent, end: g.End}, nil
+	return destination{
+		id: in.ID, addr: in.Addr, software: in.Software, startMillis: in.StartMillis, copySource: g.Source,
+		firstEvent: g.FirstEvent, end: g.End,
+	}, nil
 }
 
 // addDecision adds the fields of the placement decision to a log line.
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -30,6 +30,7 @@
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
+	"redwingworks.example/internal/rworigin"
 	"redwingworks.example/internal/rwplacement"
 	"redwingworks.example/internal/rwretrywindow"
 	"redwingworks.example/internal/rwrouteconfig"
@@ -42,7 +43,7 @@
 			wait, _ := time.ParseDuration(r.Header.Get("X-Wait"))
 			return rwinboundrequest.Request{
 				ID: r.Header.Get("X-Id"), Host: "h", Path: r.URL.Path, Target: r.RequestURI, Method: r.Method,
-				Key: r.Header.Get("X-Key"), Timeout: wait, LastEventID: r.Header.Get("X-After"), Header: http.Header{},
+				Key: r.Header.Get("X-Key"), Timeout: wait, LastEventID: r.Header.Get("X-After"), Resumes: r.Header.Get("X-Resumes"), Header: http.Header{},
 			}
 		},
 		Encode: func(q rwinboundrequest.Request, o rwdialect.ForwardOptions) http.Header {
@@ -131,6 +132,10 @@
 	pool := rwconn.New(dialect().Inspect)
 	f.front = &Handler{
 		Dialect: dialect(), Published: func() *rwconfigsnapshot.Snapshot { return snapshot }, Pool: pool,
+		Begun: func(string, rworigin.Origin) {},
+		FindOrigin: func(_ context.Context, service string, _ rwplacement.Request, _ string) (rworigin.Origin, *rwfault.Fault) {
+			return rworigin.Origin{Service: service}, nil
+		},
 		Acquire: func(_ context.Context, service string, r rwplacement.Request) (rwbroker.Grant, *rwfault.Fault) {
 			for _, in := range snapshot.Usable(service) {
 				avoid := false
--- /dev/null
+++ b/internal/rworigin/rworigin.go
@@ -0,0 +1,171 @@
+// Package rworigin remembers at which software version streams began. Servers of
+// several versions may serve side by side, what two of them write doesn't fit
+// together, and servers don't check it. A caller may take a stream up at any
+// router, so routers exchange what they know. The package reads no clock and does
+// no I/O; callers pass the time.
+package rworigin
+
+import (
+	"sync"
+	"time"
+
+	"redwingworks.example/internal/rwinstance"
+)
+
+const (
+	// originTTL is how long the origin of a stream is kept. It exceeds the time
+	// that callers may wait for a stream.
+	originTTL = 30 * time.Second
+	// maxOrigins bounds the origins in each half of a table, at about 200 bytes
+	// each.
+	maxOrigins = 20_000
+	// currentTime is how long a table counts as current after it was; readers
+	// of the store list it every 700 ms.
+	currentTime = 1500 * time.Millisecond
+)
+
+// Origin is where a stream began.
+type Origin struct {
+	Service string `json:"svc"`
+	// Software is the version of the software of the service's upstreams.
+	Software string `json:"sw"`
+}
+
+// Table holds the origins of streams by the id of the attempt that brought their
+// first event, and the versions that upstreams ran lately. It is safe for
+// concurrent use.
+type Table struct {
+	mu sync.Mutex
+	// recent and older hold origins; recent replaces older after originTTL or
+	// when it is full.
+	recent, older map[string]Origin
+	rotatedAt     time.Time
+	// seen holds when each version of a service was seen last; watchedSince is
+	// when the service was seen first.
+	seen         map[string]map[string]time.Time
+	watchedSince map[string]time.Time
+	// currentAt is when the table was last known to have all upstreams.
+	currentAt time.Time
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{
+		recent: map[string]Origin{}, older: map[string]Origin{},
+		seen: map[string]map[string]time.Time{}, watchedSince: map[string]time.Time{},
+	}
+}
+
+// Add records the origin of a stream.
+func (t *Table) Add(now time.Time, id string, o Origin) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate(now)
+	t.recent[id] = o
+	t.observe(now, o)
+}
+
+// Find returns the origin of a stream.
+func (t *Table) Find(now time.Time, id string) (Origin, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate(now)
+	o, ok := t.recent[id]
+	if !ok {
+		o, ok = t.older[id]
+	}
+	return o, ok
+}
+
+func (t *Table) rotate(now time.Time) {
+	switch age := now.Sub(t.rotatedAt); {
+	case age > 2*originTTL:
+		t.older, t.recent, t.rotatedAt = map[string]Origin{}, map[string]Origin{}, now
+	case age > originTTL || len(t.recent) >= maxOrigins:
+		t.older, t.recent, t.rotatedAt = t.recent, make(map[string]Origin, len(t.recent)), now
+	}
+}
+
+// Observe records the versions of upstreams that get work or are leaving.
+func (t *Table) Observe(now time.Time, instances []rwinstance.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, in := range instances {
+		t.observe(now, Origin{in.Service, in.Software})
+	}
+}
+
+func (t *Table) observe(now time.Time, o Origin) {
+	if t.seen[o.Service] == nil {
+		t.seen[o.Service], t.watchedSince[o.Service] = map[string]time.Time{}, now
+	}
+	t.seen[o.Service][o.Software] = now
+}
+
+// MarkCurrent records that all upstreams up to now have been observed.
+func (t *Table) MarkCurrent(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.currentAt = now
+}
+
+// Interrupt records that the table was not kept up to date, for example during a
+// pause of the process.
+func (t *Table) Interrupt(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for service := range t.watchedSince {
+		t.watchedSince[service] = now
+	}
+}
+
+// Seen returns the versions of a service that were seen in the window up to now,
+// whether the table has watched the service for the whole window, and whether it
+// did so up to now.
+func (t *Table) Seen(now time.Time, service string, window time.Duration) (software []string, whole, current bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, at := range t.seen[service] {
+		switch age := now.Sub(at); {
+		case age <= window:
+			software = append(software, name)
+		case age > originTTL:
+			delete(t.seen[service], name)
+		}
+	}
+	since, ok := t.watchedSince[service]
+	return software, ok && now.Sub(since) >= window, now.Sub(t.currentAt) <= currentTime
+}
+
+// Inherit records what another table saw that has watched a service for the whole
+// window up to now.
+func (t *Table) Inherit(now time.Time, service string, software []string, window time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range software {
+		t.observe(now, Origin{service, s})
+	}
+	if since := now.Add(-window); t.watchedSince[service].After(since) {
+		t.watchedSince[service] = since
+	}
+}
+
+// Young returns the services that the table has watched for less than the window.
+func (t *Table) Young(now time.Time, window time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for service, since := range t.watchedSince {
+		if now.Sub(since) < window {
+			out = append(out, service)
+		}
+	}
+	return out
+}
+
+// Mixed reports whether streams of a service that last may have begun at
+// different versions in the window up to now.
+func (t *Table) Mixed(now time.Time, service string, window time.Duration) bool {
+	software, whole, _ := t.Seen(now, service, window)
+	return len(software) > 1 || !whole
+}
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -168,6 +168,8 @@
 	ID string
 	// Leaving engines get no new requests, but their cache can still be copied.
 	Leaving bool
+	// Software is the version of the software that it runs.
+	Software string
 }
 
 // Request is a model request to be placed on an engine.
@@ -191,6 +193,11 @@
 	Elapsed time.Duration `json:"ela"`
 	// Resumed is whether the request resumes a broken stream.
 	Resumed bool `json:"res,omitempty"`
+	// Stream is the id by which a stream is resumed, or empty if it can't be.
+	Stream string `json:"stream,omitempty"`
+	// Software is the only version of software that may run the request, or
+	// empty if any may.
+	Software string `json:"sw,omitempty"`
 	// Avoid lists engines that have failed this request.
 	Avoid []string `json:"avoid,omitempty"`
 }
@@ -207,6 +214,9 @@
 	// refused. Source is an engine to copy prompt parts from, or empty.
 	Engine string `json:"eng,omitempty"`
 	Source string `json:"src,omitempty"`
+	// Stream is that of a granted request; Software is that of the engine.
+	Stream   string `json:"-"`
+	Software string `json:"-"`
 	// Forecast is the expected time to the first event. QueuedTokens is the
 	// number of tokens that the engine has to prefill before it, including this
 	// request's if it was granted; UncachedTokens is the number of this
@@ -324,7 +334,7 @@
 	for _, e := range list {
 		old := p.engines[e.ID]
 		if old != nil {
-			old.Leaving = e.Leaving
+			old.Leaving, old.Software = e.Leaving, e.Software
 		} else {
 			old = &engine{
 				Engine: e, model: rwprefill.New(), outages: map[string]outage{},
@@ -365,7 +375,7 @@
 		p.minTarget = scale(p.minTarget, targetGrowthPerRequest)
 	}
 	over := p.overShare(now, acc)
-	if over && p.shortestBacklog(now) > scale(r.Target, overShareRefuseTargetRatio) {
+	if over && !r.Resumed && p.shortestBacklog(now) > scale(r.Target, overShareRefuseTargetRatio) {
 		return p.refuse(now, r, OverShare)
 	}
 	w := &queuedRequest{request: r, queuedAt: now, efficiency: efficiency(r), retry: now.Sub(p.refusedAt[uniquePartID(r)]) < retryMemory}
@@ -377,7 +387,7 @@
 			return d
 		}
 	}
-	if len(p.availableIDs) == 0 {
+	if !p.hasEngine(r) {
 		return p.refuse(now, r, NoEngine)
 	}
 	if p.queueFull(r.Account) {
@@ -390,6 +400,14 @@
 	return Decision{ID: r.ID, Verdict: Queued}
 }
 
+// hasEngine reports whether an engine may get the request, now or later.
+func (p *Placer) hasEngine(r Request) bool {
+	return slices.ContainsFunc(p.availableIDs, func(id string) bool { return p.engines[id].suits(r) })
+}
+
+// suits reports whether the engine runs software that may run the request.
+func (e *engine) suits(r Request) bool { return r.Software == "" || r.Software == e.Software }
+
 // queueFull reports whether an account has maxQueuedPerAccount queued requests.
 func (p *Placer) queueFull(account string) bool {
 	n := 0
@@ -682,10 +700,13 @@
 func (p *Placer) worthQueueing(now time.Time, w *queuedRequest) bool {
 	need := time.Duration(math.MaxInt64)
 	for _, e := range p.engines {
+		if !e.suits(w.request) {
+			continue
+		}
 		need = min(need, e.model.FirstEventDelay()+e.model.PrefillTime(float64(w.request.UniqueTokens)))
 	}
 	limit := scale(w.request.Target, forecastTargetRatio)
-	if len(p.availableIDs) == 0 {
+	if !p.hasEngine(w.request) {
 		return false
 	}
 	if p.starved(now, w) {
@@ -720,7 +741,7 @@
 }
 
 func (p *Placer) eligible(now time.Time, e *engine, r Request) bool {
-	return !e.Leaving && e.running < p.spec.Slots &&
+	return !e.Leaving && e.suits(r) && e.running < p.spec.Slots &&
 		float64(e.reservedTokens+r.UniqueTokens+r.ExpectedOutput) <= float64(p.spec.KVCapacity)*runningTokensRatio &&
 		!now.Before(e.refusedUntil) && !now.Before(e.outages[r.Zone].until)
 }
@@ -793,7 +814,7 @@
 		request: r, engine: e, grantedAt: now, prompt: prompt, forecast: o.forecast,
 	}
 	d := Decision{
-		ID: r.ID, Verdict: Granted, Engine: e.ID, Forecast: o.forecast, QueuedTokens: int(e.model.QueuedTokens(now)),
+		ID: r.ID, Verdict: Granted, Engine: e.ID, Stream: r.Stream, Software: e.Software, Forecast: o.forecast, QueuedTokens: int(e.model.QueuedTokens(now)),
 		UncachedTokens: int(o.uncachedTokens), CachedTokens: o.cachedTokens, PrefillRate: int(e.model.Rate()),
 	}
 	if o.source != nil {
--- a/internal/rwplacement/rwplacement_test.go
+++ b/internal/rwplacement/rwplacement_test.go
@@ -479,3 +479,48 @@
 	require.Zero(t, p.engines["a"].failures.At(at(1000)), "the engine did not fail")
 	require.Zero(t, p.QueueLength())
 }
+
+// Guards against a stream that goes on at an engine of another version, against
+// one that is refused although an engine of its version is free, and against one
+// that waits although its version has left.
+func TestResumptionStaysAtItsSoftware(t *testing.T) {
+	p := New(spec())
+	p.SetEngines([]Engine{{ID: "a", Software: "v1"}, {ID: "b", Software: "v2"}, {ID: "c", Software: "v2"}})
+	resumed := func(id, software string) Request {
+		r := request(id, "acc", "s"+id, 1000)
+		r.Software, r.Resumed, r.Stream = software, true, id
+		return r
+	}
+	for i := range 6 {
+		id := strconv.Itoa(i)
+		d := p.Submit(at(400*i), resumed(id, "v1"))
+		require.Equal(t, Granted, d.Verdict)
+		require.Equal(t, "a", d.Engine)
+		require.Equal(t, "v1", d.Software)
+		require.Equal(t, id, d.Stream)
+		p.FirstEvent(at(400*i+100), id)
+		p.Ended(at(400*i+200), id, Served)
+	}
+	// A busy engine of its version makes a resumption wait, not move.
+	for p.Submit(at(3000), resumed("busy", "v1")).Verdict == Granted {
+		continue
+	}
+	d := p.Submit(at(3000), request("new", "acc", "new", 1000))
+	require.Equal(t, Queued, d.Verdict, "there is a queue")
+	engines := map[string]string{}
+	for ms := 3005; ms < 3400; ms += 5 {
+		for _, d := range p.Tick(at(ms)) {
+			engines[d.ID] = d.Engine
+			p.FirstEvent(at(ms), d.ID)
+			p.Ended(at(ms), d.ID, Served)
+		}
+	}
+	require.Equal(t, "a", engines["busy"])
+	require.Contains(t, []string{"b", "c"}, engines["new"])
+
+	p.SetEngines([]Engine{{ID: "a", Software: "v1", Leaving: true}, {ID: "b", Software: "v2"}})
+	d = p.Submit(at(4000), resumed("late", "v1"))
+	require.Equal(t, NoEngine, d.Verdict)
+	require.Positive(t, d.RetryAfter)
+	require.Equal(t, Granted, p.Submit(at(4000), resumed("other", "v2")).Verdict)
+}
--- a/internal/rwrouteconfig/rwrouteconfig.go
+++ b/internal/rwrouteconfig/rwrouteconfig.go
@@ -125,6 +125,8 @@
 	services map[string]Service
 	hosts    map[string][]Route
 	keys     map[string]Account
+	// longestStream is 0 if a route with streams has no timeout.
+	longestStream time.Duration
 }
 
 // New returns a configuration. The routes of a host are matched longest prefix
@@ -134,8 +136,16 @@
 	for _, s := range services {
 		c.services[s.Name] = s
 	}
+	bounded := true
 	for _, r := range routes {
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+		if r.Kind == Stream {
+			c.longestStream = max(c.longestStream, r.Timeout)
+			bounded = bounded && r.Timeout > 0
+		}
+	}
+	if !bounded {
+		c.longestStream = 0
 	}
 	for _, list := range c.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -154,6 +164,10 @@
 	return nil
 }
 
+// LongestStream returns the longest timeout of the routes with streams, or 0 if
+// one of them has none.
+func (c *Config) LongestStream() time.Duration { return c.longestStream }
+
 // Service returns a service by name.
 func (c *Config) Service(name string) (Service, bool) {
 	s, ok := c.services[name]
