Hand the queue of a paused owner over

Requests that were queued at the owner of a cell waited for their whole target and were then refused if the owner's process had been paused: after the pause it drops its cells, and nobody told the requesters.

TestPausedOwnerHandsItsQueueOver failed in both cases before. Requesters now ask the owners of their cells again, as after a leave.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -691,6 +691,12 @@
 	defer b.mu.Unlock()
 	b.leaving = true
 	clear(b.ownerCache)
+	b.handQueuesOver()
+}
+
+// handQueuesOver lets the routers whose requests are queued here ask the owners
+// of their cells again. The caller must hold the lock.
+func (b *Broker) handQueuesOver() {
 	for _, c := range b.cells {
 		for id, from := range c.requesters {
 			c.placer.Cancel(id)
@@ -705,6 +711,7 @@
 func (b *Broker) Reset() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.handQueuesOver()
 	clear(b.cells)
 }
 
--- a/internal/rwbroker/rwbroker_test.go
+++ b/internal/rwbroker/rwbroker_test.go
@@ -249,6 +249,25 @@
 	}
 }
 
+// Guards against requests that wait for their whole target at an owner which has
+// dropped its cells after a pause.
+func TestPausedOwnerHandsItsQueueOver(t *testing.T) {
+	for name, own := range map[string]bool{"request of another router": false, "own request": true} {
+		t.Run(name, func(t *testing.T) {
+			_, _, owner, other := newBusyFleet(t)
+			requester := other
+			if own {
+				requester = owner
+			}
+			results := acquireQueued(t, requester, owner)
+			owner.Reset()
+			got := <-results
+			require.Nil(t, got.fault, "after %v", got.took)
+			require.Less(t, got.took, time.Second)
+		})
+	}
+}
+
 // Guards against a request that waits for a router which was declared dead or has
 // announced that it leaves, and against a slot that stays taken because that
 // router still grants the request.
