--- a/internal/rwshutdown/rwshutdown_test.go
+++ b/internal/rwshutdown/rwshutdown_test.go
@@ -43,3 +43,12 @@
 		require.True(t, p.End().Before(p.Start().Add(grace)))
 	})
 }
+
+// Guards against requests that are ended too early in a short grace period: until
+// its last sixth, callers may expect the responses of working upstreams.
+func TestCancelsOnlyInLastSixth(t *testing.T) {
+	for _, grace := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 8 * time.Second, time.Minute} {
+		p := New(time.Unix(0, 0), grace)
+		require.GreaterOrEqual(t, p.CancelAt().Sub(p.Start()), grace*5/6, "grace period %v", grace)
+	}
+}
