Count the requests that a drain cancels

Operators saw no trace of the requests that a drain ended: drain_cut and `cut` of event 105 were 0 and event 407 was missing, although callers got 502 or the end of their stream.

Cause: requests were counted and logged when the drain returned, 0.2 s after it had cancelled them; by then they had left the table of requests in progress.

Ruled out: a table that misses requests; a request whose body never arrives stays in it past the cancellation and was counted.

Change: the drain counts and logs just before it cancels, which it does once, and adds at its end only what arrived later. The table remembers the last request that was reported, so none is counted twice.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -101,8 +101,8 @@
 	// allocates its body and buffers.
 	gcPercent      = 300
 	upkeepInterval = 250 * time.Millisecond
-	// maxCutLines is the largest number of log lines about requests that the
-	// end of a drain cuts.
+	// maxCutLines is the largest number of log lines that each of the two
+	// reports of a drain writes about the requests it cuts.
 	maxCutLines = 20
 	// reloadInterval is how often the settings file is read again; it can
 	// change without a signal.
@@ -625,7 +625,7 @@
 	const step = 20 * time.Millisecond
 	ticker := time.NewTicker(step)
 	defer ticker.Stop()
-	refusing, stopped := false, false
+	refusing, stopped, cancelled, cut := false, false, false, 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -648,11 +648,14 @@
 			stopped = true
 			e.connLimiter.Stop()
 		}
-		if !now.Before(plan.CancelAt()) {
+		if !cancelled && !now.Before(plan.CancelAt()) {
+			cancelled = true
+			// Cancelled requests end soon, so they are counted before.
+			cut = e.reportCut(plan.Start())
 			e.cancelRequests(rwfront.ShuttingDown())
 		}
 		if !now.Before(plan.End()) || (stopped && e.connLimiter.Open() == 0) {
-			cut := e.reportCut(plan.Start())
+			cut += e.reportCut(plan.Start())
 			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Int("cut", cut).
 				Dur("took", now.Sub(plan.Start())).Send()
 			return
@@ -669,11 +672,12 @@
 	return time.Time{}, false
 }
 
-// reportCut returns the number of requests that the end of a drain cuts and adds
-// it to a counter. It logs at most maxCutLines of them, those that arrived last:
-// the drain had the most reason to refuse these.
+// reportCut returns the number of requests in progress that no earlier call
+// counted, and adds it to the counter of requests that a drain cuts. It logs at
+// most maxCutLines of them, those that arrived last: the drain had the most
+// reason to refuse these.
 func (e *Edge) reportCut(stopped time.Time) int {
-	requests, total := e.inFlight.Latest(maxCutLines)
+	requests, total := e.inFlight.LatestUnreported(maxCutLines)
 	e.metrics.Add("drain_cut", int64(total))
 	for _, r := range requests {
 		rwlog.Warn(&e.log, rwlog.RequestCut, rwfault.New(rwcode.Draining, "the drain ended before the response")).
--- a/internal/rwinflight/rwinflight.go
+++ b/internal/rwinflight/rwinflight.go
@@ -28,6 +28,8 @@
 	mu sync.Mutex
 	// last is the key of the request that was added last.
 	last uint64
+	// reported is the last key at the last call of LatestUnreported.
+	reported uint64
 	// requests has increasing keys in the order in which they were added.
 	requests map[uint64]Request
 }
@@ -67,7 +69,25 @@
 func (t *Table) Latest(limit int) (latest []Request, total int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.latest(0, limit)
+}
+
+// LatestUnreported returns the same as Latest, but without the requests that an
+// earlier call of it counted.
+func (t *Table) LatestUnreported(limit int) (latest []Request, total int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	latest, total = t.latest(t.reported, limit)
+	t.reported = t.last
+	return latest, total
+}
+
+// latest returns what Latest does of the requests that were added after the one
+// with a key. The caller holds the lock.
+func (t *Table) latest(after uint64, limit int) (latest []Request, total int) {
 	keys := slices.Sorted(maps.Keys(t.requests))
+	first, _ := slices.BinarySearch(keys, after+1)
+	keys = keys[first:]
 	for _, key := range slices.Backward(keys[max(0, len(keys)-limit):]) {
 		latest = append(latest, t.requests[key])
 	}
--- a/internal/rwinflight/rwinflight_test.go
+++ b/internal/rwinflight/rwinflight_test.go
@@ -31,6 +31,31 @@
 	require.Equal(t, 3, total)
 }
 
+// Guards against requests that are counted twice, or not at all because they were
+// added after a report or weren't listed in it.
+func TestLatestUnreported(t *testing.T) {
+	var table Table
+	latest, total := table.LatestUnreported(2)
+	require.Empty(t, latest)
+	require.Zero(t, total)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		table.Add(Request{ID: id})
+	}
+	latest, total = table.LatestUnreported(2)
+	require.Equal(t, []Request{{ID: "r3"}, {ID: "r2"}}, latest)
+	require.Equal(t, 3, total)
+	latest, total = table.LatestUnreported(2)
+	require.Empty(t, latest)
+	require.Zero(t, total)
+	table.Remove(table.Add(Request{ID: "r4"}))
+	table.Add(Request{ID: "r5"})
+	latest, total = table.LatestUnreported(2)
+	require.Equal(t, []Request{{ID: "r5"}}, latest)
+	require.Equal(t, 1, total)
+	_, total = table.Latest(0)
+	require.Equal(t, 4, total)
+}
+
 // Guards against data races between requests and a shutdown that lists them, and
 // against requests that stay in the table after their end.
 func TestConcurrentUse(t *testing.T) {
