Cancel requests in time if a drain is held up

Callers of a stopping router that is short of CPU time got no response although the grace period left time for one: the drain cancelled their requests and returned in the same step.

Cause: only the drain's loop cancelled requests, after the announcement to the other routers and at the next tick, and its end didn't depend on when it did. Class of fault: a deadline is kept by a step that others can delay.

Evidence: TestLateDrainRespondsToRequestsInProgress failed before, with a loop held up until 50 ms before its end. TestLateCancellationLeavesTimeForResponses covers a process that is held up as a whole; with an end that ignores the time of the cancellation it fails after 121 ms of 200 ms. Ruled out: a server whose requests aren't cancelled; TestDrainRespondsToRequestsInProgress passed.

Change: a timer that is set when the signal is handled cancels requests, independent of the announcement and the loop. If that is late too, the drain goes on for the planned 0.2 s after it, but leaves 0.2 s of the grace period to the exit. The loop cancels if the timer hasn't yet; it is done once either way.

--- a/internal/rwedge/cancel_test.go
+++ b/internal/rwedge/cancel_test.go
@@ -88,6 +88,24 @@
 	require.Equal(t, http.StatusBadGateway, c.status())
 }
 
+// Guards against a drain that exits as soon as it cancels requests if the whole
+// process was held up until the end of the drain.
+func TestLateCancellationLeavesTimeForResponses(t *testing.T) {
+	t.Parallel()
+	e, l := drainedEdge(t)
+	// The body never arrives, so the connection stays open.
+	_, err := io.WriteString(connect(t, l).conn, "POST /x HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nContent-Length: 4\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return e.activeRequests.Load() == 1 }, time.Second, time.Millisecond)
+	plan := rwshutdown.New(time.Time{}, defaultGrace)
+	begin := time.Now()
+	plan = rwshutdown.New(begin.Add(-plan.End().Sub(plan.Start())), defaultGrace)
+	e.follow(t.Context(), plan)
+	require.GreaterOrEqual(t, time.Since(begin), plan.End().Sub(plan.CancelAt()))
+	require.Less(t, time.Since(plan.Start()), defaultGrace)
+	require.Equal(t, "1", e.metrics.Counters.Get("drain_cut").String())
+}
+
 // Guards against a log and a counter of cut requests that miss those which the
 // drain cancels just before it ends.
 func TestDrainCountsTheRequestsItCancels(t *testing.T) {
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -605,27 +605,41 @@
 	return p != nil && !p.Accepts(time.Now(), deadline)
 }
 
-// drain takes the router out of rotation. It serves the requests that the plan
-// of the shutdown accepts, refuses the others, and closes idle connections. It
-// returns soon after the plan's AcceptEnd, once no request is in progress and
-// all connections are closed, but at the latest at the plan's End. New
-// connections are closed unread as soon as no request is in progress, and at the
-// latest at the plan's ListenEnd. Requests that are in progress at its CancelAt
-// are cancelled.
+// drain takes the router out of rotation and ends its work within the grace
+// period.
 func (e *Edge) drain(ctx context.Context) {
 	grace := e.deployment.Grace
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	plan := rwshutdown.New(time.Now(), grace)
+	e.follow(ctx, rwshutdown.New(time.Now(), grace))
+}
+
+// follow drains the router according to a plan. It serves the requests that the
+// plan accepts, refuses the others, and closes idle connections. It returns soon
+// after the plan's AcceptEnd, once no request is in progress and all connections
+// are closed, but at the latest at the plan's End, or at its EndAfter if requests
+// were cancelled late. New connections are closed unread as soon as no request is
+// in progress, and at the latest at the plan's ListenEnd. Requests that are in
+// progress at its CancelAt are cancelled, even if the rest is held up.
+func (e *Edge) follow(ctx context.Context, plan rwshutdown.Plan) {
 	e.shutdown.Store(&plan)
+	// cancel returns when it cancelled the requests in progress and their number.
+	cancel := sync.OnceValues(func() (time.Time, int) {
+		// Cancelled requests end soon, so they are counted before.
+		n := e.reportCut(plan.Start())
+		e.cancelRequests(rwfront.ShuttingDown())
+		return time.Now(), n
+	})
+	timer := time.AfterFunc(time.Until(plan.CancelAt()), func() { cancel() })
+	defer timer.Stop()
 	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
 	e.gossip.Leave(ctx)
 	e.broker.Leave()
 	const step = 20 * time.Millisecond
 	ticker := time.NewTicker(step)
 	defer ticker.Stop()
-	refusing, stopped, cancelled, cut := false, false, false, 0
+	refusing, stopped := false, false
 	for {
 		select {
 		case <-ctx.Done():
@@ -648,13 +662,17 @@
 			stopped = true
 			e.connLimiter.Stop()
 		}
-		if !cancelled && !now.Before(plan.CancelAt()) {
-			cancelled = true
-			// Cancelled requests end soon, so they are counted before.
-			cut = e.reportCut(plan.Start())
-			e.cancelRequests(rwfront.ShuttingDown())
+		end, cancelled := plan.End(), !now.Before(plan.CancelAt())
+		if cancelled {
+			at, _ := cancel()
+			end = plan.EndAfter(at)
 		}
-		if !now.Before(plan.End()) || (stopped && e.connLimiter.Open() == 0) {
+		if !now.Before(end) || (stopped && e.connLimiter.Open() == 0) {
+			cut := 0
+			// The timer may have fired since now.
+			if cancelled || !timer.Stop() {
+				_, cut = cancel()
+			}
 			cut += e.reportCut(plan.Start())
 			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Int("cut", cut).
 				Dur("took", now.Sub(plan.Start())).Send()
--- a/internal/rwshutdown/rwshutdown.go
+++ b/internal/rwshutdown/rwshutdown.go
@@ -47,9 +47,24 @@
 // CancelAt returns when requests in progress are cancelled.
 func (p Plan) CancelAt() time.Time { return p.End().Add(-responseMargin) }
 
-// End returns when the process exits at the latest.
+// End returns when the drain ends at the latest if requests are cancelled in time.
 func (p Plan) End() time.Time { return p.start.Add(p.grace - exitMargin) }
 
+// EndAfter returns when the drain ends at the latest if requests in progress were
+// cancelled at a time. If that was late, it is after End, so that callers still
+// get a response, but leaves half of the time that is planned for the exit.
+func (p Plan) EndAfter(cancelled time.Time) time.Time {
+	last := p.End().Add(exitMargin / 2)
+	end := cancelled.Add(responseMargin)
+	if end.After(last) {
+		end = last
+	}
+	if end.Before(p.End()) {
+		end = p.End()
+	}
+	return end
+}
+
 // Accepts reports whether to accept a request that has arrived now and has a
 // deadline. After AcceptEnd only a request that reaches its deadline before the
 // drain ends is accepted, since any other might be cut.
--- a/internal/rwshutdown/rwshutdown_test.go
+++ b/internal/rwshutdown/rwshutdown_test.go
@@ -52,3 +52,19 @@
 		require.GreaterOrEqual(t, p.CancelAt().Sub(p.Start()), grace*5/6, "grace period %v", grace)
 	}
 }
+
+// Guards against a drain that ends as soon as it has cancelled requests late, and
+// against one that goes on for so long that the process is killed.
+func TestEndAfterLateCancellation(t *testing.T) {
+	const grace = 8 * time.Second
+	p := New(time.Unix(0, 0), grace)
+	for _, c := range []struct{ cancelled, end time.Duration }{
+		{7400 * time.Millisecond, 7600 * time.Millisecond},
+		{7500 * time.Millisecond, 7700 * time.Millisecond},
+		{7600 * time.Millisecond, 7800 * time.Millisecond},
+		{7700 * time.Millisecond, 7800 * time.Millisecond},
+		{7900 * time.Millisecond, 7800 * time.Millisecond},
+	} {
+		require.Equal(t, c.end, p.EndAfter(p.Start().Add(c.cancelled)).Sub(p.Start()), "%+v", c)
+	}
+}
