Keep the phases of a drain in order for short grace periods

With a grace period under 3.6 s, callers got 502 or the end of their stream before the last sixth of it, until which they may expect a response. Under 2 s, new connections were closed before the router refused requests. With 4.5 to 8 s, requests were refused from 1.35 to 2.4 s on, before the load balancer had to have noticed. All sites have 8 s.

Cause: fixed margins at the end of the drain, and a ratio for the accept time that applied to grace periods which don't need it. Class of fault: constants that fit one setting.

Evidence, before: TestCancelsOnlyInLastSixth failed (1.4 s of 2 s); TestPhasesAreInOrder from 1 s up, and TestAcceptsUntilLoadBalancerNotices (1.35 s of 4.5 s) failed too. Ruled out: an error of the drain itself; it follows the plan.

Tests: TestPhasesAreInOrder draws from 1 s up (2.5 s before) and checks EndAfter; TestAccepts has 2.3 s and 2.6 s; TestCancelsOnlyInLastSixth has 1 s.

--- a/internal/rwshutdown/rwshutdown_test.go
+++ b/internal/rwshutdown/rwshutdown_test.go
@@ -19,6 +19,8 @@
 	}{
 		{0, 10 * time.Second, true},
 		{2 * time.Second, 10 * time.Second, true},
+		{2300 * time.Millisecond, 10 * time.Second, true},
+		{2600 * time.Millisecond, 10 * time.Second, false},
 		{3 * time.Second, 10 * time.Second, false},
 		{3 * time.Second, 4500 * time.Millisecond, false},
 		{3 * time.Second, 4 * time.Second, true},
@@ -34,20 +36,37 @@
 // the grace period, whatever its length.
 func TestPhasesAreInOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		grace := time.Duration(rapid.Int64Range(int64(2500*time.Millisecond), int64(time.Minute)).Draw(t, "grace"))
+		grace := time.Duration(rapid.Int64Range(int64(MinGrace), int64(time.Minute)).Draw(t, "grace"))
 		p := New(time.Unix(0, 0), grace)
 		require.True(t, p.Start().Before(p.AcceptEnd()))
 		require.True(t, p.AcceptEnd().Before(p.ListenEnd()))
 		require.True(t, p.ListenEnd().Before(p.CancelAt()))
 		require.True(t, p.CancelAt().Before(p.End()))
 		require.True(t, p.End().Before(p.Start().Add(grace)))
+		cancelled := p.CancelAt().Add(time.Duration(rapid.Int64Range(0, int64(grace)).Draw(t, "late")))
+		require.False(t, p.EndAfter(cancelled).Before(p.End()))
+		require.True(t, p.EndAfter(cancelled).Before(p.Start().Add(grace)))
+	})
+}
+
+// Guards against refusals before the load balancer has noticed in two health
+// checks that the router stops, if the grace period leaves two seconds for the
+// requests that were accepted until then.
+func TestAcceptsUntilLoadBalancerNotices(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(int64(4500*time.Millisecond), int64(time.Minute)).Draw(t, "grace"))
+		p := New(time.Unix(0, 0), grace)
+		accepted := p.AcceptEnd().Sub(p.Start())
+		require.GreaterOrEqual(t, accepted, 2400*time.Millisecond)
+		require.Less(t, accepted, 3*time.Second, "callers may expect a response to requests from then on")
+		require.GreaterOrEqual(t, grace-accepted, 2*time.Second)
 	})
 }
 
 // Guards against requests that are ended too early in a short grace period: until
 // its last sixth, callers may expect the responses of working upstreams.
 func TestCancelsOnlyInLastSixth(t *testing.T) {
-	for _, grace := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 8 * time.Second, time.Minute} {
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 8 * time.Second, time.Minute} {
 		p := New(time.Unix(0, 0), grace)
 		require.GreaterOrEqual(t, p.CancelAt().Sub(p.Start()), grace*5/6, "grace period %v", grace)
 	}
