Register signals before the parts of rwfront start

Operators saw a router vanish without events 102 and 105: SIGTERM or SIGHUP in the first 2 ms of its start killed it. This is the same class as the faults of the drain: a stop that isn't planned.

Cause: the part that handles signals registered them, in a goroutine that starts after those of the listeners; until then their default action ends the process.

Ruled out: a signal handler that ignores early signals; none was registered.

Change: Run registers them first and holds them until the parts run. It stops last, so a second signal during the exit no longer kills the process either. A signal while the settings are read, before Run, still ends the process.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -338,6 +338,10 @@
 // Run serves until a signal asks the process to stop or a part ends by itself.
 // After a signal, it first drains the router.
 func (e *Edge) Run() error {
+	// Until its signals are registered, one ends the process at once.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	debug.SetGCPercent(gcPercent)
 	if m := e.deployment.MemoryBytes; m > 0 {
 		debug.SetMemoryLimit(int64(float64(m) * memoryLimitRatio))
@@ -360,7 +364,7 @@
 	e.registry.Register("metrics", e.metrics, e.serveMetrics)
 	e.registry.Register("upkeep", nil, e.upkeep)
 	e.registry.Register("lag", e.lagMonitor, e.lagMonitor.Run)
-	e.registry.Register("signals", nil, e.waitSignal)
+	e.registry.Register("signals", nil, func(ctx context.Context) error { return e.waitSignal(ctx, signals) })
 	err := e.registry.Run()
 	if err != nil {
 		rwlog.Warn(&e.log, rwlog.ProcessFailed, err).Send()
@@ -576,10 +580,7 @@
 }
 
 // waitSignal drains the router when a signal asks the process to stop.
-func (e *Edge) waitSignal(ctx context.Context) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (e *Edge) waitSignal(ctx context.Context, signals <-chan os.Signal) error {
 	for {
 		select {
 		case <-ctx.Done():
