Ask the readers of the zone which versions served

In fleets of over 12 routers only two of a zone list the store within the time in which a table counts as current. A router that looked for the origin of a stream that nobody knows therefore asked all routers, at most eight such searches at a time, and refused the others, although the service had one version. Found by reading; callers would see it when many routers of a grown deployment are killed at once.

The readers of the zone are now asked with the owner of the cell, also by a router that has just started. TestReadersKnowTheOnlyVersion fails without that.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -135,8 +135,8 @@
 	b.inheritedAt = now
 	for _, service := range b.Origins.Young(now, b.StreamWindow()) {
 		go func() {
-			near := b.successors(cellKey{Service: service}, originCopies)
-			_, answers := b.askOrigin(ctx, originQuery{Service: service}, near, map[string]bool{})
+			near := append(b.successors(cellKey{Service: service}, originCopies), b.Readers()...)
+			_, answers := b.askOrigin(ctx, originQuery{Service: service}, near, map[string]bool{b.self.Name: true})
 			for _, a := range answers {
 				if a.Whole && a.Current {
 					b.Origins.Inherit(time.Now(), service, a.Seen, b.StreamWindow())
@@ -147,8 +147,8 @@
 }
 
 // FindOrigin returns where a stream began that a caller resumes. It asks this
-// router's table, then the owner of the request's cell and those who would own
-// it next, then all routers. If those that answer don't know the stream but know
+// router's table, then the owner of the request's cell, those who would own it
+// next and the readers of the zone, then all routers. If those that answer don't know the stream but know
 // that the service had only one version for as long as streams last, it began at
 // that one. Otherwise FindOrigin fails with OriginUnknown.
 func (b *Broker) FindOrigin(ctx context.Context, service string, r rwplacement.Request, id string) (rworigin.Origin, *rwfault.Fault) {
@@ -161,7 +161,7 @@
 	asked := map[string]bool{b.self.Name: true}
 	answers := []originAnswer{here}
 	if k, ok := b.cellOf(service, r); ok {
-		near := append([]rwidentity.Identity{b.owner(k)}, b.successors(k, originCopies+1)...)
+		near := slices.Concat([]rwidentity.Identity{b.owner(k)}, b.successors(k, originCopies+1), b.Readers())
 		found, got := b.askOrigin(ctx, q, near, asked)
 		if found != nil {
 			return *found, nil
--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -1,6 +1,7 @@
 package rwbroker
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -139,6 +140,33 @@
 	}
 }
 
+// Guards against a resumption in a large fleet that is refused because too many
+// searches are in progress, although the readers of the zone know that only one
+// version served.
+func TestReadersKnowTheOnlyVersion(t *testing.T) {
+	f := newFleet(t, 8, newVersionedSnapshot("v1"))
+	n, key := f.nodes["r7"], cellKey{Service: "model"}
+	near := append(n.successors(key, originCopies+1), n.owner(key), n.id)
+	reader := f.nodes["r0"]
+	for _, candidate := range f.nodes {
+		if !slices.Contains(near, candidate.id) {
+			reader = candidate
+		}
+	}
+	require.NotContains(t, near, reader.id)
+	f.observe([]string{reader.id.Name, n.id.Name}, "v1")
+	reader.Origins.MarkCurrent(time.Now())
+	n.originSearches = maxOriginSearches
+	_, fault := n.FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
+	require.NotNil(t, fault)
+	f.mu.Lock()
+	f.readers = []rwidentity.Identity{reader.id, n.id}
+	f.mu.Unlock()
+	o, fault := n.FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
+	require.Nil(t, fault)
+	require.Equal(t, "v1", o.Software)
+}
+
 // Guards against routers that restart one after the other until none knows any
 // more that only one version served.
 func TestVersionsAreInherited(t *testing.T) {
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -96,6 +96,9 @@
 	Origins *rworigin.Table
 	// StreamWindow returns how long streams last at most.
 	StreamWindow func() time.Duration
+	// Readers returns the routers of this one's zone that read the store for
+	// others.
+	Readers func() []rwidentity.Identity
 	// FleetSize returns the largest number of live routers that this one has
 	// seen, including itself.
 	FleetSize func() int
--- a/internal/rwbroker/rwbroker_test.go
+++ b/internal/rwbroker/rwbroker_test.go
@@ -39,9 +39,11 @@
 
 // fleet is a set of routers that all see the same live routers.
 type fleet struct {
-	mu    sync.Mutex
-	live  []rwidentity.Identity
-	nodes map[string]*node
+	mu   sync.Mutex
+	live []rwidentity.Identity
+	// readers are the routers that read the store for others.
+	readers []rwidentity.Identity
+	nodes   map[string]*node
 }
 
 func newSnapshot(engines, slots int) *rwconfigsnapshot.Snapshot {
@@ -68,6 +70,11 @@
 		b.Reachable = func(string) bool { return true }
 		b.ShareWindow = 2 * time.Second
 		b.StreamWindow = func() time.Duration { return testStreamWindow }
+		b.Readers = func() []rwidentity.Identity {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.readers
+		}
 		b.FleetSize = func() int { return routers }
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
--- a/internal/rwcatalogsync/rwcatalogsync.go
+++ b/internal/rwcatalogsync/rwcatalogsync.go
@@ -4,7 +4,9 @@
 package rwcatalogsync
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,6 +84,18 @@
 	return above < readersPerZone
 }
 
+// Readers returns the readers of this router's zone, which may include it.
+func (s *Syncer) Readers() []rwidentity.Identity {
+	list := s.Live(s.self.Zone)
+	if len(s.Live("")) <= allReadersFleetSize {
+		return list
+	}
+	slices.SortFunc(list, func(x, y rwidentity.Identity) int {
+		return cmp.Compare(rwrendezvous.Score("reader", y.Name), rwrendezvous.Score("reader", x.Name))
+	})
+	return list[:min(len(list), readersPerZone)]
+}
+
 // NotifyZone announces this router's revision to the other routers of the zone,
 // unless the fleet is so small that all of them watch the store.
 func (s *Syncer) NotifyZone() {
--- a/internal/rwcatalogsync/rwcatalogsync_test.go
+++ b/internal/rwcatalogsync/rwcatalogsync_test.go
@@ -111,12 +111,14 @@
 	require.True(t, small[1].IsReader())
 	big := fleet(t, 40)
 	live := big[0].Live("z0")
-	count := 0
+	var readers []rwidentity.Identity
 	for _, id := range live {
 		s := &Syncer{self: id, Live: big[0].Live}
 		if s.IsReader() {
-			count++
+			readers = append(readers, id)
 		}
 	}
-	require.Equal(t, readersPerZone, count)
+	require.Len(t, readers, readersPerZone)
+	require.ElementsMatch(t, readers, big[0].Readers())
+	require.Len(t, small[0].Readers(), allReadersFleetSize/2, "all routers of a zone")
 }
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -255,7 +255,7 @@
 	e.broker.ShareWindow = e.deployment.ShareWindow / 2
 	e.broker.OnForecastError = e.forecastErrors.Record
 	e.broker.Inventory = e.config.Inventory
-	e.broker.StreamWindow = e.streamWindow
+	e.broker.StreamWindow, e.broker.Readers = e.streamWindow, e.syncer.Readers
 	e.broker.FleetSize = func() int { return int(e.maxRouters.Load()) }
 	front := &rwfront.Handler{
 		Dialect: e.config.Dialect, Published: e.published.Load, Acquire: e.broker.Acquire, FindOrigin: e.broker.FindOrigin, Begun: e.streamBegun, Pool: e.pool,
