Keep the origin of a stream that began when another owner grants it late

Callers could get a stream that goes on at another software version than the one that began it (ORDER).

Cause: the origin of a stream was recorded at each grant, and the last record won, also over that of the router which forwards the stream. An owner that was paused handles the requests that waited meanwhile, which other owners have granted by then, and copies its grants to its successors, one of which usually granted the streams. A router that looked the stream up took the first answer.

Change: the report of the first event names the origin to the owner, which records that the stream has begun there and copies this. A grant doesn't replace such a record. A lookup prefers it and waits for it. Without one, grants count only if all that are found agree; otherwise the resumption is refused.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -19,10 +19,12 @@
 // not known: the router that knows it may be reachable again.
 const originRetryAfter = 500 * time.Millisecond
 
-// originRecord is the origin of one stream.
+// originRecord is the origin of one stream. If Begun is not set, an engine was
+// granted for the stream, and no event has come from it yet.
 type originRecord struct {
 	ID string `json:"id"`
 	rworigin.Origin
+	Begun bool `json:"beg,omitempty"`
 }
 
 type originsMessage struct {
@@ -35,7 +37,10 @@
 }
 
 type originAnswer struct {
+	// Found is whether the router knows the stream, and Begun whether it knows
+	// that the stream has begun there.
 	Found  bool            `json:"ok,omitempty"`
+	Begun  bool            `json:"beg,omitempty"`
 	Origin rworigin.Origin `json:"at"`
 	// Seen holds the versions of the service that the router saw lately; Whole
 	// is whether it saw them for as long as streams last, and Current whether
@@ -50,7 +55,11 @@
 	b.peers.Handle("origins", rwpeer.Typed(func(_ context.Context, _ rwidentity.Identity, m originsMessage) (any, error) {
 		now := time.Now()
 		for _, r := range m.List {
-			b.Origins.Add(now, r.ID, r.Origin)
+			if r.Begun {
+				b.Origins.Add(now, r.ID, r.Origin)
+			} else {
+				b.Origins.AddGrant(now, r.ID, r.Origin)
+			}
 		}
 		return nil, nil
 	}))
@@ -63,25 +72,38 @@
 func (b *Broker) originHere(q originQuery) originAnswer {
 	now := time.Now()
 	var a originAnswer
-	if a.Origin, a.Found = b.Origins.Find(now, q.ID); !a.Found {
+	if a.Origin, a.Begun, a.Found = b.Origins.Find(now, q.ID); !a.Found {
 		a.Seen, a.Whole, a.Current = b.Origins.Seen(now, q.Service, b.StreamWindow())
 	}
 	return a
 }
 
-// noteOrigin records where a stream begins that was granted in a cell of this
-// router. The stream may be resumed at a router that this one can't reach later,
-// so a copy goes to others, unless all streams begin at one version. The caller
-// must hold the lock.
-func (b *Broker) noteOrigin(k cellKey, d rwplacement.Decision) {
+// noteGrant records where a stream will begin that was granted in a cell of this
+// router. The caller must hold the lock.
+func (b *Broker) noteGrant(k cellKey, d rwplacement.Decision) {
 	if d.Verdict != rwplacement.Granted || d.Stream == "" {
 		return
 	}
 	now := time.Now()
-	o := rworigin.Origin{Service: k.Service, Software: d.Software}
-	b.Origins.Add(now, d.Stream, o)
+	r := originRecord{ID: d.Stream, Origin: rworigin.Origin{Service: k.Service, Software: d.Software}}
+	b.Origins.AddGrant(now, r.ID, r.Origin)
+	b.queueOrigin(now, k, r)
+}
+
+// noteBegun records where a stream began that was granted in a cell of this
+// router. The caller must hold the lock.
+func (b *Broker) noteBegun(k cellKey, r originRecord) {
+	now := time.Now()
+	b.Origins.Add(now, r.ID, r.Origin)
+	b.queueOrigin(now, k, r)
+}
+
+// queueOrigin queues a copy of an origin for other routers, unless all streams
+// begin at one version: the stream may be resumed at a router that this one can't
+// reach later. The caller must hold the lock.
+func (b *Broker) queueOrigin(now time.Time, k cellKey, r originRecord) {
 	if b.Origins.Mixed(now, k.Service, b.StreamWindow()) {
-		b.unsentOrigins[k] = append(b.unsentOrigins[k], originRecord{d.Stream, o})
+		b.unsentOrigins[k] = append(b.unsentOrigins[k], r)
 	}
 }
 
@@ -136,8 +158,7 @@
 	for _, service := range b.Origins.Young(now, b.StreamWindow()) {
 		go func() {
 			near := b.successors(cellKey{Service: service}, originCopies)
-			_, answers := b.askOrigin(ctx, originQuery{Service: service}, near, map[string]bool{})
-			for _, a := range answers {
+			for _, a := range b.askOrigin(ctx, originQuery{Service: service}, near, map[string]bool{}) {
 				if a.Whole && a.Current {
 					b.Origins.Inherit(time.Now(), service, a.Seen, b.StreamWindow())
 				}
@@ -148,13 +169,12 @@
 
 // FindOrigin returns where a stream began that a caller resumes. It asks this
 // router's table, then the owner of the request's cell and those who would own
-// it next, then all routers. If those that answer don't know the stream but know
-// that the service had only one version for as long as streams last, it began at
-// that one. Otherwise FindOrigin fails with OriginUnknown.
+// it next, then all routers, until the answers tell the origin as described at
+// originOf. Otherwise it fails with OriginUnknown.
 func (b *Broker) FindOrigin(ctx context.Context, service string, r rwplacement.Request, id string) (rworigin.Origin, *rwfault.Fault) {
 	q := originQuery{ID: id, Service: service}
 	here := b.originHere(q)
-	if here.Found {
+	if here.Begun {
 		return here.Origin, nil
 	}
 	b.metrics.Add("origins_asked", 1)
@@ -162,36 +182,28 @@
 	answers := []originAnswer{here}
 	if k, ok := b.cellOf(service, r); ok {
 		near := append([]rwidentity.Identity{b.owner(k)}, b.successors(k, originCopies+1)...)
-		found, got := b.askOrigin(ctx, q, near, asked)
-		if found != nil {
-			return *found, nil
-		}
-		answers = append(answers, got...)
+		answers = append(answers, b.askOrigin(ctx, q, near, asked)...)
 	}
-	if software, ok := onlySoftware(answers, b.FleetSize()); ok {
-		return rworigin.Origin{Service: service, Software: software}, nil
+	if o, ok := originOf(service, answers, b.FleetSize()); ok {
+		return o, nil
 	}
 	if b.beginSearch() {
-		found, got := b.askOrigin(ctx, q, b.Live(), asked)
+		answers = append(answers, b.askOrigin(ctx, q, b.Live(), asked)...)
 		b.endSearch()
-		if found != nil {
-			return *found, nil
-		}
-		answers = append(answers, got...)
 	}
 	if f := rwfault.FromContext(ctx); f != nil {
 		return rworigin.Origin{}, f
 	}
-	if software, ok := onlySoftware(answers, b.FleetSize()); ok {
-		return rworigin.Origin{Service: service, Software: software}, nil
+	if o, ok := originOf(service, answers, b.FleetSize()); ok {
+		return o, nil
 	}
 	return rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, id).WithRetryAfter(originRetryAfter)
 }
 
 // askOrigin asks those of the routers that are not in asked, to which it adds
-// them. It returns the origin if one of them knows it, and otherwise their
-// answers.
-func (b *Broker) askOrigin(ctx context.Context, q originQuery, routers []rwidentity.Identity, asked map[string]bool) (*rworigin.Origin, []originAnswer) {
+// them. It returns their answers, without those that come after the first from a
+// router that knows that the stream has begun.
+func (b *Broker) askOrigin(ctx context.Context, q originQuery, routers []rwidentity.Identity, asked map[string]bool) []originAnswer {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	results := make(chan *originAnswer, len(routers))
@@ -219,12 +231,36 @@
 		if a == nil {
 			continue
 		}
-		if a.Found {
-			return &a.Origin, nil
-		}
 		answers = append(answers, *a)
+		if a.Begun {
+			break
+		}
+	}
+	return answers
+}
+
+// originOf returns the origin of a stream of a service that answers tell. It is
+// where a router knows that the stream has begun. If none does, it is where the
+// stream was granted, unless owners granted it at different versions. If no router
+// knows the stream, it is the only version that the service had.
+func originOf(service string, answers []originAnswer, fleetSize int) (rworigin.Origin, bool) {
+	var granted *rworigin.Origin
+	agreed := true
+	for _, a := range answers {
+		switch {
+		case a.Begun:
+			return a.Origin, true
+		case a.Found && granted == nil:
+			granted = &a.Origin
+		case a.Found:
+			agreed = agreed && a.Origin == *granted
+		}
+	}
+	if granted != nil {
+		return *granted, agreed
 	}
-	return nil, answers
+	software, ok := onlySoftware(answers, fleetSize)
+	return rworigin.Origin{Service: service, Software: software}, ok
 }
 
 // onlySoftware returns the only version that the answering routers saw for as
--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -176,3 +176,49 @@
 	require.NotNil(t, fault)
 	require.Equal(t, rwcode.NoUpstream, fault.Code)
 }
+
+// Guards against an owner that was paused and grants a request late, which another
+// owner had granted meanwhile: the origin of the stream that began is kept.
+func TestLateGrantKeepsTheOrigin(t *testing.T) {
+	f := newFleet(t, 3, newVersionedSnapshot("v1", "v2"))
+	f.observe([]string{"r0", "r1", "r2"}, "v1", "v2")
+	r := newRequest("x")
+	r.Stream = "s"
+	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+	require.Nil(t, fault)
+	g.FirstEvent()
+	time.Sleep(4 * originFlushInterval)
+	other := map[string]string{"e0": "e1", "e1": "e0"}[g.Instance.ID]
+	for name, n := range f.nodes {
+		if name == g.Owner {
+			continue
+		}
+		late := newRequest("x")
+		late.ID, late.Stream, late.Avoid = "late", "s", []string{g.Instance.ID}
+		d := n.decide(cellKey{Service: "model"}, late, n.id)
+		require.Equal(t, rwplacement.Granted, d.Verdict)
+		require.Equal(t, other, d.Engine)
+		break
+	}
+	time.Sleep(4 * originFlushInterval)
+	for name, n := range f.nodes {
+		o, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), "s")
+		require.Nil(t, fault, name)
+		require.Equal(t, g.Instance.Software, o.Software, name)
+	}
+}
+
+// Guards against a stream at a guessed version when two owners granted it at
+// different ones and nobody knows which of them it began at.
+func TestContradictingGrantsAreRefused(t *testing.T) {
+	f := newFleet(t, 2, newVersionedSnapshot("v1", "v2"))
+	f.observe([]string{"r0", "r1"}, "v1", "v2")
+	for name, engine := range map[string]string{"r0": "e0", "r1": "e1"} {
+		r := newRequest("x")
+		r.ID, r.Stream, r.Avoid = name, "s", []string{engine}
+		require.Equal(t, rwplacement.Granted, f.nodes[name].decide(cellKey{Service: "model"}, r, f.nodes[name].id).Verdict)
+	}
+	_, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+	require.NotNil(t, fault)
+	require.Equal(t, rwcode.OriginUnknown, fault.Code)
+}
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -166,6 +166,9 @@
 	cellKey
 	ID  string          `json:"id"`
 	End rwplacement.End `json:"end"`
+	// Begun is where the request's stream began; it is set with the first event
+	// of a stream that can be resumed.
+	Begun *originRecord `json:"beg,omitempty"`
 }
 
 // New returns a broker and registers its message handlers.
@@ -185,7 +188,7 @@
 	b.handleOrigins()
 	for method, handle := range reportHandlers {
 		peers.Handle(method, rwpeer.Typed(func(_ context.Context, _ rwidentity.Identity, r progressMessage) (any, error) {
-			b.updateCell(r.cellKey, func(p *rwplacement.Placer) { handle(p, r) })
+			b.applyReport(r, handle)
 			return nil, nil
 		}))
 	}
@@ -226,8 +229,8 @@
 	key    cellKey
 	addr   string
 	// software is the only version of software that may run the request, or
-	// empty.
-	software string
+	// empty; stream is the id by which its stream is resumed, or empty.
+	software, stream string
 }
 
 // Acquire returns a grant for a request, or a fault with the outcome NotRun. If
@@ -271,7 +274,7 @@
 	if fault != nil {
 		return Grant{}, fault
 	}
-	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name, software: m.Request.Software}
+	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name, software: m.Request.Software, stream: m.Request.Stream}
 	if d.Verdict == rwplacement.Queued {
 		if d, fault = b.await(ctx, g, *r, decided); fault != nil {
 			return g, fault
@@ -485,7 +488,7 @@
 	}
 	c := b.cell(k)
 	d := c.placer.Submit(time.Now(), r)
-	b.noteOrigin(k, d)
+	b.noteGrant(k, d)
 	if d.Verdict == rwplacement.Queued {
 		c.requesters[r.ID] = from
 		select {
@@ -502,6 +505,16 @@
 	f(b.cell(k).placer)
 }
 
+// applyReport applies a report on a request in a cell of this router.
+func (b *Broker) applyReport(r progressMessage, handle func(*rwplacement.Placer, progressMessage)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	handle(b.cell(r.cellKey).placer, r)
+	if r.Begun != nil {
+		b.noteBegun(r.cellKey, *r.Begun)
+	}
+}
+
 // cell returns the state of a cell, configured for the active snapshot. The
 // caller must hold the lock.
 func (b *Broker) cell(k cellKey) *cell {
@@ -600,7 +613,7 @@
 	for k := range b.cells {
 		c := b.cell(k)
 		for _, d := range c.placer.Tick(now) {
-			b.noteOrigin(k, d)
+			b.noteGrant(k, d)
 			from, ok := c.requesters[d.ID]
 			delete(c.requesters, d.ID)
 			if ok {
@@ -719,10 +732,16 @@
 	if b == nil {
 		return
 	}
-	r := progressMessage{g.key, g.ID, end}
+	r := progressMessage{cellKey: g.key, ID: g.ID, End: end}
+	if method == firstEventReport && g.stream != "" {
+		r.Begun = &originRecord{
+			ID: g.stream, Begun: true,
+			Origin: rworigin.Origin{Service: g.key.Service, Software: g.Instance.Software},
+		}
+	}
 	if g.addr != b.self.Addr {
 		b.peers.Notify(g.addr, method, r)
 		return
 	}
-	b.updateCell(g.key, func(p *rwplacement.Placer) { reportHandlers[method](p, r) })
+	b.applyReport(r, reportHandlers[method])
 }
--- a/internal/rworigin/rworigin.go
+++ b/internal/rworigin/rworigin.go
@@ -31,14 +31,21 @@
 	Software string `json:"sw"`
 }
 
+// record is what a table knows about one stream. If begun is not set, an upstream
+// was granted for the stream, but no event of it is known.
+type record struct {
+	Origin
+	begun bool
+}
+
 // Table holds the origins of streams by the id of the attempt that brought their
 // first event, and the versions that upstreams ran lately. It is safe for
 // concurrent use.
 type Table struct {
 	mu sync.Mutex
-	// recent and older hold origins; recent replaces older after originTTL or
+	// recent and older hold the streams; recent replaces older after originTTL or
 	// when it is full.
-	recent, older map[string]Origin
+	recent, older map[string]record
 	rotatedAt     time.Time
 	// seen holds when each version of a service was seen last; watchedSince is
 	// when the service was seen first.
@@ -51,38 +58,57 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		recent: map[string]Origin{}, older: map[string]Origin{},
+		recent: map[string]record{}, older: map[string]record{},
 		seen: map[string]map[string]time.Time{}, watchedSince: map[string]time.Time{},
 	}
 }
 
-// Add records the origin of a stream.
+// Add records the origin of a stream that has begun.
 func (t *Table) Add(now time.Time, id string, o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
-	t.recent[id] = o
+	t.recent[id] = record{o, true}
 	t.observe(now, o)
 }
 
-// Find returns the origin of a stream.
-func (t *Table) Find(now time.Time, id string) (Origin, bool) {
+// AddGrant records where a stream will begin if the grant is used. It doesn't
+// replace the origin of a stream that has begun: a grant may be late.
+func (t *Table) AddGrant(now time.Time, id string, o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
-	o, ok := t.recent[id]
+	t.observe(now, o)
+	r, ok := t.find(id)
+	if !ok || !r.begun {
+		r = record{Origin: o}
+	}
+	t.recent[id] = r
+}
+
+// Find returns the origin of a stream, and whether the stream has begun there.
+func (t *Table) Find(now time.Time, id string) (o Origin, begun, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate(now)
+	r, ok := t.find(id)
+	return r.Origin, r.begun, ok
+}
+
+func (t *Table) find(id string) (record, bool) {
+	r, ok := t.recent[id]
 	if !ok {
-		o, ok = t.older[id]
+		r, ok = t.older[id]
 	}
-	return o, ok
+	return r, ok
 }
 
 func (t *Table) rotate(now time.Time) {
 	switch age := now.Sub(t.rotatedAt); {
 	case age > 2*originTTL:
-		t.older, t.recent, t.rotatedAt = map[string]Origin{}, map[string]Origin{}, now
+		t.older, t.recent, t.rotatedAt = map[string]record{}, map[string]record{}, now
 	case age > originTTL || len(t.recent) >= maxOrigins:
-		t.older, t.recent, t.rotatedAt = t.recent, make(map[string]Origin, len(t.recent)), now
+		t.older, t.recent, t.rotatedAt = t.recent, make(map[string]record, len(t.recent)), now
 	}
 }
 
--- a/internal/rworigin/rworigin_test.go
+++ b/internal/rworigin/rworigin_test.go
@@ -22,19 +22,44 @@
 	table.Add(at(0), "a", v1)
 	table.Add(at(originTTL/2), "b", v2)
 	for _, d := range []time.Duration{originTTL / 2, originTTL, originTTL + time.Second} {
-		got, ok := table.Find(at(d), "a")
+		got, begun, ok := table.Find(at(d), "a")
 		require.True(t, ok, d)
+		require.True(t, begun)
 		require.Equal(t, v1, got)
-		got, ok = table.Find(at(d), "b")
+		got, begun, ok = table.Find(at(d), "b")
 		require.True(t, ok, d)
+		require.True(t, begun)
 		require.Equal(t, v2, got)
 	}
-	_, ok := table.Find(at(0), "c")
+	_, _, ok := table.Find(at(0), "c")
 	require.False(t, ok)
-	_, ok = table.Find(at(3*originTTL), "a")
+	_, _, ok = table.Find(at(3*originTTL), "a")
 	require.False(t, ok)
 }
 
+// Guards against a grant that replaces the origin of a stream that has begun, or
+// that keeps a stream from being recorded where it begins after another grant.
+func TestGrantsYieldToStreams(t *testing.T) {
+	table := New()
+	v1, v2 := Origin{"s", "v1"}, Origin{"s", "v2"}
+	requireFound := func(d time.Duration, want Origin, wantBegun bool) {
+		t.Helper()
+		got, begun, ok := table.Find(at(d), "a")
+		require.True(t, ok)
+		require.Equal(t, want, got)
+		require.Equal(t, wantBegun, begun)
+	}
+	table.AddGrant(at(0), "a", v1)
+	requireFound(0, v1, false)
+	table.AddGrant(at(1), "a", v2)
+	requireFound(1, v2, false)
+	table.Add(at(2), "a", v1)
+	requireFound(2, v1, true)
+	table.AddGrant(at(originTTL+3), "a", v2)
+	requireFound(originTTL+3, v1, true)
+	requireFound(2*originTTL, v1, true)
+}
+
 // Guards against a flood of streams that exhausts the memory, or that evicts the
 // streams that began last.
 func TestOriginsAreBounded(t *testing.T) {
@@ -44,7 +69,7 @@
 		table.Add(at(time.Duration(i)), fmt.Sprint(i), Origin{"s", "v1"})
 	}
 	require.LessOrEqual(t, len(table.recent)+len(table.older), 2*maxOrigins)
-	_, ok := table.Find(at(streams), fmt.Sprint(streams-maxOrigins))
+	_, _, ok := table.Find(at(streams), fmt.Sprint(streams-maxOrigins))
 	require.True(t, ok)
 }
 
