--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -222,3 +222,16 @@
 	require.NotNil(t, fault)
 	require.Equal(t, rwcode.OriginUnknown, fault.Code)
 }
+
+// Guards against a stream whose owner and router know different versions of its
+// engine, which has started again under its id.
+func TestGrantAtAnotherVersionIsGivenUp(t *testing.T) {
+	f := newFleet(t, 2, newVersionedSnapshot("v1"))
+	owner := f.nodes["r0"].owner(cellKey{Service: "model"}).Name
+	router := map[string]string{"r0": "r1", "r1": "r0"}[owner]
+	stale := newVersionedSnapshot("v2")
+	f.nodes[router].Published = func() *rwconfigsnapshot.Snapshot { return stale }
+	_, fault := f.nodes[router].Acquire(t.Context(), "model", newRequest("x"))
+	require.NotNil(t, fault)
+	require.Equal(t, rwcode.UpstreamLeaving, fault.Code)
+}
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -307,6 +307,12 @@
 		g.End(rwplacement.Abandoned)
 		return Grant{}, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
 	}
+	if d.Software != "" && d.Software != in.Software {
+		// The engine has started again at another version, which only one of the
+		// two snapshots has. The stream would be recorded at the wrong one.
+		g.End(rwplacement.Abandoned)
+		return Grant{}, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
+	}
 	if want := g.software; want != "" && in.Software != want {
 		// The owner runs a release that doesn't know versions of software.
 		g.End(rwplacement.Abandoned)
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -216,7 +216,7 @@
 	Source string `json:"src,omitempty"`
 	// Stream is that of a granted request; Software is that of the engine.
 	Stream   string `json:"-"`
-	Software string `json:"-"`
+	Software string `json:"sw,omitempty"`
 	// Forecast is the expected time to the first event. QueuedTokens is the
 	// number of tokens that the engine has to prefill before it, including this
 	// request's if it was granted; UncachedTokens is the number of this
