Send resumptions to cells whose engines have not failed them

Callers had streams broken off although engines of their version were free, in services with more than one cell.

Cause: a resumption maps to the cell of an engine of its version by its prompt, also to that of the engine that has just failed it. If this is the only one of its version in the cell, the owner queues the request for no engine and refuses it.

Evidence: TestResumptionLeavesTheCellOfItsFailedEngine failed before with "late".

Change: a resumption maps only to engines that have not failed it.

--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -235,3 +235,28 @@
 	require.NotNil(t, fault)
 	require.Equal(t, rwcode.UpstreamLeaving, fault.Code)
 }
+
+// Guards against a router's resumption that is sent to the cell of the engine that
+// broke its stream off, although another cell has an engine of its version.
+func TestResumptionLeavesTheCellOfItsFailedEngine(t *testing.T) {
+	software := make([]string, 2*maxSingleCellPool)
+	for i := range software {
+		software[i] = "v2"
+	}
+	n := cellCount(len(software))
+	other := 1
+	for cellIndex("e"+strconv.Itoa(other), n) == cellIndex("e0", n) {
+		other++
+	}
+	software[0], software[other] = "v1", "v1"
+	f := newFleet(t, 2, newVersionedSnapshot(software...))
+	for i := range 10 {
+		r := newRequest("x" + strconv.Itoa(i))
+		r.Parts[0].ID = strconv.Itoa(i)
+		r.Software, r.Resumed, r.Avoid = "v1", true, []string{"e0"}
+		g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+		require.Nil(t, fault)
+		require.Equal(t, "e"+strconv.Itoa(other), g.Instance.ID)
+		g.End(rwplacement.Served)
+	}
+}
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -445,7 +446,9 @@
 	return false
 }
 
-// cellOf returns the cell of the engine that a request's prompt maps to.
+// cellOf returns the cell of the engine that a request's prompt maps to. A
+// resumption maps only to engines of its version that have not failed it, which few
+// cells may have.
 func (b *Broker) cellOf(service string, r rwplacement.Request) (cellKey, bool) {
 	snapshot := b.Published()
 	engines := len(snapshot.Usable(service))
@@ -460,7 +463,7 @@
 	if r.Software != "" {
 		ids = nil
 		for _, in := range snapshot.Usable(service) {
-			if in.Software == r.Software {
+			if in.Software == r.Software && !slices.Contains(r.Avoid, in.ID) {
 				ids = append(ids, in.ID)
 			}
 		}
