Copy the origins of running streams when a second version appears

Cause: an owner copies the origin of a stream only if several versions serve when it is granted. Later nobody may take the one version for granted any more, and no other router knows the stream.

Evidence: TestOriginsAreCopiedWhenAVersionAppears failed before with origin_unknown.

Change: when an owner sees that a service has a second version, it copies the origins of the streams that run in its cells, once.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -107,15 +107,33 @@
 	}
 }
 
+// queueRunning queues copies of the origins of all running streams in cells whose
+// service has got a second version. The caller must hold the lock.
+func (b *Broker) queueRunning(now time.Time) {
+	for k, c := range b.cells {
+		before := c.mixed
+		c.mixed = b.Origins.Mixed(now, k.Service, b.StreamWindow())
+		if before || !c.mixed {
+			continue
+		}
+		for _, id := range c.placer.Streams() {
+			if o, begun, ok := b.Origins.Find(now, id); ok {
+				b.unsentOrigins[k] = append(b.unsentOrigins[k], originRecord{ID: id, Origin: o, Begun: begun})
+			}
+		}
+	}
+}
+
 // sendOrigins copies new origins to the routers that own their cells if this one
 // ends.
 func (b *Broker) sendOrigins(now time.Time) {
 	b.mu.Lock()
-	if len(b.unsentOrigins) == 0 || now.Sub(b.originsSentAt) < originFlushInterval {
+	if now.Sub(b.originsSentAt) < originFlushInterval {
 		b.mu.Unlock()
 		return
 	}
 	b.originsSentAt = now
+	b.queueRunning(now)
 	unsent := b.unsentOrigins
 	b.unsentOrigins = map[cellKey][]originRecord{}
 	b.mu.Unlock()
--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -1,6 +1,7 @@
 package rwbroker
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -260,3 +261,30 @@
 		g.End(rwplacement.Served)
 	}
 }
+
+// Guards against a stream that can't be resumed because it began while one version
+// served, and its owner and its router ended after another had appeared.
+func TestOriginsAreCopiedWhenAVersionAppears(t *testing.T) {
+	routers := []string{"r0", "r1", "r2", "r3", "r4"}
+	f := newFleet(t, len(routers), newVersionedSnapshot("v1", "v1"))
+	f.observe(routers, "v1")
+	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", rwplacement.Request{
+		Account: "acc", UniqueTokens: 500, ExpectedOutput: 10, Target: 400 * time.Millisecond, Stream: "s",
+	})
+	require.Nil(t, fault)
+	g.FirstEvent()
+	time.Sleep(4 * originFlushInterval)
+	f.observe(routers, "v2")
+	time.Sleep(4 * originFlushInterval)
+	f.mu.Lock()
+	f.live = slices.DeleteFunc(f.live, func(id rwidentity.Identity) bool { return id.Name == g.Owner || id.Name == "r0" })
+	f.mu.Unlock()
+	f.nodes[g.Owner].stop()
+	f.nodes["r0"].stop()
+	time.Sleep(2 * ownerCacheTTL)
+	for _, id := range f.members() {
+		o, fault := f.nodes[id.Name].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+		require.Nil(t, fault, id.Name)
+		require.Equal(t, "v1", o.Software)
+	}
+}
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -156,6 +156,9 @@
 	// requesters holds the routers that sent the queued requests, by request
 	// id.
 	requesters map[string]rwidentity.Identity
+	// mixed is whether streams of the service began at several versions when
+	// this was last checked.
+	mixed bool
 }
 
 type placeMessage struct {
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -321,6 +321,17 @@
 	}
 }
 
+// Streams returns the ids of the running streams that can be resumed.
+func (p *Placer) Streams() []string {
+	var out []string
+	for _, g := range p.grants {
+		if g.request.Stream != "" {
+			out = append(out, g.request.Stream)
+		}
+	}
+	return out
+}
+
 // QueueLength returns the number of queued requests.
 func (p *Placer) QueueLength() int { return len(p.queue) }
 
