Bound the length of the ids under which streams are remembered

A caller could exhaust the memory of routers, which would end requests of others without an answer.

Cause: a router keeps up to 40000 ids of streams and sends them to others. Callers choose them in Attempt-Id and Resumes, up to the size of a head: at 64 KB each, over 2 GB.

Change: ids of more than 64 bytes are replaced by their hash, also in log lines. All routers of this release compute the same one.

--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -3,6 +3,9 @@
 package rwexchange
 
 import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"redwingworks.example/internal/rwinboundrequest"
@@ -11,6 +14,9 @@
 	"redwingworks.example/internal/rwrouteconfig"
 )
 
+// maxStreamIDBytes is the length up to which the id of a stream is used as it is.
+const maxStreamIDBytes = 64
+
 // Exchange is one request in progress. Only one goroutine uses it.
 type Exchange struct {
 	Request rwinboundrequest.Request
@@ -64,12 +70,15 @@
 }
 
 // StreamID returns the id by which the request's stream is resumed: that of the
-// attempt that brought its first event.
+// attempt that brought its first event, or its hash if the id is long. Routers keep
+// and send the ids of all streams, and callers choose them.
 func (x *Exchange) StreamID() string {
-	if x.Request.Resumes != "" {
-		return x.Request.Resumes
+	id := cmp.Or(x.Request.Resumes, x.Request.ID)
+	if len(id) <= maxStreamIDBytes {
+		return id
 	}
-	return x.Request.ID
+	sum := sha256.Sum256([]byte(id))
+	return hex.EncodeToString(sum[:])
 }
 
 // ResumesStream reports whether the caller takes up a stream that has begun.
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -495,7 +495,7 @@
 		e = e.Str("software", x.UpstreamSoftware)
 	}
 	if x.Request.Resumes != "" {
-		e = e.Str("resumes", x.Request.Resumes).Str("events", x.Request.LastEventID)
+		e = e.Str("resumes", x.StreamID()).Str("events", x.Request.LastEventID)
 	}
 	if f.Stopping == nil {
 		return e
