Count a listing of the store as of its call, not of its answer

A caller's stream could go on at a guessed software version (ORDER).

Cause: if no router knows where a stream began, its version is guessed if a router has just read from the store that there was only one. A listing that a slow store answered seconds after the call counted as just read, although a version may have appeared and begun streams since.

Evidence: read in the code; TestListingIsAsOldAsItsCall failed before the listing had its time.

Change: a listing carries the time of its call, which is used instead.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -489,7 +489,7 @@
 		return changed || removed, bad
 	})
 	// A watch can stay silent while changes are made, so only a listing counts.
-	e.broker.Origins.MarkCurrent(time.Now())
+	e.broker.Origins.MarkCurrent(b.ReadAt)
 }
 
 func (e *Edge) onChange(_ string, b rwstorewatch.Batch) {
--- a/internal/rworigin/rworigin.go
+++ b/internal/rworigin/rworigin.go
@@ -128,11 +128,13 @@
 	t.seen[o.Service][o.Software] = now
 }
 
-// MarkCurrent records that all upstreams up to now have been observed.
+// MarkCurrent records that all upstreams up to a time have been observed.
 func (t *Table) MarkCurrent(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.currentAt = now
+	if now.After(t.currentAt) {
+		t.currentAt = now
+	}
 }
 
 // Interrupt records that the table was not kept up to date, for example during a
--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -41,6 +41,9 @@
 	Items []rwitem.Item
 	// Rev is the revision up to which the batch is complete.
 	Rev int64
+	// ReadAt is when a listing was asked for; the store may have answered it
+	// later with what it had then. It is not set for changes.
+	ReadAt time.Time
 }
 
 // Watcher lists and watches the store for one router. All fields are set before
@@ -128,12 +131,14 @@
 // list lists a prefix and reports whether that succeeded; after a failure it
 // waits for retryDelay.
 func (w *Watcher) list(ctx context.Context, prefix string) bool {
+	start := time.Now()
 	b, err := w.List(ctx, prefix)
 	if err != nil {
 		w.OnError(prefix, err)
 		sleep(ctx, retryDelay)
 		return false
 	}
+	b.ReadAt = start
 	w.advance(prefix, b.Rev)
 	w.OnList(prefix, b)
 	return true
--- a/internal/rwstorewatch/rwstorewatch_test.go
+++ b/internal/rwstorewatch/rwstorewatch_test.go
@@ -162,3 +162,29 @@
 		require.LessOrEqual(t, s.listed(), 14)
 	})
 }
+
+// Guards against a listing that the store answers late and that is taken for the
+// state at the time of its answer.
+func TestListingIsAsOldAsItsCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const latency = 3 * time.Second
+		s := newStore()
+		ages := make(chan time.Duration, 1)
+		w := &Watcher{
+			Prefixes: []string{"k"}, Watch: s.watch, OnChange: func(string, Batch) {},
+			List: func(ctx context.Context, prefix string) (Batch, error) {
+				time.Sleep(latency)
+				return s.list(ctx, prefix)
+			},
+			OnList: func(_ string, b Batch) {
+				select {
+				case ages <- time.Since(b.ReadAt):
+				default:
+				}
+			},
+			OnError: func(string, error) {}, IsReader: func() bool { return false },
+		}
+		go func() { _ = w.Run(t.Context()) }()
+		require.Equal(t, latency, <-ages)
+	})
+}
