Remember versions for as long as earlier timeouts let streams last

A caller's stream could go on at a guessed software version (ORDER) after a configuration with shorter timeouts.

Cause: the version of a stream that no router knows is guessed if a service had one version for as long as streams last, by the active configuration. Callers go on with streams that began before it, whose version may have left longer ago than the new timeouts. Two routers with different configurations also answered for different times.

Change: a router uses the longest timeout that it has known, and asks others for that time; they answer for the longer of the two. A router that started after the change and reaches no other one still knows only the new timeouts.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -34,6 +34,8 @@
 type originQuery struct {
 	ID      string `json:"id"`
 	Service string `json:"svc"`
+	// Window is how long streams last at most as the asking router knows it.
+	Window time.Duration `json:"win,omitempty"`
 }
 
 type originAnswer struct {
@@ -73,7 +75,7 @@
 	now := time.Now()
 	var a originAnswer
 	if a.Origin, a.Begun, a.Found = b.Origins.Find(now, q.ID); !a.Found {
-		a.Seen, a.Whole, a.Current = b.Origins.Seen(now, q.Service, b.StreamWindow())
+		a.Seen, a.Whole, a.Current = b.Origins.Seen(now, q.Service, max(q.Window, b.StreamWindow()))
 	}
 	return a
 }
@@ -173,12 +175,13 @@
 		return
 	}
 	b.inheritedAt = now
-	for _, service := range b.Origins.Young(now, b.StreamWindow()) {
+	window := b.StreamWindow()
+	for _, service := range b.Origins.Young(now, window) {
 		go func() {
 			near := b.successors(cellKey{Service: service}, originCopies)
-			for _, a := range b.askOrigin(ctx, originQuery{Service: service}, near, map[string]bool{}) {
+			for _, a := range b.askOrigin(ctx, originQuery{Service: service, Window: window}, near, map[string]bool{}) {
 				if a.Whole && a.Current {
-					b.Origins.Inherit(time.Now(), service, a.Seen, b.StreamWindow())
+					b.Origins.Inherit(time.Now(), service, a.Seen, window)
 				}
 			}
 		}()
@@ -190,7 +193,7 @@
 // it next, then all routers, until the answers tell the origin as described at
 // originOf. Otherwise it fails with OriginUnknown.
 func (b *Broker) FindOrigin(ctx context.Context, service string, r rwplacement.Request, id string) (rworigin.Origin, *rwfault.Fault) {
-	q := originQuery{ID: id, Service: service}
+	q := originQuery{ID: id, Service: service, Window: b.StreamWindow()}
 	here := b.originHere(q)
 	if here.Begun {
 		return here.Origin, nil
--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -288,3 +288,18 @@
 		require.Equal(t, "v1", o.Software)
 	}
 }
+
+// Guards against a router that knows only shorter timeouts than another one and
+// leaves out a version at which streams of that time may have begun.
+func TestVersionsAreAskedForTheLongerWindow(t *testing.T) {
+	f := newFleet(t, 2, newVersionedSnapshot("v2"))
+	f.mu.Lock()
+	f.windows = map[string]time.Duration{"r1": testStreamWindow / 10}
+	f.mu.Unlock()
+	f.observe([]string{"r0", "r1"}, "v2")
+	f.nodes["r0"].Origins.MarkCurrent(time.Now())
+	f.nodes["r1"].Origins.Observe(time.Now().Add(-testStreamWindow/2), []rwinstance.Instance{{Service: "model", Software: "v1"}})
+	_, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
+	require.NotNil(t, fault)
+	require.Equal(t, rwcode.OriginUnknown, fault.Code)
+}
--- a/internal/rwbroker/rwbroker_test.go
+++ b/internal/rwbroker/rwbroker_test.go
@@ -1,6 +1,7 @@
 package rwbroker
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"strconv"
@@ -42,6 +43,8 @@
 	mu    sync.Mutex
 	live  []rwidentity.Identity
 	nodes map[string]*node
+	// windows replaces testStreamWindow for routers by name.
+	windows map[string]time.Duration
 }
 
 func newSnapshot(engines, slots int) *rwconfigsnapshot.Snapshot {
@@ -67,7 +70,7 @@
 		b.Live = f.members
 		b.Reachable = func(string) bool { return true }
 		b.ShareWindow = 2 * time.Second
-		b.StreamWindow = func() time.Duration { return testStreamWindow }
+		b.StreamWindow = func() time.Duration { return f.window(id.Name) }
 		b.FleetSize = func() int { return routers }
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
@@ -79,6 +82,12 @@
 	return f
 }
 
+func (f *fleet) window(router string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return cmp.Or(f.windows[router], testStreamWindow)
+}
+
 func (f *fleet) members() []rwidentity.Identity {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -172,6 +172,9 @@
 	// maxRouters is the largest number of live routers seen: a partitioned
 	// router must not use the retry budget of the routers that it can't reach.
 	maxRouters atomic.Int64
+	// longestStream is the longest time, in nanoseconds, that a configuration so
+	// far let streams last.
+	longestStream atomic.Int64
 }
 
 // New returns a front router that is not running yet.
@@ -301,13 +304,25 @@
 func (e *Edge) streamBegun(id string, o rworigin.Origin) { e.broker.Origins.Add(time.Now(), id, o) }
 
 // streamWindow returns how long streams last at most, with a reserve for the time
-// until this router knows the upstreams that other routers use.
+// until this router knows the upstreams that other routers use. It never shrinks:
+// callers go on with streams that began before their timeout was shortened.
 func (e *Edge) streamWindow() time.Duration {
 	c := e.published.Load().Config
 	if c == nil || c.LongestStream() <= 0 {
 		return maxStreamWindow
 	}
-	return min(c.LongestStream()+streamWindowMargin, maxStreamWindow)
+	longest := int64(c.LongestStream())
+	for {
+		known := e.longestStream.Load()
+		if known >= longest {
+			longest = known
+			break
+		}
+		if e.longestStream.CompareAndSwap(known, longest) {
+			break
+		}
+	}
+	return min(time.Duration(longest)+streamWindowMargin, maxStreamWindow)
 }
 
 // flushDelay returns how long to collect stream events between writes.
