Keep contradicting grants of a stream apart from each other

Evidence: TestContradictingGrantsAreRefused, which failed in one of the runs of all packages when the copies were exchanged before it asked.

Change: grants at several versions leave the version of a stream unknown until the stream is known to have begun. This holds for one owner, too, whose first grant an engine refused: copies don't tell it from another's.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -262,7 +262,7 @@
 
 // originOf returns the origin of a stream of a service that answers tell. It is
 // where a router knows that the stream has begun. If none does, it is where the
-// stream was granted, unless owners granted it at different versions. If no router
+// stream was granted, unless it was granted at different versions. If no router
 // knows the stream, it is the only version that the service had.
 func originOf(service string, answers []originAnswer, fleetSize int) (rworigin.Origin, bool) {
 	var granted *rworigin.Origin
@@ -278,7 +278,7 @@
 		}
 	}
 	if granted != nil {
-		return *granted, agreed
+		return *granted, agreed && granted.Software != ""
 	}
 	software, ok := onlySoftware(answers, fleetSize)
 	return rworigin.Origin{Service: service, Software: software}, ok
--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -219,9 +219,14 @@
 		r.ID, r.Stream, r.Avoid = name, "s", []string{engine}
 		require.Equal(t, rwplacement.Granted, f.nodes[name].decide(cellKey{Service: "model"}, r, f.nodes[name].id).Verdict)
 	}
-	_, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("y"), "s")
-	require.NotNil(t, fault)
-	require.Equal(t, rwcode.OriginUnknown, fault.Code)
+	for _, wait := range []time.Duration{0, 4 * originFlushInterval} {
+		time.Sleep(wait)
+		for name, n := range f.nodes {
+			_, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), "s")
+			require.NotNil(t, fault, "%s after %s", name, wait)
+			require.Equal(t, rwcode.OriginUnknown, fault.Code)
+		}
+	}
 }
 
 // Guards against a stream whose owner and router know different versions of its
--- a/internal/rworigin/rworigin.go
+++ b/internal/rworigin/rworigin.go
@@ -32,7 +32,8 @@
 }
 
 // record is what a table knows about one stream. If begun is not set, an upstream
-// was granted for the stream, but no event of it is known.
+// was granted for the stream, but no event of it is known. The software is then
+// empty if upstreams of several versions were granted.
 type record struct {
 	Origin
 	begun bool
@@ -73,20 +74,28 @@
 }
 
 // AddGrant records where a stream will begin if the grant is used. It doesn't
-// replace the origin of a stream that has begun: a grant may be late.
+// replace the origin of a stream that has begun: a grant may be late. Grants that
+// differ leave the software empty, since any of them may have been used.
 func (t *Table) AddGrant(now time.Time, id string, o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
-	t.observe(now, o)
+	if o.Software != "" {
+		t.observe(now, o)
+	}
 	r, ok := t.find(id)
-	if !ok || !r.begun {
-		r = record{Origin: o}
+	switch {
+	case !ok:
+		r.Origin = o
+	case !r.begun && r.Origin != o:
+		r.Software = ""
 	}
 	t.recent[id] = r
 }
 
-// Find returns the origin of a stream, and whether the stream has begun there.
+// Find returns the origin of a stream, and whether the stream has begun there. The
+// software is empty if the stream was granted at several versions and is not known
+// to have begun.
 func (t *Table) Find(now time.Time, id string) (o Origin, begun, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/rworigin/rworigin_test.go
+++ b/internal/rworigin/rworigin_test.go
@@ -37,8 +37,9 @@
 	require.False(t, ok)
 }
 
-// Guards against a grant that replaces the origin of a stream that has begun, or
-// that keeps a stream from being recorded where it begins after another grant.
+// Guards against a grant that replaces the origin of a stream that has begun or
+// another grant that may have been used, and against grants that keep a stream from
+// being recorded where it begins.
 func TestGrantsYieldToStreams(t *testing.T) {
 	table := New()
 	v1, v2 := Origin{"s", "v1"}, Origin{"s", "v2"}
@@ -52,7 +53,9 @@
 	table.AddGrant(at(0), "a", v1)
 	requireFound(0, v1, false)
 	table.AddGrant(at(1), "a", v2)
-	requireFound(1, v2, false)
+	requireFound(1, Origin{Service: "s"}, false)
+	table.AddGrant(at(1), "a", v2)
+	requireFound(1, Origin{Service: "s"}, false)
 	table.Add(at(2), "a", v1)
 	requireFound(2, v1, true)
 	table.AddGrant(at(originTTL+3), "a", v2)
