--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -204,3 +204,134 @@
 	require.NotNil(t, fault)
 	require.Equal(t, rwcode.NoUpstream, fault.Code)
 }
+
+// Guards against an owner that was paused and grants a request late, which another
+// owner had granted meanwhile: the origin of the stream that began is kept.
+func TestLateGrantKeepsTheOrigin(t *testing.T) {
+	f := newFleet(t, 3, newVersionedSnapshot("v1", "v2"))
+	f.observe([]string{"r0", "r1", "r2"}, "v1", "v2")
+	r := newRequest("x")
+	r.Stream = "s"
+	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+	require.Nil(t, fault)
+	g.FirstEvent()
+	time.Sleep(4 * originFlushInterval)
+	other := map[string]string{"e0": "e1", "e1": "e0"}[g.Instance.ID]
+	for name, n := range f.nodes {
+		if name == g.Owner {
+			continue
+		}
+		late := newRequest("x")
+		late.ID, late.Stream, late.Avoid = "late", "s", []string{g.Instance.ID}
+		d := n.decide(cellKey{Service: "model"}, late, n.id)
+		require.Equal(t, rwplacement.Granted, d.Verdict)
+		require.Equal(t, other, d.Engine)
+		break
+	}
+	time.Sleep(4 * originFlushInterval)
+	for name, n := range f.nodes {
+		o, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), "s")
+		require.Nil(t, fault, name)
+		require.Equal(t, g.Instance.Software, o.Software, name)
+	}
+}
+
+// Guards against a stream at a guessed version when two owners granted it at
+// different ones and nobody knows which of them it began at.
+func TestContradictingGrantsAreRefused(t *testing.T) {
+	f := newFleet(t, 2, newVersionedSnapshot("v1", "v2"))
+	f.observe([]string{"r0", "r1"}, "v1", "v2")
+	for name, engine := range map[string]string{"r0": "e0", "r1": "e1"} {
+		r := newRequest("x")
+		r.ID, r.Stream, r.Avoid = name, "s", []string{engine}
+		require.Equal(t, rwplacement.Granted, f.nodes[name].decide(cellKey{Service: "model"}, r, f.nodes[name].id).Verdict)
+	}
+	for _, wait := range []time.Duration{0, 4 * originFlushInterval} {
+		time.Sleep(wait)
+		for name, n := range f.nodes {
+			_, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), "s")
+			require.NotNil(t, fault, "%s after %s", name, wait)
+			require.Equal(t, rwcode.OriginUnknown, fault.Code)
+		}
+	}
+}
+
+// Guards against a stream whose owner and router know different versions of its
+// engine, which has started again under its id.
+func TestGrantAtAnotherVersionIsGivenUp(t *testing.T) {
+	f := newFleet(t, 2, newVersionedSnapshot("v1"))
+	owner := f.nodes["r0"].owner(cellKey{Service: "model"}).Name
+	router := map[string]string{"r0": "r1", "r1": "r0"}[owner]
+	stale := newVersionedSnapshot("v2")
+	f.nodes[router].Published = func() *rwconfigsnapshot.Snapshot { return stale }
+	_, fault := f.nodes[router].Acquire(t.Context(), "model", newRequest("x"))
+	require.NotNil(t, fault)
+	require.Equal(t, rwcode.UpstreamLeaving, fault.Code)
+}
+
+// Guards against a router's resumption that is sent to the cell of the engine that
+// broke its stream off, although another cell has an engine of its version.
+func TestResumptionLeavesTheCellOfItsFailedEngine(t *testing.T) {
+	software := make([]string, 2*maxSingleCellPool)
+	for i := range software {
+		software[i] = "v2"
+	}
+	n := cellCount(len(software))
+	other := 1
+	for cellIndex("e"+strconv.Itoa(other), n) == cellIndex("e0", n) {
+		other++
+	}
+	software[0], software[other] = "v1", "v1"
+	f := newFleet(t, 2, newVersionedSnapshot(software...))
+	for i := range 10 {
+		r := newRequest("x" + strconv.Itoa(i))
+		r.Parts[0].ID = strconv.Itoa(i)
+		r.Software, r.Resumed, r.Avoid = "v1", true, []string{"e0"}
+		g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+		require.Nil(t, fault)
+		require.Equal(t, "e"+strconv.Itoa(other), g.Instance.ID)
+		g.End(rwplacement.Served)
+	}
+}
+
+// Guards against a stream that can't be resumed because it began while one version
+// served, and its owner and its router ended after another had appeared.
+func TestOriginsAreCopiedWhenAVersionAppears(t *testing.T) {
+	routers := []string{"r0", "r1", "r2", "r3", "r4"}
+	f := newFleet(t, len(routers), newVersionedSnapshot("v1", "v1"))
+	f.observe(routers, "v1")
+	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", rwplacement.Request{
+		Account: "acc", UniqueTokens: 500, ExpectedOutput: 10, Target: 400 * time.Millisecond, Stream: "s",
+	})
+	require.Nil(t, fault)
+	g.FirstEvent()
+	time.Sleep(4 * originFlushInterval)
+	f.observe(routers, "v2")
+	time.Sleep(4 * originFlushInterval)
+	f.mu.Lock()
+	f.live = slices.DeleteFunc(f.live, func(id rwidentity.Identity) bool { return id.Name == g.Owner || id.Name == "r0" })
+	f.mu.Unlock()
+	f.nodes[g.Owner].stop()
+	f.nodes["r0"].stop()
+	time.Sleep(2 * ownerCacheTTL)
+	for _, id := range f.members() {
+		o, fault := f.nodes[id.Name].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+		require.Nil(t, fault, id.Name)
+		require.Equal(t, "v1", o.Software)
+	}
+}
+
+// Guards against a router that knows only shorter timeouts than another one and
+// leaves out a version at which streams of that time may have begun.
+func TestVersionsAreAskedForTheLongerWindow(t *testing.T) {
+	f := newFleet(t, 2, newVersionedSnapshot("v2"))
+	f.mu.Lock()
+	f.windows = map[string]time.Duration{"r1": testStreamWindow / 10}
+	f.mu.Unlock()
+	f.observe([]string{"r0", "r1"}, "v2")
+	f.nodes["r0"].Origins.MarkCurrent(time.Now())
+	f.nodes["r1"].Origins.Observe(time.Now().Add(-testStreamWindow/2), []rwinstance.Instance{{Service: "model", Software: "v1"}})
+	_, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
+	require.NotNil(t, fault)
+	require.Equal(t, rwcode.OriginUnknown, fault.Code)
+}
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -158,6 +159,9 @@
 	// requesters holds the routers that sent the queued requests, by request
 	// id.
 	requesters map[string]rwidentity.Identity
+	// mixed is whether streams of the service began at several versions when
+	// this was last checked.
+	mixed bool
 }
 
 type placeMessage struct {
@@ -169,6 +173,9 @@
 	cellKey
 	ID  string          `json:"id"`
 	End rwplacement.End `json:"end"`
+	// Begun is where the request's stream began; it is set with the first event
+	// of a stream that can be resumed.
+	Begun *originRecord `json:"beg,omitempty"`
 }
 
 // New returns a broker and registers its message handlers.
@@ -188,7 +195,7 @@
 	b.handleOrigins()
 	for method, handle := range reportHandlers {
 		peers.Handle(method, rwpeer.Typed(func(_ context.Context, _ rwidentity.Identity, r progressMessage) (any, error) {
-			b.updateCell(r.cellKey, func(p *rwplacement.Placer) { handle(p, r) })
+			b.applyReport(r, handle)
 			return nil, nil
 		}))
 	}
@@ -229,8 +236,8 @@
 	key    cellKey
 	addr   string
 	// software is the only version of software that may run the request, or
-	// empty.
-	software string
+	// empty; stream is the id by which its stream is resumed, or empty.
+	software, stream string
 }
 
 // Acquire returns a grant for a request, or a fault with the outcome NotRun. If
@@ -274,7 +281,7 @@
 	if fault != nil {
 		return Grant{}, fault
 	}
-	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name, software: m.Request.Software}
+	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name, software: m.Request.Software, stream: m.Request.Stream}
 	if d.Verdict == rwplacement.Queued {
 		if d, fault = b.await(ctx, g, *r, decided); fault != nil {
 			return g, fault
@@ -307,6 +314,12 @@
 		g.End(rwplacement.Abandoned)
 		return Grant{}, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
 	}
+	if d.Software != "" && d.Software != in.Software {
+		// The engine has started again at another version, which only one of the
+		// two snapshots has. The stream would be recorded at the wrong one.
+		g.End(rwplacement.Abandoned)
+		return Grant{}, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
+	}
 	if want := g.software; want != "" && in.Software != want {
 		// The owner runs a release that doesn't know versions of software.
 		g.End(rwplacement.Abandoned)
@@ -439,7 +452,9 @@
 	return false
 }
 
-// cellOf returns the cell of the engine that a request's prompt maps to.
+// cellOf returns the cell of the engine that a request's prompt maps to. A
+// resumption maps only to engines of its version that have not failed it, which few
+// cells may have.
 func (b *Broker) cellOf(service string, r rwplacement.Request) (cellKey, bool) {
 	snapshot := b.Published()
 	engines := len(snapshot.Usable(service))
@@ -454,7 +469,7 @@
 	if r.Software != "" {
 		ids = nil
 		for _, in := range snapshot.Usable(service) {
-			if in.Software == r.Software {
+			if in.Software == r.Software && !slices.Contains(r.Avoid, in.ID) {
 				ids = append(ids, in.ID)
 			}
 		}
@@ -488,7 +503,7 @@
 	}
 	c := b.cell(k)
 	d := c.placer.Submit(time.Now(), r)
-	b.noteOrigin(k, d)
+	b.noteGrant(k, d)
 	if d.Verdict == rwplacement.Queued {
 		c.requesters[r.ID] = from
 		select {
@@ -505,6 +520,16 @@
 	f(b.cell(k).placer)
 }
 
+// applyReport applies a report on a request in a cell of this router.
+func (b *Broker) applyReport(r progressMessage, handle func(*rwplacement.Placer, progressMessage)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	handle(b.cell(r.cellKey).placer, r)
+	if r.Begun != nil {
+		b.noteBegun(r.cellKey, *r.Begun)
+	}
+}
+
 // cell returns the state of a cell, configured for the active snapshot. The
 // caller must hold the lock.
 func (b *Broker) cell(k cellKey) *cell {
@@ -603,7 +628,7 @@
 	for k := range b.cells {
 		c := b.cell(k)
 		for _, d := range c.placer.Tick(now) {
-			b.noteOrigin(k, d)
+			b.noteGrant(k, d)
 			from, ok := c.requesters[d.ID]
 			delete(c.requesters, d.ID)
 			if ok {
@@ -729,10 +754,16 @@
 	if b == nil {
 		return
 	}
-	r := progressMessage{g.key, g.ID, end}
+	r := progressMessage{cellKey: g.key, ID: g.ID, End: end}
+	if method == firstEventReport && g.stream != "" {
+		r.Begun = &originRecord{
+			ID: g.stream, Begun: true,
+			Origin: rworigin.Origin{Service: g.key.Service, Software: g.Instance.Software},
+		}
+	}
 	if g.addr != b.self.Addr {
 		b.peers.Notify(g.addr, method, r)
 		return
 	}
-	b.updateCell(g.key, func(p *rwplacement.Placer) { reportHandlers[method](p, r) })
+	b.applyReport(r, reportHandlers[method])
 }
--- a/internal/rwbroker/rwbroker_test.go
+++ b/internal/rwbroker/rwbroker_test.go
@@ -1,6 +1,7 @@
 package rwbroker
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"strconv"
@@ -44,6 +45,8 @@
 	// readers are the routers that read the store for others.
 	readers []rwidentity.Identity
 	nodes   map[string]*node
+	// windows replaces testStreamWindow for routers by name.
+	windows map[string]time.Duration
 }
 
 func newSnapshot(engines, slots int) *rwconfigsnapshot.Snapshot {
@@ -69,7 +72,7 @@
 		b.Live = f.members
 		b.Reachable = func(string) bool { return true }
 		b.ShareWindow = 2 * time.Second
-		b.StreamWindow = func() time.Duration { return testStreamWindow }
+		b.StreamWindow = func() time.Duration { return f.window(id.Name) }
 		b.Readers = func() []rwidentity.Identity {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -86,6 +89,12 @@
 	return f
 }
 
+func (f *fleet) window(router string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return cmp.Or(f.windows[router], testStreamWindow)
+}
+
 func (f *fleet) members() []rwidentity.Identity {
 	f.mu.Lock()
 	defer f.mu.Unlock()
