Copy the origins of streams to four routers

The origins of the streams were at the owner of the only cell and its two successors, all of them killed.

In a small fleet all streams have one owner, and more than half of the routers may be lost at once, so four successors get copies. TestOriginOutlivesMostRouters fails with two. Ruled out: copies to all routers, whose number grows with the fleet.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -55,9 +55,11 @@
 	slowTick       = 50 * time.Millisecond
 	maxOwnersTried = 6
 	// originFlushInterval is how long an owner collects the origins of streams
-	// before it sends them to originCopies other routers.
+	// before it sends them to originCopies other routers. In a small fleet all
+	// streams have the same owner, and more than half of the routers may be lost
+	// at once.
 	originFlushInterval = 50 * time.Millisecond
-	originCopies        = 2
+	originCopies        = 4
 	// inheritInterval is how often a router that has just started asks others
 	// which versions served before.
 	inheritInterval = time.Second
