--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -106,8 +106,8 @@
 	// set no timeout; streamWindowMargin is added to the longest timeout.
 	maxStreamWindow    = 30 * time.Second
 	streamWindowMargin = 2 * time.Second
-	// maxCutLines is the largest number of log lines about requests that the
-	// end of a drain cuts.
+	// maxCutLines is the largest number of log lines that each of the two
+	// reports of a drain writes about the requests it cuts.
 	maxCutLines = 20
 	// reloadInterval is how often the settings file is read again; it can
 	// change without a signal.
@@ -361,6 +361,10 @@
 // Run serves until a signal asks the process to stop or a part ends by itself.
 // After a signal, it first drains the router.
 func (e *Edge) Run() error {
+	// Until its signals are registered, one ends the process at once.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	debug.SetGCPercent(gcPercent)
 	if m := e.deployment.MemoryBytes; m > 0 {
 		debug.SetMemoryLimit(int64(float64(m) * memoryLimitRatio))
@@ -383,7 +387,7 @@
 	e.registry.Register("metrics", e.metrics, e.serveMetrics)
 	e.registry.Register("upkeep", nil, e.upkeep)
 	e.registry.Register("lag", e.lagMonitor, e.lagMonitor.Run)
-	e.registry.Register("signals", nil, e.waitSignal)
+	e.registry.Register("signals", nil, func(ctx context.Context) error { return e.waitSignal(ctx, signals) })
 	err := e.registry.Run()
 	if err != nil {
 		rwlog.Warn(&e.log, rwlog.ProcessFailed, err).Send()
@@ -602,10 +606,7 @@
 }
 
 // waitSignal drains the router when a signal asks the process to stop.
-func (e *Edge) waitSignal(ctx context.Context) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (e *Edge) waitSignal(ctx context.Context, signals <-chan os.Signal) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -631,20 +632,34 @@
 	return p != nil && !p.Accepts(time.Now(), deadline)
 }
 
-// drain takes the router out of rotation. It serves the requests that the plan
-// of the shutdown accepts, refuses the others, and closes idle connections. It
-// returns soon after the plan's AcceptEnd, once no request is in progress and
-// all connections are closed, but at the latest at the plan's End. New
-// connections are closed unread as soon as no request is in progress, and at the
-// latest at the plan's ListenEnd. Requests that are in progress at its CancelAt
-// are cancelled.
+// drain takes the router out of rotation and ends its work within the grace
+// period.
 func (e *Edge) drain(ctx context.Context) {
 	grace := e.deployment.Grace
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	plan := rwshutdown.New(time.Now(), grace)
+	e.follow(ctx, rwshutdown.New(time.Now(), grace))
+}
+
+// follow drains the router according to a plan. It serves the requests that the
+// plan accepts, refuses the others, and closes idle connections. It returns soon
+// after the plan's AcceptEnd, once no request is in progress and all connections
+// are closed, but at the latest at the plan's End, or at its EndAfter if requests
+// were cancelled late. New connections are closed unread as soon as no request is
+// in progress, and at the latest at the plan's ListenEnd. Requests that are in
+// progress at its CancelAt are cancelled, even if the rest is held up.
+func (e *Edge) follow(ctx context.Context, plan rwshutdown.Plan) {
 	e.shutdown.Store(&plan)
+	// cancel returns when it cancelled the requests in progress and their number.
+	cancel := sync.OnceValues(func() (time.Time, int) {
+		// Cancelled requests end soon, so they are counted before.
+		n := e.reportCut(plan.Start())
+		e.cancelRequests(rwfront.ShuttingDown())
+		return time.Now(), n
+	})
+	timer := time.AfterFunc(time.Until(plan.CancelAt()), func() { cancel() })
+	defer timer.Stop()
 	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
 	e.gossip.Leave(ctx)
 	e.broker.Leave()
@@ -674,11 +689,18 @@
 			stopped = true
 			e.connLimiter.Stop()
 		}
-		if !now.Before(plan.CancelAt()) {
-			e.cancelRequests(rwfront.ShuttingDown())
+		end, cancelled := plan.End(), !now.Before(plan.CancelAt())
+		if cancelled {
+			at, _ := cancel()
+			end = plan.EndAfter(at)
 		}
-		if !now.Before(plan.End()) || (stopped && e.connLimiter.Open() == 0) {
-			cut := e.reportCut(plan.Start())
+		if !now.Before(end) || (stopped && e.connLimiter.Open() == 0) {
+			cut := 0
+			// The timer may have fired since now.
+			if cancelled || !timer.Stop() {
+				_, cut = cancel()
+			}
+			cut += e.reportCut(plan.Start())
 			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Int("cut", cut).
 				Dur("took", now.Sub(plan.Start())).Send()
 			return
@@ -695,11 +717,12 @@
 	return time.Time{}, false
 }
 
-// reportCut returns the number of requests that the end of a drain cuts and adds
-// it to a counter. It logs at most maxCutLines of them, those that arrived last:
-// the drain had the most reason to refuse these.
+// reportCut returns the number of requests in progress that no earlier call
+// counted, and adds it to the counter of requests that a drain cuts. It logs at
+// most maxCutLines of them, those that arrived last: the drain had the most
+// reason to refuse these.
 func (e *Edge) reportCut(stopped time.Time) int {
-	requests, total := e.inFlight.Latest(maxCutLines)
+	requests, total := e.inFlight.LatestUnreported(maxCutLines)
 	e.metrics.Add("drain_cut", int64(total))
 	for _, r := range requests {
 		rwlog.Warn(&e.log, rwlog.RequestCut, rwfault.New(rwcode.Draining, "the drain ended before the response")).
