Add failing tests: requests that arrive while a router is paused

A router that is paused past the time for the first request on a connection closes it without a response, or net/http writes 400 Bad Request without an outcome, although the request had arrived.

--- a/internal/rwconnlimit/rwconnlimit_test.go
+++ b/internal/rwconnlimit/rwconnlimit_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -363,3 +364,122 @@
 	require.ErrorIs(t, err, io.EOF, "closed unread")
 	require.Equal(t, Stats{Idle: 1, Unread: 1, Kept: 1}, l.Stats())
 }
+
+// pauses are functions that a server calls at points where the process may not
+// run for long: before and after each read of a connection, and in the handler
+// before it reads the body.
+type pauses struct{ beforeRead, afterRead, beforeBody func() }
+
+// listen starts a server that waits only for a limited time for a head and for a
+// body, and returns a function that connects a caller.
+func listen(t *testing.T, limit time.Duration, p pauses) func() *caller {
+	l := New()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limit))
+			p.beforeBody()
+			if _, err := io.ReadAll(r.Body); err != nil {
+				w.WriteHeader(http.StatusRequestTimeout)
+				return
+			}
+			if r.Context().Err() != nil {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			_, _ = io.WriteString(w, "served")
+		}),
+		ConnState: l.ConnState, ConnContext: l.ConnContext, ReadHeaderTimeout: limit,
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	go func() { _ = s.Serve(l.Listener(&hookedListener{inner, p.beforeRead, p.afterRead}, 10)) }()
+	return func() *caller {
+		nc, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = nc.Close() })
+		require.NoError(t, nc.SetDeadline(time.Now().Add(2*5*time.Second)))
+		return &caller{t, nc, bufio.NewReader(nc)}
+	}
+}
+
+// Guards against closing a connection without a response because the time for a
+// request passed while the process did not run, although the request had arrived.
+func TestRequestThatArrivesBeforeALateRead(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	const head, body = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n", "body"
+	for name, c := range map[string]struct {
+		parts []string
+		pause func(p *pauses, once func())
+	}{
+		"request":          {[]string{head + body}, func(p *pauses, once func()) { p.beforeRead = once }},
+		"rest of the head": {[]string{head[:10], head[10:] + body}, func(p *pauses, once func()) { p.afterRead = once }},
+		"body":             {[]string{head, body}, func(p *pauses, once func()) { p.beforeBody = once }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := pauses{func() {}, func() {}, func() {}}
+			c.pause(&p, sync.OnceFunc(func() { time.Sleep(2 * limit) }))
+			caller := listen(t, limit, p)()
+			for _, part := range c.parts {
+				_, err := io.WriteString(caller.conn, part)
+				require.NoError(t, err)
+				time.Sleep(limit / 4)
+			}
+			require.Equal(t, "served", caller.receive())
+			caller.send()
+			require.Equal(t, "served", caller.receive(), "the connection can still be used")
+		})
+	}
+}
+
+// Guards against a caller that keeps a connection by sending a request slowly.
+func TestSlowRequestEndsTheConnection(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	for name, pause := range map[string]time.Duration{"stalled": time.Hour, "byte by byte": time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			none := func() {}
+			c := listen(t, limit, pauses{none, none, none})()
+			start := time.Now()
+			go func() {
+				for {
+					if _, err := io.WriteString(c.conn, "P"); err != nil {
+						return
+					}
+					select {
+					case <-time.After(pause):
+					case <-t.Context().Done():
+						return
+					}
+				}
+			}()
+			_, err := io.ReadAll(c.conn)
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+			require.Less(t, time.Since(start), 5*time.Second+10*limit)
+		})
+	}
+}
+
+// Guards against reading on after a read has failed at its deadline: net/http has
+// cancelled the context of the next request then, which would get no response.
+func TestReadsFailAfterTheDeadline(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New().Listener(inner, 10)
+	defer func() { _ = l.Close() }()
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	nc, err := l.Accept()
+	require.NoError(t, err)
+	defer func() { _ = nc.Close() }()
+	require.NoError(t, nc.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+	_, err = nc.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	_, err = io.WriteString(caller, "P")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return hasUnread(nc.(*conn).Conn) }, 5*time.Second, time.Millisecond)
+	_, err = nc.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
--- a/test/rwtruth/rwtruth_test.go
+++ b/test/rwtruth/rwtruth_test.go
@@ -4,8 +4,13 @@
 package rwtruth_test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,6 +55,9 @@
 	slowStep = 20 * step
 	// pauseDuration is longer than the lifetime of a grant.
 	pauseDuration = 1300 * time.Millisecond
+	// firstRequestTimeout is how long a router waits for the first request on a
+	// connection.
+	firstRequestTimeout = 5 * time.Second
 )
 
 // fixture is a fleet and the load of one case at a time.
@@ -337,3 +345,48 @@
 	require.Positive(t, full)
 	r.checkNotRun(t)
 }
+
+// Guards against closing a connection with no response, or with one of net/http
+// that says nothing about the outcome, because the time for the first request
+// passed while the router was paused: the request had arrived before.
+func TestFirstRequestWhileRouterIsPaused(t *testing.T) {
+	t.Parallel()
+	f := rwfleet.New(bin, t.TempDir())
+	t.Cleanup(f.Close)
+	platform, err := f.StartPlatform()
+	require.NoError(t, err)
+	router, err := rwfleet.NewRouter("router", "za")
+	require.NoError(t, err)
+	require.NoError(t, f.StartRouter(router, platform.Addr))
+	require.NoError(t, rwfleet.WaitReady(t.Context(), router.Addr, "/healthz"))
+	conns := make([]net.Conn, 50)
+	for i := range conns {
+		conns[i], err = net.Dial("tcp", router.Addr)
+		require.NoError(t, err)
+		defer func() { _ = conns[i].Close() }()
+	}
+	time.Sleep(firstRequestTimeout - time.Second)
+	router.Signal(syscall.SIGSTOP)
+	for _, nc := range conns {
+		_, err := io.WriteString(nc, "GET /v1/unknown HTTP/1.1\r\nHost: router\r\n\r\n")
+		require.NoError(t, err)
+	}
+	time.Sleep(2 * time.Second)
+	router.Signal(syscall.SIGCONT)
+	results := map[string]int{}
+	for _, nc := range conns {
+		require.NoError(t, nc.SetReadDeadline(time.Now().Add(exitTimeout)))
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil {
+			results["no response"]++
+			continue
+		}
+		body, _ := io.ReadAll(resp.Body)
+		if bytes.Contains(body, []byte(`"outcome":"not_run"`)) {
+			results["refused"]++
+		} else {
+			results[fmt.Sprintf("%s without an outcome", resp.Status)]++
+		}
+	}
+	require.Equal(t, map[string]int{"refused": len(conns)}, results)
+}
