Read on after a deadline if the request has arrived

Callers of a router that was paused got 400 Bad Request of net/http, which says nothing about the outcome, or a closed connection without a response.

Cause: net/http sets the deadline for the first request on a connection when it accepts the connection, and HTTP clients open connections that they don't use at once. When a process goes on after a pause, it finds an expired deadline and the bytes of the request at the same time. rwrouter reads 14 bytes to look for the preface of HTTP/2; the next read fails, and half a request line is parsed. Where the first read fails, the connection is closed. rwfront has the same deadline and only the second form.

A read of rwconnlimit's connections whose deadline has passed now goes on once for each request, for 5 s, if bytes have arrived. Deadlines by which net/http stops its own read stay as they are.

--- a/internal/rwconnlimit/conn.go
+++ b/internal/rwconnlimit/conn.go
@@ -11,10 +11,22 @@
 	"golang.org/x/sys/unix"
 )
 
+// lateReadTimeout is how long reads go on after their deadline has passed although
+// bytes had arrived.
+const lateReadTimeout = 5 * time.Second
+
+// abortDeadline is a read deadline that makes a read fail at once. net/http sets
+// the same one to stop the read that notices the end of a connection.
+var abortDeadline = time.Unix(1, 0)
+
 // conn is a caller's connection. To close it while it is idle, the limiter
 // retires it: its reads fail, and the server closes it, once no bytes are left
 // to read. Closing it directly would lose a request that the process has read
 // and that the server has not reported yet.
+//
+// A read whose deadline has passed goes on once for each request if bytes have
+// arrived: a process that was paused finds both at the same time, and the server
+// would close the connection without a response, or respond to half a head.
 type conn struct {
 	net.Conn
 	// onKept is called when the connection is not closed after all because a
@@ -41,6 +53,9 @@
 	// readDeadline is the read deadline that the server has set. It applies
 	// unless the connection is retired.
 	readDeadline time.Time
+	// deadlinePassed is whether a read deadline has passed since the connection
+	// was accepted or became idle.
+	deadlinePassed bool
 }
 
 // Read implements net.Conn.
@@ -56,6 +71,7 @@
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() && hasUnread(c.Conn):
 			c.arrive()
 			c.onKept()
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.extendDeadline():
 		default:
 			return n, err
 		}
@@ -73,6 +89,24 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// extendDeadline sets a new deadline for a read whose deadline has passed, and
+// reports whether it did. Once a read has failed at its deadline, later ones fail
+// too: net/http has cancelled the context of the next request then.
+func (c *conn) extendDeadline() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired || c.deadlinePassed || c.readDeadline.Equal(abortDeadline) {
+		return false
+	}
+	c.deadlinePassed = true
+	if !hasUnread(c.Conn) {
+		return false
+	}
+	c.readDeadline = time.Now().Add(lateReadTimeout)
+	c.applyReadDeadline()
+	return true
+}
+
 // CloseWrite lets http.Server close a connection without a reset that would
 // discard the response.
 func (c *conn) CloseWrite() error {
@@ -122,7 +156,7 @@
 func (c *conn) becomeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active, c.excess, c.idleSince = false, false, now
+	c.active, c.excess, c.deadlinePassed, c.idleSince = false, false, false, now
 }
 
 // retire makes reads fail once there are no bytes to read, and reports whether
@@ -136,7 +170,7 @@
 	}
 	c.retired, c.excess = true, excess
 	// It fails only if the connection is closed.
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(abortDeadline)
 	return true
 }
 
--- a/internal/rwconnlimit/rwconnlimit_test.go
+++ b/internal/rwconnlimit/rwconnlimit_test.go
@@ -398,7 +398,7 @@
 		nc, err := net.Dial("tcp", inner.Addr().String())
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = nc.Close() })
-		require.NoError(t, nc.SetDeadline(time.Now().Add(2*5*time.Second)))
+		require.NoError(t, nc.SetDeadline(time.Now().Add(2*lateReadTimeout)))
 		return &caller{t, nc, bufio.NewReader(nc)}
 	}
 }
@@ -456,7 +456,7 @@
 			}()
 			_, err := io.ReadAll(c.conn)
 			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
-			require.Less(t, time.Since(start), 5*time.Second+10*limit)
+			require.Less(t, time.Since(start), lateReadTimeout+10*limit)
 		})
 	}
 }
