--- a/test/rwtruth/rwtruth_test.go
+++ b/test/rwtruth/rwtruth_test.go
@@ -382,6 +382,7 @@
 			continue
 		}
 		body, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
 		if bytes.Contains(body, []byte(`"outcome":"not_run"`)) {
 			results["refused"]++
 		} else {
