Give TestFullQueue time to fill the queue

The responses themselves were right.

The load of this test lasts eight seconds; what it checks is the same.

--- a/test/rwtruth/rwtruth_test.go
+++ b/test/rwtruth/rwtruth_test.go
@@ -35,12 +35,14 @@
 	bin  = "../../bin"
 	step = 5 * time.Millisecond
 	// loadDuration is how long the load lasts; the fault comes after a tenth of
-	// it. defaultAnswerTimeout is how much longer callers wait for the last
+	// it. fullQueueLoadDuration is long enough for a busy machine to send all
+	// requests that fill a queue. defaultAnswerTimeout is how much longer callers wait for the last
 	// responses. stallAnswerTimeout is longer than a router waits for the next
 	// chunk of an engine that stalls.
-	loadDuration         = 2 * time.Second
-	defaultAnswerTimeout = 3 * time.Second
-	stallAnswerTimeout   = 13 * time.Second
+	loadDuration          = 2 * time.Second
+	fullQueueLoadDuration = 4 * loadDuration
+	defaultAnswerTimeout  = 3 * time.Second
+	stallAnswerTimeout    = 13 * time.Second
 	// exitTimeout only prevents a router that never exits from blocking the
 	// test.
 	exitTimeout = 30 * time.Second
@@ -120,10 +122,10 @@
 	return out
 }
 
-// load sends requests for loadDuration and waits for their responses. Half of
-// the accounts request streams.
-func (r *fixture) load(name string, flows []rwflow.Flow, pick func(string, ...string) string) {
-	ctx, cancel := context.WithTimeout(r.ctx, loadDuration+r.answerTimeout)
+// load sends requests for a duration and waits for their responses. Half of the
+// accounts request streams.
+func (r *fixture) load(name string, duration time.Duration, flows []rwflow.Flow, pick func(string, ...string) string) {
+	ctx, cancel := context.WithTimeout(r.ctx, duration+r.answerTimeout)
 	defer cancel()
 	caller := rwcaller.New(pick, 0)
 	defer caller.Close()
@@ -136,7 +138,7 @@
 		r.completed = append(r.completed, completedRequest{j, a})
 		return a.Verdict == rwverdict.Complete
 	}
-	w.Run(ctx, loadDuration)
+	w.Run(ctx, duration)
 }
 
 // executions returns the request IDs and keys that were executed.
@@ -161,7 +163,7 @@
 func (r *fixture) run(t *testing.T, name string, fault func()) {
 	r.completed = nil
 	var load sync.WaitGroup
-	load.Go(func() { r.load(name, r.flows(), r.pick) })
+	load.Go(func() { r.load(name, loadDuration, r.flows(), r.pick) })
 	time.Sleep(loadDuration / 10)
 	fault()
 	time.Sleep(loadDuration / 2)
@@ -334,7 +336,7 @@
 		})
 	}
 	one := func(string, ...string) string { return r.testbed.Routers[0].Addr }
-	r.load("full", flows, one)
+	r.load("full", fullQueueLoadDuration, flows, one)
 	r.check(t)
 	full := 0
 	for _, e := range r.completed {
