Show what callers with a slow body get

TestSlowBodyIsRefused fails in its five cases, in each of three runs: a chunked body, and one of which over 256 KB are missing, get 503 "caller_gone" in place of 408, and the other three get no response within the caller's 3 s, with a timeout of 0.2 s for the body. TestCallerLeavesWithinItsBody passes.

BodyTimeout is new so that the test doesn't take 10 s; its default is the value that was fixed before.

--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -36,9 +36,8 @@
 const (
 	// defaultTimeout applies to requests for which the caller sets no timeout;
 	// the route's timeout can only shorten it.
-	defaultTimeout = 30 * time.Second
-	// bodyTimeout bounds the time to read a request body.
-	bodyTimeout = 10 * time.Second
+	defaultTimeout     = 30 * time.Second
+	defaultBodyTimeout = 10 * time.Second
 	// maxResponseBytes bounds the responses that are not streams, which are
 	// buffered in memory until they are complete.
 	maxResponseBytes = 16 << 20
@@ -113,6 +112,8 @@
 	Stopping func() (time.Time, bool)
 	// InFlight holds the requests in progress.
 	InFlight *rwinflight.Table
+	// BodyTimeout bounds the time to read a request body; 0 for the default.
+	BodyTimeout time.Duration
 
 	mu      sync.Mutex
 	pickers map[string]*rwpicker.Picker
@@ -185,7 +186,7 @@
 	if f.Draining(x.Deadline) {
 		return x, ShuttingDown()
 	}
-	if fault := readBody(w, r, x, snapshot.Config.Limits.MaxBodyBytes); fault != nil {
+	if fault := f.readBody(w, r, x, snapshot.Config.Limits.MaxBodyBytes); fault != nil {
 		return x, fault
 	}
 	if f.Draining(x.Deadline) {
@@ -215,12 +216,16 @@
 	return n
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
+func (f *Handler) readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
 	if r.ContentLength == 0 {
 		return nil
 	}
+	timeout := defaultBodyTimeout
+	if f.BodyTimeout > 0 {
+		timeout = f.BodyTimeout
+	}
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = rc.SetReadDeadline(time.Now().Add(timeout))
 	body := r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
