Send callers with a slow body the refusal that is true

Callers whose body wasn't complete after 10 s got no response until the rest of it came, so none at all if it never did, and their connection stayed open. Those of a chunked body, or one of which over 256 KB were missing, got 503 "caller_gone" in place of 408.

The read deadline was cleared after the read had failed, and net/http reads up to 256 KB of the rest of a body before it writes the head of a response without "Connection: close". And net/http cancels the context of a request after each read error, also at a read deadline, which was taken for a caller that has left.

Ruled out: a handler that aborts the connection. Faults up to the end of the body are written by refuse, which doesn't look at the context; fail, which does, isn't reached.

Change: the deadline is recognised before the context is looked at.

A caller that has left is still counted as gone (TestCallerLeavesWithinItsBody).

--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -38,6 +39,10 @@
 	// the route's timeout can only shorten it.
 	defaultTimeout     = 30 * time.Second
 	defaultBodyTimeout = 10 * time.Second
+	// lingerTime is how long a connection is read after the refusal of a request
+	// whose body is not complete: a connection that is closed while its caller
+	// sends is reset, and the caller may lose the response.
+	lingerTime = 500 * time.Millisecond
 	// maxResponseBytes bounds the responses that are not streams, which are
 	// buffered in memory until they are complete.
 	maxResponseBytes = 16 << 20
@@ -231,14 +236,28 @@
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
 	data, err := readAll(body, r.ContentLength)
+	if err != nil {
+		// Otherwise net/http would read the rest of the body before it sends the
+		// response, and without a deadline would wait for it forever.
+		w.Header().Set("Connection", "close")
+		_ = rc.SetReadDeadline(time.Now().Add(lingerTime))
+		return bodyFault(r, err)
+	}
 	_ = rc.SetReadDeadline(time.Time{})
+	x.Request.Body = data
+	return nil
+}
+
+// bodyFault returns the fault for an error of reading a body.
+func bodyFault(r *http.Request, err error) *rwfault.Fault {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case err == nil:
-		x.Request.Body = data
-		return nil
 	case errors.As(err, &tooLarge):
 		return rwfault.Wrap(rwcode.BodyTooLarge, err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// net/http cancels the context of the request after each read error, so
+		// that alone doesn't mean that the caller has left.
+		return rwfault.Wrap(rwcode.SlowBody, err)
 	case r.Context().Err() != nil:
 		return rwfault.Wrap(rwcode.CallerGone, err)
 	default:
