--- a/internal/rwedge/cancel_test.go
+++ b/internal/rwedge/cancel_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwconfigsnapshot"
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwshutdown"
@@ -121,3 +122,44 @@
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF, "the drain didn't cut the stream")
 	require.Equal(t, "1", e.metrics.Counters.Get("drain_cut").String())
 }
+
+// Guards against a caller that gets no response because its body is still being
+// read at the end of a drain, and against a drain that a body which never arrives
+// holds up.
+func TestDrainRespondsToUnfinishedBodies(t *testing.T) {
+	const head = "POST /x HTTP/1.1\r\nHost: h\r\nX-Id: r\r\n"
+	for name, request := range map[string]string{
+		"no body":  head + "Content-Length: 4\r\n\r\n",
+		"part":     head + "Content-Length: 4\r\n\r\nbo",
+		"large":    head + "Content-Length: 1000000\r\n\r\nbo",
+		"chunked":  head + "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n",
+		"continue": head + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e, l := drainedEdge(t)
+			e.deployment.Grace = shortGrace
+			c := connect(t, l)
+			_, err := io.WriteString(c.conn, request)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return e.activeRequests.Load() == 1 }, time.Second, time.Millisecond)
+			took := drainAndExit(t, e)
+			plan := rwshutdown.New(time.Time{}, shortGrace)
+			require.GreaterOrEqual(t, took, plan.CancelAt().Sub(plan.Start()))
+			require.Less(t, took, shortGrace)
+			resp, err := http.ReadResponse(c.responses, nil)
+			if err == nil && resp.StatusCode == http.StatusContinue {
+				resp, err = http.ReadResponse(c.responses, nil)
+			}
+			require.NoError(t, err, "no response")
+			_, err = io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			require.NotEmpty(t, resp.Header.Get("Retry-After"))
+			require.True(t, resp.Close)
+			require.Equal(t, "1", e.metrics.Refusals.Get(rwcode.Draining.String()).String())
+			require.Equal(t, "1", e.metrics.Counters.Get("drain_cut").String())
+		})
+	}
+}
