Refuse requests whose body is unfinished at the end of a drain

Callers of a stopping router whose body was still being read when the process ended got no response, although 503 would be true: no upstream has such a request.

Cause: the drain cancels the contexts of all requests, but a read of a body doesn't look at its context. It ended with the process, or after 10 s.

Ruled out: a longer drain, or one that waits for bodies. The cancellation comes 0.2 s before the end as for all requests, which was enough once the read was ended.

Change: a request that the router itself has cancelled gets a read deadline in the past, and its body then fails with the fault of the cancellation: 503 with the retry delay and "Connection: close". Event 407 and drain_cut are as before, and event 400 follows.

The drain still ends within its grace period.

Tests: TestDrainLogsWhatItCuts has a caller whose body never arrives and required four lines. It requires now the line of the refusal too, as the fourth of five.

--- a/internal/rwedge/drainlog_test.go
+++ b/internal/rwedge/drainlog_test.go
@@ -30,7 +30,7 @@
 	Level, Code, ID, Route string
 	Upstream               *string
 	After, Took, Stopping  float64
-	Active, Cut            int
+	Active, Cut, Status    int
 }
 
 // logLines returns the lines that the router has queued.
@@ -48,7 +48,7 @@
 }
 
 // Guards against a log of a drain that doesn't tell when new requests were first
-// refused and which request the end of the drain cut.
+// refused, which request the end of the drain cut and what its caller got.
 func TestDrainLogsWhatItCuts(t *testing.T) {
 	var out bytes.Buffer
 	e := New(Config{
@@ -72,8 +72,8 @@
 
 	e.drain(t.Context())
 	lines := logLines(t, e, &out)
-	require.Len(t, lines, 4)
-	refusing, cut, finished := lines[1], lines[2], lines[3]
+	require.Len(t, lines, 5)
+	refusing, cut, refused, finished := lines[1], lines[2], lines[3], lines[4]
 	require.Equal(t, rwlog.StopRequested, lines[0].Event)
 
 	require.Equal(t, rwlog.DrainRefusing, refusing.Event)
@@ -91,6 +91,11 @@
 	require.GreaterOrEqual(t, cutAfter, float64(plan.CancelAt().Sub(plan.Start()).Milliseconds()))
 	require.Less(t, cutAfter, finished.Took)
 
+	require.Equal(t, rwlog.RequestRefused, refused.Event)
+	require.Equal(t, "draining r1", refused.Code+" "+refused.ID)
+	require.Equal(t, http.StatusServiceUnavailable, refused.Status)
+	require.GreaterOrEqual(t, refused.Took, cut.Took)
+
 	require.Equal(t, rwlog.DrainFinished, finished.Event)
 	require.Equal(t, 1, finished.Cut)
 	require.Equal(t, "1", e.metrics.Counters.Get("drain_cut").String())
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -235,6 +235,14 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	// A drain that cancels the request also ends the read, which doesn't look at
+	// the context. After other cancellations, the read fails by itself.
+	stop := context.AfterFunc(r.Context(), func() {
+		if cancelled(r.Context()) != nil {
+			_ = rc.SetReadDeadline(time.Now())
+		}
+	})
+	defer stop()
 	data, err := readAll(body, r.ContentLength)
 	if err != nil {
 		// Otherwise net/http would read the rest of the body before it sends the
@@ -255,6 +263,9 @@
 	case errors.As(err, &tooLarge):
 		return rwfault.Wrap(rwcode.BodyTooLarge, err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		if fault := cancelled(r.Context()); fault != nil {
+			return fault
+		}
 		// net/http cancels the context of the request after each read error, so
 		// that alone doesn't mean that the caller has left.
 		return rwfault.Wrap(rwcode.SlowBody, err)
@@ -265,6 +276,15 @@
 	}
 }
 
+// cancelled returns the fault with which the router itself cancelled the context of
+// a request, or nil.
+func cancelled(ctx context.Context) *rwfault.Fault {
+	if fault := rwfault.FromContext(ctx); fault != nil && fault.Code != rwcode.CallerGone {
+		return fault
+	}
+	return nil
+}
+
 func readAll(r io.Reader, size int64) ([]byte, error) {
 	const maxPreallocBytes = 1 << 20
 	if size < 0 || size > maxPreallocBytes {
