--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -36,9 +37,12 @@
 const (
 	// defaultTimeout applies to requests for which the caller sets no timeout;
 	// the route's timeout can only shorten it.
-	defaultTimeout = 30 * time.Second
-	// bodyTimeout bounds the time to read a request body.
-	bodyTimeout = 10 * time.Second
+	defaultTimeout     = 30 * time.Second
+	defaultBodyTimeout = 10 * time.Second
+	// lingerTime is how long a connection is read after the refusal of a request
+	// whose body is not complete: a connection that is closed while its caller
+	// sends is reset, and the caller may lose the response.
+	lingerTime = 500 * time.Millisecond
 	// maxResponseBytes bounds the responses that are not streams, which are
 	// buffered in memory until they are complete.
 	maxResponseBytes = 16 << 20
@@ -113,6 +117,8 @@
 	Stopping func() (time.Time, bool)
 	// InFlight holds the requests in progress.
 	InFlight *rwinflight.Table
+	// BodyTimeout bounds the time to read a request body; 0 for the default.
+	BodyTimeout time.Duration
 
 	mu      sync.Mutex
 	pickers map[string]*rwpicker.Picker
@@ -185,7 +191,7 @@
 	if f.Draining(x.Deadline) {
 		return x, ShuttingDown()
 	}
-	if fault := readBody(w, r, x, snapshot.Config.Limits.MaxBodyBytes); fault != nil {
+	if fault := f.readBody(w, r, x, snapshot.Config.Limits.MaxBodyBytes); fault != nil {
 		return x, fault
 	}
 	if f.Draining(x.Deadline) {
@@ -215,25 +221,54 @@
 	return n
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
+func (f *Handler) readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
 	if r.ContentLength == 0 {
 		return nil
 	}
+	timeout := defaultBodyTimeout
+	if f.BodyTimeout > 0 {
+		timeout = f.BodyTimeout
+	}
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = rc.SetReadDeadline(time.Now().Add(timeout))
 	body := r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	// A drain that cancels the request also ends the read, which doesn't look at
+	// the context. After other cancellations, the read fails by itself.
+	stop := context.AfterFunc(r.Context(), func() {
+		if cancelled(r.Context()) != nil {
+			_ = rc.SetReadDeadline(time.Now())
+		}
+	})
+	defer stop()
 	data, err := readAll(body, r.ContentLength)
+	if err != nil {
+		// Otherwise net/http would read the rest of the body before it sends the
+		// response, and without a deadline would wait for it forever.
+		w.Header().Set("Connection", "close")
+		_ = rc.SetReadDeadline(time.Now().Add(lingerTime))
+		return bodyFault(r, err)
+	}
 	_ = rc.SetReadDeadline(time.Time{})
+	x.Request.Body = data
+	return nil
+}
+
+// bodyFault returns the fault for an error of reading a body.
+func bodyFault(r *http.Request, err error) *rwfault.Fault {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case err == nil:
-		x.Request.Body = data
-		return nil
 	case errors.As(err, &tooLarge):
 		return rwfault.Wrap(rwcode.BodyTooLarge, err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		if fault := cancelled(r.Context()); fault != nil {
+			return fault
+		}
+		// net/http cancels the context of the request after each read error, so
+		// that alone doesn't mean that the caller has left.
+		return rwfault.Wrap(rwcode.SlowBody, err)
 	case r.Context().Err() != nil:
 		return rwfault.Wrap(rwcode.CallerGone, err)
 	default:
@@ -241,6 +276,15 @@
 	}
 }
 
+// cancelled returns the fault with which the router itself cancelled the context of
+// a request, or nil.
+func cancelled(ctx context.Context) *rwfault.Fault {
+	if fault := rwfault.FromContext(ctx); fault != nil && fault.Code != rwcode.CallerGone {
+		return fault
+	}
+	return nil
+}
+
 func readAll(r io.Reader, size int64) ([]byte, error) {
 	const maxPreallocBytes = 1 << 20
 	if size < 0 || size > maxPreallocBytes {
