Let a drain end the read of a body at once

A drain ends the read of a body that is not complete by a deadline that has passed already. If bytes arrived at that moment, the read would go on for 5 s as after a pause, longer than the drain lasts, and the caller would get no response. A deadline that had passed when it was set now always ends the read; before, only the one that net/http uses for that did.

--- a/internal/rwconnlimit/conn.go
+++ b/internal/rwconnlimit/conn.go
@@ -15,10 +15,6 @@
 // bytes had arrived.
 const lateReadTimeout = 5 * time.Second
 
-// abortDeadline is a read deadline that makes a read fail at once. net/http sets
-// the same one to stop the read that notices the end of a connection.
-var abortDeadline = time.Unix(1, 0)
-
 // conn is a caller's connection. To close it while it is idle, the limiter
 // retires it: its reads fail, and the server closes it, once no bytes are left
 // to read. Closing it directly would lose a request that the process has read
@@ -53,8 +49,11 @@
 	// readDeadline is the read deadline that the server has set. It applies
 	// unless the connection is retired.
 	readDeadline time.Time
-	// deadlinePassed is whether a read deadline has passed since the connection
-	// was accepted or became idle.
+	// aborting is whether the read deadline had passed when the server set it, to
+	// end a read at once.
+	aborting bool
+	// deadlinePassed is whether another read deadline has passed since the
+	// connection was accepted or became idle.
 	deadlinePassed bool
 }
 
@@ -82,7 +81,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readDeadline = t
+	c.readDeadline, c.aborting = t, !t.IsZero() && !t.After(time.Now())
 	if c.retired {
 		return nil
 	}
@@ -95,7 +94,7 @@
 func (c *conn) extendDeadline() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired || c.deadlinePassed || c.readDeadline.Equal(abortDeadline) {
+	if c.retired || c.aborting || c.deadlinePassed {
 		return false
 	}
 	c.deadlinePassed = true
@@ -170,7 +169,7 @@
 	}
 	c.retired, c.excess = true, excess
 	// It fails only if the connection is closed.
-	_ = c.Conn.SetReadDeadline(abortDeadline)
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	return true
 }
 
--- a/internal/rwconnlimit/rwconnlimit_test.go
+++ b/internal/rwconnlimit/rwconnlimit_test.go
@@ -461,25 +461,44 @@
 	}
 }
 
-// Guards against reading on after a read has failed at its deadline: net/http has
-// cancelled the context of the next request then, which would get no response.
-func TestReadsFailAfterTheDeadline(t *testing.T) {
+// accept returns an accepted connection and a function that sends a byte on it and
+// returns once the byte has arrived.
+func accept(t *testing.T) (net.Conn, func()) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	l := New().Listener(inner, 10)
-	defer func() { _ = l.Close() }()
+	t.Cleanup(func() { _ = l.Close() })
 	caller, err := net.Dial("tcp", inner.Addr().String())
 	require.NoError(t, err)
-	defer func() { _ = caller.Close() }()
+	t.Cleanup(func() { _ = caller.Close() })
 	nc, err := l.Accept()
 	require.NoError(t, err)
-	defer func() { _ = nc.Close() }()
+	t.Cleanup(func() { _ = nc.Close() })
+	return nc, func() {
+		_, err := io.WriteString(caller, "P")
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return hasUnread(nc.(*conn).Conn) }, 5*time.Second, time.Millisecond)
+	}
+}
+
+// Guards against reading on after a read has failed at its deadline: net/http has
+// cancelled the context of the next request then, which would get no response.
+func TestReadsFailAfterTheDeadline(t *testing.T) {
+	nc, sendByte := accept(t)
 	require.NoError(t, nc.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
-	_, err = nc.Read(make([]byte, 1))
+	_, err := nc.Read(make([]byte, 1))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
-	_, err = io.WriteString(caller, "P")
-	require.NoError(t, err)
-	require.Eventually(t, func() bool { return hasUnread(nc.(*conn).Conn) }, 5*time.Second, time.Millisecond)
+	sendByte()
 	_, err = nc.Read(make([]byte, 1))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against reading on although the server has ended the read, as a drain
+// does with a body that is not complete.
+func TestAbortedReadFails(t *testing.T) {
+	nc, sendByte := accept(t)
+	sendByte()
+	require.NoError(t, nc.SetReadDeadline(time.Now()))
+	_, err := nc.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
