Register signals before the services of rwrouter start

Cause: the service "signals" registered SIGTERM and SIGINT itself, in the last goroutine of the run group, beside the one that accepts callers. Until then their default action ends the process.

Change: Run registers the signals first. It stops last, so a second signal after the drain no longer kills the process either (read, not tested).

--- a/internal/rwnode/drain.go
+++ b/internal/rwnode/drain.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"redwingworks.example/internal/rwlog"
@@ -15,12 +13,9 @@
 // shorter.
 const drainLimit = 5 * time.Minute
 
-// waitSignal returns after the process was asked to stop and the requests in
+// waitSignal returns after a signal asked the process to stop and the requests in
 // progress have ended or drainLimit has passed. Its return stops all services.
-func (n *Node) waitSignal(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
+func (n *Node) waitSignal(ctx context.Context, signals <-chan os.Signal) error {
 	select {
 	case <-signals:
 	case <-ctx.Done():
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -8,9 +8,12 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"os"
+	"os/signal"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -223,6 +226,10 @@
 // Run runs the router until a service fails, or until a signal asks the process
 // to stop and the requests in progress have ended or drainLimit has passed.
 func (n *Node) Run() error {
+	// Until its signals are registered, one ends the process at once.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
 	n.metrics.Publish()
 	rwlog.Info(&n.log, rwlog.Started).Int64("inc", n.self.Inc).Send()
 	n.services.Register("peers", n.peers, n.servePeers)
@@ -234,7 +241,7 @@
 	n.services.Register("home", n.executor, n.executor.Start)
 	n.services.Register("gate", n.gate, n.serveCallers)
 	n.services.Register("ops", nil, n.serveOps)
-	n.services.Register("signals", nil, n.waitSignal)
+	n.services.Register("signals", nil, func(ctx context.Context) error { return n.waitSignal(ctx, signals) })
 	err := n.services.Run()
 	rwlog.Info(&n.log, rwlog.Stopped).Send()
 	return err
--- a/test/rwfleet/rwfleet.go
+++ b/test/rwfleet/rwfleet.go
@@ -132,6 +132,9 @@
 	}
 }
 
+// ExitState returns how the process ended. It must be called after Wait or Kill.
+func (p *Proc) ExitState() *os.ProcessState { return p.cmd.ProcessState }
+
 // CPU returns the CPU time that the process has used.
 func (p *Proc) CPU() (time.Duration, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
