Refuse streams that may have begun after their engine's restart

Cause: routers learn an upstream's version from the store only. The stream was recorded at the former version, the record named no upstream, and later news of the restart changed nothing about it.

Ruled out: taking the version from responses, which name neither version nor start of their engine; comparing the start in the store's entry with the time of a record, since clocks may be seconds apart and may jump while streams last seconds; grants at different versions, which are given up already (TestGrantAtAnotherVersionIsGivenUp).

Change: an origin names the id and the start of its upstream, in records and messages. A table remembers for 60 s which incarnations the store has shown, at most 8 of an upstream, and judges origins when they are asked for, so that late ones are judged too. An origin is uncertain if the upstream had another version after the recorded incarnation, or if that is not known here and the version differs from the latest. The router that answers and the one that asks both judge; an uncertain stream is refused with origin_unknown and counted in origins_uncertain. Routers of the release before refuse such answers as well, and their records, without an upstream, are taken as before. A router's own resumption is checked after an engine was acquired. A restart with the same version refuses nothing. New requests pay one more lookup in a map for a grant and one for a first event.

What remains unknown: a stream that is taken up before the news, a version that came and went between two states of the store, and records of older routers. All records of the former incarnation are refused, also those from long before the restart.

TestRouterResumesAtTheOrigin now also requires the upstream that is recorded and has a case for an uncertain origin.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -40,10 +40,13 @@
 
 type originAnswer struct {
 	// Found is whether the router knows the stream, and Begun whether it knows
-	// that the stream has begun there.
-	Found  bool            `json:"ok,omitempty"`
-	Begun  bool            `json:"beg,omitempty"`
-	Origin rworigin.Origin `json:"at"`
+	// that the stream has begun there. Uncertain is whether the stream has begun
+	// and its version is uncertain; Begun is then not set, so that routers of
+	// older releases refuse the resumption as well.
+	Found     bool            `json:"ok,omitempty"`
+	Begun     bool            `json:"beg,omitempty"`
+	Uncertain bool            `json:"unc,omitempty"`
+	Origin    rworigin.Origin `json:"at"`
 	// Seen holds the versions of the service that the router saw lately; Whole
 	// is whether it saw them for as long as streams last, and Current whether
 	// it did so up to now.
@@ -77,6 +80,16 @@
 	if a.Origin, a.Begun, a.Found = b.Origins.Find(now, q.ID); !a.Found {
 		a.Seen, a.Whole, a.Current = b.Origins.Seen(now, q.Service, max(q.Window, b.StreamWindow()))
 	}
+	return b.checked(a)
+}
+
+// checked returns an answer without its version if that is uncertain by what this
+// router knows of restarts.
+func (b *Broker) checked(a originAnswer) originAnswer {
+	if a.Found && b.Origins.Uncertain(a.Origin) {
+		a.Uncertain = a.Uncertain || a.Begun
+		a.Begun, a.Origin = false, rworigin.Origin{Service: a.Origin.Service}
+	}
 	return a
 }
 
@@ -87,7 +100,11 @@
 		return
 	}
 	now := time.Now()
-	r := originRecord{ID: d.Stream, Origin: rworigin.Origin{Service: k.Service, Software: d.Software}}
+	// The decision was made with this snapshot.
+	in, _ := b.cells[k].snapshot.Known(d.Engine)
+	r := originRecord{ID: d.Stream, Origin: rworigin.Origin{
+		Service: k.Service, Software: d.Software, Upstream: d.Engine, StartMillis: in.StartMillis,
+	}}
 	b.Origins.AddGrant(now, r.ID, r.Origin)
 	b.queueOrigin(now, k, r)
 }
@@ -192,13 +209,17 @@
 // FindOrigin returns where a stream began that a caller resumes. It asks this
 // router's table, then the owner of the request's cell, those who would own it
 // next and the readers of the zone, then all routers, until the answers tell the
-// origin as described at originOf. Otherwise it fails with OriginUnknown.
+// origin as described at originOf. Otherwise it fails with OriginUnknown, at once if
+// an answer says that the origin is uncertain.
 func (b *Broker) FindOrigin(ctx context.Context, service string, r rwplacement.Request, id string) (rworigin.Origin, *rwfault.Fault) {
 	q := originQuery{ID: id, Service: service, Window: b.StreamWindow()}
 	here := b.originHere(q)
 	if here.Begun {
 		return here.Origin, nil
 	}
+	if here.Uncertain {
+		return b.originUncertain(id)
+	}
 	b.metrics.Add("origins_asked", 1)
 	asked := map[string]bool{b.self.Name: true}
 	answers := []originAnswer{here}
@@ -209,6 +230,9 @@
 	if o, ok := originOf(service, answers, b.FleetSize()); ok {
 		return o, nil
 	}
+	if isUncertain(answers) {
+		return b.originUncertain(id)
+	}
 	if b.beginSearch() {
 		answers = append(answers, b.askOrigin(ctx, q, b.Live(), asked)...)
 		b.endSearch()
@@ -219,12 +243,24 @@
 	if o, ok := originOf(service, answers, b.FleetSize()); ok {
 		return o, nil
 	}
+	if isUncertain(answers) {
+		return b.originUncertain(id)
+	}
 	return rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, id).WithRetryAfter(originRetryAfter)
 }
 
+func (b *Broker) originUncertain(id string) (rworigin.Origin, *rwfault.Fault) {
+	b.metrics.Add("origins_uncertain", 1)
+	return rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, id).WithRetryAfter(originRetryAfter)
+}
+
+func isUncertain(answers []originAnswer) bool {
+	return slices.ContainsFunc(answers, func(a originAnswer) bool { return a.Uncertain })
+}
+
 // askOrigin asks those of the routers that are not in asked, to which it adds
-// them. It returns their answers, without those that come after the first from a
-// router that knows that the stream has begun.
+// them. It returns their answers as this router judges them, without those that come
+// after the first from a router that knows that the stream has begun.
 func (b *Broker) askOrigin(ctx context.Context, q originQuery, routers []rwidentity.Identity, asked map[string]bool) []originAnswer {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
@@ -253,8 +289,9 @@
 		if a == nil {
 			continue
 		}
-		answers = append(answers, *a)
-		if a.Begun {
+		judged := b.checked(*a)
+		answers = append(answers, judged)
+		if judged.Begun || judged.Uncertain {
 			break
 		}
 	}
@@ -262,10 +299,14 @@
 }
 
 // originOf returns the origin of a stream of a service that answers tell. It is
-// where a router knows that the stream has begun. If none does, it is where the
-// stream was granted, unless it was granted at different versions. If no router
-// knows the stream, it is the only version that the service had.
+// where a router knows that the stream has begun, unless an answer says that the
+// version is uncertain. If no router knows that, it is where the stream was granted,
+// unless it was granted at different versions. If no router knows the stream, it is
+// the only version that the service had.
 func originOf(service string, answers []originAnswer, fleetSize int) (rworigin.Origin, bool) {
+	if isUncertain(answers) {
+		return rworigin.Origin{}, false
+	}
 	var granted *rworigin.Origin
 	agreed := true
 	for _, a := range answers {
@@ -275,7 +316,7 @@
 		case a.Found && granted == nil:
 			granted = &a.Origin
 		case a.Found:
-			agreed = agreed && a.Origin == *granted
+			agreed = agreed && a.Origin.SameSoftware(*granted)
 		}
 	}
 	if granted != nil {
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -758,10 +758,10 @@
 	}
 	r := progressMessage{cellKey: g.key, ID: g.ID, End: end}
 	if method == firstEventReport && g.stream != "" {
-		r.Begun = &originRecord{
-			ID: g.stream, Begun: true,
-			Origin: rworigin.Origin{Service: g.key.Service, Software: g.Instance.Software},
-		}
+		in := g.Instance
+		r.Begun = &originRecord{ID: g.stream, Begun: true, Origin: rworigin.Origin{
+			Service: g.key.Service, Software: in.Software, Upstream: in.ID, StartMillis: in.StartMillis,
+		}}
 	}
 	if g.addr != b.self.Addr {
 		b.peers.Notify(g.addr, method, r)
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -261,7 +261,8 @@
 	e.broker.StreamWindow, e.broker.Readers = e.streamWindow, e.syncer.Readers
 	e.broker.FleetSize = func() int { return int(e.maxRouters.Load()) }
 	front := &rwfront.Handler{
-		Dialect: e.config.Dialect, Published: e.published.Load, Acquire: e.broker.Acquire, FindOrigin: e.broker.FindOrigin, Begun: e.streamBegun, Pool: e.pool,
+		Dialect: e.config.Dialect, Published: e.published.Load, Acquire: e.broker.Acquire, FindOrigin: e.broker.FindOrigin, Begun: e.streamBegun,
+		OriginUncertain: e.originUncertain, Pool: e.pool,
 		RouterCount: func() int { return int(e.maxRouters.Load()) },
 		NewBudget: func() *rwretrywindow.Budget {
 			return rwretrywindow.New(e.deployment.RetryRatio, e.deployment.RetryExtra, e.deployment.RetryWindow)
@@ -303,6 +304,12 @@
 // streamBegun records where a stream began whose first event is forwarded.
 func (e *Edge) streamBegun(id string, o rworigin.Origin) { e.broker.Origins.Add(time.Now(), id, o) }
 
+// originUncertain reports whether this router recorded a stream at a version that
+// has become uncertain.
+func (e *Edge) originUncertain(id string) bool {
+	return e.broker.Origins.UncertainStream(time.Now(), id)
+}
+
 // streamWindow returns how long streams last at most, with a reserve for the time
 // until this router knows the upstreams that other routers use. It never shrinks:
 // callers go on with streams that began before their timeout was shortened.
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -180,7 +180,9 @@
 			dest.firstEvent()
 			reported = true
 			x.Software = dest.software
-			f.Begun(x.StreamID(), rworigin.Origin{Service: x.Service, Software: x.Software})
+			f.Begun(x.StreamID(), rworigin.Origin{
+				Service: x.Service, Software: x.Software, Upstream: dest.id, StartMillis: dest.startMillis,
+			})
 		}
 		if e.ID >= 0 && e.ID <= x.LastEventID {
 			continue
--- a/internal/rwfront/resume_test.go
+++ b/internal/rwfront/resume_test.go
@@ -87,14 +87,19 @@
 
 // Guards against a stream that begins unrecorded, or that is recorded under the
 // id of a later attempt, and against a router's own resumption at another version
-// while the one that began the stream serves or after it has left.
+// while the one that began the stream serves, after it has left, or once its
+// upstream is known to have started again with another version.
 func TestRouterResumesAtTheOrigin(t *testing.T) {
 	for name, c := range map[string]struct {
-		software map[string]string
-		complete bool
+		software  map[string]string
+		uncertain bool
+		complete  bool
+		// recorded is the upstream at which the stream was recorded last.
+		recorded string
 	}{
-		"serves":   {map[string]string{"m": "v1", "n": "v1"}, true},
-		"has left": {map[string]string{"m": "v1", "n": "v2"}, false},
+		"serves":    {map[string]string{"m": "v1", "n": "v1"}, false, true, "n"},
+		"has left":  {map[string]string{"m": "v1", "n": "v2"}, false, false, "m"},
+		"uncertain": {map[string]string{"m": "v1", "n": "v1"}, true, false, "m"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := serve(t, map[string]http.HandlerFunc{"m": events(1, 2, false), "n": events(3, 5, true)})
@@ -106,6 +111,10 @@
 				defer mu.Unlock()
 				begun[id] = o
 			}
+			f.front.OriginUncertain = func(id string) bool {
+				require.Equal(t, "r1", id)
+				return c.uncertain
+			}
 			_, _, _, err := f.send(t, "/stream/x")
 			require.Equal(t, c.complete, err == nil)
 			if !c.complete {
@@ -113,7 +122,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			require.Equal(t, map[string]rworigin.Origin{"r1": {Service: "model", Software: "v1"}}, begun)
+			require.Equal(t, map[string]rworigin.Origin{"r1": {Service: "model", Software: "v1", Upstream: c.recorded}}, begun)
 		})
 	}
 }
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -53,7 +53,8 @@
 	drainRetryAfter       = 50 * time.Millisecond
 	overloadRetryAfter    = 200 * time.Millisecond
 	// softwareRetryAfter is the retry delay given to callers whose stream's
-	// version doesn't serve; an upstream that crashed may come back with it.
+	// version doesn't serve or has become uncertain; an upstream that crashed may
+	// come back with it.
 	softwareRetryAfter = time.Second
 	// retryAfterJitter is the largest fraction by which a retry delay is
 	// lengthened, so that callers refused together don't retry together.
@@ -74,7 +75,10 @@
 	// FindOrigin fails with OriginUnknown.
 	FindOrigin func(ctx context.Context, service string, r rwplacement.Request, id string) (rworigin.Origin, *rwfault.Fault)
 	Begun      func(id string, o rworigin.Origin)
-	Pool       *rwconn.Pool
+	// OriginUncertain reports whether the stream with an id may have begun at
+	// another version than Begun recorded, which the store's news can show later.
+	OriginUncertain func(id string) bool
+	Pool            *rwconn.Pool
 	// RouterCount is the number of routers that share the fleet's retry budget.
 	RouterCount func() int
 	// NewBudget returns a new retry budget for a service.
@@ -316,6 +320,10 @@
 			dest.end(rwplacement.Abandoned)
 			return rwfault.New(rwcode.CallerGone, "caller closed the connection before the request was forwarded")
 		}
+		if x.Software != "" && f.OriginUncertain(x.StreamID()) {
+			dest.end(rwplacement.Abandoned)
+			return moreCertain(last, rwfault.New(rwcode.OriginUnknown, x.StreamID()).WithRetryAfter(softwareRetryAfter))
+		}
 		if x.Sent > 0 && !f.allowRetry(x, last) {
 			dest.end(rwplacement.Abandoned)
 			return last
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -132,7 +132,7 @@
 	pool := rwconn.New(dialect().Inspect)
 	f.front = &Handler{
 		Dialect: dialect(), Published: func() *rwconfigsnapshot.Snapshot { return snapshot }, Pool: pool,
-		Begun: func(string, rworigin.Origin) {},
+		Begun: func(string, rworigin.Origin) {}, OriginUncertain: func(string) bool { return false },
 		FindOrigin: func(_ context.Context, service string, _ rwplacement.Request, _ string) (rworigin.Origin, *rwfault.Fault) {
 			return rworigin.Origin{Service: service}, nil
 		},
--- a/internal/rworigin/rworigin.go
+++ b/internal/rworigin/rworigin.go
@@ -6,6 +6,7 @@
 package rworigin
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,19 +17,34 @@
 	// originTTL is how long the origin of a stream is kept. It exceeds the time
 	// that callers may wait for a stream.
 	originTTL = 30 * time.Second
-	// maxOrigins bounds the origins in each half of a table, at about 200 bytes
+	// maxOrigins bounds the origins in each half of a table, at about 240 bytes
 	// each.
 	maxOrigins = 20_000
 	// currentTime is how long a table counts as current after it was; readers
 	// of the store list it every 700 ms.
 	currentTime = 1500 * time.Millisecond
+	// restartTTL is how long a restart of an upstream is remembered, which is as
+	// long as origins are kept; maxRestarts bounds those of one upstream.
+	restartTTL  = 2 * originTTL
+	maxRestarts = 8
 )
 
 // Origin is where a stream began.
 type Origin struct {
 	Service string `json:"svc"`
-	// Software is the version of the software of the service's upstreams.
+	// Software is the version of the software of the upstream.
 	Software string `json:"sw"`
+	// Upstream and StartMillis are the incarnation of the upstream as the
+	// recording router knew it. Upstream is empty if that router runs an older
+	// release or if the origin is not that of one upstream.
+	Upstream    string `json:"up,omitempty"`
+	StartMillis int64  `json:"born,omitempty"`
+}
+
+// SameSoftware reports whether a stream that began at one of the origins may go on
+// at the other.
+func (o Origin) SameSoftware(other Origin) bool {
+	return o.Service == other.Service && o.Software == other.Software
 }
 
 // record is what a table knows about one stream. If begun is not set, an upstream
@@ -39,6 +55,14 @@
 	begun bool
 }
 
+// incarnation is an upstream between two restarts, as the store showed it.
+type incarnation struct {
+	software    string
+	startMillis int64
+	// lastAt is when it was last known to be the current one.
+	lastAt time.Time
+}
+
 // Table holds the origins of streams by the id of the attempt that brought their
 // first event, and the versions that upstreams ran lately. It is safe for
 // concurrent use.
@@ -54,6 +78,10 @@
 	watchedSince map[string]time.Time
 	// currentAt is when the table was last known to have all upstreams.
 	currentAt time.Time
+	// incarnations holds the latest incarnations of each upstream by its id,
+	// oldest first; prunedAt is when old ones were last dropped.
+	incarnations map[string][]incarnation
+	prunedAt     time.Time
 }
 
 // New returns an empty table.
@@ -61,6 +89,7 @@
 	return &Table{
 		recent: map[string]record{}, older: map[string]record{},
 		seen: map[string]map[string]time.Time{}, watchedSince: map[string]time.Time{},
+		incarnations: map[string][]incarnation{},
 	}
 }
 
@@ -69,13 +98,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
+	if r, ok := t.find(id); ok && r.begun && o.Upstream == "" && r.SameSoftware(o) {
+		// A router of an older release returns what it was told without the
+		// upstream.
+		o = r.Origin
+	}
 	t.recent[id] = record{o, true}
 	t.observe(now, o)
 }
 
 // AddGrant records where a stream will begin if the grant is used. It doesn't
-// replace the origin of a stream that has begun: a grant may be late. Grants that
-// differ leave the software empty, since any of them may have been used.
+// replace the origin of a stream that has begun: a grant may be late. Grants at
+// different versions leave the software empty, since any of them may have been
+// used. Of grants at one version the last one counts, since the upstreams before it
+// were given up.
 func (t *Table) AddGrant(now time.Time, id string, o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -87,8 +123,13 @@
 	switch {
 	case !ok:
 		r.Origin = o
-	case !r.begun && r.Origin != o:
-		r.Software = ""
+	case r.begun:
+	case r.SameSoftware(o):
+		if o.Upstream != "" {
+			r.Origin = o
+		}
+	default:
+		r.Origin = Origin{Service: r.Service}
 	}
 	t.recent[id] = r
 }
@@ -126,8 +167,84 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, in := range instances {
-		t.observe(now, Origin{in.Service, in.Software})
+		t.observe(now, Origin{Service: in.Service, Software: in.Software})
+		t.observeIncarnation(now, in)
 	}
+	if now.Sub(t.prunedAt) > originTTL {
+		t.prunedAt = now
+		t.pruneIncarnations(now)
+	}
+}
+
+// observeIncarnation records a restart of an upstream if there was one. The caller
+// learns of restarts in the order of the store's revisions.
+func (t *Table) observeIncarnation(now time.Time, in rwinstance.Instance) {
+	if in.ID == "" {
+		return
+	}
+	list := t.incarnations[in.ID]
+	if n := len(list); n > 0 {
+		list[n-1].lastAt = now
+		if list[n-1].is(in.Software, in.StartMillis) {
+			return
+		}
+		if n == maxRestarts {
+			list = slices.Delete(list, 0, 1)
+		}
+	}
+	t.incarnations[in.ID] = append(list, incarnation{in.Software, in.StartMillis, now})
+}
+
+func (in incarnation) is(software string, startMillis int64) bool {
+	return in.software == software && in.startMillis == startMillis
+}
+
+func (t *Table) pruneIncarnations(now time.Time) {
+	for id, list := range t.incarnations {
+		list = slices.DeleteFunc(list, func(in incarnation) bool { return now.Sub(in.lastAt) > restartTTL })
+		if len(list) == 0 {
+			delete(t.incarnations, id)
+		} else {
+			t.incarnations[id] = list
+		}
+	}
+}
+
+// Uncertain reports whether a stream that was recorded at an origin may have begun
+// at another version, because the upstream has started again with one: routers
+// learn of that only from the store, so until then they record streams at the
+// former version. A restart with the same version makes nothing uncertain.
+//
+// All records of the former incarnation are uncertain, not only those from around
+// the restart. The clocks of servers and routers may be seconds apart and may jump,
+// and streams last seconds, so comparing the start with the time of a record would
+// clear few. A record of an incarnation that is not known here is uncertain too if
+// its software differs: this router may have started after the restart, or may lack
+// later news, for which the caller is asked to wait.
+//
+// What happens before the news remains unknown: a stream that is taken up then, and
+// a version that came and went between two states of the store.
+func (t *Table) Uncertain(o Origin) bool {
+	if o.Upstream == "" {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, in := range slices.Backward(t.incarnations[o.Upstream]) {
+		if in.is(o.Software, o.StartMillis) {
+			return false
+		}
+		if in.software != o.Software {
+			return true
+		}
+	}
+	return false
+}
+
+// UncertainStream reports whether the origin of a stream is recorded and uncertain.
+func (t *Table) UncertainStream(now time.Time, id string) bool {
+	o, begun, ok := t.Find(now, id)
+	return ok && begun && t.Uncertain(o)
 }
 
 func (t *Table) observe(now time.Time, o Origin) {
@@ -180,7 +297,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range software {
-		t.observe(now, Origin{service, s})
+		t.observe(now, Origin{Service: service, Software: s})
 	}
 	if since := now.Add(-window); t.watchedSince[service].After(since) {
 		t.watchedSince[service] = since
--- a/internal/rworigin/rworigin_test.go
+++ b/internal/rworigin/rworigin_test.go
@@ -18,7 +18,7 @@
 // up, and against a table that grows for ever.
 func TestOriginsAreKept(t *testing.T) {
 	table := New()
-	v1, v2 := Origin{"s", "v1"}, Origin{"s", "v2"}
+	v1, v2 := Origin{Service: "s", Software: "v1"}, Origin{Service: "s", Software: "v2"}
 	table.Add(at(0), "a", v1)
 	table.Add(at(originTTL/2), "b", v2)
 	for _, d := range []time.Duration{originTTL / 2, originTTL, originTTL + time.Second} {
@@ -42,7 +42,7 @@
 // being recorded where it begins.
 func TestGrantsYieldToStreams(t *testing.T) {
 	table := New()
-	v1, v2 := Origin{"s", "v1"}, Origin{"s", "v2"}
+	v1, v2 := Origin{Service: "s", Software: "v1"}, Origin{Service: "s", Software: "v2"}
 	requireFound := func(d time.Duration, want Origin, wantBegun bool) {
 		t.Helper()
 		got, begun, ok := table.Find(at(d), "a")
@@ -69,7 +69,7 @@
 	table := New()
 	const streams = 3 * maxOrigins
 	for i := range streams {
-		table.Add(at(time.Duration(i)), fmt.Sprint(i), Origin{"s", "v1"})
+		table.Add(at(time.Duration(i)), fmt.Sprint(i), Origin{Service: "s", Software: "v1"})
 	}
 	require.LessOrEqual(t, len(table.recent)+len(table.older), 2*maxOrigins)
 	_, _, ok := table.Find(at(streams), fmt.Sprint(streams-maxOrigins))
@@ -122,3 +122,97 @@
 		require.Equal(t, want, current, age)
 	}
 }
+
+// upstream returns the instance u of service s.
+func upstream(software string, startMillis int64) rwinstance.Instance {
+	return rwinstance.Instance{ID: "u", Service: "s", Software: software, StartMillis: startMillis}
+}
+
+func originAt(in rwinstance.Instance) Origin {
+	return Origin{Service: in.Service, Software: in.Software, Upstream: in.ID, StartMillis: in.StartMillis}
+}
+
+// Guards against streams that go on at the version that their upstream had before it
+// started again, at which they may not have begun; and against refusals of streams
+// whose upstream came back with its version, or that began after the news of it.
+func TestUncertain(t *testing.T) {
+	type state = rwinstance.Instance
+	for name, c := range map[string]struct {
+		seen   []state
+		origin state
+		want   bool
+	}{
+		"no restart":                    {[]state{upstream("v1", 1)}, upstream("v1", 1), false},
+		"upstream is not known":         {nil, upstream("v1", 1), false},
+		"another version":               {[]state{upstream("v1", 1), upstream("v2", 2)}, upstream("v1", 1), true},
+		"began after the news":          {[]state{upstream("v1", 1), upstream("v2", 2)}, upstream("v2", 2), false},
+		"same version":                  {[]state{upstream("v1", 1), upstream("v1", 2)}, upstream("v1", 1), false},
+		"same version twice":            {[]state{upstream("v1", 1), upstream("v1", 2), upstream("v1", 3)}, upstream("v1", 2), false},
+		"other version between":         {[]state{upstream("v1", 1), upstream("v2", 2), upstream("v1", 3)}, upstream("v1", 1), true},
+		"began after the way back":      {[]state{upstream("v1", 1), upstream("v2", 2), upstream("v1", 3)}, upstream("v1", 3), false},
+		"restart after the way back":    {[]state{upstream("v1", 1), upstream("v2", 2), upstream("v2", 3)}, upstream("v2", 2), false},
+		"clock of the server went back": {[]state{upstream("v1", 9), upstream("v2", 2)}, upstream("v1", 9), true},
+		"no start is stated":            {[]state{upstream("v1", 0), upstream("v2", 0)}, upstream("v1", 0), true},
+		"no start, began after":         {[]state{upstream("v1", 0), upstream("v2", 0)}, upstream("v2", 0), false},
+		"version without a new start":   {[]state{upstream("v1", 1), upstream("v2", 1)}, upstream("v1", 1), true},
+		"router started after it":       {[]state{upstream("v2", 2)}, upstream("v1", 1), true},
+		"started after, same version":   {[]state{upstream("v1", 2)}, upstream("v1", 1), false},
+		"router lacks the news":         {[]state{upstream("v1", 1)}, upstream("v2", 2), true},
+		"older router, no upstream":     {[]state{upstream("v1", 1), upstream("v2", 2)}, state{Service: "s", Software: "v1"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New()
+			for i, in := range c.seen {
+				table.Observe(at(time.Duration(i)), []rwinstance.Instance{in, in})
+			}
+			// An origin from another router may arrive after the news.
+			table.Add(at(time.Second), "a", originAt(c.origin))
+			require.Equal(t, c.want, table.UncertainStream(at(time.Second), "a"))
+			require.False(t, table.UncertainStream(at(time.Second), "b"))
+		})
+	}
+}
+
+// Guards against a restart that is forgotten while origins of the incarnation before
+// are kept, and against upstreams that are kept for ever.
+func TestRestartsAreKept(t *testing.T) {
+	table := New()
+	v1, v2 := upstream("v1", 1), upstream("v2", 2)
+	table.Observe(at(0), []rwinstance.Instance{v1})
+	table.Observe(at(time.Hour), []rwinstance.Instance{v2})
+	// The upstream is removed, but others are seen.
+	for d := time.Duration(0); d <= restartTTL; d += time.Second {
+		table.Observe(at(time.Hour+d), []rwinstance.Instance{{ID: "other", Service: "s", Software: "v1"}})
+		require.True(t, table.Uncertain(originAt(v1)), d)
+	}
+	table.Observe(at(time.Hour+2*restartTTL+time.Second), nil)
+	require.Empty(t, table.incarnations)
+	for i := range 5 * maxRestarts {
+		table.Observe(at(2*time.Hour), []rwinstance.Instance{upstream("v1", int64(i))})
+	}
+	require.Len(t, table.incarnations["u"], maxRestarts)
+}
+
+// Guards against a record that loses its upstream to a message of an older release,
+// which names none, and against grants of two upstreams at one version that count as
+// grants at two.
+func TestUpstreamOfARecord(t *testing.T) {
+	table := New()
+	first, second, unnamed := originAt(upstream("v1", 1)), originAt(upstream("v1", 2)), Origin{Service: "s", Software: "v1"}
+	requireFound := func(want Origin) {
+		t.Helper()
+		got, _, ok := table.Find(at(0), "a")
+		require.True(t, ok)
+		require.Equal(t, want, got)
+	}
+	table.AddGrant(at(0), "a", first)
+	table.AddGrant(at(0), "a", second)
+	requireFound(second)
+	table.AddGrant(at(0), "a", unnamed)
+	requireFound(second)
+	table.Add(at(0), "a", first)
+	table.Add(at(0), "a", unnamed)
+	requireFound(first)
+	table.Add(at(0), "a", Origin{Service: "s", Software: "v2"})
+	requireFound(Origin{Service: "s", Software: "v2"})
+}
