Add a failing test: refused requests whose body never arrives

A request that is refused before its body is read (401, 404, 503) has no read deadline: net/http reads the rest of the body, without a bound, before it sends the response, or after that if the response closes the connection. Such a connection is not idle, so no limit ever closes it.

--- a/internal/rwfront/body_test.go
+++ b/internal/rwfront/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -105,3 +106,31 @@
 	require.Equal(t, "0", f.refusals(rwcode.SlowBody))
 	require.Zero(t, f.runs())
 }
+
+// Guards against a caller that holds a connection without bound, and gets no
+// response, because its request is refused before its body, which never arrives,
+// is read.
+func TestRefusedRequestWithUnfinishedBodyEndsTheConnection(t *testing.T) {
+	const head = "POST /unknown HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Key: key\r\n"
+	for name, request := range map[string]string{
+		"part":    head + "Content-Length: 4\r\n\r\nbo",
+		"chunked": head + "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n",
+	} {
+		for _, closing := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/closing=%t", name, closing), func(t *testing.T) {
+				t.Parallel()
+				f := serveBodies(t)
+				f.front.CloseRefused = func() bool { return closing }
+				responses := bufio.NewReader(f.connect(t, request))
+				resp, err := http.ReadResponse(responses, nil)
+				require.NoError(t, err, "no response")
+				_, err = io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.Equal(t, http.StatusNotFound, resp.StatusCode)
+				_, err = responses.ReadByte()
+				require.ErrorIs(t, err, io.EOF, "the connection is still open")
+			})
+		}
+	}
+}
