--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -144,6 +144,7 @@
 	if f.CloseConnections() {
 		w.Header().Set("Connection", "close")
 	}
+	f.limitBodyTime(w, r)
 	x, fault := f.admit(w, r, start, inFlight)
 	if fault != nil {
 		f.refuse(w, x, fault)
@@ -221,16 +222,26 @@
 	return n
 }
 
-func (f *Handler) readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
+// limitBodyTime sets the read deadline for the body of a request. It also bounds
+// how long net/http reads the rest of a body that a refused request has. net/http
+// resets it at the end of the body.
+func (f *Handler) limitBodyTime(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength == 0 {
-		return nil
+		// net/http already reads on to detect that the caller leaves.
+		return
 	}
 	timeout := defaultBodyTimeout
 	if f.BodyTimeout > 0 {
 		timeout = f.BodyTimeout
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
+}
+
+func (f *Handler) readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
+	if r.ContentLength == 0 {
+		return nil
+	}
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(timeout))
 	body := r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
