Test extended read deadlines for each request and beside the limiter

Three mutations of the connection survived all tests of the package: no reset of deadlinePassed when a connection becomes idle, an extension of an hour, and an extension that is not stored, so that a connection which is retired and kept gets the old deadline again. Each now fails one of the two tests.

--- a/internal/rwconnlimit/rwconnlimit_test.go
+++ b/internal/rwconnlimit/rwconnlimit_test.go
@@ -502,3 +502,39 @@
 	_, err := nc.Read(make([]byte, 1))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against a connection that survives only the first pause of the process.
+func TestEachRequestMayArriveBeforeALateRead(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+	none := func() {}
+	caller := listen(t, limit, pauses{none, none, func() { time.Sleep(2 * limit) }})()
+	for range 3 {
+		_, err := io.WriteString(caller.conn, head)
+		require.NoError(t, err)
+		time.Sleep(limit / 4)
+		_, err = io.WriteString(caller.conn, "body")
+		require.NoError(t, err)
+		require.Equal(t, "served", caller.receive())
+	}
+}
+
+// Guards against a read that goes on without bound after its deadline, and against
+// a late request that is lost because the limiter closes idle connections before it
+// is read.
+func TestExtendedDeadline(t *testing.T) {
+	nc, sendByte := accept(t)
+	c := nc.(*conn)
+	c.onKept = func() {}
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+	sendByte()
+	time.Sleep(40 * time.Millisecond)
+	require.True(t, c.extendDeadline())
+	require.True(t, c.retire(false))
+	_, err := c.Read(make([]byte, 1))
+	require.NoError(t, err)
+	start := time.Now()
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.InDelta(t, lateReadTimeout, time.Since(start), float64(time.Second))
+}
