Add a failing test: bodies that never arrive of requests rwrouter refuses

A request that is refused before its body is read has no read deadline. Under synctest's clock, the caller of an unknown path had no response after a minute, and that of a draining router had one but its connection stayed open: a read from a caller that stays connected never ends, and a shutdown waits for it until its limit.

--- a/internal/rwgate/rwgate_test.go
+++ b/internal/rwgate/rwgate_test.go
@@ -351,6 +351,36 @@
 	})
 }
 
+// Guards against a caller that holds a connection, and a shutdown that waits for
+// it, without bound, because its request is refused before its body, which never
+// arrives, is read.
+func TestRefusedRequestWithUnfinishedBodyEndsTheConnection(t *testing.T) {
+	for name, draining := range map[string]bool{"unknown path": false, "draining": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.Draining = func() bool { return draining }
+				h.start()
+				defer func() { _ = h.server.Close() }()
+				conn, err := h.dial(t.Context(), "", "")
+				require.NoError(t, err)
+				defer func() { _ = conn.Close() }()
+				require.NoError(t, conn.SetDeadline(time.Now().Add(time.Minute)))
+				_, err = io.WriteString(conn, "POST /unknown HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+				require.NoError(t, err)
+				responses := bufio.NewReader(conn)
+				resp, err := http.ReadResponse(responses, nil)
+				require.NoError(t, err, "no response")
+				_, err = io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				_, err = responses.ReadByte()
+				require.ErrorIs(t, err, io.EOF, "the connection is still open")
+			})
+		})
+	}
+}
+
 // Guards against an error response that is lost because the connection is reset
 // while the caller still sends a body that is too large.
 func TestLargeBodyGetsErrorResponse(t *testing.T) {
