--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -234,6 +234,12 @@
 // the response.
 func (g *Gate) handler(serve func(http.ResponseWriter, *http.Request) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && r.ContentLength != 0 {
+			// net/http reads the rest of the body of a request that is refused
+			// before readBody, which would otherwise take as long as the caller
+			// likes.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.BodyTimeout))
+		}
 		err := g.admit(r)
 		if err == nil {
 			defer g.requests.Release(1)
