Let tests of peer links run in virtual time

They can't run in a bubble of testing/synctest: a goroutine that waits for a socket keeps virtual time from advancing, and each link of rwpeer had a goroutine that never ended.

Change: rwmemnetwork connects listeners and dialers in memory. rwpeer and rwconfsync have a Dial field, which New sets to the dialer they had. The goroutine that sends the notifications of a link ends when its queue is empty and starts with the next one.

Ruled out: ending these goroutines when Serve ends. A stopping router still sends notifications then.

--- a/internal/rwconfsync/rwconfsync.go
+++ b/internal/rwconfsync/rwconfsync.go
@@ -79,6 +79,9 @@
 	// OnChange is called with each new snapshot, in order. It must be set
 	// before Run, may be nil and must not call MarkUpstreamLeaving.
 	OnChange func(*rwsnapshot.Snapshot)
+	// Dial opens a connection to the platform. It must be set before Run; New
+	// sets it to the DialContext of a net.Dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	self     rwidentity.Identity
 	peers    *rwpeer.Peers
@@ -117,6 +120,7 @@
 // with a trailing slash.
 func New(peers *rwpeer.Peers, gossip *rwgossip.Gossip, platform string, seeds []string, log zerolog.Logger, metrics *rwmetric.Metrics) *Syncer {
 	f := &Syncer{
+		Dial:    (&net.Dialer{Timeout: watchSlack}).DialContext,
 		self:    peers.Self(),
 		peers:   peers,
 		gossip:  gossip,
@@ -138,11 +142,10 @@
 
 // client returns an HTTP client for the platform that counts the sent bytes.
 func (f *Syncer) client() *http.Client {
-	dialer := net.Dialer{Timeout: watchSlack}
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: readersPerZone,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
+			conn, err := f.Dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -72,6 +72,9 @@
 	// SkipCompression reports whether to send messages uncompressed. It may be
 	// nil and must be set before Serve.
 	SkipCompression func() bool
+	// Dial opens a connection to a peer. It must be set before Serve and before
+	// the first Call; New sets it to the DialContext of a net.Dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	self     rwidentity.Identity
 	key      []byte
@@ -94,6 +97,11 @@
 	data  bool
 	queue chan notification
 
+	queueMu sync.Mutex
+	// sending reports whether a goroutine runs that sends the queued
+	// notifications. It ends when the queue is empty.
+	sending bool
+
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
 	// peerInc is the incarnation at the other end of conn.
@@ -124,6 +132,7 @@
 // authenticates both ends in any case.
 func New(self rwidentity.Identity, key string, tlsConfig *tls.Config, log zerolog.Logger, metrics *rwmetric.Metrics) *Peers {
 	return &Peers{
+		Dial:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		self:     self,
 		key:      []byte(key),
 		tls:      tlsConfig,
@@ -166,10 +175,7 @@
 // peer or beyond notifyQueueSize waiting ones are dropped and counted, so
 // senders have to resend important ones.
 func (p *Peers) Notify(addr, method string, params any) {
-	l := p.linkTo(false, addr)
-	select {
-	case l.queue <- notification{method, params}:
-	default:
+	if !p.linkTo(false, addr).enqueue(notification{method, params}) {
 		p.metrics.Add("peer_messages_dropped", 1)
 	}
 }
@@ -212,13 +218,33 @@
 	if l == nil {
 		l = &link{peers: p, addr: addr, data: data, queue: make(chan notification, notifyQueueSize)}
 		set[addr] = l
-		go l.run()
 	}
 	return l
 }
 
+// enqueue queues a notification and reports false if the queue is full.
+func (l *link) enqueue(n notification) bool {
+	l.queueMu.Lock()
+	defer l.queueMu.Unlock()
+	select {
+	case l.queue <- n:
+	default:
+		return false
+	}
+	if !l.sending {
+		l.sending = true
+		go l.run()
+	}
+	return true
+}
+
+// run sends the queued notifications.
 func (l *link) run() {
-	for n := range l.queue {
+	for {
+		n, ok := l.next()
+		if !ok {
+			return
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), helloTimeout+dialTimeout)
 		conn, err := l.open(ctx)
 		if err == nil {
@@ -233,6 +259,20 @@
 	}
 }
 
+// next takes the next notification from the queue. It reports false if there is
+// none; run has to return then.
+func (l *link) next() (notification, bool) {
+	l.queueMu.Lock()
+	defer l.queueMu.Unlock()
+	select {
+	case n := <-l.queue:
+		return n, true
+	default:
+		l.sending = false
+		return notification{}, false
+	}
+}
+
 func (l *link) call(ctx context.Context, method string, params, result any) error {
 	conn, err := l.open(ctx)
 	if err != nil {
@@ -314,8 +354,7 @@
 // dial opens a connection and returns it with the peer's incarnation.
 func (l *link) dial(ctx context.Context) (*jsonrpc2.Conn, int64, error) {
 	p := l.peers
-	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", l.addr)
+	raw, err := p.Dial(ctx, "tcp", l.addr)
 	if err != nil {
 		return nil, 0, rwfault.Wrap(rwcode.PeerUnreachable, err)
 	}
--- a/internal/rwpeer/rwpeer_test.go
+++ b/internal/rwpeer/rwpeer_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,6 +18,7 @@
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwmemnetwork"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rwpeer"
 )
@@ -228,3 +231,38 @@
 	}
 	require.Equal(t, []int{4}, got)
 }
+
+// Guards against notifications that arrive in another order, and against
+// goroutines that a stopped router leaves behind: the bubble ends with the last.
+func TestNotificationsArriveInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var network rwmemnetwork.Network
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		start := func(name string) *rwpeer.Peers {
+			l, err := network.Listen(name)
+			require.NoError(t, err)
+			p := rwpeer.New(rwidentity.Identity{Name: name, Inc: 7}, key, nil, zerolog.Nop(), rwmetric.New())
+			p.Dial = network.Dial
+			go func() { _ = p.Serve(ctx, l) }()
+			return p
+		}
+		const sender, receiver = "127.0.0.1:1", "127.0.0.1:2"
+		from, to := start(sender), start(receiver)
+		var got []string
+		to.Handle("note", func(_ context.Context, _ rwidentity.Identity, params json.RawMessage) (any, error) {
+			got = append(got, string(params))
+			return nil, nil
+		})
+		var want []string
+		for i := range 100 {
+			want = append(want, strconv.Itoa(i))
+			from.Notify(receiver, "note", i)
+			if i%10 == 0 {
+				synctest.Wait()
+			}
+		}
+		synctest.Wait()
+		require.Equal(t, want, got)
+	})
+}
