Close a peer connection that is accepted while the router stops

Cause: Serve returned without closing a connection that Accept handed out once its context had ended. The peer waited for the answer to its hello until the handshake timed out (1 s), so a request with a shorter target was refused as late where the next owner could have decided at once.

Ruled out: the owner's links, which are closed at its stop; the fault was there with the listener alone (TestConnectionAcceptedAtTheEndIsClosed: the read timed out before, gets the end of the stream after).

How often it happens on real sockets was not measured.

--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -434,6 +434,9 @@
 	for {
 		conn, err := l.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
 			return nil
 		}
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/rwpeer/rwpeer_test.go
+++ b/internal/rwpeer/rwpeer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -266,3 +267,40 @@
 		require.Equal(t, want, got)
 	})
 }
+
+// lateListener accepts its connection when it is closed.
+type lateListener struct {
+	net.Listener
+	conn   net.Conn
+	closed chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	return l.conn, nil
+}
+
+// Close implements net.Listener.
+func (l *lateListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Guards against a connection that a stopping router accepts and then leaves open:
+// its peer waits for an answer until the handshake times out.
+func TestConnectionAcceptedAtTheEndIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		ctx, cancel := context.WithCancel(t.Context())
+		p := rwpeer.New(rwidentity.Identity{Name: "a"}, key, nil, zerolog.Nop(), rwmetric.New())
+		require.NoError(t, near.SetDeadline(time.Now().Add(time.Second)))
+		served := make(chan error, 1)
+		go func() { served <- p.Serve(ctx, &lateListener{conn: far, closed: make(chan struct{})}) }()
+		synctest.Wait()
+		cancel()
+		require.NoError(t, <-served)
+		_, err := near.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+	})
+}
