Run the tests of rwbroker in virtual time

Change: the routers are connected by rwmemnetwork, and each test runs in a bubble of testing/synctest. A fleet waits at its end for its routers.

--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -84,62 +85,66 @@
 // Guards against an origin that only the router or the owner of a stream knows:
 // its caller takes it up anywhere, also after both have ended.
 func TestOriginOutlivesItsOwner(t *testing.T) {
-	f := newFleet(t, 5, newVersionedSnapshot("v1", "v2", "v2"))
-	f.observe([]string{"r0", "r1", "r2", "r3", "r4"}, "v1", "v2")
-	owner := f.nodes["r0"].owner(cellKey{Service: "model"})
-	want := map[string]string{}
-	for i := range 3 {
-		id := "s" + strconv.Itoa(i)
-		want[id] = f.grantStream(t, owner, id)
-	}
-	for id, software := range want {
-		for _, n := range f.nodes {
-			n.requireFound(t, id, software)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5, newVersionedSnapshot("v1", "v2", "v2"))
+		f.observe([]string{"r0", "r1", "r2", "r3", "r4"}, "v1", "v2")
+		owner := f.nodes["r0"].owner(cellKey{Service: "model"})
+		want := map[string]string{}
+		for i := range 3 {
+			id := "s" + strconv.Itoa(i)
+			want[id] = f.grantStream(t, owner, id)
 		}
-	}
-	// The owner ends once it has copied the origins.
-	var left []rwidentity.Identity
-	for name, n := range f.nodes {
-		if name != owner.Name && name != "r0" {
-			left = append(left, n.id)
+		for id, software := range want {
+			for _, n := range f.nodes {
+				n.requireFound(t, id, software)
+			}
 		}
-	}
-	require.Eventually(t, func() bool {
-		for id := range want {
-			if !slices.ContainsFunc(left, func(i rwidentity.Identity) bool {
-				_, _, ok := f.nodes[i.Name].Origins.Find(time.Now(), id)
-				return ok
-			}) {
-				return false
+		// The owner ends once it has copied the origins.
+		var left []rwidentity.Identity
+		for name, n := range f.nodes {
+			if name != owner.Name && name != "r0" {
+				left = append(left, n.id)
 			}
 		}
-		return true
-	}, askAgainTime, originFlushInterval)
-	f.mu.Lock()
-	f.live = left
-	f.mu.Unlock()
-	f.nodes[owner.Name].stop()
-	time.Sleep(2 * ownerCacheTTL)
-	for id, software := range want {
-		for _, n := range left {
-			f.nodes[n.Name].requireFound(t, id, software)
+		require.Eventually(t, func() bool {
+			for id := range want {
+				if !slices.ContainsFunc(left, func(i rwidentity.Identity) bool {
+					_, _, ok := f.nodes[i.Name].Origins.Find(time.Now(), id)
+					return ok
+				}) {
+					return false
+				}
+			}
+			return true
+		}, askAgainTime, originFlushInterval)
+		f.mu.Lock()
+		f.live = left
+		f.mu.Unlock()
+		f.nodes[owner.Name].stop()
+		time.Sleep(2 * ownerCacheTTL)
+		for id, software := range want {
+			for _, n := range left {
+				f.nodes[n.Name].requireFound(t, id, software)
+			}
 		}
-	}
+	})
 }
 
 // Guards against origins that are lost when all routers but one are killed at
 // once.
 func TestOriginOutlivesMostRouters(t *testing.T) {
-	f := newFleet(t, 5, newVersionedSnapshot("v1", "v2"))
-	for name := range f.nodes {
-		f.observe([]string{name}, "v1", "v2")
-	}
-	software := f.grantStream(t, f.nodes["r0"].owner(cellKey{Service: "model"}), "s")
-	time.Sleep(4 * originFlushInterval)
-	for _, n := range f.nodes {
-		f.setLive(n.id)
-		n.requireFound(t, "s", software)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5, newVersionedSnapshot("v1", "v2"))
+		for name := range f.nodes {
+			f.observe([]string{name}, "v1", "v2")
+		}
+		software := f.grantStream(t, f.nodes["r0"].owner(cellKey{Service: "model"}), "s")
+		time.Sleep(4 * originFlushInterval)
+		for _, n := range f.nodes {
+			f.setLive(n.id)
+			n.requireFound(t, "s", software)
+		}
+	})
 }
 
 // Guards against a stream that goes on at a guessed version: while several serve,
@@ -163,33 +168,35 @@
 		"started while all others": {nil, true, 3, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t, 3, newVersionedSnapshot("v1"))
-			if c.young {
-				for _, n := range f.nodes {
-					for _, s := range c.seen {
-						n.Origins.Observe(time.Now(), []rwinstance.Instance{{Service: "model", Software: s}})
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3, newVersionedSnapshot("v1"))
+				if c.young {
+					for _, n := range f.nodes {
+						for _, s := range c.seen {
+							n.Origins.Observe(time.Now(), []rwinstance.Instance{{Service: "model", Software: s}})
+						}
 					}
+				} else {
+					f.observe([]string{"r0", "r1", "r2"}, c.seen...)
 				}
-			} else {
-				f.observe([]string{"r0", "r1", "r2"}, c.seen...)
-			}
-			if c.current {
-				f.nodes["r0"].Origins.MarkCurrent(time.Now())
-			}
-			f.mu.Lock()
-			f.live = f.live[:c.live]
-			f.mu.Unlock()
-			start := time.Now()
-			o, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
-			require.Less(t, time.Since(start), time.Second)
-			if c.wantFault {
-				require.NotNil(t, fault)
-				require.Equal(t, rwcode.OriginUnknown, fault.Code)
-				require.Positive(t, fault.RetryAfter)
-				return
-			}
-			require.Nil(t, fault)
-			require.Equal(t, rworigin.Origin{Service: "model", Software: "v1"}, o)
+				if c.current {
+					f.nodes["r0"].Origins.MarkCurrent(time.Now())
+				}
+				f.mu.Lock()
+				f.live = f.live[:c.live]
+				f.mu.Unlock()
+				start := time.Now()
+				o, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
+				require.Less(t, time.Since(start), time.Second)
+				if c.wantFault {
+					require.NotNil(t, fault)
+					require.Equal(t, rwcode.OriginUnknown, fault.Code)
+					require.Positive(t, fault.RetryAfter)
+					return
+				}
+				require.Nil(t, fault)
+				require.Equal(t, rworigin.Origin{Service: "model", Software: "v1"}, o)
+			})
 		})
 	}
 }
@@ -198,196 +205,214 @@
 // searches are in progress, although the readers of the zone know that only one
 // version served.
 func TestReadersKnowTheOnlyVersion(t *testing.T) {
-	f := newFleet(t, 16, newVersionedSnapshot("v1"))
-	n, key := f.nodes["r1"], cellKey{Service: "model"}
-	near := append(n.successors(key, originCopies+1), n.owner(key), n.id)
-	reader := f.nodes["r0"]
-	for _, candidate := range f.nodes {
-		if !slices.Contains(near, candidate.id) {
-			reader = candidate
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 16, newVersionedSnapshot("v1"))
+		n, key := f.nodes["r1"], cellKey{Service: "model"}
+		near := append(n.successors(key, originCopies+1), n.owner(key), n.id)
+		reader := f.nodes["r0"]
+		for _, candidate := range f.nodes {
+			if !slices.Contains(near, candidate.id) {
+				reader = candidate
+			}
 		}
-	}
-	require.NotContains(t, near, reader.id)
-	f.observe([]string{reader.id.Name, n.id.Name}, "v1")
-	reader.Origins.MarkCurrent(time.Now())
-	n.originSearches = maxOriginSearches
-	_, fault := n.FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
-	require.NotNil(t, fault)
-	f.mu.Lock()
-	f.readers = []rwidentity.Identity{reader.id, n.id}
-	f.mu.Unlock()
-	o, fault := n.FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
-	require.Nil(t, fault)
-	require.Equal(t, "v1", o.Software)
+		require.NotContains(t, near, reader.id)
+		f.observe([]string{reader.id.Name, n.id.Name}, "v1")
+		reader.Origins.MarkCurrent(time.Now())
+		n.originSearches = maxOriginSearches
+		_, fault := n.FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
+		require.NotNil(t, fault)
+		f.mu.Lock()
+		f.readers = []rwidentity.Identity{reader.id, n.id}
+		f.mu.Unlock()
+		o, fault := n.FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
+		require.Nil(t, fault)
+		require.Equal(t, "v1", o.Software)
+	})
 }
 
 // Guards against routers that restart one after the other until none knows any
 // more that only one version served.
 func TestVersionsAreInherited(t *testing.T) {
-	f := newFleet(t, 3, newVersionedSnapshot("v1"))
-	f.observe([]string{"r0"}, "v1")
-	for _, name := range []string{"r1", "r2"} {
-		f.nodes[name].Origins.Observe(time.Now(), []rwinstance.Instance{{Service: "model", Software: "v1"}})
-	}
-	require.Eventually(t, func() bool {
-		f.nodes["r0"].Origins.MarkCurrent(time.Now())
-		return !f.nodes["r1"].Origins.Mixed(time.Now(), "model", testStreamWindow) && !f.nodes["r2"].Origins.Mixed(time.Now(), "model", testStreamWindow)
-	}, 10*time.Second, 50*time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, newVersionedSnapshot("v1"))
+		f.observe([]string{"r0"}, "v1")
+		for _, name := range []string{"r1", "r2"} {
+			f.nodes[name].Origins.Observe(time.Now(), []rwinstance.Instance{{Service: "model", Software: "v1"}})
+		}
+		require.Eventually(t, func() bool {
+			f.nodes["r0"].Origins.MarkCurrent(time.Now())
+			return !f.nodes["r1"].Origins.Mixed(time.Now(), "model", testStreamWindow) && !f.nodes["r2"].Origins.Mixed(time.Now(), "model", testStreamWindow)
+		}, 10*time.Second, 50*time.Millisecond)
+	})
 }
 
 // Guards against a resumption that is refused because the cell of its prompt has
 // no engine of its version, although another cell has one.
 func TestResumptionFindsTheCellOfItsVersion(t *testing.T) {
-	software := make([]string, 2*maxSingleCellPool)
-	for i := range software {
-		software[i] = "v2"
-	}
-	software[3] = "v1"
-	f := newFleet(t, 2, newVersionedSnapshot(software...))
-	for i := range 20 {
-		r := newRequest("x" + strconv.Itoa(i))
-		r.Software, r.Resumed = "v1", true
-		g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
-		require.Nil(t, fault)
-		require.Equal(t, "e3", g.Instance.ID)
-		g.End(rwplacement.Served)
-	}
-	r := newRequest("y")
-	r.Software = "v3"
-	_, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
-	require.NotNil(t, fault)
-	require.Equal(t, rwcode.NoUpstream, fault.Code)
+	synctest.Test(t, func(t *testing.T) {
+		software := make([]string, 2*maxSingleCellPool)
+		for i := range software {
+			software[i] = "v2"
+		}
+		software[3] = "v1"
+		f := newFleet(t, 2, newVersionedSnapshot(software...))
+		for i := range 20 {
+			r := newRequest("x" + strconv.Itoa(i))
+			r.Software, r.Resumed = "v1", true
+			g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+			require.Nil(t, fault)
+			require.Equal(t, "e3", g.Instance.ID)
+			g.End(rwplacement.Served)
+		}
+		r := newRequest("y")
+		r.Software = "v3"
+		_, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+		require.NotNil(t, fault)
+		require.Equal(t, rwcode.NoUpstream, fault.Code)
+	})
 }
 
 // Guards against an owner that was paused and grants a request late, which another
 // owner had granted meanwhile: the origin of the stream that began is kept.
 func TestLateGrantKeepsTheOrigin(t *testing.T) {
-	f := newFleet(t, 3, newVersionedSnapshot("v1", "v2"))
-	f.observe([]string{"r0", "r1", "r2"}, "v1", "v2")
-	r := newRequest("x")
-	r.Stream = "s"
-	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
-	require.Nil(t, fault)
-	g.FirstEvent()
-	time.Sleep(4 * originFlushInterval)
-	other := map[string]string{"e0": "e1", "e1": "e0"}[g.Instance.ID]
-	for name, n := range f.nodes {
-		if name == g.Owner {
-			continue
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, newVersionedSnapshot("v1", "v2"))
+		f.observe([]string{"r0", "r1", "r2"}, "v1", "v2")
+		r := newRequest("x")
+		r.Stream = "s"
+		g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+		require.Nil(t, fault)
+		g.FirstEvent()
+		time.Sleep(4 * originFlushInterval)
+		other := map[string]string{"e0": "e1", "e1": "e0"}[g.Instance.ID]
+		for name, n := range f.nodes {
+			if name == g.Owner {
+				continue
+			}
+			late := newRequest("x")
+			late.ID, late.Stream, late.Avoid = "late", "s", []string{g.Instance.ID}
+			d := n.decide(cellKey{Service: "model"}, late, n.id)
+			require.Equal(t, rwplacement.Granted, d.Verdict)
+			require.Equal(t, other, d.Engine)
+			break
 		}
-		late := newRequest("x")
-		late.ID, late.Stream, late.Avoid = "late", "s", []string{g.Instance.ID}
-		d := n.decide(cellKey{Service: "model"}, late, n.id)
-		require.Equal(t, rwplacement.Granted, d.Verdict)
-		require.Equal(t, other, d.Engine)
-		break
-	}
-	time.Sleep(4 * originFlushInterval)
-	for name, n := range f.nodes {
-		o, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), "s")
-		require.Nil(t, fault, name)
-		require.Equal(t, g.Instance.Software, o.Software, name)
-	}
+		time.Sleep(4 * originFlushInterval)
+		for name, n := range f.nodes {
+			o, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), "s")
+			require.Nil(t, fault, name)
+			require.Equal(t, g.Instance.Software, o.Software, name)
+		}
+	})
 }
 
 // Guards against a stream at a guessed version when two owners granted it at
 // different ones and nobody knows which of them it began at.
 func TestContradictingGrantsAreRefused(t *testing.T) {
-	f := newFleet(t, 2, newVersionedSnapshot("v1", "v2"))
-	f.observe([]string{"r0", "r1"}, "v1", "v2")
-	for name, engine := range map[string]string{"r0": "e0", "r1": "e1"} {
-		r := newRequest("x")
-		r.ID, r.Stream, r.Avoid = name, "s", []string{engine}
-		require.Equal(t, rwplacement.Granted, f.nodes[name].decide(cellKey{Service: "model"}, r, f.nodes[name].id).Verdict)
-	}
-	for _, wait := range []time.Duration{0, 4 * originFlushInterval} {
-		time.Sleep(wait)
-		for name, n := range f.nodes {
-			_, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), "s")
-			require.NotNil(t, fault, "%s after %s", name, wait)
-			require.Equal(t, rwcode.OriginUnknown, fault.Code)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, newVersionedSnapshot("v1", "v2"))
+		f.observe([]string{"r0", "r1"}, "v1", "v2")
+		for name, engine := range map[string]string{"r0": "e0", "r1": "e1"} {
+			r := newRequest("x")
+			r.ID, r.Stream, r.Avoid = name, "s", []string{engine}
+			require.Equal(t, rwplacement.Granted, f.nodes[name].decide(cellKey{Service: "model"}, r, f.nodes[name].id).Verdict)
 		}
-	}
+		for _, wait := range []time.Duration{0, 4 * originFlushInterval} {
+			time.Sleep(wait)
+			for name, n := range f.nodes {
+				_, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), "s")
+				require.NotNil(t, fault, "%s after %s", name, wait)
+				require.Equal(t, rwcode.OriginUnknown, fault.Code)
+			}
+		}
+	})
 }
 
 // Guards against a stream whose owner and router know different versions of its
 // engine, which has started again under its id.
 func TestGrantAtAnotherVersionIsGivenUp(t *testing.T) {
-	f := newFleet(t, 2, newVersionedSnapshot("v1"))
-	owner := f.nodes["r0"].owner(cellKey{Service: "model"}).Name
-	router := map[string]string{"r0": "r1", "r1": "r0"}[owner]
-	stale := newVersionedSnapshot("v2")
-	f.nodes[router].Published = func() *rwconfigsnapshot.Snapshot { return stale }
-	_, fault := f.nodes[router].Acquire(t.Context(), "model", newRequest("x"))
-	require.NotNil(t, fault)
-	require.Equal(t, rwcode.UpstreamLeaving, fault.Code)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, newVersionedSnapshot("v1"))
+		owner := f.nodes["r0"].owner(cellKey{Service: "model"}).Name
+		router := map[string]string{"r0": "r1", "r1": "r0"}[owner]
+		stale := newVersionedSnapshot("v2")
+		f.nodes[router].Published = func() *rwconfigsnapshot.Snapshot { return stale }
+		_, fault := f.nodes[router].Acquire(t.Context(), "model", newRequest("x"))
+		require.NotNil(t, fault)
+		require.Equal(t, rwcode.UpstreamLeaving, fault.Code)
+	})
 }
 
 // Guards against a router's resumption that is sent to the cell of the engine that
 // broke its stream off, although another cell has an engine of its version.
 func TestResumptionLeavesTheCellOfItsFailedEngine(t *testing.T) {
-	software := make([]string, 2*maxSingleCellPool)
-	for i := range software {
-		software[i] = "v2"
-	}
-	n := cellCount(len(software))
-	other := 1
-	for cellIndex("e"+strconv.Itoa(other), n) == cellIndex("e0", n) {
-		other++
-	}
-	software[0], software[other] = "v1", "v1"
-	f := newFleet(t, 2, newVersionedSnapshot(software...))
-	for i := range 10 {
-		r := newRequest("x" + strconv.Itoa(i))
-		r.Parts[0].ID = strconv.Itoa(i)
-		r.Software, r.Resumed, r.Avoid = "v1", true, []string{"e0"}
-		g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
-		require.Nil(t, fault)
-		require.Equal(t, "e"+strconv.Itoa(other), g.Instance.ID)
-		g.End(rwplacement.Served)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		software := make([]string, 2*maxSingleCellPool)
+		for i := range software {
+			software[i] = "v2"
+		}
+		n := cellCount(len(software))
+		other := 1
+		for cellIndex("e"+strconv.Itoa(other), n) == cellIndex("e0", n) {
+			other++
+		}
+		software[0], software[other] = "v1", "v1"
+		f := newFleet(t, 2, newVersionedSnapshot(software...))
+		for i := range 10 {
+			r := newRequest("x" + strconv.Itoa(i))
+			r.Parts[0].ID = strconv.Itoa(i)
+			r.Software, r.Resumed, r.Avoid = "v1", true, []string{"e0"}
+			g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
+			require.Nil(t, fault)
+			require.Equal(t, "e"+strconv.Itoa(other), g.Instance.ID)
+			g.End(rwplacement.Served)
+		}
+	})
 }
 
 // Guards against a stream that can't be resumed because it began while one version
 // served, and its owner and its router ended after another had appeared.
 func TestOriginsAreCopiedWhenAVersionAppears(t *testing.T) {
-	routers := []string{"r0", "r1", "r2", "r3", "r4"}
-	f := newFleet(t, len(routers), newVersionedSnapshot("v1", "v1"))
-	f.observe(routers, "v1")
-	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", rwplacement.Request{
-		Account: "acc", UniqueTokens: 500, ExpectedOutput: 10, Target: 400 * time.Millisecond, Stream: "s",
+	synctest.Test(t, func(t *testing.T) {
+		routers := []string{"r0", "r1", "r2", "r3", "r4"}
+		f := newFleet(t, len(routers), newVersionedSnapshot("v1", "v1"))
+		f.observe(routers, "v1")
+		g, fault := f.nodes["r0"].Acquire(t.Context(), "model", rwplacement.Request{
+			Account: "acc", UniqueTokens: 500, ExpectedOutput: 10, Target: 400 * time.Millisecond, Stream: "s",
+		})
+		require.Nil(t, fault)
+		g.FirstEvent()
+		time.Sleep(4 * originFlushInterval)
+		f.observe(routers, "v2")
+		time.Sleep(4 * originFlushInterval)
+		f.mu.Lock()
+		f.live = slices.DeleteFunc(f.live, func(id rwidentity.Identity) bool { return id.Name == g.Owner || id.Name == "r0" })
+		f.mu.Unlock()
+		f.nodes[g.Owner].stop()
+		f.nodes["r0"].stop()
+		time.Sleep(2 * ownerCacheTTL)
+		for _, id := range f.members() {
+			o, fault := f.nodes[id.Name].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+			require.Nil(t, fault, id.Name)
+			require.Equal(t, "v1", o.Software)
+		}
 	})
-	require.Nil(t, fault)
-	g.FirstEvent()
-	time.Sleep(4 * originFlushInterval)
-	f.observe(routers, "v2")
-	time.Sleep(4 * originFlushInterval)
-	f.mu.Lock()
-	f.live = slices.DeleteFunc(f.live, func(id rwidentity.Identity) bool { return id.Name == g.Owner || id.Name == "r0" })
-	f.mu.Unlock()
-	f.nodes[g.Owner].stop()
-	f.nodes["r0"].stop()
-	time.Sleep(2 * ownerCacheTTL)
-	for _, id := range f.members() {
-		o, fault := f.nodes[id.Name].FindOrigin(t.Context(), "model", newRequest("y"), "s")
-		require.Nil(t, fault, id.Name)
-		require.Equal(t, "v1", o.Software)
-	}
 }
 
 // Guards against a router that knows only shorter timeouts than another one and
 // leaves out a version at which streams of that time may have begun.
 func TestVersionsAreAskedForTheLongerWindow(t *testing.T) {
-	f := newFleet(t, 2, newVersionedSnapshot("v2"))
-	f.mu.Lock()
-	f.windows = map[string]time.Duration{"r1": testStreamWindow / 10}
-	f.mu.Unlock()
-	f.observe([]string{"r0", "r1"}, "v2")
-	f.nodes["r0"].Origins.MarkCurrent(time.Now())
-	f.nodes["r1"].Origins.Observe(time.Now().Add(-testStreamWindow/2), []rwinstance.Instance{{Service: "model", Software: "v1"}})
-	_, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
-	require.NotNil(t, fault)
-	require.Equal(t, rwcode.OriginUnknown, fault.Code)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, newVersionedSnapshot("v2"))
+		f.mu.Lock()
+		f.windows = map[string]time.Duration{"r1": testStreamWindow / 10}
+		f.mu.Unlock()
+		f.observe([]string{"r0", "r1"}, "v2")
+		f.nodes["r0"].Origins.MarkCurrent(time.Now())
+		f.nodes["r1"].Origins.Observe(time.Now().Add(-testStreamWindow/2), []rwinstance.Instance{{Service: "model", Software: "v1"}})
+		_, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
+		require.NotNil(t, fault)
+		require.Equal(t, rwcode.OriginUnknown, fault.Code)
+	})
 }
 
 // restartFleet is a fleet in which a stream was granted at e0, the only engine,
@@ -475,51 +500,63 @@
 // that know the stream, first.
 func TestOriginAtARestartedEngineIsUnknown(t *testing.T) {
 	t.Run("all routers know", func(t *testing.T) {
-		f := newRestartFleet(t, true)
-		f.tell("v2", 2)
-		for _, n := range f.nodes {
-			f.requireRefused(t, n, true)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestartFleet(t, true)
+			f.tell("v2", 2)
+			for _, n := range f.nodes {
+				f.requireRefused(t, n, true)
+			}
+		})
 	})
 	t.Run("granted only", func(t *testing.T) {
-		f := newRestartFleet(t, false)
-		f.tell("v2", 2)
-		for _, n := range f.nodes {
-			f.requireRefused(t, n, false)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestartFleet(t, false)
+			f.tell("v2", 2)
+			for _, n := range f.nodes {
+				f.requireRefused(t, n, false)
+			}
+		})
 	})
 	t.Run("only the router that is asked knows", func(t *testing.T) {
-		f := newRestartFleet(t, true)
-		f.tell("v2", 2, f.stranger.id.Name)
-		f.requireRefused(t, f.stranger, true)
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestartFleet(t, true)
+			f.tell("v2", 2, f.stranger.id.Name)
+			f.requireRefused(t, f.stranger, true)
+		})
 	})
 	t.Run("only the others know", func(t *testing.T) {
-		f := newRestartFleet(t, true)
-		for name := range f.nodes {
-			if name != f.stranger.id.Name {
-				f.tell("v2", 2, name)
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestartFleet(t, true)
+			for name := range f.nodes {
+				if name != f.stranger.id.Name {
+					f.tell("v2", 2, name)
+				}
 			}
-		}
-		f.requireRefused(t, f.stranger, true)
+			f.requireRefused(t, f.stranger, true)
+		})
 	})
 	t.Run("origin arrives late", func(t *testing.T) {
-		f := newRestartFleet(t, true)
-		o, begun, ok := f.nodes[f.grant.Owner].Origins.Find(time.Now(), "s")
-		require.True(t, ok && begun)
-		f.tell("v2", 2, f.stranger.id.Name)
-		late := originsMessage{[]originRecord{{ID: "s", Origin: o, Begun: true}}}
-		require.NoError(t, f.nodes[f.grant.Owner].peers.Call(t.Context(), f.stranger.id.Addr, "origins", late, nil))
-		_, _, ok = f.stranger.Origins.Find(time.Now(), "s")
-		require.True(t, ok)
-		f.requireRefused(t, f.stranger, true)
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestartFleet(t, true)
+			o, begun, ok := f.nodes[f.grant.Owner].Origins.Find(time.Now(), "s")
+			require.True(t, ok && begun)
+			f.tell("v2", 2, f.stranger.id.Name)
+			late := originsMessage{[]originRecord{{ID: "s", Origin: o, Begun: true}}}
+			require.NoError(t, f.nodes[f.grant.Owner].peers.Call(t.Context(), f.stranger.id.Addr, "origins", late, nil))
+			_, _, ok = f.stranger.Origins.Find(time.Now(), "s")
+			require.True(t, ok)
+			f.requireRefused(t, f.stranger, true)
+		})
 	})
 	t.Run("back at its first version", func(t *testing.T) {
-		f := newRestartFleet(t, true)
-		f.tell("v2", 2)
-		f.tell("v1", 3)
-		for _, n := range f.nodes {
-			f.requireRefused(t, n, true)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestartFleet(t, true)
+			f.tell("v2", 2)
+			f.tell("v1", 3)
+			for _, n := range f.nodes {
+				f.requireRefused(t, n, true)
+			}
+		})
 	})
 }
 
@@ -527,40 +564,46 @@
 // version, and of streams that began at the new version.
 func TestOriginAtARestartedEngineIsKept(t *testing.T) {
 	t.Run("same version", func(t *testing.T) {
-		f := newRestartFleet(t, true)
-		f.tell("v1", 2)
-		for _, n := range f.nodes {
-			n.requireFound(t, "s", "v1")
-		}
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestartFleet(t, true)
+			f.tell("v1", 2)
+			for _, n := range f.nodes {
+				n.requireFound(t, "s", "v1")
+			}
+		})
 	})
 	t.Run("began after the news", func(t *testing.T) {
-		f := newRestartFleet(t, true)
-		restarted := newVersionedSnapshot("v2")
-		for _, n := range f.nodes {
-			n.mu.Lock()
-			n.Published = func() *rwconfigsnapshot.Snapshot { return restarted }
-			n.mu.Unlock()
-		}
-		f.tell("v2", 0)
-		f.begin(t, "s2", true)
-		for _, n := range f.nodes {
-			n.requireFound(t, "s2", "v2")
-		}
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestartFleet(t, true)
+			restarted := newVersionedSnapshot("v2")
+			for _, n := range f.nodes {
+				n.mu.Lock()
+				n.Published = func() *rwconfigsnapshot.Snapshot { return restarted }
+				n.mu.Unlock()
+			}
+			f.tell("v2", 0)
+			f.begin(t, "s2", true)
+			for _, n := range f.nodes {
+				n.requireFound(t, "s2", "v2")
+			}
+		})
 	})
 }
 
 // Guards against messages of routers of an older release, which name no upstream:
 // they must be understood, and must not replace a record that does name it.
 func TestOriginsOfOlderRouters(t *testing.T) {
-	f := newRestartFleet(t, true)
-	f.tell("v2", 2)
-	owner := f.nodes[f.grant.Owner]
-	send := func(from, to *node, stream string) {
-		old := map[string]any{"list": []any{map[string]any{"id": stream, "svc": "model", "sw": "v1", "beg": true}}}
-		require.NoError(t, from.peers.Call(t.Context(), to.id.Addr, "origins", old, nil))
-	}
-	send(f.stranger, owner, "s")
-	send(owner, f.stranger, "other")
-	f.requireRefused(t, owner, true)
-	f.stranger.requireFound(t, "other", "v1")
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFleet(t, true)
+		f.tell("v2", 2)
+		owner := f.nodes[f.grant.Owner]
+		send := func(from, to *node, stream string) {
+			old := map[string]any{"list": []any{map[string]any{"id": stream, "svc": "model", "sw": "v1", "beg": true}}}
+			require.NoError(t, from.peers.Call(t.Context(), to.id.Addr, "origins", old, nil))
+		}
+		send(f.stranger, owner, "s")
+		send(owner, f.stranger, "other")
+		f.requireRefused(t, owner, true)
+		f.stranger.requireFound(t, "other", "v1")
+	})
 }
--- a/internal/rwbroker/rwbroker_test.go
+++ b/internal/rwbroker/rwbroker_test.go
@@ -3,10 +3,10 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -17,6 +17,7 @@
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rwmemnetwork"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwpeer"
@@ -61,12 +62,16 @@
 
 func newFleet(t *testing.T, routers int, published *rwconfigsnapshot.Snapshot) *fleet {
 	f := &fleet{nodes: map[string]*node{}}
+	var network rwmemnetwork.Network
+	// Lets calls in progress end, which have timeouts.
+	t.Cleanup(func() { time.Sleep(time.Minute) })
 	for i := range routers {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := network.Listen("127.0.0.1:0")
 		require.NoError(t, err)
 		id := rwidentity.Identity{Name: "r" + strconv.Itoa(i), Zone: "z", Addr: l.Addr().String(), Inc: int64(i + 1)}
 		metrics := rwmetric.New()
 		peers := rwpeer.New(id, key, nil, zerolog.Nop(), metrics)
+		peers.Dial = network.Dial
 		b := New(id, peers, metrics)
 		b.Published = func() *rwconfigsnapshot.Snapshot { return published }
 		b.Live = f.members
@@ -80,9 +85,13 @@
 		}
 		b.FleetSize = func() int { return routers }
 		ctx, cancel := context.WithCancel(context.Background())
-		t.Cleanup(cancel)
-		go func() { _ = peers.Serve(ctx, l) }()
-		go func() { _ = b.Run(ctx) }()
+		var parts sync.WaitGroup
+		parts.Go(func() { _ = peers.Serve(ctx, l) })
+		parts.Go(func() { _ = b.Run(ctx) })
+		t.Cleanup(func() {
+			cancel()
+			parts.Wait()
+		})
 		f.live = append(f.live, id)
 		f.nodes[id.Name] = &node{Broker: b, id: id, stop: cancel}
 	}
@@ -111,59 +120,65 @@
 // Guards against routers that place the same prompt on different engines, and
 // against progress reports that don't reach the owner.
 func TestAllRoutersAskOneOwner(t *testing.T) {
-	f := newFleet(t, 3, newSnapshot(4, 2))
-	engines, owners := map[string]bool{}, map[string]bool{}
-	var grants []Grant
-	for i, n := range []string{"r0", "r1", "r2"} {
-		g, fault := f.nodes[n].Acquire(t.Context(), "model", newRequest(strconv.Itoa(i)))
-		require.Nil(t, fault)
-		engines[g.Instance.ID], owners[g.Owner] = true, true
-		grants = append(grants, g)
-		if i == 1 {
-			grants[0].FirstEvent()
-			grants[0].End(rwplacement.Served)
-			time.Sleep(100 * time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, newSnapshot(4, 2))
+		engines, owners := map[string]bool{}, map[string]bool{}
+		var grants []Grant
+		for i, n := range []string{"r0", "r1", "r2"} {
+			g, fault := f.nodes[n].Acquire(t.Context(), "model", newRequest(strconv.Itoa(i)))
+			require.Nil(t, fault)
+			engines[g.Instance.ID], owners[g.Owner] = true, true
+			grants = append(grants, g)
+			if i == 1 {
+				grants[0].FirstEvent()
+				grants[0].End(rwplacement.Served)
+				time.Sleep(100 * time.Millisecond)
+			}
 		}
-	}
-	require.Len(t, owners, 1)
-	require.Len(t, engines, 1, "the engine that caches the parts has a free slot again")
+		require.Len(t, owners, 1)
+		require.Len(t, engines, 1, "the engine that caches the parts has a free slot again")
+	})
 }
 
 // Guards against a queued request that never gets a decision.
 func TestWaitingRequestGetsItsGrant(t *testing.T) {
-	f := newFleet(t, 2, newSnapshot(1, 1))
-	first, fault := f.nodes["r0"].Acquire(t.Context(), "model", newRequest("1"))
-	require.Nil(t, fault)
-	time.AfterFunc(50*time.Millisecond, func() {
-		first.FirstEvent()
-		first.End(rwplacement.Served)
-	})
-	for _, n := range []string{"r1", "r0"} {
-		g, fault := f.nodes[n].Acquire(t.Context(), "model", newRequest("2"+n))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, newSnapshot(1, 1))
+		first, fault := f.nodes["r0"].Acquire(t.Context(), "model", newRequest("1"))
 		require.Nil(t, fault)
-		g.FirstEvent()
-		g.End(rwplacement.Served)
-	}
+		time.AfterFunc(50*time.Millisecond, func() {
+			first.FirstEvent()
+			first.End(rwplacement.Served)
+		})
+		for _, n := range []string{"r1", "r0"} {
+			g, fault := f.nodes[n].Acquire(t.Context(), "model", newRequest("2"+n))
+			require.Nil(t, fault)
+			g.FirstEvent()
+			g.End(rwplacement.Served)
+		}
+	})
 }
 
 // Guards against requests that hang or fail because the owner of their cell has
 // failed.
 func TestNextInRankTakesOver(t *testing.T) {
-	f := newFleet(t, 3, newSnapshot(4, 8))
-	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", newRequest("1"))
-	require.Nil(t, fault)
-	owner := g.Owner
-	f.nodes[owner].stop()
-	for name, n := range f.nodes {
-		if name == owner {
-			continue
-		}
-		start := time.Now()
-		g, fault := n.Acquire(t.Context(), "model", newRequest("2"+name))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, newSnapshot(4, 8))
+		g, fault := f.nodes["r0"].Acquire(t.Context(), "model", newRequest("1"))
 		require.Nil(t, fault)
-		require.NotEqual(t, owner, g.Owner)
-		require.Less(t, time.Since(start), time.Second)
-	}
+		owner := g.Owner
+		f.nodes[owner].stop()
+		for name, n := range f.nodes {
+			if name == owner {
+				continue
+			}
+			start := time.Now()
+			g, fault := n.Acquire(t.Context(), "model", newRequest("2"+name))
+			require.Nil(t, fault)
+			require.NotEqual(t, owner, g.Owner)
+			require.Less(t, time.Since(start), time.Second)
+		}
+	})
 }
 
 // result is what Acquire returned.
@@ -215,20 +230,22 @@
 // owner has a free engine, but the request waits for its whole target and is
 // then refused.
 func TestQueuedRequestOutlivesItsOwner(t *testing.T) {
-	f, first, owner, other := newBusyFleet(t)
-	results := acquireQueued(t, other, owner)
-	// The owner leaves, its process ends once it has announced that, and then the
-	// engine becomes free.
-	f.setLive(other.id)
-	time.Sleep(2 * ownerCacheTTL)
-	owner.stop()
-	other.RemoveRouter(owner.id)
-	time.Sleep(2 * slowTick)
-	first.End(rwplacement.Served)
-	got := <-results
-	require.Nil(t, got.fault, "after %v", got.took)
-	require.Less(t, got.took, 2*time.Second)
-	require.Equal(t, other.id.Name, got.grant.Owner)
+	synctest.Test(t, func(t *testing.T) {
+		f, first, owner, other := newBusyFleet(t)
+		results := acquireQueued(t, other, owner)
+		// The owner leaves, its process ends once it has announced that, and then the
+		// engine becomes free.
+		f.setLive(other.id)
+		time.Sleep(2 * ownerCacheTTL)
+		owner.stop()
+		other.RemoveRouter(owner.id)
+		time.Sleep(2 * slowTick)
+		first.End(rwplacement.Served)
+		got := <-results
+		require.Nil(t, got.fault, "after %v", got.took)
+		require.Less(t, got.took, 2*time.Second)
+		require.Equal(t, other.id.Name, got.grant.Owner)
+	})
 }
 
 // Guards against requests, of another router or its own, that stay queued at a
@@ -241,26 +258,28 @@
 		"own request": {true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f, _, owner, other := newBusyFleet(t)
-			requester := other
-			if c.own {
-				requester = owner
-			}
-			results := acquireQueued(t, requester, owner)
-			if c.announced {
-				f.setLive(other.id)
-			}
-			owner.Leave()
-			got := <-results
-			require.Nil(t, got.fault, "after %v", got.took)
-			require.Less(t, got.took, time.Second)
-			require.Equal(t, other.id.Name, got.grant.Owner)
-			require.Positive(t, got.grant.Forecast)
-
-			d := owner.decide(cellKey{Service: "model"}, newRequest("3"), other.id)
-			require.Equal(t, rwplacement.Moved, d.Verdict)
-			require.Equal(t, other.id.Name, requester.owner(cellKey{Service: "model"}).Name, "the leaving router is asked again")
-			require.Empty(t, requester.pendingDecisions)
+			synctest.Test(t, func(t *testing.T) {
+				f, _, owner, other := newBusyFleet(t)
+				requester := other
+				if c.own {
+					requester = owner
+				}
+				results := acquireQueued(t, requester, owner)
+				if c.announced {
+					f.setLive(other.id)
+				}
+				owner.Leave()
+				got := <-results
+				require.Nil(t, got.fault, "after %v", got.took)
+				require.Less(t, got.took, time.Second)
+				require.Equal(t, other.id.Name, got.grant.Owner)
+				require.Positive(t, got.grant.Forecast)
+
+				d := owner.decide(cellKey{Service: "model"}, newRequest("3"), other.id)
+				require.Equal(t, rwplacement.Moved, d.Verdict)
+				require.Equal(t, other.id.Name, requester.owner(cellKey{Service: "model"}).Name, "the leaving router is asked again")
+				require.Empty(t, requester.pendingDecisions)
+			})
 		})
 	}
 }
@@ -270,16 +289,18 @@
 func TestPausedOwnerHandsItsQueueOver(t *testing.T) {
 	for name, own := range map[string]bool{"request of another router": false, "own request": true} {
 		t.Run(name, func(t *testing.T) {
-			_, _, owner, other := newBusyFleet(t)
-			requester := other
-			if own {
-				requester = owner
-			}
-			results := acquireQueued(t, requester, owner)
-			owner.Reset()
-			got := <-results
-			require.Nil(t, got.fault, "after %v", got.took)
-			require.Less(t, got.took, time.Second)
+			synctest.Test(t, func(t *testing.T) {
+				_, _, owner, other := newBusyFleet(t)
+				requester := other
+				if own {
+					requester = owner
+				}
+				results := acquireQueued(t, requester, owner)
+				owner.Reset()
+				got := <-results
+				require.Nil(t, got.fault, "after %v", got.took)
+				require.Less(t, got.took, time.Second)
+			})
 		})
 	}
 }
@@ -288,115 +309,127 @@
 // announced that it leaves, and against a slot that stays taken because that
 // router still grants the request.
 func TestLateGrantOfPreviousOwner(t *testing.T) {
-	f, first, owner, other := newBusyFleet(t)
-	results := acquireQueued(t, other, owner)
-	f.setLive(other.id)
-	// While the owner's lock is held, its handlers read no message.
-	owner.mu.Lock()
-	other.MembersChanged()
-	got := <-results
-	c := owner.cells[cellKey{Service: "model"}]
-	c.placer.Ended(time.Now(), first.ID, rwplacement.Served)
-	decisions := c.placer.Tick(time.Now())
-	for _, d := range decisions {
-		owner.sendDecision(other.id, d)
-	}
-	owner.mu.Unlock()
-	require.Len(t, decisions, 1)
-	require.Equal(t, rwplacement.Granted, decisions[0].Verdict)
-	require.Nil(t, got.fault, "after %v", got.took)
-	require.Equal(t, other.id.Name, got.grant.Owner)
-	require.NotEqual(t, decisions[0].ID, got.grant.ID)
-
-	f.setLive(owner.id)
-	owner.MembersChanged()
-	r := newRequest("3")
-	r.Target = 2 * time.Second
-	g, fault := owner.Acquire(t.Context(), "model", r)
-	require.Nil(t, fault, "the late grant still holds the slot")
-	require.Equal(t, owner.id.Name, g.Owner)
+	synctest.Test(t, func(t *testing.T) {
+		f, first, owner, other := newBusyFleet(t)
+		results := acquireQueued(t, other, owner)
+		f.setLive(other.id)
+		// While the owner's lock is held, its handlers read no message.
+		owner.mu.Lock()
+		other.MembersChanged()
+		got := <-results
+		c := owner.cells[cellKey{Service: "model"}]
+		c.placer.Ended(time.Now(), first.ID, rwplacement.Served)
+		decisions := c.placer.Tick(time.Now())
+		for _, d := range decisions {
+			owner.sendDecision(other.id, d)
+		}
+		owner.mu.Unlock()
+		require.Len(t, decisions, 1)
+		require.Equal(t, rwplacement.Granted, decisions[0].Verdict)
+		require.Nil(t, got.fault, "after %v", got.took)
+		require.Equal(t, other.id.Name, got.grant.Owner)
+		require.NotEqual(t, decisions[0].ID, got.grant.ID)
+
+		f.setLive(owner.id)
+		owner.MembersChanged()
+		r := newRequest("3")
+		r.Target = 2 * time.Second
+		g, fault := owner.Acquire(t.Context(), "model", r)
+		require.Nil(t, fault, "the late grant still holds the slot")
+		require.Equal(t, owner.id.Name, g.Owner)
+	})
 }
 
 // Guards against requests that are refused because no other router can decide on
 // them.
 func TestOnlyRouterLeaves(t *testing.T) {
-	f := newFleet(t, 1, newSnapshot(1, 1))
-	n := f.nodes["r0"]
-	first, fault := n.Acquire(t.Context(), "model", newRequest("1"))
-	require.Nil(t, fault)
-	results := acquireQueued(t, n, n)
-	f.setLive()
-	n.Leave()
-	for range 2 * maxOwnersTried {
-		n.MembersChanged()
-		time.Sleep(2 * fastTick)
-	}
-	first.End(rwplacement.Served)
-	got := <-results
-	require.Nil(t, got.fault, "after %v", got.took)
-	require.Less(t, got.took, 2*time.Second)
-	got.grant.End(rwplacement.Served)
-	g, fault := n.Acquire(t.Context(), "model", newRequest("3"))
-	require.Nil(t, fault)
-	require.Equal(t, "r0", g.Owner)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, newSnapshot(1, 1))
+		n := f.nodes["r0"]
+		first, fault := n.Acquire(t.Context(), "model", newRequest("1"))
+		require.Nil(t, fault)
+		results := acquireQueued(t, n, n)
+		f.setLive()
+		n.Leave()
+		for range 2 * maxOwnersTried {
+			n.MembersChanged()
+			time.Sleep(2 * fastTick)
+		}
+		first.End(rwplacement.Served)
+		got := <-results
+		require.Nil(t, got.fault, "after %v", got.took)
+		require.Less(t, got.took, 2*time.Second)
+		got.grant.End(rwplacement.Served)
+		g, fault := n.Acquire(t.Context(), "model", newRequest("3"))
+		require.Nil(t, fault)
+		require.Equal(t, "r0", g.Owner)
+	})
 }
 
 // Guards against requests that are passed on without end while all routers leave.
 func TestAllRoutersLeave(t *testing.T) {
-	f := newFleet(t, 3, newSnapshot(1, 1))
-	for _, n := range f.nodes {
-		n.Leave()
-	}
-	for _, n := range f.nodes {
-		g, fault := n.Acquire(t.Context(), "model", newRequest("1"+n.id.Name))
-		require.Nil(t, fault)
-		require.Equal(t, n.id.Name, g.Owner)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, newSnapshot(1, 1))
+		for _, n := range f.nodes {
+			n.Leave()
+		}
+		for _, n := range f.nodes {
+			g, fault := n.Acquire(t.Context(), "model", newRequest("1"+n.id.Name))
+			require.Nil(t, fault)
+			require.Equal(t, n.id.Name, g.Owner)
+		}
+	})
 }
 
 // Guards against taking the decision of a router of a later version for a grant.
 func TestUnknownVerdictIsARefusal(t *testing.T) {
-	n := newFleet(t, 1, newSnapshot(1, 1)).nodes["r0"]
-	_, fault := n.toGrant(Grant{}, rwplacement.Decision{Verdict: rwplacement.Moved + 1, Engine: "e0"})
-	require.NotNil(t, fault)
-	require.Equal(t, rwcode.PeerVersion, fault.Code)
-	require.Equal(t, rwoutcome.NotRun, fault.Outcome)
+	synctest.Test(t, func(t *testing.T) {
+		n := newFleet(t, 1, newSnapshot(1, 1)).nodes["r0"]
+		_, fault := n.toGrant(Grant{}, rwplacement.Decision{Verdict: rwplacement.Moved + 1, Engine: "e0"})
+		require.NotNil(t, fault)
+		require.Equal(t, rwcode.PeerVersion, fault.Code)
+		require.Equal(t, rwoutcome.NotRun, fault.Outcome)
+	})
 }
 
 // Guards against treating an owner as failed because its answer takes as long
 // as a request may be queued.
 func TestRefusalHasARetryDelay(t *testing.T) {
-	f := newFleet(t, 2, newSnapshot(1, 1))
-	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", newRequest("1"))
-	require.Nil(t, fault)
-	defer g.End(rwplacement.Served)
-	start := time.Now()
-	_, fault = f.nodes["r1"].Acquire(t.Context(), "model", newRequest("2"))
-	require.NotNil(t, fault)
-	require.Equal(t, rwcode.DeadlineUnreachable, fault.Code)
-	require.Positive(t, fault.RetryAfter)
-	require.Less(t, time.Since(start), 500*time.Millisecond)
-	_, fault = f.nodes["r0"].Acquire(t.Context(), "other", newRequest("3"))
-	require.Equal(t, rwcode.NoUpstream, fault.Code)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, newSnapshot(1, 1))
+		g, fault := f.nodes["r0"].Acquire(t.Context(), "model", newRequest("1"))
+		require.Nil(t, fault)
+		defer g.End(rwplacement.Served)
+		start := time.Now()
+		_, fault = f.nodes["r1"].Acquire(t.Context(), "model", newRequest("2"))
+		require.NotNil(t, fault)
+		require.Equal(t, rwcode.DeadlineUnreachable, fault.Code)
+		require.Positive(t, fault.RetryAfter)
+		require.Less(t, time.Since(start), 500*time.Millisecond)
+		_, fault = f.nodes["r0"].Acquire(t.Context(), "other", newRequest("3"))
+		require.Equal(t, rwcode.NoUpstream, fault.Code)
+	})
 }
 
 // Guards against a caller that has disconnected but stays in the queue.
 func TestCallerDisconnectsWhileQueued(t *testing.T) {
-	f := newFleet(t, 1, newSnapshot(1, 1))
-	n := f.nodes["r0"]
-	g, fault := n.Acquire(t.Context(), "model", newRequest("1"))
-	require.Nil(t, fault)
-	defer g.End(rwplacement.Served)
-	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
-	defer cancel()
-	_, fault = n.Acquire(ctx, "model", newRequest("2"))
-	require.True(t, rwfault.Is(fault, rwcode.DeadlineExceeded))
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, c := range n.cells {
-		require.Zero(t, c.placer.QueueLength())
-	}
-	require.Empty(t, n.pendingDecisions)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, newSnapshot(1, 1))
+		n := f.nodes["r0"]
+		g, fault := n.Acquire(t.Context(), "model", newRequest("1"))
+		require.Nil(t, fault)
+		defer g.End(rwplacement.Served)
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		_, fault = n.Acquire(ctx, "model", newRequest("2"))
+		require.True(t, rwfault.Is(fault, rwcode.DeadlineExceeded))
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, c := range n.cells {
+			require.Zero(t, c.placer.QueueLength())
+		}
+		require.Empty(t, n.pendingDecisions)
+	})
 }
 
 // Guards against cells of very different sizes, and against dividing a small
@@ -418,39 +451,43 @@
 // Guards against cells owned by the machines with the least capacity for them:
 // a quarter of the routers have a fifth of the capacity of the others.
 func TestStrongMachinesOwnCells(t *testing.T) {
-	f := newFleet(t, 1, newSnapshot(4, 2))
-	weak := 0
-	for i := range 40 {
-		id := rwidentity.Identity{Name: "m" + strconv.Itoa(i), Capacity: 800}
-		if i%4 == 0 {
-			id.Capacity = 160
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, newSnapshot(4, 2))
+		weak := 0
+		for i := range 40 {
+			id := rwidentity.Identity{Name: "m" + strconv.Itoa(i), Capacity: 800}
+			if i%4 == 0 {
+				id.Capacity = 160
+			}
+			f.live = append(f.live, id)
 		}
-		f.live = append(f.live, id)
-	}
-	const many = 400
-	for i := range many {
-		if f.nodes["r0"].owner(cellKey{"model", i}).Capacity != 800 {
-			weak++
+		const many = 400
+		for i := range many {
+			if f.nodes["r0"].owner(cellKey{"model", i}).Capacity != 800 {
+				weak++
+			}
 		}
-	}
-	require.Less(t, weak, many/20)
+		require.Less(t, weak, many/20)
+	})
 }
 
 // Guards against sending requests to a router that just failed to answer,
 // because it is still cached as the owner.
 func TestDoubtEndsARanking(t *testing.T) {
-	f := newFleet(t, 3, newSnapshot(4, 2))
-	n := f.nodes["r0"]
-	n.Live = f.members
-	for i := range 20 {
-		k := cellKey{"model", i}
-		first := n.owner(k)
-		if first.Name == "r0" {
-			continue
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, newSnapshot(4, 2))
+		n := f.nodes["r0"]
+		n.Live = f.members
+		for i := range 20 {
+			k := cellKey{"model", i}
+			first := n.owner(k)
+			if first.Name == "r0" {
+				continue
+			}
+			n.markSuspect(first.Name)
+			require.NotEqual(t, first.Name, n.owner(k).Name)
+			return
 		}
-		n.markSuspect(first.Name)
-		require.NotEqual(t, first.Name, n.owner(k).Name)
-		return
-	}
-	t.Fatal("no cell has another owner")
+		t.Fatal("no cell has another owner")
+	})
 }
