Wait in tests of rwbroker until a stopped router is gone

Cause: stop only cancelled the router's context, so a request right after it could still reach the old owner: TestNextInRankTakesOver failed once in 123 runs ("Should not be: r1").

--- a/internal/rwbroker/rwbroker_test.go
+++ b/internal/rwbroker/rwbroker_test.go
@@ -35,8 +35,9 @@
 // node is one router with its peer links.
 type node struct {
 	*Broker
-	id   rwidentity.Identity
-	stop context.CancelFunc
+	id rwidentity.Identity
+	// stop ends the router and waits until its links are closed.
+	stop func()
 }
 
 // fleet is a set of routers that all see the same live routers.
@@ -93,7 +94,10 @@
 			parts.Wait()
 		})
 		f.live = append(f.live, id)
-		f.nodes[id.Name] = &node{Broker: b, id: id, stop: cancel}
+		f.nodes[id.Name] = &node{Broker: b, id: id, stop: func() {
+			cancel()
+			synctest.Wait()
+		}}
 	}
 	return f
 }
