Don't resume a stream by a grant while an answer is missing

Cause: if no router knows that a stream began, its origin is where it was granted, and two grants at different versions cancel out. A router that didn't answer counted as one that knows of no other grant. So a stream of an owner that was unreachable could go on at the version of another owner's unused grant.

Ruled out: the table of origins, which marks differing grants; each router held only its own when asked.

Change: such an origin counts only if all routers that were asked have answered. A router of an older release, which doesn't know the method, has. Streams known to have begun, which routers report with the first event, are not affected.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -197,7 +197,7 @@
 		go func() {
 			near := append(b.successors(cellKey{Service: service}, originCopies), b.Readers()...)
 			asked := map[string]bool{b.self.Name: true}
-			for _, a := range b.askOrigin(ctx, originQuery{Service: service, Window: window}, near, asked) {
+			for _, a := range b.askOrigin(ctx, originQuery{Service: service, Window: window}, near, asked).list {
 				if a.Whole && a.Current {
 					b.Origins.Inherit(time.Now(), service, a.Seen, window)
 				}
@@ -222,19 +222,19 @@
 	}
 	b.metrics.Add("origins_asked", 1)
 	asked := map[string]bool{b.self.Name: true}
-	answers := []originAnswer{here}
+	answers := originAnswers{list: []originAnswer{here}}
 	if k, ok := b.cellOf(service, r); ok {
 		near := slices.Concat([]rwidentity.Identity{b.owner(k)}, b.successors(k, originCopies+1), b.Readers())
-		answers = append(answers, b.askOrigin(ctx, q, near, asked)...)
+		answers = answers.With(b.askOrigin(ctx, q, near, asked))
 	}
 	if o, ok := originOf(service, answers, b.FleetSize()); ok {
 		return o, nil
 	}
-	if isUncertain(answers) {
+	if answers.uncertain() {
 		return b.originUncertain(id)
 	}
 	if b.beginSearch() {
-		answers = append(answers, b.askOrigin(ctx, q, b.Live(), asked)...)
+		answers = answers.With(b.askOrigin(ctx, q, b.Live(), asked))
 		b.endSearch()
 	}
 	if f := rwfault.FromContext(ctx); f != nil {
@@ -243,7 +243,7 @@
 	if o, ok := originOf(service, answers, b.FleetSize()); ok {
 		return o, nil
 	}
-	if isUncertain(answers) {
+	if answers.uncertain() {
 		return b.originUncertain(id)
 	}
 	return rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, id).WithRetryAfter(originRetryAfter)
@@ -254,17 +254,33 @@
 	return rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, id).WithRetryAfter(originRetryAfter)
 }
 
-func isUncertain(answers []originAnswer) bool {
-	return slices.ContainsFunc(answers, func(a originAnswer) bool { return a.Uncertain })
+// originAnswers are the answers of routers that were asked for an origin.
+type originAnswers struct {
+	list []originAnswer
+	// missing reports whether a router of this release didn't answer.
+	missing bool
+}
+
+// With returns the answers together with others.
+func (a originAnswers) With(others originAnswers) originAnswers {
+	return originAnswers{slices.Concat(a.list, others.list), a.missing || others.missing}
+}
+
+func (a originAnswers) uncertain() bool {
+	return slices.ContainsFunc(a.list, func(a originAnswer) bool { return a.Uncertain })
 }
 
 // askOrigin asks those of the routers that are not in asked, to which it adds
 // them. It returns their answers as this router judges them, without those that come
 // after the first from a router that knows that the stream has begun.
-func (b *Broker) askOrigin(ctx context.Context, q originQuery, routers []rwidentity.Identity, asked map[string]bool) []originAnswer {
+func (b *Broker) askOrigin(ctx context.Context, q originQuery, routers []rwidentity.Identity, asked map[string]bool) originAnswers {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	results := make(chan *originAnswer, len(routers))
+	type result struct {
+		answer originAnswer
+		err    error
+	}
+	results := make(chan result, len(routers))
 	calls := 0
 	for _, id := range routers {
 		if asked[id.Name] {
@@ -273,24 +289,22 @@
 		asked[id.Name] = true
 		calls++
 		go func() {
-			var a originAnswer
-			if err := b.peers.Call(ctx, id.Addr, "origin", q, &a); err != nil {
-				// The router can't be reached or runs an older release.
-				b.metrics.Add("origin_calls_failed", 1)
-				results <- nil
-				return
-			}
-			results <- &a
+			var r result
+			r.err = b.peers.Call(ctx, id.Addr, "origin", q, &r.answer)
+			results <- r
 		}()
 	}
-	var answers []originAnswer
+	var answers originAnswers
 	for range calls {
-		a := <-results
-		if a == nil {
+		r := <-results
+		if r.err != nil {
+			b.metrics.Add("origin_calls_failed", 1)
+			// A router of an older release doesn't know the method.
+			answers.missing = answers.missing || !rwfault.Is(r.err, rwcode.PeerMalformed)
 			continue
 		}
-		judged := b.checked(*a)
-		answers = append(answers, judged)
+		judged := b.checked(r.answer)
+		answers.list = append(answers.list, judged)
 		if judged.Begun || judged.Uncertain {
 			break
 		}
@@ -301,15 +315,16 @@
 // originOf returns the origin of a stream of a service that answers tell. It is
 // where a router knows that the stream has begun, unless an answer says that the
 // version is uncertain. If no router knows that, it is where the stream was granted,
-// unless it was granted at different versions. If no router knows the stream, it is
-// the only version that the service had.
-func originOf(service string, answers []originAnswer, fleetSize int) (rworigin.Origin, bool) {
-	if isUncertain(answers) {
+// unless it was granted at different versions or an answer is missing, which may
+// tell another one. If no router knows the stream, it is the only version that the
+// service had.
+func originOf(service string, answers originAnswers, fleetSize int) (rworigin.Origin, bool) {
+	if answers.uncertain() {
 		return rworigin.Origin{}, false
 	}
 	var granted *rworigin.Origin
 	agreed := true
-	for _, a := range answers {
+	for _, a := range answers.list {
 		switch {
 		case a.Begun:
 			return a.Origin, true
@@ -320,9 +335,9 @@
 		}
 	}
 	if granted != nil {
-		return *granted, agreed && granted.Software != ""
+		return *granted, agreed && !answers.missing && granted.Software != ""
 	}
-	software, ok := onlySoftware(answers, fleetSize)
+	software, ok := onlySoftware(answers.list, fleetSize)
 	return rworigin.Origin{Service: service, Software: software}, ok
 }
 
--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -327,6 +327,47 @@
 	})
 }
 
+// Guards against a stream at a guessed version when the router that granted it at
+// another one doesn't answer.
+func TestGrantIsNotTrustedBesideAMissingAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, newVersionedSnapshot("v1", "v2"))
+		f.observe([]string{"r0", "r1", "r2"}, "v1", "v2")
+		for name, engine := range map[string]string{"r0": "e0", "r1": "e1"} {
+			r := newRequest("x")
+			r.ID, r.Stream, r.Avoid = name, "s", []string{engine}
+			require.Equal(t, rwplacement.Granted, f.nodes[name].decide(cellKey{Service: "model"}, r, f.nodes[name].id).Verdict)
+		}
+		f.nodes["r1"].stop()
+		for _, name := range []string{"r0", "r2"} {
+			_, fault := f.nodes[name].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+			require.NotNil(t, fault, name)
+			require.Equal(t, rwcode.OriginUnknown, fault.Code)
+			require.Positive(t, fault.RetryAfter)
+		}
+	})
+}
+
+// Guards against a stream that can't be resumed for as long as a dead router stays
+// unreachable.
+func TestGrantIsTrustedWithoutADeadRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, newVersionedSnapshot("v1", "v2"))
+		f.observe([]string{"r0", "r1", "r2"}, "v1", "v2")
+		software := f.grantStream(t, f.nodes["r0"].id, "s")
+		f.nodes["r1"].stop()
+		_, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+		require.NotNil(t, fault)
+		f.setLive(f.nodes["r0"].id, f.nodes["r2"].id)
+		time.Sleep(2 * ownerCacheTTL)
+		for _, name := range []string{"r0", "r2"} {
+			o, fault := f.nodes[name].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+			require.Nil(t, fault, name)
+			require.Equal(t, software, o.Software)
+		}
+	})
+}
+
 // Guards against a stream whose owner and router know different versions of its
 // engine, which has started again under its id.
 func TestGrantAtAnotherVersionIsGivenUp(t *testing.T) {
