--- a/internal/rwmemnetwork/rwmemnetwork_test.go
+++ b/internal/rwmemnetwork/rwmemnetwork_test.go
@@ -39,6 +39,7 @@
 		require.NoError(t, err)
 		got, err := io.ReadAll(response.Body)
 		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
 		require.Equal(t, "text", string(got))
 		require.Equal(t, time.Hour, time.Since(begin))
 		transport.CloseIdleConnections()
