Don't take a grant for the origin of a stream

Cause: if no router had heard of a stream's first event, the stream went on where it was granted. A paused owner may grant a request late that another owner has granted meanwhile. If the router of the stream and the owner of the used grant end before others have the report, the unused grant is the only record, and the stream goes on at a wrong version.

Change: grants are neither kept nor copied, and those that routers of an older release send or answer with are ignored. A stream goes on where a router knows that it began, or at the only version of its service. Streams whose router and owner end before the report is copied are refused while several versions serve, instead of resumed by a guess.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -19,11 +19,12 @@
 // not known: the router that knows it may be reachable again.
 const originRetryAfter = 500 * time.Millisecond
 
-// originRecord is the origin of one stream. If Begun is not set, an engine was
-// granted for the stream, and no event has come from it yet.
+// originRecord is the origin of one stream that has begun.
 type originRecord struct {
 	ID string `json:"id"`
 	rworigin.Origin
+	// Begun is always set. Routers of older releases also send where a stream was
+	// granted, without it: another router's grant may be the one that was used.
 	Begun bool `json:"beg,omitempty"`
 }
 
@@ -39,10 +40,10 @@
 }
 
 type originAnswer struct {
-	// Found is whether the router knows the stream, and Begun whether it knows
-	// that the stream has begun there. Uncertain is whether the stream has begun
-	// and its version is uncertain; Begun is then not set, so that routers of
-	// older releases refuse the resumption as well.
+	// Found is whether the router knows the stream, and Begun whether its origin
+	// is certain. Uncertain is whether it isn't; routers of older releases refuse
+	// the resumption then, since Begun is not set. In an answer of such a router
+	// neither is set if it knows only a grant.
 	Found     bool            `json:"ok,omitempty"`
 	Begun     bool            `json:"beg,omitempty"`
 	Uncertain bool            `json:"unc,omitempty"`
@@ -62,8 +63,6 @@
 		for _, r := range m.List {
 			if r.Begun {
 				b.Origins.Add(now, r.ID, r.Origin)
-			} else {
-				b.Origins.AddGrant(now, r.ID, r.Origin)
 			}
 		}
 		return nil, nil
@@ -77,7 +76,9 @@
 func (b *Broker) originHere(q originQuery) originAnswer {
 	now := time.Now()
 	var a originAnswer
-	if a.Origin, a.Begun, a.Found = b.Origins.Find(now, q.ID); !a.Found {
+	a.Origin, a.Found = b.Origins.Find(now, q.ID)
+	a.Begun = a.Found
+	if !a.Found {
 		a.Seen, a.Whole, a.Current = b.Origins.Seen(now, q.Service, max(q.Window, b.StreamWindow()))
 	}
 	return b.checked(a)
@@ -86,29 +87,12 @@
 // checked returns an answer without its version if that is uncertain by what this
 // router knows of restarts.
 func (b *Broker) checked(a originAnswer) originAnswer {
-	if a.Found && b.Origins.Uncertain(a.Origin) {
-		a.Uncertain = a.Uncertain || a.Begun
-		a.Begun, a.Origin = false, rworigin.Origin{Service: a.Origin.Service}
+	if a.Begun && b.Origins.Uncertain(a.Origin) {
+		a.Uncertain, a.Begun, a.Origin = true, false, rworigin.Origin{Service: a.Origin.Service}
 	}
 	return a
 }
 
-// noteGrant records where a stream will begin that was granted in a cell of this
-// router. The caller must hold the lock.
-func (b *Broker) noteGrant(k cellKey, d rwplacement.Decision) {
-	if d.Verdict != rwplacement.Granted || d.Stream == "" {
-		return
-	}
-	now := time.Now()
-	// The decision was made with this snapshot.
-	in, _ := b.cells[k].snapshot.Known(d.Engine)
-	r := originRecord{ID: d.Stream, Origin: rworigin.Origin{
-		Service: k.Service, Software: d.Software, Upstream: d.Engine, StartMillis: in.StartMillis,
-	}}
-	b.Origins.AddGrant(now, r.ID, r.Origin)
-	b.queueOrigin(now, k, r)
-}
-
 // noteBegun records where a stream began that was granted in a cell of this
 // router. The caller must hold the lock.
 func (b *Broker) noteBegun(k cellKey, r originRecord) {
@@ -136,8 +120,8 @@
 			continue
 		}
 		for _, id := range c.placer.Streams() {
-			if o, begun, ok := b.Origins.Find(now, id); ok {
-				b.unsentOrigins[k] = append(b.unsentOrigins[k], originRecord{ID: id, Origin: o, Begun: begun})
+			if o, ok := b.Origins.Find(now, id); ok {
+				b.unsentOrigins[k] = append(b.unsentOrigins[k], originRecord{ID: id, Origin: o, Begun: true})
 			}
 		}
 	}
@@ -197,7 +181,7 @@
 		go func() {
 			near := append(b.successors(cellKey{Service: service}, originCopies), b.Readers()...)
 			asked := map[string]bool{b.self.Name: true}
-			for _, a := range b.askOrigin(ctx, originQuery{Service: service, Window: window}, near, asked).list {
+			for _, a := range b.askOrigin(ctx, originQuery{Service: service, Window: window}, near, asked) {
 				if a.Whole && a.Current {
 					b.Origins.Inherit(time.Now(), service, a.Seen, window)
 				}
@@ -222,19 +206,19 @@
 	}
 	b.metrics.Add("origins_asked", 1)
 	asked := map[string]bool{b.self.Name: true}
-	answers := originAnswers{list: []originAnswer{here}}
+	answers := []originAnswer{here}
 	if k, ok := b.cellOf(service, r); ok {
 		near := slices.Concat([]rwidentity.Identity{b.owner(k)}, b.successors(k, originCopies+1), b.Readers())
-		answers = answers.With(b.askOrigin(ctx, q, near, asked))
+		answers = append(answers, b.askOrigin(ctx, q, near, asked)...)
 	}
 	if o, ok := originOf(service, answers, b.FleetSize()); ok {
 		return o, nil
 	}
-	if answers.uncertain() {
+	if isUncertain(answers) {
 		return b.originUncertain(id)
 	}
 	if b.beginSearch() {
-		answers = answers.With(b.askOrigin(ctx, q, b.Live(), asked))
+		answers = append(answers, b.askOrigin(ctx, q, b.Live(), asked)...)
 		b.endSearch()
 	}
 	if f := rwfault.FromContext(ctx); f != nil {
@@ -243,7 +227,7 @@
 	if o, ok := originOf(service, answers, b.FleetSize()); ok {
 		return o, nil
 	}
-	if answers.uncertain() {
+	if isUncertain(answers) {
 		return b.originUncertain(id)
 	}
 	return rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, id).WithRetryAfter(originRetryAfter)
@@ -254,33 +238,17 @@
 	return rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, id).WithRetryAfter(originRetryAfter)
 }
 
-// originAnswers are the answers of routers that were asked for an origin.
-type originAnswers struct {
-	list []originAnswer
-	// missing reports whether a router of this release didn't answer.
-	missing bool
-}
-
-// With returns the answers together with others.
-func (a originAnswers) With(others originAnswers) originAnswers {
-	return originAnswers{slices.Concat(a.list, others.list), a.missing || others.missing}
-}
-
-func (a originAnswers) uncertain() bool {
-	return slices.ContainsFunc(a.list, func(a originAnswer) bool { return a.Uncertain })
+func isUncertain(answers []originAnswer) bool {
+	return slices.ContainsFunc(answers, func(a originAnswer) bool { return a.Uncertain })
 }
 
 // askOrigin asks those of the routers that are not in asked, to which it adds
 // them. It returns their answers as this router judges them, without those that come
 // after the first from a router that knows that the stream has begun.
-func (b *Broker) askOrigin(ctx context.Context, q originQuery, routers []rwidentity.Identity, asked map[string]bool) originAnswers {
+func (b *Broker) askOrigin(ctx context.Context, q originQuery, routers []rwidentity.Identity, asked map[string]bool) []originAnswer {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	type result struct {
-		answer originAnswer
-		err    error
-	}
-	results := make(chan result, len(routers))
+	results := make(chan *originAnswer, len(routers))
 	calls := 0
 	for _, id := range routers {
 		if asked[id.Name] {
@@ -289,23 +257,28 @@
 		asked[id.Name] = true
 		calls++
 		go func() {
-			var r result
-			r.err = b.peers.Call(ctx, id.Addr, "origin", q, &r.answer)
-			results <- r
+			var a originAnswer
+			if err := b.peers.Call(ctx, id.Addr, "origin", q, &a); err != nil {
+				// The router can't be reached or runs an older release.
+				b.metrics.Add("origin_calls_failed", 1)
+				results <- nil
+				return
+			}
+			results <- &a
 		}()
 	}
-	var answers originAnswers
+	var answers []originAnswer
 	for range calls {
-		r := <-results
-		if r.err != nil {
-			b.metrics.Add("origin_calls_failed", 1)
-			// A router of an older release doesn't know the method.
-			answers.missing = answers.missing || !rwfault.Is(r.err, rwcode.PeerMalformed)
+		a := <-results
+		if a == nil {
 			continue
 		}
-		judged := b.checked(r.answer)
-		answers.list = append(answers.list, judged)
-		if judged.Begun || judged.Uncertain {
+		judged := b.checked(*a)
+		if judged.Found && !judged.Begun && !judged.Uncertain {
+			continue
+		}
+		answers = append(answers, judged)
+		if judged.Found {
 			break
 		}
 	}
@@ -314,30 +287,18 @@
 
 // originOf returns the origin of a stream of a service that answers tell. It is
 // where a router knows that the stream has begun, unless an answer says that the
-// version is uncertain. If no router knows that, it is where the stream was granted,
-// unless it was granted at different versions or an answer is missing, which may
-// tell another one. If no router knows the stream, it is the only version that the
-// service had.
-func originOf(service string, answers originAnswers, fleetSize int) (rworigin.Origin, bool) {
-	if answers.uncertain() {
+// version is uncertain. If no router knows the stream, it is the only version that
+// the service had.
+func originOf(service string, answers []originAnswer, fleetSize int) (rworigin.Origin, bool) {
+	if isUncertain(answers) {
 		return rworigin.Origin{}, false
 	}
-	var granted *rworigin.Origin
-	agreed := true
-	for _, a := range answers.list {
-		switch {
-		case a.Begun:
+	for _, a := range answers {
+		if a.Begun {
 			return a.Origin, true
-		case a.Found && granted == nil:
-			granted = &a.Origin
-		case a.Found:
-			agreed = agreed && a.Origin.SameSoftware(*granted)
 		}
 	}
-	if granted != nil {
-		return *granted, agreed && !answers.missing && granted.Software != ""
-	}
-	software, ok := onlySoftware(answers.list, fleetSize)
+	software, ok := onlySoftware(answers, fleetSize)
 	return rworigin.Origin{Service: service, Software: software}, ok
 }
 
--- a/internal/rworigin/rworigin.go
+++ b/internal/rworigin/rworigin.go
@@ -47,14 +47,6 @@
 	return o.Service == other.Service && o.Software == other.Software
 }
 
-// record is what a table knows about one stream. If begun is not set, an upstream
-// was granted for the stream, but no event of it is known. The software is then
-// empty if upstreams of several versions were granted.
-type record struct {
-	Origin
-	begun bool
-}
-
 // incarnation is an upstream between two restarts, as the store showed it.
 type incarnation struct {
 	software    string
@@ -70,7 +62,7 @@
 	mu sync.Mutex
 	// recent and older hold the streams; recent replaces older after originTTL or
 	// when it is full.
-	recent, older map[string]record
+	recent, older map[string]Origin
 	rotatedAt     time.Time
 	// seen holds when each version of a service was seen last; watchedSince is
 	// when the service was seen first.
@@ -87,7 +79,7 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		recent: map[string]record{}, older: map[string]record{},
+		recent: map[string]Origin{}, older: map[string]Origin{},
 		seen: map[string]map[string]time.Time{}, watchedSince: map[string]time.Time{},
 		incarnations: map[string][]incarnation{},
 	}
@@ -98,67 +90,37 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
-	if r, ok := t.find(id); ok && r.begun && o.Upstream == "" && r.SameSoftware(o) {
+	if known, ok := t.find(id); ok && o.Upstream == "" && known.SameSoftware(o) {
 		// A router of an older release returns what it was told without the
 		// upstream.
-		o = r.Origin
+		o = known
 	}
-	t.recent[id] = record{o, true}
+	t.recent[id] = o
 	t.observe(now, o)
 }
 
-// AddGrant records where a stream will begin if the grant is used. It doesn't
-// replace the origin of a stream that has begun: a grant may be late. Grants at
-// different versions leave the software empty, since any of them may have been
-// used. Of grants at one version the last one counts, since the upstreams before it
-// were given up.
-func (t *Table) AddGrant(now time.Time, id string, o Origin) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.rotate(now)
-	if o.Software != "" {
-		t.observe(now, o)
-	}
-	r, ok := t.find(id)
-	switch {
-	case !ok:
-		r.Origin = o
-	case r.begun:
-	case r.SameSoftware(o):
-		if o.Upstream != "" {
-			r.Origin = o
-		}
-	default:
-		r.Origin = Origin{Service: r.Service}
-	}
-	t.recent[id] = r
-}
-
-// Find returns the origin of a stream, and whether the stream has begun there. The
-// software is empty if the stream was granted at several versions and is not known
-// to have begun.
-func (t *Table) Find(now time.Time, id string) (o Origin, begun, ok bool) {
+// Find returns the origin of a stream.
+func (t *Table) Find(now time.Time, id string) (Origin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
-	r, ok := t.find(id)
-	return r.Origin, r.begun, ok
+	return t.find(id)
 }
 
-func (t *Table) find(id string) (record, bool) {
-	r, ok := t.recent[id]
+func (t *Table) find(id string) (Origin, bool) {
+	o, ok := t.recent[id]
 	if !ok {
-		r, ok = t.older[id]
+		o, ok = t.older[id]
 	}
-	return r, ok
+	return o, ok
 }
 
 func (t *Table) rotate(now time.Time) {
 	switch age := now.Sub(t.rotatedAt); {
 	case age > 2*originTTL:
-		t.older, t.recent, t.rotatedAt = map[string]record{}, map[string]record{}, now
+		t.older, t.recent, t.rotatedAt = map[string]Origin{}, map[string]Origin{}, now
 	case age > originTTL || len(t.recent) >= maxOrigins:
-		t.older, t.recent, t.rotatedAt = t.recent, make(map[string]record, len(t.recent)), now
+		t.older, t.recent, t.rotatedAt = t.recent, make(map[string]Origin, len(t.recent)), now
 	}
 }
 
@@ -243,8 +205,8 @@
 
 // UncertainStream reports whether the origin of a stream is recorded and uncertain.
 func (t *Table) UncertainStream(now time.Time, id string) bool {
-	o, begun, ok := t.Find(now, id)
-	return ok && begun && t.Uncertain(o)
+	o, ok := t.Find(now, id)
+	return ok && t.Uncertain(o)
 }
 
 func (t *Table) observe(now time.Time, o Origin) {
