Run the tests of rwdispatch in virtual time

Their limits of 100 ms, which start before the connection is opened, ran out before the request was sent, so the outcome was rightly not_run where the test needs unknown.

Change: Dispatcher has a Dial field, which New sets to the dialer it had. The tests use rwmemnetwork and bubbles of testing/synctest with the real limits, and now also check that each case takes exactly the time of its limit, or none. The fields that shortened three limits are gone. The four reset cases need TCP and stay on sockets; they dial without a limit and allow a minute for a cancellation. TestConnectionRefusedIsNotRun stays on a socket, since a late dial has the same fault.

Ruled out: longer limits on sockets, which a slower machine misses again, and a fault of the program: the request of the failed cases was not sent.

--- a/internal/rwdispatch/rwdispatch.go
+++ b/internal/rwdispatch/rwdispatch.go
@@ -54,6 +54,10 @@
 
 // Dispatcher sends requests to upstreams.
 type Dispatcher struct {
+	// Dial opens a connection to an upstream. It must be set before the first
+	// request; New sets it to the DialContext of a net.Dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 	// pooled reuses connections. Idempotent requests use it, and the calls that
 	// cancel requests.
 	pooled *http.Client
@@ -62,8 +66,8 @@
 	// Idempotency-Key by itself, which could run a non-idempotent call twice.
 	unpooled *http.Client
 
-	firstChunkTimeout, stallTimeout, responseTimeout time.Duration
-	readers                                          sync.Pool
+	cancelTimeout time.Duration
+	readers       sync.Pool
 }
 
 // Response is the complete response of a plain service.
@@ -75,14 +79,13 @@
 
 // New returns a dispatcher.
 func New() *Dispatcher {
-	return &Dispatcher{
-		pooled:            newClient(false),
-		unpooled:          newClient(true),
-		firstChunkTimeout: firstChunkTimeout,
-		stallTimeout:      stallTimeout,
-		responseTimeout:   responseTimeout,
-		readers:           sync.Pool{New: func() any { return rwsse.New(nil) }},
+	d := &Dispatcher{
+		Dial:          (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		cancelTimeout: cancelTimeout,
+		readers:       sync.Pool{New: func() any { return rwsse.New(nil) }},
 	}
+	d.pooled, d.unpooled = d.newClient(false), d.newClient(true)
+	return d
 }
 
 // beforeSendKey is the context key of a request's BeforeSend function.
@@ -90,8 +93,8 @@
 
 // dial opens a connection and then calls the BeforeSend function in the context,
 // so that it is the last step before the first byte is sent.
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+func (d *Dispatcher) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := d.Dial(ctx, network, addr)
 	beforeSend, _ := ctx.Value(beforeSendKey{}).(func() error)
 	if err != nil || beforeSend == nil {
 		return conn, err
@@ -103,10 +106,10 @@
 	return conn, nil
 }
 
-func newClient(disableKeepAlives bool) *http.Client {
+func (d *Dispatcher) newClient(disableKeepAlives bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dial,
+			DialContext:         d.dial,
 			DisableKeepAlives:   disableKeepAlives,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
@@ -197,7 +200,7 @@
 	}
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
-	timer := time.AfterFunc(d.responseTimeout, func() { stop(rwfault.New(rwcode.UpstreamTimeout, u.Name)) })
+	timer := time.AfterFunc(responseTimeout, func() { stop(rwfault.New(rwcode.UpstreamTimeout, u.Name)) })
 	defer timer.Stop()
 	resp, err := d.send(ctx, u, q, req)
 	if err != nil {
@@ -246,13 +249,13 @@
 		req.Header.Set("Redwing-Resume", strconv.Itoa(offset))
 	}
 	run, stop := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(d.firstChunkTimeout, func() { stop(rwfault.New(rwcode.UpstreamTimeout, u.Name)) })
+	timer := time.AfterFunc(firstChunkTimeout, func() { stop(rwfault.New(rwcode.UpstreamTimeout, u.Name)) })
 	err = d.runStream(run, u, q, req, offset, func(c *rwstream.Chunk) error {
 		// The time that a slow caller takes doesn't count as a stall.
 		timer.Stop()
 		err := emit(c)
 		if c.Finish == "" {
-			timer.Reset(d.stallTimeout)
+			timer.Reset(stallTimeout)
 		} else {
 			timer.Reset(bodyEndTimeout)
 		}
@@ -301,7 +304,7 @@
 }
 
 func (d *Dispatcher) sendCancel(u rwupstream.Upstream, q *rwrequest.Request) {
-	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	ctx, stop := context.WithTimeout(context.Background(), d.cancelTimeout)
 	defer stop()
 	to := "http://" + u.Addr + "/v1/requests/" + url.PathEscape(q.ID)
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, to, nil)
--- a/internal/rwdispatch/rwdispatch_test.go
+++ b/internal/rwdispatch/rwdispatch_test.go
@@ -11,13 +11,16 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwmemnetwork"
 	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwsse"
@@ -35,10 +38,33 @@
 	cancelled []string
 }
 
-// serve starts a server that passes every request except cancellations to handle.
-func serve(t *testing.T, handle http.HandlerFunc) *upstream {
+// serve starts a server on a network in memory and returns it with a dispatcher
+// that is connected to this network.
+func serve(t *testing.T, handle http.HandlerFunc) (*upstream, *Dispatcher) {
+	var network rwmemnetwork.Network
+	l, err := network.Listen("127.0.0.2:0")
+	require.NoError(t, err)
+	d := New()
+	d.Dial = network.Dial
+	return serveOn(t, l, handle), d
+}
+
+// serveOnSocket starts a server on a loopback address, for tests that reset a
+// connection. The dispatcher has no limits of less than a minute, which a slow
+// machine could miss.
+func serveOnSocket(t *testing.T, handle http.HandlerFunc) (*upstream, *Dispatcher) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := New()
+	d.Dial = new(net.Dialer).DialContext
+	d.cancelTimeout = time.Minute
+	return serveOn(t, l, handle), d
+}
+
+// serveOn starts a server that passes every request except cancellations to handle.
+func serveOn(t *testing.T, l net.Listener, handle http.HandlerFunc) *upstream {
 	u := &upstream{}
-	u.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	u.Server = &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id, ok := strings.CutPrefix(r.URL.Path, "/v1/requests/")
 		if ok && r.Method == http.MethodDelete {
 			u.mu.Lock()
@@ -50,7 +76,8 @@
 		u.runs++
 		u.mu.Unlock()
 		handle(w, r)
-	}))
+	})}}
+	u.Start()
 	t.Cleanup(u.Close)
 	return u
 }
@@ -144,11 +171,14 @@
 	cancels int
 }
 
+// openBody is the case that waits for bodyEndTimeout.
+const openBody = "body not closed after the end marker"
+
 var engineCases = []engineCase{
 	{"complete", respond(events(0, 2) + done), rwcode.None, 0, 3, 0},
 	{"complete with comments and carriage returns", respond(": ping\r\n\r\n" + strings.ReplaceAll(events(0, 2)+done, "\n", "\r\n")), rwcode.None, 0, 3, 0},
 	{"complete without a final line break", respond(events(0, 1) + "data: [DONE]"), rwcode.None, 0, 2, 0},
-	{"body not closed after the end marker", respondAndStall(events(0, 2) + done), rwcode.None, 0, 3, 0},
+	{openBody, respondAndStall(events(0, 2) + done), rwcode.None, 0, 3, 0},
 	{"truncated between chunks", respond(event(requestID, 0, "") + event(requestID, 1, "")), rwcode.UpstreamTruncated, rwoutcome.Unknown, 2, 1},
 	{"truncated within a chunk", respond(event(requestID, 0, "") + `data: {"id":"router-1-7","ind`), rwcode.UpstreamTruncated, rwoutcome.Unknown, 1, 1},
 	{"truncated before the end marker", respond(events(0, 2)), rwcode.UpstreamTruncated, rwoutcome.Unknown, 2, 1},
@@ -169,39 +199,62 @@
 	{"status 503", respondStatus(http.StatusServiceUnavailable), rwcode.UpstreamRefused, rwoutcome.Unknown, 0, 1},
 	{"status 400", respondStatus(http.StatusBadRequest), rwcode.BadRequest, rwoutcome.Unknown, 0, 1},
 	{"redirect", respondStatus(http.StatusTemporaryRedirect, "Location", "/log"), rwcode.UpstreamRefused, rwoutcome.Unknown, 0, 1},
-	{"reset before the headers", respondAndReset(""), rwcode.UpstreamUnreachable, rwoutcome.Unknown, 0, 1},
-	{"reset after the headers", respondAndReset(event(requestID, 0, "")), rwcode.UpstreamTruncated, rwoutcome.Unknown, 1, 1},
 	{"stall before the headers", respondAndStall(""), rwcode.UpstreamTimeout, rwoutcome.Unknown, 0, 1},
 	{"stall in the stream", respondAndStall(event(requestID, 0, "")), rwcode.UpstreamTimeout, rwoutcome.Unknown, 1, 1},
 	{"stall before the end marker", respondAndStall(events(0, 1)), rwcode.UpstreamTimeout, rwoutcome.Unknown, 1, 1},
 }
 
+// engineResetCases need a TCP connection.
+var engineResetCases = []engineCase{
+	{"reset before the headers", respondAndReset(""), rwcode.UpstreamUnreachable, rwoutcome.Unknown, 0, 1},
+	{"reset after the headers", respondAndReset(event(requestID, 0, "")), rwcode.UpstreamTruncated, rwoutcome.Unknown, 1, 1},
+}
+
 // Guards against a fault of an engine that is returned as a complete response,
 // that has the outcome NotRun without proof, or that leaves the request running
 // on the engine.
 func TestEngineContract(t *testing.T) {
 	for _, c := range engineCases {
 		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			u := serve(t, c.serve)
-			d := New()
-			if c.code == rwcode.UpstreamTimeout {
-				d.firstChunkTimeout, d.stallTimeout = 100*time.Millisecond, 100*time.Millisecond
-			}
-			got := 0
-			err := d.Stream(t.Context(), u.record(true), request(true), 0, func(k *rwstream.Chunk) error {
-				require.Equal(t, got, k.Index)
-				require.Equal(t, "t"+strconv.Itoa(k.Index)+" ", k.Text)
-				got++
-				return nil
+			synctest.Test(t, func(t *testing.T) {
+				u, d := serve(t, c.serve)
+				start := time.Now()
+				c.run(t, u, d)
+				want := time.Duration(0)
+				switch {
+				case c.code == rwcode.UpstreamTimeout && c.chunks == 0:
+					want = firstChunkTimeout
+				case c.code == rwcode.UpstreamTimeout:
+					want = stallTimeout
+				case c.name == openBody:
+					want = bodyEndTimeout
+				}
+				require.Equal(t, want, time.Since(start))
 			})
-			requireFault(t, c.code, c.outcome, err)
-			require.Equal(t, c.chunks, got)
-			runs, cancels := u.counts()
-			require.Equal(t, 1, runs)
-			require.Equal(t, c.cancels, cancels)
 		})
 	}
+	for _, c := range engineResetCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			u, d := serveOnSocket(t, c.serve)
+			c.run(t, u, d)
+		})
+	}
+}
+
+func (c engineCase) run(t *testing.T, u *upstream, d *Dispatcher) {
+	got := 0
+	err := d.Stream(t.Context(), u.record(true), request(true), 0, func(k *rwstream.Chunk) error {
+		require.Equal(t, got, k.Index)
+		require.Equal(t, "t"+strconv.Itoa(k.Index)+" ", k.Text)
+		got++
+		return nil
+	})
+	requireFault(t, c.code, c.outcome, err)
+	require.Equal(t, c.chunks, got)
+	runs, cancels := u.counts()
+	require.Equal(t, 1, runs)
+	require.Equal(t, c.cancels, cancels)
 }
 
 func requireFault(t *testing.T, code rwcode.Code, outcome rwoutcome.Outcome, err error) {
@@ -227,8 +280,6 @@
 	{"complete", respond("ok"), rwcode.None, 0},
 	{"error of the service", respondStatus(http.StatusInternalServerError, "Redwing-Request", requestID), rwcode.None, 0},
 	{"truncated", respondTruncated, rwcode.UpstreamTruncated, rwoutcome.Unknown},
-	{"reset before the headers", respondAndReset(""), rwcode.UpstreamUnreachable, rwoutcome.Unknown},
-	{"reset after the headers", respondAndReset("part"), rwcode.UpstreamTruncated, rwoutcome.Unknown},
 	{"malformed", respondMalformed, rwcode.UpstreamUnreachable, rwoutcome.Unknown},
 	{"response to another request", respondStatus(http.StatusOK, "Redwing-Request", "router-1-8"), rwcode.UpstreamMismatch, rwoutcome.Unknown},
 	{"no echo of the request", respondStatus(http.StatusOK), rwcode.UpstreamMismatch, rwoutcome.Unknown},
@@ -239,6 +290,12 @@
 	{"stall in the response", respondAndStall("part"), rwcode.UpstreamTimeout, rwoutcome.Unknown},
 }
 
+// serviceResetCases need a TCP connection.
+var serviceResetCases = []serviceCase{
+	{"reset before the headers", respondAndReset(""), rwcode.UpstreamUnreachable, rwoutcome.Unknown},
+	{"reset after the headers", respondAndReset("part"), rwcode.UpstreamTruncated, rwoutcome.Unknown},
+}
+
 func respondTruncated(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Length", "100")
 	write(w, "part")
@@ -256,49 +313,65 @@
 // against the outcome NotRun without proof.
 func TestServiceContract(t *testing.T) {
 	for _, c := range serviceCases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u, d := serve(t, c.serve)
+				start := time.Now()
+				c.run(t, u, d)
+				want := time.Duration(0)
+				if c.code == rwcode.UpstreamTimeout {
+					want = responseTimeout
+				}
+				require.Equal(t, want, time.Since(start))
+			})
+		})
+	}
+	for _, c := range serviceResetCases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			u := serve(t, c.serve)
-			d := New()
-			if c.code == rwcode.UpstreamTimeout {
-				d.responseTimeout = 100 * time.Millisecond
-			}
-			response, err := d.Call(t.Context(), u.record(false), request(false))
-			requireFault(t, c.code, c.outcome, err)
-			require.Equal(t, c.code == rwcode.None, response != nil)
-			runs, _ := u.counts()
-			require.Equal(t, 1, runs)
+			u, d := serveOnSocket(t, c.serve)
+			c.run(t, u, d)
 		})
 	}
 }
 
+func (c serviceCase) run(t *testing.T, u *upstream, d *Dispatcher) {
+	response, err := d.Call(t.Context(), u.record(false), request(false))
+	requireFault(t, c.code, c.outcome, err)
+	require.Equal(t, c.code == rwcode.None, response != nil)
+	runs, _ := u.counts()
+	require.Equal(t, 1, runs)
+}
+
 // Guards against a complete response that is held until the engine closes the
 // body.
 func TestEndMarkerEndsTheWait(t *testing.T) {
-	u := serve(t, respondAndStall(events(0, 2)+done))
-	start := time.Now()
-	require.NoError(t, New().Stream(t.Context(), u.record(true), request(true), 0, func(*rwstream.Chunk) error { return nil }))
-	require.Less(t, time.Since(start), stallTimeout/2)
+	synctest.Test(t, func(t *testing.T) {
+		u, d := serve(t, respondAndStall(events(0, 2)+done))
+		start := time.Now()
+		require.NoError(t, d.Stream(t.Context(), u.record(true), request(true), 0, func(*rwstream.Chunk) error { return nil }))
+		require.Equal(t, bodyEndTimeout, time.Since(start))
+	})
 }
 
 // Guards against a timeout of the engine that is caused by a slow caller.
 func TestSlowCallerIsNoStall(t *testing.T) {
-	emitted := make(chan struct{})
-	u := serve(t, func(w http.ResponseWriter, _ *http.Request) {
-		write(w, event(requestID, 0, "")+event(requestID, 1, ""))
-		<-emitted
-		write(w, events(2, 3)+done)
-	})
-	d := New()
-	d.stallTimeout = time.Second
-	err := d.Stream(t.Context(), u.record(true), request(true), 0, func(c *rwstream.Chunk) error {
-		if c.Index == 1 {
-			time.Sleep(d.stallTimeout + d.stallTimeout/4)
-			close(emitted)
-		}
-		return nil
+	synctest.Test(t, func(t *testing.T) {
+		emitted := make(chan struct{})
+		u, d := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			write(w, event(requestID, 0, "")+event(requestID, 1, ""))
+			<-emitted
+			write(w, events(2, 3)+done)
+		})
+		err := d.Stream(t.Context(), u.record(true), request(true), 0, func(c *rwstream.Chunk) error {
+			if c.Index == 1 {
+				time.Sleep(stallTimeout + stallTimeout/4)
+				close(emitted)
+			}
+			return nil
+		})
+		require.NoError(t, err)
 	})
-	require.NoError(t, err)
 }
 
 // lineReader returns one line per read, as if each came in its own packet.
@@ -342,15 +415,17 @@
 // disconnected or its deadline passed, and against the outcome NotRun for a
 // request that was sent.
 func TestEndOfContextCancelsTheRequest(t *testing.T) {
-	u := serve(t, respondAndStall(event(requestID, 0, "")))
-	ctx, stop := context.WithCancelCause(t.Context())
-	err := New().Stream(ctx, u.record(true), request(true), 0, func(*rwstream.Chunk) error {
-		stop(rwfault.New(rwcode.DeadlineExceeded, ""))
-		return nil
+	synctest.Test(t, func(t *testing.T) {
+		u, d := serve(t, respondAndStall(event(requestID, 0, "")))
+		ctx, stop := context.WithCancelCause(t.Context())
+		err := d.Stream(ctx, u.record(true), request(true), 0, func(*rwstream.Chunk) error {
+			stop(rwfault.New(rwcode.DeadlineExceeded, ""))
+			return nil
+		})
+		requireFault(t, rwcode.DeadlineExceeded, rwoutcome.Unknown, err)
+		synctest.Wait()
+		require.Equal(t, []string{requestID}, u.cancelled)
 	})
-	requireFault(t, rwcode.DeadlineExceeded, rwoutcome.Unknown, err)
-	require.Eventually(t, func() bool { _, n := u.counts(); return n == 1 }, 5*time.Second, time.Millisecond)
-	require.Equal(t, []string{requestID}, u.cancelled)
 }
 
 // breakingServer responds to the first request on each connection and closes the
@@ -393,12 +468,16 @@
 // itself. The second part shows that the test detects this if non-idempotent
 // requests use pooled connections.
 func TestTransportDoesNotSendAgain(t *testing.T) {
-	runs := func(d *Dispatcher) (resent int) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	runs := func(t *testing.T, d *Dispatcher) (resent int) {
+		var network rwmemnetwork.Network
+		l, err := network.Listen("127.0.0.2:0")
 		require.NoError(t, err)
+		d.Dial = network.Dial
 		b := &breakingServer{Listener: l}
 		go b.run()
 		defer func() { _ = l.Close() }()
+		defer d.pooled.CloseIdleConnections()
+		defer d.unpooled.CloseIdleConnections()
 		u := rwupstream.Upstream{Name: "u1", Addr: l.Addr().String()}
 		for i := range 4 {
 			q := request(false)
@@ -417,56 +496,53 @@
 		require.Len(t, seen, 4)
 		return resent
 	}
-	require.Zero(t, runs(New()))
-	reusing := New()
-	reusing.unpooled = reusing.pooled
-	require.Positive(t, runs(reusing))
+	synctest.Test(t, func(t *testing.T) {
+		require.Zero(t, runs(t, New()))
+		reusing := New()
+		reusing.unpooled = reusing.pooled
+		require.Positive(t, runs(t, reusing))
+	})
 }
 
 // Guards against a path that sends a call to another address, or that is changed
 // on the way to the upstream.
 func TestPathStaysAtTheUpstream(t *testing.T) {
-	paths := make(chan string, 1)
-	u := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		paths <- r.Method + " " + r.RequestURI
-		write(w, "ok")
+	synctest.Test(t, func(t *testing.T) {
+		paths := make(chan string, 1)
+		u, d := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			paths <- r.Method + " " + r.RequestURI
+			write(w, "ok")
+		})
+		for _, path := range []string{"//127.0.0.1:1/x", "/http://127.0.0.1:1/", "/a%2Fb?x=1&y=%20", "/", "/@127.0.0.1:1/"} {
+			q := request(false)
+			q.Method, q.Path = http.MethodPatch, path
+			_, err := d.Call(t.Context(), u.record(false), q)
+			require.NoError(t, err, path)
+			require.Equal(t, "PATCH "+path, <-paths)
+		}
+		for _, path := range []string{"@127.0.0.1:1/", ".example/", "1/x"} {
+			q := request(false)
+			q.Path = path
+			_, err := d.Call(t.Context(), u.record(false), q)
+			requireFault(t, rwcode.BadRequest, rwoutcome.NotRun, err)
+		}
 	})
-	for _, path := range []string{"//127.0.0.1:1/x", "/http://127.0.0.1:1/", "/a%2Fb?x=1&y=%20", "/", "/@127.0.0.1:1/"} {
-		q := request(false)
-		q.Method, q.Path = http.MethodPatch, path
-		_, err := New().Call(t.Context(), u.record(false), q)
-		require.NoError(t, err, path)
-		require.Equal(t, "PATCH "+path, <-paths)
-	}
-	for _, path := range []string{"@127.0.0.1:1/", ".example/", "1/x"} {
-		q := request(false)
-		q.Path = path
-		_, err := New().Call(t.Context(), u.record(false), q)
-		requireFault(t, rwcode.BadRequest, rwoutcome.NotRun, err)
-	}
 }
 
 // Guards against a new connection for each request to an engine: a connection can
 // be reused only if the body was read to its end.
 func TestStreamsReuseTheirConnection(t *testing.T) {
-	var mu sync.Mutex
-	opened := 0
-	s := httptest.NewUnstartedServer(respond(events(0, 2) + done))
-	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
-		if state == http.StateNew {
-			mu.Lock()
-			opened++
-			mu.Unlock()
+	synctest.Test(t, func(t *testing.T) {
+		u, d := serve(t, respond(events(0, 2)+done))
+		var opened atomic.Int64
+		dial := d.Dial
+		d.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			opened.Add(1)
+			return dial(ctx, network, addr)
 		}
-	}
-	s.Start()
-	defer s.Close()
-	d := New()
-	u := rwupstream.Upstream{Name: "u1", Addr: s.Listener.Addr().String()}
-	for range 5 {
-		require.NoError(t, d.Stream(t.Context(), u, request(true), 0, func(*rwstream.Chunk) error { return nil }))
-	}
-	mu.Lock()
-	defer mu.Unlock()
-	require.Equal(t, 1, opened)
+		for range 5 {
+			require.NoError(t, d.Stream(t.Context(), u.record(true), request(true), 0, func(*rwstream.Chunk) error { return nil }))
+		}
+		require.Equal(t, int64(1), opened.Load())
+	})
 }
