Make the tests of rwconn independent of the machine's speed

Cause: three tests relied on real time: a closed connection noticed within 50 ms, a response read within 200 ms, and a request sent within 50 ms.

Change: Pool has a Dial field, which New sets to the dialer it had. TestCancelClosesTheConnection runs in a bubble of testing/synctest on rwmemnetwork and checks the time exactly. The other tests need sockets, because the check of an idle connection peeks at one. They dial without a limit, and two of them wait for the event in place of the time.

Ruled out: connections in memory for the reuse of connections. The check of an idle connection would not run; it reports false for a connection that is not a socket.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -66,6 +66,10 @@
 	// Count, if set, is called with the name of a counter: connections_opened,
 	// connections_reused or connections_closed_ with a reason.
 	Count func(name string)
+	// Dial opens a connection to an upstream. It must be set before the first
+	// request; New sets it to the DialContext of a net.Dialer. Connections that
+	// don't implement syscall.Conn can't be reused.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[Key][]*conn
@@ -73,7 +77,25 @@
 
 // New returns an empty pool.
 func New(inspect func(*http.Response) rwdialect.ResponseInfo) *Pool {
-	return &Pool{Inspect: inspect, idle: map[Key][]*conn{}}
+	return &Pool{Inspect: inspect, Dial: newDialer(dialTimeout).DialContext, idle: map[Key][]*conn{}}
+}
+
+// newDialer returns a dialer whose connections detect that the other end no
+// longer receives.
+func newDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optErr error
+			err := raw.Control(func(fd uintptr) {
+				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+			})
+			return errors.Join(err, optErr)
+		},
+	}
 }
 
 type conn struct {
@@ -294,20 +316,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optErr error
-			err := raw.Control(func(fd uintptr) {
-				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-			})
-			return errors.Join(err, optErr)
-		},
-	}
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := p.Dial(ctx, "tcp", addr)
 	if err != nil {
 		if f := rwfault.FromContext(ctx); f != nil {
 			return nil, f
@@ -321,7 +330,11 @@
 // isQuiet reports whether nothing has arrived on an idle connection, neither
 // its end nor bytes that belong to no request.
 func (c *conn) isQuiet() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/rwconn/rwconn_test.go
+++ b/internal/rwconn/rwconn_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -16,6 +17,7 @@
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwdialect"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwmemnetwork"
 	"redwingworks.example/internal/rwoutcome"
 )
 
@@ -32,9 +34,23 @@
 	requests []string
 }
 
+// newPool returns a pool without dialTimeout, which a slow machine could miss on
+// the loopback addresses of the tests.
+func newPool() *Pool {
+	p := New(inspect)
+	p.Dial = newDialer(0).DialContext
+	return p
+}
+
+// serve starts an upstream on a loopback address: the check of an idle connection
+// before its reuse needs a socket.
 func serve(t *testing.T, script func(u *upstream, c net.Conn, r *bufio.Reader)) *upstream {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return serveOn(t, l, script)
+}
+
+func serveOn(t *testing.T, l net.Listener, script func(u *upstream, c net.Conn, r *bufio.Reader)) *upstream {
 	t.Cleanup(func() { _ = l.Close() })
 	u := &upstream{addr: l.Addr().String()}
 	go func() {
@@ -107,7 +123,7 @@
 			_, _ = io.WriteString(c, response("1", "hello"))
 		}
 	})
-	p := New(inspect)
+	p := newPool()
 	for range 3 {
 		require.Equal(t, "hello", body(t, p, u.request("1")))
 	}
@@ -128,7 +144,7 @@
 			_, _ = io.WriteString(c, response(itoa(n)[1:], "right"))
 		}
 	})
-	p := New(inspect)
+	p := newPool()
 	require.Equal(t, "right", body(t, p, u.request("1")))
 	require.Equal(t, "right", body(t, p, u.request("2")))
 }
@@ -140,7 +156,7 @@
 			_, _ = io.WriteString(c, response("1", "hello")+response("1", "again"))
 		}
 	})
-	p := New(inspect)
+	p := newPool()
 	for range 3 {
 		require.Equal(t, "hello", body(t, p, u.request("1")))
 	}
@@ -156,9 +172,14 @@
 			_, _ = io.WriteString(c, response("1", "hello"))
 		}
 	})
-	p := New(inspect)
+	p := newPool()
 	require.Equal(t, "hello", body(t, p, u.request("1")))
-	time.Sleep(50 * time.Millisecond)
+	idle := p.idle[u.request("1").Key]
+	require.Len(t, idle, 1)
+	// Waits until the end of the connection has arrived. A further read finds it
+	// again.
+	_, err := idle[0].Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
 	require.Equal(t, "hello", body(t, p, u.request("1")))
 	_, requests := u.count()
 	require.Equal(t, 2, requests)
@@ -168,7 +189,7 @@
 // "may have run" for one that never reached an upstream.
 func TestOutcomes(t *testing.T) {
 	mute := serve(t, func(u *upstream, _ net.Conn, r *bufio.Reader) { u.next(r) })
-	_, err := New(inspect).Do(t.Context(), mute.request("1"))
+	_, err := newPool().Do(t.Context(), mute.request("1"))
 	require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
 	require.True(t, rwfault.Is(err, rwcode.UpstreamTruncated))
 
@@ -176,13 +197,13 @@
 		u.next(r)
 		_, _ = io.WriteString(c, "what is this\r\n\r\n")
 	})
-	_, err = New(inspect).Do(t.Context(), garbled.request("1"))
+	_, err = newPool().Do(t.Context(), garbled.request("1"))
 	require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
-	_, err = New(inspect).Do(t.Context(), Request{Key: Key{Addr: l.Addr().String()}, Method: "GET", Target: "/", Header: http.Header{}})
+	_, err = newPool().Do(t.Context(), Request{Key: Key{Addr: l.Addr().String()}, Method: "GET", Target: "/", Header: http.Header{}})
 	require.Equal(t, rwoutcome.NotRun, rwfault.From(err).Outcome)
 	require.True(t, rwfault.Is(err, rwcode.UpstreamUnreachable))
 }
@@ -193,7 +214,7 @@
 		u.next(r)
 		_, _ = io.WriteString(c, strings.Replace(response("1", "hello"), "Length: 05", "Length: 50", 1))
 	})
-	resp, err := New(inspect).Do(t.Context(), u.request("1"))
+	resp, err := newPool().Do(t.Context(), u.request("1"))
 	require.NoError(t, err)
 	_, err = io.ReadAll(resp.Body())
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
@@ -203,6 +224,8 @@
 // Guards against a body whose rest is read as the start of the next request
 // because the upstream responded before it read all of it.
 func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	// received gets a value for each response that the caller has received.
+	received := make(chan struct{}, 2)
 	u := serve(t, func(u *upstream, c net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -212,14 +235,16 @@
 		u.requests = append(u.requests, req.Method)
 		u.mu.Unlock()
 		_, _ = io.WriteString(c, response("1", "early"))
-		time.Sleep(200 * time.Millisecond)
+		<-received
 		_, _ = io.Copy(io.Discard, r)
 	})
-	p := New(inspect)
+	p := newPool()
 	o := u.request("1")
 	o.Body = make([]byte, 32<<20)
-	require.Equal(t, "early", body(t, p, o))
-	require.Equal(t, "early", body(t, p, o))
+	for range 2 {
+		require.Equal(t, "early", body(t, p, o))
+		received <- struct{}{}
+	}
 	opened, _ := u.count()
 	require.Equal(t, 2, opened)
 }
@@ -227,22 +252,29 @@
 // Guards against an upstream that keeps working for a caller that has
 // disconnected.
 func TestCancelClosesTheConnection(t *testing.T) {
-	closed := make(chan struct{})
-	u := serve(t, func(u *upstream, _ net.Conn, r *bufio.Reader) {
-		u.next(r)
-		_, _ = r.ReadByte()
-		close(closed)
+	synctest.Test(t, func(t *testing.T) {
+		var network rwmemnetwork.Network
+		l, err := network.Listen("127.0.0.1:0")
+		require.NoError(t, err)
+		closed := false
+		u := serveOn(t, l, func(u *upstream, _ net.Conn, r *bufio.Reader) {
+			u.next(r)
+			_, _ = r.ReadByte()
+			closed = true
+		})
+		p := New(inspect)
+		p.Dial = network.Dial
+		const limit = 50 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		start := time.Now()
+		_, err = p.Do(ctx, u.request("1"))
+		require.True(t, rwfault.Is(err, rwcode.DeadlineExceeded))
+		require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
+		synctest.Wait()
+		require.True(t, closed, "the upstream still waits")
+		require.Equal(t, limit, time.Since(start))
 	})
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
-	_, err := New(inspect).Do(ctx, u.request("1"))
-	require.True(t, rwfault.Is(err, rwcode.DeadlineExceeded))
-	require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
-	select {
-	case <-closed:
-	case <-time.After(5 * time.Second):
-		t.Fatal("the upstream still waits")
-	}
 }
 
 // Guards against keeping connections to an upstream that was removed: its
@@ -253,7 +285,7 @@
 			_, _ = io.WriteString(c, response("1", "hello"))
 		}
 	})
-	p := New(inspect)
+	p := newPool()
 	body(t, p, u.request("1"))
 	p.Sweep(time.Now(), func(Key) bool { return false })
 	require.Empty(t, p.idle)
