Run the tests of rwcatalogsync in virtual time

Cause: two tests waited up to 5 s of real time for calls between routers on loopback sockets, whose own limits are 500 ms. None has failed so far.

Change: the routers are connected by rwmemnetwork, and each test runs in a bubble of testing/synctest. The two tests now require the revision after exactly pullDelay. A fleet waits at its end for its routers.

Ruled out: longer limits on sockets; the limits of the calls are constants of the program.

--- a/internal/rwcatalogsync/rwcatalogsync_test.go
+++ b/internal/rwcatalogsync/rwcatalogsync_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,6 +14,7 @@
 
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwmemnetwork"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rwpeer"
 )
@@ -31,14 +33,18 @@
 	return r.rev
 }
 
-// fleet starts peer links for the first two routers of a fleet in two zones.
+// fleet starts peer links for the first two routers of a fleet in two zones, on a
+// network in memory. The others are unreachable.
 func fleet(t *testing.T, size int) []*router {
+	var network rwmemnetwork.Network
+	// Lets calls in progress end, which have timeouts.
+	t.Cleanup(func() { time.Sleep(time.Minute) })
 	var live []rwidentity.Identity
 	var listeners []net.Listener
 	for i := range size {
-		id := rwidentity.Identity{Name: "r" + strconv.Itoa(i), Zone: "z" + strconv.Itoa(i/2%2), Addr: "127.0.0.1:1"}
+		id := rwidentity.Identity{Name: "r" + strconv.Itoa(i), Zone: "z" + strconv.Itoa(i/2%2), Addr: "127.0.0.2:1"}
 		if i < 2 {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			l, err := network.Listen("127.0.0.1:0")
 			require.NoError(t, err)
 			id.Addr = l.Addr().String()
 			listeners = append(listeners, l)
@@ -48,6 +54,7 @@
 	var out []*router
 	for i := range 2 {
 		peers := rwpeer.New(live[i], "0123456789abcdef", nil, zerolog.Nop(), rwmetric.New())
+		peers.Dial = network.Dial
 		r := &router{Syncer: New(peers)}
 		r.Rev = r.revision
 		r.Since = func(rev int64) []rwitem.Item {
@@ -76,8 +83,15 @@
 			return list
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		t.Cleanup(cancel)
-		go func() { _ = peers.Serve(ctx, listeners[i]) }()
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			_ = peers.Serve(ctx, listeners[i])
+		}()
+		t.Cleanup(func() {
+			cancel()
+			<-served
+		})
 		out = append(out, r)
 	}
 	return out
@@ -86,39 +100,49 @@
 // Guards against a router that stays behind its peers because the store refuses
 // its calls.
 func TestRouterPullsWhatItLacks(t *testing.T) {
-	r := fleet(t, 4)
-	r[0].Apply("store", 7, []rwitem.Item{{Key: "a", Rev: 3}, {Key: "b", Rev: 7}})
-	r[1].Apply("store", 3, []rwitem.Item{{Key: "a", Rev: 3}})
-	r[1].ObserveRev(r[0].self, 7)
-	require.Eventually(t, func() bool { return r[1].revision() == 7 }, 5*time.Second, 5*time.Millisecond)
-	require.Len(t, r[1].items, 2, "only the missing items were sent")
-	r[1].ObserveRev(r[0].self, 7)
+	synctest.Test(t, func(t *testing.T) {
+		r := fleet(t, 4)
+		r[0].Apply("store", 7, []rwitem.Item{{Key: "a", Rev: 3}, {Key: "b", Rev: 7}})
+		r[1].Apply("store", 3, []rwitem.Item{{Key: "a", Rev: 3}})
+		r[1].ObserveRev(r[0].self, 7)
+		time.Sleep(pullDelay)
+		synctest.Wait()
+		require.Equal(t, int64(7), r[1].revision())
+		require.Len(t, r[1].items, 2, "only the missing items were sent")
+		r[1].ObserveRev(r[0].self, 7)
+	})
 }
 
 // Guards against a large fleet in which changes spread only with the probes.
 func TestReadersTellTheirZone(t *testing.T) {
-	r := fleet(t, 30)
-	r[0].Apply("store", 9, []rwitem.Item{{Key: "a", Rev: 9}})
-	r[0].NotifyZone()
-	require.Eventually(t, func() bool { return r[1].revision() == 9 }, 5*time.Second, 5*time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		r := fleet(t, 30)
+		r[0].Apply("store", 9, []rwitem.Item{{Key: "a", Rev: 9}})
+		r[0].NotifyZone()
+		time.Sleep(pullDelay)
+		synctest.Wait()
+		require.Equal(t, int64(9), r[1].revision())
+	})
 }
 
 // Guards against every router of a large fleet watching the store, and against
 // zones without a reader.
 func TestReaders(t *testing.T) {
-	small := fleet(t, allReadersFleetSize)
-	require.True(t, small[0].IsReader())
-	require.True(t, small[1].IsReader())
-	big := fleet(t, 40)
-	live := big[0].Live("z0")
-	var readers []rwidentity.Identity
-	for _, id := range live {
-		s := &Syncer{self: id, Live: big[0].Live}
-		if s.IsReader() {
-			readers = append(readers, id)
+	synctest.Test(t, func(t *testing.T) {
+		small := fleet(t, allReadersFleetSize)
+		require.True(t, small[0].IsReader())
+		require.True(t, small[1].IsReader())
+		big := fleet(t, 40)
+		live := big[0].Live("z0")
+		var readers []rwidentity.Identity
+		for _, id := range live {
+			s := &Syncer{self: id, Live: big[0].Live}
+			if s.IsReader() {
+				readers = append(readers, id)
+			}
 		}
-	}
-	require.Len(t, readers, readersPerZone)
-	require.ElementsMatch(t, readers, big[0].Readers())
-	require.Len(t, small[0].Readers(), allReadersFleetSize/2, "all routers of a zone")
+		require.Len(t, readers, readersPerZone)
+		require.ElementsMatch(t, readers, big[0].Readers())
+		require.Len(t, small[0].Readers(), allReadersFleetSize/2, "all routers of a zone")
+	})
 }
