Run the tests of rwentry with servers in virtual time

Cause: the tests that use a real Dispatcher opened connections to loopback sockets under its limit of 500 ms, and cancelled under the same limit. None has failed so far.

Change: the servers are on rwmemnetwork, and each of these tests runs in a bubble of testing/synctest. What they check is unchanged.

Ruled out: a stub in place of the Dispatcher, which would no longer test the retries against real broken responses.

--- a/internal/rwentry/rwentry_test.go
+++ b/internal/rwentry/rwentry_test.go
@@ -20,6 +20,7 @@
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwdispatch"
 	"redwingworks.example/internal/rwfault"
+	"redwingworks.example/internal/rwmemnetwork"
 	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwrequest"
 	"redwingworks.example/internal/rwslot"
@@ -65,7 +66,8 @@
 	}
 }
 
-// harness runs requests on test servers, round robin.
+// harness runs requests on test servers, round robin. The servers are on a network
+// in memory.
 type harness struct {
 	runner *Runner
 	mu     sync.Mutex
@@ -78,13 +80,18 @@
 }
 
 func newHarness(t *testing.T, servers ...http.Handler) *harness {
+	var network rwmemnetwork.Network
 	var list []rwupstream.Upstream
 	for i, h := range servers {
-		s := httptest.NewServer(h)
+		l, err := network.Listen("127.0.0.1:0")
+		require.NoError(t, err)
+		s := httptest.Server{Listener: l, Config: &http.Server{Handler: h}}
+		s.Start()
 		t.Cleanup(s.Close)
-		list = append(list, rwupstream.Upstream{Name: "u" + strconv.Itoa(i), Addr: s.Listener.Addr().String()})
+		list = append(list, rwupstream.Upstream{Name: "u" + strconv.Itoa(i), Addr: l.Addr().String()})
 	}
 	d := rwdispatch.New()
+	d.Dial = network.Dial
 	h := &harness{allow: 100}
 	turn := 0
 	h.runner = &Runner{
@@ -157,18 +164,20 @@
 		"started again, shorter response": {3, shorter, "w0 w1 w2 ", rwcode.UpstreamMismatch},
 	} {
 		t.Run(name, func(t *testing.T) {
-			broken := engine{breakAt: c.breakAt, words: "w", length: total, resumes: true}
-			h := newHarness(t, broken, c.next, c.next)
-			text, err := h.run(t, true)
-			require.Equal(t, c.want, text)
-			if c.code == rwcode.None {
-				require.NoError(t, err)
-				require.Equal(t, []string{"upstream_truncated"}, h.retries)
-				require.Equal(t, []string{"upstream_truncated", "none"}, h.done)
-				return
-			}
-			require.Equal(t, c.code, rwfault.From(err).Code)
-			require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
+			synctest.Test(t, func(t *testing.T) {
+				broken := engine{breakAt: c.breakAt, words: "w", length: total, resumes: true}
+				h := newHarness(t, broken, c.next, c.next)
+				text, err := h.run(t, true)
+				require.Equal(t, c.want, text)
+				if c.code == rwcode.None {
+					require.NoError(t, err)
+					require.Equal(t, []string{"upstream_truncated"}, h.retries)
+					require.Equal(t, []string{"upstream_truncated", "none"}, h.done)
+					return
+				}
+				require.Equal(t, c.code, rwfault.From(err).Code)
+				require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
+			})
 		})
 	}
 }
@@ -208,27 +217,31 @@
 // Guards against retries beyond maxSends, and against retries that the budget
 // doesn't allow.
 func TestRetriesAreBounded(t *testing.T) {
-	broken := engine{breakAt: 2, words: "w", length: total, resumes: false}
-	h := newHarness(t, broken)
-	text, err := h.run(t, true)
-	require.Equal(t, rwcode.UpstreamTruncated, rwfault.From(err).Code)
-	require.Equal(t, "w0 w1 ", text)
-	require.Len(t, h.done, maxSends)
+	synctest.Test(t, func(t *testing.T) {
+		broken := engine{breakAt: 2, words: "w", length: total, resumes: false}
+		h := newHarness(t, broken)
+		text, err := h.run(t, true)
+		require.Equal(t, rwcode.UpstreamTruncated, rwfault.From(err).Code)
+		require.Equal(t, "w0 w1 ", text)
+		require.Len(t, h.done, maxSends)
 
-	h = newHarness(t, broken)
-	h.allow = 0
-	_, err = h.run(t, true)
-	require.Equal(t, rwcode.UpstreamTruncated, rwfault.From(err).Code)
-	require.Len(t, h.done, 1)
+		h = newHarness(t, broken)
+		h.allow = 0
+		_, err = h.run(t, true)
+		require.Equal(t, rwcode.UpstreamTruncated, rwfault.From(err).Code)
+		require.Len(t, h.done, 1)
+	})
 }
 
 // Guards against a retry of a non-idempotent request that was sent.
 func TestNonIdempotentIsSentOnce(t *testing.T) {
-	h := newHarness(t, engine{breakAt: 2, words: "w", length: total})
-	_, err := h.run(t, false)
-	require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
-	require.Len(t, h.done, 1)
-	require.Empty(t, h.retries)
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, engine{breakAt: 2, words: "w", length: total})
+		_, err := h.run(t, false)
+		require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
+		require.Len(t, h.done, 1)
+		require.Empty(t, h.retries)
+	})
 }
 
 // Guards against a retry that runs a call to a plain service twice. After a fault
@@ -259,20 +272,22 @@
 		}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var runs atomic.Int64
-			first := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				runs.Add(1)
-				c.fault(w)
-			})
-			second := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				runs.Add(1)
-				w.Header().Set("Redwing-Request", "r-1")
+			synctest.Test(t, func(t *testing.T) {
+				var runs atomic.Int64
+				first := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					runs.Add(1)
+					c.fault(w)
+				})
+				second := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					runs.Add(1)
+					w.Header().Set("Redwing-Request", "r-1")
+				})
+				h := newHarness(t, first, second)
+				_, err := h.runner.RunCall(t.Context(), &rwrequest.Request{ID: "r-1", Path: "/new", IdempotencyKey: "k"})
+				require.Equal(t, int64(c.runs), runs.Load())
+				require.Equal(t, c.runs == 1, err != nil)
+				require.True(t, err == nil || rwfault.From(err).Outcome == rwoutcome.Unknown)
 			})
-			h := newHarness(t, first, second)
-			_, err := h.runner.RunCall(t.Context(), &rwrequest.Request{ID: "r-1", Path: "/new", IdempotencyKey: "k"})
-			require.Equal(t, int64(c.runs), runs.Load())
-			require.Equal(t, c.runs == 1, err != nil)
-			require.True(t, err == nil || rwfault.From(err).Outcome == rwoutcome.Unknown)
 		})
 	}
 }
