Let a front router run on a network in memory

Cause: the tests of rwadapter run whole front routers on loopback sockets and wait for them in real time. They can't run in a bubble of testing/synctest: a goroutine that waits for a socket keeps virtual time from advancing, the signals of the process come from outside the bubble, and a router measures how long the runtime's goroutines wait to run and refuses requests on a busy machine.

With TCP nothing changes.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -66,6 +66,9 @@
 	// Count, if set, is called with the name of a counter: connections_opened,
 	// connections_reused or connections_closed_ with a reason.
 	Count func(name string)
+	// Dial opens a connection to an upstream. It must be set before the first Do;
+	// New sets it to the DialContext of a net.Dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[Key][]*conn
@@ -73,7 +76,7 @@
 
 // New returns an empty pool.
 func New(inspect func(*http.Response) rwdialect.ResponseInfo) *Pool {
-	return &Pool{Inspect: inspect, idle: map[Key][]*conn{}}
+	return &Pool{Inspect: inspect, Dial: newDialer().DialContext, idle: map[Key][]*conn{}}
 }
 
 type conn struct {
@@ -293,8 +296,8 @@
 	return p.dial(ctx, req.Key.Addr)
 }
 
-func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{
+func newDialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
@@ -307,7 +310,10 @@
 			return errors.Join(err, optErr)
 		},
 	}
-	raw, err := d.DialContext(ctx, "tcp", addr)
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
+	raw, err := p.Dial(ctx, "tcp", addr)
 	if err != nil {
 		if f := rwfault.FromContext(ctx); f != nil {
 			return nil, f
@@ -319,9 +325,14 @@
 }
 
 // isQuiet reports whether nothing has arrived on an idle connection, neither
-// its end nor bytes that belong to no request.
+// its end nor bytes that belong to no request. It returns false for a connection
+// that is no socket.
 func (c *conn) isQuiet() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -131,6 +131,15 @@
 	// Key authenticates routers to each other.
 	Key string
 	Out io.Writer
+	// Listen and Dial open listeners, and connections to routers and upstreams.
+	// They use TCP if they are nil.
+	Listen func(addr string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Signals is received from instead of the signals of the process if it is
+	// not nil.
+	Signals <-chan os.Signal
+	// Wait is the Wait of rwlag.Monitor, or nil for what the runtime measured.
+	Wait func() time.Duration
 }
 
 // Edge is one front router.
@@ -199,6 +208,12 @@
 	e.lagMonitor.OnMeasure = e.observeLateness
 	e.pool = rwconn.New(c.Dialect.Inspect)
 	e.pool.Count = func(name string) { e.metrics.Add(name, 1) }
+	if c.Dial != nil {
+		e.peers.Dial, e.pool.Dial = c.Dial, c.Dial
+	}
+	if c.Wait != nil {
+		e.lagMonitor.Wait = c.Wait
+	}
 	e.wireCatalog()
 	e.wireFront()
 	return e
@@ -383,10 +398,14 @@
 // Run serves until a signal asks the process to stop or a part ends by itself.
 // After a signal, it first drains the router.
 func (e *Edge) Run() error {
-	// Until its signals are registered, one ends the process at once.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signals := e.config.Signals
+	if signals == nil {
+		// Until its signals are registered, one ends the process at once.
+		c := make(chan os.Signal, 4)
+		signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+		defer signal.Stop(c)
+		signals = c
+	}
 	debug.SetGCPercent(gcPercent)
 	if m := e.deployment.MemoryBytes; m > 0 {
 		debug.SetMemoryLimit(int64(float64(m) * memoryLimitRatio))
@@ -420,8 +439,12 @@
 	return err
 }
 
-func listen(addr string) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
+func (e *Edge) listen(addr string) (net.Listener, error) {
+	open := e.config.Listen
+	if open == nil {
+		open = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	l, err := open(addr)
 	if err != nil {
 		return nil, rwfault.Wrap(rwcode.SettingsInvalid, err).WithDetail("listen on " + addr)
 	}
@@ -429,7 +452,7 @@
 }
 
 func (e *Edge) servePeers(ctx context.Context) error {
-	l, err := listen(e.deployment.Peer)
+	l, err := e.listen(e.deployment.Peer)
 	if err != nil {
 		return err
 	}
@@ -437,7 +460,7 @@
 }
 
 func (e *Edge) serveFront(ctx context.Context) error {
-	l, err := listen(e.deployment.Front)
+	l, err := e.listen(e.deployment.Front)
 	if err != nil {
 		return err
 	}
@@ -450,17 +473,17 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return listenAndServe(ctx, h, e.deployment.Ready)
+	return e.listenAndServe(ctx, h, e.deployment.Ready)
 }
 
 func (e *Edge) serveMetrics(ctx context.Context) error {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /metrics", e.writeMetrics)
-	return listenAndServe(ctx, m, e.deployment.Metrics)
+	return e.listenAndServe(ctx, m, e.deployment.Metrics)
 }
 
-func listenAndServe(ctx context.Context, h http.Handler, addr string) error {
-	l, err := listen(addr)
+func (e *Edge) listenAndServe(ctx context.Context, h http.Handler, addr string) error {
+	l, err := e.listen(addr)
 	if err != nil {
 		return err
 	}
