Run the tests of rwfront in virtual time

Cause: two of them depend on the machine's speed. In TestSlowBodyIsRefused the caller sends ten bytes 30 ms apart before its connection is closed 700 ms after the start, and TestEventsGather counts the reads of a caller that is as fast as the stream. Others leave 100 ms, 200 ms or 2 s for a whole request.

Change: callers, router and upstreams are connected by rwmemnetwork, and each test runs in a bubble of testing/synctest.

--- a/internal/rwfront/body_test.go
+++ b/internal/rwfront/body_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -32,7 +33,7 @@
 
 // connect sends bytes on a new connection and returns it.
 func (f *fleet) connect(t *testing.T, request string) net.Conn {
-	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	conn, err := f.network.Dial(t.Context(), "tcp", strings.TrimPrefix(f.url, "http://"))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	require.NoError(t, conn.SetDeadline(time.Now().Add(callerTimeout)))
@@ -64,35 +65,36 @@
 		"still sending": {bodyHead + "Content-Length: 100\r\n\r\npart", true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f := serveBodies(t)
-			start := time.Now()
-			conn := f.connect(t, c.request)
-			sent := make(chan error, 1)
-			go func() {
-				var err error
-				for i := 0; c.sending && err == nil && i < 10; i++ {
-					time.Sleep(shortTimeout * 3 / 20)
-					_, err = io.WriteString(conn, "x")
-				}
-				sent <- err
-			}()
-			responses := bufio.NewReader(conn)
-			resp, err := http.ReadResponse(responses, nil)
-			require.NoError(t, err, "no response after %v", time.Since(start))
-			body, err := io.ReadAll(resp.Body)
-			require.NoError(t, err)
-			require.NoError(t, resp.Body.Close())
-			require.Equal(t, http.StatusRequestTimeout, resp.StatusCode, "%s", body)
-			require.Equal(t, rwcode.SlowBody.String()+"\n", string(body))
-			require.True(t, resp.Close)
-			require.GreaterOrEqual(t, time.Since(start), shortTimeout)
-			require.NoError(t, <-sent, "the connection was closed while the caller sent")
-			_, err = responses.ReadByte()
-			require.ErrorIs(t, err, io.EOF, "the connection is still open")
-			require.Equal(t, "1", f.refusals(rwcode.SlowBody))
-			require.Equal(t, "0", f.refusals(rwcode.CallerGone))
-			require.Zero(t, f.runs())
+			synctest.Test(t, func(t *testing.T) {
+				f := serveBodies(t)
+				start := time.Now()
+				conn := f.connect(t, c.request)
+				sent := make(chan error, 1)
+				go func() {
+					var err error
+					for i := 0; c.sending && err == nil && i < 10; i++ {
+						time.Sleep(shortTimeout * 3 / 20)
+						_, err = io.WriteString(conn, "x")
+					}
+					sent <- err
+				}()
+				responses := bufio.NewReader(conn)
+				resp, err := http.ReadResponse(responses, nil)
+				require.NoError(t, err, "no response after %v", time.Since(start))
+				body, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.Equal(t, http.StatusRequestTimeout, resp.StatusCode, "%s", body)
+				require.Equal(t, rwcode.SlowBody.String()+"\n", string(body))
+				require.True(t, resp.Close)
+				require.Equal(t, shortTimeout, time.Since(start))
+				require.NoError(t, <-sent, "the connection was closed while the caller sent")
+				_, err = responses.ReadByte()
+				require.ErrorIs(t, err, io.EOF, "the connection is still open")
+				require.Equal(t, "1", f.refusals(rwcode.SlowBody))
+				require.Equal(t, "0", f.refusals(rwcode.CallerGone))
+				require.Zero(t, f.runs())
+			})
 		})
 	}
 }
@@ -100,11 +102,14 @@
 // Guards against a caller that has left within its body and is taken for a slow
 // one.
 func TestCallerLeavesWithinItsBody(t *testing.T) {
-	f := serveBodies(t)
-	require.NoError(t, f.connect(t, bodyHead+"Content-Length: 100\r\n\r\npart").Close())
-	require.Eventually(t, func() bool { return f.refusals(rwcode.CallerGone) == "1" }, callerTimeout, time.Millisecond)
-	require.Equal(t, "0", f.refusals(rwcode.SlowBody))
-	require.Zero(t, f.runs())
+	synctest.Test(t, func(t *testing.T) {
+		f := serveBodies(t)
+		require.NoError(t, f.connect(t, bodyHead+"Content-Length: 100\r\n\r\npart").Close())
+		synctest.Wait()
+		require.Equal(t, "1", f.refusals(rwcode.CallerGone))
+		require.Equal(t, "0", f.refusals(rwcode.SlowBody))
+		require.Zero(t, f.runs())
+	})
 }
 
 // Guards against a caller that holds a connection without bound, and gets no
@@ -118,18 +123,19 @@
 	} {
 		for _, closing := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/closing=%t", name, closing), func(t *testing.T) {
-				t.Parallel()
-				f := serveBodies(t)
-				f.front.CloseRefused = func() bool { return closing }
-				responses := bufio.NewReader(f.connect(t, request))
-				resp, err := http.ReadResponse(responses, nil)
-				require.NoError(t, err, "no response")
-				_, err = io.ReadAll(resp.Body)
-				require.NoError(t, err)
-				require.NoError(t, resp.Body.Close())
-				require.Equal(t, http.StatusNotFound, resp.StatusCode)
-				_, err = responses.ReadByte()
-				require.ErrorIs(t, err, io.EOF, "the connection is still open")
+				synctest.Test(t, func(t *testing.T) {
+					f := serveBodies(t)
+					f.front.CloseRefused = func() bool { return closing }
+					responses := bufio.NewReader(f.connect(t, request))
+					resp, err := http.ReadResponse(responses, nil)
+					require.NoError(t, err, "no response")
+					_, err = io.ReadAll(resp.Body)
+					require.NoError(t, err)
+					require.NoError(t, resp.Body.Close())
+					require.Equal(t, http.StatusNotFound, resp.StatusCode)
+					_, err = responses.ReadByte()
+					require.ErrorIs(t, err, io.EOF, "the connection is still open")
+				})
 			})
 		}
 	}
--- a/internal/rwfront/resume_test.go
+++ b/internal/rwfront/resume_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -62,25 +63,27 @@
 		"unknown":        {rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, "s1").WithRetryAfter(time.Second), "", rwcode.OriginUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := serve(t, map[string]http.HandlerFunc{"a": respond(200, "x"), "m": events(3, 5, true), "n": events(3, 5, true)})
-			f.setSoftware(map[string]string{"a": "v1", "m": "v1", "n": "v2"})
-			f.front.FindOrigin = func(_ context.Context, service string, r rwplacement.Request, id string) (rworigin.Origin, *rwfault.Fault) {
-				require.Equal(t, "model", service)
-				require.Equal(t, "s1", id)
-				require.Equal(t, "s1", r.Stream)
-				return c.origin, c.fault
-			}
-			status, body, h, err := f.send(t, "/stream/x", "X-After", "2", "X-Resumes", "s1")
-			require.NoError(t, err)
-			if c.code != rwcode.None {
-				require.Equal(t, http.StatusServiceUnavailable, status)
-				require.Equal(t, c.code.String()+"\n", body)
-				require.NotEmpty(t, h.Get("Retry-After"))
-				require.Zero(t, f.runs())
-				return
-			}
-			require.Equal(t, http.StatusOK, status)
-			require.Equal(t, map[string][]string{c.want: {"r1@2"}}, f.ran)
+			synctest.Test(t, func(t *testing.T) {
+				f := serve(t, map[string]http.HandlerFunc{"a": respond(200, "x"), "m": events(3, 5, true), "n": events(3, 5, true)})
+				f.setSoftware(map[string]string{"a": "v1", "m": "v1", "n": "v2"})
+				f.front.FindOrigin = func(_ context.Context, service string, r rwplacement.Request, id string) (rworigin.Origin, *rwfault.Fault) {
+					require.Equal(t, "model", service)
+					require.Equal(t, "s1", id)
+					require.Equal(t, "s1", r.Stream)
+					return c.origin, c.fault
+				}
+				status, body, h, err := f.send(t, "/stream/x", "X-After", "2", "X-Resumes", "s1")
+				require.NoError(t, err)
+				if c.code != rwcode.None {
+					require.Equal(t, http.StatusServiceUnavailable, status)
+					require.Equal(t, c.code.String()+"\n", body)
+					require.NotEmpty(t, h.Get("Retry-After"))
+					require.Zero(t, f.runs())
+					return
+				}
+				require.Equal(t, http.StatusOK, status)
+				require.Equal(t, map[string][]string{c.want: {"r1@2"}}, f.ran)
+			})
 		})
 	}
 }
@@ -102,27 +105,29 @@
 		"uncertain": {map[string]string{"m": "v1", "n": "v1"}, true, false, "m"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := serve(t, map[string]http.HandlerFunc{"m": events(1, 2, false), "n": events(3, 5, true)})
-			f.setSoftware(c.software)
-			var mu sync.Mutex
-			begun := map[string]rworigin.Origin{}
-			f.front.Begun = func(id string, o rworigin.Origin) {
+			synctest.Test(t, func(t *testing.T) {
+				f := serve(t, map[string]http.HandlerFunc{"m": events(1, 2, false), "n": events(3, 5, true)})
+				f.setSoftware(c.software)
+				var mu sync.Mutex
+				begun := map[string]rworigin.Origin{}
+				f.front.Begun = func(id string, o rworigin.Origin) {
+					mu.Lock()
+					defer mu.Unlock()
+					begun[id] = o
+				}
+				f.front.OriginUncertain = func(id string) bool {
+					require.Equal(t, "r1", id)
+					return c.uncertain
+				}
+				_, _, _, err := f.send(t, "/stream/x")
+				require.Equal(t, c.complete, err == nil)
+				if !c.complete {
+					require.Empty(t, f.ran["n"])
+				}
 				mu.Lock()
 				defer mu.Unlock()
-				begun[id] = o
-			}
-			f.front.OriginUncertain = func(id string) bool {
-				require.Equal(t, "r1", id)
-				return c.uncertain
-			}
-			_, _, _, err := f.send(t, "/stream/x")
-			require.Equal(t, c.complete, err == nil)
-			if !c.complete {
-				require.Empty(t, f.ran["n"])
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			require.Equal(t, map[string]rworigin.Origin{"r1": {Service: "model", Software: "v1", Upstream: c.recorded}}, begun)
+				require.Equal(t, map[string]rworigin.Origin{"r1": {Service: "model", Software: "v1", Upstream: c.recorded}}, begun)
+			})
 		})
 	}
 }
