Let tests of rwconnlimit wait for events

Cause: they depend on the machine's speed. A caller has to send the rest of a request within 200 ms of the begin of a pause, a closed connection has to be noticed within 1 s, and two reads have to end within about 1 s of their deadline.

Change: a pause of the server ends after the caller has sent the rest, and a time limit applies only to the part of a request that the pause is in. The bounds of reads are checked on the deadlines that are set on the connection, which don't depend on when the process runs. The tests stay on real sockets, since they look at unread bytes.

Ruled out: a loss of what the tests find. Without the extension of a deadline TestRequestThatArrivesBeforeALateRead, TestEachRequestMayArriveBeforeALateRead and TestExtendedDeadline fail; with extensions without bound TestSlowRequestEndsTheConnection fails.

--- a/internal/rwconnlimit/rwconnlimit_test.go
+++ b/internal/rwconnlimit/rwconnlimit_test.go
@@ -121,7 +121,9 @@
 	_, err = conn.Read(one[:])
 	require.NoError(t, err)
 	require.NoError(t, client.Close())
-	require.Eventually(t, func() bool { return CallerClosed(ctx) }, time.Second, time.Millisecond)
+	_, err = conn.Read(one[:])
+	require.ErrorIs(t, err, io.EOF)
+	require.True(t, CallerClosed(ctx))
 	require.NoError(t, conn.Close())
 	require.True(t, CallerClosed(ctx))
 	require.False(t, CallerClosed(t.Context()), "not known")
@@ -132,6 +134,13 @@
 type readHook struct {
 	*net.TCPConn
 	before, after func()
+	// deadline is called with each read deadline that is set.
+	deadline func(time.Time)
+}
+
+func (h *readHook) SetReadDeadline(t time.Time) error {
+	h.deadline(t)
+	return h.TCPConn.SetReadDeadline(t)
 }
 
 func (h *readHook) Read(p []byte) (int, error) {
@@ -146,6 +155,7 @@
 type hookedListener struct {
 	net.Listener
 	before, after func()
+	deadline      func(time.Time)
 }
 
 func (h *hookedListener) Accept() (net.Conn, error) {
@@ -153,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &readHook{TCPConn: nc.(*net.TCPConn), before: h.before, after: h.after}, nil
+	return &readHook{TCPConn: nc.(*net.TCPConn), before: h.before, after: h.after, deadline: h.deadline}, nil
 }
 
 // caller is a client that keeps its connection open.
@@ -202,7 +212,7 @@
 		ConnState: connState, ConnContext: l.ConnContext, ReadHeaderTimeout: time.Minute,
 	}
 	t.Cleanup(func() { _ = s.Close() })
-	go func() { _ = s.Serve(l.Listener(&hookedListener{inner, before, after}, 10)) }()
+	go func() { _ = s.Serve(l.Listener(&hookedListener{inner, before, after, func(time.Time) {}}, 10)) }()
 	nc, err := net.Dial("tcp", inner.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = nc.Close() })
@@ -365,21 +375,31 @@
 	require.Equal(t, Stats{Idle: 1, Unread: 1, Kept: 1}, l.Stats())
 }
 
-// pauses are functions that a server calls at points where the process may not
-// run for long: before and after each read of a connection, and in the handler
-// before it reads the body.
-type pauses struct{ beforeRead, afterRead, beforeBody func() }
+// hooks are functions that a server calls at points where the process may not run
+// for long: before and after each read of a connection, and in the handler before
+// it reads the body. deadline is called with each read deadline of a connection.
+type hooks struct {
+	beforeRead, afterRead, beforeBody func()
+	deadline                          func(time.Time)
+}
+
+func newHooks() hooks {
+	return hooks{func() {}, func() {}, func() {}, func(time.Time) {}}
+}
+
+// noLimit is a time limit of a server that no test reaches.
+const noLimit = time.Hour
 
 // listen starts a server that waits only for a limited time for a head and for a
 // body, and returns a function that connects a caller.
-func listen(t *testing.T, limit time.Duration, p pauses) func() *caller {
+func listen(t *testing.T, headLimit, bodyLimit time.Duration, h hooks) func() *caller {
 	l := New()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limit))
-			p.beforeBody()
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyLimit))
+			h.beforeBody()
 			if _, err := io.ReadAll(r.Body); err != nil {
 				w.WriteHeader(http.StatusRequestTimeout)
 				return
@@ -390,10 +410,10 @@
 			}
 			_, _ = io.WriteString(w, "served")
 		}),
-		ConnState: l.ConnState, ConnContext: l.ConnContext, ReadHeaderTimeout: limit,
+		ConnState: l.ConnState, ConnContext: l.ConnContext, ReadHeaderTimeout: headLimit,
 	}
 	t.Cleanup(func() { _ = s.Close() })
-	go func() { _ = s.Serve(l.Listener(&hookedListener{inner, p.beforeRead, p.afterRead}, 10)) }()
+	go func() { _ = s.Serve(l.Listener(&hookedListener{inner, h.beforeRead, h.afterRead, h.deadline}, 10)) }()
 	return func() *caller {
 		nc, err := net.Dial("tcp", inner.Addr().String())
 		require.NoError(t, err)
@@ -403,29 +423,61 @@
 	}
 }
 
+// pause lets a server wait until a caller has sent the rest of its request and the
+// time limit for it has passed.
+type pause struct {
+	limit        time.Duration
+	paused, sent chan struct{}
+}
+
+func newPause(limit time.Duration) pause {
+	return pause{limit, make(chan struct{}), make(chan struct{})}
+}
+
+// wait is the pause of the server.
+func (p pause) wait() {
+	p.paused <- struct{}{}
+	<-p.sent
+	time.Sleep(2 * p.limit)
+}
+
+// send sends the parts of a request, of which all but the first are sent during
+// the pause. It calls started after the first part.
+func (p pause) send(c *caller, parts []string, started func()) {
+	_, err := io.WriteString(c.conn, parts[0])
+	require.NoError(c.t, err)
+	started()
+	<-p.paused
+	for _, part := range parts[1:] {
+		_, err := io.WriteString(c.conn, part)
+		require.NoError(c.t, err)
+	}
+	p.sent <- struct{}{}
+}
+
 // Guards against closing a connection without a response because the time for a
 // request passed while the process did not run, although the request had arrived.
 func TestRequestThatArrivesBeforeALateRead(t *testing.T) {
 	const limit = 100 * time.Millisecond
 	const head, body = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n", "body"
 	for name, c := range map[string]struct {
-		parts []string
-		pause func(p *pauses, once func())
+		parts                []string
+		headLimit, bodyLimit time.Duration
+		pause                func(h *hooks, once func())
 	}{
-		"request":          {[]string{head + body}, func(p *pauses, once func()) { p.beforeRead = once }},
-		"rest of the head": {[]string{head[:10], head[10:] + body}, func(p *pauses, once func()) { p.afterRead = once }},
-		"body":             {[]string{head, body}, func(p *pauses, once func()) { p.beforeBody = once }},
+		"request":          {[]string{head + body}, limit, noLimit, func(h *hooks, once func()) { h.beforeRead = once }},
+		"rest of the head": {[]string{head[:10], head[10:] + body}, limit, noLimit, func(h *hooks, once func()) { h.afterRead = once }},
+		"body":             {[]string{head, body}, noLimit, limit, func(h *hooks, once func()) { h.beforeBody = once }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p := pauses{func() {}, func() {}, func() {}}
-			c.pause(&p, sync.OnceFunc(func() { time.Sleep(2 * limit) }))
-			caller := listen(t, limit, p)()
-			for _, part := range c.parts {
-				_, err := io.WriteString(caller.conn, part)
-				require.NoError(t, err)
-				time.Sleep(limit / 4)
-			}
+			h, p := newHooks(), newPause(limit)
+			// A caller that is slower than the limit would lose its connection.
+			started := make(chan struct{})
+			h.beforeRead = func() { <-started }
+			c.pause(&h, sync.OnceFunc(p.wait))
+			caller := listen(t, c.headLimit, c.bodyLimit, h)()
+			p.send(caller, c.parts, func() { close(started) })
 			require.Equal(t, "served", caller.receive())
 			caller.send()
 			require.Equal(t, "served", caller.receive(), "the connection can still be used")
@@ -439,9 +491,17 @@
 	for name, pause := range map[string]time.Duration{"stalled": time.Hour, "byte by byte": time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			none := func() {}
-			c := listen(t, limit, pauses{none, none, none})()
-			start := time.Now()
+			// The sum of the deadlines bounds how long the connection lasts on any
+			// machine.
+			var sum atomic.Int64
+			h := newHooks()
+			h.deadline = func(d time.Time) {
+				if d.IsZero() {
+					d = time.Now().Add(noLimit)
+				}
+				sum.Add(int64(max(0, time.Until(d))))
+			}
+			c := listen(t, limit, noLimit, h)()
 			go func() {
 				for {
 					if _, err := io.WriteString(c.conn, "P"); err != nil {
@@ -456,7 +516,8 @@
 			}()
 			_, err := io.ReadAll(c.conn)
 			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
-			require.Less(t, time.Since(start), lateReadTimeout+10*limit)
+			require.Positive(t, sum.Load())
+			require.LessOrEqual(t, time.Duration(sum.Load()), limit+lateReadTimeout)
 		})
 	}
 }
@@ -466,7 +527,8 @@
 func accept(t *testing.T) (net.Conn, func()) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l := New().Listener(inner, 10)
+	h := newHooks()
+	l := New().Listener(&hookedListener{inner, h.beforeRead, h.afterRead, h.deadline}, 10)
 	t.Cleanup(func() { _ = l.Close() })
 	caller, err := net.Dial("tcp", inner.Addr().String())
 	require.NoError(t, err)
@@ -507,14 +569,11 @@
 func TestEachRequestMayArriveBeforeALateRead(t *testing.T) {
 	const limit = 100 * time.Millisecond
 	const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
-	none := func() {}
-	caller := listen(t, limit, pauses{none, none, func() { time.Sleep(2 * limit) }})()
+	h, p := newHooks(), newPause(limit)
+	h.beforeBody = p.wait
+	caller := listen(t, noLimit, limit, h)()
 	for range 3 {
-		_, err := io.WriteString(caller.conn, head)
-		require.NoError(t, err)
-		time.Sleep(limit / 4)
-		_, err = io.WriteString(caller.conn, "body")
-		require.NoError(t, err)
+		p.send(caller, []string{head, "body"}, func() {})
 		require.Equal(t, "served", caller.receive())
 	}
 }
@@ -526,15 +585,21 @@
 	nc, sendByte := accept(t)
 	c := nc.(*conn)
 	c.onKept = func() {}
+	var last time.Time
+	c.Conn.(*readHook).deadline = func(d time.Time) { last = d }
 	require.NoError(t, c.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
 	sendByte()
 	time.Sleep(40 * time.Millisecond)
+	before := time.Now()
 	require.True(t, c.extendDeadline())
+	extended := last
+	require.WithinRange(t, extended, before.Add(lateReadTimeout), time.Now().Add(lateReadTimeout))
 	require.True(t, c.retire(false))
 	_, err := c.Read(make([]byte, 1))
 	require.NoError(t, err)
-	start := time.Now()
+	require.Equal(t, extended, last, "the deadline is in force again")
 	_, err = c.Read(make([]byte, 1))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
-	require.InDelta(t, lateReadTimeout, time.Since(start), float64(time.Second))
+	require.False(t, time.Now().Before(extended))
+	require.Equal(t, extended, last, "there is no further extension")
 }
