Run the drain tests of rwedge with upstreams in virtual time

Cause: four tests of the drain wait for real time on loopback sockets and allow one second until an upstream has a request.

Change: the upstreams are on rwmemnetwork too, through the Dial field of rwconn, and the tests run in bubbles of testing/synctest.

Ruled out: longer limits on sockets, which a slower machine misses again.

--- a/internal/rwedge/cancel_test.go
+++ b/internal/rwedge/cancel_test.go
@@ -4,8 +4,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,28 +21,27 @@
 
 // hold makes the router forward requests to an upstream that never responds, and
 // sends it one.
-func hold(t *testing.T, e *Edge, l net.Listener) *caller {
-	upstream := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+func hold(t *testing.T, network *testNetwork, e *Edge, l net.Listener) *caller {
+	upstream := network.serveUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
-	}))
-	t.Cleanup(upstream.Close)
+	})
 	before := e.published.Load()
 	e.published.Store(rwconfigsnapshot.New(before.Config, 2, time.Now(), []rwinstance.Instance{
-		{ID: "i", Service: "s", Zone: "z", Slots: 8, Addr: strings.TrimPrefix(upstream.URL, "http://")},
+		{ID: "i", Service: "s", Zone: "z", Slots: 8, Addr: upstream},
 	}))
-	return start(t, e, l)
+	return start(t, network, e, l)
 }
 
 // start sends a request and waits until an upstream has it.
-func start(t *testing.T, e *Edge, l net.Listener) *caller {
-	c := connect(t, l)
+func start(t *testing.T, network *testNetwork, e *Edge, l net.Listener) *caller {
+	c := network.connect(t, l)
 	_, err := io.WriteString(c.conn, "POST /x HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nContent-Length: 4\r\n\r\nbody")
 	require.NoError(t, err)
-	require.Eventually(t, func() bool {
-		list, _ := e.inFlight.Latest(1)
-		return len(list) == 1 && list[0].Upstream == "i"
-	}, time.Second, time.Millisecond)
+	synctest.Wait()
+	list, _ := e.inFlight.Latest(1)
+	require.Len(t, list, 1)
+	require.Equal(t, "i", list[0].Upstream)
 	return c
 }
 
@@ -67,27 +64,31 @@
 // Guards against a server whose requests are not cancelled before the end of a
 // drain, so that their callers get no response.
 func TestDrainRespondsToRequestsInProgress(t *testing.T) {
-	t.Parallel()
-	e, l := drainedEdge(t)
-	e.deployment.Grace = shortGrace
-	c := hold(t, e, l)
-	drainAndExit(t, e)
-	require.Equal(t, http.StatusBadGateway, c.status())
+	synctest.Test(t, func(t *testing.T) {
+		network := newTestNetwork(t)
+		e, l := drainedEdge(t, network)
+		e.deployment.Grace = shortGrace
+		c := hold(t, network, e, l)
+		drainAndExit(t, e)
+		require.Equal(t, http.StatusBadGateway, c.status())
+	})
 }
 
 // Guards against a drain that, on a machine short of CPU time, cancels requests
 // and exits in the same step although the grace period leaves time for their
 // responses.
 func TestLateDrainRespondsToRequestsInProgress(t *testing.T) {
-	t.Parallel()
-	e, l := drainedEdge(t)
-	e.deployment.Grace = shortGrace
-	plan := rwshutdown.New(time.Time{}, shortGrace)
-	c := hold(t, e, l)
-	e.gossip.OnLiveChange = func() { time.Sleep(plan.End().Sub(plan.Start()) - 50*time.Millisecond) }
-	took := drainAndExit(t, e)
-	require.Less(t, took, shortGrace)
-	require.Equal(t, http.StatusBadGateway, c.status())
+	synctest.Test(t, func(t *testing.T) {
+		network := newTestNetwork(t)
+		e, l := drainedEdge(t, network)
+		e.deployment.Grace = shortGrace
+		plan := rwshutdown.New(time.Time{}, shortGrace)
+		c := hold(t, network, e, l)
+		e.gossip.OnLiveChange = func() { time.Sleep(plan.End().Sub(plan.Start()) - 50*time.Millisecond) }
+		took := drainAndExit(t, e)
+		require.Less(t, took, shortGrace)
+		require.Equal(t, http.StatusBadGateway, c.status())
+	})
 }
 
 // Guards against a drain that exits as soon as it cancels requests if the whole
@@ -115,17 +116,19 @@
 // Guards against a log and a counter of cut requests that miss those which the
 // drain cancels just before it ends.
 func TestDrainCountsTheRequestsItCancels(t *testing.T) {
-	t.Parallel()
-	e, l := drainedEdge(t)
-	e.deployment.Grace = shortGrace
-	c := start(t, e, l)
-	drainAndExit(t, e)
-	resp, err := http.ReadResponse(c.responses, nil)
-	require.NoError(t, err)
-	defer func() { _ = resp.Body.Close() }()
-	_, err = io.ReadAll(resp.Body)
-	require.ErrorIs(t, err, io.ErrUnexpectedEOF, "the drain didn't cut the stream")
-	require.Equal(t, "1", e.metrics.Counters.Get("drain_cut").String())
+	synctest.Test(t, func(t *testing.T) {
+		network := newTestNetwork(t)
+		e, l := drainedEdge(t, network)
+		e.deployment.Grace = shortGrace
+		c := start(t, network, e, l)
+		drainAndExit(t, e)
+		resp, err := http.ReadResponse(c.responses, nil)
+		require.NoError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		_, err = io.ReadAll(resp.Body)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF, "the drain didn't cut the stream")
+		require.Equal(t, "1", e.metrics.Counters.Get("drain_cut").String())
+	})
 }
 
 // Guards against a caller that gets no response because its body is still being
--- a/internal/rwedge/drain_test.go
+++ b/internal/rwedge/drain_test.go
@@ -1,14 +1,12 @@
 package rwedge
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -31,8 +29,8 @@
 
 // drainedEdge returns a router that serves on a listener and has one route, to
 // an upstream that streams for longTime.
-func drainedEdge(t *testing.T) (*Edge, net.Listener) {
-	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+func drainedEdge(t *testing.T, network *testNetwork) (*Edge, net.Listener) {
+	e := newRouteEdge(network.serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		const interval = 100 * time.Millisecond
 		for i := range int(longTime / interval) {
@@ -47,12 +45,8 @@
 			}
 		}
 	}))
-	t.Cleanup(upstream.Close)
-	e := newRouteEdge(strings.TrimPrefix(upstream.URL, "http://"))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	go func() { _ = serve(t.Context(), e.server, e.connLimiter.Listener(l, 100)) }()
-	return e, l
+	e.pool.Dial = network.Dial
+	return e, network.serveRouter(t, e)
 }
 
 // unusedAddr is the address of an upstream that no request reaches.
@@ -95,36 +89,34 @@
 		"body":    {time.Second, excusedTime + 500*time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			e, l := drainedEdge(t)
-			// A request in progress keeps the drain from ending early.
-			early, err := net.Dial("tcp", l.Addr().String())
-			require.NoError(t, err)
-			defer func() { _ = early.Close() }()
-			_, err = io.WriteString(early, head+"body")
-			require.NoError(t, err)
-			require.Eventually(t, func() bool { return e.activeRequests.Load() == 1 }, time.Second, time.Millisecond)
-			go func() {
-				e.drain(t.Context())
-				// The process exits.
-				_ = e.server.Close()
-			}()
-			time.Sleep(c.headAt)
-			conn, err := net.Dial("tcp", l.Addr().String())
-			require.NoError(t, err)
-			defer func() { _ = conn.Close() }()
-			require.NoError(t, conn.SetDeadline(time.Now().Add(time.Minute)))
-			_, err = io.WriteString(conn, head)
-			require.NoError(t, err)
-			time.Sleep(c.bodyAt - c.headAt)
-			// A router that has refused the request already may have closed the
-			// connection.
-			_, _ = io.WriteString(conn, "body")
-			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			require.NoError(t, err, "no response")
-			defer func() { _ = resp.Body.Close() }()
-			_, err = io.ReadAll(resp.Body)
-			require.NoError(t, err, "the response broke off, status %d", resp.StatusCode)
+			synctest.Test(t, func(t *testing.T) {
+				network := newTestNetwork(t)
+				e, l := drainedEdge(t, network)
+				// A request in progress keeps the drain from ending early.
+				early := network.connect(t, l)
+				_, err := io.WriteString(early.conn, head+"body")
+				require.NoError(t, err)
+				synctest.Wait()
+				require.EqualValues(t, 1, e.activeRequests.Load())
+				go func() {
+					e.drain(t.Context())
+					// The process exits.
+					_ = e.server.Close()
+				}()
+				time.Sleep(c.headAt)
+				late := network.connect(t, l)
+				_, err = io.WriteString(late.conn, head)
+				require.NoError(t, err)
+				time.Sleep(c.bodyAt - c.headAt)
+				// A router that has refused the request already may have closed the
+				// connection.
+				_, _ = io.WriteString(late.conn, "body")
+				resp, err := http.ReadResponse(late.responses, nil)
+				require.NoError(t, err, "no response")
+				defer func() { _ = resp.Body.Close() }()
+				_, err = io.ReadAll(resp.Body)
+				require.NoError(t, err, "the response broke off, status %d", resp.StatusCode)
+			})
 		})
 	}
 }
--- a/internal/rwedge/network_test.go
+++ b/internal/rwedge/network_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -40,6 +41,16 @@
 	return conn
 }
 
+// serveUpstream serves an upstream until the end of the test and returns its
+// address.
+func (n *testNetwork) serveUpstream(t *testing.T, h http.HandlerFunc) string {
+	l := n.listen(t)
+	upstream := &http.Server{Handler: h}
+	go func() { _ = upstream.Serve(l) }()
+	t.Cleanup(func() { _ = upstream.Close() })
+	return l.Addr().String()
+}
+
 // serveRouter serves a router until the end of the test.
 func (n *testNetwork) serveRouter(t *testing.T, e *Edge) net.Listener {
 	l := n.listen(t)
