Let a router close a connection before the test sets its deadline

Cause: TestDrainClosesNewConnectionsBeforeItsEnd, since it runs in virtual time, required that a read deadline can be set. A connection in memory refuses one when the other end has closed it, which is what the test waits for. The fault is in the test.

Ruled out: a fault of the drain; the error is that of SetReadDeadline, "read/write on closed pipe".

Change: the error is ignored. The read that follows still has to find the end of the connection.

--- a/internal/rwedge/conn_test.go
+++ b/internal/rwedge/conn_test.go
@@ -153,7 +153,8 @@
 		closedUnread := func() bool {
 			conn := network.dial(t, inner)
 			defer func() { _ = conn.Close() }()
-			require.NoError(t, conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+			// It fails if the router has closed the connection already.
+			_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 			_, err := conn.Read(make([]byte, 1))
 			return errors.Is(err, io.EOF)
 		}
