Check that a drain closes idle connections before it ends

Cause: no test of rwedge failed when a drain left idle connections open after its accept time until new ones are closed.

Ruled out: a fault of the program; the drain closes them in time.

Change: TestDrainClosesNewConnectionsBeforeItsEnd also holds a connection that is idle after a request, and requires its end before the drain closes new connections.

--- a/internal/rwedge/conn_test.go
+++ b/internal/rwedge/conn_test.go
@@ -132,7 +132,8 @@
 }
 
 // Guards against new connections that are accepted until the end of a drain that
-// a long request delays: the end would cut their requests.
+// a long request delays: the end would cut their requests. Guards also against
+// idle connections that stay open until new ones are closed.
 func TestDrainClosesNewConnectionsBeforeItsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newEdge()
@@ -142,9 +143,12 @@
 		inner := network.listen(t)
 		l := e.connLimiter.Listener(inner, 10)
 		go func() { _ = serve(t.Context(), e.server, l) }()
-		held := network.connect(t, inner)
+		held, idle := network.connect(t, inner), network.connect(t, inner)
 		_, err := io.WriteString(held.conn, "GET /")
 		require.NoError(t, err)
+		status, _ := idle.exchange()
+		require.Equal(t, http.StatusServiceUnavailable, status, "there is no configuration")
+		start := time.Now()
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -159,6 +163,10 @@
 			return errors.Is(err, io.EOF)
 		}
 		require.False(t, closedUnread())
+		_, err = idle.responses.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		require.Less(t, time.Now(), rwshutdown.New(start, e.deployment.Grace).ListenEnd(), "idle connections stay open")
+		require.False(t, closedUnread())
 		require.Eventually(t, closedUnread, e.deployment.Grace, 100*time.Millisecond)
 		select {
 		case <-done:
