Keep the waiting requests of a leaving router at the owners of cells

Cause, found by reading: with each change of the live routers, the owner of a cell drops the entry routers that are not live, and a leaving router isn't. It forgets the router's backlog, which is reported again only after 5 s, and takes its running grants for finished, so that it grants their slots twice. A new owner asks live routers only for their state, so that messages which reach it too early are lost for as long.

Change: owners keep the state of leaving routers until these are known to have ended, and new owners ask them too. The end of a leaving router doesn't change the live routers, so it now triggers an assignment itself.

A new owner doesn't wait for the running grants of leaving routers before it grants.

--- a/internal/rwgossip/rwgossip.go
+++ b/internal/rwgossip/rwgossip.go
@@ -99,6 +99,14 @@
 	return g.members.Live(zone)
 }
 
+// Leaving returns the other routers that are leaving and not known to have ended,
+// sorted by name.
+func (g *Gossip) Leaving() []rwidentity.Identity {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Leaving()
+}
+
 // Find returns a router by name unless it is unknown or dead. It may be
 // leaving.
 func (g *Gossip) Find(name string) (rwidentity.Identity, bool) {
--- a/internal/rwmember/rwmember.go
+++ b/internal/rwmember/rwmember.go
@@ -226,6 +226,19 @@
 	return out
 }
 
+// Leaving returns the other routers that are leaving and not known to have ended,
+// sorted by name.
+func (m *Members) Leaving() []rwidentity.Identity {
+	var out []rwidentity.Identity
+	for _, x := range m.members {
+		if x.leaving && x.state != dead {
+			out = append(out, x.id)
+		}
+	}
+	slices.SortFunc(out, func(a, b rwidentity.Identity) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Find returns a router by name unless it is unknown or dead. It may be
 // leaving.
 func (m *Members) Find(name string) (rwidentity.Identity, bool) {
--- a/internal/rwmember/rwmember_test.go
+++ b/internal/rwmember/rwmember_test.go
@@ -573,6 +573,7 @@
 		found, ok := f.nodes["r000"].m.Find("r004")
 		require.True(t, ok, "a leaving router must stay reachable until its requests have ended")
 		require.Equal(t, n.id, found)
+		require.Equal(t, []rwidentity.Identity{n.id}, f.nodes["r000"].m.Leaving())
 		for range 150 {
 			f.run(100 * time.Millisecond)
 			require.True(t, f.allSee(without(f.names, "r004")), "seed %d", seed)
--- a/internal/rwnode/cells.go
+++ b/internal/rwnode/cells.go
@@ -115,3 +115,15 @@
 	}
 	return out
 }
+
+// leavingInRegion returns the routers that own no cells any more but whose
+// requests still need slots.
+func (n *Node) leavingInRegion() []rwidentity.Identity {
+	var out []rwidentity.Identity
+	for _, r := range n.gossip.Leaving() {
+		if r.Region == n.self.Region {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -139,7 +139,10 @@
 	n.owner = rwowner.New(n.self)
 	n.owner.Send = n.send
 	n.owner.OnUpstreamFailure = n.upstreamFailed
+	n.owner.Leaving = n.leavingInRegion
 	n.gossip.OnLiveChange = n.requestAssignment
+	// The end of a leaving router doesn't change the live routers.
+	n.gossip.OnGone = func(rwidentity.Identity) { n.requestAssignment() }
 	n.gossip.OnResume = n.handleResume
 	n.configSync.OnChange = n.handleConfigChange
 	n.handleMessages()
--- a/internal/rwowner/rwowner.go
+++ b/internal/rwowner/rwowner.go
@@ -56,6 +56,9 @@
 	// OnUpstreamFailure is called when an upstream can't be reached or refuses
 	// a request. The scheduler then backs off from it. It may be nil.
 	OnUpstreamFailure func(upstream string, code rwcode.Code)
+	// Leaving returns the routers that are leaving but still serve the requests that
+	// they have accepted. It may be nil.
+	Leaving func() []rwidentity.Identity
 
 	self rwidentity.Identity
 
@@ -125,11 +128,19 @@
 	}
 }
 
-// Update applies a change of the configuration or of the live routers and
-// returns the names of the cells that this router took and released.
+func (o *Owner) leaving() []rwidentity.Identity {
+	if o.Leaving == nil {
+		return nil
+	}
+	return o.Leaving()
+}
+
+// Update applies a change of the configuration, of the live or of the leaving
+// routers and returns the names of the cells that this router took and released.
 func (o *Owner) Update(now time.Time, view *rwsnapshot.Snapshot, cells []rwcell.Cell, live []rwidentity.Identity) (taken, released []string) {
+	present := slices.Concat(live, o.leaving())
 	o.mu.Lock()
-	o.dropStaleEntries(now, live)
+	o.dropStaleEntries(now, present)
 	rejoined := o.updateLive(live)
 	before := o.otherOwners
 	o.groupCells = map[string][]string{}
@@ -166,7 +177,7 @@
 		c.configure(view, slots[c.cell.Group])
 	}
 	o.reportAllIfNeeded(now, rejoined, before)
-	out := ownerMessages(taken, live)
+	out := ownerMessages(taken, present)
 	out = append(out, o.grantMessages(now)...)
 	o.mu.Unlock()
 	o.send(out)
@@ -227,10 +238,10 @@
 	return slots
 }
 
-func ownerMessages(taken []string, live []rwidentity.Identity) []outgoingMessage {
+func ownerMessages(taken []string, present []rwidentity.Identity) []outgoingMessage {
 	var out []outgoingMessage
 	for _, name := range taken {
-		for _, r := range live {
+		for _, r := range present {
 			out = append(out, outgoingMessage{r, rwslotmessage.Owner, &rwslotmessage.Message{Cell: name}})
 		}
 	}
@@ -254,11 +265,12 @@
 	}
 }
 
-// dropStaleEntries drops entry routers that are no longer live or have
-// restarted.
-func (o *Owner) dropStaleEntries(now time.Time, live []rwidentity.Identity) {
+// dropStaleEntries drops entry routers that are neither live nor leaving, or have
+// restarted. A leaving router keeps its backlog and its running grants, since it
+// serves the requests that it has accepted.
+func (o *Owner) dropStaleEntries(now time.Time, present []rwidentity.Identity) {
 	for name, known := range o.entries {
-		if slices.ContainsFunc(live, func(r rwidentity.Identity) bool {
+		if slices.ContainsFunc(present, func(r rwidentity.Identity) bool {
 			return r.Name == name && r.Inc == known.Inc
 		}) {
 			continue
--- a/internal/rwslotmessage/rwslotmessage.go
+++ b/internal/rwslotmessage/rwslotmessage.go
@@ -20,8 +20,8 @@
 	Sync = "sync"
 	// Grant is sent by an owner to an entry router. It contains new grants.
 	Grant = "grant"
-	// Owner is sent by a new owner to all live routers. Those that know the
-	// sender as the owner of the cell then send Sync.
+	// Owner is sent by a new owner to all live and leaving routers. Those that
+	// know the sender as the owner of the cell then send Sync.
 	Owner = "owner"
 	// Check is sent by an owner to an entry router. It lists grants for which
 	// the owner has received no end. The entry router returns those that it is
