Let a new owner wait for the running grants of leaving routers

Cause: a new owner asks leaving routers for their state but granted at once when the live ones had answered. A leaving router that had owned the cell holds running grants, so their slots were granted twice. A router that began to leave between the two reads of the members was asked twice, and its second answer could cross with a grant and free its slot.

Found by a reviewer.

--- a/internal/rwnode/cells.go
+++ b/internal/rwnode/cells.go
@@ -116,8 +116,8 @@
 	return out
 }
 
-// leavingInRegion returns the routers that own no cells any more but whose
-// requests still need slots.
+// leavingInRegion returns the other routers that are leaving and whose requests
+// still need slots.
 func (n *Node) leavingInRegion() []rwidentity.Identity {
 	var out []rwidentity.Identity
 	for _, r := range n.gossip.Leaving() {
--- a/internal/rwowner/rwowner.go
+++ b/internal/rwowner/rwowner.go
@@ -56,8 +56,8 @@
 	// OnUpstreamFailure is called when an upstream can't be reached or refuses
 	// a request. The scheduler then backs off from it. It may be nil.
 	OnUpstreamFailure func(upstream string, code rwcode.Code)
-	// Leaving returns the routers that are leaving but still serve the requests that
-	// they have accepted. It may be nil.
+	// Leaving returns the other routers that are leaving but still serve the
+	// requests that they have accepted. It may be nil.
 	Leaving func() []rwidentity.Identity
 
 	self rwidentity.Identity
@@ -128,17 +128,26 @@
 	}
 }
 
-func (o *Owner) leaving() []rwidentity.Identity {
+// withLeaving returns the live routers and the leaving ones.
+func (o *Owner) withLeaving(live []rwidentity.Identity) []rwidentity.Identity {
 	if o.Leaving == nil {
-		return nil
+		return live
+	}
+	present := slices.Clone(live)
+	for _, r := range o.Leaving() {
+		// A router that has just begun to leave may be in both.
+		if !slices.Contains(live, r) {
+			present = append(present, r)
+		}
 	}
-	return o.Leaving()
+	return present
 }
 
-// Update applies a change of the configuration, of the live or of the leaving
-// routers and returns the names of the cells that this router took and released.
+// Update applies a change of the configuration, of the live routers or of those
+// that Leaving returns, and returns the names of the cells that this router took
+// and released.
 func (o *Owner) Update(now time.Time, view *rwsnapshot.Snapshot, cells []rwcell.Cell, live []rwidentity.Identity) (taken, released []string) {
-	present := slices.Concat(live, o.leaving())
+	present := o.withLeaving(live)
 	o.mu.Lock()
 	o.dropStaleEntries(now, present)
 	rejoined := o.updateLive(live)
@@ -161,7 +170,7 @@
 		}
 		owned[c.Name] = true
 		if o.cells[c.Name] == nil {
-			o.cells[c.Name] = o.newOwnedCell(now, c, live)
+			o.cells[c.Name] = o.newOwnedCell(now, c, present)
 			taken = append(taken, c.Name)
 		}
 		o.cells[c.Name].cell = c
@@ -248,10 +257,12 @@
 	return out
 }
 
-func (o *Owner) newOwnedCell(now time.Time, c rwcell.Cell, live []rwidentity.Identity) *ownedCell {
+// newOwnedCell returns a cell that makes no grants until all present routers have
+// reported their running ones, or until settleTimeout has passed.
+func (o *Owner) newOwnedCell(now time.Time, c rwcell.Cell, present []rwidentity.Identity) *ownedCell {
 	inc := now.UnixMicro()
 	awaited := map[string]bool{}
-	for _, r := range live {
+	for _, r := range present {
 		awaited[r.Name] = true
 	}
 	return &ownedCell{
--- a/internal/rwowner/rwowner_test.go
+++ b/internal/rwowner/rwowner_test.go
@@ -141,3 +141,44 @@
 		return s.to == entry && s.method == rwslotmessage.Owner
 	}))
 }
+
+// Guards against a new owner that grants a slot before a leaving router has said
+// that it holds it.
+func TestNewOwnerWaitsForLeavingRouters(t *testing.T) {
+	f := newFixture(t)
+	f.leaving = []rwidentity.Identity{entry}
+	f.update(self)
+	f.owner.HandleSync(f.now, self, &rwslotmessage.Message{Cell: f.cells[0].Name})
+	f.want(self, 1)
+	require.Empty(t, f.grants(self))
+	f.owner.HandleSync(f.now, entry, &rwslotmessage.Message{Cell: f.cells[0].Name})
+	f.want(self, 1)
+	require.Len(t, f.grants(self), 1)
+}
+
+// Guards against a leaving router that never answers and keeps a new owner from
+// granting.
+func TestNewOwnerWaitsForLeavingRoutersForLimitedTime(t *testing.T) {
+	f := newFixture(t)
+	f.leaving = []rwidentity.Identity{entry}
+	f.update(self)
+	f.owner.HandleSync(f.now, self, &rwslotmessage.Message{Cell: f.cells[0].Name})
+	f.settle()
+	f.want(self, 1)
+	require.Len(t, f.grants(self), 1)
+}
+
+// Guards against a router that is asked twice for its state because it began to
+// leave while the members were read: its second answer can cross with a grant.
+func TestRouterInBothListsIsAskedOnce(t *testing.T) {
+	f := newFixture(t)
+	f.leaving = []rwidentity.Identity{entry}
+	f.update(self, entry)
+	asked := 0
+	for _, s := range f.sent {
+		if s.to == entry && s.method == rwslotmessage.Owner {
+			asked++
+		}
+	}
+	require.Equal(t, 1, asked)
+}
