Let grants show their versions although they are no origins

Cause: with the copies of grants, the news of a new version went too. If the owner, the only router that knew it, and the router of a stream ended right after the first event, the others resumed the stream at the former only version. A router of an older release that answers with a grant was passed over, so that its version wasn't seen and its answer not counted.

Ruled out: the origins themselves, which still come from reports of first events alone.

Change: owners copy grants again while several versions serve; receivers only observe the version. An answer with a grant counts as one that has seen its version, or as uncertain if it doesn't name one.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -19,12 +19,12 @@
 // not known: the router that knows it may be reachable again.
 const originRetryAfter = 500 * time.Millisecond
 
-// originRecord is the origin of one stream that has begun.
+// originRecord is the origin of one stream. If Begun is not set, it is only where the
+// stream was granted. That tells that upstreams of this version get streams, and
+// nothing about this one: another owner's grant may be the one that was used.
 type originRecord struct {
 	ID string `json:"id"`
 	rworigin.Origin
-	// Begun is always set. Routers of older releases also send where a stream was
-	// granted, without it: another router's grant may be the one that was used.
 	Begun bool `json:"beg,omitempty"`
 }
 
@@ -41,9 +41,9 @@
 
 type originAnswer struct {
 	// Found is whether the router knows the stream, and Begun whether its origin
-	// is certain. Uncertain is whether it isn't; routers of older releases refuse
-	// the resumption then, since Begun is not set. In an answer of such a router
-	// neither is set if it knows only a grant.
+	// is certain. Uncertain is whether it isn't; routers of an older release refuse
+	// the resumption then, since Begun is not set. Such a router sets Found alone
+	// if it knows only a grant.
 	Found     bool            `json:"ok,omitempty"`
 	Begun     bool            `json:"beg,omitempty"`
 	Uncertain bool            `json:"unc,omitempty"`
@@ -63,6 +63,8 @@
 		for _, r := range m.List {
 			if r.Begun {
 				b.Origins.Add(now, r.ID, r.Origin)
+			} else if r.Software != "" {
+				b.Origins.ObserveGrant(now, r.Origin)
 			}
 		}
 		return nil, nil
@@ -84,6 +86,20 @@
 	return b.checked(a)
 }
 
+// withoutGrant returns the answer of a router of an older release that knows only a
+// grant as one of a router that doesn't know the stream but has seen the version. If
+// it knows grants at several versions, which it doesn't name, the answer is
+// uncertain.
+func (a originAnswer) withoutGrant() originAnswer {
+	if !a.Found || a.Begun || a.Uncertain {
+		return a
+	}
+	if a.Origin.Software == "" {
+		return originAnswer{Found: true, Uncertain: true}
+	}
+	return originAnswer{Seen: []string{a.Origin.Software}}
+}
+
 // checked returns an answer without its version if that is uncertain by what this
 // router knows of restarts.
 func (b *Broker) checked(a originAnswer) originAnswer {
@@ -93,6 +109,20 @@
 	return a
 }
 
+// noteGrant queues a copy of where a stream was granted in a cell of this router, so
+// that others learn of its version even if this router ends before its first event.
+// The caller must hold the lock.
+func (b *Broker) noteGrant(k cellKey, d rwplacement.Decision) {
+	if d.Verdict != rwplacement.Granted || d.Stream == "" {
+		return
+	}
+	// The decision was made with this snapshot.
+	in, _ := b.cells[k].snapshot.Known(d.Engine)
+	b.queueOrigin(time.Now(), k, originRecord{ID: d.Stream, Origin: rworigin.Origin{
+		Service: k.Service, Software: d.Software, Upstream: d.Engine, StartMillis: in.StartMillis,
+	}})
+}
+
 // noteBegun records where a stream began that was granted in a cell of this
 // router. The caller must hold the lock.
 func (b *Broker) noteBegun(k cellKey, r originRecord) {
@@ -273,10 +303,7 @@
 		if a == nil {
 			continue
 		}
-		judged := b.checked(*a)
-		if judged.Found && !judged.Begun && !judged.Uncertain {
-			continue
-		}
+		judged := b.checked(a.withoutGrant())
 		answers = append(answers, judged)
 		if judged.Found {
 			break
--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -367,6 +367,84 @@
 	})
 }
 
+// Guards against a stream that goes on at the only version that other routers saw,
+// although a router of an older release says, in its answer or in a copy, that it was
+// granted at another one.
+func TestGrantShowsItsVersion(t *testing.T) {
+	for _, by := range []string{"answer", "copy", "answer with several versions"} {
+		t.Run(by, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3, newVersionedSnapshot("v1"))
+				f.observe([]string{"r0", "r2"}, "v1")
+				f.nodes["r0"].Origins.MarkCurrent(time.Now())
+				grant := rworigin.Origin{Service: "model", Software: "v2", Upstream: "e9"}
+				if by == "answer with several versions" {
+					grant = rworigin.Origin{Service: "model"}
+				}
+				old := f.nodes["r1"]
+				if by == "copy" {
+					require.NoError(t, old.peers.Call(t.Context(), f.nodes["r0"].id.Addr, "origins", originsMessage{[]originRecord{{ID: "s", Origin: grant}}}, nil))
+					old.stop()
+				} else {
+					old.peers.Handle("origin", func(context.Context, rwidentity.Identity, json.RawMessage) (any, error) {
+						return originAnswer{Found: true, Origin: grant}, nil
+					})
+				}
+				_, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+				require.NotNil(t, fault)
+				require.Equal(t, rwcode.OriginUnknown, fault.Code)
+			})
+		})
+	}
+}
+
+// Guards against a refusal of a stream of a service with one version because the
+// answer of a router of an older release isn't counted.
+func TestGrantOfAnOlderRouterIsAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, newVersionedSnapshot("v1"))
+		f.observe([]string{"r0", "r1", "r2"}, "v1")
+		f.nodes["r1"].peers.Handle("origin", func(context.Context, rwidentity.Identity, json.RawMessage) (any, error) {
+			return originAnswer{Found: true, Origin: rworigin.Origin{Service: "model", Software: "v1", Upstream: "e0"}}, nil
+		})
+		f.nodes["r2"].stop()
+		o, fault := f.nodes["r0"].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+		require.Nil(t, fault)
+		require.Equal(t, "v1", o.Software)
+	})
+}
+
+// Guards against a stream that goes on at the former only version because its owner,
+// the only router that had heard of the new one, ended right after the first event.
+func TestNewVersionOutlivesItsOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5, newVersionedSnapshot("v2"))
+		f.observe([]string{"r0", "r1", "r2", "r3", "r4"}, "v1")
+		for _, n := range f.nodes {
+			n.Origins.MarkCurrent(time.Now())
+		}
+		owner := f.nodes[f.nodes["r0"].owner(cellKey{Service: "model"}).Name]
+		owner.Origins.Observe(time.Now(), []rwinstance.Instance{{Service: "model", Software: "v2"}})
+		r := newRequest("s")
+		r.ID, r.Stream = "s", "s"
+		require.Equal(t, rwplacement.Granted, owner.decide(cellKey{Service: "model"}, r, f.nodes["r0"].id).Verdict)
+		time.Sleep(4 * originFlushInterval)
+		var left []rwidentity.Identity
+		for _, n := range f.nodes {
+			if n != owner {
+				left = append(left, n.id)
+			}
+		}
+		f.setLive(left...)
+		owner.stop()
+		for _, id := range left {
+			_, fault := f.nodes[id.Name].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+			require.NotNil(t, fault, id.Name)
+			require.Equal(t, rwcode.OriginUnknown, fault.Code)
+		}
+	})
+}
+
 // Guards against a stream whose owner and router know different versions of its
 // engine, which has started again under its id.
 func TestGrantAtAnotherVersionIsGivenUp(t *testing.T) {
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -505,6 +505,7 @@
 	}
 	c := b.cell(k)
 	d := c.placer.Submit(time.Now(), r)
+	b.noteGrant(k, d)
 	if d.Verdict == rwplacement.Queued {
 		c.requesters[r.ID] = from
 		select {
@@ -629,6 +630,7 @@
 	for k := range b.cells {
 		c := b.cell(k)
 		for _, d := range c.placer.Tick(now) {
+			b.noteGrant(k, d)
 			from, ok := c.requesters[d.ID]
 			delete(c.requesters, d.ID)
 			if ok {
--- a/internal/rworigin/rworigin.go
+++ b/internal/rworigin/rworigin.go
@@ -209,6 +209,14 @@
 	return ok && t.Uncertain(o)
 }
 
+// ObserveGrant records that an upstream of a version was granted, at which a stream
+// may begin.
+func (t *Table) ObserveGrant(now time.Time, o Origin) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(now, o)
+}
+
 func (t *Table) observe(now time.Time, o Origin) {
 	if t.seen[o.Service] == nil {
 		t.seen[o.Service], t.watchedSince[o.Service] = map[string]time.Time{}, now
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -214,7 +214,8 @@
 	// refused. Source is an engine to copy prompt parts from, or empty.
 	Engine string `json:"eng,omitempty"`
 	Source string `json:"src,omitempty"`
-	// Software is that of the engine of a granted request.
+	// Stream is that of a granted request; Software is that of the engine.
+	Stream   string `json:"-"`
 	Software string `json:"sw,omitempty"`
 	// Forecast is the expected time to the first event. QueuedTokens is the
 	// number of tokens that the engine has to prefill before it, including this
@@ -824,7 +825,7 @@
 		request: r, engine: e, grantedAt: now, prompt: prompt, forecast: o.forecast,
 	}
 	d := Decision{
-		ID: r.ID, Verdict: Granted, Engine: e.ID, Software: e.Software, Forecast: o.forecast, QueuedTokens: int(e.model.QueuedTokens(now)),
+		ID: r.ID, Verdict: Granted, Engine: e.ID, Stream: r.Stream, Software: e.Software, Forecast: o.forecast, QueuedTokens: int(e.model.QueuedTokens(now)),
 		UncachedTokens: int(o.uncachedTokens), CachedTokens: o.cachedTokens, PrefillRate: int(e.model.Rate()),
 	}
 	if o.source != nil {
--- a/internal/rwplacement/rwplacement_test.go
+++ b/internal/rwplacement/rwplacement_test.go
@@ -497,6 +497,7 @@
 		require.Equal(t, Granted, d.Verdict)
 		require.Equal(t, "a", d.Engine)
 		require.Equal(t, "v1", d.Software)
+		require.Equal(t, id, d.Stream)
 		require.Equal(t, []string{id}, p.Streams())
 		p.FirstEvent(at(400*i+100), id)
 		p.Ended(at(400*i+200), id, Served)
