Copy the origin of a stream whose owner ended before its first event

Cause: the router of a stream reports its first event to the owner that granted it, which copies the origin. If the owner had ended by then, the report was lost and the router alone knew the stream: once it ended too, even seconds later, the stream was refused while several versions served.

Found by a reviewer. Ruled out: a wrong version; the stream was refused.

Change: if the owner isn't live any more, the router copies the origin to the routers that would own the cell next.

Before, TestOriginIsCopiedAfterItsOwnerEnded failed (origin_unknown); after, 3 of 3 runs of the package passed.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -123,8 +123,8 @@
 	}})
 }
 
-// noteBegun records where a stream began that was granted in a cell of this
-// router. The caller must hold the lock.
+// noteBegun records where a stream began that was granted in a cell, and queues a
+// copy. The caller must hold the lock.
 func (b *Broker) noteBegun(k cellKey, r originRecord) {
 	now := time.Now()
 	b.Origins.Add(now, r.ID, r.Origin)
--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -445,6 +445,43 @@
 	})
 }
 
+// Guards against a stream that its router alone knows for as long as it lasts,
+// because the owner of its cell ended between the grant and the first event.
+func TestOriginIsCopiedAfterItsOwnerEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5, newVersionedSnapshot("v1", "v2"))
+		f.observe([]string{"r0", "r1", "r2", "r3", "r4"}, "v1", "v2")
+		owner := f.nodes[f.nodes["r0"].owner(cellKey{Service: "model"}).Name]
+		router := f.nodes["r0"]
+		if router == owner {
+			router = f.nodes["r1"]
+		}
+		r := newRequest("s")
+		r.ID, r.Stream = "s", "s"
+		g, fault := router.Acquire(t.Context(), "model", r)
+		require.Nil(t, fault)
+		require.Equal(t, owner.id.Name, g.Owner)
+		var others []rwidentity.Identity
+		for _, n := range f.nodes {
+			if n != owner && n != router {
+				others = append(others, n.id)
+			}
+		}
+		f.setLive(append([]rwidentity.Identity{router.id}, others...)...)
+		owner.stop()
+		g.FirstEvent()
+		time.Sleep(4 * originFlushInterval)
+		f.setLive(others...)
+		router.stop()
+		time.Sleep(2 * ownerCacheTTL)
+		for _, id := range others {
+			o, fault := f.nodes[id.Name].FindOrigin(t.Context(), "model", newRequest("y"), "s")
+			require.Nil(t, fault, id.Name)
+			require.Equal(t, g.Instance.Software, o.Software)
+		}
+	})
+}
+
 // Guards against a stream whose owner and router know different versions of its
 // engine, which has started again under its id.
 func TestGrantAtAnotherVersionIsGivenUp(t *testing.T) {
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -763,9 +763,15 @@
 			Service: g.key.Service, Software: in.Software, Upstream: in.ID, StartMillis: in.StartMillis,
 		}}
 	}
-	if g.addr != b.self.Addr {
-		b.peers.Notify(g.addr, method, r)
+	if g.addr == b.self.Addr {
+		b.applyReport(r, reportHandlers[method])
 		return
 	}
-	b.applyReport(r, reportHandlers[method])
+	b.peers.Notify(g.addr, method, r)
+	if r.Begun != nil && !slices.ContainsFunc(b.Live(), func(id rwidentity.Identity) bool { return id.Name == g.Owner }) {
+		// The owner has left and won't copy the origin.
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.noteBegun(g.key, *r.Begun)
+	}
 }
