--- a/internal/rwdispatch/rwdispatch.go
+++ b/internal/rwdispatch/rwdispatch.go
@@ -66,6 +66,7 @@
 	// Idempotency-Key by itself, which could run a non-idempotent call twice.
 	unpooled *http.Client
 
+	// cancelTimeout is the constant of this name; tests on sockets set a longer one.
 	cancelTimeout time.Duration
 	readers       sync.Pool
 }
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -131,15 +131,18 @@
 	// Key authenticates routers to each other.
 	Key string
 	Out io.Writer
-	// Listen and Dial open listeners, and connections to routers and upstreams.
-	// They use TCP if they are nil.
+	// Listen and Dial open listeners, and connections to routers and for requests
+	// to upstreams. They use TCP if they are nil. List, Watch and Inventory open
+	// connections of their own.
 	Listen func(addr string) (net.Listener, error)
 	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Signals is received from instead of the signals of the process if it is
 	// not nil.
 	Signals <-chan os.Signal
-	// Wait is the Wait of rwlag.Monitor, or nil for what the runtime measured.
-	Wait func() time.Duration
+	// SchedulingDelay returns how long goroutines waited to run, by which the
+	// router decides whether to shed load. If it is nil, the runtime's measure is
+	// used.
+	SchedulingDelay func() time.Duration
 }
 
 // Edge is one front router.
@@ -211,8 +214,8 @@
 	if c.Dial != nil {
 		e.peers.Dial, e.pool.Dial = c.Dial, c.Dial
 	}
-	if c.Wait != nil {
-		e.lagMonitor.Wait = c.Wait
+	if c.SchedulingDelay != nil {
+		e.lagMonitor.SchedulingDelay = c.SchedulingDelay
 	}
 	e.wireCatalog()
 	e.wireFront()
--- a/internal/rwlag/rwlag.go
+++ b/internal/rwlag/rwlag.go
@@ -31,10 +31,10 @@
 	// other goroutines waited for seconds while timers fired within a
 	// millisecond.
 	OnMeasure func(now time.Time, late time.Duration)
-	// Wait returns the 90th percentile of the times that goroutines waited to
-	// run since its last call. It must be set before Run; New sets it to what
-	// the runtime measured.
-	Wait func() time.Duration
+	// SchedulingDelay returns the 90th percentile of the times that goroutines
+	// waited to run since its last call. It must be set before Run; New sets it
+	// to what the runtime measured.
+	SchedulingDelay func() time.Duration
 
 	// laggingUntil is the end of the time in which the process counts as
 	// lagging, in nanoseconds since start.
@@ -43,12 +43,14 @@
 }
 
 // New returns a monitor that measures once Run is called.
-func New() *Monitor { return &Monitor{Wait: newSchedLatencies().percentile90, start: time.Now()} }
+func New() *Monitor {
+	return &Monitor{SchedulingDelay: newSchedLatencies().percentile90, start: time.Now()}
+}
 
 // Run measures until the context ends.
 func (m *Monitor) Run(ctx context.Context) error {
 	// The waits before now don't belong to the first measurement.
-	m.Wait()
+	m.SchedulingDelay()
 	for {
 		due := time.Now().Add(interval)
 		select {
@@ -59,7 +61,7 @@
 		now := time.Now()
 		m.record(now, due)
 		if m.OnMeasure != nil {
-			m.OnMeasure(now, max(now.Sub(due), m.Wait()))
+			m.OnMeasure(now, max(now.Sub(due), m.SchedulingDelay()))
 		}
 	}
 }
--- a/internal/rwmemnetwork/rwmemnetwork.go
+++ b/internal/rwmemnetwork/rwmemnetwork.go
@@ -39,7 +39,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if a.Port == 0 {
+	for unused := a.Port == 0; unused; unused = n.listeners[a.String()] != nil {
 		n.lastPort++
 		a.Port = n.lastPort
 	}
--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -97,9 +97,11 @@
 	data  bool
 	queue chan notification
 
+	// queueMu makes looking for a queued notification and clearing sending one
+	// step.
 	queueMu sync.Mutex
-	// sending reports whether a goroutine runs that sends the queued
-	// notifications. It ends when the queue is empty.
+	// sending reports whether run is in progress, which returns when the queue is
+	// empty.
 	sending bool
 
 	mu   sync.Mutex
