--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -46,29 +46,16 @@
 	}
 }
 
-// askAgainTime is how long a router is asked for an origin before it counts as
-// unknown: on a busy machine, calls between routers time out.
-const askAgainTime = 10 * time.Second
-
-// requireFound requires that a resumption is told a version, at the latest when its
-// caller has asked again for some time.
+// requireFound requires that a resumption is told a version.
 func (n *node) requireFound(t *testing.T, stream, software string) {
 	t.Helper()
-	for deadline := time.Now().Add(askAgainTime); time.Now().Before(deadline); {
-		o, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), stream)
-		if fault == nil {
-			require.Equal(t, rworigin.Origin{Service: "model", Software: software}, rworigin.Origin{Service: o.Service, Software: o.Software})
-			return
-		}
-		require.Equal(t, rwcode.OriginUnknown, fault.Code)
-		require.Equal(t, "0", uncertain(n), n.id.Name)
-	}
-	require.Fail(t, "not found", "%s at %s", stream, n.id.Name)
+	o, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), stream)
+	require.Nil(t, fault, "%s at %s", stream, n.id.Name)
+	require.Equal(t, rworigin.Origin{Service: "model", Software: software}, rworigin.Origin{Service: o.Service, Software: o.Software})
 }
 
 // beginStream has the owner of the cell grant a stream once and learn that it has
-// begun, and returns the version of its engine. A router that asks the owner asks
-// again after a call that timed out.
+// begun, and returns the version of its engine.
 func (f *fleet) beginStream(t *testing.T, owner rwidentity.Identity, id string) string {
 	k, r := cellKey{Service: "model"}, newRequest(id)
 	r.ID, r.Stream = id, id
@@ -106,17 +93,13 @@
 				left = append(left, n.id)
 			}
 		}
-		require.Eventually(t, func() bool {
-			for id := range want {
-				if !slices.ContainsFunc(left, func(i rwidentity.Identity) bool {
-					_, ok := f.nodes[i.Name].Origins.Find(time.Now(), id)
-					return ok
-				}) {
-					return false
-				}
-			}
-			return true
-		}, askAgainTime, originFlushInterval)
+		time.Sleep(4 * originFlushInterval)
+		for id := range want {
+			require.True(t, slices.ContainsFunc(left, func(i rwidentity.Identity) bool {
+				_, ok := f.nodes[i.Name].Origins.Find(time.Now(), id)
+				return ok
+			}))
+		}
 		f.mu.Lock()
 		f.live = left
 		f.mu.Unlock()
@@ -600,17 +583,15 @@
 // owner knows that and has had time to copy it.
 func (f restartFleet) begin(t *testing.T, stream string, begun bool) Grant {
 	r := newRequest("x" + stream)
-	r.Stream, r.Target = stream, askAgainTime
+	r.Stream = stream
 	g, fault := f.nodes["r0"].Acquire(t.Context(), "model", r)
 	require.Nil(t, fault)
 	if begun {
 		g.FirstEvent()
 	}
-	require.Eventually(t, func() bool {
-		_, ok := f.nodes[g.Owner].Origins.Find(time.Now(), stream)
-		return ok == begun
-	}, askAgainTime, 5*time.Millisecond)
 	time.Sleep(4 * originFlushInterval)
+	_, ok := f.nodes[g.Owner].Origins.Find(time.Now(), stream)
+	require.Equal(t, begun, ok)
 	return g
 }
 
@@ -633,20 +614,16 @@
 }
 
 // requireRefused requires that a resumption is refused, and if the stream is known
-// to have begun, that it is refused for its version and not only because calls timed
-// out on a busy machine.
+// to have begun, that it is refused for its version.
 func (f restartFleet) requireRefused(t *testing.T, n *node, begun bool) {
 	t.Helper()
-	for deadline := time.Now().Add(askAgainTime); time.Now().Before(deadline); {
-		_, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), "s")
-		require.NotNil(t, fault, n.id.Name)
-		require.Equal(t, rwcode.OriginUnknown, fault.Code)
-		require.Positive(t, fault.RetryAfter)
-		if !begun || uncertain(n) != "0" {
-			return
-		}
+	_, fault := n.FindOrigin(t.Context(), "model", newRequest("y"), "s")
+	require.NotNil(t, fault, n.id.Name)
+	require.Equal(t, rwcode.OriginUnknown, fault.Code)
+	require.Positive(t, fault.RetryAfter)
+	if begun {
+		require.Equal(t, "1", uncertain(n), n.id.Name)
 	}
-	require.Fail(t, "refused for another reason", n.id.Name)
 }
 
 // Guards against a stream that goes on at the version that its engine had before it
