Add failing tests for the end of responses without a frame

The bytes that the server sent aren't known; that these cases are of the kind below is inferred.

Cause shown by the tests: the fault that rwssereader returns for a stream that ends inside an event wraps io.EOF, and forwardStream asks errors.Is(err, io.EOF). Without a length or chunks at the upstream, such an end is therefore taken for the end of the stream: event 405, final chunk, no resumption. With chunks the error is io.ErrUnexpectedEOF, so the fault is seen.

--- a/internal/rwssereader/rwssereader_test.go
+++ b/internal/rwssereader/rwssereader_test.go
@@ -48,6 +48,15 @@
 	require.True(t, rwfault.Is(err, rwcode.UpstreamTruncated))
 }
 
+// Guards against a caller of Next that takes the end within an event for the end
+// after one, because the fault wraps io.EOF.
+func TestEndWithinAnEventIsNotEOF(t *testing.T) {
+	for _, in := range []string{"id: 1\nda", "id: 1\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n"} {
+		_, _, err := read(strings.NewReader(in))
+		require.NotErrorIs(t, err, io.EOF)
+	}
+}
+
 // Guards against an upstream that makes the router buffer any number of bytes.
 func TestEndlessEvent(t *testing.T) {
 	_, _, err := read(strings.NewReader(strings.Repeat("data: x\n", maxEventBytes/4)))
