Don't take the end of a stream inside an event for its end

Cause: the fault of rwssereader for a stream that ends inside an event wraps io.EOF, so errors.Is takes it for io.EOF, which Next returns for the end of a stream. This happens only if the response has neither a length nor chunks; otherwise net/http reports io.ErrUnexpectedEOF.

Ruled out: a reset taken for an end. TestResetResponseDoesNotLookComplete passed before the change.

The fault now wraps io.ErrUnexpectedEOF. The stream is resumed or aborted as any other that breaks off.

--- a/internal/rwssereader/rwssereader.go
+++ b/internal/rwssereader/rwssereader.go
@@ -56,6 +56,9 @@
 		switch {
 		case errors.Is(err, io.EOF) && len(r.buf) == 0:
 			return e, io.EOF
+		case errors.Is(err, io.EOF):
+			// The fault must not be io.EOF for errors.Is.
+			return e, rwfault.Wrap(rwcode.UpstreamTruncated, io.ErrUnexpectedEOF)
 		case err != nil:
 			return e, rwfault.Wrap(rwcode.UpstreamTruncated, err)
 		case len(r.buf) > maxEventBytes:
