Bound the head of an upstream's response

Cause: http.ReadResponse doesn't bound heads. The connection now counts what is read as head, informational responses included, and fails with UpstreamMalformed beyond 256 KiB.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -50,6 +50,9 @@
 	// maxInlineBody is how much of a body is written before the response is
 	// read; it fits into the socket's send buffer.
 	maxInlineBody = 16 << 10
+	// maxHeadBytes bounds the head of a response, with the informational
+	// responses before it: a faulty upstream may send header lines without end.
+	maxHeadBytes = 256 << 10
 )
 
 // Key identifies the connections to one incarnation of an upstream.
@@ -100,6 +103,7 @@
 
 type conn struct {
 	net.Conn
+	in *headLimiter
 	br *bufio.Reader
 	// usableUntil is how long the idle connection is reused; the upstream is
 	// expected to close it later.
@@ -109,6 +113,29 @@
 	bodyWritten chan error
 }
 
+// headLimiter bounds the bytes that are read from a connection as the head of a
+// response.
+type headLimiter struct {
+	io.Reader
+	// limited is whether the bound applies; left is the number of bytes up to it.
+	limited bool
+	left    int
+}
+
+var errHeadTooLong = errors.New("head of the response is too long")
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // Request is a request to an upstream.
 type Request struct {
 	Key    Key
@@ -235,8 +262,11 @@
 // receive reads the head of the response to a request.
 func (resp *Response) receive(req Request) error {
 	httpReq := &http.Request{Method: req.Method}
+	resp.conn.in.left = maxHeadBytes
 	for stray := 0; ; {
+		resp.conn.in.limited = true
 		httpResp, err := http.ReadResponse(resp.conn.br, httpReq)
+		resp.conn.in.limited = false
 		if err != nil {
 			return responseFault(err)
 		}
@@ -324,7 +354,8 @@
 		return nil, rwfault.Wrap(rwcode.UpstreamUnreachable, err)
 	}
 	p.count("connections_opened")
-	return &conn{Conn: raw, br: bufio.NewReader(raw)}, nil
+	in := &headLimiter{Reader: raw}
+	return &conn{Conn: raw, in: in, br: bufio.NewReader(in)}, nil
 }
 
 // isQuiet reports whether nothing has arrived on an idle connection, neither
