Frame responses as their upstreams do

Cause: a response with neither a length nor chunks ends with its connection, also if its upstream crashes. rwfront gave it a Content-Length or chunks of its own, and so declared more than it knew. For the same reason it cut a response at 16 MiB without an error, and stated the length 0 in responses to HEAD.

Now the caller's response has the upstream's frame. One with neither ends for the caller as it did for the router: with the end of the connection, or with a reset if it broke off, since the end of the connection alone would look complete. Where a stream that began with chunks goes on at an upstream without a frame, the end isn't proved and the stream is resumed or aborted. A stream without a frame and without an event counts as broken off. Plain responses are buffered up to 128 KiB, so that a request can be sent to another upstream if its response breaks off early, and passed on from there; a response of over 16 MiB is aborted. Event 405 says with "unframed" that the end wasn't proved.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -182,6 +182,13 @@
 // Body returns the body of the response.
 func (resp *Response) Body() io.Reader { return resp.body }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so
+// that it ends where the upstream closes the connection. Such an end doesn't show
+// whether the body is complete: an upstream that crashes may close it too.
+func (resp *Response) EndsWithConnection() bool {
+	return resp.HTTP.Body != http.NoBody && resp.HTTP.ContentLength < 0 && len(resp.HTTP.TransferEncoding) == 0
+}
+
 // Close ends the exchange and returns or closes the connection.
 func (resp *Response) Close() {
 	stopped := resp.stop()
--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -111,6 +111,21 @@
 	return (err == nil && n == 0) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
 }
 
+// ResetOnClose makes the connection of the request with this context end with a
+// reset when it is closed. Without it, the caller of a response that ends with its
+// connection takes a broken response for a complete one. Data that the caller has
+// not received yet may be lost.
+func ResetOnClose(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return
+	}
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		// It fails only if the connection is closed.
+		_ = l.SetLinger(0)
+	}
+}
+
 // Listener wraps a listener so that it closes new connections at once while at
 // least a maximum number are open. Their callers see that nothing was read and
 // retry on another router, and unread bytes in sockets don't add to this
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -287,7 +287,7 @@
 		},
 		CloseConnections: func() bool { return e.stopping() || e.overload.CloseConnections(time.Now()) },
 		Draining:         e.draining,
-		Overloaded:       e.overloaded, Lagging: e.lagMonitor.Lagging, CallerClosed: rwconnlimit.CallerClosed, FlushDelay: e.flushDelay,
+		Overloaded:       e.overloaded, Lagging: e.lagMonitor.Lagging, CallerClosed: rwconnlimit.CallerClosed, ResetOnClose: rwconnlimit.ResetOnClose, FlushDelay: e.flushDelay,
 		CloseRefused: func() bool { return e.connLimiter.Open() > e.maxConnections(closeRefusedRatio) },
 		Zone:         e.self.Zone, Log: e.log, Metrics: e.metrics, ObserveLatency: e.latency.Record,
 		Stopping: e.stopRequested, InFlight: &e.inFlight,
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -45,8 +45,12 @@
 	// time between two events.
 	LastEventAt time.Time
 	MaxGap      time.Duration
-	// HeadSent is whether the head of a response was forwarded.
-	HeadSent bool
+	// HeadSent is whether the head of a response was forwarded;
+	// EndsWithConnection is whether that response has neither a length nor chunks,
+	// so that it ends for the caller where the connection is closed.
+	HeadSent, EndsWithConnection bool
+	// OldProtocol is whether the caller speaks HTTP/1.0, which has no chunks.
+	OldProtocol bool
 	// Upstream is the last one picked for the request; UpstreamSoftware is the
 	// version of its software.
 	Upstream, UpstreamSoftware string
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -53,7 +53,7 @@
 	if x.Route.Kind == rwrouteconfig.Stream && resp.HTTP.StatusCode == http.StatusOK {
 		return f.forwardStream(ctx, w, x, dest, resp)
 	}
-	return f.forwardBuffered(ctx, w, x, resp)
+	return f.forwardResponse(ctx, w, x, resp)
 }
 
 func (f *Handler) upstreamRequest(x *rwexchange.Exchange, dest destination) rwconn.Request {
@@ -72,10 +72,12 @@
 }
 
 // drain reads the short body of a refusal, so that the connection can be
-// reused.
+// reused. A connection that ends with the response can't be.
 func drain(resp *rwconn.Response) {
 	const maxBytes = 64 << 10
-	_, _ = io.CopyN(io.Discard, resp.Body(), maxBytes)
+	if !resp.EndsWithConnection() {
+		_, _ = io.CopyN(io.Discard, resp.Body(), maxBytes)
+	}
 }
 
 // endFor returns the end of a request on its upstream for a fault.
@@ -98,9 +100,11 @@
 	return rwfault.Wrap(code, err).WithOutcome(rwoutcome.Unknown)
 }
 
-// forwardBuffered forwards a response that is not a stream once it is complete.
-func (f *Handler) forwardBuffered(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, resp *rwconn.Response) (rwplacement.End, *rwfault.Fault) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body(), maxResponseBytes))
+// forwardResponse forwards a response that is not a stream. It is buffered up to
+// maxBufferedBytes, so that the request can still be sent to another upstream if the
+// response breaks off before its end.
+func (f *Handler) forwardResponse(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, resp *rwconn.Response) (rwplacement.End, *rwfault.Fault) {
+	buffered, err := io.ReadAll(io.LimitReader(resp.Body(), maxBufferedBytes))
 	if err != nil {
 		fault := outcomeUnknown(ctx, rwcode.UpstreamTruncated, err)
 		return endFor(fault), fault
@@ -118,8 +122,15 @@
 		// A resumed stream can't turn into a different response.
 		return rwplacement.Failed, rwfault.New(rwcode.UpstreamFailed, strconv.Itoa(status)).WithOutcome(rwoutcome.Ran)
 	}
-	f.writeHead(w, resp, status, len(body))
-	_, _ = w.Write(body)
+	f.writeHead(w, x, resp, status)
+	if _, err := w.Write(buffered); err != nil {
+		return rwplacement.Abandoned, rwfault.Wrap(rwcode.CallerGone, err).WithOutcome(rwoutcome.Unknown)
+	}
+	if len(buffered) == maxBufferedBytes {
+		if fault := f.forwardRest(ctx, w, resp); fault != nil {
+			return endFor(fault), fault
+		}
+	}
 	f.recordServed(x, status)
 	if failed {
 		return rwplacement.Failed, nil
@@ -127,27 +138,62 @@
 	return rwplacement.Served, nil
 }
 
+// forwardRest forwards the part of a response's body that was not buffered.
+func (f *Handler) forwardRest(ctx context.Context, w http.ResponseWriter, resp *rwconn.Response) *rwfault.Fault {
+	buf := make([]byte, 32<<10)
+	for total := maxBufferedBytes; ; {
+		n, err := resp.Body().Read(buf)
+		if total += n; total > maxResponseBytes {
+			return rwfault.New(rwcode.UpstreamMalformed, "response is too long").WithOutcome(rwoutcome.Unknown)
+		}
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return rwfault.Wrap(rwcode.CallerGone, err).WithOutcome(rwoutcome.Unknown)
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return outcomeUnknown(ctx, rwcode.UpstreamTruncated, err)
+		}
+	}
+}
+
 // canTryAnother reports whether a request that failed at an upstream may be
 // sent to another one. Otherwise the failure is forwarded to the caller.
 func (f *Handler) canTryAnother(x *rwexchange.Exchange) bool {
 	return x.Route.Retryable() && x.Ran < x.Route.MaxAttempts && x.Sent < maxUpstreams
 }
 
-// writeHead forwards the head of a response. A negative length means chunked
-// encoding.
-func (f *Handler) writeHead(w http.ResponseWriter, resp *rwconn.Response, status, length int) {
+// writeHead forwards the head of a response. The caller's response is framed as the
+// upstream's is: with its length, with chunks, or with neither, so that it ends with
+// the connection. A frame of its own would declare complete what the router can't
+// know to be complete. A stream never has a length, since a part of its events may
+// come from another upstream.
+func (f *Handler) writeHead(w http.ResponseWriter, x *rwexchange.Exchange, resp *rwconn.Response, status int) {
 	h := w.Header()
 	closing := h.Get("Connection")
 	maps.Copy(h, resp.HTTP.Header)
-	for _, name := range []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Content-Length"} {
+	for _, name := range []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade"} {
 		h.Del(name)
 	}
 	if closing != "" {
 		h.Set("Connection", closing)
 	}
-	if length >= 0 {
-		h.Set("Content-Length", strconv.Itoa(length))
+	framed := resp.HTTP.Body == http.NoBody || resp.HTTP.ContentLength >= 0
+	if x.Route.Kind == rwrouteconfig.Stream && status == http.StatusOK {
+		framed = false
+	}
+	if !framed {
+		h.Del("Content-Length")
 	}
+	if resp.EndsWithConnection() {
+		// net/http then sends no chunks and closes the connection.
+		h.Set("Transfer-Encoding", "identity")
+	}
+	x.HeadSent = true
+	x.EndsWithConnection = !framed && (x.OldProtocol || resp.EndsWithConnection())
 	w.WriteHeader(status)
 }
 
@@ -165,9 +211,11 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if fault := endOfStream(x, resp, reported); fault != nil {
+				return endFor(fault), fault
+			}
 			if !x.HeadSent {
-				f.writeHead(w, resp, http.StatusOK, -1)
-				x.HeadSent = true
+				f.writeHead(w, x, resp, http.StatusOK)
 			}
 			f.recordServed(x, http.StatusOK)
 			return rwplacement.Served, nil
@@ -193,8 +241,7 @@
 		}
 		now := time.Now()
 		if !x.HeadSent {
-			f.writeHead(w, resp, http.StatusOK, -1)
-			x.HeadSent = true
+			f.writeHead(w, x, resp, http.StatusOK)
 			x.FirstEventAt, x.LastEventAt = now, now
 		}
 		x.MaxGap, x.LastEventAt = max(x.MaxGap, now.Sub(x.LastEventAt)), now
@@ -214,6 +261,22 @@
 	}
 }
 
+// endOfStream returns the fault of a stream that ended between two events, or nil if
+// its end may be passed on. The end of a connection doesn't show whether the stream
+// is complete: it can't be passed on as the end of a response with chunks, and a
+// stream without an event is taken for broken off, unless its caller resumes it and
+// may have all events.
+func endOfStream(x *rwexchange.Exchange, resp *rwconn.Response, hasEvents bool) *rwfault.Fault {
+	if !resp.EndsWithConnection() {
+		return nil
+	}
+	if x.HeadSent && !x.EndsWithConnection || !hasEvents && !x.ResumesStream() && !x.HeadSent {
+		return rwfault.New(rwcode.UpstreamTruncated, "the connection ended, and the response has neither a length nor chunks").
+			WithOutcome(rwoutcome.Unknown)
+	}
+	return nil
+}
+
 // recordServed counts and logs a request whose response was forwarded.
 func (f *Handler) recordServed(x *rwexchange.Exchange, status int) {
 	first := time.Since(x.Start)
@@ -227,5 +290,5 @@
 	f.addRequest(rwlog.Info(&f.Log, rwlog.RequestFinished), x).Int("status", status).
 		Str("route", x.Route.Name).Str("account", x.Account.Name).Str("upstream", x.Upstream).
 		Int("attempts", x.Ran).Dur("first", first).Dur("took", time.Since(x.Start)).
-		Dur("forecast", x.Decision.Forecast).Dur("gap", x.MaxGap).Int64("last", x.LastEventID).Dur("keep", x.KeepAlive).Send()
+		Dur("forecast", x.Decision.Forecast).Dur("gap", x.MaxGap).Int64("last", x.LastEventID).Dur("keep", x.KeepAlive).Bool("unframed", x.EndsWithConnection).Send()
 }
--- a/internal/rwfront/end_test.go
+++ b/internal/rwfront/end_test.go
@@ -23,6 +23,7 @@
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwconfigsnapshot"
 	"redwingworks.example/internal/rwconn"
+	"redwingworks.example/internal/rwconnlimit"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwinflight"
 	"redwingworks.example/internal/rwinstance"
@@ -136,13 +137,17 @@
 		CloseConnections: func() bool { return false }, Draining: func(time.Time) bool { return false },
 		CloseRefused: func() bool { return false }, Overloaded: func(context.Context) bool { return false },
 		Lagging: func() bool { return false }, CallerClosed: func(context.Context) bool { return false },
-		FlushDelay: func() time.Duration { return 0 },
-		Zone:       "z", Log: zerolog.Nop(), Metrics: rwmetric.New(), InFlight: new(rwinflight.Table),
+		ResetOnClose: rwconnlimit.ResetOnClose,
+		FlushDelay:   func() time.Duration { return 0 },
+		Zone:         "z", Log: zerolog.Nop(), Metrics: rwmetric.New(), InFlight: new(rwinflight.Table),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &http.Server{Handler: f.front, ReadHeaderTimeout: socketTimeout}
-	go func() { _ = s.Serve(l) }()
+	limiter := rwconnlimit.New()
+	s := &http.Server{
+		Handler: f.front, ReadHeaderTimeout: socketTimeout, ConnState: limiter.ConnState, ConnContext: limiter.ConnContext,
+	}
+	go func() { _ = s.Serve(limiter.Listener(l, 100)) }()
 	t.Cleanup(func() { _ = s.Close() })
 	f.addr = l.Addr().String()
 	return f
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -43,9 +43,11 @@
 	// whose body is not complete: a connection that is closed while its caller
 	// sends is reset, and the caller may lose the response.
 	lingerTime = 500 * time.Millisecond
-	// maxResponseBytes bounds the responses that are not streams, which are
-	// buffered in memory until they are complete.
+	// maxResponseBytes bounds the responses that are not streams: a faulty upstream
+	// may send without end. maxBufferedBytes is how much of one is buffered before it
+	// is forwarded; most responses are shorter.
 	maxResponseBytes = 16 << 20
+	maxBufferedBytes = 128 << 10
 	// maxUpstreams bounds the number of upstreams that one request is sent to;
 	// twice as many may be tried if some can't be reached.
 	maxUpstreams = 4
@@ -100,8 +102,10 @@
 	// may have disconnected unnoticed.
 	Lagging func() bool
 	// CallerClosed reports whether the caller of the request with this context
-	// has closed its connection.
+	// has closed its connection. ResetOnClose makes that connection end with a
+	// reset.
 	CallerClosed func(context.Context) bool
+	ResetOnClose func(context.Context)
 	// FlushDelay is how long to collect the events of a stream after each
 	// write; zero unless the machine is short of CPU time. Reading and writing
 	// an event takes 30 µs, half of the cost of a stream.
@@ -164,7 +168,7 @@
 // admit finds the route and the account of a request and reads its body. The
 // exchange is never nil.
 func (f *Handler) admit(w http.ResponseWriter, r *http.Request, start time.Time, inFlight uint64) (*rwexchange.Exchange, *rwfault.Fault) {
-	x := &rwexchange.Exchange{Request: f.Dialect.Decode(r), Start: start, LastEventID: -1, InFlight: inFlight}
+	x := &rwexchange.Exchange{Request: f.Dialect.Decode(r), Start: start, LastEventID: -1, InFlight: inFlight, OldProtocol: !r.ProtoAtLeast(1, 1)}
 	f.InFlight.Update(inFlight, func(p *rwinflight.Request) { p.ID = x.Request.ID })
 	snapshot := f.Published()
 	switch {
@@ -575,17 +579,24 @@
 		f.Metrics.Refused(rwcode.CallerGone)
 		f.addRequest(rwlog.Info(&f.Log, rwlog.RequestAbandoned), x).Stringer("code", rwcode.CallerGone).
 			Str("upstream", x.Upstream).Int("sent", x.Sent).Dur("took", time.Since(x.Start)).Str("detail", fault.Error()).Send()
-		panic(http.ErrAbortHandler)
+		f.abort(ctx, x)
 	}
 	if x.HeadSent {
 		f.logFailure(x, fault, 0)
-		// The connection is aborted so that the caller doesn't mistake the
-		// partial response for a complete one.
-		panic(http.ErrAbortHandler)
+		f.abort(ctx, x)
 	}
 	f.refuse(w, x, fault)
 }
 
+// abort closes the caller's connection so that the caller doesn't mistake a partial
+// response for a complete one. It panics.
+func (f *Handler) abort(ctx context.Context, x *rwexchange.Exchange) {
+	if x.EndsWithConnection {
+		f.ResetOnClose(ctx)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // refuse writes the error response to a request that failed.
 func (f *Handler) refuse(w http.ResponseWriter, x *rwexchange.Exchange, fault *rwfault.Fault) {
 	status := statusOf(fault)
