--- a/internal/rwdeployment/rwdeployment.go
+++ b/internal/rwdeployment/rwdeployment.go
@@ -13,6 +13,10 @@
 	// Front, Ready, Peer and Metrics are addresses to listen on: for callers,
 	// readiness checks, other routers and metrics.
 	Front, Ready, Peer, Metrics string
+	// Relay is the address to listen on for callers' connections that other
+	// routers relay, or empty if the router takes none and relays none. All routers
+	// of the fleet use the same port for it.
+	Relay string
 	// Seeds are the Peer addresses of some routers; they may be stale.
 	Seeds []string
 	// Store is the address of the platform's store.
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -46,6 +46,7 @@
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwprompt"
 	"redwingworks.example/internal/rwregistry"
+	"redwingworks.example/internal/rwrelay"
 	"redwingworks.example/internal/rwretrywindow"
 	"redwingworks.example/internal/rwshutdown"
 	"redwingworks.example/internal/rwsink"
@@ -72,6 +73,16 @@
 	// connections of refused callers are closed.
 	closeIdleRatio    = 0.8
 	closeRefusedRatio = 0.5
+	// relayMemoryRatio and relayFDRatio are the fractions of the memory and of the
+	// file descriptors that relayed connections may take; relayBytes is the memory
+	// of one, with its buffers and stacks, and relayFDs its descriptors.
+	relayMemoryRatio = 0.15
+	relayFDRatio     = 0.4
+	relayBytes       = 32 << 10
+	relayFDs         = 2
+	// defaultMaxRelayed bounds the relayed connections if the settings set no
+	// memory limit.
+	defaultMaxRelayed = 1024
 	// joinTime is how long after its start a router still discovers the other
 	// routers.
 	joinTime = 1200 * time.Millisecond
@@ -166,6 +177,7 @@
 	lagMonitor  *rwlag.Monitor
 	// overload decides when to refuse requests and to leave the rotation.
 	overload       *rwoverload.Controller
+	relay          *rwrelay.Relay
 	latency        *rwhistogram.Histogram
 	forecastErrors *rwhistogram.Histogram
 
@@ -206,7 +218,7 @@
 	e.gossip = rwgossip.New(e.peers, e.deployment.Seeds, e.log, e.metrics)
 	e.syncer = rwcatalogsync.New(e.peers)
 	e.broker = rwbroker.New(e.self, e.peers, e.metrics)
-	e.connLimiter, e.lagMonitor, e.overload = rwconnlimit.New(), rwlag.New(), rwoverload.New()
+	e.connLimiter, e.lagMonitor, e.overload = rwconnlimit.New(), rwlag.New(), rwoverload.New(c.Deployment.CPUMillis)
 	e.connLimiter.HeadTimeout = headerTimeout
 	e.lagMonitor.OnMeasure = e.observeLateness
 	e.pool = rwconn.New(c.Dialect.Inspect)
@@ -219,6 +231,7 @@
 	}
 	e.wireCatalog()
 	e.wireFront()
+	e.wireRelay()
 	return e
 }
 
@@ -299,13 +312,85 @@
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			e.activeRequests.Add(1)
 			defer e.activeRequests.Add(-1)
+			// A relayed connection is not kept, so that its caller comes back by
+			// the load balancer, and a drain has no idle ones to end. Without room,
+			// callers have to open a connection that can be relayed.
+			if room := e.countRequest(r); e.relayed(r) || e.deployment.Relay != "" && !room {
+				w.Header().Set("Connection", "close")
+			}
 			front.ServeHTTP(w, r)
 		}),
 		// There is no IdleTimeout, because net/http would close a connection
 		// whose next request has arrived. closeIdleCallers bounds the idle time.
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
-		ConnState: e.connLimiter.ConnState, ConnContext: e.connLimiter.ConnContext,
+		ConnState: e.connLimiter.ConnState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(e.connLimiter.ConnContext(ctx, c), connUseKey{}, new(atomic.Bool))
+		},
+	}
+}
+
+// wireRelay connects the parts that relay callers' connections.
+func (e *Edge) wireRelay() {
+	e.relay = rwrelay.New()
+	e.relay.ShouldPass = func() bool { return e.deployment.Relay != "" && !e.stopping() && !e.overload.TakeRoom(time.Now()) }
+	e.relay.HasRoom = func() bool { return e.ready() && !e.lagMonitor.Lagging() && e.overload.TakeRoom(time.Now()) }
+	e.relay.Peer, e.relay.Dial, e.relay.Gather = e.relayPeer, e.pool.Dial, e.flushDelay
+	e.relay.MaxOpen = defaultMaxRelayed
+	if m := e.deployment.MemoryBytes; m > 0 {
+		e.relay.MaxOpen = int(relayMemoryRatio * float64(m) / relayBytes)
+	}
+	if n := e.deployment.MaxDescriptors; n > 0 {
+		e.relay.MaxOpen = min(e.relay.MaxOpen, int(relayFDRatio*float64(n)/relayFDs))
+	}
+}
+
+// relayPeer returns the relay address of a random router, with a probability in
+// proportion to its capacity. Routers of other zones are returned only if there is
+// none of this one's.
+func (e *Edge) relayPeer(skip func(addr string) bool) (string, bool) {
+	_, port, err := net.SplitHostPort(e.deployment.Relay)
+	if err != nil {
+		return "", false
+	}
+	for _, zone := range []string{e.self.Zone, ""} {
+		best, bestScore := "", 0.0
+		for _, id := range e.gossip.Live(zone) {
+			host, _, err := net.SplitHostPort(id.Addr)
+			if id.Name == e.self.Name || err != nil {
+				continue
+			}
+			// The highest of these scores is that of a random router, weighted.
+			if s := math.Pow(rand.Float64(), 1/float64(max(id.Capacity, 1))); s > bestScore {
+				if addr := net.JoinHostPort(host, port); !skip(addr) {
+					best, bestScore = addr, s
+				}
+			}
+		}
+		if best != "" {
+			return best, true
+		}
 	}
+	return "", false
+}
+
+// connUseKey is the context key of whether a request has come on the connection.
+type connUseKey struct{}
+
+// countRequest counts a request towards the rate that the router takes, and reports
+// whether there was room. The first one of a connection was counted as the
+// connection was accepted.
+func (e *Edge) countRequest(r *http.Request) bool {
+	if used, ok := r.Context().Value(connUseKey{}).(*atomic.Bool); ok && !used.Swap(true) {
+		return true
+	}
+	return e.overload.CountRequest(time.Now())
+}
+
+// relayed reports whether another router relayed the connection of a request.
+func (e *Edge) relayed(r *http.Request) bool {
+	addr, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	return ok && e.deployment.Relay != "" && addr.String() == e.deployment.Relay
 }
 
 // overloaded reports whether to refuse the request with this context because the
@@ -398,6 +483,24 @@
 	return stats
 }
 
+// reportRelayed counts and logs the callers' connections that were relayed since the
+// last report, by this router and to it.
+func (e *Edge) reportRelayed(last rwrelay.Stats) rwrelay.Stats {
+	stats := e.relay.Stats()
+	if stats == last {
+		return last
+	}
+	passed, returned, gone := stats.Passed-last.Passed, stats.Returned-last.Returned, stats.Gone-last.Gone
+	accepted, declined := stats.Accepted-last.Accepted, stats.Declined-last.Declined
+	e.metrics.Add("connections_relayed", passed)
+	e.metrics.Add("connections_relay_returned", returned)
+	e.metrics.Add("connections_relay_accepted", accepted)
+	e.metrics.Add("connections_relay_declined", declined)
+	rwlog.Info(&e.log, rwlog.ConnectionsRelayed).Int64("passed", passed).Int64("returned", returned).Int64("gone", gone).
+		Int64("accepted", accepted).Int64("declined", declined).Int("open", e.relay.Open()).Send()
+	return stats
+}
+
 // Run serves until a signal asks the process to stop or a part ends by itself.
 // After a signal, it first drains the router.
 func (e *Edge) Run() error {
@@ -427,6 +530,9 @@
 	e.registry.Register("tracker", e.watcher, e.watcher.Run)
 	e.registry.Register("broker", e.broker, e.broker.Run)
 	e.registry.Register("front", e.server, e.serveFront)
+	if e.deployment.Relay != "" {
+		e.registry.Register("relay", e.relay, e.serveRelayed)
+	}
 	e.registry.Register("ready", nil, e.serveReady)
 	e.registry.Register("metrics", e.metrics, e.serveMetrics)
 	e.registry.Register("upkeep", nil, e.upkeep)
@@ -467,7 +573,16 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, e.server, e.connLimiter.Listener(l, e.maxConnections(1)))
+	return serve(ctx, e.server, e.connLimiter.Listener(e.relay.Listener(l), e.maxConnections(1)))
+}
+
+// serveRelayed serves the connections that other routers relay.
+func (e *Edge) serveRelayed(ctx context.Context) error {
+	l, err := e.listen(e.deployment.Relay)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, e.server, e.connLimiter.Listener(e.relay.PeerListener(l), e.maxConnections(1)))
 }
 
 func (e *Edge) serveReady(ctx context.Context) error {
@@ -614,6 +729,7 @@
 	defer ticker.Stop()
 	reloaded := time.Now()
 	var closed rwconnlimit.Stats
+	var relayed rwrelay.Stats
 	for {
 		select {
 		case <-ctx.Done():
@@ -627,6 +743,7 @@
 			})
 			e.closeIdleCallers(now, snapshot)
 			closed = e.reportClosed(closed)
+			relayed = e.reportRelayed(relayed)
 			if n := e.sink.Dropped.Swap(0); n > 0 {
 				e.metrics.Add("log_lines_dropped", n)
 				rwlog.Info(&e.log, rwlog.LinesDropped).Int64("lines", n).Send()
@@ -708,6 +825,7 @@
 	})
 	timer := time.AfterFunc(time.Until(plan.CancelAt()), func() { cancel() })
 	defer timer.Stop()
+	e.relay.Stop()
 	rwlog.Info(&e.log, rwlog.StopRequested).Int64("active", e.activeRequests.Load()).Send()
 	e.gossip.Leave(ctx)
 	e.broker.Leave()
@@ -732,7 +850,7 @@
 			// whose next request has arrived.
 			e.connLimiter.CloseIdle(now, step, math.MaxInt)
 		}
-		idle := now.Sub(plan.AcceptEnd()) >= step*10 && e.activeRequests.Load() == 0
+		idle := now.Sub(plan.AcceptEnd()) >= step*10 && e.activeRequests.Load() == 0 && e.relay.Open() == 0
 		if !stopped && (idle || !now.Before(plan.ListenEnd())) {
 			stopped = true
 			e.connLimiter.Stop()
@@ -742,13 +860,14 @@
 			at, _ := cancel()
 			end = plan.EndAfter(at)
 		}
-		if !now.Before(end) || (stopped && e.connLimiter.Open() == 0) {
+		if !now.Before(end) || (stopped && e.connLimiter.Open() == 0 && e.relay.Open() == 0) {
 			cut := 0
 			// The timer may have fired since now.
 			if cancelled || !timer.Stop() {
 				_, cut = cancel()
 			}
 			cut += e.reportCut(plan.Start())
+			e.relay.Cut()
 			rwlog.Info(&e.log, rwlog.DrainFinished).Int64("active", e.activeRequests.Load()).Int("cut", cut).
 				Dur("took", now.Sub(plan.Start())).Send()
 			return
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -32,6 +32,7 @@
 	RotationChanged      Event = 110 // rotation changed
 	ConnectionsClosed    Event = 111 // connections closed
 	DrainRefusing        Event = 112 // drain refuses requests
+	ConnectionsRelayed   Event = 113 // connections relayed
 	RecordAdopted        Event = 200 // record adopted
 	RecordSetAside       Event = 201 // record set aside
 	RecordStale          Event = 202 // stale record ignored
--- a/internal/rwoverload/rwoverload.go
+++ b/internal/rwoverload/rwoverload.go
@@ -3,8 +3,9 @@
 // a hash, without regard to load: two fifths of the requests of one large
 // client account reached a machine with 0.2 cores, which read nearly all of
 // them too late while its neighbours had spare capacity. An overloaded router
-// refuses a fraction of its requests before it spends work on them, because
-// callers retry on other routers, and leaves the load balancer's rotation.
+// relays new connections beyond a rate of requests to other routers, refuses a
+// fraction of its requests before it spends work on them, and leaves the load
+// balancer's rotation.
 package rwoverload
 
 import (
@@ -50,6 +51,17 @@
 	minAway    = 4 * time.Second
 	maxAway    = 16 * time.Second
 	calmPeriod = 10 * time.Second
+	// requestsPerMilli is the rate of requests per second, for each thousandth of
+	// a core, from which a router relays new connections at first. A machine with
+	// 0.192 cores serves about 250 streams per second.
+	requestsPerMilli = 1.0
+	// rateUp and rateDown are the factors by which the rate changes with each
+	// sample: up while it binds and the machine is not late, down while it is
+	// late. Relaying takes CPU time too, so minRateRatio bounds the decrease.
+	rateUp, rateDown = 1.02, 0.92
+	minRateRatio     = 0.2
+	// rateBurst is the time whose requests may come at once.
+	rateBurst = 200 * time.Millisecond
 )
 
 // Controller is the overload state of one router. Its methods may be called
@@ -66,10 +78,22 @@
 	out                bool
 	leftAt, returnedAt time.Time
 	away               time.Duration
+	// initialRate and rate are the rates of requests per second that the router
+	// takes before it relays new connections. Both are 0 if there is no bound.
+	initialRate, rate float64
+	// room is the number of requests that it takes now, as of roomAt; bound is
+	// whether there was no room since the last sample.
+	room   float64
+	roomAt time.Time
+	bound  bool
 }
 
-// New returns a controller for a router in rotation.
-func New() *Controller { return &Controller{} }
+// New returns a controller for a router in rotation, on a machine with a CPU time
+// in thousandths of a core, or 0 if it is not known.
+func New(cpuMillis int) *Controller {
+	rate := requestsPerMilli * float64(cpuMillis)
+	return &Controller{initialRate: rate, rate: rate}
+}
 
 // Observe records a sample of how late the router runs its work, and reports
 // whether OutOfRotation changed. It must be called every 50 ms.
@@ -84,6 +108,7 @@
 	} else {
 		c.refusedRatio = max(c.refusedRatio-refusedRatioDown, 0)
 	}
+	c.adaptRate()
 	switch {
 	case !c.out && c.slowLateness >= leaveLateness:
 		c.away = min(max(2*c.away, minAway), maxAway)
@@ -99,6 +124,56 @@
 	return false
 }
 
+// adaptRate adapts the rate to whether the machine is late. The caller must hold
+// the lock.
+func (c *Controller) adaptRate() {
+	switch {
+	case c.fastLateness > refuseLateness:
+		c.rate = max(c.rate*rateDown, minRateRatio*c.initialRate)
+	case c.bound || c.rate < c.initialRate:
+		c.rate *= rateUp
+	default:
+		c.rate = max(c.rate/rateUp, c.initialRate)
+	}
+	c.bound = false
+}
+
+// TakeRoom reports whether the rate of requests allows another one, and counts it if
+// so.
+func (c *Controller) TakeRoom(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.initialRate == 0 {
+		return true
+	}
+	c.refill(now)
+	if c.room < 1 {
+		c.bound = true
+		return false
+	}
+	c.room--
+	return true
+}
+
+// CountRequest counts a request for which there may be no room, and reports whether
+// there was.
+func (c *Controller) CountRequest(now time.Time) bool {
+	if c.TakeRoom(now) {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.room = max(c.room-1, -c.rate*rateBurst.Seconds())
+	return false
+}
+
+// refill adds the room since the last call. The caller must hold the lock.
+func (c *Controller) refill(now time.Time) {
+	burst := c.rate * rateBurst.Seconds()
+	c.room = min(c.room+c.rate*now.Sub(c.roomAt).Seconds(), burst)
+	c.roomAt = now
+}
+
 // OutOfRotation reports whether the load balancer should send no new
 // connections.
 func (c *Controller) OutOfRotation() bool {
--- a/internal/rwoverload/rwoverload_test.go
+++ b/internal/rwoverload/rwoverload_test.go
@@ -29,7 +29,7 @@
 // Guards against a weak machine that stays in rotation and refuses the requests
 // of a large account for as long as they come.
 func TestLeavesUnderPressureAndReturns(t *testing.T) {
-	c := New()
+	c := New(0)
 	now := observe(c, time.Unix(100, 0), 3*time.Second, idle)
 	require.False(t, c.OutOfRotation())
 	now = observe(c, now, time.Second, saturated)
@@ -45,7 +45,7 @@
 // Guards against leaving the rotation because the CPU quota ran out for a tenth
 // of a second, or because the process was paused.
 func TestStaysThroughShortStops(t *testing.T) {
-	c := New()
+	c := New(0)
 	now := observe(c, time.Unix(100, 0), 10*time.Second, func(at time.Duration) time.Duration {
 		if at%time.Second < 100*time.Millisecond {
 			return 50 * time.Millisecond
@@ -63,7 +63,7 @@
 // Guards against moving the same callers between routers every few seconds, and
 // against a router that never returns.
 func TestStaysAwayLongerWhenOverloadedAgain(t *testing.T) {
-	c := New()
+	c := New(0)
 	now := time.Unix(100, 0)
 	var away []time.Duration
 	for range 4 {
@@ -92,7 +92,7 @@
 // requests.
 func TestRefusesWhatTheMachineCantServe(t *testing.T) {
 	const capacity = 0.4
-	c := New()
+	c := New(0)
 	now := time.Unix(100, 0)
 	var accepted []float64
 	for i := range 200 {
@@ -117,7 +117,7 @@
 
 // Guards against refusals because a CPU quota ran out once.
 func TestOneQuotaStopRefusesNothing(t *testing.T) {
-	c := New()
+	c := New(0)
 	now := observe(c, time.Unix(100, 0), time.Second, idle)
 	c.Observe(now.Add(step), 100*time.Millisecond)
 	require.False(t, c.ShouldRefuse(0))
--- /dev/null
+++ b/internal/rwrelay/rwrelay.go
@@ -0,0 +1,413 @@
+// Package rwrelay passes new connections of callers on to other routers. The load
+// balancer chooses a router by a hash of the caller, so that a large client account
+// can reach one small machine while others have capacity. Relaying a connection
+// costs a fraction of what serving its request costs, and the account is served by
+// the fleet instead of by that machine.
+//
+// A relayed connection is not read before another router has accepted it, so that it
+// can still be served here. The other router serves one request on it and then
+// closes it.
+package rwrelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// acceptTimeout bounds connecting to another router and its answer. A
+	// saturated router reads the answer late.
+	acceptTimeout = 300 * time.Millisecond
+	// greetTimeout bounds writing the answer, which fits into the send buffer.
+	greetTimeout = 100 * time.Millisecond
+	// maxPeers is the number of routers that are asked for one connection.
+	maxPeers = 2
+	// declinedTime is how long a router that declined, or that wasn't reached,
+	// is passed over.
+	declinedTime = 500 * time.Millisecond
+	// lingerTime is how long the caller's bytes are read after the other router
+	// has ended the connection. A connection that is closed with unread bytes is
+	// reset, and the caller may lose the response.
+	lingerTime = 500 * time.Millisecond
+	// bufferBytes is the size of the buffer for each direction.
+	bufferBytes = 8 << 10
+)
+
+// accepted is the byte with which a router accepts a relayed connection.
+const accepted = 'a'
+
+// Relay passes connections on. All function fields are set before Listener is
+// called.
+type Relay struct {
+	// ShouldPass reports whether to pass a new connection on. It is called once for
+	// each connection.
+	ShouldPass func() bool
+	// Peer returns the relay address of a router, or false if there is none for
+	// which skip returns false.
+	Peer func(skip func(addr string) bool) (string, bool)
+	// HasRoom reports whether this router accepts a connection that another one
+	// relays.
+	HasRoom func() bool
+	Dial    func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Gather returns how long to collect what the other router sends after each
+	// write to the caller, which saves CPU time.
+	Gather func() time.Duration
+	// MaxOpen bounds the relayed connections that are open.
+	MaxOpen int
+
+	mu    sync.Mutex
+	stats Stats
+	// open holds the open relayed connections.
+	open map[*pair]struct{}
+	// declined holds until when routers are passed over, by relay address.
+	declined map[string]time.Time
+	stopped  bool
+}
+
+// Stats counts what a relay did since its start.
+type Stats struct {
+	// Passed is the number of connections that another router accepted; Returned
+	// is the number of those that were to be passed on and were served here;
+	// Gone is the number of those whose callers had already left.
+	Passed, Returned, Gone int64
+	// Accepted and Declined count the connections that other routers relayed
+	// here.
+	Accepted, Declined int64
+}
+
+// pair is a caller's connection and the one to the router that serves it.
+type pair struct{ caller, peer net.Conn }
+
+// New returns a relay without connections.
+func New() *Relay {
+	return &Relay{open: map[*pair]struct{}{}, declined: map[string]time.Time{}}
+}
+
+// Stats returns the counts since the start.
+func (r *Relay) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stats
+}
+
+// Open returns the number of open connections that were passed on.
+func (r *Relay) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.open)
+}
+
+// Stop lets no further connections be passed on or be accepted.
+func (r *Relay) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+}
+
+// Cut resets the open connections that were passed on.
+func (r *Relay) Cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.open {
+		reset(p.caller)
+		reset(p.peer)
+	}
+}
+
+// Listener wraps the listener for callers. Its Accept returns the connections that
+// are to be served here.
+func (r *Relay) Listener(inner net.Listener) net.Listener {
+	l := &callerListener{Listener: inner, relay: r, local: make(chan net.Conn), failed: make(chan error), closed: make(chan struct{})}
+	l.close = sync.OnceFunc(func() { close(l.closed) })
+	go l.run()
+	return l
+}
+
+type callerListener struct {
+	net.Listener
+	relay *Relay
+	// local receives connections to serve here, and failed the errors of Accept.
+	local  chan net.Conn
+	failed chan error
+	closed chan struct{}
+	// close closes the channel closed once.
+	close func()
+}
+
+func (l *callerListener) run() {
+	for {
+		c, err := l.Listener.Accept()
+		switch {
+		case err != nil:
+			select {
+			case l.failed <- err:
+			case <-l.closed:
+				return
+			}
+		case l.relay.reserve():
+			go func() {
+				if !l.relay.pass(c) {
+					l.serve(c)
+				}
+			}()
+		default:
+			l.serve(c)
+		}
+	}
+}
+
+// serve hands a connection to Accept.
+func (l *callerListener) serve(c net.Conn) {
+	select {
+	case l.local <- c:
+	case <-l.closed:
+		_ = c.Close()
+	}
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.local:
+		return c, nil
+	case err := <-l.failed:
+		return nil, err
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *callerListener) Close() error {
+	err := l.Listener.Close()
+	l.close()
+	return err
+}
+
+// reserve reports whether a new connection is to be passed on.
+func (r *Relay) reserve() bool {
+	pass := r.ShouldPass()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return pass && !r.stopped && len(r.open) < r.MaxOpen
+}
+
+// pass passes a connection on, and reports whether it did. If it didn't, nothing
+// was read. It returns when the connection has ended.
+func (r *Relay) pass(caller net.Conn) bool {
+	if hasLeft(caller) {
+		_ = caller.Close()
+		r.count(func(s *Stats) { s.Gone++ })
+		return true
+	}
+	for range maxPeers {
+		addr, ok := r.Peer(r.isDeclined)
+		if !ok {
+			break
+		}
+		peer, err := r.connect(addr)
+		if err != nil {
+			// The cause doesn't matter: the connection goes to another router
+			// or is served here, and membership finds routers that are gone.
+			r.mu.Lock()
+			r.declined[addr] = time.Now().Add(declinedTime)
+			r.mu.Unlock()
+			continue
+		}
+		p := &pair{caller, peer}
+		r.mu.Lock()
+		r.stats.Passed++
+		r.open[p] = struct{}{}
+		r.mu.Unlock()
+		r.join(p)
+		r.mu.Lock()
+		delete(r.open, p)
+		r.mu.Unlock()
+		return true
+	}
+	r.count(func(s *Stats) { s.Returned++ })
+	return false
+}
+
+func (r *Relay) count(add func(*Stats)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	add(&r.stats)
+}
+
+// isDeclined reports whether a router is passed over.
+func (r *Relay) isDeclined(addr string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, ok := r.declined[addr]
+	if ok && !time.Now().Before(until) {
+		delete(r.declined, addr)
+		return false
+	}
+	return ok
+}
+
+// connect returns a connection that the router at an address has accepted.
+func (r *Relay) connect(addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	peer, err := r.Dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	var answer [1]byte
+	_ = peer.SetReadDeadline(time.Now().Add(acceptTimeout))
+	if _, err := io.ReadFull(peer, answer[:]); err != nil || answer[0] != accepted {
+		_ = peer.Close()
+		return nil, errors.Join(errDeclined, err)
+	}
+	_ = peer.SetReadDeadline(time.Time{})
+	return peer, nil
+}
+
+var errDeclined = errors.New("the router declined the connection")
+
+// join copies in both directions until the connection has ended, and ends each
+// side as the other one did: a response without a length ends with its connection,
+// and only a reset shows that it broke off.
+func (r *Relay) join(p *pair) {
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		switch err := copyBytes(p.peer, p.caller, nil); {
+		case errors.Is(err, io.EOF):
+			closeWrite(p.peer)
+		case !errors.Is(err, net.ErrClosed) && !isTimeout(err):
+			reset(p.peer)
+		}
+	}()
+	err := copyBytes(p.caller, p.peer, r.Gather)
+	if errors.Is(err, io.EOF) {
+		closeWrite(p.caller)
+		_ = p.caller.SetReadDeadline(time.Now().Add(lingerTime))
+		_ = p.peer.Close()
+		<-sent
+	} else {
+		reset(p.caller)
+		reset(p.peer)
+		<-sent
+	}
+	_ = p.caller.Close()
+	_ = p.peer.Close()
+}
+
+// copyBytes copies until a read or a write fails, and returns that error; io.EOF is
+// the end of what is read. After each write it waits for the time that gather
+// returns.
+func copyBytes(to, from net.Conn, gather func() time.Duration) error {
+	buf := make([]byte, bufferBytes)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err != nil {
+			return err
+		}
+		if gather != nil && n < len(buf) {
+			if d := gather(); d > 0 {
+				time.Sleep(d)
+			}
+		}
+	}
+}
+
+// reset ends a connection so that the other end sees that it broke off.
+func reset(c net.Conn) {
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		// It fails only if the connection is closed.
+		_ = l.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func closeWrite(c net.Conn) {
+	if w, ok := c.(interface{ CloseWrite() error }); ok {
+		// It fails only if the connection has ended.
+		_ = w.CloseWrite()
+		return
+	}
+	_ = c.Close()
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// hasLeft reports whether a caller has closed its connection. It returns false if
+// that isn't known.
+func hasLeft(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		var next [1]byte
+		n, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		left = err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+	})
+	return err == nil && left
+}
+
+// PeerListener wraps the listener for connections that other routers relay. It
+// closes those for which this router has no room.
+func (r *Relay) PeerListener(inner net.Listener) net.Listener {
+	return &peerListener{Listener: inner, relay: r}
+}
+
+type peerListener struct {
+	net.Listener
+	relay *Relay
+}
+
+// Accept implements net.Listener.
+func (l *peerListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.relay.accept(c) {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// accept accepts a relayed connection, and reports whether it did.
+func (r *Relay) accept(c net.Conn) bool {
+	r.mu.Lock()
+	stopped := r.stopped
+	r.mu.Unlock()
+	if stopped || !r.HasRoom() {
+		r.count(func(s *Stats) { s.Declined++ })
+		return false
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(greetTimeout))
+	if _, err := c.Write([]byte{accepted}); err != nil {
+		return false
+	}
+	_ = c.SetWriteDeadline(time.Time{})
+	r.count(func(s *Stats) { s.Accepted++ })
+	return true
+}
