--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -303,7 +303,7 @@
 		Overloaded:       e.overloaded, Lagging: e.lagMonitor.Lagging, CallerClosed: rwconnlimit.CallerClosed, ResetOnClose: rwconnlimit.ResetOnClose, FlushDelay: e.flushDelay,
 		CloseRefused: func() bool { return e.connLimiter.Open() > e.maxConnections(closeRefusedRatio) },
 		Zone:         e.self.Zone, Log: e.log, Metrics: e.metrics, ObserveLatency: e.latency.Record,
-		Stopping: e.stopRequested, InFlight: &e.inFlight,
+		Stopping: e.stopRequested, InFlight: &e.inFlight, Via: e.relayedBy,
 	}
 	requests, cancel := context.WithCancelCause(context.Background())
 	e.cancelRequests = cancel
@@ -315,7 +315,7 @@
 			// A relayed connection is not kept, so that its caller comes back by
 			// the load balancer, and a drain has no idle ones to end. Without room,
 			// callers have to open a connection that can be relayed.
-			if room := e.countRequest(r); e.relayed(r) || e.deployment.Relay != "" && !room {
+			if room := e.countRequest(r); e.relayedBy(r) != "" || e.deployment.Relay != "" && !room {
 				w.Header().Set("Connection", "close")
 			}
 			front.ServeHTTP(w, r)
@@ -387,10 +387,18 @@
 	return e.overload.CountRequest(time.Now())
 }
 
-// relayed reports whether another router relayed the connection of a request.
-func (e *Edge) relayed(r *http.Request) bool {
+// relayedBy returns the IP address of the router that relayed the connection of a
+// request, or an empty string.
+func (e *Edge) relayedBy(r *http.Request) string {
 	addr, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
-	return ok && e.deployment.Relay != "" && addr.String() == e.deployment.Relay
+	if !ok || e.deployment.Relay == "" || addr.String() != e.deployment.Relay {
+		return ""
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
 }
 
 // overloaded reports whether to refuse the request with this context because the
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -49,6 +49,9 @@
 	// EndsWithConnection is whether that response has neither a length nor chunks,
 	// so that it ends for the caller where the connection is closed.
 	HeadSent, EndsWithConnection bool
+	// Via is the address of the router that relayed the caller's connection, or
+	// empty.
+	Via string
 	// OldProtocol is whether the caller speaks HTTP/1.0, which has no chunks.
 	OldProtocol bool
 	// Upstream is the last one picked for the request; UpstreamSoftware is the
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -106,6 +106,9 @@
 	// reset.
 	CallerClosed func(context.Context) bool
 	ResetOnClose func(context.Context)
+	// Via returns the address of the router that relayed the connection of a
+	// request, or an empty string.
+	Via func(*http.Request) string
 	// FlushDelay is how long to collect the events of a stream after each
 	// write; zero unless the machine is short of CPU time. Reading and writing
 	// an event takes 30 µs, half of the cost of a stream.
@@ -169,6 +172,9 @@
 // exchange is never nil.
 func (f *Handler) admit(w http.ResponseWriter, r *http.Request, start time.Time, inFlight uint64) (*rwexchange.Exchange, *rwfault.Fault) {
 	x := &rwexchange.Exchange{Request: f.Dialect.Decode(r), Start: start, LastEventID: -1, InFlight: inFlight, OldProtocol: !r.ProtoAtLeast(1, 1)}
+	if f.Via != nil {
+		x.Via = f.Via(r)
+	}
 	f.InFlight.Update(inFlight, func(p *rwinflight.Request) { p.ID = x.Request.ID })
 	snapshot := f.Published()
 	switch {
@@ -553,7 +559,7 @@
 }
 
 // addRequest adds the fields that all lines about a request have: its id, the
-// software of its upstream, what its caller resumes, and the field "stopping" if
+// software of its upstream, the router that relayed it, what its caller resumes, and the field "stopping" if
 // the router was asked to stop: the time from then to the arrival of the request,
 // which is negative if the request arrived before.
 func (f *Handler) addRequest(e *zerolog.Event, x *rwexchange.Exchange) *zerolog.Event {
@@ -561,6 +567,9 @@
 	if x.UpstreamSoftware != "" {
 		e = e.Str("software", x.UpstreamSoftware)
 	}
+	if x.Via != "" {
+		e = e.Str("via", x.Via)
+	}
 	if x.Request.Resumes != "" {
 		e = e.Str("resumes", x.StreamID()).Str("events", x.Request.LastEventID)
 	}
