Relay connections only to routers with the same configuration or a later one

A caller of a router that has acknowledged a version could get a response by an earlier one from the router that serves its connection (CONFIG). Found by reading; the answer that accepts a connection now says the version.

Event 400 names the account of a request that an overloaded router refuses, and which of its four conditions held; the traces of FAIR couldn't tell either.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -336,6 +336,12 @@
 	e.relay.ShouldPass = func() bool { return e.deployment.Relay != "" && !e.stopping() && !e.overload.TakeRoom(time.Now()) }
 	e.relay.HasRoom = func() bool { return e.ready() && !e.lagMonitor.Lagging() && e.overload.TakeRoom(time.Now()) }
 	e.relay.Peer, e.relay.Dial, e.relay.Gather = e.relayPeer, e.pool.Dial, e.flushDelay
+	e.relay.Version = func() int64 {
+		if c := e.published.Load().Config; c != nil {
+			return c.Version
+		}
+		return 0
+	}
 	e.relay.MaxOpen = defaultMaxRelayed
 	if m := e.deployment.MemoryBytes; m > 0 {
 		e.relay.MaxOpen = int(relayMemoryRatio * float64(m) / relayBytes)
@@ -401,15 +407,26 @@
 	return host
 }
 
-// overloaded reports whether to refuse the request with this context because the
-// router reads requests late, has as many in progress as its memory takes, sheds
-// load, or was about to close the connection because too many are open.
-func (e *Edge) overloaded(ctx context.Context) bool {
+// overloaded returns why to refuse the request with this context, or an empty string:
+// the router reads requests late, has as many in progress as its memory takes, was
+// about to close the connection because too many are open, or sheds load.
+func (e *Edge) overloaded(ctx context.Context) string {
 	limit := int64(defaultMaxRequests)
 	if m := e.deployment.MemoryBytes; m > 0 {
 		limit = int64(requestMemoryRatio * float64(m) / requestBytes)
 	}
-	return e.lagMonitor.Lagging() || e.activeRequests.Load() > limit || rwconnlimit.Excess(ctx) || e.overload.ShouldRefuse(rand.Float64())
+	switch {
+	case e.lagMonitor.Lagging():
+		return "router is lagging"
+	case e.activeRequests.Load() > limit:
+		return "too many requests in progress"
+	case rwconnlimit.Excess(ctx):
+		return "too many connections"
+	case e.overload.ShouldRefuse(rand.Float64()):
+		return "router overloaded"
+	default:
+		return ""
+	}
 }
 
 // streamBegun records where a stream began whose first event is forwarded.
--- a/internal/rwedge/saturated_test.go
+++ b/internal/rwedge/saturated_test.go
@@ -57,7 +57,7 @@
 	addr := func(host, port int) string { return fmt.Sprintf("10.1.0.%d:%d", host+1, port) }
 	return rwdeployment.Deployment{
 		Name: "r" + strconv.Itoa(i), Zone: "z", CPUMillis: fleetCapacity, Grace: defaultGrace,
-		Front: addr(i, 7001), Ready: addr(i, 7002), Peer: addr(i, 7003), Metrics: addr(i, 7004),
+		Front: addr(i, 7001), Ready: addr(i, 7002), Peer: addr(i, 7003), Metrics: addr(i, 7004), Relay: addr(i, 7005),
 		Seeds:      []string{addr(0, 7003)},
 		RetryRatio: 0.2, RetryExtra: 56, RetryWindow: 10 * time.Second,
 	}
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -95,9 +95,9 @@
 	// Draining reports whether the router is about to end and may not finish a
 	// request with this deadline.
 	Draining func(deadline time.Time) bool
-	// Overloaded reports whether to refuse the request with this context because
-	// the router has too many; it may select a random fraction.
-	Overloaded func(context.Context) bool
+	// Overloaded returns why to refuse the request with this context because the
+	// router has too many, or an empty string; it may select a random fraction.
+	Overloaded func(context.Context) string
 	// Lagging reports whether the router reads requests late, so that callers
 	// may have disconnected unnoticed.
 	Lagging func() bool
@@ -182,10 +182,12 @@
 		return x, rwfault.New(rwcode.NotReady, "no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	case snapshot.Config.Limits.MaxHeaderBytes > 0 && headSize(r) > snapshot.Config.Limits.MaxHeaderBytes:
 		return x, rwfault.New(rwcode.HeaderTooLarge, strconv.Itoa(headSize(r))+" bytes")
-	case f.Overloaded(r.Context()):
-		// This check comes before routing and before the body is read, so that
-		// a refusal costs little.
-		return x, rwfault.New(rwcode.TooManyRequests, "router overloaded").WithRetryAfter(overloadRetryAfter)
+	}
+	// This check comes before routing and before the body is read, so that a refusal
+	// costs little.
+	if reason := f.Overloaded(r.Context()); reason != "" {
+		x.Account, _ = snapshot.Config.Account(x.Request.Key)
+		return x, rwfault.New(rwcode.TooManyRequests, reason).WithRetryAfter(overloadRetryAfter)
 	}
 	x.Route = snapshot.Config.Match(x.Request.Host, x.Request.Path)
 	if x.Route == nil {
--- a/internal/rwrelay/rwrelay.go
+++ b/internal/rwrelay/rwrelay.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -40,8 +41,12 @@
 	bufferBytes = 8 << 10
 )
 
-// accepted is the byte with which a router accepts a relayed connection.
-const accepted = 'a'
+// accepted is the byte with which a router accepts a relayed connection; the version
+// of its configuration follows, in answerBytes altogether.
+const (
+	accepted    = 'a'
+	answerBytes = 9
+)
 
 // Relay passes connections on. All function fields are set before Listener is
 // called.
@@ -52,6 +57,10 @@
 	// Peer returns the relay address of a router, or false if there is none for
 	// which skip returns false.
 	Peer func(skip func(addr string) bool) (string, bool)
+	// Version returns the version of this router's configuration. Connections are
+	// passed on only to routers with this version or a later one, so that a caller
+	// never gets a response by an earlier one than this router has acknowledged.
+	Version func() int64
 	// HasRoom reports whether this router accepts a connection that another one
 	// relays.
 	HasRoom func() bool
@@ -262,9 +271,10 @@
 	if err != nil {
 		return nil, err
 	}
-	var answer [1]byte
+	var answer [answerBytes]byte
 	_ = peer.SetReadDeadline(time.Now().Add(acceptTimeout))
-	if _, err := io.ReadFull(peer, answer[:]); err != nil || answer[0] != accepted {
+	_, err = io.ReadFull(peer, answer[:])
+	if err != nil || answer[0] != accepted || int64(binary.BigEndian.Uint64(answer[1:])) < r.Version() {
 		_ = peer.Close()
 		return nil, errors.Join(errDeclined, err)
 	}
@@ -404,7 +414,8 @@
 		return false
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(greetTimeout))
-	if _, err := c.Write([]byte{accepted}); err != nil {
+	answer := binary.BigEndian.AppendUint64([]byte{accepted}, uint64(r.Version()))
+	if _, err := c.Write(answer); err != nil {
 		return false
 	}
 	_ = c.SetWriteDeadline(time.Time{})
