Add failing tests for responses without a frame in rwrouter

Cause shown by the tests: rwdispatch.Call takes the end of the connection for the end of a response that has neither a length nor chunks. A response with status 101, whose body is the rest of the connection, is returned likewise. Found by reading, not by a run: rwgate then sets Content-Length, and rwexecutor keeps the response of a non-idempotent call with a key for its repeats.

Engines aren't affected: their streams end with an end marker, and other responses of theirs are judged by their heads.

Ruled out by tests that pass: responses with a length or chunks on connections that close, chunks without the last one, 204 and 304.

--- a/internal/rwdispatch/rwdispatch_test.go
+++ b/internal/rwdispatch/rwdispatch_test.go
@@ -288,6 +288,23 @@
 	{"response too large", respond(strings.Repeat("x", maxResponseBytes+1)), rwcode.UpstreamMalformed, rwoutcome.Ran},
 	{"stall before the headers", respondAndStall(""), rwcode.UpstreamTimeout, rwoutcome.Unknown},
 	{"stall in the response", respondAndStall("part"), rwcode.UpstreamTimeout, rwoutcome.Unknown},
+	{"HTTP/1.0 with a length", respondRaw("HTTP/1.0 200 OK", "Content-Length: 3", "hel"), rwcode.None, 0},
+	{"chunks on a connection that closes", respondRaw("HTTP/1.1 200 OK", "Connection: close\r\nTransfer-Encoding: chunked", "3\r\nhel\r\n0\r\n\r\n"), rwcode.None, 0},
+	{"chunks without the last one", respondRaw("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "3\r\nhel\r\n"), rwcode.UpstreamTruncated, rwoutcome.Unknown},
+	{"status 204 without a length", respondRaw("HTTP/1.1 204 No Content", "Connection: close", ""), rwcode.None, 0},
+	{"status 304 without a length", respondRaw("HTTP/1.1 304 Not Modified", "Connection: close", ""), rwcode.None, 0},
+}
+
+// unframedCases are responses with neither a length nor chunks, which end where
+// the service closes the connection.
+var unframedCases = []serviceCase{
+	{"part of a body", respondRaw("HTTP/1.1 200 OK", "Content-Type: text/plain", "hel"), rwcode.UpstreamTruncated, rwoutcome.Unknown},
+	{"no body", respondRaw("HTTP/1.1 200 OK", "Content-Type: text/plain", ""), rwcode.UpstreamTruncated, rwoutcome.Unknown},
+	{"announced end of the connection", respondRaw("HTTP/1.1 200 OK", "Connection: close", "hel"), rwcode.UpstreamTruncated, rwoutcome.Unknown},
+	{"status 500", respondRaw("HTTP/1.1 500 Internal Server Error", "Content-Type: text/plain", "hel"), rwcode.UpstreamTruncated, rwoutcome.Unknown},
+	{"HTTP/1.0", respondRaw("HTTP/1.0 200 OK", "Content-Type: text/plain", "hel"), rwcode.UpstreamTruncated, rwoutcome.Unknown},
+	{"HTTP/1.0, which has no chunks", respondRaw("HTTP/1.0 200 OK", "Transfer-Encoding: chunked", "3\r\nhel\r\n"), rwcode.UpstreamTruncated, rwoutcome.Unknown},
+	{"change of the protocol", respondRaw("HTTP/1.1 101 Switching Protocols", "Connection: Upgrade\r\nUpgrade: x", "hel"), rwcode.UpstreamTruncated, rwoutcome.Unknown},
 }
 
 // serviceResetCases need a TCP connection.
@@ -301,6 +318,18 @@
 	write(w, "part")
 }
 
+// respondRaw writes a response with the echo of the request and closes the
+// connection.
+func respondRaw(status, header, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, status+"\r\nRedwing-Request: "+requestID+"\r\n"+header+"\r\n\r\n"+body)
+			_ = conn.Close()
+		}
+	}
+}
+
 func respondMalformed(w http.ResponseWriter, _ *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err == nil {
@@ -335,6 +364,19 @@
 	}
 }
 
+// Guards against a response that is returned as complete although nothing proves
+// its end: a service that crashes closes its connections too.
+func TestUnframedResponseIsTruncated(t *testing.T) {
+	for _, c := range unframedCases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u, d := serve(t, c.serve)
+				c.run(t, u, d)
+			})
+		})
+	}
+}
+
 func (c serviceCase) run(t *testing.T, u *upstream, d *Dispatcher) {
 	response, err := d.Call(t.Context(), u.record(false), request(false))
 	requireFault(t, c.code, c.outcome, err)
