Report responses without a frame as truncated

Cause: a response with neither a length nor chunks ends with its connection, also if its service crashes. rwdispatch.Call took this end for the end of the response; rwgate gives what Call returns a Content-Length.

Now Call fails with UpstreamTruncated and the outcome unknown, as for any other response that breaks off. So does one with status 101. An idempotent call is sent again within the retry budget; a service that never states a frame can't be called any more, and the message of the fault says why. Ruled out: to pass the response on without a frame, as rwfront does. rwrouter keeps responses for repeats of a key and passes them between routers, where nothing would show that their end isn't proved.

The tests of rwdispatch, rwgate and rwentry pass with -race; rwexecutor and rwnode have none.

--- a/internal/rwdispatch/rwdispatch.go
+++ b/internal/rwdispatch/rwdispatch.go
@@ -189,7 +189,8 @@
 }
 
 // Call runs a request on a plain service. The outcome of a fault says whether the
-// request may have run.
+// request may have run. A response whose end isn't proved by a length or chunks
+// fails with UpstreamTruncated.
 func (d *Dispatcher) Call(ctx context.Context, u rwupstream.Upstream, q *rwrequest.Request) (*Response, error) {
 	method := q.Method
 	if method == "" {
@@ -224,9 +225,23 @@
 	if len(body) > maxResponseBytes {
 		return nil, rwfault.New(rwcode.UpstreamMalformed, "response too large").WithOutcome(rwoutcome.Ran)
 	}
+	if endsWithConnection(resp) {
+		return nil, rwfault.New(rwcode.UpstreamTruncated, u.Name+": the connection ended, and the response has neither a length nor chunks").
+			WithOutcome(rwoutcome.Unknown)
+	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// endsWithConnection reports whether the body has neither a length nor chunks, so
+// that it ends where the upstream closes the connection. Such an end doesn't show
+// whether the body is complete: an upstream that crashes closes it too.
+func endsWithConnection(resp *http.Response) bool {
+	// The length that net/http gives for status 101 is 0, but Body is the rest of
+	// the connection.
+	return resp.StatusCode == http.StatusSwitchingProtocols ||
+		resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // refusedAsLeaving reports whether the upstream refused the request because it
 // is leaving. The state in a response to another request is ignored.
 func refusedAsLeaving(resp *http.Response, q *rwrequest.Request) bool {
