--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -334,7 +334,10 @@
 func (e *Edge) wireRelay() {
 	e.relay = rwrelay.New()
 	e.relay.ShouldPass = func() bool { return e.deployment.Relay != "" && !e.stopping() && !e.overload.TakeRoom(time.Now()) }
-	e.relay.HasRoom = func() bool { return e.ready() && !e.lagMonitor.Lagging() && e.overload.TakeRoom(time.Now()) }
+	e.relay.HasRoom = func() bool {
+		return e.ready() && !e.lagMonitor.Lagging() && e.connLimiter.Open() < e.maxConnections(closeRefusedRatio) &&
+			e.overload.TakeRoom(time.Now())
+	}
 	e.relay.Peer, e.relay.Dial, e.relay.Gather = e.relayPeer, e.pool.Dial, e.flushDelay
 	e.relay.Version = func() int64 {
 		if c := e.published.Load().Config; c != nil {
