Bound the platform's responses

A platform service that sends a response without end filled the memory of a reader router until the deadline of the call (by reading; the test's bodies have 32 MiB, which were read whole).

Cause: neither the JSON decoder of sling nor its reading of the rest of a body has a bound.

Both now fail beyond 16 MiB, and the call with PlatformMalformed, or with PlatformDown if the status is an error. Connections are still reused after shorter bodies. All records together, and so a full read, can't exceed 16 MiB any more; at the size in two years they have about 0.7 MB. Ruled out: a decoder with a bound, since sling would still read the rest.

--- a/internal/rwplatformclient/rwplatformclient.go
+++ b/internal/rwplatformclient/rwplatformclient.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -13,6 +15,11 @@
 	"redwingworks.example/internal/rwrecord"
 )
 
+// maxBodyBytes bounds a response, which is decoded in memory: a faulty service may
+// send without end. All records have about 0.7 MB at the size in two years, and the
+// largest value has 1 MB.
+const maxBodyBytes = 16 << 20
+
 // Client reads and watches the records of one platform service.
 type Client struct {
 	client *http.Client
@@ -29,6 +36,20 @@
 	Wait  int   `url:"wait"`
 }
 
+// boundedClient makes reads of a response's body fail beyond maxBodyBytes. This
+// includes those of sling, which reads each body to its end.
+type boundedClient struct{ client *http.Client }
+
+// Do implements sling.Doer.
+func (b boundedClient) Do(req *http.Request) (*http.Response, error) {
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxBodyBytes)
+	return resp, nil
+}
+
 // New returns a client for a base URL such as "http://10.0.0.1:7000/".
 func New(base string, client *http.Client) *Client {
 	return &Client{client: client, base: base}
@@ -52,7 +73,7 @@
 		return nil, rwfault.Wrap(rwcode.Internal, err)
 	}
 	var l listing
-	resp, err := call.Client(s.client).Do(req.WithContext(ctx), &l, nil)
+	resp, err := call.Doer(boundedClient{s.client}).Do(req.WithContext(ctx), &l, nil)
 	if resp == nil {
 		return nil, rwfault.Wrap(rwcode.PlatformDown, err)
 	}
@@ -60,6 +81,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, rwfault.New(rwcode.PlatformDown, resp.Status)
 	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, rwfault.New(rwcode.PlatformMalformed, "the response has more than "+strconv.Itoa(maxBodyBytes)+" bytes")
+	}
 	if err != nil {
 		return nil, rwfault.Wrap(rwcode.PlatformMalformed, err)
 	}
