Reset responses without a frame also if the process ends

And a stream known to be broken off ended regularly if the upstream at which it was resumed closed the connection without an event.

The connection now ends with a reset from the head on, until the end was passed on. Writes of plain responses have a deadline, as those of streams have.

--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -111,18 +111,23 @@
 	return (err == nil && n == 0) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
 }
 
-// ResetOnClose makes the connection of the request with this context end with a
-// reset when it is closed. Without it, the caller of a response that ends with its
-// connection takes a broken response for a complete one. Data that the caller has
-// not received yet may be lost.
-func ResetOnClose(ctx context.Context) {
+// ResetOnClose sets whether the connection of the request with this context ends with
+// a reset when it is closed, also if the process ends. Without it, the caller of a
+// response that ends with its connection takes a broken response for a complete one.
+// A reset may lose data that the caller has not received yet.
+func ResetOnClose(ctx context.Context, reset bool) {
 	c, ok := ctx.Value(connKey{}).(*conn)
 	if !ok {
 		return
 	}
+	const off = -1
+	seconds := off
+	if reset {
+		seconds = 0
+	}
 	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		// It fails only if the connection is closed.
-		_ = l.SetLinger(0)
+		_ = l.SetLinger(seconds)
 	}
 }
 
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -122,7 +122,8 @@
 		// A resumed stream can't turn into a different response.
 		return rwplacement.Failed, rwfault.New(rwcode.UpstreamFailed, strconv.Itoa(status)).WithOutcome(rwoutcome.Ran)
 	}
-	f.writeHead(w, x, resp, status)
+	_ = http.NewResponseController(w).SetWriteDeadline(x.Deadline.Add(writeSlack))
+	f.writeHead(ctx, w, x, resp, status)
 	if _, err := w.Write(buffered); err != nil {
 		return rwplacement.Abandoned, rwfault.Wrap(rwcode.CallerGone, err).WithOutcome(rwoutcome.Unknown)
 	}
@@ -131,7 +132,7 @@
 			return endFor(fault), fault
 		}
 	}
-	f.recordServed(x, status)
+	f.recordServed(ctx, x, status)
 	if failed {
 		return rwplacement.Failed, nil
 	}
@@ -171,7 +172,7 @@
 // the connection. A frame of its own would declare complete what the router can't
 // know to be complete. A stream never has a length, since a part of its events may
 // come from another upstream.
-func (f *Handler) writeHead(w http.ResponseWriter, x *rwexchange.Exchange, resp *rwconn.Response, status int) {
+func (f *Handler) writeHead(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, resp *rwconn.Response, status int) {
 	h := w.Header()
 	closing := h.Get("Connection")
 	maps.Copy(h, resp.HTTP.Header)
@@ -194,6 +195,9 @@
 	}
 	x.HeadSent = true
 	x.EndsWithConnection = !framed && (x.OldProtocol || resp.EndsWithConnection())
+	if x.EndsWithConnection {
+		f.ResetOnClose(ctx, true)
+	}
 	w.WriteHeader(status)
 }
 
@@ -205,7 +209,7 @@
 			WithOutcome(rwoutcome.Unknown)
 	}
 	rc := http.NewResponseController(w)
-	_ = rc.SetWriteDeadline(x.Deadline.Add(time.Second))
+	_ = rc.SetWriteDeadline(x.Deadline.Add(writeSlack))
 	events := rwssereader.New(resp.Body())
 	reported := false
 	for {
@@ -215,9 +219,9 @@
 				return endFor(fault), fault
 			}
 			if !x.HeadSent {
-				f.writeHead(w, x, resp, http.StatusOK)
+				f.writeHead(ctx, w, x, resp, http.StatusOK)
 			}
-			f.recordServed(x, http.StatusOK)
+			f.recordServed(ctx, x, http.StatusOK)
 			return rwplacement.Served, nil
 		}
 		if err != nil {
@@ -241,7 +245,7 @@
 		}
 		now := time.Now()
 		if !x.HeadSent {
-			f.writeHead(w, x, resp, http.StatusOK)
+			f.writeHead(ctx, w, x, resp, http.StatusOK)
 			x.FirstEventAt, x.LastEventAt = now, now
 		}
 		x.MaxGap, x.LastEventAt = max(x.MaxGap, now.Sub(x.LastEventAt)), now
@@ -264,13 +268,13 @@
 // endOfStream returns the fault of a stream that ended between two events, or nil if
 // its end may be passed on. The end of a connection doesn't show whether the stream
 // is complete: it can't be passed on as the end of a response with chunks, and a
-// stream without an event is taken for broken off, unless its caller resumes it and
-// may have all events.
+// response without an event is taken for broken off, unless the caller resumes a
+// stream of which it may have all events.
 func endOfStream(x *rwexchange.Exchange, resp *rwconn.Response, hasEvents bool) *rwfault.Fault {
 	if !resp.EndsWithConnection() {
 		return nil
 	}
-	if x.HeadSent && !x.EndsWithConnection || !hasEvents && !x.ResumesStream() && !x.HeadSent {
+	if x.HeadSent && (!x.EndsWithConnection || !hasEvents) || !hasEvents && !x.ResumesStream() {
 		return rwfault.New(rwcode.UpstreamTruncated, "the connection ended, and the response has neither a length nor chunks").
 			WithOutcome(rwoutcome.Unknown)
 	}
@@ -278,7 +282,10 @@
 }
 
 // recordServed counts and logs a request whose response was forwarded.
-func (f *Handler) recordServed(x *rwexchange.Exchange, status int) {
+func (f *Handler) recordServed(ctx context.Context, x *rwexchange.Exchange, status int) {
+	if x.EndsWithConnection {
+		f.ResetOnClose(ctx, false)
+	}
 	first := time.Since(x.Start)
 	if !x.FirstEventAt.IsZero() {
 		first = x.FirstEventAt.Sub(x.Start)
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -48,6 +48,9 @@
 	// is forwarded; most responses are shorter.
 	maxResponseBytes = 16 << 20
 	maxBufferedBytes = 128 << 10
+	// writeSlack is how long after the deadline of a request writes to a caller that
+	// doesn't read are given up.
+	writeSlack = time.Second
 	// maxUpstreams bounds the number of upstreams that one request is sent to;
 	// twice as many may be tried if some can't be reached.
 	maxUpstreams = 4
@@ -102,10 +105,10 @@
 	// may have disconnected unnoticed.
 	Lagging func() bool
 	// CallerClosed reports whether the caller of the request with this context
-	// has closed its connection. ResetOnClose makes that connection end with a
-	// reset.
+	// has closed its connection. ResetOnClose sets whether that connection ends
+	// with a reset, also if the process ends.
 	CallerClosed func(context.Context) bool
-	ResetOnClose func(context.Context)
+	ResetOnClose func(ctx context.Context, reset bool)
 	// Via returns the address of the router that relayed the connection of a
 	// request, or an empty string.
 	Via func(*http.Request) string
@@ -590,24 +593,17 @@
 		f.Metrics.Refused(rwcode.CallerGone)
 		f.addRequest(rwlog.Info(&f.Log, rwlog.RequestAbandoned), x).Stringer("code", rwcode.CallerGone).
 			Str("upstream", x.Upstream).Int("sent", x.Sent).Dur("took", time.Since(x.Start)).Str("detail", fault.Error()).Send()
-		f.abort(ctx, x)
+		panic(http.ErrAbortHandler)
 	}
 	if x.HeadSent {
 		f.logFailure(x, fault, 0)
-		f.abort(ctx, x)
+		// The connection is aborted so that the caller doesn't mistake the
+		// partial response for a complete one.
+		panic(http.ErrAbortHandler)
 	}
 	f.refuse(w, x, fault)
 }
 
-// abort closes the caller's connection so that the caller doesn't mistake a partial
-// response for a complete one. It panics.
-func (f *Handler) abort(ctx context.Context, x *rwexchange.Exchange) {
-	if x.EndsWithConnection {
-		f.ResetOnClose(ctx)
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // refuse writes the error response to a request that failed.
 func (f *Handler) refuse(w http.ResponseWriter, x *rwexchange.Exchange, fault *rwfault.Fault) {
 	status := statusOf(fault)
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -157,7 +157,7 @@
 		NewBudget:        func() *rwretrywindow.Budget { return rwretrywindow.New(0.2, 50, 10*time.Second) },
 		CloseConnections: func() bool { return false }, Draining: func(time.Time) bool { return false },
 		CloseRefused: func() bool { return false }, Overloaded: func(context.Context) string { return "" },
-		Lagging: func() bool { return false }, CallerClosed: func(context.Context) bool { return false }, ResetOnClose: func(context.Context) {},
+		Lagging: func() bool { return false }, CallerClosed: func(context.Context) bool { return false }, ResetOnClose: func(context.Context, bool) {},
 		FlushDelay: func() time.Duration { return 0 },
 		Zone:       "z", Log: zerolog.Nop(), Metrics: rwmetric.New(), InFlight: new(rwinflight.Table),
 	}
