Bound an event and a head to the memory of a request

An event without end took 1 MiB of a stream, where rwedge assumes 160 KiB for a request with all its buffers. Events and heads are bounded at 64 KiB; events of the users' sheets have a few hundred bytes.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -52,7 +52,7 @@
 	maxInlineBody = 16 << 10
 	// maxHeadBytes bounds the head of a response, with the informational
 	// responses before it: a faulty upstream may send header lines without end.
-	maxHeadBytes = 256 << 10
+	maxHeadBytes = 64 << 10
 )
 
 // Key identifies the connections to one incarnation of an upstream.
--- a/internal/rwssereader/rwssereader.go
+++ b/internal/rwssereader/rwssereader.go
@@ -14,8 +14,9 @@
 	"redwingworks.example/internal/rwfault"
 )
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds the size of one event. A router assumes 160 KiB for a request
+// in progress with all its buffers.
+const maxEventBytes = 64 << 10
 
 // Event is one complete event.
 type Event struct {
