Bound what a relayed connection may cost its caller and its routers

- a request whose caller had left was passed on: the end of the connection comes behind the request, and peeking at one byte doesn't show it;
- routers that don't answer held a connection up for 600 ms, now for 180 ms in all;
- a drain cut a request that was sent late on an idle relayed connection;
- connections for which routers were being asked weren't bounded;
- a full router accepted a connection and then closed it unread;
- the caller's connection was reset while it still sent its body, and the other router's early response could be lost;
- a caller that doesn't read held its relayed connection;
- the memory of relayed connections was in addition to that of requests.

After no router took a connection, nothing is passed on for 100 ms.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -74,8 +74,9 @@
 	closeIdleRatio    = 0.8
 	closeRefusedRatio = 0.5
 	// relayMemoryRatio and relayFDRatio are the fractions of the memory and of the
-	// file descriptors that relayed connections may take; relayBytes is the memory
-	// of one, with its buffers and stacks, and relayFDs its descriptors.
+	// file descriptors that relayed connections may take; the memory is a part of
+	// that of the requests in progress. relayBytes is the memory of one, with its
+	// buffers and stacks, and relayFDs its descriptors.
 	relayMemoryRatio = 0.15
 	relayFDRatio     = 0.4
 	relayBytes       = 32 << 10
@@ -333,7 +334,11 @@
 // wireRelay connects the parts that relay callers' connections.
 func (e *Edge) wireRelay() {
 	e.relay = rwrelay.New()
-	e.relay.ShouldPass = func() bool { return e.deployment.Relay != "" && !e.stopping() && !e.overload.TakeRoom(time.Now()) }
+	e.relay.ShouldPass = func() bool {
+		// Each relayed connection has one of a caller.
+		return e.deployment.Relay != "" && !e.overload.TakeRoom(time.Now()) && !e.stopping() &&
+			e.connLimiter.Open()+e.relay.Open() < e.maxConnections(1)
+	}
 	e.relay.HasRoom = func() bool {
 		return e.ready() && !e.lagMonitor.Lagging() && e.connLimiter.Open() < e.maxConnections(closeRefusedRatio) &&
 			e.overload.TakeRoom(time.Now())
@@ -416,7 +421,7 @@
 func (e *Edge) overloaded(ctx context.Context) string {
 	limit := int64(defaultMaxRequests)
 	if m := e.deployment.MemoryBytes; m > 0 {
-		limit = int64(requestMemoryRatio * float64(m) / requestBytes)
+		limit = int64(requestMemoryRatio*float64(m)-float64(e.relay.Open()*relayBytes)) / requestBytes
 	}
 	switch {
 	case e.lagMonitor.Lagging():
@@ -877,6 +882,7 @@
 			// SetKeepAlivesEnabled of the server would close connections
 			// whose next request has arrived.
 			e.connLimiter.CloseIdle(now, step, math.MaxInt)
+			e.relay.CloseUnused()
 		}
 		idle := now.Sub(plan.AcceptEnd()) >= step*10 && e.activeRequests.Load() == 0 && e.relay.Open() == 0
 		if !stopped && (idle || !now.Before(plan.ListenEnd())) {
--- a/internal/rwedge/rwedge_test.go
+++ b/internal/rwedge/rwedge_test.go
@@ -20,6 +20,7 @@
 func TestMemoryBoundsAddUp(t *testing.T) {
 	require.LessOrEqual(t, memoryLimitRatio+callerMemoryRatio, 0.8)
 	require.LessOrEqual(t, requestMemoryRatio, memoryLimitRatio/2, "live requests may use at most half of the collector's limit")
+	require.LessOrEqual(t, relayMemoryRatio, requestMemoryRatio/2, "relayed connections leave room for requests")
 }
 
 // Guards against idle connections that stay open for longer than idleTimeout,
--- a/internal/rwrelay/rwrelay.go
+++ b/internal/rwrelay/rwrelay.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,9 +24,15 @@
 )
 
 const (
-	// acceptTimeout bounds connecting to another router and its answer. A
-	// saturated router reads the answer late.
-	acceptTimeout = 300 * time.Millisecond
+	// passTimeout bounds connecting to other routers and their answers, for one
+	// connection. Callers give up requests that are not read soon; a saturated
+	// router reads the answers late.
+	passTimeout = 180 * time.Millisecond
+	// writeTimeout bounds a write to a caller or a router that doesn't read.
+	writeTimeout = 10 * time.Second
+	// returnPause is how long nothing is passed on after no router took a
+	// connection.
+	returnPause = 100 * time.Millisecond
 	// greetTimeout bounds writing the answer, which fits into the send buffer.
 	greetTimeout = 100 * time.Millisecond
 	// maxPeers is the number of routers that are asked for one connection.
@@ -68,13 +75,19 @@
 	// Gather returns how long to collect what the other router sends after each
 	// write to the caller, which saves CPU time.
 	Gather func() time.Duration
-	// MaxOpen bounds the relayed connections that are open.
+	// MaxOpen bounds the relayed connections that are open, with those for which
+	// routers are being asked.
 	MaxOpen int
 
 	mu    sync.Mutex
 	stats Stats
 	// open holds the open relayed connections.
 	open map[*pair]struct{}
+	// passing is the number of connections that are open or for which routers are
+	// being asked.
+	passing int
+	// pausedUntil is until when nothing is passed on.
+	pausedUntil time.Time
 	// declined holds until when routers are passed over, by relay address.
 	declined map[string]time.Time
 	stopped  bool
@@ -92,7 +105,11 @@
 }
 
 // pair is a caller's connection and the one to the router that serves it.
-type pair struct{ caller, peer net.Conn }
+type pair struct {
+	caller, peer net.Conn
+	// used is whether bytes of the caller have been read.
+	used atomic.Bool
+}
 
 // New returns a relay without connections.
 func New() *Relay {
@@ -120,6 +137,18 @@
 	r.stopped = true
 }
 
+// CloseUnused closes the connections that were passed on and of whose callers no byte
+// has been read.
+func (r *Relay) CloseUnused() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.open {
+		if !p.used.Load() {
+			_ = p.caller.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
 // Cut resets the open connections that were passed on.
 func (r *Relay) Cut() {
 	r.mu.Lock()
@@ -162,7 +191,9 @@
 			}
 		case l.relay.reserve():
 			go func() {
-				if !l.relay.pass(c) {
+				passed := l.relay.pass(c)
+				l.relay.release()
+				if !passed {
 					l.serve(c)
 				}
 			}()
@@ -200,12 +231,23 @@
 	return err
 }
 
-// reserve reports whether a new connection is to be passed on.
+// reserve reports whether a new connection is to be passed on. If so, release must
+// be called after pass.
 func (r *Relay) reserve() bool {
 	pass := r.ShouldPass()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return pass && !r.stopped && len(r.open) < r.MaxOpen
+	if !pass || r.stopped || r.passing >= r.MaxOpen || time.Now().Before(r.pausedUntil) {
+		return false
+	}
+	r.passing++
+	return true
+}
+
+func (r *Relay) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.passing--
 }
 
 // pass passes a connection on, and reports whether it did. If it didn't, nothing
@@ -216,12 +258,13 @@
 		r.count(func(s *Stats) { s.Gone++ })
 		return true
 	}
+	until := time.Now().Add(passTimeout)
 	for range maxPeers {
 		addr, ok := r.Peer(r.isDeclined)
-		if !ok {
+		if !ok || !time.Now().Before(until) {
 			break
 		}
-		peer, err := r.connect(addr)
+		peer, err := r.connect(addr, until)
 		if err != nil {
 			// The cause doesn't matter: the connection goes to another router
 			// or is served here, and membership finds routers that are gone.
@@ -230,21 +273,37 @@
 			r.mu.Unlock()
 			continue
 		}
-		p := &pair{caller, peer}
-		r.mu.Lock()
-		r.stats.Passed++
-		r.open[p] = struct{}{}
-		r.mu.Unlock()
+		p := &pair{caller: caller, peer: peer}
+		if !r.add(p) {
+			_ = peer.Close()
+			break
+		}
 		r.join(p)
 		r.mu.Lock()
 		delete(r.open, p)
 		r.mu.Unlock()
 		return true
 	}
-	r.count(func(s *Stats) { s.Returned++ })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stats.Returned++
+	r.pausedUntil = time.Now().Add(returnPause)
 	return false
 }
 
+// add counts a pair as open, or returns false if the relay was stopped while a
+// router was asked.
+func (r *Relay) add(p *pair) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopped {
+		return false
+	}
+	r.stats.Passed++
+	r.open[p] = struct{}{}
+	return true
+}
+
 func (r *Relay) count(add func(*Stats)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -264,15 +323,15 @@
 }
 
 // connect returns a connection that the router at an address has accepted.
-func (r *Relay) connect(addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+func (r *Relay) connect(addr string, until time.Time) (net.Conn, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	peer, err := r.Dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	var answer [answerBytes]byte
-	_ = peer.SetReadDeadline(time.Now().Add(acceptTimeout))
+	_ = peer.SetReadDeadline(until)
 	_, err = io.ReadFull(peer, answer[:])
 	if err != nil || answer[0] != accepted || int64(binary.BigEndian.Uint64(answer[1:])) < r.Version() {
 		_ = peer.Close()
@@ -286,62 +345,134 @@
 
 // join copies in both directions until the connection has ended, and ends each
 // side as the other one did: a response without a length ends with its connection,
-// and only a reset shows that it broke off.
+// and only a reset shows that it broke off. If the process ends, the caller sees a
+// reset.
 func (r *Relay) join(p *pair) {
+	setLinger(p.caller, lingerReset)
+	out := &peerWriter{Conn: p.peer}
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		switch err := copyBytes(p.peer, p.caller, nil); {
-		case errors.Is(err, io.EOF):
-			closeWrite(p.peer)
-		case !errors.Is(err, net.ErrClosed) && !isTimeout(err):
-			reset(p.peer)
-		}
+		copyRequest(p, out)
 	}()
-	err := copyBytes(p.caller, p.peer, r.Gather)
+	err := copyResponse(p, r.Gather)
+	_ = p.caller.SetReadDeadline(time.Now().Add(lingerTime))
 	if errors.Is(err, io.EOF) {
-		closeWrite(p.caller)
-		_ = p.caller.SetReadDeadline(time.Now().Add(lingerTime))
 		_ = p.peer.Close()
-		<-sent
+	}
+	if errors.Is(err, io.EOF) && !errors.Is(out.lastError(), syscall.ECONNRESET) {
+		setLinger(p.caller, lingerOff)
+		closeWrite(p.caller)
 	} else {
 		reset(p.caller)
 		reset(p.peer)
-		<-sent
 	}
+	<-sent
 	_ = p.caller.Close()
 	_ = p.peer.Close()
 }
 
-// copyBytes copies until a read or a write fails, and returns that error; io.EOF is
-// the end of what is read. After each write it waits for the time that gather
-// returns.
-func copyBytes(to, from net.Conn, gather func() time.Duration) error {
+// copyRequest copies from the caller to the other router until either ends.
+func copyRequest(p *pair, out *peerWriter) {
 	buf := make([]byte, bufferBytes)
 	for {
-		n, err := from.Read(buf)
+		n, err := p.caller.Read(buf)
 		if n > 0 {
-			if _, err := to.Write(buf[:n]); err != nil {
+			if !p.used.Swap(true) && hasLeft(p.caller) {
+				// The end of the connection came behind the request.
+				reset(p.peer)
+				return
+			}
+			_ = p.peer.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := out.Write(buf[:n]); err != nil {
+				// The other router may have responded before it ended the
+				// connection. The caller's bytes are read until its response
+				// has been passed on.
+				_, _ = io.Copy(io.Discard, p.caller)
+				return
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			closeWrite(p.peer)
+			return
+		case isTimeout(err) && !p.used.Load():
+			_ = p.peer.Close()
+			return
+		case !errors.Is(err, net.ErrClosed) && !isTimeout(err):
+			reset(p.peer)
+			return
+		default:
+			return
+		}
+	}
+}
+
+// copyResponse copies from the other router to the caller until a read or a write
+// fails, and returns that error; io.EOF is the end of the other router's connection.
+// After each write it waits for the time that gather returns.
+func copyResponse(p *pair, gather func() time.Duration) error {
+	buf := make([]byte, bufferBytes)
+	for {
+		n, err := p.peer.Read(buf)
+		if n > 0 {
+			_ = p.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := p.caller.Write(buf[:n]); err != nil {
 				return err
 			}
 		}
 		if err != nil {
 			return err
 		}
-		if gather != nil && n < len(buf) {
-			if d := gather(); d > 0 {
-				time.Sleep(d)
-			}
+		if d := gather(); d > 0 && n < len(buf) {
+			time.Sleep(d)
 		}
 	}
 }
 
-// reset ends a connection so that the other end sees that it broke off.
-func reset(c net.Conn) {
+// peerWriter keeps the error of writing to a connection. The kernel reports a reset
+// once, and a read after a write that got it looks like the regular end.
+type peerWriter struct {
+	net.Conn
+	// mu is held during a write.
+	mu  sync.Mutex
+	err error
+}
+
+// Write implements net.Conn.
+func (w *peerWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.Conn.Write(p)
+	w.err = err
+	return n, err
+}
+
+// lastError returns the error of the last write. It waits for one in progress.
+func (w *peerWriter) lastError() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
+// The values of setLinger.
+const (
+	lingerReset = 0
+	lingerOff   = -1
+)
+
+// setLinger sets whether closing a connection resets it, also as the process ends.
+func setLinger(c net.Conn, seconds int) {
 	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
 		// It fails only if the connection is closed.
-		_ = l.SetLinger(0)
+		_ = l.SetLinger(seconds)
 	}
+}
+
+// reset ends a connection so that the other end sees that it broke off.
+func reset(c net.Conn) {
+	setLinger(c, lingerReset)
 	_ = c.Close()
 }
 
