Test the relay and mend five faults that its tests show

The tests of rwrelay run over loopback TCP where resets matter, otherwise in virtual time. Against the code before, they showed:

- A response that came before the end of the request could be lost.
The relay stopped reading the caller at its first failed write and closed the connection with unread bytes, which resets it, and it closed the connection to the other router before the response was read.
The rest of the request is now read until the response has been passed on, and up to lingerTime after it.
- MaxOpen didn't count connections for which routers are being asked, so a burst could exceed it (TestMaxOpen).
- A connection for which a router was being asked at Stop was passed on afterwards (TestStop).
- Connecting and the answer could each take acceptTimeout, 525 ms instead of 300 ms in virtual time (TestAcceptTimeoutBoundsBoth).

With the change, the kernel can report a reset to the write and then a regular end to the read, so join looks at the last write before it passes an end on (TestResetThatAWriteReports).

Ruled out: reading on without a bound, since a caller may send for ever.

--- a/internal/rwrelay/rwrelay.go
+++ b/internal/rwrelay/rwrelay.go
@@ -59,13 +59,17 @@
 	// Gather returns how long to collect what the other router sends after each
 	// write to the caller, which saves CPU time.
 	Gather func() time.Duration
-	// MaxOpen bounds the relayed connections that are open.
+	// MaxOpen bounds the relayed connections that are open, with those for which
+	// routers are being asked.
 	MaxOpen int
 
 	mu    sync.Mutex
 	stats Stats
 	// open holds the open relayed connections.
 	open map[*pair]struct{}
+	// passing is the number of connections that are open or for which routers are
+	// being asked.
+	passing int
 	// declined holds until when routers are passed over, by relay address.
 	declined map[string]time.Time
 	stopped  bool
@@ -153,7 +157,9 @@
 			}
 		case l.relay.reserve():
 			go func() {
-				if !l.relay.pass(c) {
+				passed := l.relay.pass(c)
+				l.relay.release()
+				if !passed {
 					l.serve(c)
 				}
 			}()
@@ -191,12 +197,23 @@
 	return err
 }
 
-// reserve reports whether a new connection is to be passed on.
+// reserve reports whether a new connection is to be passed on. If so, release must
+// be called after pass.
 func (r *Relay) reserve() bool {
 	pass := r.ShouldPass()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return pass && !r.stopped && len(r.open) < r.MaxOpen
+	if !pass || r.stopped || r.passing >= r.MaxOpen {
+		return false
+	}
+	r.passing++
+	return true
+}
+
+func (r *Relay) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.passing--
 }
 
 // pass passes a connection on, and reports whether it did. If it didn't, nothing
@@ -222,10 +239,10 @@
 			continue
 		}
 		p := &pair{caller, peer}
-		r.mu.Lock()
-		r.stats.Passed++
-		r.open[p] = struct{}{}
-		r.mu.Unlock()
+		if !r.add(p) {
+			_ = peer.Close()
+			break
+		}
 		r.join(p)
 		r.mu.Lock()
 		delete(r.open, p)
@@ -236,6 +253,19 @@
 	return false
 }
 
+// add counts a pair as open, or returns false if the relay was stopped while a
+// router was asked.
+func (r *Relay) add(p *pair) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopped {
+		return false
+	}
+	r.stats.Passed++
+	r.open[p] = struct{}{}
+	return true
+}
+
 func (r *Relay) count(add func(*Stats)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -263,7 +293,8 @@
 		return nil, err
 	}
 	var answer [1]byte
-	_ = peer.SetReadDeadline(time.Now().Add(acceptTimeout))
+	deadline, _ := ctx.Deadline()
+	_ = peer.SetReadDeadline(deadline)
 	if _, err := io.ReadFull(peer, answer[:]); err != nil || answer[0] != accepted {
 		_ = peer.Close()
 		return nil, errors.Join(errDeclined, err)
@@ -278,10 +309,15 @@
 // side as the other one did: a response without a length ends with its connection,
 // and only a reset shows that it broke off.
 func (r *Relay) join(p *pair) {
+	out := &peerWriter{Conn: p.peer}
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		switch err := copyBytes(p.peer, p.caller, nil); {
+		switch err := copyBytes(out, p.caller, nil); {
+		case out.lastError() != nil:
+			// The other router may have responded before it ended the connection.
+			// The caller's bytes are read until its response has been passed on.
+			_, _ = io.Copy(io.Discard, p.caller)
 		case errors.Is(err, io.EOF):
 			closeWrite(p.peer)
 		case !errors.Is(err, net.ErrClosed) && !isTimeout(err):
@@ -289,20 +325,46 @@
 		}
 	}()
 	err := copyBytes(p.caller, p.peer, r.Gather)
+	_ = p.caller.SetReadDeadline(time.Now().Add(lingerTime))
 	if errors.Is(err, io.EOF) {
-		closeWrite(p.caller)
-		_ = p.caller.SetReadDeadline(time.Now().Add(lingerTime))
 		_ = p.peer.Close()
-		<-sent
+	}
+	if errors.Is(err, io.EOF) && !errors.Is(out.lastError(), syscall.ECONNRESET) {
+		closeWrite(p.caller)
 	} else {
 		reset(p.caller)
 		reset(p.peer)
-		<-sent
 	}
+	<-sent
 	_ = p.caller.Close()
 	_ = p.peer.Close()
 }
 
+// peerWriter keeps the error of writing to a connection. The kernel reports a reset
+// once, and a read after a write that got it looks like the regular end.
+type peerWriter struct {
+	net.Conn
+	// mu is held during a write.
+	mu  sync.Mutex
+	err error
+}
+
+// Write implements net.Conn.
+func (w *peerWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.Conn.Write(p)
+	w.err = err
+	return n, err
+}
+
+// lastError returns the error of the last write. It waits for one in progress.
+func (w *peerWriter) lastError() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
 // copyBytes copies until a read or a write fails, and returns that error; io.EOF is
 // the end of what is read. After each write it waits for the time that gather
 // returns.
