--- a/internal/rwoverload/rate_test.go
+++ b/internal/rwoverload/rate_test.go
@@ -121,13 +121,17 @@
 }
 
 // Guards against a rate that stays where an earlier load left it: too high for the
-// next flood, or too low for the usual load.
+// next flood, or too low for the usual load, and against one that returns at a jump, on
+// which the machine would be late again.
 func TestRateReturnsToItsStart(t *testing.T) {
 	for name, before := range map[string]func(time.Duration) time.Duration{"grown": idle, "fallen": late} {
 		t.Run(name, func(t *testing.T) {
 			c := New(testMillis)
 			_, now := offer(c, time.Unix(100, 0), 5*time.Second, 2*testRate, before)
 			require.Greater(t, max(c.rate/testRate, testRate/c.rate), 1.5)
+			away := max(c.rate/testRate, testRate/c.rate)
+			now = observe(c, now, 500*time.Millisecond, idle)
+			require.Greater(t, max(c.rate/testRate, testRate/c.rate), 0.75*away, "it returns in steps")
 			now = observe(c, now, 10*time.Second, idle)
 			// It may pass its start by one step, and then returns.
 			require.InEpsilon(t, testRate, c.rate, rateUp-1)
