--- a/internal/rwrelay/caller_test.go
+++ b/internal/rwrelay/caller_test.go
@@ -12,37 +12,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// listen opens a listener on a socket.
-func listen(t *testing.T) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	return l
-}
-
-func dial(t *testing.T, l net.Listener) *net.TCPConn {
-	c, err := net.Dial("tcp", l.Addr().String())
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = c.Close() })
-	return c.(*net.TCPConn)
-}
-
-// answer returns the answer of a router that accepts a connection.
-func answer() []byte { return append([]byte{accepted}, make([]byte, answerBytes-1)...) }
-
-// newRelay returns a relay that passes all connections on to the router at an
-// address.
-func newRelay(peer string) *Relay {
-	r := New()
-	r.ShouldPass = func() bool { return true }
-	r.Peer = func(skip func(string) bool) (string, bool) { return peer, !skip(peer) }
-	r.Dial = (&net.Dialer{}).DialContext
-	r.Gather = func() time.Duration { return 0 }
-	r.Version = func() int64 { return 0 }
-	r.MaxOpen = 100
-	return r
-}
-
 // Guards against the relaying of requests whose callers have left before the relay
 // looks: the end of the connection comes behind the unread request, so that peeking at
 // the next byte doesn't show it.
--- a/internal/rwrelay/rwrelay.go
+++ b/internal/rwrelay/rwrelay.go
@@ -35,10 +35,14 @@
 	returnPause = 100 * time.Millisecond
 	// greetTimeout bounds writing the answer, which fits into the send buffer.
 	greetTimeout = 100 * time.Millisecond
+	// maxAsking is the number of connections for which routers are asked at a time.
+	// On a saturated machine more of them would only wait for each other.
+	maxAsking = 32
 	// maxPeers is the number of routers that are asked for one connection.
 	maxPeers = 2
-	// declinedTime is how long a router that declined, or that wasn't reached,
-	// is passed over.
+	// declinedTime is how long a router that declined, or that refused a
+	// connection, is passed over. One whose answer is late isn't: this router may
+	// be too busy to read it.
 	declinedTime = 500 * time.Millisecond
 	// lingerTime is how long the caller's bytes are read after the other router
 	// has ended the connection. A connection that is closed with unread bytes is
@@ -72,7 +76,7 @@
 	// relays.
 	HasRoom func() bool
 	Dial    func(ctx context.Context, network, addr string) (net.Conn, error)
-	// Gather returns how long to collect what the other router sends after each
+	// Gather, if set, returns how long to collect what the other router sends after each
 	// write to the caller, which saves CPU time.
 	Gather func() time.Duration
 	// MaxOpen bounds the relayed connections that are open, with those for which
@@ -84,8 +88,8 @@
 	// open holds the open relayed connections.
 	open map[*pair]struct{}
 	// passing is the number of connections that are open or for which routers are
-	// being asked.
-	passing int
+	// being asked, asking the number of the latter.
+	passing, asking int
 	// pausedUntil is until when nothing is passed on.
 	pausedUntil time.Time
 	// declined holds until when routers are passed over, by relay address.
@@ -237,10 +241,11 @@
 	pass := r.ShouldPass()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !pass || r.stopped || r.passing >= r.MaxOpen || time.Now().Before(r.pausedUntil) {
+	if !pass || r.stopped || r.passing >= r.MaxOpen || r.asking >= maxAsking || time.Now().Before(r.pausedUntil) {
 		return false
 	}
 	r.passing++
+	r.asking++
 	return true
 }
 
@@ -256,34 +261,22 @@
 	if hasLeft(caller) {
 		_ = caller.Close()
 		r.count(func(s *Stats) { s.Gone++ })
+		r.asked()
 		return true
 	}
-	until := time.Now().Add(passTimeout)
-	for range maxPeers {
-		addr, ok := r.Peer(r.isDeclined)
-		if !ok || !time.Now().Before(until) {
-			break
-		}
-		peer, err := r.connect(addr, until)
-		if err != nil {
-			// The cause doesn't matter: the connection goes to another router
-			// or is served here, and membership finds routers that are gone.
-			r.mu.Lock()
-			r.declined[addr] = time.Now().Add(declinedTime)
-			r.mu.Unlock()
-			continue
-		}
-		p := &pair{caller: caller, peer: peer}
-		if !r.add(p) {
-			_ = peer.Close()
-			break
-		}
+	peer := r.ask()
+	r.asked()
+	p := &pair{caller: caller, peer: peer}
+	if peer != nil && r.add(p) {
 		r.join(p)
 		r.mu.Lock()
 		delete(r.open, p)
 		r.mu.Unlock()
 		return true
 	}
+	if peer != nil {
+		_ = peer.Close()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stats.Returned++
@@ -291,6 +284,36 @@
 	return false
 }
 
+// asked counts a connection as one for which no router is being asked any more.
+func (r *Relay) asked() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asking--
+}
+
+// ask returns a connection that another router has accepted, or nil.
+func (r *Relay) ask() net.Conn {
+	until := time.Now().Add(passTimeout)
+	for range maxPeers {
+		addr, ok := r.Peer(r.isDeclined)
+		if !ok || !time.Now().Before(until) {
+			return nil
+		}
+		peer, err := r.connect(addr, until)
+		if err == nil {
+			return peer
+		}
+		// The cause doesn't matter otherwise: the connection goes to another router
+		// or is served here, and membership finds routers that are gone.
+		if !isTimeout(err) {
+			r.mu.Lock()
+			r.declined[addr] = time.Now().Add(declinedTime)
+			r.mu.Unlock()
+		}
+	}
+	return nil
+}
+
 // add counts a pair as open, or returns false if the relay was stopped while a
 // router was asked.
 func (r *Relay) add(p *pair) bool {
@@ -425,7 +448,10 @@
 		if err != nil {
 			return err
 		}
-		if d := gather(); d > 0 && n < len(buf) {
+		if gather == nil || n == len(buf) {
+			continue
+		}
+		if d := gather(); d > 0 {
 			time.Sleep(d)
 		}
 	}
