--- a/internal/rwrelay/rwrelay.go
+++ b/internal/rwrelay/rwrelay.go
@@ -65,6 +65,10 @@
 	// ShouldPass reports whether to pass a new connection on. It is called once for
 	// each connection.
 	ShouldPass func() bool
+	// ShouldClose, if set, reports whether to close a connection unread that is to
+	// be passed on while too many others are. On a saturated machine this costs a
+	// small part of what a refusal costs that is read and responded to.
+	ShouldClose func() bool
 	// Peer returns the relay address of a router, or false if there is none for
 	// which skip returns false.
 	Peer func(skip func(addr string) bool) (string, bool)
@@ -101,8 +105,9 @@
 type Stats struct {
 	// Passed is the number of connections that another router accepted; Returned
 	// is the number of those that were to be passed on and were served here;
-	// Gone is the number of those whose callers had already left.
-	Passed, Returned, Gone int64
+	// Gone is the number of those whose callers had already left; Closed is the
+	// number of those that were closed unread.
+	Passed, Returned, Gone, Closed int64
 	// Accepted and Declined count the connections that other routers relayed
 	// here.
 	Accepted, Declined int64
@@ -193,6 +198,8 @@
 			case <-l.closed:
 				return
 			}
+		case !l.relay.ShouldPass():
+			l.serve(c)
 		case l.relay.reserve():
 			go func() {
 				passed := l.relay.pass(c)
@@ -201,6 +208,9 @@
 					l.serve(c)
 				}
 			}()
+		case l.relay.ShouldClose != nil && l.relay.ShouldClose():
+			_ = c.Close()
+			l.relay.count(func(s *Stats) { s.Closed++ })
 		default:
 			l.serve(c)
 		}
@@ -235,13 +245,12 @@
 	return err
 }
 
-// reserve reports whether a new connection is to be passed on. If so, release must
-// be called after pass.
+// reserve reports whether one more connection may be passed on now. If so, release
+// must be called after pass.
 func (r *Relay) reserve() bool {
-	pass := r.ShouldPass()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !pass || r.stopped || r.passing >= r.MaxOpen || r.asking >= maxAsking || time.Now().Before(r.pausedUntil) {
+	if r.stopped || r.passing >= r.MaxOpen || r.asking >= maxAsking || time.Now().Before(r.pausedUntil) {
 		return false
 	}
 	r.passing++
