--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -336,10 +336,12 @@
 	e.relay = rwrelay.New()
 	e.relay.ShouldPass = func() bool {
 		// Each relayed connection has one of a caller.
-		return e.deployment.Relay != "" && !e.overload.TakeRoom(time.Now()) && !e.stopping() &&
+		return e.deployment.Relay != "" && (!e.overload.TakeRoom(time.Now()) || e.isFull()) && !e.stopping() &&
 			e.connLimiter.Open()+e.relay.Open() < e.maxConnections(1)
 	}
-	e.relay.ShouldClose = func() bool { return e.overload.ShouldRefuse(rand.Float64()) }
+	e.relay.ShouldClose = func() bool {
+		return e.lagMonitor.Lagging() || e.isFull() || e.overload.ShouldRefuse(rand.Float64())
+	}
 	e.relay.HasRoom = func() bool {
 		return e.ready() && !e.lagMonitor.Lagging() && e.connLimiter.Open() < e.maxConnections(closeRefusedRatio) &&
 			e.overload.TakeRoom(time.Now())
@@ -428,14 +430,10 @@
 // the router reads requests late, has as many in progress as its memory takes, was
 // about to close the connection because too many are open, or sheds load.
 func (e *Edge) overloaded(ctx context.Context) string {
-	limit := int64(defaultMaxRequests)
-	if m := e.deployment.MemoryBytes; m > 0 {
-		limit = int64(requestMemoryRatio*float64(m)-float64(e.relay.Open()*relayBytes)) / requestBytes
-	}
 	switch {
 	case e.lagMonitor.Lagging():
 		return "router is lagging"
-	case e.activeRequests.Load() > limit:
+	case e.isFull():
 		return "too many requests in progress"
 	case rwconnlimit.Excess(ctx):
 		return "too many connections"
@@ -448,6 +446,16 @@
 	}
 }
 
+// isFull reports whether the requests in progress and the relayed connections take
+// all of the memory that they may.
+func (e *Edge) isFull() bool {
+	limit := int64(defaultMaxRequests)
+	if m := e.deployment.MemoryBytes; m > 0 {
+		limit = int64(requestMemoryRatio*float64(m)-float64(e.relay.Open()*relayBytes)) / requestBytes
+	}
+	return e.activeRequests.Load() > limit
+}
+
 // streamBegun records where a stream began whose first event is forwarded.
 func (e *Edge) streamBegun(id string, o rworigin.Origin) { e.broker.Origins.Add(time.Now(), id, o) }
 
