--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -326,7 +326,7 @@
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
 		ConnState: e.connLimiter.ConnState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(e.connLimiter.ConnContext(ctx, c), connUseKey{}, new(atomic.Int64))
+			return context.WithValue(e.connLimiter.ConnContext(ctx, c), connUseKey{}, new(atomic.Bool))
 		},
 	}
 }
@@ -339,9 +339,6 @@
 		return e.deployment.Relay != "" && (!e.overload.TakeRoom(time.Now()) || e.isFull()) && !e.stopping() &&
 			e.connLimiter.Open()+e.relay.Open() < e.maxConnections(1)
 	}
-	e.relay.ShouldClose = func() bool {
-		return e.lagMonitor.Lagging() || e.isFull() || e.overload.ShouldRefuse(rand.Float64())
-	}
 	e.relay.HasRoom = func() bool {
 		return e.ready() && !e.lagMonitor.Lagging() && e.connLimiter.Open() < e.maxConnections(closeRefusedRatio) &&
 			e.overload.TakeRoom(time.Now())
@@ -391,27 +388,19 @@
 	return "", false
 }
 
-// connUseKey is the context key of the number of requests that have come on the
-// connection.
+// connUseKey is the context key of whether a request has come on the connection.
 type connUseKey struct{}
 
 // countRequest counts a request towards the rate that the router takes, and reports
 // whether there was room. The first one of a connection was counted as the
 // connection was accepted.
 func (e *Edge) countRequest(r *http.Request) bool {
-	if n, ok := r.Context().Value(connUseKey{}).(*atomic.Int64); ok && n.Add(1) == 1 {
+	if used, ok := r.Context().Value(connUseKey{}).(*atomic.Bool); ok && !used.Swap(true) {
 		return true
 	}
 	return e.overload.CountRequest(time.Now())
 }
 
-// isFirst reports whether the request with this context is the first one on its
-// connection.
-func isFirst(ctx context.Context) bool {
-	n, ok := ctx.Value(connUseKey{}).(*atomic.Int64)
-	return ok && n.Load() == 1
-}
-
 // relayedBy returns the IP address of the router that relayed the connection of a
 // request, or an empty string.
 func (e *Edge) relayedBy(r *http.Request) string {
@@ -437,9 +426,7 @@
 		return "too many requests in progress"
 	case rwconnlimit.Excess(ctx):
 		return "too many connections"
-	case (e.deployment.Relay == "" || !isFirst(ctx)) && e.overload.ShouldRefuse(rand.Float64()):
-		// The connection of a first request was accepted with room for it, or
-		// although the router sheds load.
+	case e.overload.ShouldRefuse(rand.Float64()):
 		return "router overloaded"
 	default:
 		return ""
@@ -546,11 +533,10 @@
 	accepted, declined := stats.Accepted-last.Accepted, stats.Declined-last.Declined
 	e.metrics.Add("connections_relayed", passed)
 	e.metrics.Add("connections_relay_returned", returned)
-	e.metrics.Add("connections_shed", stats.Closed-last.Closed)
 	e.metrics.Add("connections_relay_accepted", accepted)
 	e.metrics.Add("connections_relay_declined", declined)
 	rwlog.Info(&e.log, rwlog.ConnectionsRelayed).Int64("passed", passed).Int64("returned", returned).Int64("gone", gone).
-		Int64("closed", stats.Closed-last.Closed).Int64("accepted", accepted).Int64("declined", declined).Int("open", e.relay.Open()).Send()
+		Int64("accepted", accepted).Int64("declined", declined).Int("open", e.relay.Open()).Send()
 	return stats
 }
 
--- a/internal/rwrelay/rwrelay.go
+++ b/internal/rwrelay/rwrelay.go
@@ -65,10 +65,6 @@
 	// ShouldPass reports whether to pass a new connection on. It is called once for
 	// each connection.
 	ShouldPass func() bool
-	// ShouldClose, if set, reports whether to close a connection unread that is to
-	// be passed on while too many others are. On a saturated machine this costs a
-	// small part of what a refusal costs that is read and responded to.
-	ShouldClose func() bool
 	// Peer returns the relay address of a router, or false if there is none for
 	// which skip returns false.
 	Peer func(skip func(addr string) bool) (string, bool)
@@ -105,9 +101,8 @@
 type Stats struct {
 	// Passed is the number of connections that another router accepted; Returned
 	// is the number of those that were to be passed on and were served here;
-	// Gone is the number of those whose callers had already left; Closed is the
-	// number of those that were closed unread.
-	Passed, Returned, Gone, Closed int64
+	// Gone is the number of those whose callers had already left.
+	Passed, Returned, Gone int64
 	// Accepted and Declined count the connections that other routers relayed
 	// here.
 	Accepted, Declined int64
@@ -208,9 +203,6 @@
 					l.serve(c)
 				}
 			}()
-		case l.relay.ShouldClose != nil && l.relay.ShouldClose():
-			_ = c.Close()
-			l.relay.count(func(s *Stats) { s.Closed++ })
 		default:
 			l.serve(c)
 		}
