--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -564,9 +564,9 @@
 }
 
 // addRequest adds the fields that all lines about a request have: its id, the
-// software of its upstream, the router that relayed it, what its caller resumes, and the field "stopping" if
-// the router was asked to stop: the time from then to the arrival of the request,
-// which is negative if the request arrived before.
+// software of its upstream, the router that relayed it, what its caller resumes,
+// and the field "stopping" if the router was asked to stop: the time from then to
+// the arrival of the request, which is negative if the request arrived before.
 func (f *Handler) addRequest(e *zerolog.Event, x *rwexchange.Exchange) *zerolog.Event {
 	e = e.Str("id", x.Request.ID)
 	if x.UpstreamSoftware != "" {
--- a/internal/rwrelay/rwrelay.go
+++ b/internal/rwrelay/rwrelay.go
@@ -76,8 +76,8 @@
 	// relays.
 	HasRoom func() bool
 	Dial    func(ctx context.Context, network, addr string) (net.Conn, error)
-	// Gather, if set, returns how long to collect what the other router sends after each
-	// write to the caller, which saves CPU time.
+	// Gather, if set, returns how long to collect what the other router sends after
+	// each write to the caller, which saves CPU time.
 	Gather func() time.Duration
 	// MaxOpen bounds the relayed connections that are open, with those for which
 	// routers are being asked.
