Count the ends of requests by account and of relayed connections by cause

The logs of FAIR couldn't tell why an account was refused: a router's lines are cut at 400 a second, and event 113 with them. Event 114 counts the requests of the six largest accounts by outcome each second, event 113 names the cause of what is returned and the bound of what isn't passed on, and the lines with counts have a rate of their own.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -51,6 +52,7 @@
 	"redwingworks.example/internal/rwshutdown"
 	"redwingworks.example/internal/rwsink"
 	"redwingworks.example/internal/rwstorewatch"
+	"redwingworks.example/internal/rwtally"
 )
 
 const (
@@ -121,6 +123,10 @@
 	// maxCutLines is the largest number of log lines that each of the two
 	// reports of a drain writes about the requests it cuts.
 	maxCutLines = 20
+	// accountInterval is how often the requests of accounts are logged, and
+	// maxAccountLines the number of accounts each time.
+	accountInterval = time.Second
+	maxAccountLines = 6
 	// reloadInterval is how often the settings file is read again; it can
 	// change without a signal.
 	reloadInterval = 2 * time.Second
@@ -159,11 +165,15 @@
 
 // Edge is one front router.
 type Edge struct {
-	config      Config
-	deployment  rwdeployment.Deployment
-	started     time.Time
-	sink        *rwsink.Sink
-	log         zerolog.Logger
+	config     Config
+	deployment rwdeployment.Deployment
+	started    time.Time
+	sink       *rwsink.Sink
+	log        zerolog.Logger
+	// summaries is for lines with counts, which a flood of other lines doesn't
+	// displace.
+	summaries   zerolog.Logger
+	tally       rwtally.Tally
 	metrics     *rwmetric.Metrics
 	registry    *rwregistry.Registry
 	self        rwidentity.Identity
@@ -213,6 +223,7 @@
 		},
 	}
 	e.log = rwlog.New(e.sink, "rwfront").With().Str("router", e.self.Name).Logger()
+	e.summaries = rwlog.New(e.sink.Summaries(), "rwfront").With().Str("router", e.self.Name).Logger()
 	e.published.Store(rwconfigsnapshot.New(nil, 0, time.Now(), nil))
 	e.peers = rwpeer.New(e.self, c.Key, nil, e.log, e.metrics)
 	e.peers.SkipCompression = func() bool { return e.overload.Saturated() }
@@ -305,6 +316,7 @@
 		CloseRefused: func() bool { return e.connLimiter.Open() > e.maxConnections(closeRefusedRatio) },
 		Zone:         e.self.Zone, Log: e.log, Metrics: e.metrics, ObserveLatency: e.latency.Record,
 		Stopping: e.stopRequested, InFlight: &e.inFlight, Via: e.relayedBy,
+		Tally: &e.tally,
 	}
 	requests, cancel := context.WithCancelCause(context.Background())
 	e.cancelRequests = cancel
@@ -517,7 +529,7 @@
 	e.metrics.Add("caller_connections_closed", idle)
 	e.metrics.Add("caller_connections_closed_unread", unread)
 	e.metrics.Add("caller_connections_kept", kept)
-	rwlog.Info(&e.log, rwlog.ConnectionsClosed).Int64("idle", idle).Int64("unread", unread).Int64("kept", kept).
+	rwlog.Info(&e.summaries, rwlog.ConnectionsClosed).Int64("idle", idle).Int64("unread", unread).Int64("kept", kept).
 		Int("open", e.connLimiter.Open()).Send()
 	return stats
 }
@@ -535,11 +547,27 @@
 	e.metrics.Add("connections_relay_returned", returned)
 	e.metrics.Add("connections_relay_accepted", accepted)
 	e.metrics.Add("connections_relay_declined", declined)
-	rwlog.Info(&e.log, rwlog.ConnectionsRelayed).Int64("passed", passed).Int64("returned", returned).Int64("gone", gone).
+	rwlog.Info(&e.summaries, rwlog.ConnectionsRelayed).Int64("passed", passed).Int64("returned", returned).Int64("gone", gone).
+		Int64("no_peer", stats.NoPeer-last.NoPeer).Int64("refused", stats.RefusedByPeer-last.RefusedByPeer).
+		Int64("unanswered", stats.Unanswered-last.Unanswered).Int64("paused", stats.Paused-last.Paused).
+		Int64("asking", stats.TooManyAsking-last.TooManyAsking).Int64("full", stats.TooManyOpen-last.TooManyOpen).
 		Int64("accepted", accepted).Int64("declined", declined).Int("open", e.relay.Open()).Send()
 	return stats
 }
 
+// reportAccounts logs how the requests of the largest accounts ended since the last
+// report.
+func (e *Edge) reportAccounts() {
+	for _, a := range e.tally.Take(maxAccountLines) {
+		line := rwlog.Info(&e.summaries, rwlog.AccountRequests).Str("account", a.Name).Int64("requests", a.Requests)
+		outcomes := zerolog.Dict()
+		for _, o := range slices.Sorted(maps.Keys(a.Outcomes)) {
+			outcomes = outcomes.Int64(o, a.Outcomes[o])
+		}
+		line.Dict("outcomes", outcomes).Send()
+	}
+}
+
 // Run serves until a signal asks the process to stop or a part ends by itself.
 // After a signal, it first drains the router.
 func (e *Edge) Run() error {
@@ -670,7 +698,7 @@
 		if out {
 			e.metrics.Add("rotation_left", 1)
 		}
-		rwlog.Info(&e.log, rwlog.RotationChanged).Bool("out", out).Int64("active", e.activeRequests.Load()).
+		rwlog.Info(&e.summaries, rwlog.RotationChanged).Bool("out", out).Int64("active", e.activeRequests.Load()).
 			Int64("connections", int64(e.connLimiter.Open())).Send()
 	}
 }
@@ -766,7 +794,7 @@
 func (e *Edge) upkeep(ctx context.Context) error {
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
-	reloaded := time.Now()
+	reloaded, tallied := time.Now(), time.Now()
 	var closed rwconnlimit.Stats
 	var relayed rwrelay.Stats
 	for {
@@ -783,9 +811,13 @@
 			e.closeIdleCallers(now, snapshot)
 			closed = e.reportClosed(closed)
 			relayed = e.reportRelayed(relayed)
+			if now.Sub(tallied) >= accountInterval {
+				tallied = now
+				e.reportAccounts()
+			}
 			if n := e.sink.Dropped.Swap(0); n > 0 {
 				e.metrics.Add("log_lines_dropped", n)
-				rwlog.Info(&e.log, rwlog.LinesDropped).Int64("lines", n).Send()
+				rwlog.Info(&e.summaries, rwlog.LinesDropped).Int64("lines", n).Send()
 			}
 			if now.Sub(reloaded) >= reloadInterval {
 				reloaded = now
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -294,6 +294,7 @@
 		f.ObserveLatency(first)
 	}
 	f.Metrics.Add("served", 1)
+	f.count(x, "served")
 	f.addRequest(rwlog.Info(&f.Log, rwlog.RequestFinished), x).Int("status", status).
 		Str("route", x.Route.Name).Str("account", x.Account.Name).Str("upstream", x.Upstream).
 		Int("attempts", x.Ran).Dur("first", first).Dur("took", time.Since(x.Start)).
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -32,6 +32,7 @@
 	"redwingworks.example/internal/rwrendezvous"
 	"redwingworks.example/internal/rwretrywindow"
 	"redwingworks.example/internal/rwrouteconfig"
+	"redwingworks.example/internal/rwtally"
 )
 
 const (
@@ -131,6 +132,8 @@
 	Stopping func() (time.Time, bool)
 	// InFlight holds the requests in progress.
 	InFlight *rwinflight.Table
+	// Tally, if set, counts the requests by account and outcome.
+	Tally *rwtally.Tally
 	// BodyTimeout bounds the time to read a request body; 0 for the default.
 	BodyTimeout time.Duration
 
@@ -591,6 +594,7 @@
 func (f *Handler) fail(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, fault *rwfault.Fault) {
 	if ended := rwfault.FromContext(ctx); fault.Code == rwcode.CallerGone || ended != nil && ended.Code == rwcode.CallerGone {
 		f.Metrics.Refused(rwcode.CallerGone)
+		f.count(x, rwcode.CallerGone.String())
 		f.addRequest(rwlog.Info(&f.Log, rwlog.RequestAbandoned), x).Stringer("code", rwcode.CallerGone).
 			Str("upstream", x.Upstream).Int("sent", x.Sent).Dur("took", time.Since(x.Start)).Str("detail", fault.Error()).Send()
 		panic(http.ErrAbortHandler)
@@ -631,9 +635,22 @@
 	return d + time.Duration(float64(d)*retryAfterJitter*fraction)
 }
 
+// count counts a request that has ended.
+func (f *Handler) count(x *rwexchange.Exchange, outcome string) {
+	if f.Tally != nil {
+		f.Tally.Add(x.Account.Name, outcome)
+	}
+}
+
 // logFailure counts and logs a failed request.
 func (f *Handler) logFailure(x *rwexchange.Exchange, fault *rwfault.Fault, status int) {
 	f.Metrics.Refused(fault.Code)
+	outcome := fault.Code.String()
+	if fault.Code == rwcode.TooManyRequests {
+		// Several bounds have this code.
+		outcome = fault.Error()
+	}
+	f.count(x, outcome)
 	e := rwlog.Info(&f.Log, rwlog.RequestRefused)
 	if fault.Outcome != rwoutcome.NotRun {
 		e = rwlog.Warn(&f.Log, rwlog.RequestFailed, fault).Stringer("outcome", fault.Outcome)
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -33,6 +33,7 @@
 	ConnectionsClosed    Event = 111 // connections closed
 	DrainRefusing        Event = 112 // drain refuses requests
 	ConnectionsRelayed   Event = 113 // connections relayed
+	AccountRequests      Event = 114 // account requests
 	RecordAdopted        Event = 200 // record adopted
 	RecordSetAside       Event = 201 // record set aside
 	RecordStale          Event = 202 // stale record ignored
--- a/internal/rwrelay/rwrelay.go
+++ b/internal/rwrelay/rwrelay.go
@@ -103,6 +103,13 @@
 	// is the number of those that were to be passed on and were served here;
 	// Gone is the number of those whose callers had already left.
 	Passed, Returned, Gone int64
+	// NoPeer, RefusedByPeer and Unanswered are the causes of Returned: no router
+	// could be asked, the last one that was asked declined, or it didn't answer
+	// in time.
+	NoPeer, RefusedByPeer, Unanswered int64
+	// Paused, TooManyAsking and TooManyOpen count the connections beyond the
+	// rate that were served here without asking, by the bound that forbade it.
+	Paused, TooManyAsking, TooManyOpen int64
 	// Accepted and Declined count the connections that other routers relayed
 	// here.
 	Accepted, Declined int64
@@ -242,7 +249,17 @@
 func (r *Relay) reserve() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stopped || r.passing >= r.MaxOpen || r.asking >= maxAsking || time.Now().Before(r.pausedUntil) {
+	switch {
+	case r.stopped:
+		return false
+	case r.passing >= r.MaxOpen:
+		r.stats.TooManyOpen++
+		return false
+	case r.asking >= maxAsking:
+		r.stats.TooManyAsking++
+		return false
+	case time.Now().Before(r.pausedUntil):
+		r.stats.Paused++
 		return false
 	}
 	r.passing++
@@ -265,7 +282,7 @@
 		r.asked()
 		return true
 	}
-	peer := r.ask()
+	peer, err := r.ask()
 	r.asked()
 	p := &pair{caller: caller, peer: peer}
 	if peer != nil && r.add(p) {
@@ -281,6 +298,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stats.Returned++
+	switch {
+	case err == nil:
+	case errors.Is(err, errNoPeer):
+		r.stats.NoPeer++
+	case isTimeout(err):
+		r.stats.Unanswered++
+	default:
+		r.stats.RefusedByPeer++
+	}
 	r.pausedUntil = time.Now().Add(returnPause)
 	return false
 }
@@ -292,18 +318,20 @@
 	r.asking--
 }
 
-// ask returns a connection that another router has accepted, or nil.
-func (r *Relay) ask() net.Conn {
+// ask returns a connection that another router has accepted, or why there is none.
+func (r *Relay) ask() (net.Conn, error) {
 	until := time.Now().Add(passTimeout)
+	last := errNoPeer
 	for range maxPeers {
 		addr, ok := r.Peer(r.isDeclined)
 		if !ok || !time.Now().Before(until) {
-			return nil
+			return nil, last
 		}
 		peer, err := r.connect(addr, until)
 		if err == nil {
-			return peer
+			return peer, nil
 		}
+		last = err
 		// The cause doesn't matter otherwise: the connection goes to another router
 		// or is served here, and membership finds routers that are gone.
 		if !isTimeout(err) {
@@ -312,7 +340,7 @@
 			r.mu.Unlock()
 		}
 	}
-	return nil
+	return nil, last
 }
 
 // add counts a pair as open, or returns false if the relay was stopped while a
@@ -365,7 +393,10 @@
 	return peer, nil
 }
 
-var errDeclined = errors.New("the router declined the connection")
+var (
+	errDeclined = errors.New("the router declined the connection")
+	errNoPeer   = errors.New("no router can be asked")
+)
 
 // join copies in both directions until the connection has ended, and ends each
 // side as the other one did: a response without a length ends with its connection,
--- a/internal/rwrelay/rwrelay_test.go
+++ b/internal/rwrelay/rwrelay_test.go
@@ -310,7 +310,11 @@
 			write(t, served, "response")
 			require.Equal(t, "response", read(t, caller, 8))
 			require.Zero(t, r.Open())
-			require.Equal(t, Stats{Returned: 1}, r.Stats())
+			cause := Stats{Returned: 1, RefusedByPeer: 1}
+			if name == "doesn't answer" {
+				cause = Stats{Returned: 1, Unanswered: 1}
+			}
+			require.Equal(t, cause, r.Stats())
 		})
 	}
 }
@@ -610,7 +614,7 @@
 	accept(t, l)
 	require.NoError(t, relayed.Close())
 	require.ErrorIs(t, <-done, net.ErrClosed, "accepted without room")
-	require.Equal(t, Stats{Passed: 1, Returned: 1}, first.Stats())
+	require.Equal(t, Stats{Passed: 1, Returned: 1, RefusedByPeer: 1}, first.Stats())
 	require.Equal(t, Stats{Accepted: 1, Declined: 1}, second.Stats())
 }
 
--- a/internal/rwsink/rwsink.go
+++ b/internal/rwsink/rwsink.go
@@ -21,6 +21,8 @@
 	// don't displace warnings.
 	infoRate = 400
 	warnRate = 400
+	// summaryRate is the largest number of lines per second of Summaries.
+	summaryRate = 100
 )
 
 // Sink is a writer for zerolog.
@@ -30,7 +32,7 @@
 	// Dropped is the number of dropped lines.
 	Dropped atomic.Int64
 
-	info, warn lineLimit
+	info, warn, summary lineLimit
 }
 
 // lineLimit counts the lines of the current second.
@@ -50,6 +52,17 @@
 // New returns a sink. Lines are written only while Run is running.
 func New(out io.Writer) *Sink { return &Sink{out: out, lines: make(chan []byte, queueSize)} }
 
+// Summaries returns a writer for lines that report counts. Their rate is limited
+// apart from that of the other lines, so that a flood of these doesn't displace them.
+func (s *Sink) Summaries() io.Writer { return summaryWriter{s} }
+
+type summaryWriter struct{ sink *Sink }
+
+// Write implements io.Writer.
+func (w summaryWriter) Write(p []byte) (int, error) {
+	return w.sink.queue(&w.sink.summary, summaryRate, p)
+}
+
 // Write queues a line without a level as a warning.
 func (s *Sink) Write(p []byte) (int, error) { return s.WriteLevel(zerolog.WarnLevel, p) }
 
@@ -60,6 +73,10 @@
 	if level < zerolog.WarnLevel {
 		limit, rate = &s.info, infoRate
 	}
+	return s.queue(limit, rate, p)
+}
+
+func (s *Sink) queue(limit *lineLimit, rate int64, p []byte) (int, error) {
 	if limit.take(rate) {
 		select {
 		case s.lines <- append([]byte(nil), p...):
--- a/internal/rwsink/rwsink_test.go
+++ b/internal/rwsink/rwsink_test.go
@@ -55,3 +55,22 @@
 		require.EqualValues(t, 2*infoRate, s.Dropped.Load())
 	})
 }
+
+// Guards against counts that are missing just when there is a flood to explain.
+func TestFloodDoesNotDisplaceSummaries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		s := New(&out)
+		for range 3 * infoRate {
+			_, _ = s.WriteLevel(zerolog.InfoLevel, []byte("info\n"))
+		}
+		log := zerolog.New(s.Summaries())
+		for range 2 * summaryRate {
+			log.Info().Msg("summary")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		require.NoError(t, s.Run(ctx))
+		require.Equal(t, summaryRate, strings.Count(out.String(), "summary"))
+	})
+}
