Test that an account gets its share through one router

The existing test of a saturated router charges CPU time for forwarded requests only and doesn't bound memory, so relaying is free there. Here system calls and the work on a request take the CPU time of a machine of 0.192 cores in turn, and the machine has 184 MB.

--- a/internal/rwedge/saturated_test.go
+++ b/internal/rwedge/saturated_test.go
@@ -29,6 +29,8 @@
 
 const (
 	fleetSize = 6
+	// fleetMemory is the memory of a machine of the fleet.
+	fleetMemory = 184 << 20
 	// fleetCapacity is the number of requests that a router of the fleet forwards
 	// a second without delay, one for each thousandth of a core.
 	fleetCapacity = 192
--- /dev/null
+++ b/internal/rwedge/share_test.go
@@ -0,0 +1,354 @@
+package rwedge
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwcatalog"
+	"redwingworks.example/internal/rwdeployment"
+	"redwingworks.example/internal/rwdialect"
+	"redwingworks.example/internal/rwinboundrequest"
+	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwrouteconfig"
+	"redwingworks.example/internal/rwstorewatch"
+)
+
+// The CPU time that a router of a shared fleet takes for system calls and for its own
+// work on a request, on a whole core.
+const (
+	acceptCost   = 30 * time.Microsecond
+	dialCost     = 60 * time.Microsecond
+	ioCost       = 10 * time.Microsecond
+	closeCost    = 10 * time.Microsecond
+	kilobyteCost = time.Microsecond
+	headCost     = 30 * time.Microsecond
+	forwardCost  = 500 * time.Microsecond
+)
+
+// processor is the CPU time of a machine, which its goroutines get in turn.
+type processor struct {
+	mu sync.Mutex
+	// share is the part of a core that the machine has.
+	share  float64
+	freeAt time.Time
+	// waits holds how long the machine took to begin each piece of work since the
+	// last call of delay.
+	waits []time.Duration
+}
+
+// reserve takes CPU time and returns when the work is done.
+func (p *processor) reserve(cost time.Duration) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	begin := now
+	if p.freeAt.After(now) {
+		begin = p.freeAt
+	}
+	p.waits = append(p.waits, begin.Sub(now))
+	p.freeAt = begin.Add(time.Duration(float64(cost) / p.share))
+	return p.freeAt
+}
+
+// use takes CPU time and waits until the work is done. The caller must not hold a
+// lock, since virtual time stands still while a goroutine waits for one.
+func (p *processor) use(cost time.Duration) { time.Sleep(time.Until(p.reserve(cost))) }
+
+// delay returns the 90th percentile of the waits since its last call.
+func (p *processor) delay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	waits := p.waits
+	p.waits = nil
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+	return waits[len(waits)*9/10]
+}
+
+// costlyConn is a connection of a router whose system calls take CPU time.
+type costlyConn struct {
+	net.Conn
+	processor *processor
+}
+
+func bytesCost(n int) time.Duration { return ioCost + time.Duration(n)*kilobyteCost/1024 }
+
+// Read implements net.Conn.
+func (c *costlyConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.processor.use(bytesCost(n))
+	return n, err
+}
+
+// Write implements net.Conn. Its caller may hold a lock.
+func (c *costlyConn) Write(p []byte) (int, error) {
+	c.processor.reserve(bytesCost(len(p)))
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn. Its caller may hold a lock.
+func (c *costlyConn) Close() error {
+	c.processor.reserve(closeCost)
+	return c.Conn.Close()
+}
+
+type costlyListener struct {
+	net.Listener
+	processor *processor
+}
+
+// Accept implements net.Listener.
+func (l *costlyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.processor.use(acceptCost)
+	return &costlyConn{c, l.processor}, nil
+}
+
+// sharedFleet is a fleet of small routers in one zone, with one route and one
+// upstream that has room for everything, for a bubble of testing/synctest.
+type sharedFleet struct {
+	t       *testing.T
+	network *testNetwork
+	size    int
+	edges   []*Edge
+}
+
+// newSharedFleet starts the routers, which stop at the end of the test, and waits
+// until each of them is ready and knows the others. The upstream responds after a
+// time.
+func newSharedFleet(t *testing.T, size int, work time.Duration) *sharedFleet {
+	f := &sharedFleet{t: t, network: newTestNetwork(t), size: size}
+	upstream := f.network.serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-time.After(work):
+		case <-r.Context().Done():
+		}
+		_, _ = io.WriteString(w, "response")
+	})
+	items := map[string]rwcatalog.Decoded{
+		"config": {Config: rwrouteconfig.New(1, rwrouteconfig.Limits{}, []rwrouteconfig.Route{{
+			Name: "route", Host: "h", Prefix: "/", Kind: rwrouteconfig.Safe, MaxAttempts: 2, Timeout: 8 * time.Second,
+			Split: []rwrouteconfig.Weight{{Service: "s", Weight: 1}},
+		}}, []rwrouteconfig.Service{{Name: "s"}}, map[string]rwrouteconfig.Account{"key-a": {Name: "a"}, "key-b": {Name: "b"}})},
+		"instance": {Instance: &rwinstance.Instance{ID: "i", Service: "s", Zone: "z", Slots: 100_000, Addr: upstream}},
+	}
+	signals := make(chan os.Signal, size)
+	stopped := make(chan error, size)
+	for i := range size {
+		d := fleetDeployment(i)
+		d.MemoryBytes, d.MaxDescriptors = fleetMemory, 4100
+		p := &processor{share: fleetCapacity / 1000.0}
+		dialect := fleetDialect(d.Name)
+		decode, encode := dialect.Decode, dialect.Encode
+		dialect.Decode = func(r *http.Request) rwinboundrequest.Request {
+			p.use(headCost)
+			q := decode(r)
+			q.Timeout = callerPatience
+			return q
+		}
+		dialect.Encode = func(q rwinboundrequest.Request, o rwdialect.ForwardOptions) http.Header {
+			p.use(forwardCost)
+			return encode(q, o)
+		}
+		e := New(Config{
+			Deployment: d, Reload: func() (rwdeployment.Deployment, error) { return d, nil },
+			Dialect: dialect, Key: "0123456789abcdef", Out: io.Discard, Signals: signals,
+			Prefixes: []string{""},
+			List: func(context.Context, string) (rwstorewatch.Batch, error) {
+				return rwstorewatch.Batch{Items: []rwitem.Item{{Key: "config", Rev: 1}, {Key: "instance", Rev: 2}}, Rev: 2, ReadAt: time.Now()}, nil
+			},
+			Watch: func(ctx context.Context, _ string, after int64, wait time.Duration) (rwstorewatch.Batch, error) {
+				select {
+				case <-ctx.Done():
+				case <-time.After(wait):
+				}
+				return rwstorewatch.Batch{Rev: after}, ctx.Err()
+			},
+			Decode: func(it rwitem.Item) (rwcatalog.Decoded, error) { return items[it.Key], nil },
+			Listen: func(addr string) (net.Listener, error) {
+				l, err := f.network.Listen(addr)
+				if err != nil || addr == d.Peer {
+					return l, err
+				}
+				return &costlyListener{l, p}, nil
+			},
+			Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				p.use(dialCost)
+				c, err := f.network.Dial(ctx, network, addr)
+				if err != nil {
+					return nil, err
+				}
+				return &costlyConn{c, p}, nil
+			},
+			SchedulingDelay: p.delay,
+		})
+		// A link between routers holds a lock while it opens.
+		e.peers.Dial = f.network.Dial
+		f.edges = append(f.edges, e)
+		go func() { stopped <- e.Run() }()
+	}
+	t.Cleanup(func() {
+		for range size {
+			signals <- syscall.SIGTERM
+		}
+		for range size {
+			assert.NoError(t, <-stopped)
+		}
+	})
+	for _, e := range f.edges {
+		require.Eventually(t, func() bool { return e.ready() && len(e.gossip.Live("")) == size }, 10*time.Second, 50*time.Millisecond)
+	}
+	return f
+}
+
+const (
+	// callerPatience is how long callers wait for a response, and readPatience how
+	// long until a router has read their request, or accepted their connection.
+	callerPatience = 8 * time.Second
+	readPatience   = time.Second
+	// callerBody is the size of a request's body.
+	callerBody = 10 << 10
+)
+
+// send sends a request on a new connection, and once more if it is refused or fails,
+// as callers do. The load balancer's hash leads both to the same router. It reports
+// whether the request was served.
+func (f *sharedFleet) send(key, id string, router int) bool {
+	deadline := time.Now().Add(callerPatience)
+	for range 2 {
+		status, after, err := f.try(key, id, router, deadline)
+		if err == nil && status == http.StatusOK {
+			return true
+		}
+		time.Sleep(after)
+	}
+	return false
+}
+
+// try sends a request and returns the status of its response and the retry delay.
+func (f *sharedFleet) try(key, id string, router int, deadline time.Time) (status int, after time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(f.t.Context(), readPatience)
+	defer cancel()
+	conn, err := f.network.Dial(ctx, "tcp", fleetDeployment(router).Front)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = conn.Close() }()
+	responses := receive(conn)
+	_ = conn.SetWriteDeadline(time.Now().Add(readPatience))
+	_, err = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
+		id, key, callerBody, make([]byte, callerBody))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, 0, err
+	}
+	// A refusal may come before the body is read.
+	_ = conn.SetReadDeadline(deadline)
+	resp, err := http.ReadResponse(bufio.NewReader(responses), nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if s, parseErr := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); parseErr == nil {
+		after = time.Duration(s * float64(time.Second))
+	}
+	return resp.StatusCode, after, err
+}
+
+// load sends requests at an even rate, and returns how many were sent first and how
+// many of these were served, by the second in which they were sent first.
+func (f *sharedFleet) load(key string, router, perSecond, seconds int) (asked, got []int) {
+	asked, got = make([]int, seconds), make([]int, seconds)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range perSecond * seconds {
+		at := i / perSecond
+		asked[at]++
+		wg.Go(func() {
+			if f.send(key, fmt.Sprintf("%s-%d-%d", key, router, i), router) {
+				mu.Lock()
+				defer mu.Unlock()
+				got[at]++
+			}
+		})
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	wg.Wait()
+	return asked, got
+}
+
+// Guards against an account whose callers all reach one small router, and that gets
+// less than half of what it asks over the whole fleet while other routers and the
+// upstream have room.
+func TestAccountGetsItsShareThroughOneRouter(t *testing.T) {
+	const (
+		size, seconds, smallRate = 14, 10, 20
+		// window is the number of seconds over which the account must get half of
+		// what it asks.
+		window = 6
+	)
+	for name, c := range map[string]struct {
+		// rate is the number of requests a second, and work how long each of them
+		// takes.
+		rate int
+		work time.Duration
+	}{
+		"more requests than the router's CPU time takes": {rate: 1300, work: 600 * time.Millisecond},
+		"more requests than the router's memory takes":   {rate: 900, work: 2400 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSharedFleet(t, size, c.work)
+				var wg sync.WaitGroup
+				for router := 1; router < size; router++ {
+					wg.Go(func() {
+						asked, got := f.load("key-b", router, smallRate, seconds)
+						for s := range seconds {
+							assert.GreaterOrEqual(t, 2*got[s], asked[s], "the small account at router %d, second %d", router, s)
+						}
+					})
+				}
+				asked, got := f.load("key-a", 0, c.rate, seconds)
+				wg.Wait()
+				t.Logf("the large account by second: asked %v, got %v", asked, got)
+				for i, e := range f.edges {
+					t.Logf("router %d: %+v", i, e.relay.Stats())
+				}
+				for s := range seconds - window + 1 {
+					assert.GreaterOrEqual(t, 2*sum(got[s:s+window]), sum(asked[s:s+window]), "the large account over the whole fleet, from second %d", s)
+				}
+			})
+		})
+	}
+}
+
+func sum(counts []int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
