Pass connections on over kept links, and accept no more than go on

Change: rwmux carries relayed connections as streams of kept links, so that passing one on opens nothing and many share a read and a write. Routers are asked for at most 64 connections at a time; beyond that none is accepted, so that those that are go on first. A router that declined is asked again after 50 ms, since with few routers all of them were passed over at once. A relayed connection takes one descriptor and 16 KB.

--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -103,6 +103,9 @@
 	if c, ok := nc.(*conn); ok {
 		nc = c.Conn
 	}
+	if relayed, ok := nc.(interface{ HasEnded() bool }); ok {
+		return relayed.HasEnded()
+	}
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -22,7 +22,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-
 	"redwingworks.example/internal/rwbroker"
 	"redwingworks.example/internal/rwcatalog"
 	"redwingworks.example/internal/rwcatalogsync"
@@ -40,6 +39,7 @@
 	"redwingworks.example/internal/rwinflight"
 	"redwingworks.example/internal/rwitem"
 	"redwingworks.example/internal/rwlag"
+	"redwingworks.example/internal/rwlisten"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rworigin"
@@ -78,11 +78,10 @@
 	// relayMemoryRatio and relayFDRatio are the fractions of the memory and of the
 	// file descriptors that relayed connections may take; the memory is a part of
 	// that of the requests in progress. relayBytes is the memory of one, with its
-	// buffers and stacks, and relayFDs its descriptors.
+	// stacks and what waits to be passed on.
 	relayMemoryRatio = 0.15
 	relayFDRatio     = 0.4
-	relayBytes       = 32 << 10
-	relayFDs         = 2
+	relayBytes       = 16 << 10
 	// defaultMaxRelayed bounds the relayed connections if the settings set no
 	// memory limit.
 	defaultMaxRelayed = 1024
@@ -103,6 +102,16 @@
 	// which events are collected; the rest allows for the lateness of a machine
 	// that is short of CPU time.
 	flushDelayRatio = 0.3
+	// relayGatherRatio is the same for relayed connections, whose events the other
+	// router may have collected before.
+	relayGatherRatio = 0.5
+	// backlogLateness is how late the router counts at least while connections wait
+	// to be accepted.
+	backlogLateness = 20 * time.Millisecond
+	// backlogPerMilli is the number of connections that may wait to be accepted, for
+	// each thousandth of a core, and minBacklog the least number.
+	backlogPerMilli = 1.0
+	minBacklog      = 128
 	// defaultGrace is used if the settings set no grace period.
 	defaultGrace = 8 * time.Second
 	// memoryLimitRatio is the fraction of the memory limit that the heap and
@@ -347,15 +356,13 @@
 func (e *Edge) wireRelay() {
 	e.relay = rwrelay.New()
 	e.relay.ShouldPass = func() bool {
-		// Each relayed connection has one of a caller.
-		return e.deployment.Relay != "" && (!e.overload.TakeRoom(time.Now()) || e.isFull()) && !e.stopping() &&
-			e.connLimiter.Open()+e.relay.Open() < e.maxConnections(1)
+		return e.deployment.Relay != "" && (!e.overload.TakeRoom(time.Now()) || e.isFull()) && !e.stopping()
 	}
 	e.relay.HasRoom = func() bool {
 		return e.ready() && !e.lagMonitor.Lagging() && e.connLimiter.Open() < e.maxConnections(closeRefusedRatio) &&
 			e.overload.TakeRoom(time.Now())
 	}
-	e.relay.Peer, e.relay.Dial, e.relay.Gather = e.relayPeer, e.pool.Dial, e.flushDelay
+	e.relay.Peers, e.relay.Dial, e.relay.Gather = e.relayPeers, e.pool.Dial, e.relayGather
 	e.relay.Version = func() int64 {
 		if c := e.published.Load().Config; c != nil {
 			return c.Version
@@ -367,37 +374,25 @@
 		e.relay.MaxOpen = int(relayMemoryRatio * float64(m) / relayBytes)
 	}
 	if n := e.deployment.MaxDescriptors; n > 0 {
-		e.relay.MaxOpen = min(e.relay.MaxOpen, int(relayFDRatio*float64(n)/relayFDs))
+		e.relay.MaxOpen = min(e.relay.MaxOpen, int(relayFDRatio*float64(n)))
 	}
 }
 
-// relayPeer returns the relay address of a random router, with a probability in
-// proportion to its capacity. Routers of other zones are returned only if there is
-// none of this one's.
-func (e *Edge) relayPeer(skip func(addr string) bool) (string, bool) {
+// relayPeers returns the routers to which connections can be passed on.
+func (e *Edge) relayPeers() []rwrelay.Peer {
 	_, port, err := net.SplitHostPort(e.deployment.Relay)
 	if err != nil {
-		return "", false
+		return nil
 	}
-	for _, zone := range []string{e.self.Zone, ""} {
-		best, bestScore := "", 0.0
-		for _, id := range e.gossip.Live(zone) {
-			host, _, err := net.SplitHostPort(id.Addr)
-			if id.Name == e.self.Name || err != nil {
-				continue
-			}
-			// The highest of these scores is that of a random router, weighted.
-			if s := math.Pow(rand.Float64(), 1/float64(max(id.Capacity, 1))); s > bestScore {
-				if addr := net.JoinHostPort(host, port); !skip(addr) {
-					best, bestScore = addr, s
-				}
-			}
-		}
-		if best != "" {
-			return best, true
+	var peers []rwrelay.Peer
+	for _, id := range e.gossip.Live("") {
+		host, _, err := net.SplitHostPort(id.Addr)
+		if id.Name == e.self.Name || err != nil {
+			continue
 		}
+		peers = append(peers, rwrelay.Peer{Addr: net.JoinHostPort(host, port), Near: id.Zone == e.self.Zone, Capacity: id.Capacity})
 	}
-	return "", false
+	return peers
 }
 
 // connUseKey is the context key of whether a request has come on the connection.
@@ -494,6 +489,15 @@
 	return time.Duration(flushDelayRatio * float64(e.deployment.EventDeadline))
 }
 
+// relayGather returns how long to collect what relayed connections bring between
+// writes. Writing is most of the cost of relaying.
+func (e *Edge) relayGather() time.Duration {
+	if !e.overload.Saturated() {
+		return 0
+	}
+	return time.Duration(relayGatherRatio * float64(e.deployment.EventDeadline))
+}
+
 // maxConnections returns a fraction of the largest number of callers'
 // connections that the router accepts.
 func (e *Edge) maxConnections(fraction float64) int {
@@ -550,7 +554,7 @@
 	rwlog.Info(&e.summaries, rwlog.ConnectionsRelayed).Int64("passed", passed).Int64("returned", returned).Int64("gone", gone).
 		Int64("no_peer", stats.NoPeer-last.NoPeer).Int64("refused", stats.RefusedByPeer-last.RefusedByPeer).
 		Int64("unanswered", stats.Unanswered-last.Unanswered).Int64("paused", stats.Paused-last.Paused).
-		Int64("asking", stats.TooManyAsking-last.TooManyAsking).Int64("full", stats.TooManyOpen-last.TooManyOpen).
+		Int64("full", stats.TooManyOpen-last.TooManyOpen).
 		Int64("accepted", accepted).Int64("declined", declined).Int("open", e.relay.Open()).Send()
 	return stats
 }
@@ -618,7 +622,10 @@
 func (e *Edge) listen(addr string) (net.Listener, error) {
 	open := e.config.Listen
 	if open == nil {
-		open = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+		// Requests, responses and idle connections have timeouts, so that keep-alive
+		// probes would only cost four system calls for each connection.
+		l := net.ListenConfig{KeepAlive: -1}
+		open = func(addr string) (net.Listener, error) { return l.Listen(context.Background(), "tcp", addr) }
 	}
 	l, err := open(addr)
 	if err != nil {
@@ -627,6 +634,20 @@
 	return l, nil
 }
 
+// listenFront listens for callers. The connections that wait to be accepted are
+// bounded to those that are accepted in time on a machine that is short of CPU time. In
+// a longer queue all of them would wait until their callers are about to give up.
+func (e *Edge) listenFront() (net.Listener, error) {
+	if e.config.Listen != nil || e.deployment.CPUMillis == 0 {
+		return e.listen(e.deployment.Front)
+	}
+	l, err := rwlisten.Listen(e.deployment.Front, max(minBacklog, int(backlogPerMilli*float64(e.deployment.CPUMillis))))
+	if err != nil {
+		return nil, rwfault.Wrap(rwcode.SettingsInvalid, err).WithDetail("listen on " + e.deployment.Front)
+	}
+	return l, nil
+}
+
 func (e *Edge) servePeers(ctx context.Context) error {
 	l, err := e.listen(e.deployment.Peer)
 	if err != nil {
@@ -636,7 +657,7 @@
 }
 
 func (e *Edge) serveFront(ctx context.Context) error {
-	l, err := e.listen(e.deployment.Front)
+	l, err := e.listenFront()
 	if err != nil {
 		return err
 	}
@@ -693,6 +714,9 @@
 // observeLateness passes a lateness sample to the overload controller and logs
 // changes of the rotation.
 func (e *Edge) observeLateness(now time.Time, late time.Duration) {
+	if e.relay.Backlogged(now) {
+		late = max(late, backlogLateness)
+	}
 	if e.overload.Observe(now, late) {
 		out := e.overload.OutOfRotation()
 		if out {
@@ -809,6 +833,9 @@
 				return ok && in.Addr == k.Addr && in.StartMillis == k.StartMillis
 			})
 			e.closeIdleCallers(now, snapshot)
+			if e.deployment.Relay != "" && !e.stopping() {
+				e.relay.Prepare(now)
+			}
 			closed = e.reportClosed(closed)
 			relayed = e.reportRelayed(relayed)
 			if now.Sub(tallied) >= accountInterval {
--- /dev/null
+++ b/internal/rwlisten/rwlisten.go
@@ -0,0 +1,40 @@
+// Package rwlisten opens TCP listeners with a bounded number of connections that wait
+// to be accepted. Package net always asks for the largest number that the system
+// allows.
+package rwlisten
+
+import (
+	"net"
+	"os"
+
+	"golang.org/x/sys/unix"
+)
+
+// Listen listens on an IPv4 address with a port. At most backlog connections wait to
+// be accepted; the system drops the opening packets of further ones, whose callers
+// send them again. It fails with an *net.OpError or an *os.SyscallError.
+func Listen(addr string, backlog int) (net.Listener, error) {
+	a, err := net.ResolveTCPAddr("tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, os.NewSyscallError("socket", err)
+	}
+	// The listener has a descriptor of its own.
+	file := os.NewFile(uintptr(fd), addr)
+	defer func() { _ = file.Close() }()
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return nil, os.NewSyscallError("setsockopt", err)
+	}
+	bound := unix.SockaddrInet4{Port: a.Port}
+	copy(bound.Addr[:], a.IP.To4())
+	if err := unix.Bind(fd, &bound); err != nil {
+		return nil, os.NewSyscallError("bind", err)
+	}
+	if err := unix.Listen(fd, backlog); err != nil {
+		return nil, os.NewSyscallError("listen", err)
+	}
+	return net.FileListener(file)
+}
--- a/internal/rwrelay/rwrelay.go
+++ b/internal/rwrelay/rwrelay.go
@@ -4,7 +4,8 @@
 // costs a fraction of what serving its request costs, and the account is served by
 // the fleet instead of by that machine.
 //
-// A relayed connection is not read before another router has accepted it, so that it
+// Connections are passed on over links, kept connections that carry many of them
+// (package rwmux). One is not read before another router has accepted it, so that it
 // can still be served here. The other router serves one request on it and then
 // closes it.
 package rwrelay
@@ -14,49 +15,53 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"maps"
 	"net"
+	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"redwingworks.example/internal/rwmux"
 )
 
 const (
-	// passTimeout bounds connecting to other routers and their answers, for one
-	// connection. Callers give up requests that are not read soon; a saturated
-	// router reads the answers late.
-	passTimeout = 180 * time.Millisecond
+	// passTimeout bounds the answers of other routers, for one connection. Callers
+	// give up requests that are not read soon. busyPassTimeout applies while this
+	// router is backlogged and so reads the answers late.
+	passTimeout     = 180 * time.Millisecond
+	busyPassTimeout = 500 * time.Millisecond
+	// maxAsking is the number of connections for which routers are asked at a time.
+	// Beyond it no further ones are accepted: on a machine that is short of CPU time,
+	// those that are accepted go on first, and the others cost nothing.
+	maxAsking = 64
+	// idleWait is how long Accept waits at least if no connection was waiting, and
+	// backlogTime how long it must not have done so for the listener to count as
+	// backlogged.
+	idleWait    = 200 * time.Microsecond
+	backlogTime = 100 * time.Millisecond
 	// writeTimeout bounds a write to a caller or a router that doesn't read.
 	writeTimeout = 10 * time.Second
-	// returnPause is how long nothing is passed on after no router took a
-	// connection.
-	returnPause = 100 * time.Millisecond
-	// greetTimeout bounds writing the answer, which fits into the send buffer.
-	greetTimeout = 100 * time.Millisecond
-	// maxAsking is the number of connections for which routers are asked at a time.
-	// On a saturated machine more of them would only wait for each other.
-	maxAsking = 32
+	// returnPause is how long nothing is passed on after there was no router to ask.
+	returnPause = 20 * time.Millisecond
 	// maxPeers is the number of routers that are asked for one connection.
-	maxPeers = 2
-	// declinedTime is how long a router that declined, or that refused a
-	// connection, is passed over. One whose answer is late isn't: this router may
-	// be too busy to read it.
-	declinedTime = 500 * time.Millisecond
+	maxPeers = 3
+	// unreachableTime is how long a router to which no link could be opened is passed
+	// over, and declinedTime one that declined, since its room comes back soon. One
+	// whose answer is late isn't passed over: this router may be too busy to read it.
+	unreachableTime = 500 * time.Millisecond
+	declinedTime    = 50 * time.Millisecond
 	// lingerTime is how long the caller's bytes are read after the other router
 	// has ended the connection. A connection that is closed with unread bytes is
 	// reset, and the caller may lose the response.
 	lingerTime = 500 * time.Millisecond
-	// bufferBytes is the size of the buffer for each direction.
-	bufferBytes = 8 << 10
-)
-
-// accepted is the byte with which a router accepts a relayed connection; the version
-// of its configuration follows, in answerBytes altogether.
-const (
-	accepted    = 'a'
-	answerBytes = 9
+	// bufferBytes is the size of the buffers for the bytes of callers, which are
+	// shared.
+	bufferBytes = 16 << 10
 )
 
 // Relay passes connections on. All function fields are set before Listener is
@@ -65,9 +70,8 @@
 	// ShouldPass reports whether to pass a new connection on. It is called once for
 	// each connection.
 	ShouldPass func() bool
-	// Peer returns the relay address of a router, or false if there is none for
-	// which skip returns false.
-	Peer func(skip func(addr string) bool) (string, bool)
+	// Peers returns the other routers.
+	Peers func() []Peer
 	// Version returns the version of this router's configuration. Connections are
 	// passed on only to routers with this version or a later one, so that a caller
 	// never gets a response by an earlier one than this router has acknowledged.
@@ -88,13 +92,28 @@
 	// open holds the open relayed connections.
 	open map[*pair]struct{}
 	// passing is the number of connections that are open or for which routers are
-	// being asked, asking the number of the latter.
-	passing, asking int
+	// being asked.
+	passing int
 	// pausedUntil is until when nothing is passed on.
 	pausedUntil time.Time
-	// declined holds until when routers are passed over, by relay address.
-	declined map[string]time.Time
-	stopped  bool
+	stopped     bool
+	links       links
+	// asking has a value for each connection for which routers are being asked.
+	asking chan struct{}
+	// idleAt is when no connection waited to be accepted, and acceptAt when the call
+	// of Accept began that is in progress, or 0. Both are Unix nanoseconds.
+	idleAt, acceptAt atomic.Int64
+}
+
+// Peer is another router.
+type Peer struct {
+	// Addr is its relay address.
+	Addr string
+	// Near is whether it is in this router's zone. Others get connections only if
+	// none of these takes one.
+	Near bool
+	// Capacity is the weight with which it is chosen.
+	Capacity int
 }
 
 // Stats counts what a relay did since its start.
@@ -107,9 +126,9 @@
 	// could be asked, the last one that was asked declined, or it didn't answer
 	// in time.
 	NoPeer, RefusedByPeer, Unanswered int64
-	// Paused, TooManyAsking and TooManyOpen count the connections beyond the
-	// rate that were served here without asking, by the bound that forbade it.
-	Paused, TooManyAsking, TooManyOpen int64
+	// Paused and TooManyOpen count the connections beyond the rate that were
+	// served here without asking, by the bound that forbade it.
+	Paused, TooManyOpen int64
 	// Accepted and Declined count the connections that other routers relayed
 	// here.
 	Accepted, Declined int64
@@ -117,14 +136,29 @@
 
 // pair is a caller's connection and the one to the router that serves it.
 type pair struct {
-	caller, peer net.Conn
+	caller net.Conn
+	peer   peerConn
 	// used is whether bytes of the caller have been read.
 	used atomic.Bool
+	// resets is whether closing the caller's connection resets it, also as the
+	// process ends.
+	resets bool
+}
+
+// peerConn is a connection to another router. Next waits for bytes and returns all
+// that have arrived. ResetsOnClose reports whether the other router wants its end to
+// be a reset until it has sent all.
+type peerConn interface {
+	net.Conn
+	Next() ([]byte, error)
+	ResetsOnClose() bool
 }
 
 // New returns a relay without connections.
 func New() *Relay {
-	return &Relay{open: map[*pair]struct{}{}, declined: map[string]time.Time{}}
+	r := &Relay{open: map[*pair]struct{}{}, links: newLinks(), asking: make(chan struct{}, maxAsking)}
+	r.idleAt.Store(time.Now().UnixNano())
+	return r
 }
 
 // Stats returns the counts since the start.
@@ -141,6 +175,14 @@
 	return len(r.open)
 }
 
+// Backlogged reports whether connections wait to be accepted faster than they can be.
+func (r *Relay) Backlogged(now time.Time) bool {
+	if at := r.acceptAt.Load(); at != 0 && now.UnixNano()-at >= int64(idleWait) {
+		return false
+	}
+	return now.UnixNano()-r.idleAt.Load() > int64(backlogTime)
+}
+
 // Stop lets no further connections be passed on or be accepted.
 func (r *Relay) Stop() {
 	r.mu.Lock()
@@ -192,7 +234,13 @@
 
 func (l *callerListener) run() {
 	for {
+		begin := time.Now()
+		l.relay.acceptAt.Store(begin.UnixNano())
 		c, err := l.Listener.Accept()
+		l.relay.acceptAt.Store(0)
+		if now := time.Now(); now.Sub(begin) >= idleWait {
+			l.relay.idleAt.Store(now.UnixNano())
+		}
 		switch {
 		case err != nil:
 			select {
@@ -202,17 +250,29 @@
 			}
 		case !l.relay.ShouldPass():
 			l.serve(c)
-		case l.relay.reserve():
-			go func() {
-				passed := l.relay.pass(c)
-				l.relay.release()
-				if !passed {
-					l.serve(c)
-				}
-			}()
-		default:
+		case !l.relay.reserve():
 			l.serve(c)
+		default:
+			select {
+			case l.relay.asking <- struct{}{}:
+				go l.pass(c)
+			case <-l.closed:
+				l.relay.release()
+				_ = c.Close()
+				return
+			}
 		}
+		// A connection that was accepted goes on before further ones are.
+		runtime.Gosched()
+	}
+}
+
+// pass passes a connection on or serves it here.
+func (l *callerListener) pass(c net.Conn) {
+	passed := l.relay.pass(c, func() { <-l.relay.asking })
+	l.relay.release()
+	if !passed {
+		l.serve(c)
 	}
 }
 
@@ -241,6 +301,7 @@
 func (l *callerListener) Close() error {
 	err := l.Listener.Close()
 	l.close()
+	l.relay.links.close()
 	return err
 }
 
@@ -255,15 +316,11 @@
 	case r.passing >= r.MaxOpen:
 		r.stats.TooManyOpen++
 		return false
-	case r.asking >= maxAsking:
-		r.stats.TooManyAsking++
-		return false
 	case time.Now().Before(r.pausedUntil):
 		r.stats.Paused++
 		return false
 	}
 	r.passing++
-	r.asking++
 	return true
 }
 
@@ -274,16 +331,17 @@
 }
 
 // pass passes a connection on, and reports whether it did. If it didn't, nothing
-// was read. It returns when the connection has ended.
-func (r *Relay) pass(caller net.Conn) bool {
+// was read. It calls asked once no router is being asked any more, and returns when
+// the connection has ended.
+func (r *Relay) pass(caller net.Conn, asked func()) bool {
 	if hasLeft(caller) {
+		asked()
 		_ = caller.Close()
 		r.count(func(s *Stats) { s.Gone++ })
-		r.asked()
 		return true
 	}
 	peer, err := r.ask()
-	r.asked()
+	asked()
 	p := &pair{caller: caller, peer: peer}
 	if peer != nil && r.add(p) {
 		r.join(p)
@@ -293,56 +351,64 @@
 		return true
 	}
 	if peer != nil {
-		_ = peer.Close()
+		reset(peer)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stats.Returned++
 	switch {
 	case err == nil:
+		return false
 	case errors.Is(err, errNoPeer):
 		r.stats.NoPeer++
-	case isTimeout(err):
+		r.pausedUntil = time.Now().Add(returnPause)
+	case errors.Is(err, context.DeadlineExceeded):
 		r.stats.Unanswered++
 	default:
 		r.stats.RefusedByPeer++
 	}
-	r.pausedUntil = time.Now().Add(returnPause)
 	return false
 }
 
-// asked counts a connection as one for which no router is being asked any more.
-func (r *Relay) asked() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.asking--
-}
-
-// ask returns a connection that another router has accepted, or why there is none.
-func (r *Relay) ask() (net.Conn, error) {
-	until := time.Now().Add(passTimeout)
+// ask returns a stream that another router has accepted, or why there is none.
+func (r *Relay) ask() (peerConn, error) {
+	timeout := passTimeout
+	if r.Backlogged(time.Now()) {
+		timeout = busyPassTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
 	last := errNoPeer
 	for range maxPeers {
-		addr, ok := r.Peer(r.isDeclined)
-		if !ok || !time.Now().Before(until) {
+		l := r.link(ctx)
+		if l == nil {
 			return nil, last
 		}
-		peer, err := r.connect(addr, until)
+		s, greeting, err := l.mux.Open(ctx)
+		if err == nil && version(greeting) < r.Version() {
+			reset(s)
+			err = errOldVersion
+		}
 		if err == nil {
-			return peer, nil
+			return s, nil
 		}
-		last = err
-		// The cause doesn't matter otherwise: the connection goes to another router
-		// or is served here, and membership finds routers that are gone.
-		if !isTimeout(err) {
-			r.mu.Lock()
-			r.declined[addr] = time.Now().Add(declinedTime)
-			r.mu.Unlock()
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
 		}
+		last = err
+		r.links.decline(l)
 	}
 	return nil, last
 }
 
+// version returns the version of the configuration in a greeting, or -1.
+func version(greeting []byte) int64 {
+	if len(greeting) != 8 {
+		return -1
+	}
+	return int64(binary.BigEndian.Uint64(greeting))
+}
+
 // add counts a pair as open, or returns false if the relay was stopped while a
 // router was asked.
 func (r *Relay) add(p *pair) bool {
@@ -362,61 +428,27 @@
 	add(&r.stats)
 }
 
-// isDeclined reports whether a router is passed over.
-func (r *Relay) isDeclined(addr string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	until, ok := r.declined[addr]
-	if ok && !time.Now().Before(until) {
-		delete(r.declined, addr)
-		return false
-	}
-	return ok
-}
-
-// connect returns a connection that the router at an address has accepted.
-func (r *Relay) connect(addr string, until time.Time) (net.Conn, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), until)
-	defer cancel()
-	peer, err := r.Dial(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	var answer [answerBytes]byte
-	_ = peer.SetReadDeadline(until)
-	_, err = io.ReadFull(peer, answer[:])
-	if err != nil || answer[0] != accepted || int64(binary.BigEndian.Uint64(answer[1:])) < r.Version() {
-		_ = peer.Close()
-		return nil, errors.Join(errDeclined, err)
-	}
-	_ = peer.SetReadDeadline(time.Time{})
-	return peer, nil
-}
-
 var (
-	errDeclined = errors.New("the router declined the connection")
-	errNoPeer   = errors.New("no router can be asked")
+	errNoPeer     = errors.New("no router can be asked")
+	errOldVersion = errors.New("the router has an older configuration")
 )
 
 // join copies in both directions until the connection has ended, and ends each
 // side as the other one did: a response without a length ends with its connection,
-// and only a reset shows that it broke off. If the process ends, the caller sees a
-// reset.
+// and only a reset shows that it broke off.
 func (r *Relay) join(p *pair) {
-	setLinger(p.caller, lingerReset)
-	out := &peerWriter{Conn: p.peer}
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		copyRequest(p, out)
+		copyRequest(p)
 	}()
 	err := copyResponse(p, r.Gather)
 	_ = p.caller.SetReadDeadline(time.Now().Add(lingerTime))
 	if errors.Is(err, io.EOF) {
 		_ = p.peer.Close()
-	}
-	if errors.Is(err, io.EOF) && !errors.Is(out.lastError(), syscall.ECONNRESET) {
-		setLinger(p.caller, lingerOff)
+		if p.resets {
+			setLinger(p.caller, lingerOff)
+		}
 		closeWrite(p.caller)
 	} else {
 		reset(p.caller)
@@ -428,24 +460,29 @@
 }
 
 // copyRequest copies from the caller to the other router until either ends.
-func copyRequest(p *pair, out *peerWriter) {
-	buf := make([]byte, bufferBytes)
+func copyRequest(p *pair) {
+	in := newCallerReader(p.caller)
 	for {
-		n, err := p.caller.Read(buf)
+		buf, n, err := in.read()
 		if n > 0 {
 			if !p.used.Swap(true) && hasLeft(p.caller) {
 				// The end of the connection came behind the request.
+				buffers.Put(buf)
 				reset(p.peer)
 				return
 			}
 			_ = p.peer.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := out.Write(buf[:n]); err != nil {
+			_, writeErr := p.peer.Write((*buf)[:n])
+			buffers.Put(buf)
+			if writeErr != nil {
 				// The other router may have responded before it ended the
 				// connection. The caller's bytes are read until its response
 				// has been passed on.
 				_, _ = io.Copy(io.Discard, p.caller)
 				return
 			}
+		} else if buf != nil {
+			buffers.Put(buf)
 		}
 		switch {
 		case err == nil:
@@ -468,19 +505,20 @@
 // fails, and returns that error; io.EOF is the end of the other router's connection.
 // After each write it waits for the time that gather returns.
 func copyResponse(p *pair, gather func() time.Duration) error {
-	buf := make([]byte, bufferBytes)
 	for {
-		n, err := p.peer.Read(buf)
-		if n > 0 {
-			_ = p.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := p.caller.Write(buf[:n]); err != nil {
-				return err
-			}
-		}
+		next, err := p.peer.Next()
 		if err != nil {
 			return err
 		}
-		if gather == nil || n == len(buf) {
+		if !p.resets && p.peer.ResetsOnClose() {
+			p.resets = true
+			setLinger(p.caller, lingerReset)
+		}
+		_ = p.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := p.caller.Write(next); err != nil {
+			return err
+		}
+		if gather == nil {
 			continue
 		}
 		if d := gather(); d > 0 {
@@ -489,31 +527,6 @@
 	}
 }
 
-// peerWriter keeps the error of writing to a connection. The kernel reports a reset
-// once, and a read after a write that got it looks like the regular end.
-type peerWriter struct {
-	net.Conn
-	// mu is held during a write.
-	mu  sync.Mutex
-	err error
-}
-
-// Write implements net.Conn.
-func (w *peerWriter) Write(p []byte) (int, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n, err := w.Conn.Write(p)
-	w.err = err
-	return n, err
-}
-
-// lastError returns the error of the last write. It waits for one in progress.
-func (w *peerWriter) lastError() error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.err
-}
-
 // The values of setLinger.
 const (
 	lingerReset = 0
@@ -568,46 +581,110 @@
 	return err == nil && left
 }
 
-// PeerListener wraps the listener for connections that other routers relay. It
-// closes those for which this router has no room.
+// PeerListener wraps the listener for links of other routers. Its Accept returns the
+// connections that they relay.
 func (r *Relay) PeerListener(inner net.Listener) net.Listener {
-	return &peerListener{Listener: inner, relay: r}
+	l := &peerListener{Listener: inner, relay: r, streams: make(chan net.Conn), closed: make(chan struct{}), muxes: map[*rwmux.Mux]struct{}{}}
+	l.close = sync.OnceFunc(func() { close(l.closed) })
+	go l.run()
+	return l
 }
 
 type peerListener struct {
 	net.Listener
 	relay *Relay
+	// streams receives the connections that others relay.
+	streams chan net.Conn
+	closed  chan struct{}
+	// close closes the channel closed once.
+	close func()
+
+	mu sync.Mutex
+	// muxes holds the links that are open; err is why none is accepted any more.
+	muxes map[*rwmux.Mux]struct{}
+	err   error
 }
 
-// Accept implements net.Listener.
-func (l *peerListener) Accept() (net.Conn, error) {
+// run accepts links until the listener is closed.
+func (l *peerListener) run() {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
-			return nil, err
+			l.mu.Lock()
+			l.err = err
+			l.mu.Unlock()
+			l.close()
+			return
+		}
+		m := rwmux.NewServer(c, l.relay.greet)
+		l.mu.Lock()
+		l.muxes[m] = struct{}{}
+		l.mu.Unlock()
+		go l.serve(m)
+	}
+}
+
+// serve hands the streams of a link to Accept until it ends.
+func (l *peerListener) serve(m *rwmux.Mux) {
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.muxes, m)
+	}()
+	for {
+		s, err := m.Accept()
+		if err != nil {
+			return
 		}
-		if l.relay.accept(c) {
-			return c, nil
+		select {
+		case l.streams <- s:
+		case <-l.closed:
+			reset(s)
 		}
-		_ = c.Close()
 	}
 }
 
-// accept accepts a relayed connection, and reports whether it did.
-func (r *Relay) accept(c net.Conn) bool {
+// Accept implements net.Listener.
+func (l *peerListener) Accept() (net.Conn, error) {
+	select {
+	case s := <-l.streams:
+		return s, nil
+	case <-l.closed:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.err != nil {
+			return nil, l.err
+		}
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener. It ends the links once what was written to them has
+// been sent.
+func (l *peerListener) Close() error {
+	err := l.Listener.Close()
+	l.close()
+	l.mu.Lock()
+	open := slices.Collect(maps.Keys(l.muxes))
+	l.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, m := range open {
+		wg.Go(m.Shutdown)
+	}
+	wg.Wait()
+	return err
+}
+
+// greet decides whether to accept a relayed connection, and returns the version of
+// this router's configuration.
+func (r *Relay) greet() ([]byte, bool) {
 	r.mu.Lock()
 	stopped := r.stopped
 	r.mu.Unlock()
 	if stopped || !r.HasRoom() {
 		r.count(func(s *Stats) { s.Declined++ })
-		return false
+		return nil, false
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(greetTimeout))
-	answer := binary.BigEndian.AppendUint64([]byte{accepted}, uint64(r.Version()))
-	if _, err := c.Write(answer); err != nil {
-		return false
-	}
-	_ = c.SetWriteDeadline(time.Time{})
 	r.count(func(s *Stats) { s.Accepted++ })
-	return true
+	return binary.BigEndian.AppendUint64(nil, uint64(r.Version())), true
 }
