--- a/internal/rwmux/rwmux_test.go
+++ b/internal/rwmux/rwmux_test.go
@@ -116,8 +116,8 @@
 		require.Equal(t, "ping", read(t, far, 4))
 	}
 	select {
-	case <-done:
-		require.Fail(t, "all was sent to a stream that isn't read")
+	case err := <-done:
+		require.Fail(t, "all was sent to a stream that isn't read", "%v", err)
 	default:
 	}
 	unread.mu.Lock()
