Keep keep-alive probes on accepted links

The change of the relay took them off all listeners but the callers', among them that of links between routers, where they end connections that went silent. It had no use where it was meant: rwlisten opens that listener. Seen in reading, no test.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -622,10 +622,7 @@
 func (e *Edge) listen(addr string) (net.Listener, error) {
 	open := e.config.Listen
 	if open == nil {
-		// Requests, responses and idle connections have timeouts, so that keep-alive
-		// probes would only cost four system calls for each connection.
-		l := net.ListenConfig{KeepAlive: -1}
-		open = func(addr string) (net.Listener, error) { return l.Listen(context.Background(), "tcp", addr) }
+		open = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
 	l, err := open(addr)
 	if err != nil {
