Log the era of the store, stale items and upstreams that announce their leaving

The adapter now reads Store-Era and Server-Leaving; events 202, 205, 208 and 209 and the counter stale_items tell what they say. No decision depends on them yet.

--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -38,6 +38,9 @@
 	// Decode decodes an item's value. If it fails, the configuration stays
 	// active, and an upstream gets no work.
 	Decode func(rwitem.Item) (Decoded, error)
+	// OnStale, if set, is called for an item of a lower revision than the known
+	// one, once for each revision of a key.
+	OnStale func(it rwitem.Item, known int64)
 
 	config *rwrouteconfig.Config
 	// items holds the newest revision of each key, including removals, so that
@@ -56,6 +59,8 @@
 	// lapseUntil is the end of the grace period for a removal that may be a
 	// lapse.
 	lapseUntil time.Time
+	// staleRev is the revision for which OnStale was called last.
+	staleRev int64
 }
 
 // New returns an empty catalog.
@@ -103,6 +108,10 @@
 func (c *Catalog) apply(now time.Time, it rwitem.Item) (bool, error) {
 	e := c.items[it.Key]
 	if e != nil && it.Rev <= e.item.Rev {
+		if it.Rev < e.item.Rev && it.Rev != e.staleRev && c.OnStale != nil {
+			e.staleRev = it.Rev
+			c.OnStale(it, e.item.Rev)
+		}
 		return false, nil
 	}
 	if e == nil {
--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -66,6 +66,10 @@
 type Pool struct {
 	// Inspect reads the head of a response.
 	Inspect func(*http.Response) rwdialect.ResponseInfo
+	// OnResponse, if set, is called for each response of an upstream that isn't
+	// from another incarnation at its address, also for one that is skipped. It
+	// must not block.
+	OnResponse func(Key, rwdialect.ResponseInfo)
 	// Count, if set, is called with the name of a counter: connections_opened,
 	// connections_reused or connections_closed_ with a reason.
 	Count func(name string)
@@ -281,6 +285,9 @@
 			continue
 		}
 		info := resp.pool.Inspect(httpResp)
+		if resp.pool.OnResponse != nil && !info.WrongInstance {
+			resp.pool.OnResponse(req.Key, info)
+		}
 		if info.RequestID == "" || info.RequestID == req.ID {
 			resp.HTTP, resp.Info, resp.body = httpResp, info, &trackedReader{Reader: httpResp.Body}
 			return nil
--- a/internal/rwdialect/rwdialect.go
+++ b/internal/rwdialect/rwdialect.go
@@ -47,6 +47,11 @@
 	// Authentic is whether the response carries the upstream's signature and its
 	// body is the one that the upstream sent.
 	Authentic bool
+	// Leaving is whether the upstream reports that it is leaving.
+	Leaving bool
+	// Unreadable is the name of a header field that was ignored because it has no
+	// valid value, or empty.
+	Unreadable string
 	// KeepAlive is how long the upstream keeps an idle connection open, or 0 if
 	// it is not stated.
 	KeepAlive time.Duration
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -136,6 +136,8 @@
 	// maxAccountLines the number of accounts each time.
 	accountInterval = time.Second
 	maxAccountLines = 6
+	// maxUnreadable bounds the upstreams and fields that are remembered as logged.
+	maxUnreadable = 1000
 	// reloadInterval is how often the settings file is read again; it can
 	// change without a signal.
 	reloadInterval = 2 * time.Second
@@ -205,6 +207,16 @@
 	catalog *rwcatalog.Catalog
 	// storeLost is whether the last call to the store failed.
 	storeLost bool
+	// storeEra is the highest era that the store has stated. eraFaultLogged is
+	// whether its last valid statement was followed by an invalid one.
+	storeEra       int64
+	eraFaultLogged bool
+	// unreadable holds the header fields, by upstream, that were logged as
+	// unreadable.
+	unreadable map[string]bool
+	// announced holds the upstreams whose responses have announced that they
+	// leave.
+	announced map[rwconn.Key]bool
 	published atomic.Pointer[rwconfigsnapshot.Snapshot]
 	// activeRequests is the number of requests in progress.
 	activeRequests atomic.Int64
@@ -243,6 +255,7 @@
 	e.connLimiter.HeadTimeout = headerTimeout
 	e.lagMonitor.OnMeasure = e.observeLateness
 	e.pool = rwconn.New(c.Dialect.Inspect)
+	e.pool.OnResponse = e.onUpstreamResponse
 	e.pool.Count = func(name string) { e.metrics.Add(name, 1) }
 	if c.Dial != nil {
 		e.peers.Dial, e.pool.Dial = c.Dial, c.Dial
@@ -737,7 +750,7 @@
 	for _, it := range b.Items {
 		keys[it.Key] = true
 	}
-	e.onStoreResponse()
+	e.onStoreResponse(b)
 	e.updateCatalog("store", func(now time.Time) (bool, map[string]error) {
 		changed, bad := e.catalog.Apply(now, b.Items)
 		removed := e.catalog.ApplyListing(now, b.Rev, keys, func(key string) bool { return strings.HasPrefix(key, prefix) })
@@ -748,7 +761,7 @@
 }
 
 func (e *Edge) onChange(_ string, b rwstorewatch.Batch) {
-	e.onStoreResponse()
+	e.onStoreResponse(b)
 	e.updateCatalog("store", func(now time.Time) (bool, map[string]error) { return e.catalog.Apply(now, b.Items) })
 }
 
@@ -757,6 +770,10 @@
 	now := time.Now()
 	e.mu.Lock()
 	before := e.published.Load()
+	e.catalog.OnStale = func(it rwitem.Item, known int64) {
+		e.metrics.Add("stale_items", 1)
+		rwlog.Info(&e.log, rwlog.RecordStale).Str("key", it.Key).Int64("rev", it.Rev).Int64("known", known).Str("source", source).Send()
+	}
 	changed, bad := apply(now)
 	if source == "store" {
 		e.catalog.Advance(e.watcher.CompleteRev())
@@ -800,14 +817,57 @@
 	}
 }
 
-func (e *Edge) onStoreResponse() {
+func (e *Edge) onStoreResponse(b rwstorewatch.Batch) {
 	e.mu.Lock()
-	restored := e.storeLost
-	e.storeLost = false
+	restored, before := e.storeLost, e.storeEra
+	e.storeLost, e.storeEra = false, max(e.storeEra, b.Era)
+	unreadable := b.EraFault != nil && !e.eraFaultLogged
+	e.eraFaultLogged = b.EraFault != nil
 	e.mu.Unlock()
 	if restored {
 		rwlog.Info(&e.log, rwlog.PlatformRestored).Send()
 	}
+	if b.Era > before {
+		rwlog.Info(&e.log, rwlog.PlatformReturned).Int64("before", before).Int64("era", b.Era).Int64("rev", b.Rev).
+			Str("source", "store").Send()
+	}
+	if unreadable {
+		rwlog.Warn(&e.log, rwlog.FieldUnreadable, b.EraFault).Str("source", "store").Send()
+	}
+}
+
+// onUpstreamResponse logs what a response says of its upstream beside the request.
+func (e *Edge) onUpstreamResponse(k rwconn.Key, info rwdialect.ResponseInfo) {
+	if info.Unreadable != "" {
+		e.logUnreadable(k, info.Unreadable)
+	}
+	if !info.Leaving {
+		return
+	}
+	e.mu.Lock()
+	known := e.announced[k]
+	if e.announced == nil {
+		e.announced = map[rwconn.Key]bool{}
+	}
+	e.announced[k] = true
+	e.mu.Unlock()
+	if !known {
+		rwlog.Info(&e.log, rwlog.UpstreamLeaving).Str("upstream", k.ID).Int64("born", k.StartMillis).Str("source", "response").Send()
+	}
+}
+
+func (e *Edge) logUnreadable(k rwconn.Key, field string) {
+	name := k.ID + " " + field
+	e.mu.Lock()
+	known := e.unreadable[name]
+	if e.unreadable == nil || len(e.unreadable) >= maxUnreadable {
+		e.unreadable = map[string]bool{}
+	}
+	e.unreadable[name] = true
+	e.mu.Unlock()
+	if !known {
+		rwlog.Warn(&e.log, rwlog.FieldUnreadable, rwfault.New(rwcode.UpstreamMalformed, field)).Str("source", k.ID).Send()
+	}
 }
 
 // upkeep periodically drops lapsed upstreams, closes idle connections and reads
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -42,6 +42,8 @@
 	UpstreamLeaving      Event = 205 // upstream leaving
 	ConfigurationAdopted Event = 206 // configuration adopted
 	UpstreamsChanged     Event = 207 // upstreams changed
+	PlatformReturned     Event = 208 // platform returned from a copy
+	FieldUnreadable      Event = 209 // header field unreadable
 	MemberChanged        Event = 300 // member changed
 	RequestRefused       Event = 400 // request refused
 	RequestFailed        Event = 401 // request failed
--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -41,6 +41,12 @@
 	Items []rwitem.Item
 	// Rev is the revision up to which the batch is complete.
 	Rev int64
+	// Era is the number of times that the store has come back from an older copy,
+	// which gives revisions out again.
+	Era int64
+	// EraFault is why Era is the last known one and not what the response states,
+	// or nil.
+	EraFault error
 	// ReadAt is when a listing was asked for; the store may have answered it
 	// later with what it had then. It is not set for changes.
 	ReadAt time.Time
