Order what is known of the store by its era, then by its revision

Callers got 404 for routes that the store had confirmed, and leaving upstreams got work, after the store had come back from an older copy. The catalog, the watch and the exchange between routers ordered changes by the revision alone, and the store gives revisions out again: the new changes were taken for old ones until the counter had passed the former value, and a watch from the old revision got 410 after each listing.

rwrevision orders by era and revision, in one place; items, listings, watches, probes and pulls carry both. A copy may hold less than what was known, so the catalog keeps the highest version of the configuration, incarnations that were leaving or removed, and for a short time what the copy lacks. A router asks another one once in an era for all it knows. Releases that name no era are in era 0; what they tell is older, except for a higher configuration, and their news makes a router list.

--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -3,6 +3,17 @@
 // routers, in any order and possibly more than once; an item whose revision is
 // not newer than the known one changes nothing. The package reads no clock and
 // does no I/O.
+//
+// The store may come back from an older copy, in a higher era. What it then holds
+// may be older than what was known before, until the operator and the upstreams have
+// written again:
+//
+//   - The configuration of the highest version is active, whatever its era.
+//   - An incarnation that was leaving stays so.
+//   - An incarnation that was removed gets no work until its entry is written again
+//     or would have lapsed.
+//   - An upstream that the copy lacks stays in use for lapseGrace, and so does an
+//     incarnation of which the copy holds only a former one.
 package rwcatalog
 
 import (
@@ -12,6 +23,7 @@
 
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwrevision"
 	"redwingworks.example/internal/rwrouteconfig"
 )
 
@@ -24,6 +36,8 @@
 	// outageGrace is how long after the last failed call to the store a removal
 	// may still be a lapse.
 	outageGrace = 3 * time.Second
+	// defaultEntryTTL is used if EntryTTL is not set.
+	defaultEntryTTL = 4 * time.Second
 )
 
 // Decoded is the content of an item; at most one field is set, and none if the
@@ -40,42 +54,88 @@
 	Decode func(rwitem.Item) (Decoded, error)
 	// OnStale, if set, is called for an item of a lower revision than the known
 	// one, once for each revision of a key.
-	OnStale func(it rwitem.Item, known int64)
+	OnStale func(it rwitem.Item, known rwrevision.Revision)
+	// EntryTTL is the time after which the entry of an upstream lapses that no
+	// longer writes it, or 0 for the default.
+	EntryTTL time.Duration
 
 	config *rwrouteconfig.Config
 	// items holds the newest revision of each key, including removals, so that
 	// a stale copy can't bring a removed upstream back.
 	items map[string]*entry
+	// leaving holds the highest StartMillis of the incarnations of an upstream, by
+	// its id, that were leaving. Only a later one gets work.
+	leaving map[string]int64
 	// rev is the revision up to which all changes were applied.
-	rev              int64
+	rev rwrevision.Revision
+	// era is the highest era of an item or a complete read; returnedAt is when
+	// this router learned that the store had come back in it, or zero if the store
+	// hasn't since this router started.
+	era              int64
+	returnedAt       time.Time
 	lastStoreFailure time.Time
 	instances        []rwinstance.Instance
 }
 
-type entry struct {
-	item rwitem.Item
-	// instance is nil if the item describes no usable upstream.
+// state is an item with its content.
+type state struct {
+	item   rwitem.Item
+	config *rwrouteconfig.Config
+	// instance is the upstream that the item describes or whose entry was
+	// removed, or nil if that is none or not known.
 	instance *rwinstance.Instance
+}
+
+type entry struct {
+	state
+	// earlier is an item of an earlier era that tells more than the newest one, or
+	// nil. If it is a removal, the upstream had really left.
+	earlier *state
+	// firstRev is the revision of the first item of the newest era.
+	firstRev int64
 	// lapseUntil is the end of the grace period for a removal that may be a
 	// lapse.
 	lapseUntil time.Time
 	// staleRev is the revision for which OnStale was called last.
-	staleRev int64
+	staleRev rwrevision.Revision
 }
 
 // New returns an empty catalog.
 func New(decode func(rwitem.Item) (Decoded, error)) *Catalog {
-	return &Catalog{Decode: decode, items: map[string]*entry{}}
+	return &Catalog{Decode: decode, items: map[string]*entry{}, leaving: map[string]int64{}}
 }
 
 // Config returns the active configuration, or nil before the first.
 func (c *Catalog) Config() *rwrouteconfig.Config { return c.config }
 
 // Rev returns the revision up to which all changes were applied.
-func (c *Catalog) Rev() int64 { return c.rev }
+func (c *Catalog) Rev() rwrevision.Revision { return c.rev }
+
+// Era returns the highest era of the store that is known.
+func (c *Catalog) Era() int64 { return c.era }
+
+// Settled reports whether the store has all upstreams as far as that is known: after
+// its return from a copy it lacks those that haven't written again.
+func (c *Catalog) Settled(now time.Time) bool {
+	return c.returnedAt.IsZero() || now.Sub(c.returnedAt) >= lapseGrace
+}
 
 // Advance records that all changes up to a revision were applied.
-func (c *Catalog) Advance(rev int64) { c.rev = max(c.rev, rev) }
+func (c *Catalog) Advance(now time.Time, rev rwrevision.Revision) {
+	c.enterEra(now, rev.Era)
+	c.rev = c.rev.Max(rev)
+}
+
+// enterEra records that the store has an era.
+func (c *Catalog) enterEra(now time.Time, era int64) {
+	if era <= c.era {
+		return
+	}
+	if len(c.items) > 0 {
+		c.returnedAt = now
+	}
+	c.era = era
+}
 
 // Instances returns the upstreams that may get work and those that are leaving.
 // The result must not be modified.
@@ -107,90 +167,296 @@
 
 func (c *Catalog) apply(now time.Time, it rwitem.Item) (bool, error) {
 	e := c.items[it.Key]
-	if e != nil && it.Rev <= e.item.Rev {
-		if it.Rev < e.item.Rev && it.Rev != e.staleRev && c.OnStale != nil {
-			e.staleRev = it.Rev
-			c.OnStale(it, e.item.Rev)
-		}
+	if e == nil {
+		return c.add(now, it)
+	}
+	switch order := it.Revision().Compare(e.item.Revision()); {
+	case order > 0:
+		return true, c.replace(now, e, it)
+	case order == 0:
 		return false, nil
+	case it.Era < e.item.Era:
+		return c.applyEarlier(now, e, it)
 	}
-	if e == nil {
-		e = &entry{}
-		c.items[it.Key] = e
-	}
-	e.item, e.lapseUntil = it, time.Time{}
-	if it.Deleted {
-		if e.instance != nil && !e.instance.Leaving && now.Sub(c.lastStoreFailure) < outageGrace {
-			e.lapseUntil = now.Add(lapseGrace)
-		} else {
-			e.instance = nil
+	if c.OnStale != nil && it.Revision() != e.staleRev {
+		e.staleRev = it.Revision()
+		c.OnStale(it, e.item.Revision())
+	}
+	return false, nil
+}
+
+// add adds the first item of a key. An item of an earlier era than that of the last
+// complete read is one that the store's copy lacks.
+func (c *Catalog) add(now time.Time, it rwitem.Item) (bool, error) {
+	c.enterEra(now, it.Era)
+	next, err := c.decode(it)
+	e := &entry{state: next, firstRev: it.Rev}
+	c.items[it.Key] = e
+	if next.config != nil {
+		c.activate(next.config)
+	} else if it.Era < c.rev.Era {
+		return true, c.replace(now, e, removalOf(it, c.rev))
+	}
+	return true, err
+}
+
+// removalOf returns the removal of an item at a revision.
+func removalOf(it rwitem.Item, rev rwrevision.Revision) rwitem.Item {
+	return rwitem.Item{Key: it.Key, Value: it.Value, Rev: rev.Rev, Era: rev.Era, Deleted: true}
+}
+
+// replace replaces an item by a newer one.
+func (c *Catalog) replace(now time.Time, e *entry, it rwitem.Item) error {
+	c.enterEra(now, it.Era)
+	if it.Deleted && len(it.Value) == 0 {
+		it.Value = e.item.Value
+	}
+	next, err := c.decode(it)
+	before, returned, lapseUntil := c.current(now, e), it.Era > e.item.Era, time.Time{}
+	if it.Deleted && before != nil && !before.Leaving {
+		lapseUntil = c.lapseEnd(now, e, returned)
+		if now.Before(lapseUntil) {
+			next.instance = before
 		}
-		return true, nil
+	}
+	if returned {
+		c.keepEarlier(now, e)
+		e.firstRev = it.Rev
+	}
+	if best := e.newestConfig(); best != nil && (next.config == nil || next.config.Version < best.config.Version) {
+		// The active configuration is kept for routers that start.
+		e.earlier = best
+	} else if next.config != nil {
+		e.earlier = nil
+		c.activate(next.config)
+	}
+	e.state, e.lapseUntil = next, lapseUntil
+	return err
+}
+
+// lapseEnd returns the end of the grace period of an upstream in use whose entry is
+// removed, or zero if the removal isn't a lapse. A removal that repeats one doesn't
+// lengthen it, unless the store has returned since.
+func (c *Catalog) lapseEnd(now time.Time, e *entry, returned bool) time.Time {
+	switch {
+	case returned:
+		return c.returnedAt.Add(lapseGrace)
+	case e.item.Deleted:
+		return e.lapseUntil
+	case now.Sub(c.lastStoreFailure) < outageGrace:
+		return now.Add(lapseGrace)
+	}
+	return time.Time{}
+}
+
+// keepEarlier keeps what tells more about an upstream for the time after its item is
+// replaced by one of a higher era. A removal that may be a lapse tells nothing.
+func (c *Catalog) keepEarlier(now time.Time, e *entry) {
+	switch {
+	case e.earlier != nil && c.holds(now, e) != nil:
+	case e.item.Deleted && !e.lapseUntil.IsZero():
+		e.earlier = nil
+	default:
+		kept := e.state
+		e.earlier = &kept
+	}
+}
+
+// newestConfig returns the one of an entry's items that has the configuration with
+// the highest version, or nil if none has one.
+func (e *entry) newestConfig() *state {
+	if old := e.earlier; old != nil && old.config != nil && (e.config == nil || old.config.Version > e.config.Version) {
+		return old
+	}
+	if e.config == nil {
+		return nil
+	}
+	kept := e.state
+	return &kept
+}
+
+// activate makes a configuration the active one if its version is the highest.
+func (c *Catalog) activate(config *rwrouteconfig.Config) {
+	if c.config == nil || config.Version > c.config.Version {
+		c.config = config
+	}
+}
+
+// decode decodes an item. A removal has the upstream of the removed value.
+func (c *Catalog) decode(it rwitem.Item) (state, error) {
+	s := state{item: it}
+	if it.Deleted && len(it.Value) == 0 {
+		return s, nil
 	}
 	decoded, err := c.Decode(it)
+	if in := decoded.Instance; in != nil && in.Leaving && in.StartMillis > 0 {
+		c.leaving[in.ID] = max(c.leaving[in.ID], in.StartMillis)
+	}
 	switch {
+	case it.Deleted:
+		// A value that can't be decoded was reported before it was removed.
+		s.instance = decoded.Instance
+		return s, nil
 	case err != nil:
 		// An item that can't be decoded describes no usable upstream.
-		e.instance = nil
-	case decoded.Config != nil:
-		if c.config == nil || decoded.Config.Version > c.config.Version {
-			c.config = decoded.Config
+		return s, err
+	}
+	s.config, s.instance = decoded.Config, decoded.Instance
+	return s, nil
+}
+
+// applyEarlier applies an item of an earlier era than the known one.
+func (c *Catalog) applyEarlier(now time.Time, e *entry, it rwitem.Item) (bool, error) {
+	if it.Deleted || e.earlier != nil && !it.Revision().After(e.earlier.item.Revision()) {
+		// A removal that another router knows may be that of an entry which a copy
+		// lacked.
+		return false, nil
+	}
+	earlier, err := c.decode(it)
+	if err != nil {
+		return false, nil
+	}
+	if config := earlier.config; config != nil {
+		if c.config != nil && config.Version <= c.config.Version {
+			return false, nil
 		}
-	default:
-		e.instance = decoded.Instance
+		c.activate(config)
 	}
-	return true, err
+	e.earlier = &earlier
+	return true, nil
+}
+
+// current returns the upstream that an entry describes, or nil if that is none.
+func (c *Catalog) current(now time.Time, e *entry) *rwinstance.Instance {
+	in := e.instance
+	if e.item.Deleted && !now.Before(e.lapseUntil) {
+		return nil
+	}
+	if !e.item.Deleted {
+		if held := c.holds(now, e); held != nil {
+			in = held.instance
+		}
+	}
+	if in == nil || in.Leaving || in.StartMillis == 0 || in.StartMillis > c.leaving[in.ID] {
+		return in
+	}
+	return asLeaving(in)
+}
+
+// held is what an earlier item of an entry makes of its upstream.
+type held struct{ instance *rwinstance.Instance }
+
+// holds returns what the item of an earlier era makes of the upstream of the newest
+// one, or nil if it changes nothing.
+func (c *Catalog) holds(now time.Time, e *entry) *held {
+	old, in := e.earlier, e.instance
+	if old == nil || in == nil {
+		return nil
+	}
+	sameStart, known := true, old.instance != nil && old.instance.StartMillis > 0 && in.StartMillis > 0
+	if known {
+		sameStart = old.instance.StartMillis == in.StartMillis
+	}
+	// Beyond this, the entry may be one of the copy that its upstream hasn't
+	// written since.
+	if e.item.Rev != e.firstRev || now.Sub(c.returnedAt) >= lapseGrace+c.entryTTL() {
+		return nil
+	}
+	switch {
+	case known && in.StartMillis > old.instance.StartMillis:
+		return nil
+	case old.item.Deleted:
+		return &held{}
+	case old.instance == nil:
+		return nil
+	case !sameStart && (old.instance.Leaving || now.Sub(c.returnedAt) >= lapseGrace):
+		return &held{}
+	case !sameStart:
+		return &held{old.instance}
+	case old.instance.Leaving:
+		return &held{asLeaving(in)}
+	}
+	return nil
+}
+
+func asLeaving(in *rwinstance.Instance) *rwinstance.Instance {
+	leaving := *in
+	leaving.Leaving = true
+	return &leaving
+}
+
+func (c *Catalog) entryTTL() time.Duration {
+	if c.EntryTTL > 0 {
+		return c.EntryTTL
+	}
+	return defaultEntryTTL
 }
 
 // ApplyListing applies a complete listing of the keys with a prefix as of a
 // revision: keys in the catalog that are not listed and not newer than the
 // listing were removed.
-func (c *Catalog) ApplyListing(now time.Time, asOf int64, keys map[string]bool, within func(key string) bool) bool {
-	var removed []rwitem.Item
+func (c *Catalog) ApplyListing(now time.Time, asOf rwrevision.Revision, keys map[string]bool, within func(key string) bool) bool {
+	c.enterEra(now, asOf.Era)
+	changed := false
 	for key, e := range c.items {
-		if !e.item.Deleted && within(key) && !keys[key] && e.item.Rev <= asOf {
-			removed = append(removed, rwitem.Item{Key: key, Rev: asOf, Deleted: true})
+		if !within(key) || keys[key] || e.item.Revision().After(asOf) {
+			continue
+		}
+		switch {
+		case !e.item.Deleted:
+			_ = c.replace(now, e, removalOf(e.item, asOf))
+			changed = true
+		case e.item.Era < asOf.Era:
+			// A later item of the key is new, not one of the copy.
+			e.item = removalOf(e.item, asOf)
+			if now.Before(e.lapseUntil) {
+				e.lapseUntil = c.lapseEnd(now, e, true)
+			}
 		}
 	}
-	changed, _ := c.Apply(now, removed)
+	if changed {
+		c.rebuild(now)
+	}
 	return changed
 }
 
 // Tick removes upstreams whose grace period has ended, and reports whether
 // there were any.
 func (c *Catalog) Tick(now time.Time) bool {
-	due := false
+	before := c.instances
+	c.rebuild(now)
 	for _, e := range c.items {
-		if e.item.Deleted && e.instance != nil && !now.Before(e.lapseUntil) {
-			e.instance = nil
-			due = true
+		if e.earlier != nil && e.earlier.config == nil && c.holds(now, e) == nil {
+			e.earlier = nil
 		}
 	}
-	if due {
-		c.rebuild(now)
-	}
-	return due
+	return !slices.Equal(before, c.instances)
 }
 
-// Since returns the items with a revision above rev, for another router.
-func (c *Catalog) Since(rev int64) []rwitem.Item {
+// Since returns the items with a revision above rev, for another router, and those
+// of earlier eras that tell more.
+func (c *Catalog) Since(rev rwrevision.Revision) []rwitem.Item {
 	var out []rwitem.Item
 	for _, e := range c.items {
-		if e.item.Rev > rev {
+		if e.item.Revision().After(rev) {
 			out = append(out, e.item)
+			if e.earlier != nil {
+				out = append(out, e.earlier.item)
+			}
 		}
 	}
-	slices.SortFunc(out, func(a, b rwitem.Item) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b rwitem.Item) int {
+		return cmp.Or(cmp.Compare(a.Key, b.Key), a.Revision().Compare(b.Revision()))
+	})
 	return out
 }
 
 func (c *Catalog) rebuild(now time.Time) {
 	c.instances = nil
 	for _, e := range c.items {
-		if e.instance == nil || (e.item.Deleted && !now.Before(e.lapseUntil)) {
-			continue
+		if in := c.current(now, e); in != nil {
+			c.instances = append(c.instances, *in)
 		}
-		c.instances = append(c.instances, *e.instance)
 	}
 	slices.SortFunc(c.instances, func(a, b rwinstance.Instance) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/internal/rwcatalog/rwcatalog_test.go
+++ b/internal/rwcatalog/rwcatalog_test.go
@@ -11,6 +11,7 @@
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwrevision"
 	"redwingworks.example/internal/rwrouteconfig"
 )
 
@@ -106,7 +107,7 @@
 	c := New(decode)
 	c.Apply(start, []rwitem.Item{put("s/a", "ready", 1), put("s/b", "ready", 8), put("p", "config 1", 2)})
 	within := func(key string) bool { return strings.HasPrefix(key, "s/") }
-	require.True(t, c.ApplyListing(start, 5, map[string]bool{}, within))
+	require.True(t, c.ApplyListing(start, rwrevision.Revision{Rev: 5}, map[string]bool{}, within))
 	require.Equal(t, []string{"s/b"}, ids(c))
 	require.NotNil(t, c.Config())
 }
@@ -117,9 +118,9 @@
 	c := New(decode)
 	c.Apply(start, []rwitem.Item{put("a", "ready", 50)})
 	require.Zero(t, c.Rev())
-	c.Advance(40)
-	c.Advance(30)
-	require.EqualValues(t, 40, c.Rev())
-	require.Len(t, c.Since(40), 1)
-	require.Empty(t, c.Since(50))
+	c.Advance(start, rwrevision.Revision{Rev: 40})
+	c.Advance(start, rwrevision.Revision{Rev: 30})
+	require.Equal(t, rwrevision.Revision{Rev: 40}, c.Rev())
+	require.Len(t, c.Since(rwrevision.Revision{Rev: 40}), 1)
+	require.Empty(t, c.Since(rwrevision.Revision{Rev: 50}))
 }
--- a/internal/rwcatalogsync/rwcatalogsync.go
+++ b/internal/rwcatalogsync/rwcatalogsync.go
@@ -14,6 +14,7 @@
 	"redwingworks.example/internal/rwitem"
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwrendezvous"
+	"redwingworks.example/internal/rwrevision"
 )
 
 const (
@@ -35,11 +36,13 @@
 // first message.
 type Syncer struct {
 	// Rev returns the revision up to which this router has all changes.
-	Rev func() int64
+	Rev func() rwrevision.Revision
 	// Since returns the items with a higher revision.
-	Since func(rev int64) []rwitem.Item
+	Since func(rev rwrevision.Revision) []rwitem.Item
 	// Apply applies items from another router, which has all changes up to rev.
-	Apply func(from string, rev int64, items []rwitem.Item)
+	Apply func(from string, rev rwrevision.Revision, items []rwitem.Item)
+	// Refresh makes this router list the store soon.
+	Refresh func()
 	// Live returns the live routers of a zone, or of all zones if it is empty,
 	// including this router.
 	Live func(zone string) []rwidentity.Identity
@@ -49,14 +52,17 @@
 
 	mu      sync.Mutex
 	pulling bool
+	// askedEra is the highest era in which another router has told all that it
+	// knows. Nothing is asked in era 0, in which the store hasn't returned.
+	askedEra int64
 }
 
 type revisionMessage struct {
-	Rev int64 `json:"rev"`
+	rwrevision.Revision
 }
 
 type itemsMessage struct {
-	Rev   int64         `json:"rev"`
+	rwrevision.Revision
 	Items []rwitem.Item `json:"items"`
 }
 
@@ -112,8 +118,13 @@
 
 // ObserveRev compares another router's revision, which comes with every probe,
 // and pulls from that router if this one is behind.
-func (s *Syncer) ObserveRev(from rwidentity.Identity, rev int64) {
-	if rev <= s.Rev() {
+func (s *Syncer) ObserveRev(from rwidentity.Identity, rev rwrevision.Revision) {
+	if mine := s.Rev(); rev.Era == 0 && mine.Era > 0 && rev.Rev > mine.Rev {
+		// The other router runs an older release, whose revisions name no era.
+		s.Refresh()
+		return
+	}
+	if !s.lacks(rev) {
 		return
 	}
 	delay := time.Duration(0)
@@ -127,7 +138,7 @@
 	}
 	s.pulling = true
 	time.AfterFunc(delay, func() {
-		if rev > s.Rev() {
+		if s.lacks(rev) {
 			s.pull(from)
 		}
 		time.AfterFunc(pullPause, func() {
@@ -138,23 +149,49 @@
 	})
 }
 
-// pull asks another router for the items that this one lacks. A failed pull is
-// retried after the next probe that shows a higher revision.
+// lacks reports whether another router that has all changes up to a revision may
+// know items that this one lacks: if the revision is higher, or if no router of this
+// era has told yet what the store's copy lacks.
+func (s *Syncer) lacks(rev rwrevision.Revision) bool {
+	mine := s.Rev()
+	if rev.After(mine) {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rev.Rev > 0 && rev.Era == mine.Era && mine.Era > s.askedEra
+}
+
+// pull asks another router for the items that this one lacks, or for all items if it
+// has not asked before in the era of the other. A failed pull is retried after the
+// next probe.
 func (s *Syncer) pull(from rwidentity.Identity) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
+	after := s.Rev()
+	s.mu.Lock()
+	all := after.Era > s.askedEra
+	s.mu.Unlock()
+	if all {
+		after = rwrevision.Revision{}
+	}
 	var m itemsMessage
-	if err := s.peers.CallData(ctx, from.Addr, "pull", revisionMessage{s.Rev()}, &m); err != nil {
+	if err := s.peers.CallData(ctx, from.Addr, "pull", revisionMessage{after}, &m); err != nil {
 		return
 	}
-	s.Apply(from.Name, m.Rev, m.Items)
+	s.Apply(from.Name, m.Revision, m.Items)
+	if all {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.askedEra = max(s.askedEra, m.Era)
+	}
 }
 
 func (s *Syncer) handleFresh(_ context.Context, from rwidentity.Identity, m revisionMessage) (any, error) {
-	s.ObserveRev(from, m.Rev)
+	s.ObserveRev(from, m.Revision)
 	return nil, nil
 }
 
 func (s *Syncer) handlePull(_ context.Context, _ rwidentity.Identity, m revisionMessage) (any, error) {
-	return itemsMessage{Rev: s.Rev(), Items: s.Since(m.Rev)}, nil
+	return itemsMessage{Revision: s.Rev(), Items: s.Since(m.Revision)}, nil
 }
--- a/internal/rwcatalogsync/rwcatalogsync_test.go
+++ b/internal/rwcatalogsync/rwcatalogsync_test.go
@@ -17,17 +17,20 @@
 	"redwingworks.example/internal/rwmemnetwork"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwrevision"
 )
 
 // router holds what one router has applied.
 type router struct {
 	*Syncer
 	mu    sync.Mutex
-	rev   int64
+	rev   rwrevision.Revision
 	items []rwitem.Item
 }
 
-func (r *router) revision() int64 {
+func at(rev int64) rwrevision.Revision { return rwrevision.Revision{Rev: rev} }
+
+func (r *router) revision() rwrevision.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.rev
@@ -57,18 +60,18 @@
 		peers.Dial = network.Dial
 		r := &router{Syncer: New(peers)}
 		r.Rev = r.revision
-		r.Since = func(rev int64) []rwitem.Item {
+		r.Since = func(rev rwrevision.Revision) []rwitem.Item {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			var list []rwitem.Item
 			for _, it := range r.items {
-				if it.Rev > rev {
+				if it.Revision().After(rev) {
 					list = append(list, it)
 				}
 			}
 			return list
 		}
-		r.Apply = func(_ string, rev int64, items []rwitem.Item) {
+		r.Apply = func(_ string, rev rwrevision.Revision, items []rwitem.Item) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.rev, r.items = rev, append(r.items, items...)
@@ -102,14 +105,14 @@
 func TestRouterPullsWhatItLacks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := fleet(t, 4)
-		r[0].Apply("store", 7, []rwitem.Item{{Key: "a", Rev: 3}, {Key: "b", Rev: 7}})
-		r[1].Apply("store", 3, []rwitem.Item{{Key: "a", Rev: 3}})
-		r[1].ObserveRev(r[0].self, 7)
+		r[0].Apply("store", at(7), []rwitem.Item{{Key: "a", Rev: 3}, {Key: "b", Rev: 7}})
+		r[1].Apply("store", at(3), []rwitem.Item{{Key: "a", Rev: 3}})
+		r[1].ObserveRev(r[0].self, at(7))
 		time.Sleep(pullDelay)
 		synctest.Wait()
-		require.Equal(t, int64(7), r[1].revision())
+		require.Equal(t, at(7), r[1].revision())
 		require.Len(t, r[1].items, 2, "only the missing items were sent")
-		r[1].ObserveRev(r[0].self, 7)
+		r[1].ObserveRev(r[0].self, at(7))
 	})
 }
 
@@ -117,11 +120,11 @@
 func TestReadersTellTheirZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := fleet(t, 30)
-		r[0].Apply("store", 9, []rwitem.Item{{Key: "a", Rev: 9}})
+		r[0].Apply("store", at(9), []rwitem.Item{{Key: "a", Rev: 9}})
 		r[0].NotifyZone()
 		time.Sleep(pullDelay)
 		synctest.Wait()
-		require.Equal(t, int64(9), r[1].revision())
+		require.Equal(t, at(9), r[1].revision())
 	})
 }
 
--- a/internal/rwconfigsnapshot/rwconfigsnapshot.go
+++ b/internal/rwconfigsnapshot/rwconfigsnapshot.go
@@ -14,10 +14,10 @@
 type Snapshot struct {
 	// Config is nil before the first configuration.
 	Config *rwrouteconfig.Config
-	// Rev is the revision of the platform's store that the snapshot reflects;
-	// At is when the snapshot was made.
-	Rev int64
-	At  time.Time
+	// Rev is the revision of the platform's store that the snapshot reflects, in the
+	// store's era Era; At is when the snapshot was made.
+	Rev, Era int64
+	At       time.Time
 
 	usable    map[string][]rwinstance.Instance
 	usableIDs map[string][]string
@@ -43,6 +43,13 @@
 	return s
 }
 
+// WithEra returns the snapshot of a revision in an era of the store.
+func (s *Snapshot) WithEra(era int64) *Snapshot {
+	out := *s
+	out.Era = era
+	return &out
+}
+
 // Usable returns the upstreams of a service that may get work, in the order
 // given to New.
 func (s *Snapshot) Usable(service string) []rwinstance.Instance { return s.usable[service] }
--- a/internal/rwconfsync/rwconfsync.go
+++ b/internal/rwconfsync/rwconfsync.go
@@ -30,6 +30,7 @@
 	"redwingworks.example/internal/rwpull"
 	"redwingworks.example/internal/rwrecord"
 	"redwingworks.example/internal/rwrendezvous"
+	"redwingworks.example/internal/rwrevision"
 	"redwingworks.example/internal/rwsnapshot"
 	"redwingworks.example/internal/rwstore"
 )
@@ -312,7 +313,7 @@
 	}
 	f.snapshot.Store(snapshot)
 	f.gossip.SetPublishedVMs(snapshot.VMs())
-	f.gossip.SetConfigDigest(snapshot.Rev(), digest)
+	f.gossip.SetConfigDigest(rwrevision.Revision{Rev: snapshot.Rev()}, digest)
 	for _, l := range left {
 		f.gossip.AddLeavingUpstream(l)
 	}
@@ -398,7 +399,7 @@
 // for digestSettleTime. If its revision is equal or lower but the digests
 // differ, one of the two lost a push; each router pulls the records that it
 // lacks itself.
-func (f *Syncer) compareDigests(from rwidentity.Identity, rev int64, digest uint64) {
+func (f *Syncer) compareDigests(from rwidentity.Identity, rev rwrevision.Revision, digest uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -407,7 +408,7 @@
 		return
 	}
 	pull := rwpull.Pull{After: myRev}
-	if rev <= myRev {
+	if rev.Rev <= myRev {
 		last := f.repairs[from.Name]
 		same := last.mine == mine && last.theirs == digest
 		if now.Sub(f.digestChanged) < digestSettleTime || (same && now.Sub(last.at) < repeatedRepairInterval) {
--- a/internal/rwconfsync/rwconfsync_test.go
+++ b/internal/rwconfsync/rwconfsync_test.go
@@ -27,6 +27,7 @@
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwrecord"
 	"redwingworks.example/internal/rwrendezvous"
+	"redwingworks.example/internal/rwrevision"
 )
 
 const (
@@ -251,7 +252,7 @@
 		f.startAll()
 		odd := rwidentity.Identity{Name: "odd", Addr: "127.0.0.1:1"}
 		for range 100 {
-			f.routers["r0"].gossip.OnMessage(odd, 1, 12345)
+			f.routers["r0"].gossip.OnMessage(odd, rwrevision.Revision{Rev: 1}, 12345)
 			time.Sleep(20 * time.Millisecond)
 		}
 		require.Equal(t, 1, count(f.routers["r0"], "pulls"))
--- a/internal/rwdeployment/rwdeployment.go
+++ b/internal/rwdeployment/rwdeployment.go
@@ -40,6 +40,9 @@
 	EventDeadline time.Duration
 	// ShareWindow is the time over which accounts' shares are compared.
 	ShareWindow time.Duration
+	// Heartbeat is how often upstreams write their entries in the store, or 0 if it
+	// is not known.
+	Heartbeat time.Duration
 	// ConfigDeadline is the time within which a new configuration must be
 	// active.
 	ConfigDeadline time.Duration
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -49,6 +49,7 @@
 	"redwingworks.example/internal/rwregistry"
 	"redwingworks.example/internal/rwrelay"
 	"redwingworks.example/internal/rwretrywindow"
+	"redwingworks.example/internal/rwrevision"
 	"redwingworks.example/internal/rwshutdown"
 	"redwingworks.example/internal/rwsink"
 	"redwingworks.example/internal/rwstorewatch"
@@ -138,6 +139,9 @@
 	maxAccountLines = 6
 	// maxUnreadable bounds the upstreams and fields that are remembered as logged.
 	maxUnreadable = 1000
+	// lapseHeartbeats is the number of heartbeats that an upstream misses until its
+	// entry lapses.
+	lapseHeartbeats = 3
 	// reloadInterval is how often the settings file is read again; it can
 	// change without a signal.
 	reloadInterval = 2 * time.Second
@@ -207,9 +211,7 @@
 	catalog *rwcatalog.Catalog
 	// storeLost is whether the last call to the store failed.
 	storeLost bool
-	// storeEra is the highest era that the store has stated. eraFaultLogged is
-	// whether its last valid statement was followed by an invalid one.
-	storeEra       int64
+	// eraFaultLogged is whether the store's last response stated an invalid era.
 	eraFaultLogged bool
 	// unreadable holds the header fields, by upstream, that were logged as
 	// unreadable.
@@ -272,25 +274,25 @@
 // wireCatalog connects the parts that keep the published configuration and the
 // upstreams up to date.
 func (e *Edge) wireCatalog() {
-	e.syncer.Rev = func() int64 {
+	e.syncer.Rev = func() rwrevision.Revision {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		return e.catalog.Rev()
 	}
-	e.syncer.Since = func(rev int64) []rwitem.Item {
+	e.syncer.Since = func(rev rwrevision.Revision) []rwitem.Item {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		return e.catalog.Since(rev)
 	}
-	e.syncer.Apply = func(from string, rev int64, items []rwitem.Item) {
+	e.syncer.Apply = func(from string, rev rwrevision.Revision, items []rwitem.Item) {
 		e.updateCatalog(from, func(now time.Time) (bool, map[string]error) {
 			changed, bad := e.catalog.Apply(now, items)
-			e.catalog.Advance(rev)
+			e.catalog.Advance(now, rev)
 			return changed, bad
 		})
 	}
 	e.syncer.Live = e.gossip.Live
-	e.gossip.OnMessage = func(from rwidentity.Identity, rev int64, _ uint64) { e.syncer.ObserveRev(from, rev) }
+	e.gossip.OnMessage = func(from rwidentity.Identity, rev rwrevision.Revision, _ uint64) { e.syncer.ObserveRev(from, rev) }
 	e.gossip.OnLiveChange = e.onMembersChanged
 	e.gossip.OnGone = e.broker.RemoveRouter
 	e.gossip.OnResume = func(time.Duration) {
@@ -302,6 +304,8 @@
 		OnList: e.onList, OnChange: e.onChange, OnError: e.onStoreError, IsReader: e.isReader,
 		ApplyDeadline: e.deployment.ConfigDeadline,
 	}
+	e.syncer.Refresh = e.watcher.Refresh
+	e.catalog.EntryTTL = lapseHeartbeats * e.deployment.Heartbeat
 }
 
 // isReader reports whether this router reads the store on behalf of others too.
@@ -753,11 +757,16 @@
 	e.onStoreResponse(b)
 	e.updateCatalog("store", func(now time.Time) (bool, map[string]error) {
 		changed, bad := e.catalog.Apply(now, b.Items)
-		removed := e.catalog.ApplyListing(now, b.Rev, keys, func(key string) bool { return strings.HasPrefix(key, prefix) })
+		removed := e.catalog.ApplyListing(now, b.Revision(), keys, func(key string) bool { return strings.HasPrefix(key, prefix) })
 		return changed || removed, bad
 	})
-	// A watch can stay silent while changes are made, so only a listing counts.
-	e.broker.Origins.MarkCurrent(b.ReadAt)
+	e.mu.Lock()
+	settled := e.catalog.Settled(time.Now())
+	e.mu.Unlock()
+	if settled {
+		// A watch can stay silent while changes are made, so only a listing counts.
+		e.broker.Origins.MarkCurrent(b.ReadAt)
+	}
 }
 
 func (e *Edge) onChange(_ string, b rwstorewatch.Batch) {
@@ -770,21 +779,27 @@
 	now := time.Now()
 	e.mu.Lock()
 	before := e.published.Load()
-	e.catalog.OnStale = func(it rwitem.Item, known int64) {
+	era := e.catalog.Era()
+	e.catalog.OnStale = func(it rwitem.Item, known rwrevision.Revision) {
 		e.metrics.Add("stale_items", 1)
-		rwlog.Info(&e.log, rwlog.RecordStale).Str("key", it.Key).Int64("rev", it.Rev).Int64("known", known).Str("source", source).Send()
+		rwlog.Info(&e.log, rwlog.RecordStale).Str("key", it.Key).Int64("era", it.Era).Int64("rev", it.Rev).
+			Int64("known", known.Rev).Str("source", source).Send()
 	}
 	changed, bad := apply(now)
 	if source == "store" {
-		e.catalog.Advance(e.watcher.CompleteRev())
+		e.catalog.Advance(now, e.watcher.CompleteRev())
 	}
-	rev := e.catalog.Rev()
+	rev, returned := e.catalog.Rev(), e.catalog.Era() > era
 	e.gossip.SetConfigDigest(rev, 0)
 	if changed {
-		e.published.Store(rwconfigsnapshot.New(e.catalog.Config(), rev, now, e.catalog.Instances()))
+		e.published.Store(rwconfigsnapshot.New(e.catalog.Config(), rev.Rev, now, e.catalog.Instances()).WithEra(rev.Era))
 	}
 	e.broker.Origins.Observe(now, e.catalog.Instances())
 	e.mu.Unlock()
+	if returned {
+		rwlog.Info(&e.log, rwlog.PlatformReturned).Int64("before", era).Int64("era", e.catalogEra()).Int64("rev", rev.Rev).
+			Str("source", source).Send()
+	}
 	for key, err := range bad {
 		rwlog.Warn(&e.log, rwlog.RecordSetAside, err).Str("key", key).Send()
 	}
@@ -794,14 +809,20 @@
 	}
 }
 
+func (e *Edge) catalogEra() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.catalog.Era()
+}
+
 func (e *Edge) logChange(source string, before, after *rwconfigsnapshot.Snapshot) {
 	if after.Config != nil && (before.Config == nil || before.Config.Version != after.Config.Version) {
-		rwlog.Info(&e.log, rwlog.ConfigurationAdopted).Int64("version", after.Config.Version).Int64("rev", after.Rev).
+		rwlog.Info(&e.log, rwlog.ConfigurationAdopted).Int64("version", after.Config.Version).Int64("era", after.Era).Int64("rev", after.Rev).
 			Str("source", source).Send()
 	}
 	if usable, leaving := after.Count(); before.Rev == 0 || !after.SameUpstreams(before) {
 		rwlog.Info(&e.log, rwlog.UpstreamsChanged).Int("usable", usable).Int("leaving", leaving).
-			Int64("rev", after.Rev).Str("source", source).Send()
+			Int64("era", after.Era).Int64("rev", after.Rev).Str("source", source).Send()
 	}
 }
 
@@ -819,18 +840,14 @@
 
 func (e *Edge) onStoreResponse(b rwstorewatch.Batch) {
 	e.mu.Lock()
-	restored, before := e.storeLost, e.storeEra
-	e.storeLost, e.storeEra = false, max(e.storeEra, b.Era)
+	restored := e.storeLost
+	e.storeLost = false
 	unreadable := b.EraFault != nil && !e.eraFaultLogged
 	e.eraFaultLogged = b.EraFault != nil
 	e.mu.Unlock()
 	if restored {
 		rwlog.Info(&e.log, rwlog.PlatformRestored).Send()
 	}
-	if b.Era > before {
-		rwlog.Info(&e.log, rwlog.PlatformReturned).Int64("before", before).Int64("era", b.Era).Int64("rev", b.Rev).
-			Str("source", "store").Send()
-	}
 	if unreadable {
 		rwlog.Warn(&e.log, rwlog.FieldUnreadable, b.EraFault).Str("source", "store").Send()
 	}
@@ -1061,7 +1078,7 @@
 	usable, leaving := snapshot.Count()
 	lines := map[string]int64{
 		"active_requests": e.activeRequests.Load(), "caller_connections": int64(e.connLimiter.Open()), "routers": int64(len(e.gossip.Live(""))),
-		"revision": snapshot.Rev, "upstreams_usable": int64(usable), "upstreams_leaving": int64(leaving),
+		"revision": snapshot.Rev, "era": snapshot.Era, "upstreams_usable": int64(usable), "upstreams_leaving": int64(leaving),
 	}
 	if snapshot.Config != nil {
 		lines["version"] = snapshot.Config.Version
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -670,7 +670,7 @@
 	if x.Route != nil {
 		e = e.Str("route", x.Route.Name)
 	}
-	e.Int64("rev", snapshot.Rev).Dur("age", time.Since(snapshot.At)).Send()
+	e.Int64("era", snapshot.Era).Int64("rev", snapshot.Rev).Dur("age", time.Since(snapshot.At)).Send()
 }
 
 // statusOf returns the HTTP status for a fault. If the request did not run, the
--- a/internal/rwgossip/rwgossip.go
+++ b/internal/rwgossip/rwgossip.go
@@ -19,6 +19,7 @@
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwprobe"
 	"redwingworks.example/internal/rwprobecall"
+	"redwingworks.example/internal/rwrevision"
 	"redwingworks.example/internal/rwvm"
 )
 
@@ -50,7 +51,7 @@
 	// identity and its configuration revision and digest. It is not called for
 	// the request of an indirect probe or for the target's answer to the router
 	// that relays it. The identity of an answer has no zone and region.
-	OnMessage func(from rwidentity.Identity, rev int64, sum uint64)
+	OnMessage func(from rwidentity.Identity, rev rwrevision.Revision, sum uint64)
 	// OnResume is called after the process was paused, before the membership
 	// handles the next tick, message or answer. Messages of other methods don't
 	// wait for it.
@@ -145,7 +146,7 @@
 
 // SetConfigDigest sets the configuration revision and digest that are sent
 // with each probe.
-func (g *Gossip) SetConfigDigest(rev int64, sum uint64) {
+func (g *Gossip) SetConfigDigest(rev rwrevision.Revision, sum uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.members.SetConfigDigest(rev, sum)
@@ -305,7 +306,7 @@
 
 func (g *Gossip) reportMessage(from rwidentity.Identity, msg rwprobe.Probe) {
 	if g.OnMessage != nil {
-		g.OnMessage(from, msg.Rev, msg.Digest)
+		g.OnMessage(from, rwrevision.Revision{Era: msg.Era, Rev: msg.Rev}, msg.Digest)
 	}
 }
 
--- a/internal/rwmember/probing.go
+++ b/internal/rwmember/probing.go
@@ -543,7 +543,7 @@
 func (m *Members) header() rwprobe.Probe {
 	return rwprobe.Probe{
 		Name: m.self.Name, Inc: m.self.Inc, Refutations: m.refutations, Leaving: m.leaving,
-		Rev: m.configRev, Digest: m.configDigest,
+		Rev: m.configRev.Rev, Era: m.configRev.Era, Digest: m.configDigest,
 	}
 }
 
--- a/internal/rwmember/rwmember.go
+++ b/internal/rwmember/rwmember.go
@@ -22,6 +22,7 @@
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwmemberchanges"
 	"redwingworks.example/internal/rwrendezvous"
+	"redwingworks.example/internal/rwrevision"
 	"redwingworks.example/internal/rwupdate"
 	"redwingworks.example/internal/rwvm"
 )
@@ -154,7 +155,7 @@
 	upstreams    map[string]int64
 	published    []rwvm.VM
 	seeds        []string
-	configRev    int64
+	configRev    rwrevision.Revision
 	configDigest uint64
 
 	phase      time.Duration
@@ -206,7 +207,9 @@
 
 // SetConfigDigest sets the configuration revision and digest that are sent
 // with each probe.
-func (m *Members) SetConfigDigest(rev int64, sum uint64) { m.configRev, m.configDigest = rev, sum }
+func (m *Members) SetConfigDigest(rev rwrevision.Revision, sum uint64) {
+	m.configRev, m.configDigest = rev, sum
+}
 
 // Live returns the live routers of a zone, or of all zones for "", sorted by
 // name. It includes suspects, so that a lost probe doesn't change cell owners,
--- a/internal/rwmember/rwmember_test.go
+++ b/internal/rwmember/rwmember_test.go
@@ -21,6 +21,7 @@
 	"redwingworks.example/internal/rwmember"
 	"redwingworks.example/internal/rwprobe"
 	"redwingworks.example/internal/rwprobecall"
+	"redwingworks.example/internal/rwrevision"
 	"redwingworks.example/internal/rwupdate"
 	"redwingworks.example/internal/rwvm"
 )
@@ -829,7 +830,7 @@
 	f := newFleet(n, 6)
 	f.startAll(t)
 	for _, name := range f.names {
-		f.nodes[name].m.SetConfigDigest(123456, 1<<52)
+		f.nodes[name].m.SetConfigDigest(rwrevision.Revision{Rev: 123456}, 1<<52)
 	}
 	f.run(12 * time.Second)
 	f.count = true
--- a/internal/rwprobe/rwprobe.go
+++ b/internal/rwprobe/rwprobe.go
@@ -24,9 +24,10 @@
 	Refutations uint64 `json:"q,omitempty"`
 	// Leaving reports whether the sender is shutting down.
 	Leaving bool `json:"l,omitempty"`
-	// Rev is the highest configuration revision that the sender has seen,
-	// Digest the digest of all its records.
+	// Rev is the highest configuration revision that the sender has seen, in the
+	// platform's era Era, and Digest the digest of all its records.
 	Rev    int64  `json:"r,omitempty"`
+	Era    int64  `json:"e,omitempty"`
 	Digest uint64 `json:"d,omitempty"`
 	// Target and Addr are the name and address of the router that the receiver
 	// of a "probe" has to ping.
--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -13,6 +14,7 @@
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwrevision"
 )
 
 const (
@@ -39,11 +41,8 @@
 // Batch is a response of the store.
 type Batch struct {
 	Items []rwitem.Item
-	// Rev is the revision up to which the batch is complete.
-	Rev int64
-	// Era is the number of times that the store has come back from an older copy,
-	// which gives revisions out again.
-	Era int64
+	// Rev is the revision up to which the batch is complete, in the era Era.
+	Rev, Era int64
 	// EraFault is why Era is the last known one and not what the response states,
 	// or nil.
 	EraFault error
@@ -52,6 +51,10 @@
 	ReadAt time.Time
 }
 
+// Revision returns the position in the history of the store up to which the batch
+// is complete.
+func (b Batch) Revision() rwrevision.Revision { return rwrevision.Revision{Era: b.Era, Rev: b.Rev} }
+
 // Watcher lists and watches the store for one router. All fields are set before
 // Run.
 type Watcher struct {
@@ -70,13 +73,16 @@
 	// it is not known.
 	ApplyDeadline time.Duration
 
+	// refresh is whether to list before the interval has passed.
+	refresh atomic.Bool
+
 	mu        sync.Mutex
-	revisions map[string]int64
+	revisions map[string]rwrevision.Revision
 }
 
 // Run lists and watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	w.revisions = map[string]int64{}
+	w.revisions = map[string]rwrevision.Revision{}
 	g, ctx := errgroup.WithContext(ctx)
 	for _, prefix := range w.Prefixes {
 		g.Go(func() error { w.listLoop(ctx, prefix); return nil })
@@ -85,13 +91,16 @@
 	return g.Wait()
 }
 
+// Refresh makes the watcher list soon.
+func (w *Watcher) Refresh() { w.refresh.Store(true) }
+
 func (w *Watcher) listLoop(ctx context.Context, prefix string) {
 	for ctx.Err() == nil {
 		start := time.Now()
 		if !w.list(ctx, prefix) {
 			continue
 		}
-		for ctx.Err() == nil && time.Since(start) < w.listInterval() {
+		for ctx.Err() == nil && time.Since(start) < w.listInterval() && !w.refresh.Swap(false) {
 			sleep(ctx, pollInterval)
 		}
 	}
@@ -111,22 +120,28 @@
 func (w *Watcher) watchLoop(ctx context.Context, prefix string) {
 	for ctx.Err() == nil {
 		after := w.revision(prefix)
-		if after == 0 || !w.IsReader() {
+		if after.Rev == 0 || !w.IsReader() {
 			sleep(ctx, pollInterval)
 			continue
 		}
-		b, err := w.Watch(ctx, prefix, after, watchTimeout)
+		b, err := w.Watch(ctx, prefix, after.Rev, watchTimeout)
 		switch {
+		case err == nil && b.Era != after.Era:
+			// The revision that the watch continued from names another change in
+			// this era, so changes before it may be missing.
+			w.OnChange(prefix, b)
+			w.list(ctx, prefix)
 		case err == nil:
-			w.advance(prefix, b.Rev)
+			w.advance(prefix, b.Revision())
 			w.OnChange(prefix, b)
 			if len(b.Items) > 0 {
 				sleep(ctx, batchDelay)
 			}
 		case rwfault.Is(err, rwcode.RecordStale):
 			// The store has compacted the history that the watch would continue
-			// from.
+			// from, or has come back from a copy that lacks it.
 			w.list(ctx, prefix)
+			sleep(ctx, retryDelay)
 		default:
 			w.OnError(prefix, err)
 			sleep(ctx, retryDelay)
@@ -145,30 +160,30 @@
 		return false
 	}
 	b.ReadAt = start
-	w.advance(prefix, b.Rev)
+	w.advance(prefix, b.Revision())
 	w.OnList(prefix, b)
 	return true
 }
 
-func (w *Watcher) revision(prefix string) int64 {
+func (w *Watcher) revision(prefix string) rwrevision.Revision {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.revisions[prefix]
 }
 
-func (w *Watcher) advance(prefix string, rev int64) {
+func (w *Watcher) advance(prefix string, rev rwrevision.Revision) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.revisions[prefix] = max(w.revisions[prefix], rev)
+	w.revisions[prefix] = w.revisions[prefix].Max(rev)
 }
 
 // CompleteRev returns the revision up to which all prefixes have been read.
-func (w *Watcher) CompleteRev() int64 {
+func (w *Watcher) CompleteRev() rwrevision.Revision {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	least := int64(0)
+	var least rwrevision.Revision
 	for i, prefix := range w.Prefixes {
-		if rev := w.revisions[prefix]; i == 0 || rev < least {
+		if rev := w.revisions[prefix]; i == 0 || least.After(rev) {
 			least = rev
 		}
 	}
--- a/internal/rwstorewatch/rwstorewatch_test.go
+++ b/internal/rwstorewatch/rwstorewatch_test.go
@@ -16,8 +16,10 @@
 
 // store is a fake of the platform's store with one key.
 type store struct {
-	mu      sync.Mutex
-	rev     int64
+	mu  sync.Mutex
+	rev int64
+	// era is stated by tests that set it.
+	era     int64
 	changed chan struct{}
 	// silent stops watches from responding, down fails all calls, and compacted
 	// fails watches that start below a revision.
--- a/test/rwcapacity/members_test.go
+++ b/test/rwcapacity/members_test.go
@@ -19,6 +19,7 @@
 	"redwingworks.example/internal/rwprobecall"
 	"redwingworks.example/internal/rwpull"
 	"redwingworks.example/internal/rwrecord"
+	"redwingworks.example/internal/rwrevision"
 	"redwingworks.example/internal/rwstore"
 	"redwingworks.example/internal/rwvm"
 )
@@ -75,7 +76,7 @@
 	for i, name := range g.names {
 		g.members[name] = rwmember.New(g.identities[name], uint64(i))
 		g.members[name].SetPublishedVMs(list)
-		g.members[name].SetConfigDigest(123456, 1<<52)
+		g.members[name].SetConfigDigest(rwrevision.Revision{Rev: 123456}, 1<<52)
 	}
 	return g
 }
