Give no work to upstreams whose responses announce that they leave

Requests reached an upstream after its responses had told the router that it leaves: a router learned of leaving from the store and from other routers' views of the store only. Server-Leaving is now read from every response: of requests, refusals, skipped responses and the list of a cache. The mark belongs to the incarnation, wins over the store's entry, and ends with a later start. The router that is told tells all others, so that the owners of cells don't grant the upstream; a router that is granted one that it knows to leave asks again without it in place of refusing the request.

A response of another incarnation at the address (421) marks nothing.

--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -480,6 +480,28 @@
 	})
 }
 
+// Guards against refusing a request because its owner doesn't know yet that an engine
+// leaves, while others serve.
+func TestGrantOfALeavingEngineIsAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, newVersionedSnapshot("v1", "v1"))
+		owner := f.nodes["r0"].owner(cellKey{Service: "model"}).Name
+		router := map[string]string{"r0": "r1", "r1": "r0"}[owner]
+		for i := range 10 {
+			r := newRequest("x" + strconv.Itoa(i))
+			r.Parts[0].ID = strconv.Itoa(i)
+			known := newVersionedSnapshot("v1")
+			f.nodes[router].Published = func() *rwconfigsnapshot.Snapshot { return known }
+			g, fault := f.nodes[router].Acquire(t.Context(), "model", r)
+			require.Nil(t, fault)
+			require.Equal(t, known.Usable("model")[0].ID, g.Instance.ID)
+			g.FirstEvent()
+			g.End(rwplacement.Served)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // Guards against a router's resumption that is sent to the cell of the engine that
 // broke its stream off, although another cell has an engine of its version.
 func TestResumptionLeavesTheCellOfItsFailedEngine(t *testing.T) {
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -19,11 +19,11 @@
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rwinventory"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rworigin"
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwplacement"
-	"redwingworks.example/internal/rwprompt"
 	"redwingworks.example/internal/rwrendezvous"
 	"redwingworks.example/internal/rwrouteconfig"
 )
@@ -93,7 +93,10 @@
 	// Inventory, if set, lists the prompt parts that the engine at an address
 	// has cached. It is called for each engine of a cell when this router
 	// creates the cell's state, but not for engines that join later.
-	Inventory func(ctx context.Context, addr string) ([]rwprompt.Part, error)
+	Inventory func(ctx context.Context, addr string) (rwinventory.Inventory, error)
+	// OnLeaving is called for an engine whose response to Inventory says that it is
+	// leaving.
+	OnLeaving func(rwinstance.Instance)
 
 	// Origins holds the origins of streams that this router knows. New sets it.
 	Origins *rworigin.Table
@@ -246,6 +249,8 @@
 // the owner refused the request, the fault has a retry delay and the grant
 // holds the decision. If the router that was asked doesn't answer or stops being
 // the owner, the next one is asked, and after maxOwnersTried this router decides.
+// An engine that this router knows to be leaving is granted by owners that don't
+// know it yet; they are asked again without it.
 func (b *Broker) Acquire(ctx context.Context, service string, r rwplacement.Request) (Grant, *rwfault.Fault) {
 	key, ok := b.cellOf(service, r)
 	if !ok {
@@ -255,7 +260,13 @@
 	start, elapsed := time.Now(), r.Elapsed
 	for range maxOwnersTried {
 		g, fault := b.acquireFrom(ctx, b.owner(key), placeMessage{key, r})
-		if g.Verdict != rwplacement.Moved {
+		switch {
+		case fault != nil && fault.Code == rwcode.UpstreamLeaving:
+			r.Avoid = append(slices.Clone(r.Avoid), g.Engine)
+			if !b.hasEngine(service, r) {
+				return g, fault
+			}
+		case g.Verdict != rwplacement.Moved:
 			return g, fault
 		}
 		r.Elapsed = elapsed + time.Since(start)
@@ -263,6 +274,13 @@
 	return b.acquireFrom(ctx, b.self, placeMessage{key, r})
 }
 
+// hasEngine reports whether this router knows an engine that may get a request.
+func (b *Broker) hasEngine(service string, r rwplacement.Request) bool {
+	return slices.ContainsFunc(b.Published().Usable(service), func(in rwinstance.Instance) bool {
+		return (r.Software == "" || in.Software == r.Software) && !slices.Contains(r.Avoid, in.ID)
+	})
+}
+
 // acquireFrom is Acquire with one owner. If the grant's verdict is Moved, the
 // owner was told to drop the request.
 func (b *Broker) acquireFrom(ctx context.Context, owner rwidentity.Identity, m placeMessage) (Grant, *rwfault.Fault) {
@@ -314,13 +332,13 @@
 		// The owner's snapshot differs from this router's, in which the engine
 		// is leaving or unknown.
 		g.End(rwplacement.Abandoned)
-		return Grant{}, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
+		return g, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
 	}
 	if d.Software != "" && d.Software != in.Software {
 		// The engine has started again at another version, which only one of the
 		// two snapshots has. The stream would be recorded at the wrong one.
 		g.End(rwplacement.Abandoned)
-		return Grant{}, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
+		return g, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
 	}
 	if want := g.software; want != "" && in.Software != want {
 		// The owner runs a release that doesn't know versions of software.
@@ -565,14 +583,17 @@
 			continue
 		}
 		go func() {
-			parts, err := b.Inventory(context.Background(), in.Addr)
+			inventory, err := b.Inventory(context.Background(), in.Addr)
+			if inventory.Leaving {
+				b.OnLeaving(in)
+			}
 			if err != nil {
 				// The preferred engine of a prompt is a good guess without it.
 				b.metrics.Add("inventories_failed", 1)
 				return
 			}
 			b.metrics.Add("inventories", 1)
-			b.updateCell(k, func(p *rwplacement.Placer) { p.AddCached(in.ID, parts) })
+			b.updateCell(k, func(p *rwplacement.Placer) { p.AddCached(in.ID, inventory.Parts) })
 		}()
 	}
 }
--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -64,7 +64,8 @@
 	// a stale copy can't bring a removed upstream back.
 	items map[string]*entry
 	// leaving holds the highest StartMillis of the incarnations of an upstream, by
-	// its id, that were leaving. Only a later one gets work.
+	// its id, that were leaving. Only a later one gets work. It is 0 for one whose
+	// start isn't known, until its entry is removed.
 	leaving map[string]int64
 	// rev is the revision up to which all changes were applied.
 	rev rwrevision.Revision
@@ -213,6 +214,9 @@
 	}
 	next, err := c.decode(it)
 	before, returned, lapseUntil := c.current(now, e), it.Era > e.item.Era, time.Time{}
+	if mark, ok := c.leaving[instanceID(e)]; it.Deleted && ok && mark == 0 {
+		delete(c.leaving, instanceID(e))
+	}
 	if it.Deleted && before != nil && !before.Leaving {
 		lapseUntil = c.lapseEnd(now, e, returned)
 		if now.Before(lapseUntil) {
@@ -234,6 +238,15 @@
 	return err
 }
 
+// instanceID returns the id of the upstream that an entry describes, or an empty
+// string.
+func instanceID(e *entry) string {
+	if e.instance == nil {
+		return ""
+	}
+	return e.instance.ID
+}
+
 // lapseEnd returns the end of the grace period of an upstream in use whose entry is
 // removed, or zero if the removal isn't a lapse. A removal that repeats one doesn't
 // lengthen it, unless the store has returned since.
@@ -337,12 +350,29 @@
 			in = held.instance
 		}
 	}
-	if in == nil || in.Leaving || in.StartMillis == 0 || in.StartMillis > c.leaving[in.ID] {
+	if in == nil || in.Leaving || !c.isLeaving(in.ID, in.StartMillis) {
 		return in
 	}
 	return asLeaving(in)
 }
 
+// isLeaving reports whether an incarnation was leaving.
+func (c *Catalog) isLeaving(id string, startMillis int64) bool {
+	mark, ok := c.leaving[id]
+	return ok && startMillis <= mark && (startMillis > 0) == (mark > 0)
+}
+
+// MarkLeaving records that an incarnation leaves, whatever its entry says, and
+// reports whether that was new.
+func (c *Catalog) MarkLeaving(now time.Time, id string, startMillis int64) bool {
+	if c.isLeaving(id, startMillis) {
+		return false
+	}
+	c.leaving[id] = max(c.leaving[id], startMillis)
+	c.rebuild(now)
+	return true
+}
+
 // held is what an earlier item of an entry makes of its upstream.
 type held struct{ instance *rwinstance.Instance }
 
--- a/internal/rwcatalogsync/rwcatalogsync.go
+++ b/internal/rwcatalogsync/rwcatalogsync.go
@@ -12,6 +12,7 @@
 
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwleaving"
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwrendezvous"
 	"redwingworks.example/internal/rwrevision"
@@ -41,6 +42,9 @@
 	Since func(rev rwrevision.Revision) []rwitem.Item
 	// Apply applies items from another router, which has all changes up to rev.
 	Apply func(from string, rev rwrevision.Revision, items []rwitem.Item)
+	// OnLeaving is called when another router tells of an upstream that announced
+	// its leaving.
+	OnLeaving func(from string, u rwleaving.Upstream)
 	// Refresh makes this router list the store soon.
 	Refresh func()
 	// Live returns the live routers of a zone, or of all zones if it is empty,
@@ -71,6 +75,7 @@
 	s := &Syncer{self: peers.Self(), peers: peers}
 	peers.Handle("fresh", rwpeer.Typed(s.handleFresh))
 	peers.Handle("pull", rwpeer.Typed(s.handlePull))
+	peers.Handle("leaving", rwpeer.Typed(s.handleLeaving))
 	return s
 }
 
@@ -116,6 +121,20 @@
 	}
 }
 
+// NotifyLeaving tells all other routers that an upstream has announced its leaving.
+func (s *Syncer) NotifyLeaving(u rwleaving.Upstream) {
+	for _, id := range s.Live("") {
+		if id.Name != s.self.Name {
+			s.peers.Notify(id.Addr, "leaving", u)
+		}
+	}
+}
+
+func (s *Syncer) handleLeaving(_ context.Context, from rwidentity.Identity, u rwleaving.Upstream) (any, error) {
+	s.OnLeaving(from.Name, u)
+	return nil, nil
+}
+
 // ObserveRev compares another router's revision, which comes with every probe,
 // and pulls from that router if this one is behind.
 func (s *Syncer) ObserveRev(from rwidentity.Identity, rev rwrevision.Revision) {
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -37,15 +37,17 @@
 	"redwingworks.example/internal/rwhistogram"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwinflight"
+	"redwingworks.example/internal/rwinstance"
+	"redwingworks.example/internal/rwinventory"
 	"redwingworks.example/internal/rwitem"
 	"redwingworks.example/internal/rwlag"
+	"redwingworks.example/internal/rwleaving"
 	"redwingworks.example/internal/rwlisten"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rworigin"
 	"redwingworks.example/internal/rwoverload"
 	"redwingworks.example/internal/rwpeer"
-	"redwingworks.example/internal/rwprompt"
 	"redwingworks.example/internal/rwregistry"
 	"redwingworks.example/internal/rwrelay"
 	"redwingworks.example/internal/rwretrywindow"
@@ -160,7 +162,7 @@
 	Decode   func(rwitem.Item) (rwcatalog.Decoded, error)
 	// Inventory lists the prompt parts that the engine at an address has
 	// cached.
-	Inventory func(ctx context.Context, addr string) ([]rwprompt.Part, error)
+	Inventory func(ctx context.Context, addr string) (rwinventory.Inventory, error)
 	// Key authenticates routers to each other.
 	Key string
 	Out io.Writer
@@ -216,10 +218,7 @@
 	// unreadable holds the header fields, by upstream, that were logged as
 	// unreadable.
 	unreadable map[string]bool
-	// announced holds the upstreams whose responses have announced that they
-	// leave.
-	announced map[rwconn.Key]bool
-	published atomic.Pointer[rwconfigsnapshot.Snapshot]
+	published  atomic.Pointer[rwconfigsnapshot.Snapshot]
 	// activeRequests is the number of requests in progress.
 	activeRequests atomic.Int64
 	inFlight       rwinflight.Table
@@ -305,6 +304,7 @@
 		ApplyDeadline: e.deployment.ConfigDeadline,
 	}
 	e.syncer.Refresh = e.watcher.Refresh
+	e.syncer.OnLeaving = func(from string, u rwleaving.Upstream) { e.markLeaving(from, u) }
 	e.catalog.EntryTTL = lapseHeartbeats * e.deployment.Heartbeat
 }
 
@@ -327,6 +327,9 @@
 	e.broker.ShareWindow = e.deployment.ShareWindow / 2
 	e.broker.OnForecastError = e.forecastErrors.Record
 	e.broker.Inventory = e.config.Inventory
+	e.broker.OnLeaving = func(in rwinstance.Instance) {
+		e.markLeaving("inventory", rwleaving.Upstream{Name: in.ID, Inc: in.StartMillis})
+	}
 	e.broker.StreamWindow, e.broker.Readers = e.streamWindow, e.syncer.Readers
 	e.broker.FleetSize = func() int { return int(e.maxRouters.Load()) }
 	front := &rwfront.Handler{
@@ -853,23 +856,34 @@
 	}
 }
 
-// onUpstreamResponse logs what a response says of its upstream beside the request.
+// onUpstreamResponse evaluates what a response says of its upstream beside the
+// request.
 func (e *Edge) onUpstreamResponse(k rwconn.Key, info rwdialect.ResponseInfo) {
 	if info.Unreadable != "" {
 		e.logUnreadable(k, info.Unreadable)
 	}
-	if !info.Leaving {
+	if info.Leaving {
+		e.markLeaving("response", rwleaving.Upstream{Name: k.ID, Inc: k.StartMillis})
+	}
+}
+
+// markLeaving gives no more work to an upstream that has announced its leaving in a
+// response, and tells the other routers if it has announced it to this one.
+func (e *Edge) markLeaving(source string, u rwleaving.Upstream) {
+	if in, ok := e.published.Load().Known(u.Name); ok && in.Leaving && in.StartMillis == u.Inc {
 		return
 	}
-	e.mu.Lock()
-	known := e.announced[k]
-	if e.announced == nil {
-		e.announced = map[rwconn.Key]bool{}
+	marked := false
+	e.updateCatalog(source, func(now time.Time) (bool, map[string]error) {
+		marked = e.catalog.MarkLeaving(now, u.Name, u.Inc)
+		return marked, nil
+	})
+	if !marked {
+		return
 	}
-	e.announced[k] = true
-	e.mu.Unlock()
-	if !known {
-		rwlog.Info(&e.log, rwlog.UpstreamLeaving).Str("upstream", k.ID).Int64("born", k.StartMillis).Str("source", "response").Send()
+	rwlog.Info(&e.log, rwlog.UpstreamLeaving).Str("upstream", u.Name).Int64("born", u.Inc).Str("source", source).Send()
+	if source == "response" || source == "inventory" {
+		e.syncer.NotifyLeaving(u)
 	}
 }
 
