--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -177,7 +177,7 @@
 	case order == 0:
 		return false, nil
 	case it.Era < e.item.Era:
-		return c.applyEarlier(now, e, it)
+		return c.applyEarlier(e, it)
 	}
 	if c.OnStale != nil && it.Revision() != e.staleRev {
 		e.staleRev = it.Revision()
@@ -319,7 +319,7 @@
 }
 
 // applyEarlier applies an item of an earlier era than the known one.
-func (c *Catalog) applyEarlier(now time.Time, e *entry, it rwitem.Item) (bool, error) {
+func (c *Catalog) applyEarlier(e *entry, it rwitem.Item) (bool, error) {
 	if it.Deleted || e.earlier != nil && !it.Revision().After(e.earlier.item.Revision()) {
 		// A removal that another router knows may be that of an entry which a copy
 		// lacked.
