Log the prompt parts of responses that engines break off

The logs couldn't tell whether engines end one after the other under one part of the prompts: no line named a part. Event 603 does, with how much of the response had arrived.

--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -41,6 +41,10 @@
 	Software string
 	// LastEventID is the id of the last event that was forwarded, or -1.
 	LastEventID int64
+	// AttemptEvents is the number of events that the current upstream has sent, and
+	// AttemptEventAt when its first one arrived.
+	AttemptEvents  int
+	AttemptEventAt time.Time
 	// LastEventAt is when the last event was forwarded; MaxGap is the longest
 	// time between two events.
 	LastEventAt time.Time
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -50,10 +50,28 @@
 	}
 	x.Ran++
 	x.KeepAlive = resp.Info.KeepAlive
+	x.AttemptEvents, x.AttemptEventAt = 0, time.Time{}
+	var end rwplacement.End
+	var fault *rwfault.Fault
 	if x.Route.Kind == rwrouteconfig.Stream && resp.HTTP.StatusCode == http.StatusOK {
-		return f.forwardStream(ctx, w, x, dest, resp)
+		end, fault = f.forwardStream(ctx, w, x, dest, resp)
+	} else {
+		end, fault = f.forwardResponse(ctx, w, x, resp)
 	}
-	return f.forwardResponse(ctx, w, x, resp)
+	if fault != nil && fault.Code == rwcode.UpstreamTruncated && x.Engine != nil {
+		f.noteBroken(x, dest)
+	}
+	return end, fault
+}
+
+// noteBroken logs a response of an engine that broke off.
+func (f *Handler) noteBroken(x *rwexchange.Exchange, dest destination) {
+	since := time.Duration(0)
+	if !x.AttemptEventAt.IsZero() {
+		since = time.Since(x.AttemptEventAt)
+	}
+	f.addRequest(rwlog.Info(&f.Log, rwlog.ResponseBroken), x).Str("service", x.Service).Str("upstream", dest.id).
+		Int64("born", dest.startMillis).Int("events", x.AttemptEvents).Dur("since", since).Strs("parts", x.Request.Prompt.SharedIDs()).Send()
 }
 
 func (f *Handler) upstreamRequest(x *rwexchange.Exchange, dest destination) rwconn.Request {
@@ -228,7 +246,9 @@
 			fault := outcomeUnknown(ctx, rwfault.From(err).Code, err)
 			return endFor(fault), fault
 		}
+		x.AttemptEvents++
 		if !reported {
+			x.AttemptEventAt = time.Now()
 			dest.firstEvent()
 			reported = true
 			x.Software = dest.software
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -58,6 +58,7 @@
 	CellTaken            Event = 600 // cell ownership taken
 	CellReleased         Event = 601 // cell ownership released
 	UpstreamBackedOff    Event = 602 // upstream backed off
+	ResponseBroken       Event = 603 // response broken off
 	KeysHeld             Event = 700 // idempotency keys held
 	KeysReleased         Event = 701 // idempotency keys released
 	KeysHandedOver       Event = 702 // idempotency keys handed over
--- a/internal/rwprompt/rwprompt.go
+++ b/internal/rwprompt/rwprompt.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// SharedIDs returns the ids of the parts that other requests may share, which are all
+// but the last.
+func (p Prompt) SharedIDs() []string {
+	var ids []string
+	for i := range len(p.Parts) - 1 {
+		ids = append(ids, p.Parts[i].ID)
+	}
+	return ids
+}
+
 // ExpectedOutput returns the expected number of generated tokens.
 func (p Prompt) ExpectedOutput() int {
 	switch {
