Refuse requests with a part of a prompt that crashes engines

Requests with one part in their prompts ended engines one after the other, and each end broke the responses of others off. Routers forgot why an engine had ended: such a request was sent on, and sent again to a second engine, until it had crashed maxAttempts of them.

rwpoison keeps, for each incarnation of an engine that ended, the shared parts of the requests whose responses had just begun, as all routers saw it. A part is harmful that explains three crashes and 0.4 of those since the first, if no router knows of a response on it around them, the service writes responses, and the engines don't respond again. Requests with it are refused at once, before the grant and after it, and aren't sent again once two crashes are theirs. Parts that sound requests share with them get responses and are never blamed. A response on the part frees it, and so do ten minutes. Routers that join are told.

Ruled out: blocking the account, the route or the first part, which refuses sound requests; and stopping the repeats alone, since new requests come with no two alike.

--- a/internal/rwcode/rwcode.go
+++ b/internal/rwcode/rwcode.go
@@ -64,10 +64,12 @@
 	UpstreamFailed                  // upstream_failed
 	OriginUnknown                   // origin_unknown
 	SoftwareUnavailable             // software_unavailable
+	// PromptHarmful is a prompt with a part that crashes engines.
+	PromptHarmful // prompt_harmful
 )
 
 // last is the highest code.
-const last = SoftwareUnavailable
+const last = PromptHarmful
 
 // Parse returns the code with a text, or Internal for an unknown text, which a
 // router of a later version may send.
--- /dev/null
+++ b/internal/rwcrash/rwcrash.go
@@ -0,0 +1,13 @@
+// Package rwcrash describes an engine that ended within a response.
+package rwcrash
+
+// Crash is what one router saw of the end of an engine.
+type Crash struct {
+	Service string `json:"svc"`
+	// Upstream and StartMillis are the incarnation of the engine.
+	Upstream    string `json:"up"`
+	StartMillis int64  `json:"born,omitempty"`
+	// Parts are the ids of the shared prompt parts of a request whose response had
+	// just begun.
+	Parts []string `json:"parts"`
+}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -48,6 +48,7 @@
 	"redwingworks.example/internal/rworigin"
 	"redwingworks.example/internal/rwoverload"
 	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwpoisonsync"
 	"redwingworks.example/internal/rwregistry"
 	"redwingworks.example/internal/rwrelay"
 	"redwingworks.example/internal/rwretrywindow"
@@ -198,6 +199,7 @@
 	gossip      *rwgossip.Gossip
 	broker      *rwbroker.Broker
 	syncer      *rwcatalogsync.Syncer
+	poison      *rwpoisonsync.Syncer
 	watcher     *rwstorewatch.Watcher
 	pool        *rwconn.Pool
 	server      *http.Server
@@ -251,6 +253,7 @@
 	e.peers.SkipCompression = func() bool { return e.overload.Saturated() }
 	e.gossip = rwgossip.New(e.peers, e.deployment.Seeds, e.log, e.metrics)
 	e.syncer = rwcatalogsync.New(e.peers)
+	e.poison = rwpoisonsync.New(e.peers)
 	e.broker = rwbroker.New(e.self, e.peers, e.metrics)
 	e.connLimiter, e.lagMonitor, e.overload = rwconnlimit.New(), rwlag.New(), rwoverload.New(c.Deployment.CPUMillis)
 	e.connLimiter.HeadTimeout = headerTimeout
@@ -345,7 +348,17 @@
 		CloseRefused: func() bool { return e.connLimiter.Open() > e.maxConnections(closeRefusedRatio) },
 		Zone:         e.self.Zone, Log: e.log, Metrics: e.metrics, ObserveLatency: e.latency.Record,
 		Stopping: e.stopRequested, InFlight: &e.inFlight, Via: e.relayedBy,
-		Tally: &e.tally,
+		Tally:       &e.tally,
+		HarmfulPart: e.poison.Harmful, SuspectedPart: e.poison.Suspected, ResponseWritten: e.poison.AddResponse, Crashed: e.poison.AddCrash, Alive: e.poison.AddAlive,
+	}
+	e.poison.Live = func() []rwidentity.Identity { return e.gossip.Live("") }
+	e.poison.OnHarmful = func(source, service, id string) {
+		e.metrics.Add("parts_harmful", 1)
+		rwlog.Warn(&e.log, rwlog.PartHarmful, rwfault.New(rwcode.PromptHarmful, id)).Str("part", id).Str("service", service).Str("source", source).Send()
+	}
+	e.poison.OnFreed = func(source, service, id string) {
+		e.metrics.Add("parts_freed", 1)
+		rwlog.Info(&e.log, rwlog.PartFreed).Str("part", id).Str("service", service).Str("source", source).Send()
 	}
 	requests, cancel := context.WithCancelCause(context.Background())
 	e.cancelRequests = cancel
@@ -620,6 +633,7 @@
 	e.registry.Register("gossip", e.gossip, e.gossip.Run)
 	e.registry.Register("tracker", e.watcher, e.watcher.Run)
 	e.registry.Register("broker", e.broker, e.broker.Run)
+	e.registry.Register("poison", e.poison, e.poison.Run)
 	e.registry.Register("front", e.server, e.serveFront)
 	if e.deployment.Relay != "" {
 		e.registry.Register("relay", e.relay, e.serveRelayed)
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -11,6 +11,7 @@
 
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwconn"
+	"redwingworks.example/internal/rwcrash"
 	"redwingworks.example/internal/rwdialect"
 	"redwingworks.example/internal/rwexchange"
 	"redwingworks.example/internal/rwfault"
@@ -22,6 +23,10 @@
 	"redwingworks.example/internal/rwssereader"
 )
 
+// crashTime is how long after the first event the end of an engine may be due to its
+// response.
+const crashTime = 300 * time.Millisecond
+
 // attempt sends the request to one upstream and forwards the response. It
 // returns a fault unless the caller has a complete response.
 func (f *Handler) attempt(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, dest destination) (rwplacement.End, *rwfault.Fault) {
@@ -29,6 +34,7 @@
 	// its result.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	sent := time.Now()
 	resp, err := f.Pool.Do(ctx, f.upstreamRequest(x, dest))
 	if err != nil {
 		fault := rwfault.From(err)
@@ -48,6 +54,9 @@
 		drain(resp)
 		return rwplacement.Refused, rwfault.New(rwcode.UpstreamRefused, dest.id)
 	}
+	if f.Alive != nil && x.Engine != nil {
+		f.Alive(x.Service, dest.id, dest.startMillis, sent)
+	}
 	x.Ran++
 	x.KeepAlive = resp.Info.KeepAlive
 	x.AttemptEvents, x.AttemptEventAt = 0, time.Time{}
@@ -64,16 +73,27 @@
 	return end, fault
 }
 
-// noteBroken logs a response of an engine that broke off.
+// noteBroken logs a response of an engine that broke off, and reports a crash of the
+// engine if the response had just begun.
 func (f *Handler) noteBroken(x *rwexchange.Exchange, dest destination) {
 	since := time.Duration(0)
 	if !x.AttemptEventAt.IsZero() {
 		since = time.Since(x.AttemptEventAt)
 	}
+	if ids := x.Request.Prompt.SharedIDs(); f.Crashed != nil && since < crashTime && len(ids) > 0 {
+		f.Crashed(rwcrash.Crash{Service: x.Service, Upstream: dest.id, StartMillis: dest.startMillis, Parts: ids})
+	}
 	f.addRequest(rwlog.Info(&f.Log, rwlog.ResponseBroken), x).Str("service", x.Service).Str("upstream", dest.id).
 		Int64("born", dest.startMillis).Int("events", x.AttemptEvents).Dur("since", since).Strs("parts", x.Request.Prompt.SharedIDs()).Send()
 }
 
+// noteWritten reports that a response was written on the parts of the prompt.
+func (f *Handler) noteWritten(x *rwexchange.Exchange) {
+	if ids := x.Request.Prompt.SharedIDs(); f.ResponseWritten != nil && x.Engine != nil && len(ids) > 0 {
+		f.ResponseWritten(x.Service, ids)
+	}
+}
+
 func (f *Handler) upstreamRequest(x *rwexchange.Exchange, dest destination) rwconn.Request {
 	q := x.Request
 	after := q.LastEventID
@@ -229,7 +249,7 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(x.Deadline.Add(writeSlack))
 	events := rwssereader.New(resp.Body())
-	reported := false
+	reported, written := false, false
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -247,6 +267,10 @@
 			return endFor(fault), fault
 		}
 		x.AttemptEvents++
+		if !written && x.AttemptEvents > 1 && time.Since(x.AttemptEventAt) >= crashTime {
+			written = true
+			f.noteWritten(x)
+		}
 		if !reported {
 			x.AttemptEventAt = time.Now()
 			dest.firstEvent()
@@ -314,6 +338,9 @@
 		f.ObserveLatency(first)
 	}
 	f.Metrics.Add("served", 1)
+	if status == http.StatusOK {
+		f.noteWritten(x)
+	}
 	f.count(x, "served")
 	f.addRequest(rwlog.Info(&f.Log, rwlog.RequestFinished), x).Int("status", status).
 		Str("route", x.Route.Name).Str("account", x.Account.Name).Str("upstream", x.Upstream).
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -19,6 +19,7 @@
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwconfigsnapshot"
 	"redwingworks.example/internal/rwconn"
+	"redwingworks.example/internal/rwcrash"
 	"redwingworks.example/internal/rwdialect"
 	"redwingworks.example/internal/rwexchange"
 	"redwingworks.example/internal/rwfault"
@@ -132,6 +133,18 @@
 	Stopping func() (time.Time, bool)
 	// InFlight holds the requests in progress.
 	InFlight *rwinflight.Table
+	// HarmfulPart, if set, returns the first part of a prompt that crashes the
+	// engines of a service, and how long requests with it are refused. SuspectedPart
+	// reports whether a part may have crashed several. ResponseWritten is called for
+	// the shared parts of prompts on which a response was written, and Crashed for
+	// those of a request whose response had just begun when its engine ended.
+	HarmfulPart     func(service string, ids []string) (id string, left time.Duration, ok bool)
+	SuspectedPart   func(service string, ids []string) bool
+	ResponseWritten func(service string, ids []string)
+	Crashed         func(rwcrash.Crash)
+	// Alive, if set, is called for an engine that has responded to a request sent at
+	// a time.
+	Alive func(service, upstream string, startMillis int64, sent time.Time)
 	// Tally, if set, counts the requests by account and outcome.
 	Tally *rwtally.Tally
 	// BodyTimeout bounds the time to read a request body; 0 for the default.
@@ -375,6 +388,9 @@
 // then, and otherwise the fault to report.
 func (f *Handler) run(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange) *rwfault.Fault {
 	var last *rwfault.Fault
+	if fault := f.harmful(x); fault != nil {
+		return fault
+	}
 	if x.ResumesStream() {
 		if fault := f.findOrigin(ctx, x); fault != nil {
 			return fault
@@ -385,6 +401,11 @@
 		if fault != nil {
 			return moreCertain(last, fault)
 		}
+		if fault := f.harmful(x); fault != nil {
+			// This became known while the request waited.
+			dest.end(rwplacement.Abandoned)
+			return moreCertain(last, fault)
+		}
 		if x.Sent == 0 && f.Lagging() {
 			dest.end(rwplacement.Abandoned)
 			return rwfault.New(rwcode.TooManyRequests, "router is lagging").WithRetryAfter(overloadRetryAfter)
@@ -416,6 +437,19 @@
 	}
 }
 
+// harmful returns the fault of a request whose prompt has a part that crashes
+// engines, or nil.
+func (f *Handler) harmful(x *rwexchange.Exchange) *rwfault.Fault {
+	if f.HarmfulPart == nil || x.Engine == nil {
+		return nil
+	}
+	id, left, ok := f.HarmfulPart(x.Service, x.Request.Prompt.SharedIDs())
+	if !ok {
+		return nil
+	}
+	return rwfault.New(rwcode.PromptHarmful, id).WithRetryAfter(left)
+}
+
 // trackAttempt updates the table of requests in progress at the start of an
 // attempt at an upstream, and at its end with no upstream.
 func (f *Handler) trackAttempt(x *rwexchange.Exchange, upstream string) {
@@ -464,6 +498,9 @@
 	case fault.Outcome == rwoutcome.NotRun:
 		return x.Ran < x.Route.MaxAttempts
 	}
+	if x.LastEventID < 0 && x.Engine != nil && f.SuspectedPart != nil && f.SuspectedPart(x.Service, x.Request.Prompt.SharedIDs()) {
+		return false
+	}
 	return x.Route.Retryable() && x.Ran < x.Route.MaxAttempts && (!x.HeadSent || x.LastEventID >= 0)
 }
 
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -59,6 +59,8 @@
 	CellReleased         Event = 601 // cell ownership released
 	UpstreamBackedOff    Event = 602 // upstream backed off
 	ResponseBroken       Event = 603 // response broken off
+	PartHarmful          Event = 604 // prompt part harmful
+	PartFreed            Event = 605 // prompt part freed
 	KeysHeld             Event = 700 // idempotency keys held
 	KeysReleased         Event = 701 // idempotency keys released
 	KeysHandedOver       Event = 702 // idempotency keys handed over
--- /dev/null
+++ b/internal/rwpoison/rwpoison.go
@@ -0,0 +1,326 @@
+// Package rwpoison finds the parts of prompts that crash engines. An engine that
+// crashes takes the responses of other requests with it, so that one crash blames
+// all parts of those that had just begun. A part is harmful if it explains several
+// crashes and no response on it was written around them, while the engines wrote
+// others. The parts that sound requests share with the crashing ones get responses
+// all the time. A broken connection to an engine that responds later was no crash.
+//
+// The package reads no clock and does no I/O; callers pass the time.
+package rwpoison
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"redwingworks.example/internal/rwcrash"
+)
+
+const (
+	// minCrashes is the number of crashes that a harmful part explains at least,
+	// and minShare the fraction of those since the first one.
+	minCrashes = 3
+	minShare   = 0.4
+	// soundTime is how long before a crash a response may have been written on a
+	// part that therefore isn't to blame.
+	soundTime = 10 * time.Second
+	// settleTime is how long after a crash other routers may tell of such responses,
+	// and the engine may prove that it still runs.
+	settleTime = 600 * time.Millisecond
+	// crashTTL is how long a crash is remembered; maxCrashes bounds those of a
+	// service, and maxParts the parts of one.
+	crashTTL   = 30 * time.Second
+	maxCrashes = 64
+	maxParts   = 256
+	// harmfulTime is how long requests with a harmful part are refused: it may be
+	// harmless to a later release of the engines. One more crash within priorTime
+	// after that shows that it isn't.
+	harmfulTime = 10 * time.Minute
+	priorTime   = time.Hour
+	// maxHarmful bounds the harmful parts and maxSound the parts in each half of
+	// the table of those with responses.
+	maxHarmful = 1024
+	maxSound   = 8192
+	// maxIDBytes is the length up to which the id of a part is used as it is.
+	maxIDBytes = 64
+)
+
+// Detector holds what a router knows of crashes. It is not safe for concurrent use.
+type Detector struct {
+	// crashes holds the latest crashes of each service, oldest first.
+	crashes map[string][]*crash
+	// recent and older hold when a response was last written on a part; recent
+	// replaces older after soundTime or when it is full.
+	recent, older map[part]time.Time
+	rotatedAt     time.Time
+	// responded holds when any response of a service was last written.
+	responded map[string]time.Time
+	// harmful holds the end of the refusals of each harmful part.
+	harmful map[part]time.Time
+	// changed is whether crashes were added since the last Tick without one that
+	// hasn't settled.
+	changed bool
+}
+
+type part struct{ service, id string }
+
+// crash is the end of one incarnation of an engine.
+type crash struct {
+	upstream    string
+	startMillis int64
+	at          time.Time
+	parts       map[string]bool
+}
+
+// New returns a detector without crashes.
+func New() *Detector {
+	return &Detector{
+		crashes: map[string][]*crash{}, recent: map[part]time.Time{}, older: map[part]time.Time{}, harmful: map[part]time.Time{},
+		responded: map[string]time.Time{},
+	}
+}
+
+// key returns the key of a part. Callers choose the ids.
+func key(service, id string) part {
+	if len(id) > maxIDBytes {
+		sum := sha256.Sum256([]byte(id))
+		id = hex.EncodeToString(sum[:])
+	}
+	return part{service, id}
+}
+
+// AddResponse records that a response was written on the parts of a prompt, and
+// returns those that were harmful and no longer are.
+func (d *Detector) AddResponse(now time.Time, service string, ids []string) (freed []string) {
+	if now.Sub(d.rotatedAt) > soundTime || len(d.recent) >= maxSound {
+		d.older, d.recent, d.rotatedAt = d.recent, map[part]time.Time{}, now
+	}
+	d.responded[service] = now
+	for _, id := range ids {
+		k := key(service, id)
+		d.recent[k] = now
+		if _, ok := d.harmful[k]; ok {
+			delete(d.harmful, k)
+			freed = append(freed, id)
+		}
+	}
+	return freed
+}
+
+// respondedAt returns when a response was last written on a part.
+func (d *Detector) respondedAt(k part) time.Time {
+	if at, ok := d.recent[k]; ok {
+		return at
+	}
+	return d.older[k]
+}
+
+// AddCrash records a crash that this or another router saw, and returns those of the
+// parts that aren't to blame as far as this router knows.
+func (d *Detector) AddCrash(now time.Time, c rwcrash.Crash) (sound []string) {
+	list := slices.DeleteFunc(d.crashes[c.Service], func(k *crash) bool { return now.Sub(k.at) > crashTTL })
+	d.crashes[c.Service] = list
+	i := d.indexOf(c.Service, c.Upstream, c.StartMillis)
+	if i < 0 {
+		if len(list) >= maxCrashes {
+			list = slices.Delete(list, 0, 1)
+		}
+		i = len(list)
+		list = append(list, &crash{upstream: c.Upstream, startMillis: c.StartMillis, at: now, parts: map[string]bool{}})
+	}
+	d.crashes[c.Service] = list
+	for _, id := range c.Parts {
+		k := key(c.Service, id)
+		switch {
+		case d.isSound(k, list[i].at):
+			sound = append(sound, id)
+		case len(list[i].parts) < maxParts:
+			list[i].parts[k.id] = true
+			d.changed = true
+		}
+	}
+	return sound
+}
+
+// indexOf returns the index of the crash of an incarnation, or -1.
+func (d *Detector) indexOf(service, upstream string, startMillis int64) int {
+	return slices.IndexFunc(d.crashes[service], func(c *crash) bool { return c.upstream == upstream && c.startMillis == startMillis })
+}
+
+// AddAlive records that an incarnation responded to a request sent at a time, and
+// returns the parts that are no longer harmful because it hadn't crashed before. It
+// reports whether a crash was dropped. An engine whose start isn't known may have
+// started again.
+func (d *Detector) AddAlive(service, upstream string, startMillis int64, sent time.Time) (freed []string, dropped bool) {
+	i := d.indexOf(service, upstream, startMillis)
+	if i < 0 || startMillis == 0 || !sent.After(d.crashes[service][i].at) {
+		return nil, false
+	}
+	c := d.crashes[service][i]
+	d.crashes[service] = slices.Delete(d.crashes[service], i, i+1)
+	for id := range c.parts {
+		k := part{service, id}
+		if _, ok := d.harmful[k]; !ok {
+			continue
+		}
+		if n, _ := d.blamed(k, sent); n < minCrashes {
+			delete(d.harmful, k)
+			freed = append(freed, id)
+		}
+	}
+	return freed, true
+}
+
+// isSound reports whether a response was written on a part around or after a time.
+func (d *Detector) isSound(k part, at time.Time) bool {
+	last := d.respondedAt(k)
+	return !last.IsZero() && last.After(at.Add(-soundTime))
+}
+
+// blamed returns the number of crashes that a part may explain, and that of all
+// since the first of these, without those that another harmful part explains.
+func (d *Detector) blamed(k part, before time.Time) (n, total int) {
+	for _, c := range d.crashes[k.service] {
+		if len(c.parts) == 0 || c.at.After(before) || d.isExplained(k, c) {
+			continue
+		}
+		if c.parts[k.id] && !d.isSound(k, c.at) {
+			n++
+		}
+		if n > 0 {
+			total++
+		}
+	}
+	return n, total
+}
+
+// isExplained reports whether a harmful part other than k explains a crash.
+func (d *Detector) isExplained(k part, c *crash) bool {
+	for other := range d.harmful {
+		if other != k && other.service == k.service && c.parts[other.id] {
+			return true
+		}
+	}
+	return false
+}
+
+// Tick returns the parts that have become harmful, by service.
+func (d *Detector) Tick(now time.Time) map[string][]string {
+	for k, until := range d.harmful {
+		if now.Sub(until) > priorTime {
+			delete(d.harmful, k)
+		}
+	}
+	if !d.changed {
+		return nil
+	}
+	d.changed = false
+	found := map[string][]string{}
+	for service, list := range d.crashes {
+		list = slices.DeleteFunc(list, func(c *crash) bool { return now.Sub(c.at) > crashTTL })
+		d.crashes[service] = list
+		if len(list) == 0 {
+			delete(d.crashes, service)
+			continue
+		}
+		d.changed = d.changed || now.Sub(list[len(list)-1].at) < settleTime
+		for _, id := range d.explaining(now, service) {
+			d.harmful[part{service, id}] = now.Add(harmfulTime)
+			found[service] = append(found[service], id)
+		}
+	}
+	return found
+}
+
+// explaining returns the parts of a service that explain more crashes than others,
+// and enough to be harmful.
+func (d *Detector) explaining(now time.Time, service string) []string {
+	counts := map[string]int{}
+	for _, c := range d.crashes[service] {
+		for id := range c.parts {
+			counts[id]++
+		}
+	}
+	var best []string
+	most := 0
+	for id, count := range counts {
+		k := part{service, id}
+		until, known := d.harmful[k]
+		if known && now.Before(until) || !known && count < minCrashes {
+			continue
+		}
+		n, total := d.blamed(k, now.Add(-settleTime))
+		enough := n >= minCrashes && float64(n) >= minShare*float64(total) && d.respondedSince(service, d.crashes[service][0].at)
+		if !enough && (!known || n == 0) {
+			continue
+		}
+		if n > most {
+			best, most = nil, n
+		}
+		if n == most {
+			best = append(best, id)
+		}
+	}
+	slices.Sort(best)
+	return best
+}
+
+// respondedSince reports whether a service wrote any response around or after a time.
+func (d *Detector) respondedSince(service string, at time.Time) bool {
+	return d.responded[service].After(at.Add(-soundTime))
+}
+
+// Harmful returns the first harmful part of a prompt and how long requests with it
+// are refused.
+func (d *Detector) Harmful(now time.Time, service string, ids []string) (id string, left time.Duration, ok bool) {
+	if len(d.harmful) == 0 {
+		return "", 0, false
+	}
+	for _, id := range ids {
+		if until := d.harmful[key(service, id)]; now.Before(until) {
+			return id, until.Sub(now), true
+		}
+	}
+	return "", 0, false
+}
+
+// Suspected reports whether a part of a prompt may explain several crashes, which is
+// too few to refuse it.
+func (d *Detector) Suspected(now time.Time, service string, ids []string) bool {
+	return len(d.crashes[service]) > 0 && slices.ContainsFunc(ids, func(id string) bool {
+		n, _ := d.blamed(key(service, id), now)
+		return n >= minCrashes-1
+	})
+}
+
+// SetHarmful records that another router refuses requests with a part for some more
+// time. It returns false if this router knows of a response on the part.
+func (d *Detector) SetHarmful(now time.Time, service, id string, left time.Duration) bool {
+	k := key(service, id)
+	if d.isSound(k, now) {
+		return false
+	}
+	if _, known := d.harmful[k]; !known && len(d.harmful) >= maxHarmful {
+		return true
+	}
+	if until := now.Add(min(left, harmfulTime)); until.After(d.harmful[k]) {
+		d.harmful[k] = until
+	}
+	return true
+}
+
+// List returns the time for which requests with each harmful part of a service are
+// still refused.
+func (d *Detector) List(now time.Time) map[string]map[string]time.Duration {
+	out := map[string]map[string]time.Duration{}
+	for k, until := range d.harmful {
+		if now.Before(until) {
+			if out[k.service] == nil {
+				out[k.service] = map[string]time.Duration{}
+			}
+			out[k.service][k.id] = until.Sub(now)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rwpoisonsync/rwpoisonsync.go
@@ -0,0 +1,261 @@
+// Package rwpoisonsync shares between routers what they see of crashes of engines,
+// so that all of them refuse requests with a part that crashes engines.
+package rwpoisonsync
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"redwingworks.example/internal/rwcrash"
+	"redwingworks.example/internal/rwidentity"
+	"redwingworks.example/internal/rwpeer"
+	"redwingworks.example/internal/rwpoison"
+	"redwingworks.example/internal/rwrendezvous"
+)
+
+const (
+	tick = 50 * time.Millisecond
+	// maxSoundDelay is the longest time after which a router tells that parts of a
+	// crash aren't to blame, unless another one has told it before.
+	maxSoundDelay = 100 * time.Millisecond
+)
+
+// Syncer holds the knowledge of one router. All function fields are set before Run.
+type Syncer struct {
+	// Live returns the live routers, including this one.
+	Live func() []rwidentity.Identity
+	// OnHarmful is called for a part that has become harmful, and OnFreed for one
+	// that no longer is; source is the router that found it.
+	OnHarmful, OnFreed func(source, service, id string)
+
+	self  rwidentity.Identity
+	peers *rwpeer.Peers
+
+	mu       sync.Mutex
+	detector *rwpoison.Detector
+	// told holds when a router last told that a part isn't to blame, since the
+	// last second.
+	told map[partMessage]time.Time
+	// known holds the live routers that have the list of harmful parts.
+	known map[rwidentity.Identity]bool
+}
+
+type partMessage struct {
+	Service string `json:"svc"`
+	ID      string `json:"id"`
+}
+
+type soundMessage struct {
+	Service string   `json:"svc"`
+	IDs     []string `json:"ids"`
+}
+
+type aliveMessage struct {
+	Service     string `json:"svc"`
+	Upstream    string `json:"up"`
+	StartMillis int64  `json:"born"`
+}
+
+type harmfulMessage struct {
+	partMessage
+	// Left is how long requests with the part are still refused.
+	Left time.Duration `json:"left"`
+}
+
+// New returns a syncer and registers its message handlers.
+func New(peers *rwpeer.Peers) *Syncer {
+	s := &Syncer{
+		self: peers.Self(), peers: peers, detector: rwpoison.New(),
+		told: map[partMessage]time.Time{}, known: map[rwidentity.Identity]bool{},
+	}
+	peers.Handle("crash", rwpeer.Typed(s.handleCrash))
+	peers.Handle("alive", rwpeer.Typed(s.handleAlive))
+	peers.Handle("sound", rwpeer.Typed(s.handleSound))
+	peers.Handle("harmful", rwpeer.Typed(s.handleHarmful))
+	return s
+}
+
+// Harmful returns the first harmful part of a prompt and how long requests with it
+// are refused.
+func (s *Syncer) Harmful(service string, ids []string) (id string, left time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.detector.Harmful(time.Now(), service, ids)
+}
+
+// Suspected reports whether a part of a prompt may explain several crashes.
+func (s *Syncer) Suspected(service string, ids []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.detector.Suspected(time.Now(), service, ids)
+}
+
+// AddResponse records a response on the parts of a prompt.
+func (s *Syncer) AddResponse(service string, ids []string) {
+	s.mu.Lock()
+	freed := s.detector.AddResponse(time.Now(), service, ids)
+	s.mu.Unlock()
+	if len(freed) > 0 {
+		s.notify("sound", soundMessage{service, freed})
+		s.report(s.OnFreed, s.self.Name, service, freed)
+	}
+}
+
+// AddCrash records a crash that this router saw and tells the others.
+func (s *Syncer) AddCrash(c rwcrash.Crash) {
+	s.mu.Lock()
+	sound := s.detector.AddCrash(time.Now(), c)
+	s.mu.Unlock()
+	c.Parts = without(c.Parts, sound)
+	if len(c.Parts) > 0 {
+		s.notify("crash", c)
+	}
+}
+
+// AddAlive records that an engine responded to a request sent at a time.
+func (s *Syncer) AddAlive(service, upstream string, startMillis int64, sent time.Time) {
+	if s.drop(s.self.Name, service, upstream, startMillis, sent) {
+		s.notify("alive", aliveMessage{service, upstream, startMillis})
+	}
+}
+
+func (s *Syncer) handleAlive(_ context.Context, from rwidentity.Identity, m aliveMessage) (any, error) {
+	s.drop(from.Name, m.Service, m.Upstream, m.StartMillis, time.Now())
+	return nil, nil
+}
+
+// drop drops the crash of an engine that has responded, and reports whether there
+// was one.
+func (s *Syncer) drop(source, service, upstream string, startMillis int64, sent time.Time) bool {
+	s.mu.Lock()
+	freed, dropped := s.detector.AddAlive(service, upstream, startMillis, sent)
+	s.mu.Unlock()
+	s.report(s.OnFreed, source, service, freed)
+	return dropped
+}
+
+func without(ids, excluded []string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return slices.Contains(excluded, id) })
+}
+
+func (s *Syncer) handleCrash(_ context.Context, _ rwidentity.Identity, c rwcrash.Crash) (any, error) {
+	s.mu.Lock()
+	sound := s.detector.AddCrash(time.Now(), c)
+	s.mu.Unlock()
+	if len(sound) > 0 {
+		received := time.Now()
+		delay := time.Duration(rwrendezvous.Score(c.Upstream, s.self.Name) % uint64(maxSoundDelay))
+		time.AfterFunc(delay, func() { s.tellSound(c.Service, sound, received) })
+	}
+	return nil, nil
+}
+
+// tellSound tells the others which parts aren't to blame, without those that another
+// router has told since a time.
+func (s *Syncer) tellSound(service string, ids []string, since time.Time) {
+	s.mu.Lock()
+	ids = slices.DeleteFunc(ids, func(id string) bool { return s.told[partMessage{service, id}].After(since) })
+	s.mu.Unlock()
+	if len(ids) > 0 {
+		s.notify("sound", soundMessage{service, ids})
+	}
+}
+
+func (s *Syncer) handleSound(_ context.Context, from rwidentity.Identity, m soundMessage) (any, error) {
+	now := time.Now()
+	s.mu.Lock()
+	for _, id := range m.IDs {
+		s.told[partMessage{m.Service, id}] = now
+	}
+	freed := s.detector.AddResponse(now, m.Service, m.IDs)
+	s.mu.Unlock()
+	s.report(s.OnFreed, from.Name, m.Service, freed)
+	return nil, nil
+}
+
+func (s *Syncer) handleHarmful(_ context.Context, from rwidentity.Identity, m harmfulMessage) (any, error) {
+	s.mu.Lock()
+	_, _, before := s.detector.Harmful(time.Now(), m.Service, []string{m.ID})
+	ok := s.detector.SetHarmful(time.Now(), m.Service, m.ID, m.Left)
+	s.mu.Unlock()
+	switch {
+	case !ok:
+		s.notify("sound", soundMessage{m.Service, []string{m.ID}})
+	case !before:
+		s.report(s.OnHarmful, from.Name, m.Service, []string{m.ID})
+	}
+	return nil, nil
+}
+
+func (s *Syncer) report(f func(source, service, id string), source, service string, ids []string) {
+	for _, id := range ids {
+		f(source, service, id)
+	}
+}
+
+func (s *Syncer) notify(method string, params any) {
+	for _, id := range s.Live() {
+		if id.Name != s.self.Name {
+			s.peers.Notify(id.Addr, method, params)
+		}
+	}
+}
+
+// Run evaluates crashes until the context ends, and tells routers that join which
+// parts are harmful.
+func (s *Syncer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.evaluate(now)
+		}
+	}
+}
+
+func (s *Syncer) evaluate(now time.Time) {
+	s.mu.Lock()
+	found := s.detector.Tick(now)
+	for k, at := range s.told {
+		if now.Sub(at) > time.Second {
+			delete(s.told, k)
+		}
+	}
+	s.mu.Unlock()
+	for service, ids := range found {
+		s.report(s.OnHarmful, s.self.Name, service, ids)
+	}
+	s.tellHarmful(now, len(found) > 0)
+}
+
+// tellHarmful sends the list of harmful parts to all routers, or to those that have
+// joined.
+func (s *Syncer) tellHarmful(now time.Time, all bool) {
+	live := s.Live()
+	s.mu.Lock()
+	list := s.detector.List(now)
+	before := s.known
+	s.known = map[rwidentity.Identity]bool{}
+	for _, id := range live {
+		s.known[id] = true
+	}
+	s.mu.Unlock()
+	if len(list) == 0 {
+		return
+	}
+	for _, id := range live {
+		if id.Name == s.self.Name || before[id] && !all {
+			continue
+		}
+		for service, parts := range list {
+			for part, left := range parts {
+				s.peers.Notify(id.Addr, "harmful", harmfulMessage{partMessage{service, part}, left})
+			}
+		}
+	}
+}
