--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -335,6 +335,10 @@
 		}
 		c.activate(config)
 	}
+	if old := e.earlier; old != nil && old.instance != nil && earlier.instance != nil && earlier.instance.StartMillis < old.instance.StartMillis {
+		// It is from a copy itself.
+		return false, nil
+	}
 	e.earlier = &earlier
 	return true, nil
 }
