Don't believe a refusal without an id on a connection that was used before

A refusal with another id is skipped, but one that names no id was taken for the answer to the request that was just sent, so that its caller was told "not run" while the upstream ran it, or another one ran it too. Its outcome is now unknown and the connection is closed. The first response of a connection may still be a refusal without an id.

The other case, the same attempt sent again to the same upstream, can't happen: a router never sends an attempt twice to one upstream (Exchange.Avoid), and callers' repeats have ids of their own.

TestEarlierRefusalIsNotBelieved failed before: the refusal was believed.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -112,6 +112,8 @@
 	// usableUntil is how long the idle connection is reused; the upstream is
 	// expected to close it later.
 	usableUntil time.Time
+	// answered is whether a response to an earlier request was read.
+	answered bool
 	// bodyWritten receives the result of writing a body while the response is
 	// read.
 	bodyWritten chan error
@@ -149,7 +151,8 @@
 	Header http.Header
 	Body   []byte
 	// ID is the request id. A response with another id is skipped; one without
-	// an id is accepted.
+	// an id is accepted, unless it says on a reused connection that the request
+	// didn't run.
 	ID string
 	// NewConn prevents the reuse of an idle connection.
 	NewConn bool
@@ -288,7 +291,12 @@
 		if resp.pool.OnResponse != nil && !info.WrongInstance {
 			resp.pool.OnResponse(req.Key, info)
 		}
+		if info.NotRun && info.RequestID == "" && resp.conn.answered {
+			// It may be an earlier refusal, written once more.
+			return rwfault.New(rwcode.UpstreamMismatch, "refusal without an id on a connection that was used before")
+		}
 		if info.RequestID == "" || info.RequestID == req.ID {
+			resp.conn.answered = true
 			resp.HTTP, resp.Info, resp.body = httpResp, info, &trackedReader{Reader: httpResp.Body}
 			return nil
 		}
--- a/internal/rwconn/rwconn_test.go
+++ b/internal/rwconn/rwconn_test.go
@@ -115,6 +115,48 @@
 	return string(data)
 }
 
+// Guards against "not run" for a request that runs, because the upstream has written
+// an earlier refusal once more on a kept connection.
+func TestEarlierRefusalIsNotBelieved(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+	for name, c := range map[string]struct {
+		again string
+		code  rwcode.Code
+	}{
+		"without an id":       {refusal + "\r\n", rwcode.UpstreamMismatch},
+		"with the earlier id": {refusal + "X-Id: r1\r\n\r\n", rwcode.None},
+	} {
+		u := serve(t, func(u *upstream, nc net.Conn, r *bufio.Reader) {
+			first := refusal + "X-Id: r1\r\n\r\n"
+			for u.next(r) {
+				_, _ = io.WriteString(nc, first)
+				first = c.again + response("r2", "ran")
+			}
+		})
+		p := newPool()
+		p.Inspect = func(r *http.Response) rwdialect.ResponseInfo {
+			info := inspect(r)
+			info.NotRun = r.Header.Get("X-Not-Run") != ""
+			return info
+		}
+		resp, err := p.Do(t.Context(), u.request("r1"))
+		require.NoError(t, err, name)
+		require.True(t, resp.Info.NotRun, name)
+		_, err = io.ReadAll(resp.Body())
+		require.NoError(t, err)
+		resp.Close()
+		resp, err = p.Do(t.Context(), u.request("r2"))
+		if c.code != rwcode.None {
+			require.True(t, rwfault.Is(err, c.code), "%s: %v", name, err)
+			require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
+			continue
+		}
+		require.NoError(t, err, name)
+		require.False(t, resp.Info.NotRun, name)
+		resp.Close()
+	}
+}
+
 // Guards against opening a connection for each request, and against changing
 // the path.
 func TestConnectionsAreKept(t *testing.T) {
