Follow the store also if another writer has left odd entries

A value that isn't base64 text failed the whole response, so that a router stopped following the store. The value of an item that describes nothing isn't kept, so that routers don't send it to each other.

--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -311,8 +311,12 @@
 		s.instance = decoded.Instance
 		return s, nil
 	case err != nil:
-		// An item that can't be decoded describes no usable upstream.
+		// An item that can't be decoded describes no usable upstream. Its value may
+		// be too large for a message to other routers.
+		s.item.Value = nil
 		return s, err
+	case decoded == Decoded{}:
+		s.item.Value = nil
 	}
 	s.config, s.instance = decoded.Config, decoded.Instance
 	return s, nil
