List the store before a stream goes on at a router out of touch

It can happen here: a router that is cut off from the others took its own table for current if it had listed the store within 1.5 s, and a version that joined since then was unknown to it; a machine that stood still doesn't count that time at all.

If most routers don't answer, the router now lists the store and goes on only if that listing was asked for after the resumption arrived. Readers' tables still count if every router that was asked answers.

TestRouterOutOfStepReadsTheStoreFirst fails with the former rule in 2 of 3 cases: the stream goes on at v1 while v2 serves too.

--- a/internal/rwbroker/origin.go
+++ b/internal/rwbroker/origin.go
@@ -211,7 +211,8 @@
 		go func() {
 			near := append(b.successors(cellKey{Service: service}, originCopies), b.Readers()...)
 			asked := map[string]bool{b.self.Name: true}
-			for _, a := range b.askOrigin(ctx, originQuery{Service: service, Window: window}, near, asked) {
+			answers, _ := b.askOrigin(ctx, originQuery{Service: service, Window: window}, near, asked)
+			for _, a := range answers {
 				if a.Whole && a.Current {
 					b.Origins.Inherit(time.Now(), service, a.Seen, window)
 				}
@@ -223,9 +224,12 @@
 // FindOrigin returns where a stream began that a caller resumes. It asks this
 // router's table, then the owner of the request's cell, those who would own it
 // next and the readers of the zone, then all routers, until the answers tell the
-// origin as described at originOf. Otherwise it fails with OriginUnknown, at once if
-// an answer says that the origin is uncertain.
+// origin as described at originOf. If most routers don't answer, this one lists the
+// store first: until then it may have missed a version since its last listing.
+// Otherwise it fails with OriginUnknown, at once if an answer says that the origin is
+// uncertain.
 func (b *Broker) FindOrigin(ctx context.Context, service string, r rwplacement.Request, id string) (rworigin.Origin, *rwfault.Fault) {
+	start := time.Now()
 	q := originQuery{ID: id, Service: service, Window: b.StreamWindow()}
 	here := b.originHere(q)
 	if here.Begun {
@@ -236,25 +240,33 @@
 	}
 	b.metrics.Add("origins_asked", 1)
 	asked := map[string]bool{b.self.Name: true}
-	answers := []originAnswer{here}
+	answers, inTouch := []originAnswer{here}, false
 	if k, ok := b.cellOf(service, r); ok {
 		near := slices.Concat([]rwidentity.Identity{b.owner(k)}, b.successors(k, originCopies+1), b.Readers())
-		answers = append(answers, b.askOrigin(ctx, q, near, asked)...)
+		list, failed := b.askOrigin(ctx, q, near, asked)
+		answers = append(answers, list...)
+		inTouch = len(list) > 0 && failed == 0
 	}
-	if o, ok := originOf(service, answers, b.FleetSize()); ok {
+	if o, ok := originOf(service, answers, b.FleetSize(), inTouch); ok {
 		return o, nil
 	}
 	if isUncertain(answers) {
 		return b.originUncertain(id)
 	}
 	if b.beginSearch() {
-		answers = append(answers, b.askOrigin(ctx, q, b.Live(), asked)...)
+		list, _ := b.askOrigin(ctx, q, b.Live(), asked)
+		answers = append(answers, list...)
 		b.endSearch()
 	}
+	current := false
+	if 2*len(answers) <= b.FleetSize() && !isUncertain(answers) {
+		current = b.awaitCurrent(ctx, start)
+		answers[0] = b.originHere(q)
+	}
 	if f := rwfault.FromContext(ctx); f != nil {
 		return rworigin.Origin{}, f
 	}
-	if o, ok := originOf(service, answers, b.FleetSize()); ok {
+	if o, ok := originOf(service, answers, b.FleetSize(), current); ok {
 		return o, nil
 	}
 	if isUncertain(answers) {
@@ -263,6 +275,22 @@
 	return rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, id).WithRetryAfter(originRetryAfter)
 }
 
+// awaitCurrent lists the store and reports whether this router knows all upstreams
+// that were there at a time.
+func (b *Broker) awaitCurrent(ctx context.Context, at time.Time) bool {
+	if b.Refresh == nil || b.Origins.CurrentSince(at) {
+		return b.Origins.CurrentSince(at)
+	}
+	b.Refresh()
+	for end := time.Now().Add(refreshTimeout); time.Now().Before(end) && ctx.Err() == nil; {
+		if b.Origins.CurrentSince(at) {
+			return true
+		}
+		time.Sleep(refreshPoll)
+	}
+	return b.Origins.CurrentSince(at)
+}
+
 func (b *Broker) originUncertain(id string) (rworigin.Origin, *rwfault.Fault) {
 	b.metrics.Add("origins_uncertain", 1)
 	return rworigin.Origin{}, rwfault.New(rwcode.OriginUnknown, id).WithRetryAfter(originRetryAfter)
@@ -274,8 +302,9 @@
 
 // askOrigin asks those of the routers that are not in asked, to which it adds
 // them. It returns their answers as this router judges them, without those that come
-// after the first from a router that knows that the stream has begun.
-func (b *Broker) askOrigin(ctx context.Context, q originQuery, routers []rwidentity.Identity, asked map[string]bool) []originAnswer {
+// after the first from a router that knows that the stream has begun, and the number
+// of routers that didn't answer.
+func (b *Broker) askOrigin(ctx context.Context, q originQuery, routers []rwidentity.Identity, asked map[string]bool) (answers []originAnswer, failed int) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	results := make(chan *originAnswer, len(routers))
@@ -297,10 +326,10 @@
 			results <- &a
 		}()
 	}
-	var answers []originAnswer
 	for range calls {
 		a := <-results
 		if a == nil {
+			failed++
 			continue
 		}
 		judged := b.checked(a.withoutGrant())
@@ -309,14 +338,14 @@
 			break
 		}
 	}
-	return answers
+	return answers, failed
 }
 
 // originOf returns the origin of a stream of a service that answers tell. It is
 // where a router knows that the stream has begun, unless an answer says that the
 // version is uncertain. If no router knows the stream, it is the only version that
 // the service had.
-func originOf(service string, answers []originAnswer, fleetSize int) (rworigin.Origin, bool) {
+func originOf(service string, answers []originAnswer, fleetSize int, current bool) (rworigin.Origin, bool) {
 	if isUncertain(answers) {
 		return rworigin.Origin{}, false
 	}
@@ -325,7 +354,7 @@
 			return a.Origin, true
 		}
 	}
-	software, ok := onlySoftware(answers, fleetSize)
+	software, ok := onlySoftware(answers, fleetSize, current)
 	return rworigin.Origin{Service: service, Software: software}, ok
 }
 
@@ -333,12 +362,12 @@
 // long as streams last. It fails if a router may have begun streams at a version
 // that these didn't see: if none of them has read the store just now, while most
 // routers of the fleet didn't answer. Routers learn of upstreams from the store
-// alone.
-func onlySoftware(answers []originAnswer, fleetSize int) (string, bool) {
+// alone. What they read counts only if current is set.
+func onlySoftware(answers []originAnswer, fleetSize int, current bool) (string, bool) {
 	most := 2*len(answers) > fleetSize
 	software, complete := "", false
 	for _, a := range answers {
-		complete = complete || a.Whole && (a.Current || most)
+		complete = complete || a.Whole && (current && a.Current || most)
 		for _, s := range a.Seen {
 			if software != "" && s != software {
 				return "", false
--- a/internal/rwbroker/origin_test.go
+++ b/internal/rwbroker/origin_test.go
@@ -184,6 +184,47 @@
 	}
 }
 
+// Guards against a stream that goes on at another version at a router which was out of
+// step while upstreams of that version joined: it was cut off from the others, or
+// stood still, and its table was current until just before.
+func TestRouterOutOfStepReadsTheStoreFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		// listed are the versions that the store lists, or none if it is away too.
+		listed    []string
+		wantFault bool
+	}{
+		"another version joined": {[]string{"v1", "v2"}, true},
+		"none joined":            {[]string{"v1"}, false},
+		"cut off from the store": {nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3, newVersionedSnapshot("v1"))
+				f.observe([]string{"r0", "r1", "r2"}, "v1")
+				n := f.nodes["r0"]
+				n.Origins.MarkCurrent(time.Now())
+				f.observe([]string{"r1", "r2"}, "v2")
+				f.setLive(n.id)
+				time.Sleep(time.Second)
+				n.Refresh = func() {
+					for _, s := range c.listed {
+						n.Origins.Observe(time.Now(), []rwinstance.Instance{{Service: "model", Software: s}})
+						n.Origins.MarkCurrent(time.Now())
+					}
+				}
+				o, fault := n.FindOrigin(t.Context(), "model", newRequest("x"), "unknown")
+				if c.wantFault {
+					require.NotNil(t, fault)
+					require.Equal(t, rwcode.OriginUnknown, fault.Code)
+					return
+				}
+				require.Nil(t, fault)
+				require.Equal(t, "v1", o.Software)
+			})
+		})
+	}
+}
+
 // Guards against a resumption in a large fleet that is refused because too many
 // searches are in progress, although the readers of the zone know that only one
 // version served.
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -65,6 +65,11 @@
 	inheritInterval = time.Second
 	// originTimeout bounds the wait for another router's answer about an origin.
 	originTimeout = 150 * time.Millisecond
+	// refreshTimeout bounds the wait for a listing of the store, which takes
+	// milliseconds once the watcher has noticed that it is wanted; refreshPoll is the
+	// time between two checks.
+	refreshTimeout = 400 * time.Millisecond
+	refreshPoll    = 10 * time.Millisecond
 	// maxOriginSearches bounds the searches that ask all routers at one time.
 	maxOriginSearches = 8
 	// ownerCacheTTL is how long the owner of a cell is cached. The cache is
@@ -105,6 +110,8 @@
 	// Readers returns the routers of this one's zone that read the store for
 	// others.
 	Readers func() []rwidentity.Identity
+	// Refresh, if set, makes this router list the store soon.
+	Refresh func()
 	// FleetSize returns the largest number of live routers that this one has
 	// seen, including itself.
 	FleetSize func() int
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -306,7 +306,7 @@
 		OnList: e.onList, OnChange: e.onChange, OnError: e.onStoreError, IsReader: e.isReader,
 		ApplyDeadline: e.deployment.ConfigDeadline,
 	}
-	e.syncer.Refresh = e.watcher.Refresh
+	e.syncer.Refresh, e.broker.Refresh = e.watcher.Refresh, e.watcher.Refresh
 	e.syncer.OnLeaving = func(from string, u rwleaving.Upstream) { e.markLeaving(from, u) }
 	e.catalog.EntryTTL = lapseHeartbeats * e.deployment.Heartbeat
 }
--- a/internal/rworigin/rworigin.go
+++ b/internal/rworigin/rworigin.go
@@ -233,6 +233,14 @@
 	}
 }
 
+// CurrentSince reports whether all upstreams have been observed that were there at a
+// time.
+func (t *Table) CurrentSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.currentAt.Before(at)
+}
+
 // Interrupt records that the table was not kept up to date, for example during a
 // pause of the process.
 func (t *Table) Interrupt(now time.Time) {
