Count connections that end before the response, and rare crashes

An engine that crashes as it begins a response may take what it wrote with it, so that its router sees no head; such ends count as crashes too. An engine that responds later was no crash, which excludes kept connections that it closed.

Crashes count for two minutes in place of 30 s: with one request in 40 s, the part was never found (TestRareRequestsAreFound failed).

--- a/internal/rwcrash/rwcrash.go
+++ b/internal/rwcrash/rwcrash.go
@@ -7,7 +7,7 @@
 	// Upstream and StartMillis are the incarnation of the engine.
 	Upstream    string `json:"up"`
 	StartMillis int64  `json:"born,omitempty"`
-	// Parts are the ids of the shared prompt parts of a request whose response had
-	// just begun.
+	// Parts are the ids of the shared prompt parts of a request of whose response no
+	// more than the first events had arrived.
 	Parts []string `json:"parts"`
 }
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -35,6 +35,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sent := time.Now()
+	x.AttemptEvents, x.AttemptEventAt = 0, time.Time{}
 	resp, err := f.Pool.Do(ctx, f.upstreamRequest(x, dest))
 	if err != nil {
 		fault := rwfault.From(err)
@@ -42,6 +43,9 @@
 			x.Sent++
 			x.Ran++
 		}
+		if fault.Code == rwcode.UpstreamTruncated && x.Engine != nil {
+			f.noteBroken(x, dest, false)
+		}
 		return endFor(fault), fault
 	}
 	defer resp.Close()
@@ -59,7 +63,6 @@
 	}
 	x.Ran++
 	x.KeepAlive = resp.Info.KeepAlive
-	x.AttemptEvents, x.AttemptEventAt = 0, time.Time{}
 	var end rwplacement.End
 	var fault *rwfault.Fault
 	if x.Route.Kind == rwrouteconfig.Stream && resp.HTTP.StatusCode == http.StatusOK {
@@ -68,14 +71,15 @@
 		end, fault = f.forwardResponse(ctx, w, x, resp)
 	}
 	if fault != nil && fault.Code == rwcode.UpstreamTruncated && x.Engine != nil {
-		f.noteBroken(x, dest)
+		f.noteBroken(x, dest, true)
 	}
 	return end, fault
 }
 
-// noteBroken logs a response of an engine that broke off, and reports a crash of the
-// engine if the response had just begun.
-func (f *Handler) noteBroken(x *rwexchange.Exchange, dest destination) {
+// noteBroken logs a connection to an engine that broke off, before or within the
+// response, and reports a crash of the engine if no more than the first events had
+// arrived. What an engine wrote last may be lost with its connection.
+func (f *Handler) noteBroken(x *rwexchange.Exchange, dest destination, hasHead bool) {
 	since := time.Duration(0)
 	if !x.AttemptEventAt.IsZero() {
 		since = time.Since(x.AttemptEventAt)
@@ -84,7 +88,7 @@
 		f.Crashed(rwcrash.Crash{Service: x.Service, Upstream: dest.id, StartMillis: dest.startMillis, Parts: ids})
 	}
 	f.addRequest(rwlog.Info(&f.Log, rwlog.ResponseBroken), x).Str("service", x.Service).Str("upstream", dest.id).
-		Int64("born", dest.startMillis).Int("events", x.AttemptEvents).Dur("since", since).Strs("parts", x.Request.Prompt.SharedIDs()).Send()
+		Int64("born", dest.startMillis).Bool("head", hasHead).Int("events", x.AttemptEvents).Dur("since", since).Strs("parts", x.Request.Prompt.SharedIDs()).Send()
 }
 
 // noteWritten reports that a response was written on the parts of the prompt.
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -137,7 +137,8 @@
 	// engines of a service, and how long requests with it are refused. SuspectedPart
 	// reports whether a part may have crashed several. ResponseWritten is called for
 	// the shared parts of prompts on which a response was written, and Crashed for
-	// those of a request whose response had just begun when its engine ended.
+	// those of a request whose response had just begun or not yet when the connection
+	// to its engine ended.
 	HarmfulPart     func(service string, ids []string) (id string, left time.Duration, ok bool)
 	SuspectedPart   func(service string, ids []string) bool
 	ResponseWritten func(service string, ids []string)
--- a/internal/rwpoison/rwpoison.go
+++ b/internal/rwpoison/rwpoison.go
@@ -1,6 +1,6 @@
 // Package rwpoison finds the parts of prompts that crash engines. An engine that
 // crashes takes the responses of other requests with it, so that one crash blames
-// all parts of those that had just begun. A part is harmful if it explains several
+// all parts of those that had just begun or not yet. A part is harmful if it explains several
 // crashes and no response on it was written around them, while the engines wrote
 // others. The parts that sound requests share with the crashing ones get responses
 // all the time. A broken connection to an engine that responds later was no crash.
@@ -28,9 +28,10 @@
 	// settleTime is how long after a crash other routers may tell of such responses,
 	// and the engine may prove that it still runs.
 	settleTime = 600 * time.Millisecond
-	// crashTTL is how long a crash is remembered; maxCrashes bounds those of a
-	// service, and maxParts the parts of one.
-	crashTTL   = 30 * time.Second
+	// crashTTL is how long a crash is remembered, since requests with a harmful part
+	// may be rare; maxCrashes bounds those of a service, and maxParts the parts of
+	// one.
+	crashTTL   = 2 * time.Minute
 	maxCrashes = 64
 	maxParts   = 256
 	// harmfulTime is how long requests with a harmful part are refused: it may be
