--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -266,7 +266,7 @@
 // replaced by one of a higher era. A removal that may be a lapse tells nothing.
 func (c *Catalog) keepEarlier(now time.Time, e *entry) {
 	switch {
-	case e.earlier != nil && c.holds(now, e) != nil:
+	case e.earlier != nil && c.overrideOf(now, e) != nil:
 	case e.item.Deleted && !e.lapseUntil.IsZero():
 		e.earlier = nil
 	default:
@@ -354,8 +354,8 @@
 		return nil
 	}
 	if !e.item.Deleted {
-		if held := c.holds(now, e); held != nil {
-			in = held.instance
+		if o := c.overrideOf(now, e); o != nil {
+			in = o.instance
 		}
 	}
 	if in == nil || in.Leaving || !c.isLeaving(in.ID, in.StartMillis) {
@@ -381,38 +381,40 @@
 	return true
 }
 
-// held is what an earlier item of an entry makes of its upstream.
-type held struct{ instance *rwinstance.Instance }
+// override is the upstream of an entry as the item of an earlier era tells it, or nil
+// for none.
+type override struct{ instance *rwinstance.Instance }
 
-// holds returns what the item of an earlier era makes of the upstream of the newest
-// one, or nil if it changes nothing.
-func (c *Catalog) holds(now time.Time, e *entry) *held {
+// overrideOf returns what the item of an earlier era makes of the upstream of the
+// newest one, or nil if it changes nothing.
+func (c *Catalog) overrideOf(now time.Time, e *entry) *override {
 	old, in := e.earlier, e.instance
 	if old == nil || in == nil {
 		return nil
 	}
-	sameStart, known := true, old.instance != nil && old.instance.StartMillis > 0 && in.StartMillis > 0
-	if known {
-		sameStart = old.instance.StartMillis == in.StartMillis
-	}
-	// Beyond this, the entry may be one of the copy that its upstream hasn't
-	// written since.
-	if e.item.Rev != e.firstRev || now.Sub(c.returnedAt) >= lapseGrace+c.entryTTL() {
+	// An entry that was written again in this era, or would have lapsed by now, isn't
+	// one that the copy has brought back.
+	sinceReturn := now.Sub(c.returnedAt)
+	if e.item.Rev != e.firstRev || sinceReturn >= lapseGrace+c.entryTTL() {
 		return nil
 	}
+	order := 0
+	if old.instance != nil && old.instance.StartMillis > 0 && in.StartMillis > 0 {
+		order = cmp.Compare(in.StartMillis, old.instance.StartMillis)
+	}
 	switch {
-	case known && in.StartMillis > old.instance.StartMillis:
+	case order > 0:
 		return nil
 	case old.item.Deleted:
-		return &held{}
+		return &override{}
 	case old.instance == nil:
 		return nil
-	case !sameStart && (old.instance.Leaving || now.Sub(c.returnedAt) >= lapseGrace):
-		return &held{}
-	case !sameStart:
-		return &held{old.instance}
+	case order < 0 && (old.instance.Leaving || sinceReturn >= lapseGrace):
+		return &override{}
+	case order < 0:
+		return &override{old.instance}
 	case old.instance.Leaving:
-		return &held{asLeaving(in)}
+		return &override{asLeaving(in)}
 	}
 	return nil
 }
@@ -464,7 +466,7 @@
 	before := c.instances
 	c.rebuild(now)
 	for _, e := range c.items {
-		if e.earlier != nil && e.earlier.config == nil && c.holds(now, e) == nil {
+		if e.earlier != nil && e.earlier.config == nil && c.overrideOf(now, e) == nil {
 			e.earlier = nil
 		}
 	}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -307,7 +307,7 @@
 		ApplyDeadline: e.deployment.ConfigDeadline,
 	}
 	e.syncer.Refresh, e.broker.Refresh = e.watcher.Refresh, e.watcher.Refresh
-	e.syncer.OnLeaving = func(from string, u rwleaving.Upstream) { e.markLeaving(from, u) }
+	e.syncer.OnLeaving = func(from string, u rwleaving.Upstream) { e.markLeaving(from, u, false) }
 	e.catalog.EntryTTL = lapseHeartbeats * e.deployment.Heartbeat
 }
 
@@ -331,7 +331,7 @@
 	e.broker.OnForecastError = e.forecastErrors.Record
 	e.broker.Inventory = e.config.Inventory
 	e.broker.OnLeaving = func(in rwinstance.Instance) {
-		e.markLeaving("inventory", rwleaving.Upstream{Name: in.ID, Inc: in.StartMillis})
+		e.markLeaving("inventory", rwleaving.Upstream{Name: in.ID, Inc: in.StartMillis}, true)
 	}
 	e.broker.StreamWindow, e.broker.Readers = e.streamWindow, e.syncer.Readers
 	e.broker.FleetSize = func() int { return int(e.maxRouters.Load()) }
@@ -797,6 +797,7 @@
 	e.mu.Lock()
 	before := e.published.Load()
 	era := e.catalog.Era()
+	// The log names the source of this update.
 	e.catalog.OnStale = func(it rwitem.Item, known rwrevision.Revision) {
 		e.metrics.Add("stale_items", 1)
 		rwlog.Info(&e.log, rwlog.RecordStale).Str("key", it.Key).Int64("era", it.Era).Int64("rev", it.Rev).
@@ -806,15 +807,15 @@
 	if source == "store" {
 		e.catalog.Advance(now, e.watcher.CompleteRev())
 	}
-	rev, returned := e.catalog.Rev(), e.catalog.Era() > era
+	rev, newEra := e.catalog.Rev(), e.catalog.Era()
 	e.gossip.SetConfigDigest(rev, 0)
 	if changed {
 		e.published.Store(rwconfigsnapshot.New(e.catalog.Config(), rev.Rev, now, e.catalog.Instances()).WithEra(rev.Era))
 	}
 	e.broker.Origins.Observe(now, e.catalog.Instances())
 	e.mu.Unlock()
-	if returned {
-		rwlog.Info(&e.log, rwlog.PlatformReturned).Int64("before", era).Int64("era", e.catalogEra()).Int64("rev", rev.Rev).
+	if newEra > era {
+		rwlog.Info(&e.log, rwlog.PlatformReturned).Int64("before", era).Int64("era", newEra).Int64("rev", rev.Rev).
 			Str("source", source).Send()
 	}
 	for key, err := range bad {
@@ -826,12 +827,6 @@
 	}
 }
 
-func (e *Edge) catalogEra() int64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.catalog.Era()
-}
-
 func (e *Edge) logChange(source string, before, after *rwconfigsnapshot.Snapshot) {
 	if after.Config != nil && (before.Config == nil || before.Config.Version != after.Config.Version) {
 		rwlog.Info(&e.log, rwlog.ConfigurationAdopted).Int64("version", after.Config.Version).Int64("era", after.Era).Int64("rev", after.Rev).
@@ -877,13 +872,13 @@
 		e.logUnreadable(k, info.Unreadable)
 	}
 	if info.Leaving {
-		e.markLeaving("response", rwleaving.Upstream{Name: k.ID, Inc: k.StartMillis})
+		e.markLeaving("response", rwleaving.Upstream{Name: k.ID, Inc: k.StartMillis}, true)
 	}
 }
 
 // markLeaving gives no more work to an upstream that has announced its leaving in a
-// response, and tells the other routers if it has announced it to this one.
-func (e *Edge) markLeaving(source string, u rwleaving.Upstream) {
+// response, and tells the other routers if it is to.
+func (e *Edge) markLeaving(source string, u rwleaving.Upstream, tellOthers bool) {
 	if in, ok := e.published.Load().Known(u.Name); ok && in.Leaving && in.StartMillis == u.Inc {
 		return
 	}
@@ -896,7 +891,7 @@
 		return
 	}
 	rwlog.Info(&e.log, rwlog.UpstreamLeaving).Str("upstream", u.Name).Int64("born", u.Inc).Str("source", source).Send()
-	if source == "response" || source == "inventory" {
+	if tellOthers {
 		e.syncer.NotifyLeaving(u)
 	}
 }
