Collect reports of crashes for 50 ms

Each connection that ended early was a message to every other router; a partition that breaks hundreds at once would have cost small machines their CPU time. Crashes and sound parts are now collected for a tick, at most 128 of each, and go out in one message to each router.

--- a/internal/rwpoisonsync/rwpoisonsync.go
+++ b/internal/rwpoisonsync/rwpoisonsync.go
@@ -16,10 +16,14 @@
 )
 
 const (
+	// tick is the time for which messages are collected: when a partition begins,
+	// connections to many engines break at once.
 	tick = 50 * time.Millisecond
-	// maxSoundDelay is the longest time after which a router tells that parts of a
-	// crash aren't to blame, unless another one has told it before.
-	maxSoundDelay = 100 * time.Millisecond
+	// soundDelays is the number of different times, a tick apart, after which routers
+	// tell that parts of a crash aren't to blame, unless another one has told it.
+	soundDelays = 4
+	// maxPending bounds the crashes, and the sound parts, that are collected.
+	maxPending = 128
 )
 
 // Syncer holds the knowledge of one router. All function fields are set before Run.
@@ -40,6 +44,10 @@
 	told map[partMessage]time.Time
 	// known holds the live routers that have the list of harmful parts.
 	known map[rwidentity.Identity]bool
+	// crashes holds what this router saw since the last tick, and sound when it
+	// learned that parts are blamed of which it knows better.
+	crashes []rwcrash.Crash
+	sound   map[partMessage]time.Time
 }
 
 type partMessage struct {
@@ -47,6 +55,10 @@
 	ID      string `json:"id"`
 }
 
+type crashesMessage struct {
+	Crashes []rwcrash.Crash `json:"list"`
+}
+
 type soundMessage struct {
 	Service string   `json:"svc"`
 	IDs     []string `json:"ids"`
@@ -70,9 +82,9 @@
 func New(peers *rwpeer.Peers) *Syncer {
 	s := &Syncer{
 		self: peers.Self(), peers: peers, detector: rwpoison.New(),
-		told: map[partMessage]time.Time{}, known: map[rwidentity.Identity]bool{},
+		told: map[partMessage]time.Time{}, known: map[rwidentity.Identity]bool{}, sound: map[partMessage]time.Time{},
 	}
-	peers.Handle("crash", rwpeer.Typed(s.handleCrash))
+	peers.Handle("crashes", rwpeer.Typed(s.handleCrashes))
 	peers.Handle("alive", rwpeer.Typed(s.handleAlive))
 	peers.Handle("sound", rwpeer.Typed(s.handleSound))
 	peers.Handle("harmful", rwpeer.Typed(s.handleHarmful))
@@ -127,11 +139,11 @@
 // AddCrash records a crash that this router saw and tells the others.
 func (s *Syncer) AddCrash(c rwcrash.Crash) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	sound := s.detector.AddCrash(time.Now(), c)
-	s.mu.Unlock()
 	c.Parts = without(c.Parts, sound)
-	if len(c.Parts) > 0 || c.Trial {
-		s.notify("crash", c)
+	if (len(c.Parts) > 0 || c.Trial) && len(s.crashes) < maxPending {
+		s.crashes = append(s.crashes, c)
 	}
 }
 
@@ -161,27 +173,38 @@
 	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return slices.Contains(excluded, id) })
 }
 
-func (s *Syncer) handleCrash(_ context.Context, _ rwidentity.Identity, c rwcrash.Crash) (any, error) {
+func (s *Syncer) handleCrashes(_ context.Context, _ rwidentity.Identity, m crashesMessage) (any, error) {
+	now := time.Now()
 	s.mu.Lock()
-	sound := s.detector.AddCrash(time.Now(), c)
-	s.mu.Unlock()
-	if len(sound) > 0 {
-		received := time.Now()
-		delay := time.Duration(rwrendezvous.Score(c.Upstream, s.self.Name) % uint64(maxSoundDelay))
-		time.AfterFunc(delay, func() { s.tellSound(c.Service, sound, received) })
+	defer s.mu.Unlock()
+	for _, c := range m.Crashes {
+		for _, id := range s.detector.AddCrash(now, c) {
+			k := partMessage{c.Service, id}
+			if _, due := s.sound[k]; !due && len(s.sound) < maxPending {
+				s.sound[k] = now
+			}
+		}
 	}
 	return nil, nil
 }
 
-// tellSound tells the others which parts aren't to blame, without those that another
-// router has told since a time.
-func (s *Syncer) tellSound(service string, ids []string, since time.Time) {
-	s.mu.Lock()
-	ids = slices.DeleteFunc(ids, func(id string) bool { return s.told[partMessage{service, id}].After(since) })
-	s.mu.Unlock()
-	if len(ids) > 0 {
-		s.notify("sound", soundMessage{service, ids})
+// takePending returns the messages that were collected: crashes, and sound parts by
+// service without those that another router has told of meanwhile. The caller must
+// hold the lock.
+func (s *Syncer) takePending(now time.Time) (crashes []rwcrash.Crash, sound map[string][]string) {
+	crashes, s.crashes = s.crashes, nil
+	sound = map[string][]string{}
+	for k, received := range s.sound {
+		delay := tick * time.Duration(rwrendezvous.Score(k.ID, s.self.Name)%soundDelays)
+		switch {
+		case s.told[k].After(received):
+			delete(s.sound, k)
+		case now.Sub(received) >= delay:
+			delete(s.sound, k)
+			sound[k.Service] = append(sound[k.Service], k.ID)
+		}
 	}
+	return crashes, sound
 }
 
 func (s *Syncer) handleSound(_ context.Context, from rwidentity.Identity, m soundMessage) (any, error) {
@@ -242,12 +265,19 @@
 func (s *Syncer) evaluate(now time.Time) {
 	s.mu.Lock()
 	found := s.detector.Tick(now)
+	crashes, sound := s.takePending(now)
 	for k, at := range s.told {
 		if now.Sub(at) > time.Second {
 			delete(s.told, k)
 		}
 	}
 	s.mu.Unlock()
+	if len(crashes) > 0 {
+		s.notify("crashes", crashesMessage{crashes})
+	}
+	for service, ids := range sound {
+		s.notify("sound", soundMessage{service, ids})
+	}
 	for service, ids := range found {
 		s.report(s.OnHarmful, s.self.Name, service, ids)
 	}
