Don't free a harmful part because an engine had responded before its crash

The crash counted from the first broken connection, so that the response dropped it; routers that had been told of the part by others freed it, since they had no crashes of their own left.

A crash counts from the last connection that ended, a router that tells of a response says how old its request is, and such a response only drops the crash.

--- a/internal/rwpoison/rwpoison.go
+++ b/internal/rwpoison/rwpoison.go
@@ -89,7 +89,8 @@
 type crash struct {
 	upstream    string
 	startMillis int64
-	at          time.Time
+	// at is when the last connection was seen to end.
+	at time.Time
 	// parts holds the prompts under which the engine ended, by part.
 	parts map[string][]string
 }
@@ -148,8 +149,9 @@
 			list = slices.Delete(list, 0, 1)
 		}
 		i = len(list)
-		list = append(list, &crash{upstream: c.Upstream, startMillis: c.StartMillis, at: now, parts: map[string][]string{}})
+		list = append(list, &crash{upstream: c.Upstream, startMillis: c.StartMillis, parts: map[string][]string{}})
 	}
+	list[i].at = now
 	d.crashes[c.Service] = list
 	for _, id := range c.Parts {
 		k := key(c.Service, id)
@@ -176,28 +178,16 @@
 	return slices.IndexFunc(d.crashes[service], func(c *crash) bool { return c.upstream == upstream && c.startMillis == startMillis })
 }
 
-// AddAlive records that an incarnation responded to a request sent at a time, and
-// returns the parts that are no longer harmful because it hadn't crashed before. It
-// reports whether a crash was dropped. An engine whose start isn't known may have
-// started again.
-func (d *Detector) AddAlive(service, upstream string, startMillis int64, sent time.Time) (freed []string, dropped bool) {
+// AddAlive records that an incarnation responded to a request sent at a time, so that
+// it hadn't crashed before, and reports whether a crash was dropped. An engine whose
+// start isn't known may have started again.
+func (d *Detector) AddAlive(service, upstream string, startMillis int64, sent time.Time) bool {
 	i := d.indexOf(service, upstream, startMillis)
 	if i < 0 || startMillis == 0 || !sent.After(d.crashes[service][i].at) {
-		return nil, false
+		return false
 	}
-	c := d.crashes[service][i]
 	d.crashes[service] = slices.Delete(d.crashes[service], i, i+1)
-	for id := range c.parts {
-		k := part{service, id}
-		if _, ok := d.harmful[k]; !ok {
-			continue
-		}
-		if n, _ := d.blamed(k, sent); n < minCrashes {
-			delete(d.harmful, k)
-			freed = append(freed, id)
-		}
-	}
-	return freed, true
+	return true
 }
 
 // isSound reports whether a response was written on a part around or after a time.
--- a/internal/rwpoisonsync/rwpoisonsync.go
+++ b/internal/rwpoisonsync/rwpoisonsync.go
@@ -68,6 +68,8 @@
 	Service     string `json:"svc"`
 	Upstream    string `json:"up"`
 	StartMillis int64  `json:"born"`
+	// Age is how long ago the request was sent to which the engine responded.
+	Age time.Duration `json:"age"`
 }
 
 type harmfulMessage struct {
@@ -149,24 +151,19 @@
 
 // AddAlive records that an engine responded to a request sent at a time.
 func (s *Syncer) AddAlive(service, upstream string, startMillis int64, sent time.Time) {
-	if s.drop(s.self.Name, service, upstream, startMillis, sent) {
-		s.notify("alive", aliveMessage{service, upstream, startMillis})
+	s.mu.Lock()
+	dropped := s.detector.AddAlive(service, upstream, startMillis, sent)
+	s.mu.Unlock()
+	if dropped {
+		s.notify("alive", aliveMessage{service, upstream, startMillis, time.Since(sent)})
 	}
 }
 
-func (s *Syncer) handleAlive(_ context.Context, from rwidentity.Identity, m aliveMessage) (any, error) {
-	s.drop(from.Name, m.Service, m.Upstream, m.StartMillis, time.Now())
-	return nil, nil
-}
-
-// drop drops the crash of an engine that has responded, and reports whether there
-// was one.
-func (s *Syncer) drop(source, service, upstream string, startMillis int64, sent time.Time) bool {
+func (s *Syncer) handleAlive(_ context.Context, _ rwidentity.Identity, m aliveMessage) (any, error) {
 	s.mu.Lock()
-	freed, dropped := s.detector.AddAlive(service, upstream, startMillis, sent)
-	s.mu.Unlock()
-	s.report(s.OnFreed, source, service, freed)
-	return dropped
+	defer s.mu.Unlock()
+	s.detector.AddAlive(m.Service, m.Upstream, m.StartMillis, time.Now().Add(-m.Age))
+	return nil, nil
 }
 
 func without(ids, excluded []string) []string {
