--- a/internal/rwpoisonsync/rwpoisonsync_test.go
+++ b/internal/rwpoisonsync/rwpoisonsync_test.go
@@ -53,7 +53,9 @@
 		}
 		f.routers = append(f.routers, s)
 		if i < live {
+			f.mu.Lock()
 			f.live = append(f.live, id)
+			f.mu.Unlock()
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
@@ -98,6 +100,8 @@
 		for i := range f.routers {
 			require.False(t, f.refuses(i, "bad"), i)
 		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		require.Equal(t, len(f.routers), f.freed)
 	})
 }
