--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -460,8 +460,8 @@
 	return changed
 }
 
-// Tick removes upstreams whose grace period has ended, and reports whether
-// there were any.
+// Tick applies what ends with time: grace periods of upstreams, and what items of
+// earlier eras tell. It reports whether the upstreams changed.
 func (c *Catalog) Tick(now time.Time) bool {
 	before := c.instances
 	c.rebuild(now)
