--- a/internal/rwrelay/rwrelay_test.go
+++ b/internal/rwrelay/rwrelay_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -795,10 +796,17 @@
 // the caller takes for a complete one because the reset was reported to the writer.
 func TestResetThatAWriteReports(t *testing.T) {
 	_, caller, peer := connected(t)
-	go func() { _, _ = caller.Write(make([]byte, 16<<20)) }()
+	written := make(chan error, 1)
+	go func() {
+		_, err := caller.Write(make([]byte, 16<<20))
+		written <- err
+	}()
 	read(t, peer, 100)
 	write(t, peer, "part")
 	require.Equal(t, "part", read(t, caller, 4))
+	// The kernel reports a reset once, to a write or to a read.
+	require.NoError(t, caller.SetWriteDeadline(time.Now()))
+	require.ErrorIs(t, <-written, os.ErrDeadlineExceeded)
 	require.NoError(t, peer.SetLinger(0))
 	require.NoError(t, peer.Close())
 	require.ErrorIs(t, ending(caller), syscall.ECONNRESET)
