Find the part that crashes engines also behind sound ones found first

Two causes, each shown by a test that fails before:

- A request that is sent again counts once, for all of its parts.
A sound part that other requests have too is then under more prompts than the harmful one and was found in its place (TestRepeatedRequestHidesNothing).
Now the part in most crashes is the one, and the prompts decide only whether they are enough.
- A crash that a part found before explains didn't count for others, so that the harmful part needed three further crashes without that part (TestSoundPartHidesNoHarmfulOne).
Now one that no part explains makes all of them count.

TestStorms sends the requests with the part through the detector as a router does, and has storms with few responses. Tried and dropped: to try a part only in prompts whose other parts are sound, which changed nothing in 3,000 storms.

--- a/internal/rwpoison/rwpoison.go
+++ b/internal/rwpoison/rwpoison.go
@@ -1,9 +1,10 @@
 // Package rwpoison finds the parts of prompts that crash engines. An engine that
 // crashes takes the responses of other requests with it, so that one crash blames
 // all parts of those that had just begun or not yet. A part is harmful if it explains
-// several crashes, under different prompts and more than any other part does, and no response on it was written around them, while the engines wrote
-// others. The parts that sound requests share with the crashing ones get responses
-// all the time. A broken connection to an engine that responds later was no crash.
+// several crashes, under different prompts and more than any other part does, and no
+// response on it was written around them, while the engines wrote others. The parts
+// that sound requests share with the crashing ones get responses all the time. A
+// broken connection to an engine that responds later was no crash.
 //
 // The package reads no clock and does no I/O; callers pass the time.
 package rwpoison
@@ -19,7 +20,7 @@
 
 const (
 	// minCrashes is the number of crashes under different prompts that a harmful part
-	// explains at least, and minShare the fraction of those since the first one.
+	// explains at least, and minShare the fraction of all since the first one.
 	minCrashes = 3
 	minShare   = 0.6
 	// With manyCrashes, manyShare is enough, since several parts may be harmful at the
@@ -68,7 +69,8 @@
 	rotatedAt     time.Time
 	// responded holds when any response of a service was last written.
 	responded map[string]time.Time
-	harmful   map[part]refusal
+	// harmful holds the harmful parts, and for priorTime those that were.
+	harmful map[part]refusal
 	// changed is whether crashes were added since the last Tick without one that
 	// hasn't settled.
 	changed bool
@@ -196,40 +198,57 @@
 	return !last.IsZero() && last.After(at.Add(-soundTime))
 }
 
-// blamed returns the number of crashes under different prompts that a part may
-// explain, and that of all crashes since the first of these. It leaves out crashes
-// that another harmful part explains, and those under prompts that were counted
-// before.
-func (d *Detector) blamed(k part, before time.Time) (n, total int) {
+// blame is what speaks for a part as the cause of crashes.
+type blame struct {
+	// crashes is the number of crashes that the part may explain, and prompts that of
+	// the different prompts among them: a request that is sent again names all of its
+	// parts twice.
+	crashes, prompts int
+	// total is the number of all crashes since the first of these.
+	total int
+}
+
+// blameOf returns what speaks for a part, given the number of harmful parts in each
+// crash of the service. It leaves out crashes that another harmful part explains,
+// unless there is one that none does: then what was found before may be wrong.
+func (d *Detector) blameOf(k part, harmful []int, before time.Time) blame {
+	var b blame
+	unexplained := false
+	_, own := d.harmful[k]
 	counted := map[string]bool{}
-	for _, c := range d.crashes[k.service] {
-		if len(c.parts) == 0 || c.at.After(before) || d.isExplained(k, c) {
+	for i, c := range d.crashes[k.service] {
+		if len(c.parts) == 0 || c.at.After(before) {
 			continue
 		}
-		prompts := c.parts[k.id]
-		i := slices.IndexFunc(prompts, func(prompt string) bool { return !counted[prompt] })
-		switch {
-		case len(prompts) > 0 && i < 0:
-			continue
-		case i >= 0 && !d.isSound(k, c.at):
-			counted[prompts[i]] = true
-			n++
+		if prompts := c.parts[k.id]; len(prompts) > 0 && !d.isSound(k, c.at) {
+			b.crashes++
+			if next := slices.IndexFunc(prompts, func(prompt string) bool { return !counted[prompt] }); next >= 0 {
+				counted[prompts[next]] = true
+				b.prompts++
+			}
+			unexplained = unexplained || harmful[i] == 0 || own && harmful[i] == 1
 		}
-		if n > 0 {
-			total++
+		if b.crashes > 0 {
+			b.total++
 		}
 	}
-	return n, total
+	if !unexplained {
+		return blame{}
+	}
+	return b
 }
 
-// isExplained reports whether a harmful part other than k explains a crash.
-func (d *Detector) isExplained(k part, c *crash) bool {
-	for other := range d.harmful {
-		if other != k && other.service == k.service && len(c.parts[other.id]) > 0 {
-			return true
+// countHarmful returns the number of harmful parts in each crash of a service.
+func (d *Detector) countHarmful(service string) []int {
+	out := make([]int, len(d.crashes[service]))
+	for i, c := range d.crashes[service] {
+		for id := range c.parts {
+			if _, ok := d.harmful[part{service, id}]; ok {
+				out[i]++
+			}
 		}
 	}
-	return false
+	return out
 }
 
 // Tick returns the parts that have become harmful, by service.
@@ -260,10 +279,10 @@
 	return found
 }
 
-// isEnough reports whether a part is harmful that explains n crashes of all.
-func isEnough(n, all int) bool {
-	share := float64(n) / float64(max(all, 1))
-	return n >= minCrashes && share >= minShare || n >= manyCrashes && share >= manyShare
+// isEnough reports whether a part is harmful if no other one explains more crashes.
+func (b blame) isEnough() bool {
+	share := float64(b.crashes) / float64(max(b.total, 1))
+	return b.prompts >= minCrashes && share >= minShare || b.prompts >= manyCrashes && share >= manyShare
 }
 
 // explaining returns the parts of a service that explain more crashes than others,
@@ -275,27 +294,28 @@
 			counts[id]++
 		}
 	}
+	harmful, responded := d.countHarmful(service), d.respondedSince(service, d.crashes[service][0].at)
 	var best []string
-	most := 0
+	most, tied := 0, 0
 	for id, count := range counts {
 		k := part{service, id}
 		r, known := d.harmful[k]
 		if known && now.Before(r.until) || !known && count < minCrashes {
 			continue
 		}
-		n, total := d.blamed(k, now.Add(-settleTime))
-		enough := isEnough(n, total) && d.respondedSince(service, d.crashes[service][0].at)
-		if !enough && (!known || n == 0) {
+		b := d.blameOf(k, harmful, now.Add(-settleTime))
+		if b.crashes == 0 || b.crashes < most {
 			continue
 		}
-		if n > most {
-			best, most = nil, n
+		if b.crashes > most {
+			best, most, tied = nil, b.crashes, 0
 		}
-		if n == most {
+		tied++
+		if b.isEnough() && responded || known {
 			best = append(best, id)
 		}
 	}
-	if len(best) > 1 && most < manyCrashes {
+	if tied > 1 && most < manyCrashes {
 		// Further crashes tell which of them it is.
 		return nil
 	}
@@ -346,9 +366,12 @@
 // Suspected reports whether a part of a prompt may explain several crashes, which is
 // too few to refuse it.
 func (d *Detector) Suspected(now time.Time, service string, ids []string) bool {
-	return len(d.crashes[service]) > 0 && slices.ContainsFunc(ids, func(id string) bool {
-		n, _ := d.blamed(key(service, id), now)
-		return n >= minCrashes-1
+	if len(d.crashes[service]) == 0 {
+		return false
+	}
+	harmful := d.countHarmful(service)
+	return slices.ContainsFunc(ids, func(id string) bool {
+		return d.blameOf(key(service, id), harmful, now).prompts >= minCrashes-1
 	})
 }
 
--- a/internal/rwpoison/rwpoison_test.go
+++ b/internal/rwpoison/rwpoison_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"redwingworks.example/internal/rwcrash"
@@ -54,6 +55,36 @@
 	require.False(t, ok, "another service")
 }
 
+// Guards against blaming a part of several requests because the one that crashed the
+// engines was sent again, and so was counted once.
+func TestRepeatedRequestHidesNothing(t *testing.T) {
+	d := New()
+	d.AddResponse(at(0), "s", []string{"first"})
+	for i := range 3 {
+		up := strconv.Itoa(i)
+		d.AddCrash(at(i), crashUnder(up, "repeated", "q", "bad"))
+		d.AddCrash(at(i), crashUnder(up, "other"+up, "q"))
+	}
+	require.Empty(t, harmful(d, at(1000)))
+	d.AddCrash(at(1000), crashUnder("3", "second", "bad"))
+	d.AddCrash(at(1001), crashUnder("4", "third", "bad"))
+	require.Equal(t, []string{"bad"}, harmful(d, at(2000)))
+}
+
+// Guards against a sound part that was found first and hides the one that crashes
+// engines, since it was in the same requests.
+func TestSoundPartHidesNoHarmfulOne(t *testing.T) {
+	d := New()
+	d.AddResponse(at(0), "s", []string{"first"})
+	for i := range 3 {
+		d.AddCrash(at(i), crashOf(strconv.Itoa(i), "q", "bad"))
+	}
+	require.True(t, d.SetHarmful(at(10), "s", "q", time.Minute, false))
+	require.Empty(t, harmful(d, at(1000)))
+	d.AddCrash(at(1000), crashOf("3", "bad"))
+	require.Equal(t, []string{"bad"}, harmful(d, at(2000)))
+}
+
 // Guards against missing two parts that crash engines at the same time.
 func TestTwoHarmfulParts(t *testing.T) {
 	d := New()
@@ -235,13 +266,34 @@
 	// bystanders the number of sound requests whose responses end with an engine.
 	shared, bystanders int
 	calm               time.Duration
+	// responses is the fraction of sound requests that get a response, and attempts
+	// the number of engines to which a request with the part is sent.
+	responses float64
+	attempts  int
 }
 
-// run returns when the part was found, and the numbers of sound requests that were
-// served and refused.
-func (s storm) run(seed uint64) (found time.Duration, served, refused int) {
+// result is what a storm came to.
+type result struct {
+	// found is when the part was found after the storm began.
+	found time.Duration
+	// late is the number of requests with the part that were sent to an engine later
+	// than knownTime after crash crashLimit.
+	late int
+	// served and refused are numbers of sound requests.
+	served, refused int
+}
+
+// Later than knownTime after crash crashLimit, crashBudget requests with the part may
+// be sent to engines.
+const (
+	crashLimit, crashBudget = 5, 3
+	knownTime               = 3 * time.Second
+)
+
+func (s storm) run(seed uint64) result {
 	random := rand.New(rand.NewPCG(seed, 1))
 	d := New()
+	var out result
 	shared := func() string { return "q" + strconv.Itoa(int(float64(s.shared)*random.Float64()*random.Float64())) }
 	crashes, prompts := 0, 0
 	prompt := func() string {
@@ -252,61 +304,92 @@
 		up := strconv.Itoa(crashes)
 		crashes++
 		for range s.bystanders {
-			d.AddCrash(at(ms), crashUnder(up, prompt(), "first", shared()))
+			ids := []string{"first", shared()}
+			if _, _, refused := d.Harmful(at(ms), "s", ids); !refused {
+				d.AddCrash(at(ms), crashUnder(up, prompt(), ids...))
+			}
 		}
 		// The request itself isn't always seen.
 		if random.IntN(10) > 0 {
 			d.AddCrash(at(ms), crashUnder(up, id, "first", q, "bad"))
 		}
 	}
-	calm := int(s.calm.Milliseconds())
+	calm, known := int(s.calm.Milliseconds()), 0
 	for ms := 0; ms < calm+25_000; ms += 10 {
 		if random.IntN(2) == 0 {
 			ids := []string{"first", shared()}
 			if _, _, ok := d.Harmful(at(ms), "s", ids); ok && !d.Try(at(ms), "s", ids) {
-				refused++
+				out.refused++
 			} else {
-				served++
-				d.AddResponse(at(ms), "s", ids)
+				out.served++
+				if random.Float64() < s.responses {
+					d.AddResponse(at(ms), "s", ids)
+				}
 			}
 		}
-		if ms >= calm && found == 0 && random.IntN(20) == 0 {
+		if ms >= calm && random.IntN(20) == 0 {
 			q, id := shared(), prompt()
-			crash(ms, q, id)
-			if !d.Suspected(at(ms), "s", []string{"first", q, "bad"}) {
-				crash(ms+5, q, id)
+			ids := []string{"first", q, "bad"}
+			for i := range s.attempts {
+				_, _, refused := d.Harmful(at(ms), "s", ids)
+				trial := refused && i == 0 && d.Try(at(ms), "s", ids)
+				if refused && !trial || i > 0 && d.Suspected(at(ms), "s", ids) {
+					break
+				}
+				if known > 0 && ms > known {
+					out.late++
+				}
+				crash(ms+5*i, q, id)
+				if crashes == crashLimit {
+					known = ms + int(knownTime.Milliseconds())
+				}
+				if trial {
+					d.AddCrash(at(ms), rwcrash.Crash{Service: "s", Upstream: strconv.Itoa(crashes - 1), StartMillis: 1, Prompt: id, Parts: ids, Trial: true})
+				}
 			}
 		}
 		for _, id := range harmful(d, at(ms)) {
-			if id == "bad" {
-				found = time.Duration(ms-calm) * time.Millisecond
+			if id == "bad" && out.found == 0 {
+				out.found = time.Duration(ms-calm) * time.Millisecond
 			}
 		}
 	}
-	return found, served, refused
+	return out
 }
 
 // Guards, over many storms, against a part that is found late and against sound parts
 // that are refused: each crash takes others with it, of which the popular parts get
 // responses and the rare ones seldom do. Each request with the part shares another
-// part with sound ones and is sent again once. Sound parts of a soak were refused
-// where few were shared and no response had been written before.
+// part with sound ones and is sent again. Sound parts of a soak were refused
+// where few were shared and no response had been written before, and hid the one that
+// crashed engines.
 func TestStorms(t *testing.T) {
 	const storms = 300
 	for name, s := range map[string]storm{
-		"many parts":               {shared: 300, bystanders: 25, calm: 40 * time.Second},
-		"many parts, at the start": {shared: 300, bystanders: 9},
-		"few parts":                {shared: 5, bystanders: 2, calm: 40 * time.Second},
-		"few parts, at the start":  {shared: 5, bystanders: 2},
+		"many parts":                    {shared: 300, bystanders: 25, calm: 40 * time.Second, responses: 1, attempts: 2},
+		"many parts, at the start":      {shared: 300, bystanders: 9, responses: 1, attempts: 2},
+		"few parts":                     {shared: 5, bystanders: 2, calm: 40 * time.Second, responses: 1, attempts: 2},
+		"few parts, at the start":       {shared: 5, bystanders: 2, responses: 1, attempts: 2},
+		"many parts with few responses": {shared: 100, bystanders: 25, responses: 0.2, attempts: 3},
+		"few parts with few responses":  {shared: 5, bystanders: 2, responses: 0.1, attempts: 3},
 	} {
-		slowest, served, refused := time.Duration(0), 0, 0
-		for seed := range uint64(storms) {
-			found, ok, not := s.run(seed)
-			require.NotZero(t, found, "%s: the part wasn't found with seed %d", name, seed)
-			slowest, served, refused = max(slowest, found), served+ok, refused+not
-		}
-		t.Logf("%s: found after %s at most, %d of %d sound requests refused", name, slowest, refused, served+refused)
-		require.Less(t, slowest, 5*time.Second, name)
-		require.Less(t, refused, served/1000, name)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			slowest, late, served, refused := time.Duration(0), 0, 0, 0
+			for seed := range uint64(storms) {
+				r := s.run(seed)
+				assert.NotZero(t, r.found, "the part wasn't found with seed %d", seed)
+				slowest, late = max(slowest, r.found), max(late, r.late)
+				served, refused = served+r.served, refused+r.refused
+			}
+			t.Logf("found after %s at most, %d late at most, %d of %d sound requests refused", slowest, late, refused, served+refused)
+			assert.Less(t, slowest, 5*time.Second)
+			assert.LessOrEqual(t, late, crashBudget)
+			if s.responses == 1 {
+				assert.Less(t, refused, served/1000)
+			} else {
+				assert.Less(t, refused, served)
+			}
+		})
 	}
 }
