--- a/test/rwfleet/rwfleet.go
+++ b/test/rwfleet/rwfleet.go
@@ -92,7 +92,7 @@
 
 // Start starts a program. The name must be unique among the running processes.
 func (f *Fleet) Start(p *Proc, program string, args ...string) error {
-	out, err := os.OpenFile(filepath.Join(f.LogDir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	out, err := os.OpenFile(f.logPath(p), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return rwfault.Wrap(rwcode.Internal, err)
 	}
@@ -113,6 +113,17 @@
 	return nil
 }
 
+// Output returns what the process has written.
+func (f *Fleet) Output(p *Proc) string {
+	data, err := os.ReadFile(f.logPath(p))
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
+func (f *Fleet) logPath(p *Proc) string { return filepath.Join(f.LogDir, p.Name+".log") }
+
 // Signal sends a signal to the process, such as SIGSTOP to pause it.
 func (p *Proc) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
@@ -300,21 +311,26 @@
 
 // WaitReady waits until the process responds with status 200 at the URL path.
 func WaitReady(ctx context.Context, addr, path string) error {
+	last := "no response"
 	for {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
 		if err != nil {
 			return rwfault.Wrap(rwcode.Internal, err)
 		}
 		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
+		switch {
+		case err != nil && ctx.Err() == nil:
+			last = err.Error()
+		case err == nil:
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
 				return nil
 			}
+			last = resp.Status
 		}
 		select {
 		case <-ctx.Done():
-			return rwfault.New(rwcode.NotReady, fmt.Sprintf("%s%s", addr, path))
+			return rwfault.New(rwcode.NotReady, fmt.Sprintf("%s%s: %s", addr, path, last))
 		case <-time.After(pollInterval):
 		}
 	}
--- a/test/rwkeys/rwkeys_test.go
+++ b/test/rwkeys/rwkeys_test.go
@@ -124,7 +124,9 @@
 	f.t.Helper()
 	p := f.routers[name]
 	require.NoError(f.t, f.fleet.StartRouter(p, f.platform.Addr, "--drain", "200ms"))
-	require.NoError(f.t, rwfleet.WaitReady(f.ctx, p.Addr, "/readyz"))
+	if err := rwfleet.WaitReady(f.ctx, p.Addr, "/readyz"); err != nil {
+		require.NoError(f.t, err, "the router's output:\n%s", f.fleet.Output(p))
+	}
 }
 
 // unpublish removes a router from the published list.
