Reserve the addresses of test processes across all of them

Tests choose a fleet's addresses at random, publish them and start the routers one after the other, so that some are unused for seconds; the test processes of other packages choose from the same range meanwhile. Each process knew only its own choices. Ruled out: a router that hangs (its connections were refused), and one that lacks its configuration.

FreeAddr now holds a listener at the port of another loopback address until its process ends, which reserves it among all processes without files or locks.

--- a/test/rwfleet/rwfleet.go
+++ b/test/rwfleet/rwfleet.go
@@ -31,6 +31,9 @@
 	firstPort    = 10000
 	portCount    = 22000
 	portAttempts = 100
+	// reservingHost is another loopback address. A listener there reserves its port
+	// for the process that has it.
+	reservingHost = "127.0.0.2"
 	// clockTick is the unit of CPU times in /proc on Linux.
 	clockTick = 10 * time.Millisecond
 	// Key is the shared key of the routers of a test fleet.
@@ -68,27 +71,32 @@
 	return &Fleet{BinDir: bin, LogDir: logs, procs: map[string]*Proc{}}
 }
 
-// FreeAddr returns an unused loopback address. The port is below the range for
-// outgoing connections, one of which could otherwise take it before the process
-// listens.
+// FreeAddr returns an unused loopback address that no other call returns, also in
+// another process, until this process ends: processes listen long after their
+// addresses were chosen. The port is below the range for outgoing connections, one
+// of which could otherwise take it.
 func FreeAddr() (string, error) {
 	for range portAttempts {
-		port := firstPort + rand.IntN(portCount)
-		if _, taken := assignedPorts.LoadOrStore(port, true); taken {
+		port := strconv.Itoa(firstPort + rand.IntN(portCount))
+		reservation, err := net.Listen("tcp", net.JoinHostPort(reservingHost, port))
+		if err != nil {
 			continue
 		}
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		addr := net.JoinHostPort("127.0.0.1", port)
 		l, err := net.Listen("tcp", addr)
-		if err == nil {
-			return addr, l.Close()
+		if err != nil {
+			_ = reservation.Close()
+			continue
 		}
+		reservations.Store(port, reservation)
+		return addr, l.Close()
 	}
 	return "", rwfault.New(rwcode.Internal, "no free port")
 }
 
-// assignedPorts are the ports that this process has assigned. A process may not
-// listen yet when the next port is chosen.
-var assignedPorts sync.Map
+// reservations holds the listeners on reservingHost by port, which would otherwise
+// be closed as garbage.
+var reservations sync.Map
 
 // Start starts a program. The name must be unique among the running processes.
 func (f *Fleet) Start(p *Proc, program string, args ...string) error {
