Log why rwrouter ended

A router of a test that couldn't listen logged events 100 and 101 only, so that its end looked like an orderly one. rwrouter dropped the error of its services; rwfront logs it as event 109. rwrouter does too now. TestStartBesideTakenAddress asks for it and fails without.

--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -236,6 +236,9 @@
 	n.metrics.Publish()
 	rwlog.Info(&n.log, rwlog.Started).Int64("inc", n.self.Inc).Send()
 	err := n.serve(signals)
+	if err != nil {
+		rwlog.Warn(&n.log, rwlog.ProcessFailed, err).Send()
+	}
 	rwlog.Info(&n.log, rwlog.Stopped).Send()
 	return err
 }
--- a/test/rwdrain/address_test.go
+++ b/test/rwdrain/address_test.go
@@ -19,7 +19,7 @@
 
 // Guards against a router that accepts callers although it can't listen for other
 // routers or for operators: it ends at once, with the requests that it has
-// accepted. The test polls without a pause, so it doesn't run beside the others.
+// accepted; and against one that doesn't say why. The test polls without a pause, so it doesn't run beside the others.
 func TestStartBesideTakenAddress(t *testing.T) {
 	cases := map[string]func(*rwfleet.Proc) string{
 		"other routers": func(p *rwfleet.Proc) string { return p.Peer },
@@ -43,6 +43,7 @@
 					accepted, lost = accepted+a, lost+l
 				}
 				require.Equal(t, 1, p.ExitState().ExitCode())
+				require.Regexp(t, `"event":109,.*`+addr(p), f.Output(p), "the log doesn't tell why the router ended")
 				require.NoError(t, taken.Close())
 			}
 			require.Zero(t, accepted, "connections in %d starts, %d of them without a response", addressStarts, lost)
