--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -349,17 +349,10 @@
 		Zone:         e.self.Zone, Log: e.log, Metrics: e.metrics, ObserveLatency: e.latency.Record,
 		Stopping: e.stopRequested, InFlight: &e.inFlight, Via: e.relayedBy,
 		Tally:       &e.tally,
-		HarmfulPart: e.poison.Harmful, TryHarmful: e.poison.Try, SuspectedPart: e.poison.Suspected, ResponseWritten: e.poison.AddResponse, Crashed: e.poison.AddCrash, Alive: e.poison.AddAlive,
-	}
-	e.poison.Live = func() []rwidentity.Identity { return e.gossip.Live("") }
-	e.poison.OnHarmful = func(source, service, id string) {
-		e.metrics.Add("parts_harmful", 1)
-		rwlog.Warn(&e.log, rwlog.PartHarmful, rwfault.New(rwcode.PromptHarmful, id)).Str("part", id).Str("service", service).Str("source", source).Send()
-	}
-	e.poison.OnFreed = func(source, service, id string) {
-		e.metrics.Add("parts_freed", 1)
-		rwlog.Info(&e.log, rwlog.PartFreed).Str("part", id).Str("service", service).Str("source", source).Send()
+		HarmfulPart: e.poison.Harmful, TryHarmful: e.poison.Try, SuspectedPart: e.poison.Suspected,
+		ResponseWritten: e.poison.AddResponse, Crashed: e.poison.AddCrash, Alive: e.poison.AddAlive,
 	}
+	e.wirePoison()
 	requests, cancel := context.WithCancelCause(context.Background())
 	e.cancelRequests = cancel
 	e.server = &http.Server{
@@ -385,6 +378,20 @@
 	}
 }
 
+// wirePoison connects the part that finds which parts of prompts crash engines.
+func (e *Edge) wirePoison() {
+	e.poison.Live = func() []rwidentity.Identity { return e.gossip.Live("") }
+	e.poison.OnHarmful = func(source, service, id string) {
+		e.metrics.Add("parts_harmful", 1)
+		rwlog.Warn(&e.log, rwlog.PartHarmful, rwfault.New(rwcode.PromptHarmful, id)).Str("part", id).Str("service", service).
+			Str("source", source).Send()
+	}
+	e.poison.OnFreed = func(source, service, id string) {
+		e.metrics.Add("parts_freed", 1)
+		rwlog.Info(&e.log, rwlog.PartFreed).Str("part", id).Str("service", service).Str("source", source).Send()
+	}
+}
+
 // wireRelay connects the parts that relay callers' connections.
 func (e *Edge) wireRelay() {
 	e.relay = rwrelay.New()
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -84,11 +84,17 @@
 	if !x.AttemptEventAt.IsZero() {
 		since = time.Since(x.AttemptEventAt)
 	}
-	if ids := x.Request.Prompt.SharedIDs(); f.Crashed != nil && since < crashTime && len(ids) > 0 {
-		f.Crashed(rwcrash.Crash{Service: x.Service, Upstream: dest.id, StartMillis: dest.startMillis, Trial: x.Trial, Prompt: x.Request.Prompt.OwnID(), Parts: ids})
+	prompt := x.Request.Prompt
+	ids := prompt.SharedIDs()
+	if f.Crashed != nil && since < crashTime && len(ids) > 0 {
+		f.Crashed(rwcrash.Crash{
+			Service: x.Service, Upstream: dest.id, StartMillis: dest.startMillis,
+			Trial: x.Trial, Prompt: prompt.OwnID(), Parts: ids,
+		})
 	}
 	f.addRequest(rwlog.Info(&f.Log, rwlog.ResponseBroken), x).Str("service", x.Service).Str("upstream", dest.id).
-		Int64("born", dest.startMillis).Bool("head", hasHead).Int("events", x.AttemptEvents).Dur("since", since).Strs("parts", x.Request.Prompt.SharedIDs()).Send()
+		Int64("born", dest.startMillis).Bool("head", hasHead).Int("events", x.AttemptEvents).Dur("since", since).
+		Strs("parts", ids).Send()
 }
 
 // noteWritten reports that a response was written on the parts of the prompt.
