--- a/internal/rwedge/saturated_test.go
+++ b/internal/rwedge/saturated_test.go
@@ -1,6 +1,7 @@
 package rwedge
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -160,9 +161,17 @@
 }
 
 // send sends a request on a new connection, and once more after the retry delay
-// if it is refused with 503. It reports whether the request was served.
-func (f *testFleet) send(router int, key, id string) bool {
+// if it is refused with 503. It reports whether the request was served, and logs why
+// it wasn't.
+func (f *testFleet) send(router int, key, id string) (served bool) {
+	var outcomes []string
+	defer func() {
+		if !served {
+			f.t.Logf("request %s: %s", id, strings.Join(outcomes, ", "))
+		}
+	}()
 	for range 2 {
+		outcomes = append(outcomes, time.Now().Format("05.000"))
 		req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+fleetDeployment(router).Front+"/x", strings.NewReader("prompt"))
 		if !assert.NoError(f.t, err) {
 			return false
@@ -172,10 +181,12 @@
 		req.Header.Set("X-Key", key)
 		resp, err := f.client.Do(req)
 		if err != nil {
+			outcomes = append(outcomes, err.Error())
 			return false
 		}
-		_, err = io.Copy(io.Discard, resp.Body)
+		body, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
+		outcomes = append(outcomes, fmt.Sprintf("%s %s %v", resp.Status, bytes.TrimSpace(body), err))
 		if resp.StatusCode != http.StatusServiceUnavailable {
 			return err == nil && resp.StatusCode == http.StatusOK
 		}
