Test an invalid configuration after a return of the store

An invalid configuration in the store's new era leaves the newest valid one active, which routers that start learn from others.

--- a/internal/rwcatalog/copy_test.go
+++ b/internal/rwcatalog/copy_test.go
@@ -93,3 +93,19 @@
 		require.EqualValues(t, 4, c.Config().Version)
 	}
 }
+
+// Guards against an invalid configuration that brings an older one back after a return
+// of the store, at routers that read it and at those that learn of it from others.
+func TestInvalidConfigurationAfterAReturn(t *testing.T) {
+	c := newModelCatalog()
+	list(c, start, 1, 10, put("p", "config 7", 10))
+	list(c, start, 2, 5, put("p", "config 5", 3))
+	_, bad := c.Apply(start, []rwitem.Item{in(2, put("p", "odd", 6))})
+	require.Contains(t, bad, "p")
+	require.EqualValues(t, 7, c.Config().Version)
+	started := newModelCatalog()
+	started.Apply(start, c.Since(rwrevision.Revision{}))
+	require.EqualValues(t, 7, started.Config().Version)
+	c.Apply(start, []rwitem.Item{in(2, put("p", "config 9", 7))})
+	require.EqualValues(t, 9, c.Config().Version)
+}
