End a call to another router at its time limit while its link opens

A call that found the link to a router being opened waited for a lock until that had ended, up to 1.5 s, whatever its own time limit: a request then waited for an owner that didn't answer in place of asking the next one. Found when a test in virtual time stood still at the lock.

The link is now opened by the call that holds a place in a channel; the others wait for it with their own contexts. A link that opens while the links are closed is closed. TestCallDoesNotWaitForALinkThatOpens hangs without the change.

--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -104,6 +104,10 @@
 	// empty.
 	sending bool
 
+	// opening has a value while the connection is being opened. The calls that wait
+	// for it end with their own time limits.
+	opening chan struct{}
+
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
 	// peerInc is the incarnation at the other end of conn.
@@ -218,7 +222,7 @@
 	}
 	l := set[addr]
 	if l == nil {
-		l = &link{peers: p, addr: addr, data: data, queue: make(chan notification, notifyQueueSize)}
+		l = &link{peers: p, addr: addr, data: data, queue: make(chan notification, notifyQueueSize), opening: make(chan struct{}, 1)}
 		set[addr] = l
 	}
 	return l
@@ -299,20 +303,35 @@
 // after a failed attempt it fails at once, so that messages to a dead peer cost
 // little.
 func (l *link) open(ctx context.Context) (*jsonrpc2.Conn, error) {
+	if conn := l.current(); conn != nil {
+		return conn, nil
+	}
+	select {
+	case l.opening <- struct{}{}:
+	case <-ctx.Done():
+		return nil, rwfault.Wrap(rwcode.PeerUnreachable, ctx.Err())
+	}
+	defer func() { <-l.opening }()
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn != nil {
-		return l.conn, nil
+	conn, failed := l.conn, l.lastDialFailure
+	l.mu.Unlock()
+	if conn != nil {
+		return conn, nil
 	}
-	if time.Since(l.lastDialFailure) < redialDelay {
+	if time.Since(failed) < redialDelay {
 		return nil, rwfault.New(rwcode.PeerUnreachable, l.addr)
 	}
 	conn, inc, err := l.dial(ctx)
 	if err != nil {
+		l.mu.Lock()
 		l.lastDialFailure = time.Now()
+		l.mu.Unlock()
 		return nil, err
 	}
-	l.conn, l.peerInc = conn, inc
+	if !l.setConn(conn, inc) {
+		_ = conn.Close()
+		return nil, rwfault.New(rwcode.PeerUnreachable, l.addr)
+	}
 	go func() {
 		<-conn.DisconnectNotify()
 		if l.closeConn(conn) {
@@ -322,6 +341,27 @@
 	return conn, nil
 }
 
+// current returns the connection, or nil if there is none.
+func (l *link) current() *jsonrpc2.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// setConn sets the connection to an incarnation of the peer. It reports false if the
+// links were closed while it was opened.
+func (l *link) setConn(conn *jsonrpc2.Conn, inc int64) bool {
+	l.peers.mu.Lock()
+	defer l.peers.mu.Unlock()
+	if l.peers.closed {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn, l.peerInc = conn, inc
+	return true
+}
+
 // closeConn closes the connection if it is still the given one; nil means any.
 // It reports whether a connection was closed.
 func (l *link) closeConn(conn *jsonrpc2.Conn) bool {
--- a/internal/rwpeer/rwpeer_test.go
+++ b/internal/rwpeer/rwpeer_test.go
@@ -304,3 +304,26 @@
 		require.ErrorIs(t, err, io.EOF)
 	})
 }
+
+// Guards against a call that waits longer than its time limit because another one
+// opens the link: requests then waited for owners that didn't answer.
+func TestCallDoesNotWaitForALinkThatOpens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := rwpeer.New(rwidentity.Identity{Name: "a"}, key, nil, zerolog.Nop(), rwmetric.New())
+		p.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		call := func(wait time.Duration) {
+			ctx, cancel := context.WithTimeout(t.Context(), wait)
+			defer cancel()
+			require.True(t, rwfault.Is(p.Call(ctx, "10.0.0.1:1", "echo", 1, nil), rwcode.PeerUnreachable))
+		}
+		go call(time.Minute)
+		synctest.Wait()
+		start := time.Now()
+		call(50 * time.Millisecond)
+		require.Equal(t, 50*time.Millisecond, time.Since(start))
+		time.Sleep(time.Minute)
+	})
+}
