--- a/internal/rwbandwidth/rwbandwidth.go
+++ b/internal/rwbandwidth/rwbandwidth.go
@@ -51,9 +51,6 @@
 	fullDelay = 20 * time.Millisecond
 )
 
-// Dial opens a connection, as the DialContext of a net.Dialer.
-type Dial = func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // Link is the link of a machine. Its methods may be called concurrently.
 type Link struct {
 	in, out *rwpace.Pacer
@@ -213,11 +210,15 @@
 func (l *Link) CallerListener(inner net.Listener) net.Listener { return l.listener(inner, true) }
 
 // Dialer wraps a function that opens connections, which wait for nothing.
-func (l *Link) Dialer(dial Dial) Dial { return l.dialer(dial, false) }
+func (l *Link) Dialer(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return l.dialer(dial, false)
+}
 
 // UpstreamDialer wraps a function that opens connections to upstreams. What is sent
 // to them waits.
-func (l *Link) UpstreamDialer(dial Dial) Dial { return l.dialer(dial, true) }
+func (l *Link) UpstreamDialer(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return l.dialer(dial, true)
+}
 
 func (l *Link) listener(inner net.Listener, callers bool) net.Listener {
 	if l.bytesPerSecond == 0 {
@@ -226,7 +227,7 @@
 	return &listener{inner, l, callers}
 }
 
-func (l *Link) dialer(dial Dial, paced bool) Dial {
+func (l *Link) dialer(dial func(ctx context.Context, network, addr string) (net.Conn, error), paced bool) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	if l.bytesPerSecond == 0 {
 		return dial
 	}
