--- a/internal/rwlinknetwork/rwlinknetwork_test.go
+++ b/internal/rwlinknetwork/rwlinknetwork_test.go
@@ -31,8 +31,10 @@
 	}()
 	caller, err = n.Dial(t.Context(), callerIP, testAddr)
 	require.NoError(t, err)
+	// Connections that wait to be accepted end with the listener.
+	server = <-accepted
 	require.NoError(t, l.Close())
-	return caller, <-accepted
+	return caller, server
 }
 
 // Guards against a network that is faster or slower than the links of its machines.
