Read a body that has crossed the link as a whole

A body that had arrived while others waited was read in parts of 512 bytes, since it wasn't marked as admitted. Found by reading; TestArrivedBodyIsReadAtOnce failed.

--- a/internal/rwbandwidth/rwbandwidth.go
+++ b/internal/rwbandwidth/rwbandwidth.go
@@ -117,7 +117,12 @@
 	if within -= l.out.Delay(now); !l.in.Admit(now, left, within) {
 		return false
 	}
-	if waits && caller.arrived(n) || !l.awaitTurn(ctx, left) {
+	if waits && caller.arrived(n) {
+		l.in.Cancel(left)
+		caller.admitted.Store(n)
+		return true
+	}
+	if !l.awaitTurn(ctx, left) {
 		l.in.Cancel(left)
 		return true
 	}
--- a/internal/rwbandwidth/rwbandwidth_test.go
+++ b/internal/rwbandwidth/rwbandwidth_test.go
@@ -190,3 +190,26 @@
 		require.True(t, l.AdmitBody(t.Context(), c, -1, time.Millisecond))
 	})
 }
+
+// Guards against a body that has crossed the link already and is then read in small
+// parts, which takes CPU time for nothing.
+func TestArrivedBodyIsReadAtOnce(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = inner.Close() })
+	c, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = c.Write(make([]byte, 2*readBytes))
+	require.NoError(t, err)
+	l := New(slowRate)
+	served, err := l.CallerListener(inner).Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = served.Close() })
+	require.Eventually(t, func() bool { return served.(*conn).arrived(2 * readBytes) }, time.Second, time.Millisecond)
+	l.in.Count(time.Now(), slowRate/8)
+	require.True(t, l.AdmitBody(t.Context(), served, 2*readBytes, time.Minute))
+	n, err := served.Read(make([]byte, readBytes))
+	require.NoError(t, err)
+	require.Equal(t, readBytes, n)
+}
