Tell by the steady clock whether callers wait for the link

A time of day that is set back counted as a wait until it had caught up, and the router left the rotation. Found by reading; TestPressedIgnoresTheTimeOfDay failed. Only routers on narrow links that had made callers wait were concerned.

--- a/internal/rwbandwidth/rwbandwidth.go
+++ b/internal/rwbandwidth/rwbandwidth.go
@@ -64,8 +64,9 @@
 	// order in which they were admitted.
 	turn chan struct{}
 
-	// waitedAt is when a connection last had to wait for the link, as Unix
-	// nanoseconds.
+	// start is when the link was created; waitedAt is when a connection last had to
+	// wait for the link, in nanoseconds since then, or 0. The time of day may jump.
+	start    time.Time
 	waitedAt atomic.Int64
 
 	mu sync.Mutex
@@ -80,7 +81,7 @@
 	l := &Link{
 		in: rwpace.New(rate), out: rwpace.New(rate), bytesPerSecond: rate,
 		chunk: min(max(int(rate*chunkTime.Seconds()), minChunk), maxChunk),
-		turn:  make(chan struct{}, 1), meanBody: unknownBody,
+		turn:  make(chan struct{}, 1), meanBody: unknownBody, start: time.Now(),
 	}
 	if window := int(rate * windowTime.Seconds() / windowSenders); rate > 0 && window < maxWindow {
 		l.window = max(window, headBytes)
@@ -156,14 +157,15 @@
 			break
 		}
 		time.Sleep(wait)
-		l.waitedAt.Store(time.Now().UnixNano())
+		l.waitedAt.Store(int64(time.Since(l.start)))
 	}
 }
 
 // Pressed reports whether a connection of a caller had to wait for the link in the last
 // moments.
 func (l *Link) Pressed(now time.Time) bool {
-	return now.UnixNano()-l.waitedAt.Load() < int64(pressedTime)
+	waited := time.Duration(l.waitedAt.Load())
+	return waited != 0 && (now.Sub(l.start)-waited).Abs() < pressedTime
 }
 
 // awaitTurn waits until the body of a request may arrive, and reports whether it may.
--- a/internal/rwbandwidth/rwbandwidth_test.go
+++ b/internal/rwbandwidth/rwbandwidth_test.go
@@ -213,3 +213,15 @@
 	require.NoError(t, err)
 	require.Equal(t, readBytes, n)
 }
+
+// Guards against a router that leaves the rotation because its time of day was set
+// back.
+func TestPressedIgnoresTheTimeOfDay(t *testing.T) {
+	l := New(slowRate)
+	l.in.Count(time.Now(), slowRate/8/20)
+	l.awaitRoom()
+	require.True(t, l.Pressed(time.Now()))
+	require.False(t, l.Pressed(time.Now().Add(-time.Hour)))
+	require.False(t, l.Pressed(time.Now().Add(time.Hour)))
+	require.False(t, New(slowRate).Pressed(time.Now()))
+}
