--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")" || exit 2
 ROOT="$(cd ../.. && pwd)" || exit 2
 export ROOT
+[ -x ../bin/standin ] || { echo "review/build.sh was not run"; exit 2; }
 exec ../bin/standin last-key .
