--- a/review/standin/case_bodies.go
+++ b/review/standin/case_bodies.go
@@ -26,6 +26,7 @@
 	p.store.put("op/config", baseConfig([]tenant{{Name: "guild-a", APIKeys: []string{"k1"}, Priority: 1}, {Name: "guild-b", APIKeys: []string{"k2"}, Priority: 1}}))
 	for i := range 9 {
 		newServer(p.store, fmt.Sprintf("i-%d", i+1), modelService, zones[i%3], "v1", 128, func(q *request) bool {
+			record("server %s runs stream %s, %d bytes", q.server.id, q.id, len(q.body))
 			return q.stream(34, 230*time.Millisecond)
 		})
 	}
--- a/review/standin/case_extra.go
+++ b/review/standin/case_extra.go
@@ -44,10 +44,11 @@
 			runs[q.id] = q.server.id
 			mu.Unlock()
 			if due {
-				record("server %s sends additional bytes that belong to no request, and runs %s", q.server.id, q.id)
+				record("server %s sends additional bytes that belong to no request before its answer to %s", q.server.id, q.id)
 				_, _ = io.WriteString(q.out, bytes)
 				_ = q.out.Flush()
 			}
+			record("server %s runs %s", q.server.id, q.id)
 			time.Sleep(30 * time.Millisecond)
 			return q.write(200, q.sealed(), []byte("order "+q.id))
 		})
@@ -90,6 +91,7 @@
 					switch {
 					case a.status == 200 && a.complete && strings.TrimPrefix(string(a.data), "order ") == a.id:
 						served++
+						record("client %d: order %s at %s: %s", n, a.id, m.name, a.outcome())
 					case ran && (a.status == 503 || a.status == 429 || a.status == 408 || a.status == 421):
 						refusedRan = append(refusedRan, a.id)
 						record("client %d: order %s at %s was answered %d (signature %q), and server %s has run it", n, a.id, m.name, a.status, a.header.Get("Server-Seal"), server)
--- a/review/standin/kept.go
+++ b/review/standin/kept.go
@@ -24,6 +24,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.arrived[id] = time.Now()
+	record("a server runs order %s", id)
 }
 
 // run sends orders one after the other until it is told to stop.
@@ -45,8 +46,10 @@
 			switch {
 			case a.status == 200 && a.complete:
 				k.served++
+				record("client %d: order %s at %s: %s", n, a.id, m.name, a.outcome())
 			case a.status != 0:
 				k.refused++
+				record("client %d: order %s at %s: %s", n, a.id, m.name, a.outcome())
 			case arrived && !first:
 				k.lost = append(k.lost, a.id)
 				record("client %d: order %s on a kept connection to %s reached a server, and the connection ended without an answer (%v)", n, a.id, m.name, a.err)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 	cleanUps   []func()
 )
 
-// record writes a line to record.txt.
+// record writes a line to the record of the run, record.txt beside the script.
 func record(format string, args ...any) {
 	recordMu.Lock()
 	defer recordMu.Unlock()
@@ -77,10 +77,10 @@
 		for name := range cases {
 			names = append(names, name)
 		}
-		fmt.Println("usage: standin CASE FOLDER; cases:", strings.Join(names, " "))
+		fmt.Println("usage: standin CASE RECORD; cases:", strings.Join(names, " "))
 		os.Exit(unable)
 	}
-	f, err := os.Create(os.Args[2] + "/record.txt")
+	f, err := os.Create(os.Args[2])
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(unable)
