--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -45,6 +45,8 @@
 type Decoded struct {
 	Config   *rwrouteconfig.Config
 	Instance *rwinstance.Instance
+	// Evacuated is the availability zone that the operator empties, or empty.
+	Evacuated string
 }
 
 // Catalog is the catalog of one router. It is not safe for concurrent use.
--- a/internal/rwdeployment/rwdeployment.go
+++ b/internal/rwdeployment/rwdeployment.go
@@ -46,6 +46,13 @@
 	// Heartbeat is how often upstreams write their entries in the store, or 0 if it
 	// is not known.
 	Heartbeat time.Duration
+	// ColdOverage and ColdSlack bound the requests that the fleet sends a cold
+	// upstream in any second: the rate that it bears, times ColdOverage, plus
+	// ColdSlack. Both are 0 if they are not known.
+	ColdOverage, ColdSlack float64
+	// EvacuateDeadline is the time within which an evacuated availability zone
+	// must get no more work, or 0 if it is not known.
+	EvacuateDeadline time.Duration
 	// ConfigDeadline is the time within which a new configuration must be
 	// active.
 	ConfigDeadline time.Duration
--- a/internal/rwinstance/rwinstance.go
+++ b/internal/rwinstance/rwinstance.go
@@ -2,6 +2,8 @@
 // itself.
 package rwinstance
 
+import "time"
+
 // Instance is one incarnation of an upstream. It is immutable.
 type Instance struct {
 	// ID identifies the incarnation; a later one with another StartMillis may
@@ -21,4 +23,10 @@
 	// StartMillis is its start time in Unix milliseconds, or 0 if it is not
 	// known.
 	StartMillis int64
+	// Evacuated is whether the operator empties its availability zone: it must
+	// get no work until the operator takes the zone back.
+	Evacuated bool
+	// Cold is how long it stays cold, as of its entry, or 0 if it says that it
+	// isn't.
+	Cold time.Duration
 }
--- a/internal/rwrouteconfig/rwrouteconfig.go
+++ b/internal/rwrouteconfig/rwrouteconfig.go
@@ -85,6 +85,11 @@
 	Name string
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// ColdStart is how long an upstream stays cold after it starts.
+	ColdStart time.Duration
+	// ColdPerSecond is the number of requests per second that a cold upstream
+	// bears, or 0 if cold upstreams need no care.
+	ColdPerSecond float64
 }
 
 // Engine describes the model engines of a service.
