Make fewer calls to the store in large fleets

Both readers of a zone watched and got a response for nearly each change, and every other router read a full listing each 5 s. Change: one reader of a zone watches, the other lists; a watch gathers changes for a tenth of the configuration's bound; periodic listings of other routers allow stale items, which only add to what is known.

--- a/internal/rwcatalogsync/rwcatalogsync.go
+++ b/internal/rwcatalogsync/rwcatalogsync.go
@@ -20,11 +20,13 @@
 
 const (
 	// allReadersFleetSize is the fleet size up to which every router is a
-	// reader, that is, watches the store.
+	// reader and watches the store.
 	allReadersFleetSize = 12
 	// readersPerZone is how many routers of a zone are readers in larger
-	// fleets; the others only list the store, and less often.
-	readersPerZone = 2
+	// fleets; the others only list the store, and less often. watchersPerZone of
+	// them watch it too.
+	readersPerZone  = 2
+	watchersPerZone = 1
 	// pullDelay is how long a reader waits for a change to arrive from the
 	// store before it pulls it from another router.
 	pullDelay = 250 * time.Millisecond
@@ -79,9 +81,18 @@
 	return s
 }
 
-// IsReader reports whether this router watches the store: all do in a small
+// IsReader reports whether this router reads the store for others: all do in a small
 // fleet, and some of each zone in a larger one.
-func (s *Syncer) IsReader() bool {
+func (s *Syncer) IsReader() bool { return s.ranksBelow(readersPerZone) }
+
+// Watches reports whether this router watches the store: all do in a small fleet, and
+// one of each zone in a larger one. The other readers only list it, which is often
+// enough if the one that watches is lost.
+func (s *Syncer) Watches() bool { return s.ranksBelow(watchersPerZone) }
+
+// ranksBelow reports whether fewer than n routers of the zone rank above this one, or
+// the fleet is so small that all read the store.
+func (s *Syncer) ranksBelow(n int) bool {
 	if len(s.Live("")) <= allReadersFleetSize {
 		return true
 	}
@@ -92,7 +103,7 @@
 			above++
 		}
 	}
-	return above < readersPerZone
+	return above < n
 }
 
 // Readers returns the readers of this router's zone, which may include it.
--- a/internal/rwcatalogsync/rwcatalogsync_test.go
+++ b/internal/rwcatalogsync/rwcatalogsync_test.go
@@ -137,14 +137,22 @@
 		require.True(t, small[1].IsReader())
 		big := fleet(t, 40)
 		live := big[0].Live("z0")
+		require.True(t, small[0].Watches())
+		require.True(t, small[1].Watches())
 		var readers []rwidentity.Identity
+		watchers := 0
 		for _, id := range live {
 			s := &Syncer{self: id, Live: big[0].Live}
 			if s.IsReader() {
 				readers = append(readers, id)
 			}
+			if s.Watches() {
+				require.True(t, s.IsReader())
+				watchers++
+			}
 		}
 		require.Len(t, readers, readersPerZone)
+		require.Equal(t, watchersPerZone, watchers)
 		require.ElementsMatch(t, readers, big[0].Readers())
 		require.Len(t, small[0].Readers(), allReadersFleetSize/2, "all routers of a zone")
 	})
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -162,11 +162,13 @@
 	// Reload reads the settings again.
 	Reload  func() (rwdeployment.Deployment, error)
 	Dialect rwdialect.Dialect
-	// Prefixes, List, Watch and Decode read the platform's store.
-	Prefixes []string
-	List     func(ctx context.Context, prefix string) (rwstorewatch.Batch, error)
-	Watch    func(ctx context.Context, prefix string, after int64, wait time.Duration) (rwstorewatch.Batch, error)
-	Decode   func(rwitem.Item) (rwcatalog.Decoded, error)
+	// Prefixes, List, ListStale, Watch and Decode read the platform's store.
+	// ListStale may be nil.
+	Prefixes  []string
+	List      func(ctx context.Context, prefix string) (rwstorewatch.Batch, error)
+	ListStale func(ctx context.Context, prefix string) (rwstorewatch.Batch, error)
+	Watch     func(ctx context.Context, prefix string, after int64, wait time.Duration) (rwstorewatch.Batch, error)
+	Decode    func(rwitem.Item) (rwcatalog.Decoded, error)
 	// Inventory lists the prompt parts that the engine at an address has
 	// cached.
 	Inventory func(ctx context.Context, addr string) (rwinventory.Inventory, error)
@@ -314,8 +316,9 @@
 		e.broker.Origins.Interrupt(time.Now())
 	}
 	e.watcher = &rwstorewatch.Watcher{
-		Prefixes: e.config.Prefixes, List: e.config.List, Watch: e.config.Watch,
+		Prefixes: e.config.Prefixes, List: e.config.List, ListStale: e.config.ListStale, Watch: e.config.Watch,
 		OnList: e.onList, OnChange: e.onChange, OnError: e.onStoreError, IsReader: e.isReader,
+		Watches:       func() bool { return e.isReader() && e.syncer.Watches() },
 		ApplyDeadline: e.deployment.ConfigDeadline,
 	}
 	e.syncer.Refresh, e.broker.Refresh = e.watcher.Refresh, e.watcher.Refresh
--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -25,10 +25,11 @@
 	listDeadlineRatio = 0.35
 	// defaultApplyDeadline is used if that deadline is not known.
 	defaultApplyDeadline = 2 * time.Second
-	// batchDelay is the delay after a watch of a prefix that reported changes.
-	// Changes come in bursts, and the platform counts each response of the
-	// store.
-	batchDelay = 120 * time.Millisecond
+	// batchDelayRatio is the delay after a watch of a prefix that reported changes,
+	// as a fraction of the same deadline. Changes come all the time where there are
+	// many upstreams, and the platform counts each response of the store: with
+	// 120 ms, watches were two thirds of all calls of 83 routers.
+	batchDelayRatio = 0.1
 	// repairInterval is the listing interval of a router that receives changes
 	// from the readers; its listings only add what was missed.
 	repairInterval = 5 * time.Second
@@ -61,6 +62,10 @@
 	Prefixes []string
 	List     func(ctx context.Context, prefix string) (Batch, error)
 	Watch    func(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
+	// ListStale, if set, lists a prefix as it was up to some seconds ago, which
+	// costs the store less. A router that receives changes from the readers uses it
+	// for its periodic listings, and OnChange gets the result.
+	ListStale func(ctx context.Context, prefix string) (Batch, error)
 	// OnList is called with a complete listing of a prefix, OnChange with the
 	// changes from a watch, and OnError after a failed call.
 	OnList   func(prefix string, b Batch)
@@ -69,6 +74,9 @@
 	// IsReader reports whether this router reads the store on behalf of other
 	// routers too.
 	IsReader func() bool
+	// Watches reports whether this router watches the store; the other readers only
+	// list it.
+	Watches func() bool
 	// ApplyDeadline is the time within which a change must be active, or 0 if
 	// it is not known.
 	ApplyDeadline time.Duration
@@ -95,32 +103,50 @@
 func (w *Watcher) Refresh() { w.refresh.Store(true) }
 
 func (w *Watcher) listLoop(ctx context.Context, prefix string) {
+	// The first listing and those that Refresh asks for must be current.
+	mayBeStale := false
 	for ctx.Err() == nil {
 		start := time.Now()
-		if !w.list(ctx, prefix) {
+		ok := false
+		if mayBeStale && !w.IsReader() && w.ListStale != nil {
+			ok = w.listStale(ctx, prefix)
+		} else {
+			ok = w.list(ctx, prefix)
+		}
+		if !ok {
 			continue
 		}
-		for ctx.Err() == nil && time.Since(start) < w.listInterval() && !w.refresh.Swap(false) {
+		mayBeStale = true
+		for ctx.Err() == nil && time.Since(start) < w.listInterval() {
+			if w.refresh.Swap(false) {
+				mayBeStale = false
+				break
+			}
 			sleep(ctx, pollInterval)
 		}
 	}
 }
 
 func (w *Watcher) listInterval() time.Duration {
+	if w.IsReader() {
+		return w.deadlineRatio(listDeadlineRatio)
+	}
+	return repairInterval
+}
+
+// deadlineRatio returns a fraction of the time within which a change must be active.
+func (w *Watcher) deadlineRatio(ratio float64) time.Duration {
 	deadline := w.ApplyDeadline
 	if deadline <= 0 {
 		deadline = defaultApplyDeadline
 	}
-	if w.IsReader() {
-		return time.Duration(listDeadlineRatio * float64(deadline))
-	}
-	return repairInterval
+	return time.Duration(ratio * float64(deadline))
 }
 
 func (w *Watcher) watchLoop(ctx context.Context, prefix string) {
 	for ctx.Err() == nil {
 		after := w.revision(prefix)
-		if after.Rev == 0 || !w.IsReader() {
+		if after.Rev == 0 || !w.Watches() {
 			sleep(ctx, pollInterval)
 			continue
 		}
@@ -135,7 +161,7 @@
 			w.advance(prefix, b.Revision())
 			w.OnChange(prefix, b)
 			if len(b.Items) > 0 {
-				sleep(ctx, batchDelay)
+				sleep(ctx, w.deadlineRatio(batchDelayRatio))
 			}
 		case rwfault.Is(err, rwcode.RecordStale):
 			// The store has compacted the history that the watch would continue
@@ -153,10 +179,8 @@
 // waits for retryDelay.
 func (w *Watcher) list(ctx context.Context, prefix string) bool {
 	start := time.Now()
-	b, err := w.List(ctx, prefix)
-	if err != nil {
-		w.OnError(prefix, err)
-		sleep(ctx, retryDelay)
+	b, ok := w.call(ctx, prefix, w.List)
+	if !ok {
 		return false
 	}
 	b.ReadAt = start
@@ -165,6 +189,25 @@
 	return true
 }
 
+// listStale is list with a listing that may be some seconds old. What it lacks may be
+// new, so its items only add to what is known.
+func (w *Watcher) listStale(ctx context.Context, prefix string) bool {
+	b, ok := w.call(ctx, prefix, w.ListStale)
+	if ok {
+		w.OnChange(prefix, b)
+	}
+	return ok
+}
+
+func (w *Watcher) call(ctx context.Context, prefix string, list func(context.Context, string) (Batch, error)) (Batch, bool) {
+	b, err := list(ctx, prefix)
+	if err != nil {
+		w.OnError(prefix, err)
+		sleep(ctx, retryDelay)
+	}
+	return b, err == nil
+}
+
 func (w *Watcher) revision(prefix string) rwrevision.Revision {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/rwstorewatch/rwstorewatch_test.go
+++ b/internal/rwstorewatch/rwstorewatch_test.go
@@ -97,7 +97,7 @@
 	}
 	w := &Watcher{
 		Prefixes: []string{"k"}, List: s.list, Watch: s.watch, OnList: record, OnChange: record,
-		OnError: func(string, error) {}, IsReader: func() bool { return reader }, ApplyDeadline: 2 * time.Second,
+		OnError: func(string, error) {}, IsReader: func() bool { return reader }, Watches: func() bool { return reader }, ApplyDeadline: 2 * time.Second,
 	}
 	go func() { _ = w.Run(t.Context()) }()
 	return func() int64 {
@@ -165,6 +165,84 @@
 	})
 }
 
+// Guards against a router that takes what a stale listing lacks for removed, against
+// one that uses a stale listing at its start or when a current one was asked for, and
+// against periodic listings of a non-reader at the full price.
+func TestNonReadersListStaleItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		var current, stale, changes int
+		w := &Watcher{
+			Prefixes: []string{"k"}, Watch: s.watch,
+			List: func(ctx context.Context, prefix string) (Batch, error) {
+				current++
+				return s.list(ctx, prefix)
+			},
+			ListStale: func(ctx context.Context, prefix string) (Batch, error) {
+				stale++
+				b, err := s.list(ctx, prefix)
+				b.Rev = 100
+				return b, err
+			},
+			OnList: func(string, Batch) {}, OnChange: func(string, Batch) { changes++ },
+			OnError: func(string, error) {}, IsReader: func() bool { return false }, Watches: func() bool { return false },
+		}
+		go func() { _ = w.Run(t.Context()) }()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Equal(t, 1, current)
+		require.Greater(t, stale, 9)
+		require.Equal(t, stale, changes)
+		require.EqualValues(t, 1, w.CompleteRev().Rev, "a stale listing is complete up to no revision")
+		w.Refresh()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.Equal(t, 2, current)
+	})
+}
+
+// Guards against a reader that doesn't watch and learns of changes too late.
+func TestReaderThatOnlyListsIsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		var newest int64
+		w := &Watcher{
+			Prefixes: []string{"k"}, List: s.list, Watch: s.watch, OnList: func(_ string, b Batch) { newest = b.Rev },
+			OnChange: func(string, Batch) { require.Fail(t, "it watches") }, OnError: func(string, error) {},
+			IsReader: func() bool { return true }, Watches: func() bool { return false }, ApplyDeadline: 3 * time.Second,
+		}
+		go func() { _ = w.Run(t.Context()) }()
+		time.Sleep(time.Second)
+		s.set(func() { s.rev = 2 })
+		time.Sleep(time.Duration(listDeadlineRatio*float64(w.ApplyDeadline)) + pollInterval)
+		synctest.Wait()
+		require.EqualValues(t, 2, newest)
+	})
+}
+
+// Guards against a call for each change while upstreams change all the time.
+func TestWatchGathersChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		watches := 0
+		w := &Watcher{
+			Prefixes: []string{"k"}, List: s.list, OnList: func(string, Batch) {}, OnChange: func(string, Batch) {}, OnError: func(string, error) {},
+			Watch: func(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error) {
+				watches++
+				return s.watch(ctx, prefix, after, wait)
+			},
+			IsReader: func() bool { return true }, Watches: func() bool { return true }, ApplyDeadline: 3 * time.Second,
+		}
+		go func() { _ = w.Run(t.Context()) }()
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			s.set(func() { s.rev++ })
+		}
+		synctest.Wait()
+		require.LessOrEqual(t, watches, 36)
+	})
+}
+
 // Guards against a listing that the store answers late and that is taken for the
 // state at the time of its answer.
 func TestListingIsAsOldAsItsCall(t *testing.T) {
@@ -184,7 +262,7 @@
 				default:
 				}
 			},
-			OnError: func(string, error) {}, IsReader: func() bool { return false },
+			OnError: func(string, error) {}, IsReader: func() bool { return false }, Watches: func() bool { return false },
 		}
 		go func() { _ = w.Run(t.Context()) }()
 		require.Equal(t, latency, <-ages)
