Move requests that a cell has no room for to another cell

Cause: a prompt's parts map it to one cell of a pool. On the new deployments one key gets 28% of the traffic of a kind, so that one of 16 cells refused requests while engines of others were idle (busiest to mean engine 1.6 on both). Change: decisions state the load of their cell.

--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -45,6 +45,9 @@
 	// Moved means that the router which was asked doesn't decide on the request,
 	// so that the cell's next owner has to be asked.
 	Moved // moved
+	// Busy means that the request would have to wait in this cell, while its router
+	// knows another one with room.
+	Busy // busy
 )
 
 // End is how a granted request ended.
@@ -200,6 +203,12 @@
 	Software string `json:"sw,omitempty"`
 	// Avoid lists engines that have failed this request.
 	Avoid []string `json:"avoid,omitempty"`
+	// MayMove is whether the router knows another cell with room.
+	MayMove bool `json:"mv,omitempty"`
+	// Source is an engine of another cell from which prompt parts can be copied, of
+	// which it has cached SourceTokens, or empty.
+	Source       string `json:"src,omitempty"`
+	SourceTokens int    `json:"srct,omitempty"`
 }
 
 // AffinityKey returns the key that maps requests with a shared prompt to the
@@ -211,9 +220,11 @@
 	ID      string  `json:"id"`
 	Verdict Verdict `json:"v"`
 	// Engine is the granted engine, or the best candidate if the request was
-	// refused. Source is an engine to copy prompt parts from, or empty.
-	Engine string `json:"eng,omitempty"`
-	Source string `json:"src,omitempty"`
+	// refused. Source is an engine to copy prompt parts from, or empty; for a refused
+	// request it is the one that has cached most of them, which is SourceTokens.
+	Engine       string `json:"eng,omitempty"`
+	Source       string `json:"src,omitempty"`
+	SourceTokens int    `json:"srct,omitempty"`
 	// Stream is that of a granted request; Software is that of the engine.
 	Stream   string `json:"-"`
 	Software string `json:"sw,omitempty"`
@@ -235,6 +246,8 @@
 	FairShare int `json:"lvl,omitempty"`
 	// RetryAfter is when a refused caller should retry.
 	RetryAfter time.Duration `json:"retry,omitempty"`
+	// Load is the load of the cell in percent, as Placer.Load returns it.
+	Load int `json:"load,omitempty"`
 }
 
 type engine struct {
@@ -401,6 +414,11 @@
 	if !p.hasEngine(r) {
 		return p.refuse(now, r, NoEngine)
 	}
+	if r.MayMove && p.Load(now) >= 1 {
+		// It counts where it goes, or here when it comes back.
+		acc.demand -= chargedTokens(r)
+		return p.describe(now, r, Decision{ID: r.ID, Verdict: Busy})
+	}
 	if p.queueFull(r.Account) {
 		return p.refuse(now, r, QueueFull)
 	}
@@ -408,9 +426,25 @@
 		return p.refuse(now, r, Late)
 	}
 	p.queue = append(p.queue, w)
-	return Decision{ID: r.ID, Verdict: Queued}
+	return Decision{ID: r.ID, Verdict: Queued, Load: percent(p.Load(now))}
+}
+
+// Load returns how busy the cell is: the fraction of its engines that can't start a
+// request at once, plus the queued requests for each engine.
+func (p *Placer) Load(now time.Time) float64 {
+	engines := float64(max(len(p.availableIDs), 1))
+	limit := scale(p.minTarget, queueTargetRatio)
+	busy := 0
+	for _, name := range p.availableIDs {
+		if e := p.engines[name]; e.running >= p.spec.Slots || now.Before(e.refusedUntil) || e.model.Backlog(now) > limit {
+			busy++
+		}
+	}
+	return (float64(busy) + float64(len(p.queue))) / engines
 }
 
+func percent(f float64) int { return int(100 * f) }
+
 // hasEngine reports whether an engine may get the request, now or later.
 func (p *Placer) hasEngine(r Request) bool {
 	return slices.ContainsFunc(p.availableIDs, func(id string) bool { return p.engines[id].suits(r) })
@@ -795,7 +829,7 @@
 }
 
 // copySources returns the engines that cache the most and the second most of a
-// prompt.
+// prompt, of this cell and the one that the request names.
 func (p *Placer) copySources(r Request) (first, second copySource) {
 	if p.spec.TokenBytes <= 0 || p.spec.LinkBytesPerSecond <= 0 {
 		return first, second
@@ -810,6 +844,9 @@
 			second = copySource{e, n}
 		}
 	}
+	if r.Source != "" && r.SourceTokens > first.cachedTokens {
+		first, second = copySource{&engine{Engine: Engine{ID: r.Source}}, r.SourceTokens}, first
+	}
 	return first, second
 }
 
@@ -834,8 +871,10 @@
 	return p.withShare(now, r, d)
 }
 
-// withShare adds the account's usage and share to a decision, for logging.
+// withShare adds the account's usage and share to a decision, for logging, and the
+// load of the cell.
 func (p *Placer) withShare(now time.Time, r Request, d Decision) Decision {
+	d.Load = percent(p.Load(now))
 	d.Usage = int(p.account(now, r.Account).usage)
 	if share := p.FairShare(now); !math.IsInf(share, 1) {
 		d.FairShare = int(share)
@@ -858,7 +897,14 @@
 		p.refusedPrunedAt = now
 		maps.DeleteFunc(p.refusedAt, func(_ string, at time.Time) bool { return now.Sub(at) > retryMemory })
 	}
-	d := Decision{ID: r.ID, Verdict: v, RetryAfter: min(retry, maxRetryAfter)}
+	return p.describe(now, r, Decision{ID: r.ID, Verdict: v, RetryAfter: min(retry, maxRetryAfter)})
+}
+
+// describe adds the best candidate to a decision that grants none.
+func (p *Placer) describe(now time.Time, r Request, d Decision) Decision {
+	if first, _ := p.copySources(r); first.engine != nil {
+		d.Source, d.SourceTokens = first.engine.ID, first.cachedTokens
+	}
 	if o, ok := p.bestOption(now, r); ok {
 		d.Engine, d.Forecast, d.CachedTokens = o.engine.ID, o.forecast, o.cachedTokens
 		d.QueuedTokens, d.UncachedTokens = int(o.engine.model.QueuedTokens(now)), int(o.uncachedTokens)
