Evacuate availability zones that the operator empties

Cause: the operator's item op/evacuate/ZONE had no effect, so upstreams of the zone went on getting requests.

Placement grants them nothing and copies nothing from them, and refuses queued requests that have no engine left. The broker returns grants on evacuated engines and asks again without them; the front checks once more before it sends. A service without other upstreams is refused with 503 zone_evacuated and a retry delay. Evacuated engines still count for the number of cells, so that engines don't change cells twice.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -72,6 +72,10 @@
 	refreshPoll    = 10 * time.Millisecond
 	// maxOriginSearches bounds the searches that ask all routers at one time.
 	maxOriginSearches = 8
+	// evacuatedRetryAfter is the retry delay given to callers whose service has
+	// upstreams in evacuated zones only. When the zone returns isn't known; it takes
+	// seconds at least.
+	evacuatedRetryAfter = time.Second
 	// ownerCacheTTL is how long the owner of a cell is cached. The cache is
 	// cleared when an owner doesn't answer.
 	ownerCacheTTL = 50 * time.Millisecond
@@ -256,12 +260,13 @@
 // the owner refused the request, the fault has a retry delay and the grant
 // holds the decision. If the router that was asked doesn't answer or stops being
 // the owner, the next one is asked, and after maxOwnersTried this router decides.
-// An engine that this router knows to be leaving is granted by owners that don't
-// know it yet; they are asked again without it.
+// An engine that this router knows to be leaving or evacuated is granted by owners
+// that don't know it yet; they are asked again without it, and without all that are
+// evacuated.
 func (b *Broker) Acquire(ctx context.Context, service string, r rwplacement.Request) (Grant, *rwfault.Fault) {
 	key, ok := b.cellOf(service, r)
 	if !ok {
-		return Grant{}, rwfault.New(rwcode.NoUpstream, service)
+		return Grant{}, b.noEngine(service)
 	}
 	r.Router, r.Zone = incarnationID(b.self), b.self.Zone
 	start, elapsed := time.Now(), r.Elapsed
@@ -273,6 +278,26 @@
 			if !b.hasEngine(service, r) {
 				return g, fault
 			}
+		case fault != nil && fault.Code == rwcode.ZoneEvacuated:
+			r.Avoid = append(slices.Clone(r.Avoid), g.Engine)
+			for _, in := range b.Published().Evacuated(service) {
+				r.Avoid = append(r.Avoid, in.ID)
+			}
+			if !b.hasEngine(service, r) {
+				return g, fault
+			}
+			b.metrics.Add("evacuation_moved", 1)
+		case fault != nil && fault.Code == rwcode.NoUpstream:
+			// The cell has lost its last engine; those of another may remain.
+			next, ok := b.cellOf(service, r)
+			if !ok {
+				return g, b.noEngine(service)
+			}
+			if next == key {
+				return g, fault
+			}
+			key = next
+			b.metrics.Add("cells_left", 1)
 		case g.Verdict != rwplacement.Moved:
 			return g, fault
 		}
@@ -281,6 +306,14 @@
 	return b.acquireFrom(ctx, b.self, placeMessage{key, r})
 }
 
+// noEngine returns the fault of a request for a service without a usable engine.
+func (b *Broker) noEngine(service string) *rwfault.Fault {
+	if len(b.Published().Evacuated(service)) > 0 {
+		return rwfault.New(rwcode.ZoneEvacuated, service).WithRetryAfter(evacuatedRetryAfter)
+	}
+	return rwfault.New(rwcode.NoUpstream, service)
+}
+
 // hasEngine reports whether this router knows an engine that may get a request.
 func (b *Broker) hasEngine(service string, r rwplacement.Request) bool {
 	return slices.ContainsFunc(b.Published().Usable(service), func(in rwinstance.Instance) bool {
@@ -335,6 +368,11 @@
 	}
 	snapshot := b.Published()
 	in, ok := snapshot.Instance(d.Engine)
+	if known, isKnown := snapshot.Known(d.Engine); isKnown && known.Evacuated {
+		// The owner granted it before it knew of the evacuation.
+		g.End(rwplacement.Abandoned)
+		return g, rwfault.New(rwcode.ZoneEvacuated, d.Engine).WithRetryAfter(evacuatedRetryAfter)
+	}
 	if !ok {
 		// The owner's snapshot differs from this router's, in which the engine
 		// is leaving or unknown.
@@ -353,7 +391,7 @@
 		return Grant{}, rwfault.New(rwcode.SoftwareUnavailable, want)
 	}
 	g.Instance = in
-	if src, ok := snapshot.Known(d.Source); ok {
+	if src, ok := snapshot.Known(d.Source); ok && !src.Evacuated {
 		g.Source = src.Addr
 	}
 	return g, nil
@@ -484,11 +522,10 @@
 // cells may have.
 func (b *Broker) cellOf(service string, r rwplacement.Request) (cellKey, bool) {
 	snapshot := b.Published()
-	engines := len(snapshot.Usable(service))
-	if engines == 0 {
+	if len(snapshot.Usable(service)) == 0 {
 		return cellKey{}, false
 	}
-	n := cellCount(engines)
+	n := cellsOf(snapshot, service)
 	if n == 1 {
 		return cellKey{Service: service}, true
 	}
@@ -518,6 +555,12 @@
 	return 1 << int(math.Round(math.Log2(float64(engines)/meanCellSize)))
 }
 
+// cellsOf returns the number of cells of a service. Evacuated engines count, since
+// they come back: otherwise engines would change their cells at both times.
+func cellsOf(snapshot *rwconfigsnapshot.Snapshot, service string) int {
+	return cellCount(len(snapshot.Usable(service)) + len(snapshot.Evacuated(service)))
+}
+
 func cellIndex(engine string, n int) int { return int(rwrendezvous.Score("cell", engine) % uint64(n)) }
 
 // decide decides on a request in a cell that this router owns. A leaving router
@@ -586,7 +629,7 @@
 	}
 	for _, e := range engines {
 		in, ok := snapshot.Known(e.ID)
-		if !ok {
+		if !ok || in.Evacuated {
 			continue
 		}
 		go func() {
@@ -607,15 +650,21 @@
 
 func (b *Broker) spec(snapshot *rwconfigsnapshot.Snapshot, k cellKey) (rwplacement.Spec, []rwplacement.Engine) {
 	list := snapshot.Usable(k.Service)
-	n := cellCount(len(list))
+	n := cellsOf(snapshot, k.Service)
 	var engines []rwplacement.Engine
 	for _, in := range list {
 		if cellIndex(in.ID, n) == k.Cell {
 			engines = append(engines, rwplacement.Engine{ID: in.ID, Software: in.Software})
 		}
 	}
+	for _, in := range snapshot.Evacuated(k.Service) {
+		// It stays listed, so that what is known of it is there when it comes back.
+		if cellIndex(in.ID, n) == k.Cell {
+			engines = append(engines, rwplacement.Engine{ID: in.ID, Evacuated: true, Software: in.Software})
+		}
+	}
 	for _, in := range snapshot.Leaving(k.Service) {
-		engines = append(engines, rwplacement.Engine{ID: in.ID, Leaving: true, Software: in.Software})
+		engines = append(engines, rwplacement.Engine{ID: in.ID, Leaving: true, Evacuated: in.Evacuated, Software: in.Software})
 	}
 	spec := rwplacement.Spec{Slots: 1, Window: b.ShareWindow}
 	service, ok := rwrouteconfig.Service{}, false
--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -14,6 +14,8 @@
 //     or would have lapsed.
 //   - An upstream that the copy lacks stays in use for lapseGrace, and so does an
 //     incarnation of which the copy holds only a former one.
+//   - A zone whose evacuation the copy lacks stays evacuated for a bounded time (see
+//     rwevacuation), and one whose evacuation the copy holds is evacuated.
 package rwcatalog
 
 import (
@@ -21,6 +23,7 @@
 	"slices"
 	"time"
 
+	"redwingworks.example/internal/rwevacuation"
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwitem"
 	"redwingworks.example/internal/rwrevision"
@@ -78,6 +81,7 @@
 	returnedAt       time.Time
 	lastStoreFailure time.Time
 	instances        []rwinstance.Instance
+	evacuations      []rwevacuation.Evacuation
 }
 
 // state is an item with its content.
@@ -87,10 +91,14 @@
 	// instance is the upstream that the item describes or whose entry was
 	// removed, or nil if that is none or not known.
 	instance *rwinstance.Instance
+	// evacuated is the zone of an item that orders an evacuation, or empty.
+	evacuated string
 }
 
 type entry struct {
 	state
+	// evacuation is that of the zone which the key names, or the zero value.
+	evacuation rwevacuation.Evacuation
 	// earlier is an item of an earlier era that tells more than the newest one, or
 	// nil. If it is a removal, the upstream had really left.
 	earlier *state
@@ -140,10 +148,15 @@
 	c.era = era
 }
 
-// Instances returns the upstreams that may get work and those that are leaving.
+// Instances returns the upstreams that may get work, those that are leaving and those
+// whose zone is evacuated.
 // The result must not be modified.
 func (c *Catalog) Instances() []rwinstance.Instance { return c.instances }
 
+// Evacuations returns the evacuations of zones, by zone. The result must not be
+// modified.
+func (c *Catalog) Evacuations() []rwevacuation.Evacuation { return c.evacuations }
+
 // NoteStoreFailure records that a call to the store failed.
 func (c *Catalog) NoteStoreFailure(now time.Time) { c.lastStoreFailure = now }
 
@@ -179,7 +192,7 @@
 	case order == 0:
 		return false, nil
 	case it.Era < e.item.Era:
-		return c.applyEarlier(e, it)
+		return c.applyEarlier(now, e, it)
 	}
 	if c.OnStale != nil && it.Revision() != e.staleRev {
 		e.staleRev = it.Revision()
@@ -195,6 +208,7 @@
 	next, err := c.decode(it)
 	e := &entry{state: next, firstRev: it.Rev}
 	c.items[it.Key] = e
+	e.evacuate(now, next)
 	if next.config != nil {
 		c.activate(next.config)
 	} else if it.Era < c.rev.Era {
@@ -236,10 +250,25 @@
 		e.earlier = nil
 		c.activate(next.config)
 	}
+	switch {
+	case !it.Deleted:
+		e.evacuate(now, next)
+	case !returned && !e.item.Deleted:
+		e.evacuation = e.evacuation.WithReturn()
+	case returned:
+		e.evacuation = e.evacuation.WithLostItem(now)
+	}
 	e.state, e.lapseUntil = next, lapseUntil
 	return err
 }
 
+// evacuate records the evacuation that a state orders, if it orders one.
+func (e *entry) evacuate(now time.Time, s state) {
+	if s.evacuated != "" {
+		e.evacuation = e.evacuation.WithOrder(s.evacuated, now)
+	}
+}
+
 // instanceID returns the id of the upstream that an entry describes, or an empty
 // string.
 func instanceID(e *entry) string {
@@ -317,15 +346,16 @@
 		// be too large for a message to other routers.
 		s.item.Value = nil
 		return s, err
-	case decoded == Decoded{}:
+	case decoded.Evacuated != "" || decoded == Decoded{}:
+		// Only the key of an evacuation counts, and its value may be large.
 		s.item.Value = nil
 	}
-	s.config, s.instance = decoded.Config, decoded.Instance
+	s.config, s.instance, s.evacuated = decoded.Config, decoded.Instance, decoded.Evacuated
 	return s, nil
 }
 
 // applyEarlier applies an item of an earlier era than the known one.
-func (c *Catalog) applyEarlier(e *entry, it rwitem.Item) (bool, error) {
+func (c *Catalog) applyEarlier(now time.Time, e *entry, it rwitem.Item) (bool, error) {
 	if it.Deleted || e.earlier != nil && !it.Revision().After(e.earlier.item.Revision()) {
 		// A removal that another router knows may be that of an entry which a copy
 		// lacked.
@@ -341,6 +371,13 @@
 		}
 		c.activate(config)
 	}
+	if earlier.evacuated != "" {
+		if !e.item.Deleted || e.evacuation.Zone != "" {
+			return false, nil
+		}
+		// Another router holds an evacuation that the store's copy lacks.
+		e.evacuation = rwevacuation.New(earlier.evacuated, now).WithLostItem(now)
+	}
 	if old := e.earlier; old != nil && old.instance != nil && earlier.instance != nil && earlier.instance.StartMillis < old.instance.StartMillis {
 		// It is from a copy itself.
 		return false, nil
@@ -463,16 +500,16 @@
 }
 
 // Tick applies what ends with time: grace periods of upstreams, and what items of
-// earlier eras tell. It reports whether the upstreams changed.
+// earlier eras tell. It reports whether the upstreams or evacuations changed.
 func (c *Catalog) Tick(now time.Time) bool {
-	before := c.instances
+	before, evacuations := c.instances, c.evacuations
 	c.rebuild(now)
 	for _, e := range c.items {
-		if e.earlier != nil && e.earlier.config == nil && c.overrideOf(now, e) == nil {
+		if e.earlier != nil && e.earlier.config == nil && c.overrideOf(now, e) == nil && !e.evacuation.Held(now) {
 			e.earlier = nil
 		}
 	}
-	return !slices.Equal(before, c.instances)
+	return !slices.Equal(before, c.instances) || !slices.Equal(evacuations, c.evacuations)
 }
 
 // Since returns the items with a revision above rev, for another router, and those
@@ -494,10 +531,20 @@
 }
 
 func (c *Catalog) rebuild(now time.Time) {
-	c.instances = nil
+	c.instances, c.evacuations = nil, nil
+	zones := map[string]bool{}
+	for _, e := range c.items {
+		if e.evacuation.Active(now) {
+			zones[e.evacuation.Zone] = true
+			c.evacuations = append(c.evacuations, e.evacuation)
+		}
+	}
+	slices.SortFunc(c.evacuations, func(a, b rwevacuation.Evacuation) int { return cmp.Compare(a.Zone, b.Zone) })
 	for _, e := range c.items {
 		if in := c.current(now, e); in != nil {
-			c.instances = append(c.instances, *in)
+			marked := *in
+			marked.Evacuated = zones[in.Zone]
+			c.instances = append(c.instances, marked)
 		}
 	}
 	slices.SortFunc(c.instances, func(a, b rwinstance.Instance) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/rwcode/code_string.go
+++ b/internal/rwcode/code_string.go
@@ -63,11 +63,12 @@
 	_ = x[OriginUnknown-52]
 	_ = x[SoftwareUnavailable-53]
 	_ = x[PromptHarmful-54]
+	_ = x[ZoneEvacuated-55]
 }
 
-const _Code_name = "noneinternalsettings_invalidnot_readydrainingunauthorizedunknown_accountunknown_poolunknown_kindbody_too_largeheader_too_largebad_requestslow_bodycaller_gonequeue_fullqueue_bytestoo_many_connectionsdeadline_exceededdeadline_unreachableno_upstreamupstream_unreachableupstream_refusedupstream_leavingupstream_truncatedupstream_malformedupstream_mismatchupstream_timeoutretry_budgetoutcome_unknownhome_unreachablekey_heldkey_missingticket_invalidticket_gonepausedgrant_expiredpeer_unreachablepeer_versionpeer_keypeer_sizepeer_malformedplatform_downplatform_malformedrecord_schemarecord_invalidrecord_staleservice_missingfence_staletoo_many_requestsunknown_pathshare_exceededupstream_failedorigin_unknownsoftware_unavailableprompt_harmful"
+const _Code_name = "noneinternalsettings_invalidnot_readydrainingunauthorizedunknown_accountunknown_poolunknown_kindbody_too_largeheader_too_largebad_requestslow_bodycaller_gonequeue_fullqueue_bytestoo_many_connectionsdeadline_exceededdeadline_unreachableno_upstreamupstream_unreachableupstream_refusedupstream_leavingupstream_truncatedupstream_malformedupstream_mismatchupstream_timeoutretry_budgetoutcome_unknownhome_unreachablekey_heldkey_missingticket_invalidticket_gonepausedgrant_expiredpeer_unreachablepeer_versionpeer_keypeer_sizepeer_malformedplatform_downplatform_malformedrecord_schemarecord_invalidrecord_staleservice_missingfence_staletoo_many_requestsunknown_pathshare_exceededupstream_failedorigin_unknownsoftware_unavailableprompt_harmfulzone_evacuated"
 
-var _Code_index = [...]uint16{0, 4, 12, 28, 37, 45, 57, 72, 84, 96, 110, 126, 137, 146, 157, 167, 178, 198, 215, 235, 246, 266, 282, 298, 316, 334, 351, 367, 379, 394, 410, 418, 429, 443, 454, 460, 473, 489, 501, 509, 518, 532, 545, 563, 576, 590, 602, 617, 628, 645, 657, 671, 686, 700, 720, 734}
+var _Code_index = [...]uint16{0, 4, 12, 28, 37, 45, 57, 72, 84, 96, 110, 126, 137, 146, 157, 167, 178, 198, 215, 235, 246, 266, 282, 298, 316, 334, 351, 367, 379, 394, 410, 418, 429, 443, 454, 460, 473, 489, 501, 509, 518, 532, 545, 563, 576, 590, 602, 617, 628, 645, 657, 671, 686, 700, 720, 734, 748}
 
 func (i Code) String() string {
 	idx := int(i) - 0
--- a/internal/rwcode/rwcode.go
+++ b/internal/rwcode/rwcode.go
@@ -66,10 +66,13 @@
 	SoftwareUnavailable             // software_unavailable
 	// PromptHarmful is a prompt with a part that crashes engines.
 	PromptHarmful // prompt_harmful
+	// ZoneEvacuated is an upstream in an availability zone that is evacuated, or a
+	// service that has no others.
+	ZoneEvacuated // zone_evacuated
 )
 
 // last is the highest code.
-const last = PromptHarmful
+const last = ZoneEvacuated
 
 // Parse returns the code with a text, or Internal for an unknown text, which a
 // router of a later version may send.
--- a/internal/rwconfigsnapshot/rwconfigsnapshot.go
+++ b/internal/rwconfigsnapshot/rwconfigsnapshot.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"redwingworks.example/internal/rwevacuation"
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwrouteconfig"
 )
@@ -18,10 +19,14 @@
 	// store's era Era; At is when the snapshot was made.
 	Rev, Era int64
 	At       time.Time
+	// Evacuations are those of zones, by zone. An upstream there is Known, with
+	// Evacuated set, and usable again once the zone is taken back.
+	Evacuations []rwevacuation.Evacuation
 
 	usable    map[string][]rwinstance.Instance
 	usableIDs map[string][]string
 	leaving   map[string][]rwinstance.Instance
+	evacuated map[string][]rwinstance.Instance
 	byID      map[string]rwinstance.Instance
 }
 
@@ -29,13 +34,17 @@
 func New(config *rwrouteconfig.Config, rev int64, at time.Time, instances []rwinstance.Instance) *Snapshot {
 	s := &Snapshot{
 		Config: config, Rev: rev, At: at,
-		usable: map[string][]rwinstance.Instance{}, usableIDs: map[string][]string{}, leaving: map[string][]rwinstance.Instance{}, byID: map[string]rwinstance.Instance{},
+		usable: map[string][]rwinstance.Instance{}, usableIDs: map[string][]string{}, leaving: map[string][]rwinstance.Instance{},
+		evacuated: map[string][]rwinstance.Instance{}, byID: map[string]rwinstance.Instance{},
 	}
 	for _, in := range instances {
 		s.byID[in.ID] = in
-		if in.Leaving {
+		switch {
+		case in.Leaving:
 			s.leaving[in.Service] = append(s.leaving[in.Service], in)
-		} else {
+		case in.Evacuated:
+			s.evacuated[in.Service] = append(s.evacuated[in.Service], in)
+		default:
 			s.usable[in.Service] = append(s.usable[in.Service], in)
 			s.usableIDs[in.Service] = append(s.usableIDs[in.Service], in.ID)
 		}
@@ -50,6 +59,14 @@
 	return &out
 }
 
+// WithEvacuations returns the snapshot with evacuations of zones, by which its
+// upstreams are marked already.
+func (s *Snapshot) WithEvacuations(list []rwevacuation.Evacuation) *Snapshot {
+	out := *s
+	out.Evacuations = list
+	return &out
+}
+
 // Usable returns the upstreams of a service that may get work, in the order
 // given to New.
 func (s *Snapshot) Usable(service string) []rwinstance.Instance { return s.usable[service] }
@@ -61,7 +78,11 @@
 // Leaving returns the upstreams of a service that are leaving.
 func (s *Snapshot) Leaving(service string) []rwinstance.Instance { return s.leaving[service] }
 
-// Known returns an upstream that may get work or is leaving.
+// Evacuated returns the upstreams of a service that get no work until their zone is
+// taken back. Those that are leaving aren't among them.
+func (s *Snapshot) Evacuated(service string) []rwinstance.Instance { return s.evacuated[service] }
+
+// Known returns an upstream that may get work, is leaving or is evacuated.
 func (s *Snapshot) Known(id string) (rwinstance.Instance, bool) {
 	in, ok := s.byID[id]
 	return in, ok
@@ -70,20 +91,34 @@
 // Instance returns an upstream that may get work.
 func (s *Snapshot) Instance(id string) (rwinstance.Instance, bool) {
 	in, ok := s.byID[id]
-	return in, ok && !in.Leaving
+	return in, ok && !in.Leaving && !in.Evacuated
 }
 
-// Count returns the number of upstreams that may get work and the number of
-// those that are leaving.
-func (s *Snapshot) Count() (usable, leaving int) {
+// Count returns the number of upstreams that may get work, of those that are leaving,
+// and of the others whose zone is evacuated.
+func (s *Snapshot) Count() (usable, leaving, evacuated int) {
 	for _, in := range s.byID {
-		if in.Leaving {
+		switch {
+		case in.Leaving:
 			leaving++
-		} else {
+		case in.Evacuated:
+			evacuated++
+		default:
 			usable++
 		}
 	}
-	return usable, leaving
+	return usable, leaving, evacuated
+}
+
+// InZone returns the number of known upstreams in an availability zone.
+func (s *Snapshot) InZone(zone string) int {
+	n := 0
+	for _, in := range s.byID {
+		if in.Zone == zone {
+			n++
+		}
+	}
+	return n
 }
 
 // SameUpstreams reports whether both snapshots have the same upstreams.
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -319,13 +319,22 @@
 		Prefixes: e.config.Prefixes, List: e.config.List, ListStale: e.config.ListStale, Watch: e.config.Watch,
 		OnList: e.onList, OnChange: e.onChange, OnError: e.onStoreError, IsReader: e.isReader,
 		Watches:       func() bool { return e.isReader() && e.syncer.Watches() },
-		ApplyDeadline: e.deployment.ConfigDeadline,
+		ApplyDeadline: applyDeadline(e.deployment),
 	}
 	e.syncer.Refresh, e.broker.Refresh = e.watcher.Refresh, e.watcher.Refresh
 	e.syncer.OnLeaving = func(from string, u rwleaving.Upstream) { e.markLeaving(from, u, false) }
 	e.catalog.EntryTTL = lapseHeartbeats * e.deployment.Heartbeat
 }
 
+// applyDeadline returns the time within which any change in the store must be active,
+// or 0 if it is not known.
+func applyDeadline(d rwdeployment.Deployment) time.Duration {
+	if d.ConfigDeadline <= 0 || d.EvacuateDeadline <= 0 {
+		return max(d.ConfigDeadline, d.EvacuateDeadline)
+	}
+	return min(d.ConfigDeadline, d.EvacuateDeadline)
+}
+
 // isReader reports whether this router reads the store on behalf of others too.
 // When a large fleet starts at once, every router would be a reader until it
 // has discovered the others, so only the seeds are at first.
@@ -856,7 +865,8 @@
 	rev, newEra := e.catalog.Rev(), e.catalog.Era()
 	e.gossip.SetConfigDigest(rev, 0)
 	if changed {
-		e.published.Store(rwconfigsnapshot.New(e.catalog.Config(), rev.Rev, now, e.catalog.Instances()).WithEra(rev.Era))
+		e.published.Store(rwconfigsnapshot.New(e.catalog.Config(), rev.Rev, now, e.catalog.Instances()).WithEra(rev.Era).
+			WithEvacuations(e.catalog.Evacuations()))
 	}
 	e.broker.Origins.Observe(now, e.catalog.Instances())
 	e.mu.Unlock()
@@ -878,12 +888,46 @@
 		rwlog.Info(&e.log, rwlog.ConfigurationAdopted).Int64("version", after.Config.Version).Int64("era", after.Era).Int64("rev", after.Rev).
 			Str("source", source).Send()
 	}
-	if usable, leaving := after.Count(); before.Rev == 0 || !after.SameUpstreams(before) {
-		rwlog.Info(&e.log, rwlog.UpstreamsChanged).Int("usable", usable).Int("leaving", leaving).
+	e.logEvacuations(source, before, after)
+	if usable, leaving, evacuated := after.Count(); before.Rev == 0 || !after.SameUpstreams(before) {
+		rwlog.Info(&e.log, rwlog.UpstreamsChanged).Int("usable", usable).Int("leaving", leaving).Int("evacuated", evacuated).
 			Int64("era", after.Era).Int64("rev", after.Rev).Str("source", source).Send()
 	}
 }
 
+// logEvacuations logs which zones are evacuated and taken back since the snapshot
+// before. An evacuation that is held since the store lacks it is logged once more.
+func (e *Edge) logEvacuations(source string, before, after *rwconfigsnapshot.Snapshot) {
+	type order struct {
+		zone string
+		held bool
+	}
+	known, still := map[order]bool{}, map[string]bool{}
+	for _, v := range before.Evacuations {
+		known[order{v.Zone, v.Held(before.At)}] = true
+	}
+	for _, v := range after.Evacuations {
+		still[v.Zone] = true
+		held := v.Held(after.At)
+		if known[order{v.Zone, held}] {
+			continue
+		}
+		n := after.InZone(v.Zone)
+		rwlog.Info(&e.log, rwlog.ZoneEvacuated).Str("zone", v.Zone).Int("upstreams", n).Bool("held", held).
+			Int64("era", after.Era).Int64("rev", after.Rev).Str("source", source).Send()
+		if n == 0 {
+			rwlog.Warn(&e.log, rwlog.ZoneUnknown, rwfault.New(rwcode.RecordInvalid, "no upstream is known in the zone")).
+				Str("zone", v.Zone).Send()
+		}
+	}
+	for _, v := range before.Evacuations {
+		if !still[v.Zone] {
+			rwlog.Info(&e.log, rwlog.ZoneTakenBack).Str("zone", v.Zone).Int("upstreams", after.InZone(v.Zone)).
+				Dur("took", after.At.Sub(v.Since)).Int64("era", after.Era).Int64("rev", after.Rev).Str("source", source).Send()
+		}
+	}
+}
+
 func (e *Edge) onStoreError(prefix string, err error) {
 	e.metrics.Add("store_failures", 1)
 	e.mu.Lock()
@@ -1145,12 +1189,16 @@
 // writeMetrics writes counters and histograms as text, one per line.
 func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	snapshot := e.published.Load()
-	usable, leaving := snapshot.Count()
+	usable, leaving, evacuated := snapshot.Count()
 	linkIn, linkOut := e.link.Load(time.Now())
 	lines := map[string]int64{
 		"link_in_percent": int64(100 * linkIn), "link_out_percent": int64(100 * linkOut),
 		"active_requests": e.activeRequests.Load(), "caller_connections": int64(e.connLimiter.Open()), "routers": int64(len(e.gossip.Live(""))),
 		"revision": snapshot.Rev, "era": snapshot.Era, "upstreams_usable": int64(usable), "upstreams_leaving": int64(leaving),
+		"upstreams_evacuated": int64(evacuated), "zones_evacuated": int64(len(snapshot.Evacuations)),
+	}
+	for _, v := range snapshot.Evacuations {
+		lines["zone_evacuated_ms_"+v.Zone] = time.Since(v.Since).Milliseconds()
 	}
 	if snapshot.Config != nil {
 		lines["version"] = snapshot.Config.Version
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -70,6 +70,9 @@
 	// version doesn't serve or has become uncertain; an upstream that crashed may
 	// come back with it.
 	softwareRetryAfter = time.Second
+	// evacuatedRetryAfter is that of callers whose service has upstreams in evacuated
+	// zones only. When the zone returns isn't known; it takes seconds at least.
+	evacuatedRetryAfter = time.Second
 	// linkTargetRatio is the fraction of a route's target for which the body of a
 	// request may wait for the machine's link.
 	linkTargetRatio = 0.5
@@ -454,6 +457,16 @@
 			dest.end(rwplacement.Abandoned)
 			return moreCertain(last, rwfault.New(rwcode.OriginUnknown, x.StreamID()).WithRetryAfter(softwareRetryAfter))
 		}
+		if in, ok := f.Published().Known(dest.id); ok && in.Evacuated {
+			// This became known after the upstream was chosen.
+			dest.end(rwplacement.Abandoned)
+			x.Avoid = append(x.Avoid, dest.id)
+			if len(x.Avoid) >= 2*maxUpstreams {
+				return moreCertain(last, evacuated(dest.id))
+			}
+			f.Metrics.Add("evacuation_moved", 1)
+			continue
+		}
 		if x.Sent > 0 && !f.allowRetry(x, last) {
 			dest.end(rwplacement.Abandoned)
 			return last
@@ -473,6 +486,12 @@
 	}
 }
 
+// evacuated returns the fault of a request that could only be sent to an upstream
+// whose zone is evacuated.
+func evacuated(detail string) *rwfault.Fault {
+	return rwfault.New(rwcode.ZoneEvacuated, detail).WithRetryAfter(evacuatedRetryAfter)
+}
+
 // harmful returns the fault of a request whose prompt has a part that crashes
 // engines, or nil.
 func (f *Handler) harmful(x *rwexchange.Exchange) *rwfault.Fault {
@@ -514,6 +533,9 @@
 		x.Engine = s.Engine
 	}
 	if len(x.Suitable(snapshot.Usable(x.Service))) == 0 {
+		if len(x.Suitable(snapshot.Evacuated(x.Service))) > 0 {
+			return evacuated(origin.Software)
+		}
 		return unavailable
 	}
 	return nil
@@ -586,7 +608,11 @@
 		picker = rwpicker.New(f.Zone)
 		f.pickers[x.Service] = picker
 	}
-	list := x.Suitable(f.Published().Usable(x.Service))
+	snapshot := f.Published()
+	list := x.Suitable(snapshot.Usable(x.Service))
+	if len(list) == 0 && len(snapshot.Evacuated(x.Service)) > 0 {
+		return destination{}, evacuated(x.Service)
+	}
 	in, ok := picker.Pick(now, list, x.Avoids)
 	if !ok {
 		return destination{}, rwfault.New(rwcode.NoUpstream, x.Service).WithRetryAfter(unreachableRetryAfter)
--- a/internal/rwlog/event_string.go
+++ b/internal/rwlog/event_string.go
@@ -34,6 +34,9 @@
 	_ = x[UpstreamsChanged-207]
 	_ = x[PlatformReturned-208]
 	_ = x[FieldUnreadable-209]
+	_ = x[ZoneEvacuated-210]
+	_ = x[ZoneTakenBack-211]
+	_ = x[ZoneUnknown-212]
 	_ = x[MemberChanged-300]
 	_ = x[RequestRefused-400]
 	_ = x[RequestFailed-401]
@@ -58,7 +61,7 @@
 
 const (
 	_Event_name_0 = "startedstoppedstop requestedsettings invalidreadydrain finishedpause detectedlog lines droppedsettings reloadedprocess failedrotation changedconnections closeddrain refuses requestsconnections relayedaccount requestslink busy"
-	_Event_name_1 = "record adoptedrecord set asidestale record ignoredplatform lostplatform restoredupstream leavingconfiguration adoptedupstreams changedplatform returned from a copyheader field unreadable"
+	_Event_name_1 = "record adoptedrecord set asidestale record ignoredplatform lostplatform restoredupstream leavingconfiguration adoptedupstreams changedplatform returned from a copyheader field unreadablezone evacuatedzone taken backevacuated zone unknown"
 	_Event_name_2 = "member changed"
 	_Event_name_3 = "request refusedrequest failedrequest retriedrequest placedrequest resumedrequest finishedrequest abandonedrequest cut"
 	_Event_name_4 = "peer refusedpeer lost"
@@ -68,7 +71,7 @@
 
 var (
 	_Event_index_0 = [...]uint8{0, 7, 14, 28, 44, 49, 63, 77, 94, 111, 125, 141, 159, 181, 200, 216, 225}
-	_Event_index_1 = [...]uint8{0, 14, 30, 50, 63, 80, 96, 117, 134, 163, 186}
+	_Event_index_1 = [...]uint8{0, 14, 30, 50, 63, 80, 96, 117, 134, 163, 186, 200, 215, 237}
 	_Event_index_3 = [...]uint8{0, 15, 29, 44, 58, 73, 89, 106, 117}
 	_Event_index_4 = [...]uint8{0, 12, 21}
 	_Event_index_5 = [...]uint8{0, 20, 43, 62, 81, 100, 117}
@@ -80,7 +83,7 @@
 	case 100 <= i && i <= 115:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
-	case 200 <= i && i <= 209:
+	case 200 <= i && i <= 212:
 		i -= 200
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
 	case i == 300:
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -45,6 +45,9 @@
 	UpstreamsChanged     Event = 207 // upstreams changed
 	PlatformReturned     Event = 208 // platform returned from a copy
 	FieldUnreadable      Event = 209 // header field unreadable
+	ZoneEvacuated        Event = 210 // zone evacuated
+	ZoneTakenBack        Event = 211 // zone taken back
+	ZoneUnknown          Event = 212 // evacuated zone unknown
 	MemberChanged        Event = 300 // member changed
 	RequestRefused       Event = 400 // request refused
 	RequestFailed        Event = 401 // request failed
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -168,6 +168,9 @@
 	ID string
 	// Leaving engines get no new requests, but their cache can still be copied.
 	Leaving bool
+	// Evacuated engines get no new requests and nothing is copied from them, until
+	// their zone is taken back.
+	Evacuated bool
 	// Software is the version of the software that it runs.
 	Software string
 }
@@ -345,7 +348,7 @@
 	for _, e := range list {
 		old := p.engines[e.ID]
 		if old != nil {
-			old.Leaving, old.Software = e.Leaving, e.Software
+			old.Leaving, old.Evacuated, old.Software = e.Leaving, e.Evacuated, e.Software
 		} else {
 			old = &engine{
 				Engine: e, model: rwprefill.New(), outages: map[string]outage{},
@@ -358,7 +361,7 @@
 	p.engineIDs = slices.Sorted(maps.Keys(next))
 	p.availableIDs = p.engineIDs[:0:0]
 	for _, name := range p.engineIDs {
-		if !next[name].Leaving {
+		if !next[name].Leaving && !next[name].Evacuated {
 			p.availableIDs = append(p.availableIDs, name)
 		}
 	}
@@ -524,7 +527,12 @@
 		order = slices.DeleteFunc(order, func(w *queuedRequest) bool { return w.decided })
 	}
 	for _, w := range order {
-		if !p.worthQueueing(now, w) {
+		switch {
+		case !p.hasEngine(w.request):
+			// The engines have left or their zone is evacuated.
+			w.decided = true
+			out = append(out, p.refuse(now, w.request, NoEngine))
+		case !p.worthQueueing(now, w):
 			w.decided = true
 			out = append(out, p.refuse(now, w.request, Late))
 		}
@@ -752,7 +760,7 @@
 }
 
 func (p *Placer) eligible(now time.Time, e *engine, r Request) bool {
-	return !e.Leaving && e.suits(r) && e.running < p.spec.Slots &&
+	return !e.Leaving && !e.Evacuated && e.suits(r) && e.running < p.spec.Slots &&
 		float64(e.reservedTokens+r.UniqueTokens+r.ExpectedOutput) <= float64(p.spec.KVCapacity)*runningTokensRatio &&
 		!now.Before(e.refusedUntil) && !now.Before(e.outages[r.Zone].until)
 }
@@ -804,6 +812,7 @@
 	for _, name := range p.engineIDs {
 		e := p.engines[name]
 		switch n := e.cache.CachedTokens(shared); {
+		case e.Evacuated:
 		case n > first.cachedTokens:
 			first, second = copySource{e, n}, first
 		case n > second.cachedTokens:
