--- a/internal/rwrouteconfig/rwrouteconfig.go
+++ b/internal/rwrouteconfig/rwrouteconfig.go
@@ -130,14 +130,17 @@
 	services map[string]Service
 	hosts    map[string][]Route
 	keys     map[string]Account
+	// keysRequired is whether there are accounts. It doesn't follow from the keys:
+	// accounts of which the last key was withdrawn accept nobody.
+	keysRequired bool
 	// longestStream is 0 if a route with streams has no timeout.
 	longestStream time.Duration
 }
 
-// New returns a configuration. The routes of a host are matched longest prefix
+// New returns a configuration, which requires keys if it has any. The routes of a host are matched longest prefix
 // first.
 func New(version int64, limits Limits, routes []Route, services []Service, keys map[string]Account) *Config {
-	c := &Config{Version: version, Limits: limits, services: map[string]Service{}, hosts: map[string][]Route{}, keys: keys}
+	c := &Config{Version: version, Limits: limits, services: map[string]Service{}, hosts: map[string][]Route{}, keys: keys, keysRequired: len(keys) > 0}
 	for _, s := range services {
 		c.services[s.Name] = s
 	}
@@ -185,6 +188,13 @@
 	return a, ok
 }
 
-// RequiresKeys reports whether any account has a key; without any, requests
-// need none.
-func (c *Config) RequiresKeys() bool { return len(c.keys) > 0 }
+// WithKeysRequired returns the configuration with accounts, which may have no keys.
+func (c *Config) WithKeysRequired() *Config {
+	out := *c
+	out.keysRequired = true
+	return &out
+}
+
+// RequiresKeys reports whether there are accounts; without any, requests need no key.
+// If no account has a key, no request on a route that isn't public is accepted.
+func (c *Config) RequiresKeys() bool { return c.keysRequired }
--- a/internal/rwrouteconfig/rwrouteconfig_test.go
+++ b/internal/rwrouteconfig/rwrouteconfig_test.go
@@ -16,6 +16,20 @@
 	return New(3, Limits{}, routes, []Service{{Name: "s"}, {Name: "t"}}, map[string]Account{"k": {Name: "acc"}})
 }
 
+// Guards against a configuration that accepts everybody once its accounts have no key
+// left, and against one without accounts that accepts nobody.
+func TestAccountsWithoutKeysAreNotNoAccounts(t *testing.T) {
+	none := New(1, Limits{}, nil, nil, nil)
+	require.False(t, none.RequiresKeys())
+	require.False(t, New(1, Limits{}, nil, nil, map[string]Account{}).RequiresKeys())
+	withdrawn := none.WithKeysRequired()
+	require.True(t, withdrawn.RequiresKeys())
+	require.False(t, none.RequiresKeys(), "a configuration is immutable")
+	_, ok := withdrawn.Account("")
+	require.False(t, ok)
+	require.True(t, config().RequiresKeys())
+}
+
 // Guards against routing a request by another host or by a shorter prefix than
 // the longest match.
 func TestMatchLongestPrefix(t *testing.T) {
