Pull configurations of any size in bounded parts

Cause: a pull was answered with one message, and one beyond 1,200 KiB was dropped without a word.

Change: rwpart cuts items into parts of 64 KiB, rwassembly puts them together within bounds, and rwcatalogsync asks for part after part. Routers of the release before still get and send all at once. A message beyond the bounds is logged (event 502), and its caller is told.

--- a/internal/rwcatalogsync/rwcatalogsync.go
+++ b/internal/rwcatalogsync/rwcatalogsync.go
@@ -10,9 +10,13 @@
 	"sync"
 	"time"
 
+	"redwingworks.example/internal/rwassembly"
+	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwitem"
 	"redwingworks.example/internal/rwleaving"
+	"redwingworks.example/internal/rwpart"
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwrendezvous"
 	"redwingworks.example/internal/rwrevision"
@@ -30,9 +34,22 @@
 	// pullDelay is how long a reader waits for a change to arrive from the
 	// store before it pulls it from another router.
 	pullDelay = 250 * time.Millisecond
-	// pullTimeout bounds a pull; pullPause is the time between two pulls.
-	pullTimeout = 500 * time.Millisecond
-	pullPause   = 100 * time.Millisecond
+	// pullTimeout bounds the wait for the first part of a pull, so that a lost router
+	// doesn't keep this one from asking another; partTimeout bounds that for a later
+	// part, which may wait for the other router's link, and partAttempts is how often
+	// one is asked for. pullPause is the time between two pulls.
+	pullTimeout  = 500 * time.Millisecond
+	partTimeout  = time.Second
+	partAttempts = 3
+	pullPause    = 100 * time.Millisecond
+	// partBytes is the approximate size of a part. A configuration may be larger than
+	// a message, and a link of 10 Mbit/s takes 70 ms for a part.
+	partBytes = 64 << 10
+	// maxParts bounds a pull; rwassembly bounds what its parts contain.
+	maxParts = 4096
+	// maxSending is how many parts are sent at one time: each takes several times its
+	// size of memory until it is written.
+	maxSending = 8
 )
 
 // Syncer synchronises the catalog of one router. All fields are set before the
@@ -40,7 +57,7 @@
 type Syncer struct {
 	// Rev returns the revision up to which this router has all changes.
 	Rev func() rwrevision.Revision
-	// Since returns the items with a higher revision.
+	// Since returns the items with a higher revision, sorted by key and revision.
 	Since func(rev rwrevision.Revision) []rwitem.Item
 	// Apply applies items from another router, which has all changes up to rev.
 	Apply func(from string, rev rwrevision.Revision, items []rwitem.Item)
@@ -49,12 +66,18 @@
 	OnLeaving func(from string, u rwleaving.Upstream)
 	// Refresh makes this router list the store soon.
 	Refresh func()
+	// OnTooLarge, if set, is called for a pull that ended because it exceeds a bound
+	// or its parts don't fit together.
+	OnTooLarge func(from string, err error)
 	// Live returns the live routers of a zone, or of all zones if it is empty,
 	// including this router.
 	Live func(zone string) []rwidentity.Identity
 
 	self  rwidentity.Identity
 	peers *rwpeer.Peers
+	// sending has a value for each part that is being sent.
+	sending  chan struct{}
+	deflater deflater
 
 	mu      sync.Mutex
 	pulling bool
@@ -72,11 +95,26 @@
 	Items []rwitem.Item `json:"items"`
 }
 
+// partRequest asks for the items after a revision, from a position on.
+type partRequest struct {
+	rwrevision.Revision
+	From rwpart.Position `json:"from"`
+}
+
+// partMessage has the revision up to which the sender has all changes.
+type partMessage struct {
+	rwrevision.Revision
+	Parts []rwpart.Part   `json:"parts,omitempty"`
+	Next  rwpart.Position `json:"next"`
+	Done  bool            `json:"done,omitempty"`
+}
+
 // New returns a syncer and registers its message handlers.
 func New(peers *rwpeer.Peers) *Syncer {
-	s := &Syncer{self: peers.Self(), peers: peers}
+	s := &Syncer{self: peers.Self(), peers: peers, sending: make(chan struct{}, maxSending)}
 	peers.Handle("fresh", rwpeer.Typed(s.handleFresh))
 	peers.Handle("pull", rwpeer.Typed(s.handlePull))
+	peers.Handle("part", rwpeer.Typed(s.handlePart))
 	peers.Handle("leaving", rwpeer.Typed(s.handleLeaving))
 	return s
 }
@@ -196,8 +234,6 @@
 // has not asked before in the era of the other. A failed pull is retried after the
 // next probe.
 func (s *Syncer) pull(from rwidentity.Identity) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
 	after := s.Rev()
 	s.mu.Lock()
 	all := after.Era > s.askedEra
@@ -205,8 +241,17 @@
 	if all {
 		after = rwrevision.Revision{}
 	}
-	var m itemsMessage
-	if err := s.peers.CallData(ctx, from.Addr, "pull", revisionMessage{after}, &m); err != nil {
+	m, err := s.pullParts(from, after)
+	switch {
+	case rwfault.Is(err, rwcode.PeerMalformed) && m.Rev == 0:
+		// The other router runs an older release, which sends all at once.
+		if s.call(from, pullTimeout, "pull", revisionMessage{after}, &m) != nil {
+			return
+		}
+	case err != nil:
+		if s.OnTooLarge != nil && (rwfault.Is(err, rwcode.PeerMalformed) || rwfault.Is(err, rwcode.PeerSize)) {
+			s.OnTooLarge(from.Name, err)
+		}
 		return
 	}
 	s.Apply(from.Name, m.Revision, m.Items)
@@ -217,6 +262,77 @@
 	}
 }
 
+func (s *Syncer) call(to rwidentity.Identity, timeout time.Duration, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return s.peers.CallData(ctx, to.Addr, method, params, result)
+}
+
+// pullParts returns the items of another router after a revision, and the revision up
+// to which they are complete, which is that of the first part: items that change while
+// the others arrive may come twice or be missed. The revision is zero if the other
+// router has sent no part. It fails with the code of the call, with PeerSize, or with
+// PeerMalformed if parts don't fit together or the other router has lost its items.
+func (s *Syncer) pullParts(from rwidentity.Identity, after rwrevision.Revision) (itemsMessage, error) {
+	var out itemsMessage
+	var assembly rwassembly.Assembly
+	request := partRequest{Revision: after}
+	for i := range maxParts {
+		var m partMessage
+		var err error
+		if i == 0 {
+			err = s.call(from, pullTimeout, "part", request, &m)
+			out.Revision = m.Revision
+		} else {
+			err = s.nextPart(from, request, &m)
+		}
+		if err != nil {
+			return out, err
+		}
+		if out.After(m.Revision) {
+			return out, rwfault.New(rwcode.PeerMalformed, "the other router started again")
+		}
+		if err := assembly.Add(m.Parts); err != nil {
+			return out, err
+		}
+		if m.Done {
+			out.Items = assembly.Items()
+			return out, nil
+		}
+		request.From = m.Next
+	}
+	return out, rwfault.New(rwcode.PeerSize, "more than the largest number of parts")
+}
+
+// nextPart asks for a part up to partAttempts times: beginning again would cost the
+// links more than a lost part.
+func (s *Syncer) nextPart(from rwidentity.Identity, request partRequest, m *partMessage) error {
+	var err error
+	for range partAttempts {
+		*m = partMessage{}
+		if err = s.call(from, partTimeout, "part", request, m); !rwfault.Is(err, rwcode.PeerUnreachable) {
+			return err
+		}
+	}
+	return err
+}
+
+// handlePart sends a part of what a router lacks. It waits while maxSending others are
+// sent.
+func (s *Syncer) handlePart(ctx context.Context, _ rwidentity.Identity, m partRequest) (any, error) {
+	select {
+	case s.sending <- struct{}{}:
+	case <-time.After(partTimeout):
+		// The other router no longer waits.
+		return nil, rwfault.New(rwcode.PeerUnreachable, "too many parts are being sent")
+	case <-ctx.Done():
+		return nil, rwfault.Wrap(rwcode.PeerUnreachable, ctx.Err())
+	}
+	out := partMessage{Revision: s.Rev()}
+	out.Parts, out.Next, out.Done = rwpart.Cut(s.Since(m.Revision), m.From, partBytes, s.deflater.encode)
+	return rwpeer.Reply{Result: out, Written: func() { <-s.sending }}, nil
+}
+
 func (s *Syncer) handleFresh(_ context.Context, from rwidentity.Identity, m revisionMessage) (any, error) {
 	s.ObserveRev(from, m.Revision)
 	return nil, nil
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -307,6 +307,9 @@
 			return changed, bad
 		})
 	}
+	e.syncer.OnTooLarge = func(from string, err error) {
+		rwlog.Warn(&e.log, rwlog.PeerMessageTooLarge, err).Str("method", "part").Str("source", from).Send()
+	}
 	e.syncer.Live = e.gossip.Live
 	e.gossip.OnMessage = func(from rwidentity.Identity, rev rwrevision.Revision, _ uint64) { e.syncer.ObserveRev(from, rev) }
 	e.gossip.OnLiveChange = e.onMembersChanged
--- a/internal/rwlog/event_string.go
+++ b/internal/rwlog/event_string.go
@@ -48,6 +48,7 @@
 	_ = x[RequestCut-407]
 	_ = x[PeerRefused-500]
 	_ = x[PeerLost-501]
+	_ = x[PeerMessageTooLarge-502]
 	_ = x[CellTaken-600]
 	_ = x[CellReleased-601]
 	_ = x[UpstreamBackedOff-602]
@@ -64,7 +65,7 @@
 	_Event_name_1 = "record adoptedrecord set asidestale record ignoredplatform lostplatform restoredupstream leavingconfiguration adoptedupstreams changedplatform returned from a copyheader field unreadablezone evacuatedzone taken backevacuated zone unknown"
 	_Event_name_2 = "member changed"
 	_Event_name_3 = "request refusedrequest failedrequest retriedrequest placedrequest resumedrequest finishedrequest abandonedrequest cut"
-	_Event_name_4 = "peer refusedpeer lost"
+	_Event_name_4 = "peer refusedpeer lostpeer message too large"
 	_Event_name_5 = "cell ownership takencell ownership releasedupstream backed offresponse broken offprompt part harmfulprompt part freed"
 	_Event_name_6 = "idempotency keys heldidempotency keys releasedidempotency keys handed over"
 )
@@ -73,7 +74,7 @@
 	_Event_index_0 = [...]uint8{0, 7, 14, 28, 44, 49, 63, 77, 94, 111, 125, 141, 159, 181, 200, 216, 225}
 	_Event_index_1 = [...]uint8{0, 14, 30, 50, 63, 80, 96, 117, 134, 163, 186, 200, 215, 237}
 	_Event_index_3 = [...]uint8{0, 15, 29, 44, 58, 73, 89, 106, 117}
-	_Event_index_4 = [...]uint8{0, 12, 21}
+	_Event_index_4 = [...]uint8{0, 12, 21, 43}
 	_Event_index_5 = [...]uint8{0, 20, 43, 62, 81, 100, 117}
 	_Event_index_6 = [...]uint8{0, 21, 46, 74}
 )
@@ -91,7 +92,7 @@
 	case 400 <= i && i <= 407:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 500 <= i && i <= 501:
+	case 500 <= i && i <= 502:
 		i -= 500
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	case 600 <= i && i <= 605:
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -59,6 +59,7 @@
 	RequestCut           Event = 407 // request cut
 	PeerRefused          Event = 500 // peer refused
 	PeerLost             Event = 501 // peer lost
+	PeerMessageTooLarge  Event = 502 // peer message too large
 	CellTaken            Event = 600 // cell ownership taken
 	CellReleased         Event = 601 // cell ownership released
 	UpstreamBackedOff    Event = 602 // upstream backed off
--- a/internal/rwpeer/rwpeer.go
+++ b/internal/rwpeer/rwpeer.go
@@ -260,6 +260,7 @@
 		cancel()
 		if err != nil {
 			l.peers.metrics.Add("peer_messages_dropped", 1)
+			l.peers.logOversize(n.method, err)
 			l.closeConn(conn)
 		}
 	}
@@ -291,6 +292,7 @@
 		return rwfault.New(rwcode.Parse(answered.Message), method)
 	}
 	if err != nil {
+		l.peers.logOversize(method, err)
 		if ctx.Err() == nil {
 			l.closeConn(conn)
 		}
@@ -636,7 +638,21 @@
 		})
 		return
 	}
-	_ = conn.Reply(ctx, req.ID, result)
+	if err := conn.Reply(ctx, req.ID, result); s.peers.logOversize(req.Method, err) {
+		// Otherwise the caller waits for its timeout.
+		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: rwcode.PeerSize.String()})
+	}
+}
+
+// logOversize logs a message that wasn't sent because it is too large, and reports
+// whether the error says so.
+func (p *Peers) logOversize(method string, err error) bool {
+	if !rwfault.Is(err, rwcode.PeerSize) {
+		return false
+	}
+	p.metrics.Refused(rwcode.PeerSize)
+	rwlog.Warn(&p.log, rwlog.PeerMessageTooLarge, err).Str("method", method).Send()
+	return true
 }
 
 // unwrap returns the result to write, and the function to call afterwards.
--- a/internal/rwtimeline/rwtimeline.go
+++ b/internal/rwtimeline/rwtimeline.go
@@ -33,6 +33,7 @@
 	rwlog.PauseDetected: true, rwlog.LinesDropped: true, rwlog.RecordSetAside: true, rwlog.PlatformLost: true,
 	rwlog.PlatformRestored: true, rwlog.ConfigurationAdopted: true, rwlog.UpstreamsChanged: true, rwlog.MemberChanged: true,
 	rwlog.PeerLost: true, rwlog.RotationChanged: true, rwlog.ConnectionsClosed: true, rwlog.DrainRefusing: true,
+	rwlog.ZoneEvacuated: true, rwlog.ZoneTakenBack: true, rwlog.PeerMessageTooLarge: true,
 }
 
 // Timeline collects the log lines of one request. It is not safe for concurrent
