Count evacuated engines when a request moves between cells

Cause: the number of cells counts evacuated engines, the choice of another cell didn't. Change: both use cellsOf. Result: a moved request names a cell that its owner has.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -273,7 +273,7 @@
 		return Grant{}, b.noEngine(service)
 	}
 	r.Router, r.Zone = incarnationID(b.self), b.self.Zone
-	if cells := cellCount(len(b.Published().Usable(service))); cells > 1 && !r.Resumed {
+	if cells := cellsOf(b.Published(), service); cells > 1 && !r.Resumed {
 		return b.acquireFromCells(ctx, key, cells, r)
 	}
 	return b.acquireFromCell(ctx, key, r)
