Take no response without an id on a kept connection

Additional bytes of an upstream after a complete response, in the form of a 503 without an id, were given to the next request on the connection as its response, while the request ran. Only refusals without an id were rejected.

On a connection that was used before, every response without an id is now a mismatch with an unknown outcome, and a connection whose response had no id isn't reused. A new connection that has brought bytes, or has ended, before the request is sent is closed, and the request counts as not sent. The stand-ins of rwedge's tests echo ids as the platform's upstreams do; two of them didn't, and their connections would not be reused.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -151,8 +151,7 @@
 	Header http.Header
 	Body   []byte
 	// ID is the request id. A response with another id is skipped; one without
-	// an id is accepted, unless it says on a reused connection that the request
-	// didn't run.
+	// an id is accepted on a new connection only, which isn't reused after it.
 	ID string
 	// NewConn prevents the reuse of an idle connection.
 	NewConn bool
@@ -221,6 +220,8 @@
 		reason = "answer_unread"
 	case resp.HTTP.Close:
 		reason = "asked"
+	case resp.Info.RequestID == "":
+		reason = "no_id"
 	case resp.conn.br.Buffered() > 0:
 		reason = "stray_bytes"
 	}
@@ -291,9 +292,10 @@
 		if resp.pool.OnResponse != nil && !info.WrongInstance {
 			resp.pool.OnResponse(req.Key, info)
 		}
-		if info.NotRun && info.RequestID == "" && resp.conn.answered {
-			// It may be an earlier refusal, written once more.
-			return rwfault.New(rwcode.UpstreamMismatch, "refusal without an id on a connection that was used before")
+		if info.RequestID == "" && resp.conn.answered {
+			// It may be additional bytes after an earlier response, or an earlier
+			// refusal, written once more.
+			return rwfault.New(rwcode.UpstreamMismatch, "response without an id on a connection that was used before")
 		}
 		if info.RequestID == "" || info.RequestID == req.ID {
 			resp.conn.answered = true
@@ -357,7 +359,8 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.usableUntil) && c.isQuiet() {
+		quiet, _ := c.isQuiet()
+		if time.Now().Before(c.usableUntil) && quiet {
 			p.count("connections_reused")
 			return c, nil
 		}
@@ -377,28 +380,33 @@
 	}
 	p.count("connections_opened")
 	in := &headLimiter{Reader: raw}
-	return &conn{Conn: raw, in: in, br: bufio.NewReader(in)}, nil
+	c := &conn{Conn: raw, in: in, br: bufio.NewReader(in)}
+	if quiet, known := c.isQuiet(); known && !quiet {
+		_ = raw.Close()
+		return nil, rwfault.New(rwcode.UpstreamUnreachable, "the connection ended or brought bytes before the request was sent")
+	}
+	return c, nil
 }
 
-// isQuiet reports whether nothing has arrived on an idle connection, neither
-// its end nor bytes that belong to no request.
-func (c *conn) isQuiet() bool {
+// isQuiet reports whether nothing has arrived on a connection without a request,
+// neither its end nor bytes that belong to no request. It isn't known for
+// connections that aren't sockets.
+func (c *conn) isQuiet() (quiet, known bool) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = errors.Is(err, unix.EAGAIN)
 		return true
 	})
-	return err == nil && quiet
+	return err == nil && quiet, true
 }
 
 func (p *Pool) count(name string) {
--- a/internal/rwconn/rwconn_test.go
+++ b/internal/rwconn/rwconn_test.go
@@ -332,3 +332,62 @@
 	p.Sweep(time.Now(), func(Key) bool { return false })
 	require.Empty(t, p.idle)
 }
+
+// Guards against an answer of no request that is taken for the answer of the next one
+// on a kept connection: the request runs, and nobody reads its own answer.
+func TestAnswerWithoutAnIDOnKeptConnection(t *testing.T) {
+	for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout", "421 Misdirected Request", "200 OK", "500 Internal Server Error", "404 Not Found"} {
+		u := serve(t, func(u *upstream, c net.Conn, r *bufio.Reader) {
+			extra := ""
+			for u.next(r) {
+				_, _ = io.WriteString(c, extra+response("1", "hello"))
+				extra = "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"
+			}
+		})
+		p := newPool()
+		require.Equal(t, "hello", body(t, p, u.request("1")))
+		_, err := p.Do(t.Context(), u.request("1"))
+		require.True(t, rwfault.Is(err, rwcode.UpstreamMismatch), "%s: %v", status, err)
+		require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome, status)
+		require.Equal(t, "hello", body(t, p, u.request("1")), status)
+		opened, _ := u.count()
+		require.Equal(t, 2, opened, "%s: the connection was used again", status)
+	}
+}
+
+// Guards against the reuse of a connection on which answers can't be told apart.
+func TestAnswerWithoutAnIDEndsTheConnection(t *testing.T) {
+	u := serve(t, func(u *upstream, c net.Conn, r *bufio.Reader) {
+		for u.next(r) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+		}
+	})
+	p := newPool()
+	require.Equal(t, "hello", body(t, p, u.request("1")))
+	require.Equal(t, "hello", body(t, p, u.request("2")))
+	opened, _ := u.count()
+	require.Equal(t, 2, opened)
+}
+
+// Guards against bytes that an upstream sends before it has any request and that are
+// taken for the answer of the first one.
+func TestBytesBeforeTheRequestAreNoAnswer(t *testing.T) {
+	u := serve(t, func(u *upstream, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		u.next(r)
+	})
+	p := newPool()
+	dial := p.Dial
+	p.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err == nil {
+			require.Eventually(t, func() bool { quiet, _ := (&conn{Conn: c}).isQuiet(); return !quiet }, 10*time.Second, time.Millisecond)
+		}
+		return c, err
+	}
+	_, err := p.Do(t.Context(), u.request("1"))
+	require.True(t, rwfault.Is(err, rwcode.UpstreamUnreachable), "%v", err)
+	require.Equal(t, rwoutcome.NotRun, rwfault.From(err).Outcome)
+	_, requests := u.count()
+	require.Zero(t, requests, "the request was sent")
+}
--- a/internal/rwedge/saturated_test.go
+++ b/internal/rwedge/saturated_test.go
@@ -77,6 +77,7 @@
 		f.forwarded[name] = append(f.forwarded[name], time.Now())
 		f.mu.Unlock()
 		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		_, _ = io.WriteString(w, "response")
 	})
 	items := map[string]rwcatalog.Decoded{
@@ -137,10 +138,12 @@
 				Method: r.Method, Timeout: 3 * time.Second, Header: http.Header{},
 			}
 		},
-		Encode: func(rwinboundrequest.Request, rwdialect.ForwardOptions) http.Header {
-			return http.Header{"X-Router": {name}}
+		Encode: func(q rwinboundrequest.Request, _ rwdialect.ForwardOptions) http.Header {
+			return http.Header{"X-Router": {name}, "X-Id": {q.ID}}
+		},
+		Inspect: func(r *http.Response) rwdialect.ResponseInfo {
+			return rwdialect.ResponseInfo{RequestID: r.Header.Get("X-Id"), Authentic: true}
 		},
-		Inspect: func(*http.Response) rwdialect.ResponseInfo { return rwdialect.ResponseInfo{Authentic: true} },
 	}
 }
 
--- a/internal/rwedge/share_test.go
+++ b/internal/rwedge/share_test.go
@@ -153,6 +153,7 @@
 		case <-time.After(work):
 		case <-r.Context().Done():
 		}
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		_, _ = io.WriteString(w, "response")
 	})
 	items := map[string]rwcatalog.Decoded{
