Reject responses with statuses that HTTP doesn't have

net/http reads any three digits as a status. A response of an upstream with the status 000 made WriteHeader panic in rwfront, and rwrouter handed it on as the status of a call.

A status below 100 or above 599 now counts as no response, in rwconn and in rwdispatch: UpstreamMalformed with an unknown outcome. The caller gets 502, or the response of another upstream if the request may be repeated.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -53,6 +53,9 @@
 	// maxHeadBytes bounds the head of a response, with the informational
 	// responses before it: a faulty upstream may send header lines without end.
 	maxHeadBytes = 64 << 10
+	// maxStatus is the highest status of HTTP (RFC 9110, section 15). The lowest is
+	// 100; http.ReadResponse accepts any three digits.
+	maxStatus = 599
 )
 
 // Key identifies the connections to one incarnation of an upstream.
@@ -285,7 +288,10 @@
 		if err != nil {
 			return responseFault(err)
 		}
-		if httpResp.StatusCode >= 100 && httpResp.StatusCode < 200 {
+		if httpResp.StatusCode < 100 || httpResp.StatusCode > maxStatus {
+			return rwfault.New(rwcode.UpstreamMalformed, "status "+httpResp.Status)
+		}
+		if httpResp.StatusCode < 200 {
 			continue
 		}
 		info := resp.pool.Inspect(httpResp)
--- a/internal/rwconn/rwconn_test.go
+++ b/internal/rwconn/rwconn_test.go
@@ -391,3 +391,27 @@
 	_, requests := u.count()
 	require.Zero(t, requests, "the request was sent")
 }
+
+// Guards against statuses that no answer has, which make net/http panic or reach
+// callers as they are.
+func TestStatusThatNoAnswerHas(t *testing.T) {
+	for _, status := range []string{"000", "007", "099", "600", "999"} {
+		for _, kept := range []bool{false, true} {
+			u := serve(t, func(u *upstream, c net.Conn, r *bufio.Reader) {
+				if kept && u.next(r) {
+					_, _ = io.WriteString(c, response("1", "hello"))
+				}
+				u.next(r)
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+				u.next(r)
+			})
+			p := newPool()
+			if kept {
+				require.Equal(t, "hello", body(t, p, u.request("1")))
+			}
+			_, err := p.Do(t.Context(), u.request("1"))
+			require.True(t, rwfault.Is(err, rwcode.UpstreamMalformed), "%s kept %t: %v", status, kept, err)
+			require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
+		}
+	}
+}
--- a/internal/rwdispatch/rwdispatch.go
+++ b/internal/rwdispatch/rwdispatch.go
@@ -31,6 +31,10 @@
 
 const maxResponseBytes = 8 << 20
 
+// maxStatus is the highest status of HTTP (RFC 9110, section 15). The lowest is 100;
+// net/http accepts any three digits.
+const maxStatus = 599
+
 const (
 	dialTimeout             = 500 * time.Millisecond
 	idleTimeout             = 30 * time.Second
@@ -134,6 +138,10 @@
 	}
 	resp, err := client.Do(req)
 	if err == nil {
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
+			_ = resp.Body.Close()
+			return nil, rwfault.New(rwcode.UpstreamMalformed, u.Name+": status "+resp.Status).WithOutcome(rwoutcome.Unknown)
+		}
 		return resp, nil
 	}
 	var beforeSendFault *rwfault.Fault // by BeforeSend
