Report the end of an attempt that panics

A panic within an attempt left the upstream counted as busier by one for good, in the picker or at the cell's owner. The end is now reported as failed in that case too.

--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -458,10 +458,7 @@
 			dest.end(rwplacement.Abandoned)
 			return last
 		}
-		f.trackAttempt(x, dest.id)
-		end, fault := f.attempt(ctx, w, x, dest)
-		f.trackAttempt(x, "")
-		dest.end(end)
+		fault = f.tryUpstream(ctx, w, x, dest)
 		if fault == nil {
 			return nil
 		}
@@ -473,6 +470,20 @@
 	}
 }
 
+// tryUpstream is attempt with its end reported, also if it panics: an end that is
+// missing would count as a request in progress for good.
+func (f *Handler) tryUpstream(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, dest destination) *rwfault.Fault {
+	f.trackAttempt(x, dest.id)
+	end := rwplacement.Failed
+	defer func() {
+		f.trackAttempt(x, "")
+		dest.end(end)
+	}()
+	var fault *rwfault.Fault
+	end, fault = f.attempt(ctx, w, x, dest)
+	return fault
+}
+
 // harmful returns the fault of a request whose prompt has a part that crashes
 // engines, or nil.
 func (f *Handler) harmful(x *rwexchange.Exchange) *rwfault.Fault {
