Take no status alone for a promise that a request didn't run

Only Not-Executed says that an upstream didn't run a request. A 503, 429, 408 or 421 without it was passed on as it was, and every 421 counted as not run, so that callers sent requests again that may have run.

Such a response to a request that may not be repeated now becomes a 502 without the upstream's signature. Requests that may be repeated are tried at another upstream, and their callers get the last response unchanged.

--- a/internal/rwdialect/rwdialect.go
+++ b/internal/rwdialect/rwdialect.go
@@ -42,7 +42,8 @@
 	RequestID string
 	// NotRun is whether the upstream reports that it didn't run the request.
 	NotRun bool
-	// WrongInstance is whether the address now belongs to another incarnation.
+	// WrongInstance is whether the address now belongs to another incarnation, which
+	// doesn't say yet that the request didn't run.
 	WrongInstance bool
 	// Authentic is whether the response carries the upstream's signature and its
 	// body is the one that the upstream sent.
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -51,7 +51,7 @@
 	defer resp.Close()
 	x.Sent++
 	switch info := resp.Info; {
-	case info.WrongInstance:
+	case info.WrongInstance && info.NotRun:
 		drain(resp)
 		return rwplacement.Unreachable, rwfault.New(rwcode.UpstreamMismatch, "another instance has the address")
 	case info.NotRun:
@@ -162,10 +162,14 @@
 		return rwplacement.Failed, rwfault.New(rwcode.UpstreamMalformed, "response is not authentic").
 			WithOutcome(rwoutcome.Unknown)
 	}
-	failed := status >= http.StatusInternalServerError
+	failed := status >= http.StatusInternalServerError || claimsNotRun(status)
 	if failed && f.canTryAnother(x) {
 		return rwplacement.Failed, rwfault.New(rwcode.UpstreamFailed, strconv.Itoa(status)).WithOutcome(rwoutcome.Ran)
 	}
+	if claimsNotRun(status) && !x.Route.Retryable() {
+		// The upstream has not said that the request didn't run.
+		return rwplacement.Failed, rwfault.New(rwcode.UpstreamFailed, strconv.Itoa(status)).WithOutcome(rwoutcome.Unknown)
+	}
 	if x.HeadSent {
 		// A resumed stream can't turn into a different response.
 		return rwplacement.Failed, rwfault.New(rwcode.UpstreamFailed, strconv.Itoa(status)).WithOutcome(rwoutcome.Ran)
@@ -187,6 +191,17 @@
 	return rwplacement.Served, nil
 }
 
+// claimsNotRun reports whether callers take a status as a promise that the request
+// has not run and will not.
+func claimsNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // forwardRest forwards the part of a response's body that was not buffered.
 func (f *Handler) forwardRest(ctx context.Context, w http.ResponseWriter, resp *rwconn.Response) *rwfault.Fault {
 	buf := make([]byte, 32<<10)
