Take no reset during an upload for the end of a response

A response without a length or chunks ends with its connection. If the upstream reset the connection while the body of the request was still being written, the kernel reported the reset to that writer, and the reader of the response saw an end: the caller got the part as a complete response.

The end of such a response now counts only if the whole body was written and taken by the upstream's system, and the socket was not reset; otherwise the response has broken off. The wait for that is bounded at a second. Responses with a length or chunks that come early are complete as before, and their connections aren't reused.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -50,6 +50,12 @@
 	// maxInlineBody is how much of a body is written before the response is
 	// read; it fits into the socket's send buffer.
 	maxInlineBody = 16 << 10
+	// uploadEndTimeout bounds the wait for the body of a request whose response has
+	// ended with the connection, and statePollInterval is the time between looks at
+	// the socket. A system that closes a connection resets it within a round trip of
+	// the next bytes.
+	uploadEndTimeout  = time.Second
+	statePollInterval = 2 * time.Millisecond
 	// maxHeadBytes bounds the head of a response, with the informational
 	// responses before it: a faulty upstream may send header lines without end.
 	maxHeadBytes = 64 << 10
@@ -117,9 +123,10 @@
 	usableUntil time.Time
 	// answered is whether a response to an earlier request was read.
 	answered bool
-	// bodyWritten receives the result of writing a body while the response is
-	// read.
-	bodyWritten chan error
+	// bodyWritten is closed after a body was written while the response is read,
+	// or nil; writeErr is the result from then on.
+	bodyWritten chan struct{}
+	writeErr    error
 }
 
 // headLimiter bounds the bytes that are read from a connection as the head of a
@@ -178,17 +185,27 @@
 type trackedReader struct {
 	io.Reader
 	atEOF bool
+	// checkEnd, if set, returns an error if the end is not the upstream's.
+	checkEnd func() error
 }
 
 func (t *trackedReader) Read(p []byte) (int, error) {
 	n, err := t.Reader.Read(p)
-	if errors.Is(err, io.EOF) {
-		t.atEOF = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if t.checkEnd != nil && !t.atEOF {
+		if endErr := t.checkEnd(); endErr != nil {
+			return n, endErr
+		}
+	}
+	t.atEOF = true
 	return n, err
 }
 
-// Body returns the body of the response.
+// Body returns the body of the response. Reading one that ends with its connection
+// fails if the connection was reset, or if the upstream has not taken the whole body
+// of the request within uploadEndTimeout after the end.
 func (resp *Response) Body() io.Reader { return resp.body }
 
 // EndsWithConnection reports whether the body has neither a length nor chunks, so
@@ -204,8 +221,8 @@
 	written := true
 	if resp.conn.bodyWritten != nil {
 		select {
-		case err := <-resp.conn.bodyWritten:
-			written = err == nil
+		case <-resp.conn.bodyWritten:
+			written = resp.conn.writeErr == nil
 		default:
 			// The upstream responded before it read the whole body. It would
 			// read the rest as the start of the next request.
@@ -306,6 +323,9 @@
 		if info.RequestID == "" || info.RequestID == req.ID {
 			resp.conn.answered = true
 			resp.HTTP, resp.Info, resp.body = httpResp, info, &trackedReader{Reader: httpResp.Body}
+			if resp.EndsWithConnection() {
+				resp.body.checkEnd = resp.conn.checkEnd
+			}
 			return nil
 		}
 		// A late response to an earlier request on this connection.
@@ -349,15 +369,80 @@
 		return n > 0, err
 	}
 	if rest := req.Body[len(inline):]; len(rest) > 0 {
-		c.bodyWritten = make(chan error, 1)
+		written := make(chan struct{})
+		c.bodyWritten = written
 		go func() {
-			_, err := c.Write(rest)
-			c.bodyWritten <- err
+			_, c.writeErr = c.Write(rest)
+			close(written)
 		}()
 	}
 	return true, nil
 }
 
+var (
+	errReset      = errors.New("the connection was reset")
+	errBodyUnread = errors.New("the connection ended before the body of the request was taken")
+)
+
+// checkEnd returns an error unless the end that was read from the connection is the
+// one that the upstream has given it. The kernel reports a reset once, to the writer
+// of the request's body or to the reader of the response, and the other one of them
+// sees an end. A reset may also follow the end while the body is on its way.
+func (c *conn) checkEnd() error {
+	deadline := time.NewTimer(uploadEndTimeout)
+	defer deadline.Stop()
+	if c.bodyWritten != nil {
+		select {
+		case <-c.bodyWritten:
+			if c.writeErr != nil {
+				return c.writeErr
+			}
+		case <-deadline.C:
+			return errBodyUnread
+		}
+	}
+	for {
+		reset, taken := c.state()
+		switch {
+		case reset:
+			return errReset
+		case taken:
+			return nil
+		}
+		select {
+		case <-time.After(statePollInterval):
+		case <-deadline.C:
+			return errBodyUnread
+		}
+	}
+}
+
+// state reports whether the connection was reset or closed, and whether the system of
+// the upstream has taken all that was written. It asks the socket; other connections
+// count as taken.
+func (c *conn) state() (reset, taken bool) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false, true
+	}
+	raw, err := socket.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return false, true
+	}
+	if err != nil {
+		return true, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || infoErr != nil {
+		return true, false
+	}
+	return info.State == unix.BPF_TCP_CLOSE, info.Unacked == 0 && info.Notsent_bytes == 0
+}
+
 // getConn returns an idle connection that is still open, or a new one.
 func (p *Pool) getConn(ctx context.Context, req Request) (*conn, error) {
 	for !req.NewConn {
--- a/internal/rwfront/end_test.go
+++ b/internal/rwfront/end_test.go
@@ -82,6 +82,9 @@
 type socketFleet struct {
 	front *Handler
 	addr  string
+	// unreadAbove, if above 0, is the length from which upstreams respond to a body
+	// without reading it.
+	unreadAbove int64
 
 	mu sync.Mutex
 	// accepted and arrived count the connections and the requests of the
@@ -182,7 +185,9 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
+		if f.unreadAbove == 0 || r.ContentLength < f.unreadAbove {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
 		f.mu.Lock()
 		f.arrived[id]++
 		f.mu.Unlock()
