--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -50,9 +50,18 @@
 	// maxInlineBody is how much of a body is written before the response is
 	// read; it fits into the socket's send buffer.
 	maxInlineBody = 16 << 10
+	// uploadEndTimeout bounds the wait for the body of a request whose response has
+	// ended with the connection, and statePollInterval is the time between looks at
+	// the socket. A system that closes a connection resets it within a round trip of
+	// the next bytes.
+	uploadEndTimeout  = time.Second
+	statePollInterval = 2 * time.Millisecond
 	// maxHeadBytes bounds the head of a response, with the informational
 	// responses before it: a faulty upstream may send header lines without end.
 	maxHeadBytes = 64 << 10
+	// maxStatus is the highest status of HTTP (RFC 9110, section 15). The lowest is
+	// 100; http.ReadResponse accepts any three digits.
+	maxStatus = 599
 )
 
 // Key identifies the connections to one incarnation of an upstream.
@@ -114,9 +123,10 @@
 	usableUntil time.Time
 	// answered is whether a response to an earlier request was read.
 	answered bool
-	// bodyWritten receives the result of writing a body while the response is
-	// read.
-	bodyWritten chan error
+	// bodyWritten is closed after a body was written while the response is read,
+	// or nil; writeErr is the result from then on.
+	bodyWritten chan struct{}
+	writeErr    error
 }
 
 // headLimiter bounds the bytes that are read from a connection as the head of a
@@ -151,8 +161,7 @@
 	Header http.Header
 	Body   []byte
 	// ID is the request id. A response with another id is skipped; one without
-	// an id is accepted, unless it says on a reused connection that the request
-	// didn't run.
+	// an id is accepted on a new connection only, which isn't reused after it.
 	ID string
 	// NewConn prevents the reuse of an idle connection.
 	NewConn bool
@@ -176,17 +185,27 @@
 type trackedReader struct {
 	io.Reader
 	atEOF bool
+	// checkEnd, if set, returns an error if the end is not the upstream's.
+	checkEnd func() error
 }
 
 func (t *trackedReader) Read(p []byte) (int, error) {
 	n, err := t.Reader.Read(p)
-	if errors.Is(err, io.EOF) {
-		t.atEOF = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if t.checkEnd != nil && !t.atEOF {
+		if endErr := t.checkEnd(); endErr != nil {
+			return n, endErr
+		}
+	}
+	t.atEOF = true
 	return n, err
 }
 
-// Body returns the body of the response.
+// Body returns the body of the response. Reading one that ends with its connection
+// fails if the connection was reset, or if the upstream has not taken the whole body
+// of the request within uploadEndTimeout after the end.
 func (resp *Response) Body() io.Reader { return resp.body }
 
 // EndsWithConnection reports whether the body has neither a length nor chunks, so
@@ -202,8 +221,8 @@
 	written := true
 	if resp.conn.bodyWritten != nil {
 		select {
-		case err := <-resp.conn.bodyWritten:
-			written = err == nil
+		case <-resp.conn.bodyWritten:
+			written = resp.conn.writeErr == nil
 		default:
 			// The upstream responded before it read the whole body. It would
 			// read the rest as the start of the next request.
@@ -221,6 +240,8 @@
 		reason = "answer_unread"
 	case resp.HTTP.Close:
 		reason = "asked"
+	case resp.Info.RequestID == "":
+		reason = "no_id"
 	case resp.conn.br.Buffered() > 0:
 		reason = "stray_bytes"
 	}
@@ -284,20 +305,27 @@
 		if err != nil {
 			return responseFault(err)
 		}
-		if httpResp.StatusCode >= 100 && httpResp.StatusCode < 200 {
+		if httpResp.StatusCode < 100 || httpResp.StatusCode > maxStatus {
+			return rwfault.New(rwcode.UpstreamMalformed, "status "+httpResp.Status)
+		}
+		if httpResp.StatusCode < 200 {
 			continue
 		}
 		info := resp.pool.Inspect(httpResp)
 		if resp.pool.OnResponse != nil && !info.WrongInstance {
 			resp.pool.OnResponse(req.Key, info)
 		}
-		if info.NotRun && info.RequestID == "" && resp.conn.answered {
-			// It may be an earlier refusal, written once more.
-			return rwfault.New(rwcode.UpstreamMismatch, "refusal without an id on a connection that was used before")
+		if info.RequestID == "" && resp.conn.answered {
+			// It may be additional bytes after an earlier response, or an earlier
+			// refusal, written once more.
+			return rwfault.New(rwcode.UpstreamMismatch, "response without an id on a connection that was used before")
 		}
 		if info.RequestID == "" || info.RequestID == req.ID {
 			resp.conn.answered = true
 			resp.HTTP, resp.Info, resp.body = httpResp, info, &trackedReader{Reader: httpResp.Body}
+			if resp.EndsWithConnection() {
+				resp.body.checkEnd = resp.conn.checkEnd
+			}
 			return nil
 		}
 		// A late response to an earlier request on this connection.
@@ -341,15 +369,80 @@
 		return n > 0, err
 	}
 	if rest := req.Body[len(inline):]; len(rest) > 0 {
-		c.bodyWritten = make(chan error, 1)
+		written := make(chan struct{})
+		c.bodyWritten = written
 		go func() {
-			_, err := c.Write(rest)
-			c.bodyWritten <- err
+			_, c.writeErr = c.Write(rest)
+			close(written)
 		}()
 	}
 	return true, nil
 }
 
+var (
+	errReset      = errors.New("the connection was reset")
+	errBodyUnread = errors.New("the connection ended before the body of the request was taken")
+)
+
+// checkEnd returns an error unless the end that was read from the connection is the
+// one that the upstream has given it. The kernel reports a reset once, to the writer
+// of the request's body or to the reader of the response, and the other one of them
+// sees an end. A reset may also follow the end while the body is on its way.
+func (c *conn) checkEnd() error {
+	deadline := time.NewTimer(uploadEndTimeout)
+	defer deadline.Stop()
+	if c.bodyWritten != nil {
+		select {
+		case <-c.bodyWritten:
+			if c.writeErr != nil {
+				return c.writeErr
+			}
+		case <-deadline.C:
+			return errBodyUnread
+		}
+	}
+	for {
+		reset, taken := c.state()
+		switch {
+		case reset:
+			return errReset
+		case taken:
+			return nil
+		}
+		select {
+		case <-time.After(statePollInterval):
+		case <-deadline.C:
+			return errBodyUnread
+		}
+	}
+}
+
+// state reports whether the connection was reset or closed, and whether the system of
+// the upstream has taken all that was written. It asks the socket; other connections
+// count as taken.
+func (c *conn) state() (reset, taken bool) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false, true
+	}
+	raw, err := socket.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return false, true
+	}
+	if err != nil {
+		return true, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || infoErr != nil {
+		return true, false
+	}
+	return info.State == unix.BPF_TCP_CLOSE, info.Unacked == 0 && info.Notsent_bytes == 0
+}
+
 // getConn returns an idle connection that is still open, or a new one.
 func (p *Pool) getConn(ctx context.Context, req Request) (*conn, error) {
 	for !req.NewConn {
@@ -357,7 +450,8 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.usableUntil) && c.isQuiet() {
+		quiet, _ := c.isQuiet()
+		if time.Now().Before(c.usableUntil) && quiet {
 			p.count("connections_reused")
 			return c, nil
 		}
@@ -377,28 +471,33 @@
 	}
 	p.count("connections_opened")
 	in := &headLimiter{Reader: raw}
-	return &conn{Conn: raw, in: in, br: bufio.NewReader(in)}, nil
+	c := &conn{Conn: raw, in: in, br: bufio.NewReader(in)}
+	if quiet, known := c.isQuiet(); known && !quiet {
+		_ = raw.Close()
+		return nil, rwfault.New(rwcode.UpstreamUnreachable, "the connection ended or brought bytes before the request was sent")
+	}
+	return c, nil
 }
 
-// isQuiet reports whether nothing has arrived on an idle connection, neither
-// its end nor bytes that belong to no request.
-func (c *conn) isQuiet() bool {
+// isQuiet reports whether nothing has arrived on a connection without a request,
+// neither its end nor bytes that belong to no request. It isn't known for
+// connections that aren't sockets.
+func (c *conn) isQuiet() (quiet, known bool) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = errors.Is(err, unix.EAGAIN)
 		return true
 	})
-	return err == nil && quiet
+	return err == nil && quiet, true
 }
 
 func (p *Pool) count(name string) {
