Send nothing to an upstream for its Retry-After

An upstream that refuses a request with 503 and Retry-After wants nothing from this router for so long. The field was ignored: the review counted 38 to 50 requests between half a second after it and the end of 3 s, where two are allowed.

Plain requests go to other upstreams. Engines are named to the owner of the cell as ones to avoid, so it keeps them from this router alone, and a grant that a queued request still gets is given back. If no other upstream is left, the request is refused with a short retry delay, since another router may serve it.

--- a/internal/rwdialect/rwdialect.go
+++ b/internal/rwdialect/rwdialect.go
@@ -50,6 +50,9 @@
 	Authentic bool
 	// Leaving is whether the upstream reports that it is leaving.
 	Leaving bool
+	// RetryAfter is for how long the upstream, which refuses the request, wants none
+	// from this router, or 0 if it doesn't say so.
+	RetryAfter time.Duration
 	// Unreadable is the name of a header field that was ignored because it has no
 	// valid value, or empty.
 	Unreadable string
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -50,6 +50,7 @@
 	}
 	defer resp.Close()
 	x.Sent++
+	f.noteRetryAfter(dest, resp.Info.RetryAfter)
 	switch info := resp.Info; {
 	case info.WrongInstance && info.NotRun:
 		drain(resp)
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -31,6 +31,7 @@
 	"redwingworks.example/internal/rwpicker"
 	"redwingworks.example/internal/rwplacement"
 	"redwingworks.example/internal/rwrendezvous"
+	"redwingworks.example/internal/rwretryafter"
 	"redwingworks.example/internal/rwretrywindow"
 	"redwingworks.example/internal/rwrouteconfig"
 	"redwingworks.example/internal/rwtally"
@@ -166,6 +167,9 @@
 	mu      sync.Mutex
 	pickers map[string]*rwpicker.Picker
 	budgets map[string]*rwretrywindow.Budget
+	// retryAfter holds the upstreams that want no requests; it is nil before the
+	// first one.
+	retryAfter *rwretryafter.Table
 }
 
 // destination is the upstream of one attempt.
@@ -598,7 +602,7 @@
 		f.pickers[x.Service] = picker
 	}
 	list := x.Suitable(f.Published().Usable(x.Service))
-	in, ok := picker.Pick(now, list, x.Avoids)
+	in, ok := picker.Pick(now, f.wanting(now, list), x.Avoids)
 	if !ok {
 		return destination{}, rwfault.New(rwcode.NoUpstream, x.Service).WithRetryAfter(unreachableRetryAfter)
 	}
@@ -632,12 +636,30 @@
 	}
 }
 
+// acquireEngine returns a granted engine. Engines that want no requests from this
+// router are left out of what it asks for; their owner goes on to grant them to others.
 func (f *Handler) acquireEngine(ctx context.Context, x *rwexchange.Exchange) (destination, *rwfault.Fault) {
 	p := x.Request.Prompt
-	g, fault := f.Acquire(ctx, x.Service, placementRequest(x))
-	x.Decision, x.Owner = g.Decision, g.Owner
-	if fault != nil {
-		return destination{}, fault
+	var g rwbroker.Grant
+	for n := 0; ; n++ {
+		r, ok := f.withoutUnwanting(x, placementRequest(x))
+		if !ok || n == maxUnwantingGrants {
+			return destination{}, rwfault.New(rwcode.NoUpstream, x.Service+": engines want no requests").WithRetryAfter(unreachableRetryAfter)
+		}
+		var fault *rwfault.Fault
+		g, fault = f.Acquire(ctx, x.Service, r)
+		x.Decision, x.Owner = g.Decision, g.Owner
+		if fault != nil {
+			return destination{}, fault
+		}
+		f.mu.Lock()
+		wanted := f.wantsRequests(time.Now(), g.Instance)
+		f.mu.Unlock()
+		if wanted {
+			break
+		}
+		// The request was queued before the engine refused another one.
+		g.End(rwplacement.Abandoned)
 	}
 	x.Upstream, x.UpstreamSoftware = g.Instance.ID, g.Instance.Software
 	f.addRequest(addDecision(rwlog.Info(&f.Log, rwlog.RequestPlaced), x), x).
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -56,8 +56,9 @@
 			return h
 		},
 		Inspect: func(r *http.Response) rwdialect.ResponseInfo {
+			retryAfter, _ := time.ParseDuration(r.Header.Get("X-Retry-After"))
 			return rwdialect.ResponseInfo{
-				RequestID: r.Header.Get("X-Id"), NotRun: r.Header.Get("X-Notrun") != "", Authentic: r.Header.Get("X-Seal") != "",
+				RetryAfter: retryAfter, RequestID: r.Header.Get("X-Id"), NotRun: r.Header.Get("X-Notrun") != "", Authentic: r.Header.Get("X-Seal") != "",
 				KeepAlive: 10 * time.Second,
 			}
 		},
