Don't depend on TCP_INFO for responses without a frame

A system that doesn't answer TCP_INFO would have made every response without a length or chunks look broken off. The result of writing the body decides; the state of the socket is asked beside it, for 100 ms at most, and counts as clean without an answer. TestResetWhileTheBodyIsWrittenIsNoEnd passes as before, with -race.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -50,11 +50,13 @@
 	// maxInlineBody is how much of a body is written before the response is
 	// read; it fits into the socket's send buffer.
 	maxInlineBody = 16 << 10
-	// uploadEndTimeout bounds the wait for the body of a request whose response has
-	// ended with the connection, and statePollInterval is the time between looks at
-	// the socket. A system that closes a connection resets it within a round trip of
-	// the next bytes.
+	// uploadEndTimeout bounds the wait for the writing of a request's body after the
+	// response has ended with the connection. resetWait bounds the wait until the
+	// upstream's system has taken what was written, and statePollInterval is the time
+	// between looks at the socket: a system that has closed the connection resets it
+	// within a round trip of the next bytes.
 	uploadEndTimeout  = time.Second
+	resetWait         = 100 * time.Millisecond
 	statePollInterval = 2 * time.Millisecond
 	// maxHeadBytes bounds the head of a response, with the informational
 	// responses before it: a faulty upstream may send header lines without end.
@@ -204,8 +206,8 @@
 }
 
 // Body returns the body of the response. Reading one that ends with its connection
-// fails if the connection was reset, or if the upstream has not taken the whole body
-// of the request within uploadEndTimeout after the end.
+// fails if the connection was reset, or if the body of the request was not written
+// within uploadEndTimeout after the end.
 func (resp *Response) Body() io.Reader { return resp.body }
 
 // EndsWithConnection reports whether the body has neither a length nor chunks, so
@@ -381,7 +383,7 @@
 
 var (
 	errReset      = errors.New("the connection was reset")
-	errBodyUnread = errors.New("the connection ended before the body of the request was taken")
+	errBodyUnread = errors.New("the connection ended before the body of the request was written")
 )
 
 // checkEnd returns an error unless the end that was read from the connection is the
@@ -389,9 +391,9 @@
 // of the request's body or to the reader of the response, and the other one of them
 // sees an end. A reset may also follow the end while the body is on its way.
 func (c *conn) checkEnd() error {
-	deadline := time.NewTimer(uploadEndTimeout)
-	defer deadline.Stop()
 	if c.bodyWritten != nil {
+		deadline := time.NewTimer(uploadEndTimeout)
+		defer deadline.Stop()
 		select {
 		case <-c.bodyWritten:
 			if c.writeErr != nil {
@@ -401,45 +403,41 @@
 			return errBodyUnread
 		}
 	}
-	for {
+	for end := time.Now().Add(resetWait); ; time.Sleep(statePollInterval) {
 		reset, taken := c.state()
 		switch {
 		case reset:
 			return errReset
-		case taken:
+		case taken || time.Now().After(end):
 			return nil
 		}
-		select {
-		case <-time.After(statePollInterval):
-		case <-deadline.C:
-			return errBodyUnread
-		}
 	}
 }
 
 // state reports whether the connection was reset or closed, and whether the system of
-// the upstream has taken all that was written. It asks the socket; other connections
-// count as taken.
+// the upstream has taken all that was written. It asks the socket; without an answer,
+// the connection counts as not reset and all as taken.
 func (c *conn) state() (reset, taken bool) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false, true
 	}
 	raw, err := socket.SyscallConn()
-	if errors.Is(err, errors.ErrUnsupported) {
-		return false, true
-	}
 	if err != nil {
-		return true, false
+		return false, true
 	}
 	var info *unix.TCPInfo
 	var infoErr error
 	err = raw.Control(func(fd uintptr) {
 		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err != nil || infoErr != nil {
+	if err != nil {
+		// The router has closed the connection itself.
 		return true, false
 	}
+	if infoErr != nil {
+		return false, true
+	}
 	return info.State == unix.BPF_TCP_CLOSE, info.Unacked == 0 && info.Notsent_bytes == 0
 }
 
