Forward no failure that names no request

On a new connection, bytes in the form of a failure with neither an id nor a signature reached the caller as the final response to its request: a 404 or 400 isn't repeated. Upstreams name the request in all responses but a 400 with Not-Executed, which counts as not run.

Such a response is now no response: 502, or another upstream if the request may be repeated. TestFailureThatNamesNoRequestIsNotForwarded failed before and passes.

--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -159,7 +159,8 @@
 		return endFor(fault), fault
 	}
 	status := resp.HTTP.StatusCode
-	if !resp.Info.Authentic && status < http.StatusBadRequest {
+	if !resp.Info.Authentic && (status < http.StatusBadRequest || resp.Info.RequestID == "") {
+		// Additional bytes can look like a failure; an upstream names the request.
 		return rwplacement.Failed, rwfault.New(rwcode.UpstreamMalformed, "response is not authentic").
 			WithOutcome(rwoutcome.Unknown)
 	}
--- a/internal/rwfront/status_test.go
+++ b/internal/rwfront/status_test.go
@@ -29,3 +29,19 @@
 
 // chunked returns text as a body of one chunk.
 func chunked(text string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text), text) }
+
+// Guards against bytes of an upstream in the form of a failure that names no request
+// and has no signature, and that the caller takes for the final response to its own.
+func TestFailureThatNamesNoRequestIsNotForwarded(t *testing.T) {
+	for _, status := range []string{"400 Bad Request", "401 Unauthorized", "404 Not Found", "413 Content Too Large", "500 Internal Server Error", "503 Service Unavailable"} {
+		answer := keepAfter("HTTP/1.1 " + status + "\r\nContent-Length: 4\r\n\r\nbody")
+		f := serveSockets(t, map[string]upstreamBehavior{"a": answer, "m": answer})
+		for _, path := range []string{"/unsafe/x", "/safe/x", "/once/x", "/stream/x"} {
+			v := f.call(t, path)
+			require.Equal(t, http.StatusBadGateway, v.status, "%s %s", status, path)
+			require.NotContains(t, v.body, "body")
+		}
+		f = serveSockets(t, map[string]upstreamBehavior{"a": answer, "b": finAfter(chunkedHead + chunked("hello"))})
+		require.Equal(t, "hello", f.call(t, "/safe/x").body, status)
+	}
+}
