Bound the requests to cold upstreams over all routers

A cold upstream crashes under many requests, and the rule FAILBACK counts those of all routers in any second. After the return of a zone 16 to 18 arrived where 15.2 are allowed, since routers went on as before until the store told them.

Owners say in their answers which engines are cold, so that the next owner knows it. Event 207 no longer counts how long upstreams stay cold as a change.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwcoldguard"
+	"redwingworks.example/internal/rwcoldmeter"
 	"redwingworks.example/internal/rwconfigsnapshot"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwidentity"
@@ -112,6 +114,8 @@
 	Readers func() []rwidentity.Identity
 	// Refresh, if set, makes this router list the store soon.
 	Refresh func()
+	// Cold, if set, bounds what cold engines get.
+	Cold *rwcoldguard.Guard
 	// FleetSize returns the largest number of live routers that this one has
 	// seen, including itself.
 	FleetSize func() int
@@ -138,6 +142,8 @@
 	// inheritedAt is when this router last asked others which versions served
 	// before it started. Only Run uses it.
 	inheritedAt time.Time
+	// routersAt is when Cold was last told the live routers. Only Run uses it.
+	routersAt time.Time
 	// originSearches is the number of searches that ask all routers.
 	originSearches int
 }
@@ -168,6 +174,11 @@
 	placer *rwplacement.Placer
 	// snapshot is the snapshot with which the placer was configured.
 	snapshot *rwconfigsnapshot.Snapshot
+	// engines are those that the placer has.
+	engines []rwplacement.Engine
+	// cold are the engines that this router takes for cold, as of coldAt.
+	cold   map[string]time.Duration
+	coldAt time.Time
 	// requesters holds the routers that sent the queued requests, by request
 	// id.
 	requesters map[string]rwidentity.Identity
@@ -243,6 +254,8 @@
 	Source string
 	// Owner is the router that made the decision.
 	Owner string
+	// NotAfter is when the grant is void, or zero if that doesn't matter.
+	NotAfter time.Time
 
 	broker *Broker
 	key    cellKey
@@ -273,6 +286,7 @@
 			if !b.hasEngine(service, r) {
 				return g, fault
 			}
+		case fault != nil && fault.Code == rwcode.GrantExpired:
 		case g.Verdict != rwplacement.Moved:
 			return g, fault
 		}
@@ -304,10 +318,12 @@
 		b.mu.Unlock()
 	}()
 
+	asked := time.Now()
 	d, fault := b.ask(ctx, owner, m)
 	if fault != nil {
 		return Grant{}, fault
 	}
+	b.tellCold(d)
 	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name, software: m.Request.Software, stream: m.Request.Stream}
 	if d.Verdict == rwplacement.Queued {
 		if d, fault = b.await(ctx, g, *r, decided); fault != nil {
@@ -319,6 +335,11 @@
 		g.ID = r.ID
 		g.report(cancelReport, rwplacement.Abandoned)
 	}
+	if d.Cold {
+		// The owner had the request after it was asked, so the grant is at most as
+		// old as the time since then without that in the owner's queue.
+		g.NotAfter = asked.Add(d.Waited + rwcoldmeter.Validity)
+	}
 	return b.toGrant(g, d)
 }
 
@@ -347,6 +368,10 @@
 		g.End(rwplacement.Abandoned)
 		return g, rwfault.New(rwcode.UpstreamLeaving, d.Engine)
 	}
+	if fault := b.checkCold(g, in); fault != nil {
+		g.End(rwplacement.Abandoned)
+		return g, fault
+	}
 	if want := g.software; want != "" && in.Software != want {
 		// The owner runs a release that doesn't know versions of software.
 		g.End(rwplacement.Abandoned)
@@ -437,6 +462,11 @@
 	return c * c
 }
 
+// ownerScore returns the score by which a router ranks for a cell.
+func ownerScore(cell string, id rwidentity.Identity) float64 {
+	return rwrendezvous.WeightedScore(cell, id.Name, ownerWeight(id))
+}
+
 // owner returns the router that ranks highest for a cell among the live ones
 // that are not suspect.
 func (b *Broker) owner(k cellKey) rwidentity.Identity {
@@ -452,7 +482,7 @@
 		if id.Name != b.self.Name && b.isSuspect(now, id.Name) {
 			continue
 		}
-		s := rwrendezvous.WeightedScore(key, id.Name, ownerWeight(id))
+		s := ownerScore(key, id)
 		if s > bestScore {
 			best, bestScore = id, s
 		}
@@ -531,6 +561,7 @@
 	c := b.cell(k)
 	d := c.placer.Submit(time.Now(), r)
 	b.noteGrant(k, d)
+	d.ColdEngines = b.coldEngines(k, from)
 	if d.Verdict == rwplacement.Queued {
 		c.requesters[r.ID] = from
 		select {
@@ -572,9 +603,16 @@
 		b.cells[k] = c
 		b.loadInventories(k, snapshot, engines)
 	}
+	if b.Cold != nil {
+		key := k.String()
+		c.placer.Cold = b.Cold.Engines(k.Service, key, func(id rwidentity.Identity) float64 { return ownerScore(key, id) })
+	}
 	c.snapshot = snapshot
 	c.placer.Configure(spec)
-	c.placer.SetEngines(engines)
+	if !slices.Equal(c.engines, engines) {
+		c.engines = engines
+		c.placer.SetEngines(engines)
+	}
 	return c
 }
 
@@ -636,6 +674,7 @@
 		if b.decideQueued() {
 			step = fastTick
 		}
+		b.observeRouters(time.Now())
 		b.sendOrigins(time.Now())
 		b.inheritVersions(ctx, time.Now())
 		select {
@@ -774,10 +813,18 @@
 }
 
 // FirstEvent reports the first event of the request to the owner.
-func (g Grant) FirstEvent() { g.report(firstEventReport, rwplacement.Served) }
+func (g Grant) FirstEvent() {
+	g.noteSign(rwplacement.Served)
+	g.report(firstEventReport, rwplacement.Served)
+}
 
 // End reports the end of the request to the owner.
-func (g Grant) End(end rwplacement.End) { g.report(endReport, end) }
+func (g Grant) End(end rwplacement.End) {
+	if end != rwplacement.Served {
+		g.noteSign(end)
+	}
+	g.report(endReport, end)
+}
 
 func (g Grant) report(method string, end rwplacement.End) {
 	b := g.broker
--- a/internal/rwconfigsnapshot/rwconfigsnapshot.go
+++ b/internal/rwconfigsnapshot/rwconfigsnapshot.go
@@ -86,5 +86,11 @@
 	return usable, leaving
 }
 
-// SameUpstreams reports whether both snapshots have the same upstreams.
-func (s *Snapshot) SameUpstreams(other *Snapshot) bool { return maps.Equal(s.byID, other.byID) }
+// SameUpstreams reports whether both snapshots have the same upstreams. How long
+// they stay cold doesn't count, since that changes with each entry of a cold one.
+func (s *Snapshot) SameUpstreams(other *Snapshot) bool {
+	return maps.EqualFunc(s.byID, other.byID, func(a, b rwinstance.Instance) bool {
+		a.Cold, b.Cold = 0, 0
+		return a == b
+	})
+}
--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -156,6 +156,8 @@
 	ID string
 	// NewConn prevents the reuse of an idle connection.
 	NewConn bool
+	// NotAfter is when the right to send the request ends, or zero if it doesn't.
+	NotAfter time.Time
 }
 
 // Response is the head of a response; its body is read from Body. Close must be
@@ -234,14 +236,19 @@
 
 // Do sends a request and returns the head of its response. When the context
 // ends, the connection is closed, so that the upstream stops. Do fails with
-// UpstreamUnreachable or the context's fault and the outcome NotRun if no byte
-// was sent; otherwise it fails with UpstreamTruncated, UpstreamMalformed,
+// UpstreamUnreachable, GrantExpired or the context's fault and the outcome NotRun if
+// no byte was sent; otherwise it fails with UpstreamTruncated, UpstreamMalformed,
 // UpstreamMismatch or the context's fault and the outcome Unknown.
 func (p *Pool) Do(ctx context.Context, req Request) (*Response, error) {
 	c, err := p.getConn(ctx, req)
 	if err != nil {
 		return nil, err
 	}
+	if !req.NotAfter.IsZero() && time.Now().After(req.NotAfter) {
+		// Opening the connection took too long.
+		p.putIdle(req.Key, c, 0)
+		return nil, rwfault.New(rwcode.GrantExpired, req.Key.ID)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	sent, err := c.send(req)
 	if err != nil {
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -27,6 +27,7 @@
 	"redwingworks.example/internal/rwcatalog"
 	"redwingworks.example/internal/rwcatalogsync"
 	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwcoldguard"
 	"redwingworks.example/internal/rwconfigsnapshot"
 	"redwingworks.example/internal/rwconn"
 	"redwingworks.example/internal/rwconnlimit"
@@ -198,16 +199,18 @@
 	log        zerolog.Logger
 	// summaries is for lines with counts, which a flood of other lines doesn't
 	// displace.
-	summaries   zerolog.Logger
-	tally       rwtally.Tally
-	metrics     *rwmetric.Metrics
-	registry    *rwregistry.Registry
-	self        rwidentity.Identity
-	peers       *rwpeer.Peers
-	gossip      *rwgossip.Gossip
-	broker      *rwbroker.Broker
-	syncer      *rwcatalogsync.Syncer
-	poison      *rwpoisonsync.Syncer
+	summaries zerolog.Logger
+	tally     rwtally.Tally
+	metrics   *rwmetric.Metrics
+	registry  *rwregistry.Registry
+	self      rwidentity.Identity
+	peers     *rwpeer.Peers
+	gossip    *rwgossip.Gossip
+	broker    *rwbroker.Broker
+	syncer    *rwcatalogsync.Syncer
+	poison    *rwpoisonsync.Syncer
+	// cold bounds the requests to cold upstreams.
+	cold        *rwcoldguard.Guard
 	watcher     *rwstorewatch.Watcher
 	pool        *rwconn.Pool
 	server      *http.Server
@@ -349,6 +352,7 @@
 		e.markLeaving("inventory", rwleaving.Upstream{Name: in.ID, Inc: in.StartMillis}, true)
 	}
 	e.broker.StreamWindow, e.broker.Readers = e.streamWindow, e.syncer.Readers
+	e.wireCold()
 	e.broker.FleetSize = func() int { return int(e.maxRouters.Load()) }
 	front := &rwfront.Handler{
 		Dialect: e.config.Dialect, Published: e.published.Load, Acquire: e.broker.Acquire, FindOrigin: e.broker.FindOrigin, Begun: e.streamBegun,
@@ -366,7 +370,8 @@
 		},
 		Zone: e.self.Zone, Log: e.log, Metrics: e.metrics, ObserveLatency: e.latency.Record,
 		Stopping: e.stopRequested, InFlight: &e.inFlight, Via: e.relayedBy,
-		Tally:       &e.tally,
+		Tally:    &e.tally,
+		ColdRoom: e.cold.PlainRoom, ColdTaken: e.cold.PlainTaken, ColdEnded: e.cold.Ended,
 		HarmfulPart: e.poison.Harmful, TryHarmful: e.poison.Try, SuspectedPart: e.poison.Suspected,
 		ResponseWritten: e.poison.AddResponse, Crashed: e.poison.AddCrash, Alive: e.poison.AddAlive,
 	}
@@ -859,6 +864,9 @@
 		e.published.Store(rwconfigsnapshot.New(e.catalog.Config(), rev.Rev, now, e.catalog.Instances()).WithEra(rev.Era))
 	}
 	e.broker.Origins.Observe(now, e.catalog.Instances())
+	if changed {
+		e.cold.ObserveUpstreams(now, e.catalog.Instances())
+	}
 	e.mu.Unlock()
 	if newEra > era {
 		rwlog.Info(&e.log, rwlog.PlatformReturned).Int64("before", era).Int64("era", newEra).Int64("rev", rev.Rev).
@@ -979,6 +987,7 @@
 			if e.deployment.Relay != "" && !e.stopping() {
 				e.relay.Prepare(now)
 			}
+			e.reportCold(now)
 			closed = e.reportClosed(closed)
 			relayed = e.reportRelayed(relayed)
 			if now.Sub(tallied) >= accountInterval {
@@ -1155,6 +1164,7 @@
 	if snapshot.Config != nil {
 		lines["version"] = snapshot.Config.Version
 	}
+	e.addColdLines(time.Now(), lines)
 	for name, v := range lines {
 		_, _ = io.WriteString(w, name+" "+strconv.FormatInt(v, 10)+"\n")
 	}
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -111,8 +111,9 @@
 		after = strconv.FormatInt(x.LastEventID, 10)
 	}
 	return rwconn.Request{
-		Key:    rwconn.Key{ID: dest.id, Addr: dest.addr, StartMillis: dest.startMillis},
-		Method: q.Method, Target: q.Target, Host: q.Host, Body: q.Body, ID: q.ID,
+		Key:      rwconn.Key{ID: dest.id, Addr: dest.addr, StartMillis: dest.startMillis},
+		NotAfter: dest.notAfter,
+		Method:   q.Method, Target: q.Target, Host: q.Host, Body: q.Body, ID: q.ID,
 		Header: f.Dialect.Encode(q, rwdialect.ForwardOptions{
 			Account: x.Account.Name, Instance: dest.id, TimeLeft: time.Until(x.Deadline), LastEventID: after, CopySource: dest.copySource,
 		}),
@@ -131,7 +132,7 @@
 // endFor returns the end of a request on its upstream for a fault.
 func endFor(fault *rwfault.Fault) rwplacement.End {
 	switch fault.Code {
-	case rwcode.CallerGone, rwcode.DeadlineExceeded:
+	case rwcode.CallerGone, rwcode.DeadlineExceeded, rwcode.GrantExpired:
 		return rwplacement.Abandoned
 	case rwcode.UpstreamUnreachable:
 		return rwplacement.Unreachable
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -158,6 +158,13 @@
 	// Alive, if set, is called for an engine that has responded to a request sent at
 	// a time.
 	Alive func(service, upstream string, startMillis int64, sent time.Time)
+	// ColdRoom, ColdTaken and ColdEnded, if set, bound the requests to cold upstreams
+	// of plain services. ColdRoom reports whether one may get a request of an
+	// account; ColdTaken counts one that goes there and returns when it may be sent
+	// at the latest, or zero for no bound; ColdEnded records how it ended.
+	ColdRoom  func(now time.Time, service, id, account string) bool
+	ColdTaken func(now time.Time, service, id, account string) time.Time
+	ColdEnded func(now time.Time, id string, end rwplacement.End)
 	// Tally, if set, counts the requests by account and outcome.
 	Tally *rwtally.Tally
 	// BodyTimeout bounds the time to read a request body; 0 for the default.
@@ -176,6 +183,8 @@
 	copySource  string
 	firstEvent  func()
 	end         func(rwplacement.End)
+	// notAfter is when the right to send ends, or zero if it doesn't.
+	notAfter time.Time
 }
 
 // ServeHTTP implements http.Handler.
@@ -587,19 +596,30 @@
 		f.pickers[x.Service] = picker
 	}
 	list := x.Suitable(f.Published().Usable(x.Service))
-	in, ok := picker.Pick(now, list, x.Avoids)
+	avoid := x.Avoids
+	if f.ColdRoom != nil {
+		avoid = func(id string) bool { return x.Avoids(id) || !f.ColdRoom(now, x.Service, id, x.Account.Name) }
+	}
+	in, ok := picker.Pick(now, list, avoid)
 	if !ok {
 		return destination{}, rwfault.New(rwcode.NoUpstream, x.Service).WithRetryAfter(unreachableRetryAfter)
 	}
 	x.Upstream, x.UpstreamSoftware = in.ID, in.Software
+	notAfter := time.Time{}
+	if f.ColdTaken != nil {
+		notAfter = f.ColdTaken(now, x.Service, in.ID, x.Account.Name)
+	}
 	end := func(e rwplacement.End) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		ended := time.Now()
 		picker.Done(ended, in.ID, e, ended.Sub(now))
+		if f.ColdEnded != nil {
+			f.ColdEnded(ended, in.ID, e)
+		}
 	}
 	return destination{
-		id: in.ID, addr: in.Addr, software: in.Software, startMillis: in.StartMillis, firstEvent: func() {}, end: end,
+		id: in.ID, addr: in.Addr, software: in.Software, startMillis: in.StartMillis, firstEvent: func() {}, end: end, notAfter: notAfter,
 	}, nil
 }
 
@@ -635,7 +655,7 @@
 	in := g.Instance
 	return destination{
 		id: in.ID, addr: in.Addr, software: in.Software, startMillis: in.StartMillis, copySource: g.Source,
-		firstEvent: g.FirstEvent, end: g.End,
+		firstEvent: g.FirstEvent, end: g.End, notAfter: g.NotAfter,
 	}, nil
 }
 
--- a/internal/rwlog/event_string.go
+++ b/internal/rwlog/event_string.go
@@ -51,6 +51,8 @@
 	_ = x[ResponseBroken-603]
 	_ = x[PartHarmful-604]
 	_ = x[PartFreed-605]
+	_ = x[UpstreamCold-606]
+	_ = x[UpstreamWarm-607]
 	_ = x[KeysHeld-700]
 	_ = x[KeysReleased-701]
 	_ = x[KeysHandedOver-702]
@@ -62,7 +64,7 @@
 	_Event_name_2 = "member changed"
 	_Event_name_3 = "request refusedrequest failedrequest retriedrequest placedrequest resumedrequest finishedrequest abandonedrequest cut"
 	_Event_name_4 = "peer refusedpeer lost"
-	_Event_name_5 = "cell ownership takencell ownership releasedupstream backed offresponse broken offprompt part harmfulprompt part freed"
+	_Event_name_5 = "cell ownership takencell ownership releasedupstream backed offresponse broken offprompt part harmfulprompt part freedupstream coldupstream warm"
 	_Event_name_6 = "idempotency keys heldidempotency keys releasedidempotency keys handed over"
 )
 
@@ -71,7 +73,7 @@
 	_Event_index_1 = [...]uint8{0, 14, 30, 50, 63, 80, 96, 117, 134, 163, 186}
 	_Event_index_3 = [...]uint8{0, 15, 29, 44, 58, 73, 89, 106, 117}
 	_Event_index_4 = [...]uint8{0, 12, 21}
-	_Event_index_5 = [...]uint8{0, 20, 43, 62, 81, 100, 117}
+	_Event_index_5 = [...]uint8{0, 20, 43, 62, 81, 100, 117, 130, 143}
 	_Event_index_6 = [...]uint8{0, 21, 46, 74}
 )
 
@@ -91,7 +93,7 @@
 	case 500 <= i && i <= 501:
 		i -= 500
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
-	case 600 <= i && i <= 605:
+	case 600 <= i && i <= 607:
 		i -= 600
 		return _Event_name_5[_Event_index_5[i]:_Event_index_5[i+1]]
 	case 700 <= i && i <= 702:
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -62,6 +62,8 @@
 	ResponseBroken       Event = 603 // response broken off
 	PartHarmful          Event = 604 // prompt part harmful
 	PartFreed            Event = 605 // prompt part freed
+	UpstreamCold         Event = 606 // upstream cold
+	UpstreamWarm         Event = 607 // upstream warm
 	KeysHeld             Event = 700 // idempotency keys held
 	KeysReleased         Event = 701 // idempotency keys released
 	KeysHandedOver       Event = 702 // idempotency keys handed over
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -235,6 +235,13 @@
 	FairShare int `json:"lvl,omitempty"`
 	// RetryAfter is when a refused caller should retry.
 	RetryAfter time.Duration `json:"retry,omitempty"`
+	// Cold is whether the granted engine is cold. Such a grant is void some time
+	// after it was made, which was Waited after the request reached the owner.
+	Cold   bool          `json:"cold,omitempty"`
+	Waited time.Duration `json:"wait,omitempty"`
+	// ColdEngines is for how long engines of the service stay cold, as the owner that
+	// was asked knows it.
+	ColdEngines map[string]time.Duration `json:"colds,omitempty"`
 }
 
 type engine struct {
@@ -294,6 +301,8 @@
 	// the error of its forecast, which is negative if the event came early.
 	// Events that are missing or come after firstEventTimeout are not counted.
 	OnForecastError func(time.Duration)
+	// Cold bounds what cold engines get, if its functions are set.
+	Cold Cold
 
 	spec      Spec
 	engines   map[string]*engine
@@ -442,6 +451,7 @@
 		return
 	}
 	g.hasFirstEvent = true
+	p.noteAnswer(now, g.engine)
 	g.engine.model.FirstEvent(now, g.prompt)
 	if p.OnForecastError != nil {
 		p.OnForecastError(now.Sub(g.grantedAt) - g.forecast)
@@ -478,10 +488,12 @@
 		e.failures.Record(now, false, failureWeight)
 		delete(e.outages, g.request.Zone)
 	case Failed:
+		p.noteFailure(now, e)
 		e.failures.Record(now, true, failureWeight)
 	case Refused:
 		e.refusedUntil = now.Add(refusedBackoff)
 	case Unreachable:
+		p.noteFailure(now, e)
 		e.markUnreachable(now, g.request.Zone)
 	case Abandoned:
 	}
@@ -576,7 +588,9 @@
 		case p.canStart(now, w, o):
 			w.decided = true
 			granted[w.request.Account] = true
-			out = append(out, p.grant(now, w.request, o))
+			d := p.grant(now, w.request, o)
+			d.Waited = now.Sub(w.queuedAt)
+			out = append(out, d)
 		case p.canStartLater(now, w, o):
 			reserved[o.engine] = true
 		case !p.lateOnIdleEngine(w, o):
@@ -599,6 +613,7 @@
 			p.cancelPrompt(now, g)
 		case !g.hasFirstEvent && !g.overdue && age > g.forecast+firstEventOverdue && !g.engine.model.Overtaken(g.prompt):
 			g.overdue = true
+			p.noteFailure(now, g.engine)
 			g.engine.failures.Record(now, true, failureWeight)
 		}
 	}
@@ -717,7 +732,7 @@
 		need = min(need, e.model.FirstEventDelay()+e.model.PrefillTime(float64(w.request.UniqueTokens)))
 	}
 	limit := scale(w.request.Target, forecastTargetRatio)
-	if !p.hasEngine(w.request) {
+	if !p.hasEngine(w.request) || p.allCold(now, w.request) {
 		return false
 	}
 	if p.starved(now, w) {
@@ -754,7 +769,7 @@
 func (p *Placer) eligible(now time.Time, e *engine, r Request) bool {
 	return !e.Leaving && e.suits(r) && e.running < p.spec.Slots &&
 		float64(e.reservedTokens+r.UniqueTokens+r.ExpectedOutput) <= float64(p.spec.KVCapacity)*runningTokensRatio &&
-		!now.Before(e.refusedUntil) && !now.Before(e.outages[r.Zone].until)
+		!now.Before(e.refusedUntil) && !now.Before(e.outages[r.Zone].until) && p.coldRoom(now, e, r)
 }
 
 func (p *Placer) evaluate(now time.Time, r Request, e *engine, src copySource, preferred bool, mean time.Duration) option {
@@ -784,7 +799,7 @@
 		}
 	}
 	o.forecast = e.model.FirstEventDelay() + o.backlog + extra + e.model.PrefillTime(o.uncachedTokens)
-	o.cost += o.forecast + time.Duration(e.failures.At(now)*float64(failureCost))
+	o.cost += o.forecast + time.Duration(e.failures.At(now)*float64(failureCost)) + p.coldCost(now, e, o.uncachedTokens)
 	return o
 }
 
@@ -831,7 +846,7 @@
 	if o.source != nil {
 		d.Source = o.source.ID
 	}
-	return p.withShare(now, r, d)
+	return p.withShare(now, r, p.withCold(now, r, d))
 }
 
 // withShare adds the account's usage and share to a decision, for logging.
