--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -26,6 +26,7 @@
 	"redwingworks.example/internal/rwfailure"
 	"redwingworks.example/internal/rwmaxmin"
 	"redwingworks.example/internal/rwprefill"
+	"redwingworks.example/internal/rwprefillfit"
 	"redwingworks.example/internal/rwprompt"
 	"redwingworks.example/internal/rwrendezvous"
 )
@@ -341,6 +342,10 @@
 	fairShareAt  time.Time
 	// minTarget is the shortest recent target.
 	minTarget time.Duration
+	// pool measures the engines together; calibration is what it last showed.
+	pool          *rwprefillfit.Fit
+	calibration   rwprefill.Calibration
+	calibrationAt time.Time
 	// refusedAt holds the times of refusals by the id of the request's unique
 	// prompt part, which stays the same when the caller retries.
 	refusedAt       map[string]time.Time
@@ -352,6 +357,7 @@
 	return &Placer{
 		spec: spec, engines: map[string]*engine{}, grants: map[string]*grant{},
 		accounts: map[string]*account{}, fairShare: math.Inf(1), refusedAt: map[string]time.Time{},
+		pool: rwprefillfit.New(poolHalfLife),
 	}
 }
 
@@ -382,7 +388,7 @@
 			old.Leaving, old.Evacuated, old.Software = e.Leaving, e.Evacuated, e.Software
 		} else {
 			old = &engine{
-				Engine: e, model: rwprefill.New(), duty: rwduty.New(), outages: map[string]outage{},
+				Engine: e, model: rwprefill.NewPooled(p.pool).WithCalibration(p.calibration), duty: rwduty.New(), outages: map[string]outage{},
 				cache: rwcache.New(p.spec.KVCapacity),
 			}
 		}
@@ -412,6 +418,7 @@
 // Submit decides on a new request. After the verdict Queued, a later Tick
 // returns the decision.
 func (p *Placer) Submit(now time.Time, r Request) Decision {
+	p.calibrate(now)
 	acc := p.account(now, r.Account)
 	acc.demand += chargedTokens(r)
 	if p.minTarget == 0 || r.Target < p.minTarget {
@@ -571,6 +578,7 @@
 // Tick returns the decisions on queued requests.
 func (p *Placer) Tick(now time.Time) []Decision {
 	p.expire(now)
+	p.calibrate(now)
 	var out []Decision
 	order := p.orderedQueue(now)
 	for len(order) > 0 && p.hasShortQueue(now) {
@@ -678,7 +686,9 @@
 	uncachedTokens float64
 	backlog        time.Duration
 	// rest is for how long the engine should get no further prompt, beyond backlog.
-	rest     time.Duration
+	rest time.Duration
+	// copyTime is how long copying from source takes.
+	copyTime time.Duration
 	forecast time.Duration
 	cost     time.Duration
 }
@@ -782,7 +792,7 @@
 		if !e.suits(w.request) {
 			continue
 		}
-		need = min(need, e.model.FirstEventDelay()+e.model.PrefillTime(float64(w.request.UniqueTokens)))
+		need = min(need, e.model.FirstEventDelay()+e.model.PrefillTime(uniqueWork(e.model, w.request)))
 	}
 	limit := scale(w.request.Target, forecastTargetRatio)
 	if !p.hasEngine(w.request) || p.allCold(now, w.request) {
@@ -834,13 +844,12 @@
 	o.uncachedTokens = float64(all - min(o.cachedTokens, all))
 	o.backlog = e.model.Backlog(now)
 	o.rest = e.duty.Wait(now, o.backlog)
-	var extra time.Duration
 	if missing > 0 {
 		if src.engine != nil && src.cachedTokens-o.cachedTokens >= minCopyTokens {
 			copied := float64(src.cachedTokens - o.cachedTokens)
 			o.source = src.engine
 			o.uncachedTokens -= copied
-			extra = copySetupTime + seconds(copied*p.spec.TokenBytes/p.spec.LinkBytesPerSecond)
+			o.copyTime = copySetupTime + seconds(copied*p.spec.TokenBytes/p.spec.LinkBytesPerSecond)
 			o.cost = time.Duration(copied) * copyCostPerToken
 			missing -= src.cachedTokens - o.cachedTokens
 		}
@@ -854,8 +863,8 @@
 			o.cost -= e.model.PrefillTime(float64(shared))
 		}
 	}
-	o.forecast = e.model.FirstEventDelay() + o.backlog + extra + e.model.PrefillTime(o.uncachedTokens)
-	o.cost += o.rest + pauseCost(e, o.uncachedTokens) + p.coldCost(now, e, o.uncachedTokens)
+	o.forecast = e.model.FirstEventDelay() + o.backlog + o.copyTime + e.model.PrefillTime(o.work(r))
+	o.cost += o.rest + pauseCost(e, o.work(r)) + p.coldCost(now, e, o.work(r))
 	o.cost += o.forecast + time.Duration(e.failures.At(now)*float64(failureCost))
 	return o
 }
@@ -876,8 +885,8 @@
 // pauseCost returns what a prompt costs the streams that run on an engine whose events
 // come too late while it prefills without a break: it is the time by which the engine
 // has to rest for the prompt. Long prompts go to engines where they hold up nobody.
-func pauseCost(e *engine, uncached float64) time.Duration {
-	return scale(e.model.PrefillTime(uncached), 1/e.duty.Ratio()-1)
+func pauseCost(e *engine, work float64) time.Duration {
+	return scale(e.model.PrefillTime(work), 1/e.duty.Ratio()-1)
 }
 
 // ObserveGap records the longest time between two events of a request that was served
@@ -921,8 +930,8 @@
 	e := o.engine
 	e.cache.Resize(int(float64(p.spec.KVCapacity-e.reservedTokens) * cacheRatio))
 	e.cache.Use(now, r.Parts)
-	prompt := e.model.Send(now, o.uncachedTokens)
-	e.duty.Send(now, e.model.PrefillTime(o.uncachedTokens))
+	e.duty.Send(now, e.model.PrefillTime(o.work(r)))
+	prompt := e.model.SendPrompt(now, float64(promptTokens(r))-o.uncachedTokens, o.uncachedTokens, o.copyTime)
 	e.running++
 	e.reservedTokens += r.UniqueTokens + r.ExpectedOutput
 	p.account(now, r.Account).usage += chargedTokens(r)
