--- a/internal/rwcatalogsync/evacuation_test.go
+++ b/internal/rwcatalogsync/evacuation_test.go
@@ -27,6 +27,7 @@
 	"redwingworks.example/internal/rwmetric"
 	"redwingworks.example/internal/rwpeer"
 	"redwingworks.example/internal/rwrevision"
+	"redwingworks.example/internal/rwrouteconfig"
 	"redwingworks.example/internal/rwstorewatch"
 )
 
@@ -126,6 +127,9 @@
 	if zone, ok := strings.CutPrefix(it.Key, "op/evacuate/"); ok {
 		return rwcatalog.Decoded{Evacuated: zone}, nil
 	}
+	if it.Key == "op/config" {
+		return rwcatalog.Decoded{Config: rwrouteconfig.New(it.Rev, rwrouteconfig.Limits{}, nil, nil, nil)}, nil
+	}
 	return rwcatalog.Decoded{Instance: &rwinstance.Instance{ID: it.Key, Zone: string(it.Value), StartMillis: 1}}, nil
 }
 
--- a/internal/rwcatalogsync/part_test.go
+++ b/internal/rwcatalogsync/part_test.go
@@ -228,3 +228,38 @@
 	_, deflated = d.encode(rwitem.Item{Key: "b", Value: value[:100], Rev: 1})
 	require.False(t, deflated)
 }
+
+// Guards against a fleet of which only the readers get a configuration of the largest
+// size, also where the store turns a whole zone away, and at a router whose links to
+// the others come back.
+func TestLargeConfigurationReachesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 30)
+		time.Sleep(2 * stabilityWindow)
+		for i, r := range w.routers {
+			if i%3 == 2 {
+				r.setLinks(true, i == 2)
+			}
+		}
+		w.store.put("op/config", string(randomBytes(maxValueBytes)))
+		time.Sleep(configDeadline)
+		version := func(r *edgeRouter) int64 {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if r.catalog.Config() == nil {
+				return 0
+			}
+			return r.catalog.Config().Version
+		}
+		for i, r := range w.routers {
+			if i != 2 {
+				require.EqualValues(t, 1, version(r), r.id.Name)
+			}
+		}
+		cut := w.routers[2]
+		require.Zero(t, version(cut))
+		cut.setLinks(true, false)
+		time.Sleep(configDeadline)
+		require.EqualValues(t, 1, version(cut))
+	})
+}
