--- a/internal/rwfront/retryafter.go
+++ b/internal/rwfront/retryafter.go
@@ -14,6 +14,10 @@
 // router a request may get before it is refused. Each costs a round trip to the owner.
 const maxUnwantingGrants = 3
 
+// unwantingDetail follows the name of a service in the faults of requests that were not
+// sent because upstreams want none from this router.
+const unwantingDetail = ": upstreams want no requests"
+
 // noteRetryAfter records that an upstream wants no requests from this router for a
 // time, if there is one.
 func (f *Handler) noteRetryAfter(dest destination, d time.Duration) {
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -602,9 +602,14 @@
 		f.pickers[x.Service] = picker
 	}
 	list := x.Suitable(f.Published().Usable(x.Service))
-	in, ok := picker.Pick(now, f.wanting(now, list), x.Avoids)
+	wanting := f.wanting(now, list)
+	in, ok := picker.Pick(now, wanting, x.Avoids)
 	if !ok {
-		return destination{}, rwfault.New(rwcode.NoUpstream, x.Service).WithRetryAfter(unreachableRetryAfter)
+		detail := x.Service
+		if len(wanting) < len(list) {
+			detail += unwantingDetail
+		}
+		return destination{}, rwfault.New(rwcode.NoUpstream, detail).WithRetryAfter(unreachableRetryAfter)
 	}
 	x.Upstream, x.UpstreamSoftware = in.ID, in.Software
 	end := func(e rwplacement.End) {
@@ -644,7 +649,7 @@
 	for n := 0; ; n++ {
 		r, ok := f.withoutUnwanting(x, placementRequest(x))
 		if !ok || n == maxUnwantingGrants {
-			return destination{}, rwfault.New(rwcode.NoUpstream, x.Service+": engines want no requests").WithRetryAfter(unreachableRetryAfter)
+			return destination{}, rwfault.New(rwcode.NoUpstream, x.Service+unwantingDetail).WithRetryAfter(unreachableRetryAfter)
 		}
 		var fault *rwfault.Fault
 		g, fault = f.Acquire(ctx, x.Service, r)
