--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -641,9 +641,14 @@
 	if f.ColdRoom != nil {
 		avoid = func(id string) bool { return x.Avoids(id) || !f.ColdRoom(now, x.Service, id, x.Account.Name) }
 	}
-	in, ok := picker.Pick(now, f.wanting(now, list), avoid)
+	wanting := f.wanting(now, list)
+	in, ok := picker.Pick(now, wanting, avoid)
 	if !ok {
-		return destination{}, rwfault.New(rwcode.NoUpstream, x.Service).WithRetryAfter(unreachableRetryAfter)
+		detail := x.Service
+		if len(wanting) < len(list) {
+			detail += unwantingDetail
+		}
+		return destination{}, rwfault.New(rwcode.NoUpstream, detail).WithRetryAfter(unreachableRetryAfter)
 	}
 	x.Upstream, x.UpstreamSoftware = in.ID, in.Software
 	notAfter := time.Time{}
@@ -690,7 +695,7 @@
 	for n := 0; ; n++ {
 		r, ok := f.withoutUnwanting(x, placementRequest(x))
 		if !ok || n == maxUnwantingGrants {
-			return destination{}, rwfault.New(rwcode.NoUpstream, x.Service+": engines want no requests").WithRetryAfter(unreachableRetryAfter)
+			return destination{}, rwfault.New(rwcode.NoUpstream, x.Service+unwantingDetail).WithRetryAfter(unreachableRetryAfter)
 		}
 		var fault *rwfault.Fault
 		g, fault = f.Acquire(ctx, x.Service, r)
