Take the rest of engines with late streams out

Cause: engines that rest after late streams (rwduty) and the bound on what an engine prefills within a gap target, on the branch for long prompts, answer the same load. The first follows pauses of any cause, also on deployments that ask for nothing; the second only concerns slow pools.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -203,8 +203,6 @@
 	cellKey
 	ID  string          `json:"id"`
 	End rwplacement.End `json:"end"`
-	// Gap is the longest time between two events of a stream that was served, or 0.
-	Gap time.Duration `json:"gap,omitempty"`
 	// Begun is where the request's stream began; it is set with the first event
 	// of a stream that can be resumed.
 	Begun *originRecord `json:"beg,omitempty"`
@@ -252,12 +250,7 @@
 // or from the owner itself.
 var reportHandlers = map[string]func(*rwplacement.Placer, progressMessage){
 	firstEventReport: func(p *rwplacement.Placer, r progressMessage) { p.FirstEvent(time.Now(), r.ID) },
-	endReport: func(p *rwplacement.Placer, r progressMessage) {
-		if r.End == rwplacement.Served {
-			p.ObserveGap(r.ID, r.Gap)
-		}
-		p.Ended(time.Now(), r.ID, r.End)
-	},
+	endReport:        func(p *rwplacement.Placer, r progressMessage) { p.Ended(time.Now(), r.ID, r.End) },
 	cancelReport: func(p *rwplacement.Placer, r progressMessage) {
 		p.Cancel(r.ID)
 		// The request may have been granted while the message was under way.
@@ -942,26 +935,19 @@
 }
 
 // End reports the end of the request to the owner.
-func (g Grant) End(end rwplacement.End) { g.EndStream(end, 0) }
-
-// EndStream is End for a stream whose longest time between two events was gap, or 0 if
-// that is not known.
-func (g Grant) EndStream(end rwplacement.End, gap time.Duration) {
+func (g Grant) End(end rwplacement.End) {
 	if end != rwplacement.Served {
 		g.noteSign(end)
 	}
-	g.send(endReport, progressMessage{cellKey: g.key, ID: g.ID, End: end, Gap: gap})
+	g.report(endReport, end)
 }
 
 func (g Grant) report(method string, end rwplacement.End) {
-	g.send(method, progressMessage{cellKey: g.key, ID: g.ID, End: end})
-}
-
-func (g Grant) send(method string, r progressMessage) {
 	b := g.broker
 	if b == nil {
 		return
 	}
+	r := progressMessage{cellKey: g.key, ID: g.ID, End: end}
 	if method == firstEventReport && g.stream != "" {
 		in := g.Instance
 		r.Begun = &originRecord{ID: g.stream, Begun: true, Origin: rworigin.Origin{
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -52,10 +52,6 @@
 	// time between two events.
 	LastEventAt time.Time
 	MaxGap      time.Duration
-	// AttemptWait is the longest time for which the router waited for an event of the
-	// current upstream after the first one. Unlike MaxGap, it doesn't include the time
-	// that a slow caller takes to receive events.
-	AttemptWait time.Duration
 	// HeadSent is whether the head of a response was forwarded;
 	// EndsWithConnection is whether that response has neither a length nor chunks,
 	// so that it ends for the caller where the connection is closed.
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -35,7 +35,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sent := time.Now()
-	x.AttemptEvents, x.AttemptEventAt, x.AttemptWait = 0, time.Time{}, 0
+	x.AttemptEvents, x.AttemptEventAt = 0, time.Time{}
 	resp, err := f.Pool.Do(ctx, f.upstreamRequest(x, dest))
 	if err != nil {
 		fault := rwfault.From(err)
@@ -279,11 +279,7 @@
 	events := rwssereader.New(resp.Body())
 	reported, written := false, false
 	for {
-		waitingSince := time.Now()
 		e, err := events.Next()
-		if reported && err == nil {
-			x.AttemptWait = max(x.AttemptWait, time.Since(waitingSince))
-		}
 		if errors.Is(err, io.EOF) {
 			if fault := endOfStream(x, resp, reported); fault != nil {
 				return endFor(fault), fault
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -682,7 +682,7 @@
 	}
 	return rwplacement.Request{
 		Account: x.Account.Name, Parts: p.Parts, UniqueTokens: p.UniqueTokens(), ExpectedOutput: p.ExpectedOutput(),
-		Urgency: x.Urgency(), Target: target, Elapsed: time.Since(x.Start), MaxGap: x.Route.MaxEventGap,
+		Urgency: x.Urgency(), Target: target, Elapsed: time.Since(x.Start),
 		Resumed: x.Software != "", Stream: stream, Software: x.Software, Avoid: x.Avoid,
 	}
 }
@@ -719,7 +719,7 @@
 	in := g.Instance
 	return destination{
 		id: in.ID, addr: in.Addr, software: in.Software, startMillis: in.StartMillis, copySource: g.Source,
-		firstEvent: g.FirstEvent, end: func(e rwplacement.End) { g.EndStream(e, x.AttemptWait) }, notAfter: g.NotAfter,
+		firstEvent: g.FirstEvent, end: g.End, notAfter: g.NotAfter,
 	}, nil
 }
 
@@ -727,7 +727,7 @@
 func addDecision(e *zerolog.Event, x *rwexchange.Exchange) *zerolog.Event {
 	d := x.Decision
 	return e.Str("owner", x.Owner).Str("engine", d.Engine).Dur("forecast", d.Forecast).Int("ahead", d.QueuedTokens).
-		Int("kept", d.CachedTokens).Int("uncached", d.UncachedTokens).Int("rate", d.PrefillRate).Int("duty", d.Duty).Int("got", d.Usage).Int("level", d.FairShare)
+		Int("kept", d.CachedTokens).Int("uncached", d.UncachedTokens).Int("rate", d.PrefillRate).Int("got", d.Usage).Int("level", d.FairShare)
 }
 
 // addRequest adds the fields that all lines about a request have: its id, the
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -22,7 +22,6 @@
 	"time"
 
 	"redwingworks.example/internal/rwcache"
-	"redwingworks.example/internal/rwduty"
 	"redwingworks.example/internal/rwfailure"
 	"redwingworks.example/internal/rwmaxmin"
 	"redwingworks.example/internal/rwprefill"
@@ -202,8 +201,6 @@
 	// it has passed.
 	Target  time.Duration `json:"tgt"`
 	Elapsed time.Duration `json:"ela"`
-	// MaxGap is the target for the time between two events, or 0 for none.
-	MaxGap time.Duration `json:"gap,omitempty"`
 	// Resumed is whether the request resumes a broken stream.
 	Resumed bool `json:"res,omitempty"`
 	// Stream is the id by which a stream is resumed, or empty if it can't be.
@@ -250,8 +247,6 @@
 	// assumes.
 	PrefillRate  int `json:"rate,omitempty"`
 	CachedTokens int `json:"kept,omitempty"`
-	// Duty is the part of its time, in percent, for which the engine may prefill.
-	Duty int `json:"duty,omitempty"`
 	// Usage is what the account was granted over the window, in tokens;
 	// FairShare is its fair share, or 0 if shares are not enforced.
 	Usage     int `json:"got,omitempty"`
@@ -273,7 +268,6 @@
 	Engine
 	cache *rwcache.Cache
 	model *rwprefill.Model
-	duty  *rwduty.Duty
 	// running is the number of granted requests; reservedTokens is the KV cache
 	// that they take, excluding shared parts.
 	running, reservedTokens int
@@ -388,7 +382,7 @@
 			old.Leaving, old.Evacuated, old.Software = e.Leaving, e.Evacuated, e.Software
 		} else {
 			old = &engine{
-				Engine: e, model: rwprefill.NewPooled(p.pool).WithCalibration(p.calibration), duty: rwduty.New(), outages: map[string]outage{},
+				Engine: e, model: rwprefill.NewPooled(p.pool).WithCalibration(p.calibration), outages: map[string]outage{},
 				cache: rwcache.New(p.spec.KVCapacity),
 			}
 		}
@@ -464,7 +458,7 @@
 	limit := scale(p.minTarget, queueTargetRatio)
 	busy := 0
 	for _, name := range p.availableIDs {
-		if e := p.engines[name]; e.running >= p.spec.Slots || now.Before(e.refusedUntil) || e.wait(now) > limit || p.isCold(now, e) {
+		if e := p.engines[name]; e.running >= p.spec.Slots || now.Before(e.refusedUntil) || e.model.Backlog(now) > limit || p.isCold(now, e) {
 			busy++
 		}
 	}
@@ -685,8 +679,6 @@
 	cachedTokens   int
 	uncachedTokens float64
 	backlog        time.Duration
-	// rest is for how long the engine should get no further prompt, beyond backlog.
-	rest time.Duration
 	// copyTime is how long copying from source takes.
 	copyTime time.Duration
 	forecast time.Duration
@@ -710,11 +702,11 @@
 	if p.overShare(now, p.account(now, w.request.Account)) {
 		queue = overShareQueueTargetRatio
 	}
-	switch short := o.backlog+o.rest <= scale(p.minTarget, queue); {
+	switch short := o.backlog <= scale(p.minTarget, queue); {
 	case p.starved(now, w):
 		return short
 	case p.lateOnIdleEngine(w, o):
-		return o.backlog+o.rest <= scale(w.request.Target, lateQueueTargetRatio)
+		return o.backlog <= scale(w.request.Target, lateQueueTargetRatio)
 	default:
 		return short && o.forecast <= p.timeLeft(now, w)
 	}
@@ -843,7 +835,6 @@
 	missingTokens := missing
 	o.uncachedTokens = float64(all - min(o.cachedTokens, all))
 	o.backlog = e.model.Backlog(now)
-	o.rest = e.duty.Wait(now, o.backlog)
 	if missing > 0 {
 		if src.engine != nil && src.cachedTokens-o.cachedTokens >= minCopyTokens {
 			copied := float64(src.cachedTokens - o.cachedTokens)
@@ -864,7 +855,7 @@
 		}
 	}
 	o.forecast = e.model.FirstEventDelay() + o.backlog + o.copyTime + e.model.PrefillTime(o.work(r))
-	o.cost += o.rest + pauseCost(e, o.work(r)) + p.coldCost(now, e, o.work(r))
+	o.cost += p.coldCost(now, e, o.work(r))
 	o.cost += o.forecast + time.Duration(e.failures.At(now)*float64(failureCost))
 	return o
 }
@@ -882,21 +873,6 @@
 	return scale(e.model.PrefillTime(float64(tokens)), min(max(recent, 0), 1))
 }
 
-// pauseCost returns what a prompt costs the streams that run on an engine whose events
-// come too late while it prefills without a break: it is the time by which the engine
-// has to rest for the prompt. Long prompts go to engines where they hold up nobody.
-func pauseCost(e *engine, work float64) time.Duration {
-	return scale(e.model.PrefillTime(work), 1/e.duty.Ratio()-1)
-}
-
-// ObserveGap records the longest time between two events of a request that was served
-// to its end; it is called before Ended.
-func (p *Placer) ObserveGap(id string, gap time.Duration) {
-	if g := p.grants[id]; g != nil {
-		g.engine.duty.Observe(gap, g.request.MaxGap)
-	}
-}
-
 // copySource is an engine to copy prompt parts from.
 type copySource struct {
 	engine       *engine
@@ -930,7 +906,6 @@
 	e := o.engine
 	e.cache.Resize(int(float64(p.spec.KVCapacity-e.reservedTokens) * cacheRatio))
 	e.cache.Use(now, r.Parts)
-	e.duty.Send(now, e.model.PrefillTime(o.work(r)))
 	prompt := e.model.SendPrompt(now, float64(promptTokens(r))-o.uncachedTokens, o.uncachedTokens, o.copyTime)
 	e.running++
 	e.reservedTokens += r.UniqueTokens + r.ExpectedOutput
@@ -941,7 +916,6 @@
 	d := Decision{
 		ID: r.ID, Verdict: Granted, Engine: e.ID, Stream: r.Stream, Software: e.Software, Forecast: o.forecast, QueuedTokens: int(e.model.QueuedTokens(now)),
 		UncachedTokens: int(o.uncachedTokens), CachedTokens: o.cachedTokens, PrefillRate: int(e.model.Rate()),
-		Duty: percent(e.duty.Ratio()),
 	}
 	if o.source != nil {
 		d.Source = o.source.ID
@@ -1066,17 +1040,11 @@
 	}
 	least := time.Duration(math.MaxInt64)
 	for _, name := range p.availableIDs {
-		least = min(least, p.engines[name].wait(now))
+		least = min(least, p.engines[name].model.Backlog(now))
 	}
 	return least
 }
 
-// wait returns how long the engine has to prefill and to rest before a further prompt.
-func (e *engine) wait(now time.Time) time.Duration {
-	backlog := e.model.Backlog(now)
-	return backlog + e.duty.Wait(now, backlog)
-}
-
 // chargedTokens returns what a request counts towards its account's usage: all
 // prompt tokens, cached or not, and generated tokens twice.
 func chargedTokens(r Request) float64 { return float64(promptTokens(r) + 2*r.ExpectedOutput) }
