Let long prompts and streams share slow engines

Cause: while an engine has prompts to prefill, each of its steps takes as long as a chunk, and the events of its streams, of six tokens each, pause for six chunks. In a model of a cell nearly all late requests had such a pause. At a load above what the engines can do, requests whose parts no engine with a free slot cached went to another engine, which prefilled or copied the parts.

Change, for pools that were measured as slow: an engine spends at most 0.8 of the shortest gap target (the route's, told in the request) on prefilling within a span of that length. A prompt that is too long for that by itself starts after a quarter as much, at an engine with few streams. Other pools are served as before.

TestSizesAreInTimeBesideEachOther fails on the code before the two changes (79% of the long kind in time, 90% wanted).

--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -616,7 +616,7 @@
 	}
 	return rwplacement.Request{
 		Account: x.Account.Name, Parts: p.Parts, UniqueTokens: p.UniqueTokens(), ExpectedOutput: p.ExpectedOutput(),
-		Urgency: x.Urgency(), Target: target, Elapsed: time.Since(x.Start),
+		Urgency: x.Urgency(), Target: target, GapTarget: x.Route.MaxEventGap, Elapsed: time.Since(x.Start),
 		Resumed: x.Software != "", Stream: stream, Software: x.Software, Avoid: x.Avoid,
 	}
 }
--- a/internal/rwplacement/cellmodel_test.go
+++ b/internal/rwplacement/cellmodel_test.go
@@ -214,7 +214,7 @@
 			{ID: "own-" + id, Tokens: own},
 		},
 		UniqueTokens: own, ExpectedOutput: kind.events * c.m.stride, Zone: "z",
-		Target: time.Duration(kind.target) * time.Millisecond, Elapsed: 3 * time.Millisecond,
+		Target: time.Duration(kind.target) * time.Millisecond, GapTarget: time.Duration(kind.gap) * time.Millisecond, Elapsed: 3 * time.Millisecond,
 	}}
 	c.calls = append(c.calls, call)
 	c.submit(now, call)
@@ -435,17 +435,27 @@
 	asked, inTime, late, refused, failed int
 }
 
+func (o *outcome) add(x outcome) {
+	o.asked, o.inTime, o.late = o.asked+x.asked, o.inTime+x.inTime, o.late+x.late
+	o.refused, o.failed = o.refused+x.refused, o.failed+x.failed
+}
+
+func (o outcome) inTimeRatio() float64 { return float64(o.inTime) / float64(max(o.asked, 1)) }
+
 func (o outcome) String() string {
 	n := float64(max(o.asked, 1)) / 100
 	return fmt.Sprintf("%5d asked, %3.0f%% in time, %3.0f%% late, %3.0f%% refused, %3.0f%% failed", o.asked,
 		float64(o.inTime)/n, float64(o.late)/n, float64(o.refused)/n, float64(o.failed)/n)
 }
 
-// outcomes counts the calls that arrived in a span and that match.
-func (c *modelCell) outcomes(from, to int, match func(*modelCall) bool) outcome {
+// measured is the span of overload, in ms, whose calls are counted.
+var measured = [2]float64{10_000, 18_000}
+
+// outcomes counts the calls that arrived in the measured span and that match.
+func (c *modelCell) outcomes(match func(*modelCall) bool) outcome {
 	var o outcome
 	for _, call := range c.calls {
-		if call.at < float64(from) || call.at >= float64(to) || !match(call) {
+		if call.at < measured[0] || call.at >= measured[1] || !match(call) {
 			continue
 		}
 		o.asked++
@@ -463,22 +473,23 @@
 	return o
 }
 
-// begun returns the tokens of the prompts whose first event fell into a span.
-func (c *modelCell) begun(from, to int) float64 {
+// begun returns the tokens of the prompts whose first event fell into the measured span,
+// per second.
+func (c *modelCell) begun() float64 {
 	sum := 0.0
 	for _, call := range c.calls {
-		if call.first >= float64(from) && call.first < float64(to) {
+		if call.first >= measured[0] && call.first < measured[1] {
 			sum += chargedTokens(call.request)
 		}
 	}
-	return sum
+	return sum / (measured[1] - measured[0]) * 1000
 }
 
-// worth returns the value of the calls of a span and what of it was earned, as a fraction.
-func (c *modelCell) worth(from, to int) float64 {
+// worth returns which fraction of the value of the calls of the measured span was earned.
+func (c *modelCell) worth() float64 {
 	owed, earned := 0.0, 0.0
 	for _, call := range c.calls {
-		if call.at < float64(from) || call.at >= float64(to) {
+		if call.at < measured[0] || call.at >= measured[1] {
 			continue
 		}
 		kind := c.m.kinds[call.kind]
--- /dev/null
+++ b/internal/rwplacement/gaps.go
@@ -0,0 +1,53 @@
+package rwplacement
+
+import "time"
+
+const (
+	// gapPrefillRatio is the fraction of the shortest gap target that an engine may
+	// spend on prefilling. The rest is for the steps in which streams get the tokens of
+	// an event.
+	gapPrefillRatio = 0.8
+	// longPromptStreamCost is the delay that each running stream counts as when a
+	// prompt is so long that their events are late.
+	longPromptStreamCost = 15 * time.Millisecond
+)
+
+// noteGap follows the shortest gap target, as Submit does the shortest target.
+func (p *Placer) noteGap(r Request) {
+	if r.GapTarget <= 0 {
+		return
+	}
+	if p.minGap == 0 || r.GapTarget < p.minGap {
+		p.minGap = r.GapTarget
+	} else {
+		p.minGap = scale(p.minGap, targetGrowthPerRequest)
+	}
+}
+
+// paced reports whether prefilling is kept from delaying the events of streams. Faster
+// engines prefill what their queue holds in a small part of the gap.
+func (p *Placer) paced() bool { return p.minGap > 0 && p.slowPool() }
+
+// keepsGaps reports whether the engine may prefill a request now. A prompt that is too
+// long by itself starts once the engine has prefilled little in the time before.
+func (p *Placer) keepsGaps(now time.Time, o option) bool {
+	if !p.paced() {
+		return true
+	}
+	limit := scale(p.minGap, gapPrefillRatio)
+	busy := o.engine.prefills.Busy(now, o.prefill, p.minGap)
+	return busy+o.prefill <= limit || p.isLong(o) && busy <= limit/4
+}
+
+// isLong reports whether events of the streams at the engine are late because of the
+// prompt, whatever else the engine prefills.
+func (p *Placer) isLong(o option) bool { return o.prefill > scale(p.minGap, gapPrefillRatio) }
+
+// gapCost returns the delay that the late events of other streams count as. It sends long
+// prompts to engines that run few streams.
+func (p *Placer) gapCost(o option) time.Duration {
+	if !p.paced() || !p.isLong(o) {
+		return 0
+	}
+	return longPromptStreamCost * time.Duration(o.engine.running)
+}
--- a/internal/rwplacement/load_test.go
+++ b/internal/rwplacement/load_test.go
@@ -62,10 +62,34 @@
 		inTime, late := 0, 0
 		for _, seed := range []uint64{1, 2} {
 			c := overload(mixed(), seed, load)
-			o := c.outcomes(10_000, 18_000, func(*modelCall) bool { return true })
-			t.Logf("load %.2f: %v, worth %.3f, %.0f tokens begun", load, o, c.worth(10_000, 18_000), c.begun(10_000, 18_000))
+			o := c.outcomes(func(*modelCall) bool { return true })
+			t.Logf("load %.2f: %v, worth %.3f, %.0f tokens begun a second", load, o, c.worth(), c.begun())
 			inTime, late = inTime+o.inTime, late+o.late
 		}
 		require.LessOrEqual(t, float64(late), 0.1*float64(inTime+late), "load %.2f", load)
 	}
 }
+
+// Guards against prompts that are prefilled one after the other while streams wait for
+// their events, and against long prompts that keep short ones from being in time or that
+// are never served themselves: at the load that the engines can serve, nine in ten of
+// each kind are in time, and of the largest tenth half as many as of all.
+func TestSizesAreInTimeBesideEachOther(t *testing.T) {
+	m := mixed()
+	kinds := make([]outcome, len(m.kinds))
+	var whole, large outcome
+	for seed := range uint64(4) {
+		c := overload(m, seed, 1)
+		for k := range m.kinds {
+			kinds[k].add(c.outcomes(func(call *modelCall) bool { return call.kind == k }))
+		}
+		whole.add(c.outcomes(func(*modelCall) bool { return true }))
+		large.add(c.outcomes(func(call *modelCall) bool { return call.large }))
+	}
+	for k, o := range kinds {
+		t.Log(m.kinds[k].name, o)
+		require.GreaterOrEqual(t, o.inTimeRatio(), 0.9, m.kinds[k].name)
+	}
+	t.Log("largest tenth", large)
+	require.GreaterOrEqual(t, large.inTimeRatio(), 0.5*whole.inTimeRatio())
+}
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -26,6 +26,7 @@
 	"redwingworks.example/internal/rwmaxmin"
 	"redwingworks.example/internal/rwprefill"
 	"redwingworks.example/internal/rwprefillfit"
+	"redwingworks.example/internal/rwprefillwindow"
 	"redwingworks.example/internal/rwprompt"
 	"redwingworks.example/internal/rwrendezvous"
 )
@@ -192,6 +193,9 @@
 	// it has passed.
 	Target  time.Duration `json:"tgt"`
 	Elapsed time.Duration `json:"ela"`
+	// GapTarget is the target for the time between two events, or 0 if there is
+	// none.
+	GapTarget time.Duration `json:"gap,omitempty"`
 	// Resumed is whether the request resumes a broken stream.
 	Resumed bool `json:"res,omitempty"`
 	// Stream is the id by which a stream is resumed, or empty if it can't be.
@@ -246,6 +250,8 @@
 	// that they take, excluding shared parts.
 	running, reservedTokens int
 	failures                rwfailure.Rate
+	// prefills holds when the engine prefills the prompts that were sent to it.
+	prefills rwprefillwindow.Window
 	// refusedUntil is the end of the backoff after the engine refused a
 	// request; outages holds the backoffs of zones that can't reach the engine.
 	refusedUntil time.Time
@@ -312,6 +318,8 @@
 	pool          *rwprefillfit.Fit
 	calibration   rwprefill.Calibration
 	calibrationAt time.Time
+	// minGap is the shortest recent target for the time between events, or 0.
+	minGap time.Duration
 	// refusedAt holds the times of refusals by the id of the request's unique
 	// prompt part, which stays the same when the caller retries.
 	refusedAt       map[string]time.Time
@@ -385,6 +393,7 @@
 // returns the decision.
 func (p *Placer) Submit(now time.Time, r Request) Decision {
 	p.calibrate(now)
+	p.noteGap(r)
 	acc := p.account(now, r.Account)
 	acc.demand += chargedTokens(r)
 	if p.minTarget == 0 || r.Target < p.minTarget {
@@ -621,6 +630,8 @@
 	backlog        time.Duration
 	// copyTime is how long copying from source takes.
 	copyTime time.Duration
+	// prefill is how long the engine prefills the request.
+	prefill  time.Duration
 	forecast time.Duration
 	cost     time.Duration
 }
@@ -638,6 +649,9 @@
 // the best engine is busy, the second best is not used: it would need a copy of
 // the parts, and under load every cache would fill with copies.
 func (p *Placer) canStart(now time.Time, w *queuedRequest, o option) bool {
+	if !p.keepsGaps(now, o) {
+		return false
+	}
 	queue := queueTargetRatio
 	if p.overShare(now, p.account(now, w.request.Account)) {
 		queue = overShareQueueTargetRatio
@@ -762,7 +776,7 @@
 }
 
 func (p *Placer) eligible(now time.Time, e *engine, r Request) bool {
-	return !e.Leaving && e.suits(r) && e.running < p.spec.Slots &&
+	return !e.Leaving && e.suits(r) && p.hasSlot(e, r) &&
 		float64(e.reservedTokens+r.UniqueTokens+r.ExpectedOutput) <= float64(p.spec.KVCapacity)*runningTokensRatio &&
 		!now.Before(e.refusedUntil) && !now.Before(e.outages[r.Zone].until)
 }
@@ -792,8 +806,9 @@
 			o.cost -= e.model.PrefillTime(float64(shared))
 		}
 	}
-	o.forecast = e.model.FirstEventDelay() + o.backlog + o.copyTime + e.model.PrefillTime(o.work(r))
-	o.cost += o.forecast + time.Duration(e.failures.At(now)*float64(failureCost))
+	o.prefill = e.model.PrefillTime(o.work(r))
+	o.forecast = e.model.FirstEventDelay() + o.backlog + o.copyTime + o.prefill
+	o.cost += p.gapCost(o) + o.forecast + time.Duration(e.failures.At(now)*float64(failureCost))
 	return o
 }
 
@@ -827,6 +842,7 @@
 	e.cache.Resize(int(float64(p.spec.KVCapacity-e.reservedTokens) * cacheRatio))
 	e.cache.Use(r.Parts)
 	prompt := e.model.SendPrompt(now, float64(promptTokens(r))-o.uncachedTokens, o.uncachedTokens, o.copyTime)
+	e.prefills.Add(now, o.prefill)
 	e.running++
 	e.reservedTokens += r.UniqueTokens + r.ExpectedOutput
 	p.account(now, r.Account).usage += chargedTokens(r)
