--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -26,6 +26,7 @@
 	"redwingworks.example/internal/rwmaxmin"
 	"redwingworks.example/internal/rwprefill"
 	"redwingworks.example/internal/rwprefillfit"
+	"redwingworks.example/internal/rwprefillwindow"
 	"redwingworks.example/internal/rwprompt"
 	"redwingworks.example/internal/rwrendezvous"
 )
@@ -201,6 +202,9 @@
 	// it has passed.
 	Target  time.Duration `json:"tgt"`
 	Elapsed time.Duration `json:"ela"`
+	// GapTarget is the target for the time between two events, or 0 if there is
+	// none.
+	GapTarget time.Duration `json:"gap,omitempty"`
 	// Resumed is whether the request resumes a broken stream.
 	Resumed bool `json:"res,omitempty"`
 	// Stream is the id by which a stream is resumed, or empty if it can't be.
@@ -272,6 +276,8 @@
 	// that they take, excluding shared parts.
 	running, reservedTokens int
 	failures                rwfailure.Rate
+	// prefills holds when the engine prefills the prompts that were sent to it.
+	prefills rwprefillwindow.Window
 	// refusedUntil is the end of the backoff after the engine refused a
 	// request; outages holds the backoffs of zones that can't reach the engine.
 	refusedUntil time.Time
@@ -310,6 +316,9 @@
 	efficiency float64
 	// usage is the account's usage at the time of sorting.
 	usage float64
+	// yields is whether the request goes after all that don't yield, as of the time
+	// of sorting.
+	yields bool
 	// decided requests are about to be removed from the queue.
 	decided bool
 }
@@ -340,6 +349,8 @@
 	pool          *rwprefillfit.Fit
 	calibration   rwprefill.Calibration
 	calibrationAt time.Time
+	// minGap is the shortest recent target for the time between events, or 0.
+	minGap time.Duration
 	// refusedAt holds the times of refusals by the id of the request's unique
 	// prompt part, which stays the same when the caller retries.
 	refusedAt       map[string]time.Time
@@ -413,6 +424,7 @@
 // returns the decision.
 func (p *Placer) Submit(now time.Time, r Request) Decision {
 	p.calibrate(now)
+	p.noteGap(r)
 	acc := p.account(now, r.Account)
 	acc.demand += chargedTokens(r)
 	if p.minTarget == 0 || r.Target < p.minTarget {
@@ -606,9 +618,11 @@
 	order := slices.Clone(p.queue)
 	for _, w := range order {
 		w.usage = p.account(now, w.request.Account).usage
+		w.yields = p.yields(now, w)
 	}
 	slices.SortStableFunc(order, func(x, y *queuedRequest) int {
 		return cmp.Or(
+			compareYields(x, y),
 			cmp.Compare(x.usage, y.usage), cmp.Compare(x.request.Account, y.request.Account),
 			cmp.Compare(x.request.Urgency, y.request.Urgency), cmp.Compare(y.efficiency, x.efficiency),
 		)
@@ -681,6 +695,8 @@
 	backlog        time.Duration
 	// copyTime is how long copying from source takes.
 	copyTime time.Duration
+	// prefill is how long the engine prefills the request.
+	prefill  time.Duration
 	forecast time.Duration
 	cost     time.Duration
 }
@@ -698,6 +714,9 @@
 // the best engine is busy, the second best is not used: it would need a copy of
 // the parts, and under load every cache would fill with copies.
 func (p *Placer) canStart(now time.Time, w *queuedRequest, o option) bool {
+	if !p.keepsGaps(now, o) && !p.outOfTime(now, w, o) {
+		return false
+	}
 	queue := queueTargetRatio
 	if p.overShare(now, p.account(now, w.request.Account)) {
 		queue = overShareQueueTargetRatio
@@ -706,7 +725,7 @@
 	case p.starved(now, w):
 		return short
 	case p.lateOnIdleEngine(w, o):
-		return o.backlog <= scale(w.request.Target, lateQueueTargetRatio)
+		return !p.hopeless(w, o) && o.backlog <= scale(w.request.Target, lateQueueTargetRatio)
 	default:
 		return short && o.forecast <= p.timeLeft(now, w)
 	}
@@ -794,6 +813,9 @@
 		return true
 	}
 	if need > limit {
+		if p.crowded() {
+			return false
+		}
 		return p.elapsed(now, w) < scale(w.request.Target, lateQueueTargetRatio)
 	}
 	return p.elapsed(now, w)+need < limit
@@ -822,7 +844,7 @@
 }
 
 func (p *Placer) eligible(now time.Time, e *engine, r Request) bool {
-	return !e.Leaving && !e.Evacuated && e.suits(r) && e.running < p.spec.Slots &&
+	return !e.Leaving && !e.Evacuated && e.suits(r) && p.hasSlot(e, r) &&
 		float64(e.reservedTokens+r.UniqueTokens+r.ExpectedOutput) <= float64(p.spec.KVCapacity)*runningTokensRatio &&
 		!now.Before(e.refusedUntil) && !now.Before(e.outages[r.Zone].until) && p.coldRoom(now, e, r)
 }
@@ -854,9 +876,9 @@
 			o.cost -= e.model.PrefillTime(float64(shared))
 		}
 	}
-	o.forecast = e.model.FirstEventDelay() + o.backlog + o.copyTime + e.model.PrefillTime(o.work(r))
-	o.cost += p.coldCost(now, e, o.work(r))
-	o.cost += o.forecast + time.Duration(e.failures.At(now)*float64(failureCost))
+	o.prefill = e.model.PrefillTime(o.work(r))
+	o.forecast = e.model.FirstEventDelay() + o.backlog + o.copyTime + o.prefill
+	o.cost += p.gapCost(o) + p.coldCost(now, e, o.work(r)) + o.forecast + time.Duration(e.failures.At(now)*float64(failureCost))
 	return o
 }
 
@@ -907,6 +929,7 @@
 	e.cache.Resize(int(float64(p.spec.KVCapacity-e.reservedTokens) * cacheRatio))
 	e.cache.Use(now, r.Parts)
 	prompt := e.model.SendPrompt(now, float64(promptTokens(r))-o.uncachedTokens, o.uncachedTokens, o.copyTime)
+	e.prefills.Add(now, o.prefill)
 	e.running++
 	e.reservedTokens += r.UniqueTokens + r.ExpectedOutput
 	p.account(now, r.Account).usage += chargedTokens(r)
