--- a/internal/rwdispatch/status_test.go
+++ b/internal/rwdispatch/status_test.go
@@ -20,7 +20,7 @@
 		u, d := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 			conn, _, err := http.NewResponseController(w).Hijack()
 			if err == nil {
-				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nRedwing-Request: "+requestID+"\r\nContent-Length: 0\r\n\r\n")
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nRedwing-Request: "+requestID+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 				_ = conn.Close()
 			}
 		})
