Tell a restarted owner which engines are cold

A router that has just started owns its cells at once and knows nothing. The roster applies a list of live routers again only if it differs.

A test shows that no owner holds a warm engine back for a second.

--- a/internal/rwbroker/cold.go
+++ b/internal/rwbroker/cold.go
@@ -16,7 +16,7 @@
 // routersInterval is how often Cold is told the live routers.
 const routersInterval = 200 * time.Millisecond
 
-// nextOwners is the number of routers that an owner tells which engines are cold.
+// nextOwners is the number of routers that are told which engines are cold.
 const nextOwners = 4
 
 // observeRouters tells Cold which routers are live.
@@ -40,13 +40,15 @@
 	Left map[string]time.Duration `json:"left"`
 }
 
-// tellNextOwners tells the routers that would own a cell next which of its engines are
-// cold. They learn it from the answers to their own requests too, but may have none.
+// tellNextOwners tells the routers that rank highest for a cell which of its engines
+// are cold. They learn it from the answers to their own requests too, but may have
+// none. One that has just started owns the cell at once and knows nothing, so that not
+// the owner alone tells it.
 func (b *Broker) tellNextOwners(now time.Time, k cellKey, live []rwidentity.Identity) {
 	left := b.Cold.ColdOf(now, k.Service)
 	key := k.String()
 	score := func(id rwidentity.Identity) float64 { return ownerScore(key, id) }
-	if left == nil || !b.Cold.Owns(now, k.Service, key, score) {
+	if left == nil || !b.Cold.Ranks(now, k.Service, key, score) {
 		return
 	}
 	ranked := slices.DeleteFunc(slices.Clone(live), func(id rwidentity.Identity) bool { return id.Name == b.self.Name })
--- a/internal/rwcoldguard/rwcoldguard.go
+++ b/internal/rwcoldguard/rwcoldguard.go
@@ -110,7 +110,7 @@
 		Is: g.tracker.Cold, Failed: g.tracker.Fail, Answered: g.tracker.Answer, Take: g.meter.Take, Count: g.Count,
 		Room: func(now time.Time, id, account string) bool {
 			_, each := g.split(service)
-			may := g.Owns(now, service, cell, score)
+			may := g.owns(now, service, cell, score)
 			if !g.tracker.Cold(now, id) {
 				return g.mayBeWarm(now, id, each, may)
 			}
@@ -141,8 +141,16 @@
 	})
 }
 
-// Owns reports whether this router may let requests go to cold engines of a cell.
-func (g *Guard) Owns(now time.Time, service, cell string, score func(rwidentity.Identity) float64) bool {
+// Ranks reports whether this router is one of the few that may let requests go to cold
+// engines of a cell when they are the first of the live ones. These tell the others of
+// what they know: a router that has just started takes a cell over at once.
+func (g *Guard) Ranks(now time.Time, service, cell string, score func(rwidentity.Identity) float64) bool {
+	senders, _ := g.split(service)
+	return g.may(now, "rank "+cell, func() bool { return g.roster.Ranks(now, senders, score) })
+}
+
+// owns reports whether this router may let requests go to cold engines of a cell.
+func (g *Guard) owns(now time.Time, service, cell string, score func(rwidentity.Identity) float64) bool {
 	senders, _ := g.split(service)
 	return g.may(now, "cell "+cell, func() bool { return g.roster.FirstLive(now, senders, score) })
 }
--- a/internal/rwcoldroster/rwcoldroster.go
+++ b/internal/rwcoldroster/rwcoldroster.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +38,10 @@
 	live       map[string]bool
 	observedAt time.Time
 	settledAt  time.Time
-	prunedAt   time.Time
+	// observed is the last list of live routers; refreshedAt is when it was last
+	// applied.
+	observed    []rwidentity.Identity
+	refreshedAt time.Time
 }
 
 type member struct {
@@ -59,15 +63,15 @@
 		r.settledAt = now.Add(settleTime)
 	}
 	r.observedAt = now
+	if now.Sub(r.refreshedAt) < settleTime && slices.Equal(r.observed, live) {
+		return
+	}
+	r.refreshedAt, r.observed = now, slices.Clone(live)
 	clear(r.live)
 	for _, id := range live {
 		r.live[id.Name] = true
 		r.known[id.Name] = member{id, now}
 	}
-	if now.Sub(r.prunedAt) < settleTime {
-		return
-	}
-	r.prunedAt = now
 	maps.DeleteFunc(r.known, func(_ string, m member) bool { return now.Sub(m.seenAt) > memory })
 }
 
