Ask another router sooner after one that is lost midway

Cause: a router lost between two parts of a pull kept the other one from asking elsewhere for 3 s, which is as long as a configuration may take. A test's routers ran before all were known (found by -race; the fault is the test's).

Change: a later part is waited for 0.75 s and asked for twice; the test starts its routers once all are there.

--- a/internal/rwcatalogsync/evacuation_test.go
+++ b/internal/rwcatalogsync/evacuation_test.go
@@ -141,6 +141,8 @@
 	}
 	var network rwmemnetwork.Network
 	t.Cleanup(func() { time.Sleep(time.Minute) })
+	// Routers run once all are known.
+	var run []func()
 	for i := range size {
 		l, err := network.Listen("127.0.0.1:0")
 		require.NoError(t, err)
@@ -163,16 +165,21 @@
 		}
 		r.wire()
 		w.routers, w.byAddr[id.Addr] = append(w.routers, r), r
-		ctx, cancel := context.WithCancel(context.Background())
-		var parts sync.WaitGroup
-		parts.Go(func() { _ = peers.Serve(ctx, l) })
-		parts.Go(func() { _ = r.watcher.Run(ctx) })
-		parts.Go(func() { r.probe(ctx, rand.New(rand.NewPCG(uint64(i), 7))) })
-		t.Cleanup(func() {
-			cancel()
-			parts.Wait()
+		run = append(run, func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			var parts sync.WaitGroup
+			parts.Go(func() { _ = peers.Serve(ctx, l) })
+			parts.Go(func() { _ = r.watcher.Run(ctx) })
+			parts.Go(func() { r.probe(ctx, rand.New(rand.NewPCG(uint64(i), 7))) })
+			t.Cleanup(func() {
+				cancel()
+				parts.Wait()
+			})
 		})
 	}
+	for _, f := range run {
+		f()
+	}
 	return w
 }
 
--- a/internal/rwcatalogsync/rwcatalogsync.go
+++ b/internal/rwcatalogsync/rwcatalogsync.go
@@ -37,10 +37,12 @@
 	// pullTimeout bounds the wait for the first part of a pull, so that a lost router
 	// doesn't keep this one from asking another; partTimeout bounds that for a later
 	// part, which may wait for the other router's link, and partAttempts is how often
-	// one is asked for. pullPause is the time between two pulls.
+	// one is asked for. Together they are half of the time within which a change must
+	// be active, so that another router can be asked after one that is lost midway.
+	// pullPause is the time between two pulls.
 	pullTimeout  = 500 * time.Millisecond
-	partTimeout  = time.Second
-	partAttempts = 3
+	partTimeout  = 750 * time.Millisecond
+	partAttempts = 2
 	pullPause    = 100 * time.Millisecond
 	// partBytes is the approximate size of a part. A configuration may be larger than
 	// a message, and a link of 10 Mbit/s takes 70 ms for a part.
