Keep the channel of a body that is being written

Cause: the goroutine that writes the rest of a body read the connection's field after the write, which may be nil by then: it blocked forever with the body. The race detector showed it in internal/rwfront (TestStalledBodyGivesItsMemoryToAnother, data race and a goroutine at rwconn.go:347, in 2 of 2 runs with -race).

Change: the goroutine keeps the channel itself.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -341,10 +341,12 @@
 		return n > 0, err
 	}
 	if rest := req.Body[len(inline):]; len(rest) > 0 {
-		c.bodyWritten = make(chan error, 1)
+		written := make(chan error, 1)
+		c.bodyWritten = written
 		go func() {
 			_, err := c.Write(rest)
-			c.bodyWritten <- err
+			// The field may be nil by now; the send would block forever.
+			written <- err
 		}()
 	}
 	return true, nil
