Bound the memory that callers make a front router hold

Cause: bodies were read with io.ReadAll, whose copies grow to more than twice the body, and only the number of requests in progress was bounded; long heads and bytes in sockets were not. Callers that stopped short of their end kept all of it for ten seconds.

Change: rwbudget, a decision package without clock or I/O, shares a quarter of memoryMb among large bodies and heads. An announced body takes its place before it is read, another one segment by segment (rwbody). If memory is short, callers that sent nothing for a second lose theirs, the longest silent first; a complete body is never taken. Small requests need none of it. Announced bodies over the published limit get 413 unread, those without memory 503 before any upstream has a byte. Receive buffers of callers and upstreams are bounded. Event 116 and memory_* metrics tell who holds memory.

--- /dev/null
+++ b/internal/rwbody/rwbody.go
@@ -0,0 +1,86 @@
+// Package rwbody reads the bodies of callers' requests within a budget of memory.
+package rwbody
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"redwingworks.example/internal/rwbudget"
+)
+
+// firstSegmentBytes and maxSegmentBytes bound the segments of a body whose length is not
+// announced. Each is twice as long as the one before.
+const (
+	firstSegmentBytes = 4 << 10
+	maxSegmentBytes   = 256 << 10
+)
+
+// ErrNoMemory is the error of a body that the budget refuses.
+var ErrNoMemory = errors.New("memory for bodies is short")
+
+// Read reads a body of an announced size, or of an unknown one for -1. It takes the
+// memory before it reads, and fails with ErrNoMemory if there is none.
+func Read(r io.Reader, size int64, memory *rwbudget.Claim) ([]byte, error) {
+	if size < 0 {
+		return readSegments(r, memory)
+	}
+	if !memory.Grow(time.Now(), size) {
+		return nil, ErrNoMemory
+	}
+	data := make([]byte, size)
+	_, err := readFull(r, data, memory)
+	return data, err
+}
+
+// readSegments reads a body of unknown size. Its parts are not copied until it is
+// complete, so that one that stops short never takes more than it has sent.
+func readSegments(r io.Reader, memory *rwbudget.Claim) ([]byte, error) {
+	var segments [][]byte
+	total := 0
+	for size := firstSegmentBytes; ; size = min(2*size, maxSegmentBytes) {
+		if !memory.Grow(time.Now(), int64(size)) {
+			return nil, ErrNoMemory
+		}
+		segment := make([]byte, size)
+		n, err := readFull(r, segment, memory)
+		segments, total = append(segments, segment[:n]), total+n
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if len(segments) == 1 {
+		return segments[0], nil
+	}
+	if !memory.Grow(time.Now(), int64(total)) {
+		return nil, ErrNoMemory
+	}
+	data := make([]byte, 0, total)
+	held := 0
+	for _, s := range segments {
+		data = append(data, s...)
+		held += cap(s)
+	}
+	memory.Grow(time.Now(), -int64(held))
+	return data, nil
+}
+
+// readFull fills a buffer and returns the number of bytes read. It fails with io.EOF if
+// the body ends before, and with io.ErrUnexpectedEOF if its sender does.
+func readFull(r io.Reader, data []byte, memory *rwbudget.Claim) (int, error) {
+	n := 0
+	for n < len(data) {
+		read, err := r.Read(data[n:])
+		n += read
+		if read > 0 {
+			memory.Progress(time.Now())
+		}
+		if err != nil && (n < len(data) || !errors.Is(err, io.EOF)) {
+			return n, err
+		}
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/rwbudget/rwbudget.go
@@ -0,0 +1,226 @@
+// Package rwbudget shares one amount of memory among what callers make a router hold:
+// heads and bodies of requests. It decides who gets memory and who has to give it up,
+// and does nothing else.
+//
+// The load it answers: many callers send large bodies at once, most stop just short of
+// their end and stay, and ordinary requests come beside them.
+package rwbudget
+
+import (
+	"container/list"
+	"maps"
+	"sync"
+	"time"
+)
+
+// StallTime is how long a claim must have made no progress until others may take its
+// memory. A caller that sends steadily is never that slow.
+const StallTime = time.Second
+
+// Budget is an amount of memory in bytes. Its methods may be called concurrently, also
+// those of a nil Budget, which has no bound.
+type Budget struct {
+	total int64
+
+	mu   sync.Mutex
+	used int64
+	// held is used by kind of holder; the sum of its values is used.
+	held map[string]int64
+	// open holds the claims that may lose their memory, the one whose last progress is
+	// longest ago first.
+	open *list.List
+	// evicted is the number of claims that have lost their memory.
+	evicted int64
+}
+
+// New returns a budget of a number of bytes.
+func New(total int64) *Budget {
+	return &Budget{total: total, held: map[string]int64{}, open: list.New()}
+}
+
+// Claim is what one holder has of a budget. The methods of a nil Claim, of a nil
+// Budget, grant everything.
+type Claim struct {
+	budget *Budget
+	kind   string
+	// free is how many bytes the holder has beside the budget.
+	free  int64
+	evict func()
+
+	// The budget's lock guards the following fields.
+	size     int64
+	progress time.Time
+	// place is the claim's place in the list of open claims, or nil if it is pinned or
+	// has ended.
+	place *list.Element
+	// lost is whether the claim has lost its memory to others.
+	lost bool
+}
+
+// Open returns a claim without memory for a kind of holder. Its first free bytes don't
+// count. Evict is called at most once, without a lock, if the claim loses its memory; the
+// holder must then give up at once what it holds.
+func (b *Budget) Open(now time.Time, kind string, free int64, evict func()) *Claim {
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := &Claim{budget: b, kind: kind, free: free, evict: evict, progress: now}
+	c.place = b.open.PushBack(c)
+	return c
+}
+
+// Grow takes n more bytes, or returns -n, and counts as progress. If the budget is short,
+// claims without progress for StallTime lose theirs, those without for longest first. It
+// reports false and takes nothing if that isn't enough, or if the claim has lost its own.
+func (c *Claim) Grow(now time.Time, n int64) bool {
+	if c == nil {
+		return true
+	}
+	b := c.budget
+	b.mu.Lock()
+	if c.lost {
+		b.mu.Unlock()
+		return false
+	}
+	more := max(c.size+n-c.free, 0) - c.counted()
+	stalled, ok := b.makeRoom(now, c, more)
+	if ok {
+		for _, s := range stalled {
+			b.drop(s)
+		}
+		c.size += n
+		b.add(c.kind, more)
+		c.moveBack(now)
+	}
+	b.mu.Unlock()
+	if ok {
+		for _, s := range stalled {
+			s.evict()
+		}
+	}
+	return ok
+}
+
+// Progress records that the holder's caller goes on.
+func (c *Claim) Progress(now time.Time) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.moveBack(now)
+}
+
+// Pin keeps the memory from now on: what the claim holds is complete, and its caller
+// waits for the router. It reports false if the memory was lost before.
+func (c *Claim) Pin() bool {
+	if c == nil {
+		return true
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.leave()
+	return !c.lost
+}
+
+// Close returns all memory of the claim, which must not be used any more.
+func (c *Claim) Close() {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.budget.add(c.kind, -c.counted())
+	c.size = 0
+	c.leave()
+}
+
+// EvictStalled takes the memory of the claim whose last progress is longest ago, if that
+// was before StallTime, and reports whether there was one.
+func (b *Budget) EvictStalled(now time.Time) bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	front := b.open.Front()
+	if front == nil {
+		b.mu.Unlock()
+		return false
+	}
+	c, _ := front.Value.(*Claim)
+	stalled := c.hasStalled(now)
+	if stalled {
+		b.drop(c)
+	}
+	b.mu.Unlock()
+	if stalled {
+		c.evict()
+	}
+	return stalled
+}
+
+// Held returns the bytes in use by kind of holder, and how many claims have lost their
+// memory since the start.
+func (b *Budget) Held() (bytes map[string]int64, evicted int64) {
+	if b == nil {
+		return nil, 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.held), b.evicted
+}
+
+// makeRoom returns the stalled claims other than c that have to lose their memory so
+// that more bytes fit, and whether they fit then. The caller must hold the lock.
+func (b *Budget) makeRoom(now time.Time, c *Claim, more int64) ([]*Claim, bool) {
+	short := b.used + more - b.total
+	if more <= 0 || short <= 0 {
+		return nil, true
+	}
+	var stalled []*Claim
+	for e := b.open.Front(); e != nil && short > 0; e = e.Next() {
+		other, _ := e.Value.(*Claim)
+		if !other.hasStalled(now) {
+			break
+		}
+		if n := other.counted(); other != c && n > 0 {
+			stalled = append(stalled, other)
+			short -= n
+		}
+	}
+	return stalled, short <= 0
+}
+
+// drop takes the memory of a claim. The caller must hold the lock.
+func (b *Budget) drop(c *Claim) {
+	b.add(c.kind, -c.counted())
+	c.size, c.lost = 0, true
+	c.leave()
+	b.evicted++
+}
+
+func (b *Budget) add(kind string, n int64) {
+	b.used += n
+	b.held[kind] += n
+}
+
+// counted returns the bytes of the claim that count. The caller must hold the lock.
+func (c *Claim) counted() int64 { return max(c.size-c.free, 0) }
+
+func (c *Claim) hasStalled(now time.Time) bool { return now.Sub(c.progress) >= StallTime }
+
+func (c *Claim) moveBack(now time.Time) {
+	c.progress = now
+	if c.place != nil {
+		c.budget.open.MoveToBack(c.place)
+	}
+}
+
+func (c *Claim) leave() {
+	if c.place != nil {
+		c.budget.open.Remove(c.place)
+		c.place = nil
+	}
+}
--- a/internal/rwconnlimit/conn.go
+++ b/internal/rwconnlimit/conn.go
@@ -9,12 +9,22 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"redwingworks.example/internal/rwbudget"
 )
 
 // lateReadTimeout is how long reads go on after their deadline has passed although
 // bytes had arrived.
 const lateReadTimeout = 5 * time.Second
 
+const (
+	// includedHeadBytes is the part of a head that the memory of any connection includes.
+	// headCost is the memory of a further byte: net/http doubles its buffer as a line
+	// grows, and copies the line.
+	includedHeadBytes = 16 << 10
+	headCost          = 3
+)
+
 // conn is a caller's connection. To close it while it is idle, the limiter
 // retires it: its reads fail, and the server closes it, once no bytes are left
 // to read. Closing it directly would lose a request that the process has read
@@ -33,7 +43,15 @@
 	// it has four bytes. Zero means no bound.
 	headTimeout time.Duration
 
+	// memory, if set, bounds the memory of heads beyond includedHeadBytes each.
+	memory *rwbudget.Budget
+
 	mu sync.Mutex
+	// headBytes is how much of a head was read since the connection was accepted or
+	// became idle, or negative once the head is complete. head is what a long one has
+	// of the budget.
+	headBytes int64
+	head      *rwbudget.Claim
 	// active is whether bytes were read since the connection was accepted or
 	// became idle.
 	active bool
@@ -66,6 +84,11 @@
 			if c.arrive() {
 				c.onKept()
 			}
+			if !c.countHead(n) {
+				// net/http closes the connection after a timeout without a response,
+				// which the caller would not have waited for.
+				return 0, os.ErrDeadlineExceeded
+			}
 			return n, err
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() && hasUnread(c.Conn):
 			c.arrive()
@@ -77,6 +100,45 @@
 	}
 }
 
+// countHead counts bytes of a head, and reports whether there is memory for it.
+func (c *conn) countHead(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headBytes < 0 {
+		return true
+	}
+	before := c.headBytes
+	c.headBytes += int64(n)
+	if c.headBytes <= includedHeadBytes {
+		return true
+	}
+	if c.head == nil {
+		before = 0
+		c.head = c.memory.Open(time.Now(), "heads", includedHeadBytes, c.abort)
+	}
+	return c.head.Grow(time.Now(), headCost*(c.headBytes-before))
+}
+
+// abort makes the reads of the connection fail.
+func (c *conn) abort() {
+	// It fails only if the connection is closed.
+	_ = c.Close()
+}
+
+// endHead returns the memory of a head. The caller must hold the lock.
+func (c *conn) endHead() {
+	c.headBytes = -1
+	c.head.Close()
+	c.head = nil
+}
+
+// endConn returns the memory of a head that never became complete.
+func (c *conn) endConn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endHead()
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -132,6 +194,7 @@
 func (c *conn) reportActive() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.endHead()
 	return c.activate()
 }
 
@@ -156,6 +219,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active, c.excess, c.deadlinePassed, c.idleSince = false, false, false, now
+	c.headBytes = 0
 }
 
 // retire makes reads fail once there are no bytes to read, and reports whether
--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"redwingworks.example/internal/rwbudget"
 )
 
 // Limiter tracks the open connections that its listener has accepted.
@@ -20,6 +22,8 @@
 	// first bytes of a request on an idle connection until the server's own
 	// timeout for the head applies.
 	HeadTimeout time.Duration
+	// Memory, if set before the listener accepts, bounds the memory of long heads.
+	Memory *rwbudget.Budget
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -74,6 +78,7 @@
 		if _, ok := l.conns[c]; ok && c.isRetired() {
 			l.stats.Idle++
 		}
+		c.endConn()
 		delete(l.conns, c)
 	}
 }
@@ -179,7 +184,7 @@
 		l.stats.Unread++
 		return nil
 	}
-	c := &conn{Conn: nc, onKept: l.countKept, headTimeout: l.HeadTimeout}
+	c := &conn{Conn: nc, onKept: l.countKept, headTimeout: l.HeadTimeout, memory: l.Memory}
 	l.conns[c] = struct{}{}
 	return c
 }
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -24,6 +24,7 @@
 	"github.com/rs/zerolog"
 	"redwingworks.example/internal/rwbandwidth"
 	"redwingworks.example/internal/rwbroker"
+	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcatalog"
 	"redwingworks.example/internal/rwcatalogsync"
 	"redwingworks.example/internal/rwcode"
@@ -98,6 +99,14 @@
 	// all of them may take.
 	requestBytes       = 160 << 10
 	requestMemoryRatio = 0.3
+	// bulkMemoryRatio is the fraction of the memory that large bodies and heads of
+	// requests may take beyond that: nine bodies of 4 MiB on the smallest machine.
+	bulkMemoryRatio = 0.25
+	// callerReceiveBytes and upstreamReceiveBytes are the receive buffers of connections
+	// of callers and to upstreams if the settings set a memory limit: the system's own
+	// grow to megabytes on a connection that isn't read. Linux takes twice as much.
+	callerReceiveBytes   = 16 << 10
+	upstreamReceiveBytes = 32 << 10
 	// defaultMaxRequests bounds the requests in progress if the settings set no
 	// memory limit.
 	defaultMaxRequests = 1024
@@ -216,8 +225,11 @@
 	// overload decides when to refuse requests and to leave the rotation.
 	overload *rwoverload.Controller
 	// link is shared by all connections but those to the store.
-	link           *rwbandwidth.Link
-	relay          *rwrelay.Relay
+	link  *rwbandwidth.Link
+	relay *rwrelay.Relay
+	// memory bounds large bodies and heads of requests. It is nil, without a bound, if
+	// the settings set no memory limit.
+	memory         *rwbudget.Budget
 	latency        *rwhistogram.Histogram
 	forecastErrors *rwhistogram.Histogram
 
@@ -267,6 +279,10 @@
 	e.broker = rwbroker.New(e.self, e.peers, e.metrics)
 	e.connLimiter, e.lagMonitor, e.overload = rwconnlimit.New(), rwlag.New(), rwoverload.New(c.Deployment.CPUMillis)
 	e.connLimiter.HeadTimeout = headerTimeout
+	if m := c.Deployment.MemoryBytes; m > 0 {
+		e.memory = rwbudget.New(int64(bulkMemoryRatio * float64(m)))
+	}
+	e.connLimiter.Memory = e.memory
 	e.link = rwbandwidth.New(c.Deployment.LinkBitsPerSecond)
 	e.lagMonitor.OnMeasure = e.observeLateness
 	e.pool = rwconn.New(c.Dialect.Inspect)
@@ -276,6 +292,9 @@
 		e.peers.Dial, e.pool.Dial = c.Dial, c.Dial
 	}
 	e.peers.Dial = e.link.Dialer(e.peers.Dial)
+	if e.memory != nil {
+		e.pool.Dial = limitReceiveBuffer(e.pool.Dial)
+	}
 	dial := e.pool.Dial
 	e.pool.Dial = e.link.UpstreamDialer(dial)
 	if c.SchedulingDelay != nil {
@@ -367,6 +386,7 @@
 		Zone: e.self.Zone, Log: e.log, Metrics: e.metrics, ObserveLatency: e.latency.Record,
 		Stopping: e.stopRequested, InFlight: &e.inFlight, Via: e.relayedBy,
 		Tally:       &e.tally,
+		Memory:      e.memory,
 		HarmfulPart: e.poison.Harmful, TryHarmful: e.poison.Try, SuspectedPart: e.poison.Suspected,
 		ResponseWritten: e.poison.AddResponse, Crashed: e.poison.AddCrash, Alive: e.poison.AddAlive,
 	}
@@ -489,6 +509,9 @@
 	case e.lagMonitor.Lagging():
 		return "router is lagging"
 	case e.isFull():
+		// Those that stopped within their bodies would keep others out until the
+		// timeout of bodies.
+		e.memory.EvictStalled(time.Now())
 		return "too many requests in progress"
 	case rwconnlimit.Excess(ctx):
 		return "too many connections"
@@ -499,6 +522,19 @@
 	}
 }
 
+// limitReceiveBuffer wraps a function that opens connections to upstreams, so that what
+// waits unread on them is bounded.
+func limitReceiveBuffer(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if s, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok && err == nil {
+			// It fails only if the connection is closed.
+			_ = s.SetReadBuffer(upstreamReceiveBytes)
+		}
+		return c, err
+	}
+}
+
 // linkFull reports whether the bodies of requests wait for the machine's link.
 func (e *Edge) linkFull() bool { return e.link.Full(time.Now()) }
 
@@ -643,6 +679,17 @@
 	}
 }
 
+// reportMemory logs how many requests have lost their memory since the last report, if
+// any has.
+func (e *Edge) reportMemory(last int64) int64 {
+	held, evicted := e.memory.Held()
+	if evicted > last {
+		rwlog.Info(&e.summaries, rwlog.MemoryReclaimed).Int64("requests", evicted-last).Int64("bodies", held["bodies"]).
+			Int64("heads", held["heads"]).Int64("active", e.activeRequests.Load()).Int("connections", e.connLimiter.Open()).Send()
+	}
+	return evicted
+}
+
 // Run serves until a signal asks the process to stop or a part ends by itself.
 // After a signal, it first drains the router.
 func (e *Edge) Run() error {
@@ -708,13 +755,25 @@
 // a longer queue all of them would wait until their callers are about to give up.
 func (e *Edge) listenFront() (net.Listener, error) {
 	if e.config.Listen != nil || e.deployment.CPUMillis == 0 {
-		return e.listen(e.deployment.Front)
+		l, err := e.listen(e.deployment.Front)
+		if err != nil || e.config.Listen != nil || e.memory == nil {
+			return l, err
+		}
+		if err := rwlisten.LimitReceiveBuffer(l, callerReceiveBytes); err != nil {
+			_ = l.Close()
+			return nil, rwfault.Wrap(rwcode.Internal, err)
+		}
+		return l, nil
 	}
 	backlog := max(minBacklog, int(backlogPerMilli*float64(e.deployment.CPUMillis)))
 	if n := e.link.Backlog(); n > 0 {
 		backlog = min(backlog, n)
 	}
-	l, err := rwlisten.Listen(e.deployment.Front, backlog, e.link.ReceiveBuffer())
+	receive := e.link.ReceiveBuffer()
+	if receive == 0 && e.memory != nil {
+		receive = callerReceiveBytes
+	}
+	l, err := rwlisten.Listen(e.deployment.Front, backlog, receive)
 	if err != nil {
 		return nil, rwfault.Wrap(rwcode.SettingsInvalid, err).WithDetail("listen on " + e.deployment.Front)
 	}
@@ -964,6 +1023,7 @@
 	reloaded, tallied := time.Now(), time.Now()
 	var closed rwconnlimit.Stats
 	var relayed rwrelay.Stats
+	var reclaimed int64
 	for {
 		select {
 		case <-ctx.Done():
@@ -985,6 +1045,7 @@
 				tallied = now
 				e.reportAccounts()
 				e.reportLink(now)
+				reclaimed = e.reportMemory(reclaimed)
 			}
 			if n := e.sink.Dropped.Swap(0); n > 0 {
 				e.metrics.Add("log_lines_dropped", n)
@@ -1152,6 +1213,11 @@
 		"active_requests": e.activeRequests.Load(), "caller_connections": int64(e.connLimiter.Open()), "routers": int64(len(e.gossip.Live(""))),
 		"revision": snapshot.Rev, "era": snapshot.Era, "upstreams_usable": int64(usable), "upstreams_leaving": int64(leaving),
 	}
+	held, evicted := e.memory.Held()
+	for kind, n := range held {
+		lines["memory_"+kind] = n
+	}
+	lines["memory_evicted"] = evicted
 	if snapshot.Config != nil {
 		lines["version"] = snapshot.Config.Version
 	}
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"time"
 
+	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwinboundrequest"
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwplacement"
@@ -59,6 +60,8 @@
 	// Via is the address of the router that relayed the caller's connection, or
 	// empty.
 	Via string
+	// Memory is what the body has of the router's memory budget, or nil.
+	Memory *rwbudget.Claim
 	// OldProtocol is whether the caller speaks HTTP/1.0, which has no chunks.
 	OldProtocol bool
 	// Upstream is the last one picked for the request; UpstreamSoftware is the
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -15,7 +14,9 @@
 
 	"github.com/rs/zerolog"
 
+	"redwingworks.example/internal/rwbody"
 	"redwingworks.example/internal/rwbroker"
+	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwconfigsnapshot"
 	"redwingworks.example/internal/rwconn"
@@ -160,6 +161,8 @@
 	Alive func(service, upstream string, startMillis int64, sent time.Time)
 	// Tally, if set, counts the requests by account and outcome.
 	Tally *rwtally.Tally
+	// Memory, if set, bounds the memory of bodies beyond includedBodyBytes each.
+	Memory *rwbudget.Budget
 	// BodyTimeout bounds the time to read a request body; 0 for the default.
 	BodyTimeout time.Duration
 
@@ -189,6 +192,11 @@
 	}
 	f.limitBodyTime(w, r)
 	x, fault := f.admit(w, r, start, inFlight)
+	defer x.Memory.Close()
+	if fault != nil && errors.Is(fault, rwbody.ErrNoMemory) {
+		f.refuseAndDiscard(w, r, x, fault)
+		return
+	}
 	if fault != nil {
 		f.refuse(w, x, fault)
 		return
@@ -240,6 +248,10 @@
 	if f.Draining(x.Deadline) {
 		return x, ShuttingDown()
 	}
+	if limit := snapshot.Config.Limits.MaxBodyBytes; limit > 0 && r.ContentLength > limit {
+		endAfterResponse(w)
+		return x, rwfault.New(rwcode.BodyTooLarge, strconv.FormatInt(r.ContentLength, 10)+" bytes announced")
+	}
 	if fault := f.admitBody(w, r, x); fault != nil {
 		return x, fault
 	}
@@ -308,75 +320,6 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
 }
 
-func (f *Handler) readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
-	if r.ContentLength == 0 {
-		return nil
-	}
-	rc := http.NewResponseController(w)
-	body := r.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	// A drain that cancels the request also ends the read, which doesn't look at
-	// the context. After other cancellations, the read fails by itself.
-	stop := context.AfterFunc(r.Context(), func() {
-		if cancelled(r.Context()) != nil {
-			_ = rc.SetReadDeadline(time.Now())
-		}
-	})
-	defer stop()
-	data, err := readAll(body, r.ContentLength)
-	if err != nil {
-		// Otherwise net/http would read the rest of the body before it sends the
-		// response, and without a deadline would wait for it forever.
-		w.Header().Set("Connection", "close")
-		_ = rc.SetReadDeadline(time.Now().Add(lingerTime))
-		return bodyFault(r, err)
-	}
-	_ = rc.SetReadDeadline(time.Time{})
-	x.Request.Body = data
-	return nil
-}
-
-// bodyFault returns the fault for an error of reading a body.
-func bodyFault(r *http.Request, err error) *rwfault.Fault {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return rwfault.Wrap(rwcode.BodyTooLarge, err)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		if fault := cancelled(r.Context()); fault != nil {
-			return fault
-		}
-		// net/http cancels the context of the request after each read error, so
-		// that alone doesn't mean that the caller has left.
-		return rwfault.Wrap(rwcode.SlowBody, err)
-	case r.Context().Err() != nil:
-		return rwfault.Wrap(rwcode.CallerGone, err)
-	default:
-		return rwfault.Wrap(rwcode.SlowBody, err)
-	}
-}
-
-// cancelled returns the fault with which the router itself cancelled the context of
-// a request, or nil.
-func cancelled(ctx context.Context) *rwfault.Fault {
-	if fault := rwfault.FromContext(ctx); fault != nil && fault.Code != rwcode.CallerGone {
-		return fault
-	}
-	return nil
-}
-
-func readAll(r io.Reader, size int64) ([]byte, error) {
-	const maxPreallocBytes = 1 << 20
-	if size < 0 || size > maxPreallocBytes {
-		return io.ReadAll(r)
-	}
-	data := make([]byte, size)
-	_, err := io.ReadFull(r, data)
-	return data, err
-}
-
 // setDeadline sets the deadline of the exchange.
 func (f *Handler) setDeadline(x *rwexchange.Exchange) {
 	wait := defaultTimeout
--- a/internal/rwlisten/rwlisten.go
+++ b/internal/rwlisten/rwlisten.go
@@ -4,8 +4,10 @@
 package rwlisten
 
 import (
+	"errors"
 	"net"
 	"os"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -44,3 +46,22 @@
 	}
 	return net.FileListener(file)
 }
+
+// LimitReceiveBuffer sets the receive buffer of the connections that a TCP listener
+// accepts from now on. It fails with an *os.SyscallError, or if the listener has no
+// socket.
+func LimitReceiveBuffer(l net.Listener, receiveBytes int) error {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes)
+	})
+	return errors.Join(err, os.NewSyscallError("setsockopt", setErr))
+}
--- a/internal/rwlisten/rwlisten_test.go
+++ b/internal/rwlisten/rwlisten_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // Guards against a listen queue in which callers wait until they are about to give
@@ -60,3 +62,27 @@
 	// The system doubles both buffers for its own needs.
 	require.LessOrEqual(t, n, 8*receiveBytes)
 }
+
+// Guards against connections whose receive buffers grow with what their callers send.
+func TestLimitReceiveBuffer(t *testing.T) {
+	const receiveBytes = 16 << 10
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	require.NoError(t, LimitReceiveBuffer(l, receiveBytes))
+	caller, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	sc, ok := c.(syscall.Conn)
+	require.True(t, ok)
+	raw, err := sc.SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		n, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
+		require.NoError(t, err)
+		require.LessOrEqual(t, n, 2*receiveBytes, "Linux doubles the size")
+	}))
+}
--- a/internal/rwlog/event_string.go
+++ b/internal/rwlog/event_string.go
@@ -24,6 +24,7 @@
 	_ = x[ConnectionsRelayed-113]
 	_ = x[AccountRequests-114]
 	_ = x[LinkBusy-115]
+	_ = x[MemoryReclaimed-116]
 	_ = x[RecordAdopted-200]
 	_ = x[RecordSetAside-201]
 	_ = x[RecordStale-202]
@@ -57,7 +58,7 @@
 }
 
 const (
-	_Event_name_0 = "startedstoppedstop requestedsettings invalidreadydrain finishedpause detectedlog lines droppedsettings reloadedprocess failedrotation changedconnections closeddrain refuses requestsconnections relayedaccount requestslink busy"
+	_Event_name_0 = "startedstoppedstop requestedsettings invalidreadydrain finishedpause detectedlog lines droppedsettings reloadedprocess failedrotation changedconnections closeddrain refuses requestsconnections relayedaccount requestslink busymemory reclaimed"
 	_Event_name_1 = "record adoptedrecord set asidestale record ignoredplatform lostplatform restoredupstream leavingconfiguration adoptedupstreams changedplatform returned from a copyheader field unreadable"
 	_Event_name_2 = "member changed"
 	_Event_name_3 = "request refusedrequest failedrequest retriedrequest placedrequest resumedrequest finishedrequest abandonedrequest cut"
@@ -67,7 +68,7 @@
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 7, 14, 28, 44, 49, 63, 77, 94, 111, 125, 141, 159, 181, 200, 216, 225}
+	_Event_index_0 = [...]uint8{0, 7, 14, 28, 44, 49, 63, 77, 94, 111, 125, 141, 159, 181, 200, 216, 225, 241}
 	_Event_index_1 = [...]uint8{0, 14, 30, 50, 63, 80, 96, 117, 134, 163, 186}
 	_Event_index_3 = [...]uint8{0, 15, 29, 44, 58, 73, 89, 106, 117}
 	_Event_index_4 = [...]uint8{0, 12, 21}
@@ -77,7 +78,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 115:
+	case 100 <= i && i <= 116:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 200 <= i && i <= 209:
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -35,6 +35,7 @@
 	ConnectionsRelayed   Event = 113 // connections relayed
 	AccountRequests      Event = 114 // account requests
 	LinkBusy             Event = 115 // link busy
+	MemoryReclaimed      Event = 116 // memory reclaimed
 	RecordAdopted        Event = 200 // record adopted
 	RecordSetAside       Event = 201 // record set aside
 	RecordStale          Event = 202 // stale record ignored
