Bound the memory of bodies at rwrouter

Cause: stalled bodies kept their places until their timeout, were copied as they grew, and callers' sockets could take megabytes each.

Change: REDWING_MEMORY_MB (--memory-mb, by default 0, no limit) gives rwgate the budget of rwbudget, a heap limit and bounded receive buffers. rwgate reads bodies with rwbody.

--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -3,7 +3,6 @@
 package rwgate
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -20,6 +19,8 @@
 	"time"
 
 	"redwingworks.example/internal/rwaccount"
+	"redwingworks.example/internal/rwbody"
+	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwdispatch"
 	"redwingworks.example/internal/rwerrorresponse"
@@ -108,6 +109,9 @@
 	// requests and the memory for bodies of all callers together; 0 for the
 	// defaults.
 	MaxConns, MaxRequests, MaxTotalBodyBytes int
+	// Memory, if set, bounds the memory of bodies further: callers that stop within their
+	// bodies lose theirs to others.
+	Memory *rwbudget.Budget
 	// BodyTimeout bounds the wait for a request's body; 0 for the default.
 	BodyTimeout time.Duration
 
@@ -449,23 +453,30 @@
 	// if the request has no body. In HTTP/2, the deadline has no effect after
 	// the end of the body.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.BodyTimeout))
-	var b bytes.Buffer
-	if r.ContentLength > 0 {
-		b.Grow(int(r.ContentLength) + bytes.MinRead)
+	memory := g.Memory.Open(time.Now(), "bodies", 0, func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+	data, err := rwbody.Read(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, memory)
+	if !memory.Pin() {
+		err = rwbody.ErrNoMemory
 	}
-	_, err := b.ReadFrom(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
+		memory.Close()
 		g.bodyBytes.Release(reserved)
 		return nil, bodyFault(r, err)
 	}
-	g.bodyBytes.Release(reserved - int64(b.Len()))
-	return b.Bytes(), nil
+	// The request's context ends after its response.
+	context.AfterFunc(r.Context(), memory.Close)
+	g.bodyBytes.Release(reserved - int64(len(data)))
+	return data, nil
 }
 
 // bodyFault returns the fault for an error of reading a body.
 func bodyFault(r *http.Request, err error) error {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, rwbody.ErrNoMemory):
+		return rwfault.Wrap(rwcode.TooManyRequests, err)
 	case errors.As(err, &tooLarge):
 		return rwfault.New(rwcode.BodyTooLarge, strconv.Itoa(maxBodyBytes))
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -10,6 +10,7 @@
 	"net/http/pprof"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 
 	"github.com/rs/zerolog"
 
+	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwconfsync"
 	"redwingworks.example/internal/rwdispatch"
@@ -29,6 +31,7 @@
 	"redwingworks.example/internal/rwgossip"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwleaving"
+	"redwingworks.example/internal/rwlisten"
 	"redwingworks.example/internal/rwlocalpolicy"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwmetric"
@@ -59,6 +62,13 @@
 	// logBurst is the largest number of events about single requests that are
 	// logged per second.
 	logBurst = 10
+	// bodyMemoryRatio and heapMemoryRatio are the fractions of the VM's memory that bodies
+	// may take, and that the heap may take before the garbage collector runs more often.
+	bodyMemoryRatio = 0.25
+	heapMemoryRatio = 0.6
+	// callerReceiveBytes is the receive buffer of callers' connections if the memory is
+	// limited. Linux takes twice as much.
+	callerReceiveBytes = 16 << 10
 )
 
 // Node is one router.
@@ -187,8 +197,14 @@
 		MaxRequests:  n.settings.MaxRequests,
 		BodyTimeout:  n.settings.BodyTimeout,
 	}
+	if m := n.memoryBytes(); m > 0 {
+		n.gate.Memory = rwbudget.New(int64(bodyMemoryRatio * float64(m)))
+	}
 }
 
+// memoryBytes returns the memory limit of the settings, or 0 for none.
+func (n *Node) memoryBytes() int64 { return int64(n.settings.MemoryMB) << 20 }
+
 // runCall returns the function that executes a call. A non-idempotent call with
 // an idempotency key is sent to the only router that may execute it. Other calls
 // are executed by this router: a call without a key is known to no other router.
@@ -234,6 +250,9 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	n.metrics.Publish()
+	if m := n.memoryBytes(); m > 0 {
+		debug.SetMemoryLimit(int64(heapMemoryRatio * float64(m)))
+	}
 	rwlog.Info(&n.log, rwlog.Started).Int64("inc", n.self.Inc).Send()
 	err := n.serve(signals)
 	if err != nil {
@@ -283,6 +302,14 @@
 		_ = l.ops.Close()
 		return listeners{}, rwfault.Wrap(rwcode.Internal, err)
 	}
+	if n.memoryBytes() > 0 {
+		if err := rwlisten.LimitReceiveBuffer(l.callers, callerReceiveBytes); err != nil {
+			_ = l.peers.Close()
+			_ = l.ops.Close()
+			_ = l.callers.Close()
+			return listeners{}, rwfault.Wrap(rwcode.Internal, err)
+		}
+	}
 	return l, nil
 }
 
--- a/internal/rwsettings/rwsettings.go
+++ b/internal/rwsettings/rwsettings.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/tls"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -66,11 +67,18 @@
 	// callers.
 	MaxConns    int `env:"REDWING_MAX_CONNS" envDefault:"4096"`
 	MaxRequests int `env:"REDWING_MAX_REQUESTS" envDefault:"8192"`
+	// MemoryMB is the memory of the VM in units of 2^20 bytes, to which the router keeps
+	// what callers make it hold; 0 sets no limit beside those of a single request.
+	MemoryMB int `env:"REDWING_MEMORY_MB" envDefault:"0"`
 	// BodyTimeout limits the time to receive a request body.
 	BodyTimeout time.Duration `env:"REDWING_BODY_TIMEOUT" envDefault:"15s"`
 }
 
-const minKeyBytes = 16
+const (
+	minKeyBytes = 16
+	// minMemoryMB leaves room for a few bodies beside the program itself.
+	minMemoryMB = 64
+)
 
 // Load reads the settings from the environment.
 func Load() (Settings, error) {
@@ -104,6 +112,7 @@
 	f.StringVar(&s.CertKey, "cert-key", s.CertKey, "PEM file with the certificate's key")
 	f.IntVar(&s.MaxConns, "max-conns", s.MaxConns, "largest number of callers' connections")
 	f.IntVar(&s.MaxRequests, "max-requests", s.MaxRequests, "largest number of callers' concurrent requests")
+	f.IntVar(&s.MemoryMB, "memory-mb", s.MemoryMB, "memory of the VM in MB, which bounds what callers make the router hold; 0 for no limit")
 	f.DurationVar(&s.BodyTimeout, "body-timeout", s.BodyTimeout, "longest time to receive a request body")
 }
 
@@ -133,6 +142,7 @@
 	need((s.Cert == "") == (s.CertKey == ""), "cert and cert-key must be given together")
 	need(s.MaxConns >= 1, "max-conns must be at least 1")
 	need(s.MaxRequests >= 1, "max-requests must be at least 1")
+	need(s.MemoryMB == 0 || s.MemoryMB >= minMemoryMB, "memory-mb must be 0 or at least "+strconv.Itoa(minMemoryMB))
 	need(s.BodyTimeout > 0, "body-timeout must be positive")
 	for _, a := range s.Seeds {
 		need(ipPort(a), "seed "+a+" must be an IP address and a port")
