Ask for warm engines without a lock

The owner of a cell asks for each engine at each decision whether it is cold. The tracker now answers from two atomic values while nothing is cold and no failure is unanswered.

--- a/internal/rwcold/rwcold.go
+++ b/internal/rwcold/rwcold.go
@@ -6,9 +6,9 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"redwingworks.example/internal/rwinstance"
@@ -41,6 +41,12 @@
 type Tracker struct {
 	startedAt time.Time
 
+	// coldBy is a time in Unix nanoseconds from which no upstream is cold, and failing
+	// the number of upstreams with signs. They answer for a warm fleet without a lock:
+	// the owner of a cell asks for each of its engines at each decision.
+	coldBy  atomic.Int64
+	failing atomic.Int64
+
 	mu        sync.Mutex
 	upstreams map[string]*upstream
 }
@@ -101,6 +107,7 @@
 				u.inferredUntil = now.Add(d)
 			}
 		case u.startMillis != in.StartMillis:
+			t.setSigns(u, 0)
 			*u = upstream{
 				startMillis: in.StartMillis, announced: in.Cold, announcedAt: now, evacuated: u.evacuated, reported: u.reported,
 				inferredUntil: u.inferredUntil, toldUntil: u.toldUntil,
@@ -114,9 +121,33 @@
 		if u.evacuated && !in.Evacuated {
 			u.inferredUntil = later(u.inferredUntil, now.Add(d))
 		}
+		t.raise(u.until())
 		u.service, u.care, u.coldStart, u.evacuated, u.listedAt = in.Service, care, d, in.Evacuated, now
 	}
-	maps.DeleteFunc(t.upstreams, func(_ string, u *upstream) bool { return now.Sub(u.listedAt) > memory })
+	for id, u := range t.upstreams {
+		if now.Sub(u.listedAt) > memory {
+			t.setSigns(u, 0)
+			delete(t.upstreams, id)
+		}
+	}
+}
+
+// setSigns changes the number of signs of an upstream. The caller must hold the lock.
+func (t *Tracker) setSigns(u *upstream, n int) {
+	t.failing.Add(int64(min(n, 1) - min(u.signs, 1)))
+	u.signs = n
+}
+
+// raise notes that an upstream is cold until a time. The caller must hold the lock.
+func (t *Tracker) raise(until time.Time) {
+	if n := until.UnixNano(); !until.IsZero() && n > t.coldBy.Load() {
+		t.coldBy.Store(n)
+	}
+}
+
+// allWarm reports whether no upstream is cold, silent or doubtful.
+func (t *Tracker) allWarm(now time.Time) bool {
+	return t.failing.Load() == 0 && now.UnixNano() >= t.coldBy.Load()
 }
 
 // Fail records a sign that an upstream doesn't answer: a connection that failed or
@@ -125,13 +156,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[id]
-	if u == nil {
+	if u == nil || !u.care {
 		return
 	}
 	if u.signs == 0 {
 		u.failedAt = now
 	}
-	u.signs++
+	t.setSigns(u, u.signs+1)
 	u.lastFailedAt = now
 }
 
@@ -146,8 +177,10 @@
 	}
 	if u.silent(now) {
 		u.inferredUntil = later(u.inferredUntil, now.Add(u.coldStart))
+		t.raise(u.inferredUntil)
 	}
-	u.signs, u.answeredAt = 0, now
+	t.setSigns(u, 0)
+	u.answeredAt = now
 }
 
 // Tell records that the owner of an upstream's cell takes it for cold for a time.
@@ -156,6 +189,7 @@
 	defer t.mu.Unlock()
 	if u := t.upstreams[id]; u != nil {
 		u.toldUntil = later(u.toldUntil, now.Add(min(left, u.coldStart)))
+		t.raise(u.toldUntil)
 	}
 }
 
@@ -170,6 +204,9 @@
 
 // Doubtful reports whether the last sign of an upstream was a failure a short time ago.
 func (t *Tracker) Doubtful(now time.Time, id string) bool {
+	if t.failing.Load() == 0 {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[id]
@@ -179,6 +216,9 @@
 // Cold reports whether an upstream is cold, or silent and so possibly cold when it
 // answers again.
 func (t *Tracker) Cold(now time.Time, id string) bool {
+	if t.allWarm(now) {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[id]
@@ -188,6 +228,9 @@
 // Announced reports whether an upstream is cold by the list of upstreams alone,
 // without what its answers and failures say.
 func (t *Tracker) Announced(now time.Time, id string) bool {
+	if t.allWarm(now) {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[id]
@@ -197,6 +240,9 @@
 // Tellable returns for how long upstreams of a service stay cold, by id, as other
 // routers should know it, or nil if none is cold.
 func (t *Tracker) Tellable(now time.Time, service string) map[string]time.Duration {
+	if t.allWarm(now) {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out map[string]time.Duration
--- a/internal/rwcoldguard/rwcoldguard.go
+++ b/internal/rwcoldguard/rwcoldguard.go
@@ -109,9 +109,13 @@
 	return rwplacement.Cold{
 		Is: g.tracker.Cold, Failed: g.tracker.Fail, Answered: g.tracker.Answer, Take: g.meter.Take, Count: g.Count,
 		Room: func(now time.Time, id, account string) bool {
+			cold := g.tracker.Cold(now, id)
+			if !cold && g.tracker.Heard(now, id) && !g.tracker.Doubtful(now, id) {
+				return true
+			}
 			_, each := g.split(service)
 			may := g.owns(now, service, cell, score)
-			if !g.tracker.Cold(now, id) {
+			if !cold {
 				return g.mayBeWarm(now, id, each, may)
 			}
 			// The meter has to hear of the upstream also while this router may not send.
