Add rwctl config: check a configuration before it is published

Cause: operators asked for a check of a configuration before it is sent: errors, entries that can never match, limits that contradict each other, and what differs from the version in force. Exit status 0 without findings, 1 for warnings, 2 for errors and for a check that wasn't made.

--- a/cmd/rwctl/main.go
+++ b/cmd/rwctl/main.go
@@ -1,6 +1,6 @@
-// Command rwctl is a read-only tool for operators. It checks record files before
-// they are published, shows the state of a router, and explains from logs what
-// happened to a request.
+// Command rwctl is a read-only tool for operators. It checks record files and
+// configurations of the front router before they are published, shows the state of a
+// router, and explains from logs what happened to a request.
 package main
 
 import (
@@ -30,14 +30,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := command().ExecuteContext(ctx)
 	stop()
-	if err != nil {
-		os.Exit(1)
+	if status := exitStatus(err); status != 0 {
+		os.Exit(status)
 	}
 }
 
 func command() *cobra.Command {
 	c := &cobra.Command{Use: "rwctl", Short: "Read-only command for operators", SilenceUsage: true}
-	c.AddCommand(check(), view(), follow(), explain())
+	c.AddCommand(check(), config(), view(), follow(), explain())
 	return c
 }
 
