--- a/cmd/rwctl/internal/rwconfigcheck/rwconfigcheck.go
+++ b/cmd/rwctl/internal/rwconfigcheck/rwconfigcheck.go
@@ -150,7 +150,7 @@
 		c.warn(place, "timeout %v is above %v", r.Timeout, maxTimeout)
 	}
 	if r.MaxAttempts > 1 && !r.Retryable() {
-		c.warn(place, "allows %d attempts, but its requests must not run more than once", r.MaxAttempts)
+		c.warn(place, "allows %d attempts, but its requests must not run twice: another attempt follows only one that did not run", r.MaxAttempts)
 	}
 }
 
--- a/cmd/rwctl/internal/rwconfigcheck/rwconfigcheck_test.go
+++ b/cmd/rwctl/internal/rwconfigcheck/rwconfigcheck_test.go
@@ -47,9 +47,10 @@
 }
 
 // Guards against a bound that is off by one: a value of exactly the store's size, a
-// version just above, a cold bound of exactly 3 and a body that just fits are valid.
+// version just above, a cold bound of exactly 3, a body that just fits, and targets as
+// long as a timeout of 60 s are valid.
 func TestBounds(t *testing.T) {
-	const head = `{"version":8,"limits":{"idleTimeoutMs":1000,"maxBodyBytes":300},"routes":[{"name":"r","host":"h","prefix":"/","kind":"safe","service":"s"}],"services":[{"name":"s","coldPerS":2}],"pad":"`
+	const head = `{"version":8,"limits":{"idleTimeoutMs":1000,"maxBodyBytes":300},"routes":[{"name":"r","host":"h","prefix":"/","kind":"safe","service":"s","timeoutMs":60000,"targetLatencyMs":60000,"gapTargetMs":60000,"maxAttempts":9}],"services":[{"name":"s","coldPerS":2}],"pad":"`
 	value := func(size int) []byte { return []byte(head + strings.Repeat("x", size-len(head)-2) + `"}`) }
 	check := func(version, memory int64, slack float64, size int) []rwconfigfinding.Finding {
 		c := &Checker{InForce: &rwconfigdraft.Draft{Version: version}, MemoryBytes: memory, ColdOverage: 1, ColdSlack: slack}
