Let callers' receive buffers take a body of ordinary size

Cause: with a receive buffer of 16 KiB, a body of ordinary size needs further round trips on a wide link, whose connections had the system's own buffer.

Change: 32 KiB, which connectionBytes allows for.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -104,8 +104,10 @@
 	bulkMemoryRatio = 0.25
 	// callerReceiveBytes and upstreamReceiveBytes are the receive buffers of connections
 	// of callers and to upstreams if the settings set a memory limit: the system's own
-	// grow to megabytes on a connection that isn't read. Linux takes twice as much.
-	callerReceiveBytes   = 16 << 10
+	// grow to megabytes on a connection that isn't read. Linux takes twice as much. That
+	// of callers is a part of connectionBytes; with a smaller one, a body of ordinary size
+	// would need several round trips.
+	callerReceiveBytes   = 32 << 10
 	upstreamReceiveBytes = 32 << 10
 	// defaultMaxRequests bounds the requests in progress if the settings set no
 	// memory limit.
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -68,7 +68,7 @@
 	heapMemoryRatio = 0.6
 	// callerReceiveBytes is the receive buffer of callers' connections if the memory is
 	// limited. Linux takes twice as much.
-	callerReceiveBytes = 16 << 10
+	callerReceiveBytes = 32 << 10
 )
 
 // Node is one router.
