--- a/internal/rwplacement/calibration.go
+++ b/internal/rwplacement/calibration.go
@@ -16,7 +16,7 @@
 	// they no longer do. Models of engines start at 120,000, which suits the rates
 	// above; below, forecasts at that rate promise twice what the engines do, and
 	// a third of what was granted came late.
-	slowPoolRate, fastPoolRate = 75_000, 85_000
+	slowPoolRate, fastPoolRate = 80_000, 95_000
 	// minPoolSamples is the least number of samples that show a slow pool.
 	minPoolSamples = 30
 )
--- a/internal/rwplacement/gaps.go
+++ b/internal/rwplacement/gaps.go
@@ -6,7 +6,11 @@
 	// gapPrefillRatio is the fraction of the shortest gap target that an engine may
 	// spend on prefilling. The rest is for the steps in which streams get the tokens of
 	// an event.
-	gapPrefillRatio = 0.8
+	gapPrefillRatio = 0.9
+	// overdueLimit is how late the first event of the prompt that an engine prefills may
+	// be until the engine counts as paused. What it is sent then makes its steps longer
+	// when they are slow already.
+	overdueLimit = 80 * time.Millisecond
 	// longPromptStreamCost is the delay that each running stream counts as when a
 	// prompt is so long that their events are late.
 	longPromptStreamCost = 15 * time.Millisecond
@@ -34,6 +38,9 @@
 	if !p.paced() {
 		return true
 	}
+	if o.engine.model.Overdue(now) > overdueLimit {
+		return false
+	}
 	limit := scale(p.minGap, gapPrefillRatio)
 	busy := o.engine.prefills.Busy(now, o.prefill, p.minGap)
 	return busy+o.prefill <= limit || p.isLong(o) && busy <= limit/4
--- a/internal/rwplacement/gaps_test.go
+++ b/internal/rwplacement/gaps_test.go
@@ -88,3 +88,16 @@
 	p.engines["a"].running = p.spec.Slots - 1
 	require.True(t, p.hasSlot(p.engines["a"], gapRequest("1", "s", 10)), "other pools are served as before")
 }
+
+// Guards against sending prompts to an engine that pauses: each chunk makes the next event of
+// its streams later.
+func TestPausedEngineGetsNoPrompts(t *testing.T) {
+	p := slowPlacer("a")
+	p.AddCached("a", gapRequest("", "s", 0).Parts[:1])
+	d := p.Submit(at(0), gapRequest("0", "s", 2_000))
+	due := int(d.Forecast.Milliseconds())
+	require.Equal(t, Granted, p.Submit(at(due+50), gapRequest("1", "s", 1_000)).Verdict)
+	require.Equal(t, Queued, p.Submit(at(due+110), gapRequest("2", "s", 1_000)).Verdict)
+	p.FirstEvent(at(due+120), "0")
+	require.Len(t, p.Tick(at(due+120)), 1)
+}
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -238,6 +238,9 @@
 	// FairShare is its fair share, or 0 if shares are not enforced.
 	Usage     int `json:"got,omitempty"`
 	FairShare int `json:"lvl,omitempty"`
+	// Crowded is whether the cell was crowded: requests that returned went last, and
+	// prompts that are too long to be in time were refused.
+	Crowded bool `json:"crowd,omitempty"`
 	// RetryAfter is when a refused caller should retry.
 	RetryAfter time.Duration `json:"retry,omitempty"`
 }
@@ -867,9 +870,10 @@
 	return p.withShare(now, r, d)
 }
 
-// withShare adds the account's usage and share to a decision, for logging.
+// withShare adds the account's usage and share, and whether the cell is crowded, to
+// a decision, for logging.
 func (p *Placer) withShare(now time.Time, r Request, d Decision) Decision {
-	d.Usage = int(p.account(now, r.Account).usage)
+	d.Usage, d.Crowded = int(p.account(now, r.Account).usage), p.crowded()
 	if share := p.FairShare(now); !math.IsInf(share, 1) {
 		d.FairShare = int(share)
 	}
@@ -895,6 +899,7 @@
 	if o, ok := p.bestOption(now, r); ok {
 		d.Engine, d.Forecast, d.CachedTokens = o.engine.ID, o.forecast, o.cachedTokens
 		d.QueuedTokens, d.UncachedTokens = int(o.engine.model.QueuedTokens(now)), int(o.uncachedTokens)
+		d.PrefillRate = int(o.engine.model.Rate())
 	}
 	return p.withShare(now, r, d)
 }
--- a/internal/rwprefill/calibration.go
+++ b/internal/rwprefill/calibration.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// fitHalfLife is the half-life of an engine's own samples: engines pause for
-	// about half a second.
-	fitHalfLife = 10 * time.Second
+	// fitHalfLife is the half-life of an engine's own samples. With 3 s, rates of engines
+	// of one speed differed by half.
+	fitHalfLife = 20 * time.Second
 	// maxFitDelay bounds the delay of a first event. It is several steps of a full
 	// chunk: chunks of 4,096 tokens take 100 ms on slow engines.
 	maxFitDelay = time.Second
@@ -36,7 +36,9 @@
 type fit struct {
 	own, pool   *rwprefillfit.Fit
 	calibration Calibration
-	delay       time.Duration
+	// delay is the time from the end of a prefill to the first event while no prompt
+	// is prefilled after it.
+	delay time.Duration
 	// tokens and finishedAt are the position and the time up to which the engine
 	// is known to have prefilled.
 	tokens     float64
@@ -76,8 +78,8 @@
 	return p
 }
 
-// firstEvent adds the sample of a prompt.
-func (f *fit) firstEvent(now time.Time, p *Prompt) {
+// firstEvent adds the sample of a prompt; last is whether no prompt was sent after it.
+func (f *fit) firstEvent(now time.Time, p *Prompt, last bool) {
 	if p.end <= f.tokens || p.startAt.IsZero() {
 		return
 	}
@@ -100,7 +102,9 @@
 	if f.pool != nil {
 		f.pool.Add(now, s)
 	}
-	if !idle {
+	if !idle || !last {
+		// Chunks of prompts behind this one made the steps to its first event
+		// longer.
 		return
 	}
 	// The delay is that of small prompts on an idle engine and the rate is mostly that
@@ -119,3 +123,14 @@
 	}
 	return f.own.Rate(now, f.calibration.PairCost, prior)
 }
+
+// Overdue returns by how much the first event of the prompt that the engine prefills now
+// is later than expected, or 0.
+func (m *Model) Overdue(now time.Time) time.Duration {
+	for _, p := range m.pending {
+		if !p.overtaken {
+			return max(now.Sub(p.dueAt), 0)
+		}
+	}
+	return 0
+}
--- a/internal/rwprefill/rwprefill.go
+++ b/internal/rwprefill/rwprefill.go
@@ -123,9 +123,11 @@
 func (m *Model) FirstEvent(now time.Time, p *Prompt) {
 	m.advance(now)
 	m.remove(p)
-	m.fit.firstEvent(now, p)
+	m.fit.firstEvent(now, p, p.end >= m.sent)
 	if m.calibrated {
-		m.firstEventDelay, m.rate = m.fit.delay, m.fit.rate(now)
+		delay := min(max(now.Sub(p.sentAt)-p.expectedPrefill, 0), maxFitDelay)
+		m.firstEventDelay += time.Duration(delayWeight * float64(delay-m.firstEventDelay))
+		m.rate = m.fit.rate(now)
 		m.passed(p)
 		return
 	}
@@ -197,8 +199,10 @@
 // events.
 func (m *Model) relax(now time.Time) {
 	if m.calibrated {
-		m.firstEventDelay, m.rate = m.fit.delay, m.fit.rate(now)
-		m.relaxedAt = now
+		if now.After(m.relaxedAt) {
+			m.rate = m.fit.rate(now)
+			m.relaxedAt = now
+		}
 		return
 	}
 	d := now.Sub(m.relaxedAt)
