--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -29,7 +29,7 @@
 	// as a fraction of the same deadline. Changes come all the time where there are
 	// many upstreams, and the platform counts each response of the store: with
 	// 120 ms, watches were two thirds of all calls of 83 routers.
-	batchDelayRatio = 0.1
+	batchDelayRatio = 0.06
 	// repairInterval is the listing interval of a router that receives changes
 	// from the readers; its listings only add what was missed.
 	repairInterval = 5 * time.Second
