Tell other routers which evacuations stand

Besides, by reading, a watch's changes could be applied with the revision of a listing that wasn't applied yet.

Change: the first part of a pull has the keys of all orders; those that the sender lacks, up to its revision, were taken back. rwstorewatch advances a revision and delivers what was read in one step.

--- a/internal/rwcatalog/evacuation_test.go
+++ b/internal/rwcatalog/evacuation_test.go
@@ -80,6 +80,22 @@
 	require.Empty(t, evacuatedIDs(c))
 }
 
+// Guards against a zone that stays evacuated at a router because the one that it pulls
+// from has seen neither the order nor its removal, and against one that is taken back by
+// a router which lacks a newer order or is of another era.
+func TestOrdersOfAnotherRouter(t *testing.T) {
+	c, other := New(zoneDecode), New(zoneDecode)
+	c.Apply(start, append(upstreams(), put("evacuate/x", "{}", 5), put("evacuate/y", "{}", 6)))
+	list(other, start, 0, 7, append(upstreams(), put("evacuate/y", "{}", 6))...)
+	require.False(t, c.ApplyOrders(start, rwrevision.Revision{Rev: 4}, nil), "the other lacks the orders")
+	c.Apply(start, other.Since(rwrevision.Revision{Rev: 6}))
+	require.Equal(t, []string{"x", "y"}, zones(c))
+	require.False(t, c.ApplyOrders(start, rwrevision.Revision{Era: 1, Rev: 7}, nil))
+	require.True(t, c.ApplyOrders(start, other.Rev(), other.Orders()))
+	require.Equal(t, []string{"y"}, zones(c))
+	require.Len(t, c.Instances(), 2, "upstreams aren't removed")
+}
+
 // Guards against a store's older copy that sends work to a zone whose return this
 // router doesn't know, against one that does so for ever, and against a router with
 // the news that keeps the zone from work.
--- a/internal/rwcatalog/rwcatalog.go
+++ b/internal/rwcatalog/rwcatalog.go
@@ -499,6 +499,32 @@
 	return changed
 }
 
+// Orders returns the keys of the items that order an evacuation, for another router.
+func (c *Catalog) Orders() []string {
+	var out []string
+	for key, e := range c.items {
+		if e.evacuated != "" && !e.item.Deleted {
+			out = append(out, key)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// ApplyOrders applies the keys of all orders that another router knows, which has all
+// changes up to a revision: evacuations of others that are not newer were taken back. A
+// router that has only seen listings knows no removal of an order that it never saw.
+func (c *Catalog) ApplyOrders(now time.Time, asOf rwrevision.Revision, keys []string) bool {
+	known := map[string]bool{}
+	for _, key := range keys {
+		known[key] = true
+	}
+	return c.ApplyListing(now, asOf, known, func(key string) bool {
+		e := c.items[key]
+		return e.evacuated != "" && e.item.Era == asOf.Era
+	})
+}
+
 // Tick applies what ends with time: grace periods of upstreams, and what items of
 // earlier eras tell. It reports whether the upstreams or evacuations changed.
 func (c *Catalog) Tick(now time.Time) bool {
--- a/internal/rwcatalogsync/evacuation_test.go
+++ b/internal/rwcatalogsync/evacuation_test.go
@@ -202,6 +202,14 @@
 			return changed
 		})
 	}
+	r.Orders = func() []string {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.catalog.Orders()
+	}
+	r.ApplyOrders = func(_ string, rev rwrevision.Revision, keys []string) {
+		r.update(func(now time.Time) bool { return r.catalog.ApplyOrders(now, rev, keys) })
+	}
 	r.Live = func(zone string) []rwidentity.Identity {
 		var list []rwidentity.Identity
 		for _, other := range r.world.routers {
--- a/internal/rwcatalogsync/rwcatalogsync.go
+++ b/internal/rwcatalogsync/rwcatalogsync.go
@@ -63,6 +63,10 @@
 	Since func(rev rwrevision.Revision) []rwitem.Item
 	// Apply applies items from another router, which has all changes up to rev.
 	Apply func(from string, rev rwrevision.Revision, items []rwitem.Item)
+	// Orders, if set, returns the keys of all items that order an evacuation.
+	// ApplyOrders applies those of another router, which has all changes up to rev.
+	Orders      func() []string
+	ApplyOrders func(from string, rev rwrevision.Revision, keys []string)
 	// OnLeaving is called when another router tells of an upstream that announced
 	// its leaving.
 	OnLeaving func(from string, u rwleaving.Upstream)
@@ -95,6 +99,13 @@
 type itemsMessage struct {
 	rwrevision.Revision
 	Items []rwitem.Item `json:"items"`
+	// orders is what the first part of a pull says of orders, or nil.
+	orders *orderList
+}
+
+// orderList has the keys of all items that order an evacuation.
+type orderList struct {
+	Keys []string `json:"keys"`
 }
 
 // partRequest asks for the items after a revision, from a position on.
@@ -106,9 +117,11 @@
 // partMessage has the revision up to which the sender has all changes.
 type partMessage struct {
 	rwrevision.Revision
-	Parts []rwpart.Part   `json:"parts,omitempty"`
-	Next  rwpart.Position `json:"next"`
-	Done  bool            `json:"done,omitempty"`
+	Parts []rwpart.Part `json:"parts,omitempty"`
+	// Orders is set by routers that know of evacuations.
+	Orders *orderList      `json:"orders,omitempty"`
+	Next   rwpart.Position `json:"next"`
+	Done   bool            `json:"done,omitempty"`
 }
 
 // New returns a syncer and registers its message handlers.
@@ -257,6 +270,9 @@
 		return
 	}
 	s.Apply(from.Name, m.Revision, m.Items)
+	if m.orders != nil && s.ApplyOrders != nil {
+		s.ApplyOrders(from.Name, m.Revision, m.orders.Keys)
+	}
 	if all {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -284,7 +300,7 @@
 		var err error
 		if i == 0 {
 			err = s.call(from, pullTimeout, "part", request, &m)
-			out.Revision = m.Revision
+			out.Revision, out.orders = m.Revision, m.Orders
 		} else {
 			err = s.nextPart(from, request, &m)
 		}
@@ -332,6 +348,9 @@
 	}
 	out := partMessage{Revision: s.Rev()}
 	out.Parts, out.Next, out.Done = rwpart.Cut(s.Since(m.Revision), m.From, partBytes, s.deflater.encode)
+	if s.Orders != nil && m.From == (rwpart.Position{}) {
+		out.Orders = &orderList{s.Orders()}
+	}
 	return rwpeer.Reply{Result: out, Written: func() { <-s.sending }}, nil
 }
 
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -307,6 +307,14 @@
 			return changed, bad
 		})
 	}
+	e.syncer.Orders = func() []string {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.catalog.Orders()
+	}
+	e.syncer.ApplyOrders = func(from string, rev rwrevision.Revision, keys []string) {
+		e.updateCatalog(from, func(now time.Time) (bool, map[string]error) { return e.catalog.ApplyOrders(now, rev, keys), nil })
+	}
 	e.syncer.OnTooLarge = func(from string, err error) {
 		rwlog.Warn(&e.log, rwlog.PeerMessageTooLarge, err).Str("method", "part").Str("source", from).Send()
 	}
--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -84,6 +84,11 @@
 	// refresh is whether to list before the interval has passed.
 	refresh atomic.Bool
 
+	// delivering makes advancing a revision and applying what was read up to it one
+	// step. Otherwise the changes of a watch are applied with the revision of a listing
+	// that isn't, and a router that pulls then never gets what the listing had.
+	delivering sync.Mutex
+
 	mu        sync.Mutex
 	revisions map[string]rwrevision.Revision
 }
@@ -155,11 +160,13 @@
 		case err == nil && b.Era != after.Era:
 			// The revision that the watch continued from names another change in
 			// this era, so changes before it may be missing.
-			w.OnChange(prefix, b)
+			w.deliver(func() { w.OnChange(prefix, b) })
 			w.list(ctx, prefix)
 		case err == nil:
-			w.advance(prefix, b.Revision())
-			w.OnChange(prefix, b)
+			w.deliver(func() {
+				w.advance(prefix, b.Revision())
+				w.OnChange(prefix, b)
+			})
 			if len(b.Items) > 0 {
 				sleep(ctx, w.deadlineRatio(batchDelayRatio))
 			}
@@ -184,17 +191,26 @@
 		return false
 	}
 	b.ReadAt = start
-	w.advance(prefix, b.Revision())
-	w.OnList(prefix, b)
+	w.deliver(func() {
+		w.advance(prefix, b.Revision())
+		w.OnList(prefix, b)
+	})
 	return true
 }
 
+// deliver calls f while nothing else is delivered.
+func (w *Watcher) deliver(f func()) {
+	w.delivering.Lock()
+	defer w.delivering.Unlock()
+	f()
+}
+
 // listStale is list with a listing that may be some seconds old. What it lacks may be
 // new, so its items only add to what is known.
 func (w *Watcher) listStale(ctx context.Context, prefix string) bool {
 	b, ok := w.call(ctx, prefix, w.ListStale)
 	if ok {
-		w.OnChange(prefix, b)
+		w.deliver(func() { w.OnChange(prefix, b) })
 	}
 	return ok
 }
