--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -105,8 +105,10 @@
 	bulkMemoryRatio = 0.25
 	// callerReceiveBytes and upstreamReceiveBytes are the receive buffers of connections
 	// of callers and to upstreams if the settings set a memory limit: the system's own
-	// grow to megabytes on a connection that isn't read. Linux takes twice as much.
-	callerReceiveBytes   = 16 << 10
+	// grow to megabytes on a connection that isn't read. Linux takes twice as much. That
+	// of callers is a part of connectionBytes; with a smaller one, a body of ordinary size
+	// would need several round trips.
+	callerReceiveBytes   = 32 << 10
 	upstreamReceiveBytes = 32 << 10
 	// defaultMaxRequests bounds the requests in progress if the settings set no
 	// memory limit.
@@ -329,6 +331,14 @@
 			return changed, bad
 		})
 	}
+	e.syncer.Orders = func() []string {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.catalog.Orders()
+	}
+	e.syncer.ApplyOrders = func(from string, rev rwrevision.Revision, keys []string) {
+		e.updateCatalog(from, func(now time.Time) (bool, map[string]error) { return e.catalog.ApplyOrders(now, rev, keys), nil })
+	}
 	e.syncer.OnTooLarge = func(from string, err error) {
 		rwlog.Warn(&e.log, rwlog.PeerMessageTooLarge, err).Str("method", "part").Str("source", from).Send()
 	}
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -255,6 +255,9 @@
 	// FairShare is its fair share, or 0 if shares are not enforced.
 	Usage     int `json:"got,omitempty"`
 	FairShare int `json:"lvl,omitempty"`
+	// Crowded is whether the cell was crowded: requests that returned went last, and
+	// prompts that are too long to be in time were refused.
+	Crowded bool `json:"crowd,omitempty"`
 	// RetryAfter is when a refused caller should retry.
 	RetryAfter time.Duration `json:"retry,omitempty"`
 	// Load is the load of the cell in percent, as Placer.Load returns it.
@@ -946,10 +949,10 @@
 	return p.withShare(now, r, p.withCold(now, r, d))
 }
 
-// withShare adds the account's usage and share to a decision, for logging, and the
-// load of the cell.
+// withShare adds the account's usage and share to a decision, for logging, with the
+// load of the cell and whether it is crowded.
 func (p *Placer) withShare(now time.Time, r Request, d Decision) Decision {
-	d.Load = percent(p.Load(now))
+	d.Load, d.Crowded = percent(p.Load(now)), p.crowded()
 	d.Usage = int(p.account(now, r.Account).usage)
 	if share := p.FairShare(now); !math.IsInf(share, 1) {
 		d.FairShare = int(share)
@@ -983,6 +986,7 @@
 	if o, ok := p.bestOption(now, r); ok {
 		d.Engine, d.Forecast, d.CachedTokens = o.engine.ID, o.forecast, o.cachedTokens
 		d.QueuedTokens, d.UncachedTokens = int(o.engine.model.QueuedTokens(now)), int(o.uncachedTokens)
+		d.PrefillRate = int(o.engine.model.Rate())
 	}
 	return p.withShare(now, r, d)
 }
