Ask a store less often that turns routers away

Change: a router that receives changes from the readers doubles the delay after each further failed listing, up to 2.4 s. Result: a test bounds the listings of a minute at 35.

--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -34,9 +34,11 @@
 	// from the readers; its listings only add what was missed.
 	repairInterval = 5 * time.Second
 	// retryDelay follows a failed call, so that a store that refuses calls
-	// isn't flooded with them.
-	retryDelay   = 150 * time.Millisecond
-	pollInterval = 50 * time.Millisecond
+	// isn't flooded with them. At a router that receives changes from the readers it
+	// doubles up to maxRetryDelay with each further failed listing.
+	retryDelay    = 150 * time.Millisecond
+	maxRetryDelay = 2400 * time.Millisecond
+	pollInterval  = 50 * time.Millisecond
 )
 
 // Batch is a response of the store.
@@ -110,6 +112,7 @@
 func (w *Watcher) listLoop(ctx context.Context, prefix string) {
 	// The first listing and those that Refresh asks for must be current.
 	mayBeStale := false
+	failures := 0
 	for ctx.Err() == nil {
 		start := time.Now()
 		ok := false
@@ -119,8 +122,12 @@
 			ok = w.list(ctx, prefix)
 		}
 		if !ok {
+			if failures++; failures > 1 && !w.IsReader() {
+				sleep(ctx, backoff(failures)-retryDelay)
+			}
 			continue
 		}
+		failures = 0
 		mayBeStale = true
 		for ctx.Err() == nil && time.Since(start) < w.listInterval() {
 			if w.refresh.Swap(false) {
@@ -132,6 +139,12 @@
 	}
 }
 
+// backoff returns the delay after a number of failed listings in a row.
+func backoff(failures int) time.Duration {
+	const doublings = 4
+	return min(retryDelay<<min(failures-1, doublings), maxRetryDelay)
+}
+
 func (w *Watcher) listInterval() time.Duration {
 	if w.IsReader() {
 		return w.deadlineRatio(listDeadlineRatio)
--- a/internal/rwstorewatch/rwstorewatch_test.go
+++ b/internal/rwstorewatch/rwstorewatch_test.go
@@ -201,6 +201,22 @@
 	})
 }
 
+// Guards against a fleet that floods a store which turns it away, and against routers
+// that go on waiting long after its return.
+func TestNonReadersBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		seen := run(t, s, false)
+		s.set(func() { s.down = true })
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, s.listed(), 35)
+		s.set(func() { s.down, s.rev = false, 9 })
+		time.Sleep(maxRetryDelay)
+		synctest.Wait()
+		require.EqualValues(t, 9, seen())
+	})
+}
+
 // Guards against a reader that doesn't watch and learns of changes too late.
 func TestReaderThatOnlyListsIsInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
