--- a/internal/rwbroker/cells_test.go
+++ b/internal/rwbroker/cells_test.go
@@ -53,8 +53,8 @@
 func TestRequestMovesToACellWithRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, cells := newCellsFleet(t)
-		hot, calm := sharedPrompt(t, n, 0), sharedPrompt(t, n, 1)
-		g, fault := n.Acquire(t.Context(), "model", calm)
+		hot, other := sharedPrompt(t, n, 0), sharedPrompt(t, n, 1)
+		g, fault := n.Acquire(t.Context(), "model", other)
 		require.Nil(t, fault)
 		g.End(rwplacement.Served)
 		for range cells[0] {
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -303,7 +303,7 @@
 func (b *Broker) acquireFromCells(ctx context.Context, home cellKey, cells int, r rwplacement.Request) (Grant, *rwfault.Fault) {
 	start, elapsed := time.Now(), r.Elapsed
 	b.mu.Lock()
-	r.MayMove = b.loads.HasCalm(start, home.Service, cells, home.Cell)
+	r.MayMove = b.loads.HasRoom(start, home.Service, cells, home.Cell)
 	b.mu.Unlock()
 	refused, fault := b.acquireFromCell(ctx, home, r)
 	if fault == nil || !slices.Contains(movable, refused.Verdict) || ctx.Err() != nil {
--- a/internal/rwcellload/rwcellload.go
+++ b/internal/rwcellload/rwcellload.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// calmLoad is the load up to which a cell takes requests of others: two fifths
+	// maxLoad is the load up to which a cell takes requests of others: two fifths
 	// of its engines could start a request at once. A cell that is nearly full
 	// would refuse its own requests for them.
-	calmLoad = 0.6
+	maxLoad = 0.6
 	// freshFor is how long a load counts. Demand moves between cells within a
 	// second.
 	freshFor = 700 * time.Millisecond
@@ -46,8 +46,8 @@
 	t.cells[service][cell] = report{load, now}
 }
 
-// HasCalm reports whether Pick would find a cell.
-func (t *Table) HasCalm(now time.Time, service string, cells, home int) bool {
+// HasRoom reports whether Pick would find a cell.
+func (t *Table) HasRoom(now time.Time, service string, cells, home int) bool {
 	_, ok := t.find(now, service, cells, home, 0)
 	return ok
 }
@@ -74,7 +74,7 @@
 	for i := range cells {
 		cell := (first + i) % cells
 		r, ok := t.cells[service][cell]
-		if ok && cell != home && r.load <= calmLoad && now.Sub(r.at) <= freshFor {
+		if ok && cell != home && r.load <= maxLoad && now.Sub(r.at) <= freshFor {
 			return cell, true
 		}
 	}
--- a/internal/rwcellload/rwcellload_test.go
+++ b/internal/rwcellload/rwcellload_test.go
@@ -11,24 +11,24 @@
 
 // Guards against sending a request to a cell that is full, unknown, long not heard of
 // or the one that refused it.
-func TestOnlyCalmCellsArePicked(t *testing.T) {
+func TestOnlyCellsWithRoomArePicked(t *testing.T) {
 	table := New()
 	_, ok := table.Pick(start, "s", 4, 0, 0)
 	require.False(t, ok, "nothing is known")
 	table.Note(start, "s", 0, 0)
 	table.Note(start, "s", 1, 1.2)
 	table.Note(start, "other", 2, 0)
-	require.False(t, table.HasCalm(start, "s", 4, 0))
+	require.False(t, table.HasRoom(start, "s", 4, 0))
 	table.Note(start, "s", 3, 0.3)
 	cell, ok := table.Pick(start, "s", 4, 0, 0)
 	require.True(t, ok)
 	require.Equal(t, 3, cell)
-	require.False(t, table.HasCalm(start, "s", 3, 0), "the pool has fewer cells now")
-	require.False(t, table.HasCalm(start.Add(freshFor+1), "s", 4, 0))
-	require.False(t, table.HasCalm(start, "s", 1, 1))
+	require.False(t, table.HasRoom(start, "s", 3, 0), "the pool has fewer cells now")
+	require.False(t, table.HasRoom(start.Add(freshFor+1), "s", 4, 0))
+	require.False(t, table.HasRoom(start, "s", 1, 1))
 }
 
-// Guards against a burst of refused requests that a router sends to one calm cell
+// Guards against a burst of refused requests that a router sends to one cell
 // before it hears of its load again.
 func TestABurstIsSpread(t *testing.T) {
 	table := New()
@@ -48,7 +48,7 @@
 		require.LessOrEqual(t, n, 3, "cell %d", cell)
 	}
 	table.Note(start.Add(time.Millisecond), "s", 2, 0.1)
-	require.True(t, table.HasCalm(start.Add(time.Millisecond), "s", 4, 0))
+	require.True(t, table.HasRoom(start.Add(time.Millisecond), "s", 4, 0))
 }
 
 // Guards against routers that all pick the same cell.
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -1,5 +1,5 @@
 // Package rwplacement decides which engine runs a model request and when, and
-// which requests are refused. It handles three load patterns:
+// which requests are refused. It handles these load patterns:
 //
 //   - Shared prompt parts that fit into the combined KV caches only once: a
 //     request goes to the engine that caches its parts, unless queueing there
@@ -10,6 +10,11 @@
 //   - A few accounts that demand many times their share: accounts with the least
 //     usage go first, and requests of accounts above their max-min fair share
 //     are refused while every engine has a long queue.
+//   - Long prompts beside short ones on engines that prefill slowly: an engine
+//     prefills for a part of the time only, so that the events of its streams
+//     are in time (gaps.go), and in a crowded cell requests that can be in time
+//     go first (overload.go).
+//   - Engines that are cold and bear few requests (cold.go).
 //
 // The package reads no clock and does no I/O; callers pass the time.
 package rwplacement
