List what is current while nothing arrives from the readers

Cause: listings that may be stale only add to what is known. Change: a router that has got nothing new since its last listing lists what is current, as all did before.

--- a/internal/rwcatalogsync/evacuation_test.go
+++ b/internal/rwcatalogsync/evacuation_test.go
@@ -220,7 +220,7 @@
 		return list
 	}
 	r.watcher = &rwstorewatch.Watcher{
-		Prefixes: []string{""}, List: r.list, ListStale: r.list, Watch: r.watch, IsReader: r.IsReader, Watches: r.Watches,
+		Prefixes: []string{""}, List: r.list, ListStale: r.list, Known: r.Rev, Watch: r.watch, IsReader: r.IsReader, Watches: r.Watches,
 		ApplyDeadline: configDeadline,
 		OnError: func(string, error) {
 			r.update(func(now time.Time) bool { r.catalog.NoteStoreFailure(now); return false })
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -353,7 +353,7 @@
 	e.watcher = &rwstorewatch.Watcher{
 		Prefixes: e.config.Prefixes, List: e.config.List, ListStale: e.config.ListStale, Watch: e.config.Watch,
 		OnList: e.onList, OnChange: e.onChange, OnError: e.onStoreError, IsReader: e.isReader,
-		Watches:       func() bool { return e.isReader() && e.syncer.Watches() },
+		Watches: func() bool { return e.isReader() && e.syncer.Watches() }, Known: e.syncer.Rev,
 		ApplyDeadline: applyDeadline(e.deployment),
 	}
 	e.syncer.Refresh, e.broker.Refresh = e.watcher.Refresh, e.watcher.Refresh
--- a/internal/rwstorewatch/era_test.go
+++ b/internal/rwstorewatch/era_test.go
@@ -35,7 +35,7 @@
 				defer s.mu.Unlock()
 				last = b.Revision()
 			}, OnChange: func(string, Batch) {},
-			OnError: func(string, error) {}, IsReader: func() bool { return true }, Watches: func() bool { return true }, ApplyDeadline: time.Hour,
+			OnError: func(string, error) {}, Known: unknown, IsReader: func() bool { return true }, Watches: func() bool { return true }, ApplyDeadline: time.Hour,
 		}
 		go func() { _ = w.Run(t.Context()) }()
 		time.Sleep(time.Second)
--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -66,8 +66,12 @@
 	Watch    func(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
 	// ListStale, if set, lists a prefix as it was up to some seconds ago, which
 	// costs the store less. A router that receives changes from the readers uses it
-	// for its periodic listings, and OnChange gets the result.
+	// for its periodic listings, and OnChange gets the result. While nothing new
+	// arrives, as when all readers have lost the store, listings are current.
 	ListStale func(ctx context.Context, prefix string) (Batch, error)
+	// Known returns the revision up to which this router has all changes, from the store
+	// or from other routers.
+	Known func() rwrevision.Revision
 	// OnList is called with a complete listing of a prefix, OnChange with the
 	// changes from a watch, and OnError after a failed call.
 	OnList   func(prefix string, b Batch)
@@ -113,6 +117,7 @@
 	// The first listing and those that Refresh asks for must be current.
 	mayBeStale := false
 	failures := 0
+	var known rwrevision.Revision
 	for ctx.Err() == nil {
 		start := time.Now()
 		ok := false
@@ -128,7 +133,7 @@
 			continue
 		}
 		failures = 0
-		mayBeStale = true
+		mayBeStale, known = true, w.Known()
 		for ctx.Err() == nil && time.Since(start) < w.listInterval() {
 			if w.refresh.Swap(false) {
 				mayBeStale = false
@@ -136,6 +141,7 @@
 			}
 			sleep(ctx, pollInterval)
 		}
+		mayBeStale = mayBeStale && w.Known().After(known)
 	}
 }
 
--- a/internal/rwstorewatch/rwstorewatch_test.go
+++ b/internal/rwstorewatch/rwstorewatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwitem"
+	"redwingworks.example/internal/rwrevision"
 )
 
 // store is a fake of the platform's store with one key.
@@ -96,7 +98,7 @@
 		newest = max(newest, b.Rev)
 	}
 	w := &Watcher{
-		Prefixes: []string{"k"}, List: s.list, Watch: s.watch, OnList: record, OnChange: record,
+		Prefixes: []string{"k"}, Known: unknown, List: s.list, Watch: s.watch, OnList: record, OnChange: record,
 		OnError: func(string, error) {}, IsReader: func() bool { return reader }, Watches: func() bool { return reader }, ApplyDeadline: 2 * time.Second,
 	}
 	go func() { _ = w.Run(t.Context()) }()
@@ -107,6 +109,9 @@
 	}
 }
 
+// unknown is the revision of a router that hears nothing from others.
+func unknown() rwrevision.Revision { return rwrevision.Revision{} }
+
 func newStore() *store { return &store{rev: 1, changed: make(chan struct{})} }
 
 // Guards against a late configuration because a watch reports nothing although
@@ -171,33 +176,42 @@
 func TestNonReadersListStaleItems(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
-		var current, stale, changes int
+		var current, stale, changes, heard atomic.Int64
 		w := &Watcher{
 			Prefixes: []string{"k"}, Watch: s.watch,
 			List: func(ctx context.Context, prefix string) (Batch, error) {
-				current++
+				current.Add(1)
 				return s.list(ctx, prefix)
 			},
 			ListStale: func(ctx context.Context, prefix string) (Batch, error) {
-				stale++
+				stale.Add(1)
 				b, err := s.list(ctx, prefix)
 				b.Rev = 100
 				return b, err
 			},
-			OnList: func(string, Batch) {}, OnChange: func(string, Batch) { changes++ },
+			OnList: func(string, Batch) {}, OnChange: func(string, Batch) { changes.Add(1) },
 			OnError: func(string, error) {}, IsReader: func() bool { return false }, Watches: func() bool { return false },
+			Known: func() rwrevision.Revision { return rwrevision.Revision{Rev: heard.Load()} },
 		}
 		go func() { _ = w.Run(t.Context()) }()
-		time.Sleep(time.Minute)
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			heard.Add(1)
+		}
 		synctest.Wait()
-		require.Equal(t, 1, current)
-		require.Greater(t, stale, 9)
-		require.Equal(t, stale, changes)
+		require.EqualValues(t, 1, current.Load())
+		require.Greater(t, stale.Load(), int64(9))
+		require.Equal(t, stale.Load(), changes.Load())
 		require.EqualValues(t, 1, w.CompleteRev().Rev, "a stale listing is complete up to no revision")
 		w.Refresh()
 		time.Sleep(time.Second)
 		synctest.Wait()
-		require.Equal(t, 2, current)
+		require.EqualValues(t, 2, current.Load())
+		before := stale.Load()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.LessOrEqual(t, stale.Load(), before+1, "nothing new arrives from the readers")
+		require.Greater(t, current.Load(), int64(11))
 	})
 }
 
@@ -223,7 +237,7 @@
 		s := newStore()
 		var newest int64
 		w := &Watcher{
-			Prefixes: []string{"k"}, List: s.list, Watch: s.watch, OnList: func(_ string, b Batch) { newest = b.Rev },
+			Prefixes: []string{"k"}, Known: unknown, List: s.list, Watch: s.watch, OnList: func(_ string, b Batch) { newest = b.Rev },
 			OnChange: func(string, Batch) { require.Fail(t, "it watches") }, OnError: func(string, error) {},
 			IsReader: func() bool { return true }, Watches: func() bool { return false }, ApplyDeadline: 3 * time.Second,
 		}
@@ -242,7 +256,7 @@
 		s := newStore()
 		watches := 0
 		w := &Watcher{
-			Prefixes: []string{"k"}, List: s.list, OnList: func(string, Batch) {}, OnChange: func(string, Batch) {}, OnError: func(string, error) {},
+			Prefixes: []string{"k"}, Known: unknown, List: s.list, OnList: func(string, Batch) {}, OnChange: func(string, Batch) {}, OnError: func(string, error) {},
 			Watch: func(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error) {
 				watches++
 				return s.watch(ctx, prefix, after, wait)
@@ -267,7 +281,7 @@
 		s := newStore()
 		ages := make(chan time.Duration, 1)
 		w := &Watcher{
-			Prefixes: []string{"k"}, Watch: s.watch, OnChange: func(string, Batch) {},
+			Prefixes: []string{"k"}, Known: unknown, Watch: s.watch, OnChange: func(string, Batch) {},
 			List: func(ctx context.Context, prefix string) (Batch, error) {
 				time.Sleep(latency)
 				return s.list(ctx, prefix)
