--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -34,9 +34,11 @@
 	// from the readers; its listings only add what was missed.
 	repairInterval = 5 * time.Second
 	// retryDelay follows a failed call, so that a store that refuses calls
-	// isn't flooded with them.
-	retryDelay   = 150 * time.Millisecond
-	pollInterval = 50 * time.Millisecond
+	// isn't flooded with them. At a router that receives changes from the readers it
+	// doubles up to maxRetryDelay with each further failed listing.
+	retryDelay    = 150 * time.Millisecond
+	maxRetryDelay = 2400 * time.Millisecond
+	pollInterval  = 50 * time.Millisecond
 )
 
 // Batch is a response of the store.
@@ -64,8 +66,12 @@
 	Watch    func(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
 	// ListStale, if set, lists a prefix as it was up to some seconds ago, which
 	// costs the store less. A router that receives changes from the readers uses it
-	// for its periodic listings, and OnChange gets the result.
+	// for its periodic listings, and OnChange gets the result. While nothing new
+	// arrives, as when all readers have lost the store, listings are current.
 	ListStale func(ctx context.Context, prefix string) (Batch, error)
+	// Known returns the revision up to which this router has all changes, from the store
+	// or from other routers.
+	Known func() rwrevision.Revision
 	// OnList is called with a complete listing of a prefix, OnChange with the
 	// changes from a watch, and OnError after a failed call.
 	OnList   func(prefix string, b Batch)
@@ -110,6 +116,8 @@
 func (w *Watcher) listLoop(ctx context.Context, prefix string) {
 	// The first listing and those that Refresh asks for must be current.
 	mayBeStale := false
+	failures := 0
+	var known rwrevision.Revision
 	for ctx.Err() == nil {
 		start := time.Now()
 		ok := false
@@ -119,9 +127,13 @@
 			ok = w.list(ctx, prefix)
 		}
 		if !ok {
+			if failures++; failures > 1 && !w.IsReader() {
+				sleep(ctx, backoff(failures)-retryDelay)
+			}
 			continue
 		}
-		mayBeStale = true
+		failures = 0
+		mayBeStale, known = true, w.Known()
 		for ctx.Err() == nil && time.Since(start) < w.listInterval() {
 			if w.refresh.Swap(false) {
 				mayBeStale = false
@@ -129,9 +141,16 @@
 			}
 			sleep(ctx, pollInterval)
 		}
+		mayBeStale = mayBeStale && w.Known().After(known)
 	}
 }
 
+// backoff returns the delay after a number of failed listings in a row.
+func backoff(failures int) time.Duration {
+	const doublings = 4
+	return min(retryDelay<<min(failures-1, doublings), maxRetryDelay)
+}
+
 func (w *Watcher) listInterval() time.Duration {
 	if w.IsReader() {
 		return w.deadlineRatio(listDeadlineRatio)
