--- a/internal/rwplacement/overload.go
+++ b/internal/rwplacement/overload.go
@@ -29,9 +29,9 @@
 	return !p.crowded() && o.forecast+minSlack >= p.timeLeft(now, w)
 }
 
-// hopeless reports whether a request would be late on an idle engine that caches its shared
+// lateWithCachedParts reports whether a request would be late on an idle engine that caches its shared
 // parts, while the cell is crowded.
-func (p *Placer) hopeless(w *queuedRequest, o option) bool {
+func (p *Placer) lateWithCachedParts(w *queuedRequest, o option) bool {
 	m := o.engine.model
 	need := m.FirstEventDelay() + m.PrefillTime(uniqueWork(m, w.request))
 	return p.crowded() && need > scale(w.request.Target, forecastTargetRatio)
--- a/internal/rwplacement/overload_test.go
+++ b/internal/rwplacement/overload_test.go
@@ -58,13 +58,13 @@
 // Guards against engines that prefill for a second what is late anyway, while requests are
 // refused that could be in time; and against refusing it while there is room.
 func TestHopelessPromptsNeedRoom(t *testing.T) {
-	hopeless := gapRequest("1", "s", 50_000)
-	hopeless.Target = 800 * time.Millisecond
+	lateWithCachedParts := gapRequest("1", "s", 50_000)
+	lateWithCachedParts.Target = 800 * time.Millisecond
 	p := slowPlacer("a")
-	require.Equal(t, Granted, p.Submit(at(0), hopeless).Verdict)
+	require.Equal(t, Granted, p.Submit(at(0), lateWithCachedParts).Verdict)
 	p = slowPlacer("a")
 	fill(p, 0.8)
-	require.Equal(t, Late, p.Submit(at(0), hopeless).Verdict)
+	require.Equal(t, Late, p.Submit(at(0), lateWithCachedParts).Verdict)
 }
 
 // Guards against refusing a prompt for the sake of other streams' events while the engines
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -733,7 +733,7 @@
 	case p.starved(now, w):
 		return short
 	case p.lateOnIdleEngine(w, o):
-		return !p.hopeless(w, o) && o.backlog <= scale(w.request.Target, lateQueueTargetRatio)
+		return !p.lateWithCachedParts(w, o) && o.backlog <= scale(w.request.Target, lateQueueTargetRatio)
 	default:
 		return short && o.forecast <= p.timeLeft(now, w)
 	}
