Allocate what arrives of a body that nothing bounds

Cause: without a memory limit in the settings and a published limit of bodies, rwbody allocated the announced length at once. Found by reading; a test with a length of 2^60 panicked in makeslice. Lengths below that would reserve the memory and could end the process. rwrouter checks the length before, and so does rwfront where a limit is published. Change: such a body takes memory as it arrives.

--- a/internal/rwbody/rwbody.go
+++ b/internal/rwbody/rwbody.go
@@ -20,9 +20,10 @@
 var ErrNoMemory = errors.New("memory for bodies is short")
 
 // Read reads a body of an announced size, or of an unknown one for -1. It takes the
-// memory before it reads, and fails with ErrNoMemory if there is none.
+// memory before it reads, and fails with ErrNoMemory if there is none. Without a budget,
+// a large body takes memory as it arrives, since nothing bounds what is announced.
 func Read(r io.Reader, size int64, memory *rwbudget.Claim) ([]byte, error) {
-	if size < 0 {
+	if size < 0 || memory == nil && size > maxSegmentBytes {
 		return readSegments(r, memory)
 	}
 	if !memory.Grow(time.Now(), size) {
--- a/internal/rwbody/rwbody_test.go
+++ b/internal/rwbody/rwbody_test.go
@@ -61,3 +61,16 @@
 		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	}
 }
+
+// Guards against a length that a caller announces and that ends the process: without a
+// budget and a published limit, nothing else bounds what is allocated for it.
+func TestReadWithoutBudgetTakesWhatArrives(t *testing.T) {
+	body := make([]byte, 300<<10)
+	got, err := rwbody.Read(bytes.NewReader(body), int64(len(body)), nil)
+	require.NoError(t, err)
+	require.Len(t, got, len(body))
+	require.NotPanics(t, func() {
+		_, err = rwbody.Read(io.MultiReader(bytes.NewReader(body), iotest.ErrReader(io.ErrUnexpectedEOF)), 1<<60, nil)
+	})
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
