End the delay of a listing when one is needed

Cause: found by reading. A router that became a reader, was asked for a current listing or had just started waited up to 2.4 s after failed calls. Change: the delay ends then, and begins only after a first listing. Result: TestBackOffEndsWhenAListingIsNeeded failed in its three cases before.

--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -52,7 +52,7 @@
 	x.Sent++
 	f.noteRetryAfter(dest, resp.Info.RetryAfter)
 	switch info := resp.Info; {
-	case info.WrongInstance && info.NotRun:
+	case info.WrongInstance:
 		drain(resp)
 		return rwplacement.Unreachable, rwfault.New(rwcode.UpstreamMismatch, "another instance has the address")
 	case info.NotRun:
--- a/internal/rwprefill/calibration.go
+++ b/internal/rwprefill/calibration.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// fitHalfLife is the half-life of an engine's own samples. With 3 s, rates of engines
-	// of one speed differed by half.
+	// fitHalfLife is the half-life of an engine's own samples. It is long because first
+	// events come in steps: few samples give engines of one speed different rates.
 	fitHalfLife = 20 * time.Second
 	// maxFitDelay bounds the delay of a first event. It is several steps of a full
 	// chunk: chunks of 4,096 tokens take 100 ms on slow engines.
--- a/internal/rwrouteconfig/rwrouteconfig.go
+++ b/internal/rwrouteconfig/rwrouteconfig.go
@@ -137,8 +137,8 @@
 	longestStream time.Duration
 }
 
-// New returns a configuration, which requires keys if it has any. The routes of a host are matched longest prefix
-// first.
+// New returns a configuration, which requires keys if it has any. The routes of a host
+// are matched longest prefix first.
 func New(version int64, limits Limits, routes []Route, services []Service, keys map[string]Account) *Config {
 	c := &Config{Version: version, Limits: limits, services: map[string]Service{}, hosts: map[string][]Route{}, keys: keys, keysRequired: len(keys) > 0}
 	for _, s := range services {
--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -26,16 +26,17 @@
 	// defaultApplyDeadline is used if that deadline is not known.
 	defaultApplyDeadline = 2 * time.Second
 	// batchDelayRatio is the delay after a watch of a prefix that reported changes,
-	// as a fraction of the same deadline. Changes come all the time where there are
-	// many upstreams, and the platform counts each response of the store: with
-	// 120 ms, watches were two thirds of all calls of 83 routers.
+	// as a fraction of the same deadline. Changes come in bursts, and all the time
+	// where there are many upstreams, and the platform counts each response of the
+	// store.
 	batchDelayRatio = 0.06
 	// repairInterval is the listing interval of a router that receives changes
 	// from the readers; its listings only add what was missed.
 	repairInterval = 5 * time.Second
 	// retryDelay follows a failed call, so that a store that refuses calls
 	// isn't flooded with them. At a router that receives changes from the readers it
-	// doubles up to maxRetryDelay with each further failed listing.
+	// doubles up to maxRetryDelay with each further failed listing, once it has
+	// listed the store.
 	retryDelay    = 150 * time.Millisecond
 	maxRetryDelay = 2400 * time.Millisecond
 	pollInterval  = 50 * time.Millisecond
@@ -115,7 +116,7 @@
 
 func (w *Watcher) listLoop(ctx context.Context, prefix string) {
 	// The first listing and those that Refresh asks for must be current.
-	mayBeStale := false
+	mayBeStale, listed := false, false
 	failures := 0
 	var known rwrevision.Revision
 	for ctx.Err() == nil {
@@ -127,12 +128,13 @@
 			ok = w.list(ctx, prefix)
 		}
 		if !ok {
-			if failures++; failures > 1 && !w.IsReader() {
-				sleep(ctx, backoff(failures)-retryDelay)
+			failures++
+			for ctx.Err() == nil && listed && !w.IsReader() && !w.refresh.Load() && time.Since(start) < backoff(failures) {
+				sleep(ctx, pollInterval)
 			}
 			continue
 		}
-		failures = 0
+		failures, listed = 0, true
 		mayBeStale, known = true, w.Known()
 		for ctx.Err() == nil && time.Since(start) < w.listInterval() {
 			if w.refresh.Swap(false) {
--- a/internal/rwstorewatch/rwstorewatch_test.go
+++ b/internal/rwstorewatch/rwstorewatch_test.go
@@ -221,6 +221,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
 		seen := run(t, s, false)
+		time.Sleep(time.Second)
 		s.set(func() { s.down = true })
 		time.Sleep(time.Minute)
 		require.LessOrEqual(t, s.listed(), 35)
@@ -231,6 +232,39 @@
 	})
 }
 
+// Guards against a router that waits out a long delay although it has become a reader,
+// is asked for a current listing or has never listed the store.
+func TestBackOffEndsWhenAListingIsNeeded(t *testing.T) {
+	for _, reason := range []string{"reader", "refresh", "start"} {
+		t.Run(reason, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStore()
+				s.down = reason == "start"
+				var reader atomic.Bool
+				w := &Watcher{
+					Prefixes: []string{"k"}, Known: unknown, List: s.list, Watch: s.watch, OnList: func(string, Batch) {},
+					OnChange: func(string, Batch) {}, OnError: func(string, error) {}, IsReader: reader.Load, Watches: reader.Load,
+				}
+				go func() { _ = w.Run(t.Context()) }()
+				time.Sleep(time.Second)
+				s.set(func() { s.down = true })
+				time.Sleep(time.Minute)
+				s.set(func() { s.down = false })
+				before := s.listed()
+				switch reason {
+				case "reader":
+					reader.Store(true)
+				case "refresh":
+					w.Refresh()
+				}
+				time.Sleep(retryDelay + 2*pollInterval)
+				synctest.Wait()
+				require.Greater(t, s.listed(), before)
+			})
+		})
+	}
+}
+
 // Guards against a reader that doesn't watch and learns of changes too late.
 func TestReaderThatOnlyListsIsInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
