Hold cold engines back after a suspension

Cause: found by reading. The roster of cold upstreams tells a pause by the steady clock, which may stand still while a machine is suspended, so that a router that wakes counted itself as settled. Change: the pause that the membership notices by both clocks reaches it. Result: TestPauseReachesTheColdBound fails without the call.

--- a/internal/rwcoldguard/rwcoldguard.go
+++ b/internal/rwcoldguard/rwcoldguard.go
@@ -82,6 +82,9 @@
 	g.roster.Observe(now, live)
 }
 
+// Interrupt records that the process was paused: other routers may let requests go now.
+func (g *Guard) Interrupt(now time.Time) { g.roster.Interrupt(now) }
+
 // Cares reports whether cold upstreams of a service need care.
 func (g *Guard) Cares(service string) bool {
 	s, ok := g.Service(service)
--- a/internal/rwcoldroster/rwcoldroster.go
+++ b/internal/rwcoldroster/rwcoldroster.go
@@ -75,6 +75,14 @@
 	maps.DeleteFunc(r.known, func(_ string, m member) bool { return now.Sub(m.seenAt) > memory })
 }
 
+// Interrupt records that the process was paused, which Observe can't see if the steady
+// clock stood still meanwhile.
+func (r *Roster) Interrupt(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settledAt = now.Add(settleTime)
+}
+
 // Settled reports whether the router has run long enough to know the others.
 func (r *Roster) Settled(now time.Time) bool {
 	r.mu.Lock()
--- a/internal/rwcoldroster/rwcoldroster_test.go
+++ b/internal/rwcoldroster/rwcoldroster_test.go
@@ -93,3 +93,18 @@
 	}
 	require.True(t, single.FirstLive(at(3000), 3, score))
 }
+
+// TestSuspendedRouter guards against a router that lets requests go as soon as it wakes
+// from a suspension during which the steady clock stood still.
+func TestSuspendedRouter(t *testing.T) {
+	live := fleet(5)
+	r := settled("4", live)
+	require.True(t, r.FirstLive(at(3100), 3, score))
+	r.Interrupt(at(3100))
+	for ms := 3200; ms < 5000; ms += 200 {
+		r.Observe(at(ms), live)
+		require.False(t, r.FirstLive(at(ms), 3, score), "at %d", ms)
+	}
+	r.Observe(at(5100), live)
+	require.True(t, r.FirstLive(at(5100), 3, score))
+}
--- a/internal/rwedge/cold_test.go
+++ b/internal/rwedge/cold_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwingworks.example/internal/rwcatalog"
+	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwinstance"
 	"redwingworks.example/internal/rwitem"
 	"redwingworks.example/internal/rwrevision"
@@ -67,3 +68,23 @@
 		require.Equal(t, 1, bytes.Count(out.Bytes(), []byte("upstream warm")), out.String())
 	})
 }
+
+// Guards against a router that isn't told of its own pause: its steady clock may have
+// stood still.
+func TestPauseReachesTheColdBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEdge()
+		e.cold.Overage, e.cold.Slack = 1.5, 5
+		for range 20 {
+			e.cold.ObserveRouters(time.Now(), []rwidentity.Identity{e.self})
+			time.Sleep(200 * time.Millisecond)
+		}
+		ranks := func() bool {
+			time.Sleep(100 * time.Millisecond)
+			return e.cold.Ranks(time.Now(), "s", "cell", func(rwidentity.Identity) float64 { return 1 })
+		}
+		require.True(t, ranks())
+		e.gossip.OnResume(time.Second)
+		require.False(t, ranks())
+	})
+}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -349,6 +349,7 @@
 	e.gossip.OnResume = func(time.Duration) {
 		e.broker.Reset()
 		e.broker.Origins.Interrupt(time.Now())
+		e.cold.Interrupt(time.Now())
 	}
 	e.watcher = &rwstorewatch.Watcher{
 		Prefixes: e.config.Prefixes, List: e.config.List, ListStale: e.config.ListStale, Watch: e.config.Watch,
