List what is current now and then, and after a failure

A router that was cut off while an upstream was removed, and then heard from routers that had started since, never learned of the removal: its listings could be stale and only added. Stale items of such listings also wrote a line each (event 202). Change: every third periodic listing is current, and so is the first one after a failure. Stale listings have a callback of their own, which logs no stale items.

--- a/internal/rwcatalogsync/evacuation_test.go
+++ b/internal/rwcatalogsync/evacuation_test.go
@@ -232,6 +232,12 @@
 				return changed
 			})
 		},
+		OnStale: func(_ string, b rwstorewatch.Batch) {
+			r.update(func(now time.Time) bool {
+				changed, _ := r.catalog.Apply(now, b.Items)
+				return changed
+			})
+		},
 		OnList: func(_ string, b rwstorewatch.Batch) {
 			keys := map[string]bool{}
 			for _, it := range b.Items {
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -353,7 +353,7 @@
 	}
 	e.watcher = &rwstorewatch.Watcher{
 		Prefixes: e.config.Prefixes, List: e.config.List, ListStale: e.config.ListStale, Watch: e.config.Watch,
-		OnList: e.onList, OnChange: e.onChange, OnError: e.onStoreError, IsReader: e.isReader,
+		OnList: e.onList, OnStale: e.onStaleList, OnChange: e.onChange, OnError: e.onStoreError, IsReader: e.isReader,
 		Watches: func() bool { return e.isReader() && e.syncer.Watches() }, Known: e.syncer.Rev,
 		ApplyDeadline: applyDeadline(e.deployment),
 	}
@@ -924,6 +924,15 @@
 	e.updateCatalog("store", func(now time.Time) (bool, map[string]error) { return e.catalog.Apply(now, b.Items) })
 }
 
+// staleListing is the source of items that may be old, which is no reason to log that
+// they are.
+const staleListing = "stale listing"
+
+func (e *Edge) onStaleList(_ string, b rwstorewatch.Batch) {
+	e.onStoreResponse(b)
+	e.updateCatalog(staleListing, func(now time.Time) (bool, map[string]error) { return e.catalog.Apply(now, b.Items) })
+}
+
 // updateCatalog applies a change to the catalog and publishes the result.
 func (e *Edge) updateCatalog(source string, apply func(time.Time) (bool, map[string]error)) {
 	now := time.Now()
@@ -932,6 +941,9 @@
 	era := e.catalog.Era()
 	// The log names the source of this update.
 	e.catalog.OnStale = func(it rwitem.Item, known rwrevision.Revision) {
+		if source == staleListing {
+			return
+		}
 		e.metrics.Add("stale_items", 1)
 		rwlog.Info(&e.log, rwlog.RecordStale).Str("key", it.Key).Int64("era", it.Era).Int64("rev", it.Rev).
 			Int64("known", known.Rev).Str("source", source).Send()
--- a/internal/rwstorewatch/rwstorewatch.go
+++ b/internal/rwstorewatch/rwstorewatch.go
@@ -33,6 +33,8 @@
 	// repairInterval is the listing interval of a router that receives changes
 	// from the readers; its listings only add what was missed.
 	repairInterval = 5 * time.Second
+	// currentInterval is the number of these listings of which one is current.
+	currentInterval = 3
 	// retryDelay follows a failed call, so that a store that refuses calls
 	// isn't flooded with them. At a router that receives changes from the readers it
 	// doubles up to maxRetryDelay with each further failed listing, once it has
@@ -67,15 +69,18 @@
 	Watch    func(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
 	// ListStale, if set, lists a prefix as it was up to some seconds ago, which
 	// costs the store less. A router that receives changes from the readers uses it
-	// for its periodic listings, and OnChange gets the result. While nothing new
-	// arrives, as when all readers have lost the store, listings are current.
+	// for most of its periodic listings, and OnStale gets the result. Every
+	// currentInterval-th one is current, since nothing else repairs a removal that the
+	// router has missed, and so are those after a failure and while nothing new arrives,
+	// as when all readers have lost the store.
 	ListStale func(ctx context.Context, prefix string) (Batch, error)
 	// Known returns the revision up to which this router has all changes, from the store
 	// or from other routers.
 	Known func() rwrevision.Revision
-	// OnList is called with a complete listing of a prefix, OnChange with the
-	// changes from a watch, and OnError after a failed call.
+	// OnList is called with a complete listing of a prefix, OnStale with one that may
+	// be stale, OnChange with the changes from a watch, and OnError after a failed call.
 	OnList   func(prefix string, b Batch)
+	OnStale  func(prefix string, b Batch)
 	OnChange func(prefix string, b Batch)
 	OnError  func(prefix string, err error)
 	// IsReader reports whether this router reads the store on behalf of other
@@ -117,18 +122,21 @@
 func (w *Watcher) listLoop(ctx context.Context, prefix string) {
 	// The first listing and those that Refresh asks for must be current.
 	mayBeStale, listed := false, false
-	failures := 0
+	failures, staleListings := 0, 0
 	var known rwrevision.Revision
 	for ctx.Err() == nil {
 		start := time.Now()
 		ok := false
-		if mayBeStale && !w.IsReader() && w.ListStale != nil {
+		if mayBeStale && !w.IsReader() && w.ListStale != nil && staleListings < currentInterval-1 {
+			staleListings++
 			ok = w.listStale(ctx, prefix)
 		} else {
+			staleListings = 0
 			ok = w.list(ctx, prefix)
 		}
 		if !ok {
 			failures++
+			mayBeStale = false
 			for ctx.Err() == nil && listed && !w.IsReader() && !w.refresh.Load() && time.Since(start) < backoff(failures) {
 				sleep(ctx, pollInterval)
 			}
@@ -231,7 +239,7 @@
 func (w *Watcher) listStale(ctx context.Context, prefix string) bool {
 	b, ok := w.call(ctx, prefix, w.ListStale)
 	if ok {
-		w.deliver(func() { w.OnChange(prefix, b) })
+		w.deliver(func() { w.OnStale(prefix, b) })
 	}
 	return ok
 }
