Move requests and count evictions in slow pools only

Cause: found by review. Change: owners state room, which is 0 if it isn't stated, without engines and in pools that weren't measured as slow; evictions cost nothing there. The table of cells is bounded.

--- a/internal/rwbroker/cells_test.go
+++ b/internal/rwbroker/cells_test.go
@@ -47,6 +47,42 @@
 	return rwplacement.Request{}
 }
 
+// slowDown serves requests in a cell as slow engines do, until its owner has measured
+// that they are slow.
+func slowDown(t *testing.T, n *node, cell int) {
+	const speed = 40_000.0
+	r := sharedPrompt(t, n, cell)
+	r.Target, r.UniqueTokens = time.Second, 4000
+	for i := range 80 {
+		r.Parts[1] = rwprompt.Part{ID: "own" + strconv.Itoa(i), Tokens: r.UniqueTokens}
+		g, fault := n.Acquire(t.Context(), "model", r)
+		require.Nil(t, fault)
+		time.Sleep(40*time.Millisecond + time.Duration(float64(g.UncachedTokens)/speed*1e9))
+		g.FirstEvent()
+		g.End(rwplacement.Served)
+	}
+}
+
+// Guards against moving requests in a pool whose engines aren't slow, which is served
+// as before.
+func TestNoRequestMovesBetweenFastCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, cells := newCellsFleet(t)
+		hot := sharedPrompt(t, n, 0)
+		g, fault := n.Acquire(t.Context(), "model", sharedPrompt(t, n, 1))
+		require.Nil(t, fault)
+		g.End(rwplacement.Served)
+		for range cells[0] {
+			g, fault := n.Acquire(t.Context(), "model", hot)
+			require.Nil(t, fault)
+			g.FirstEvent()
+			time.Sleep(20 * time.Millisecond)
+		}
+		_, fault = n.Acquire(t.Context(), "model", hot)
+		require.NotNil(t, fault)
+	})
+}
+
 // Guards against refusing a request because the engines of its cell are busy while
 // those of another one are idle, against prefilling its shared parts again where they
 // can be copied, and against a request that waits for its target before it moves.
@@ -54,9 +90,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, cells := newCellsFleet(t)
 		hot, other := sharedPrompt(t, n, 0), sharedPrompt(t, n, 1)
-		g, fault := n.Acquire(t.Context(), "model", other)
-		require.Nil(t, fault)
-		g.End(rwplacement.Served)
+		hot.Target = 2 * time.Second
+		slowDown(t, n, 0)
+		slowDown(t, n, 1)
 		for range cells[0] {
 			g, fault := n.Acquire(t.Context(), "model", hot)
 			require.Nil(t, fault)
@@ -64,6 +100,9 @@
 			g.FirstEvent()
 			time.Sleep(20 * time.Millisecond)
 		}
+		g, fault := n.Acquire(t.Context(), "model", other)
+		require.Nil(t, fault)
+		g.End(rwplacement.Served)
 		start := time.Now()
 		g, fault = n.Acquire(t.Context(), "model", hot)
 		require.Nil(t, fault)
@@ -79,8 +118,11 @@
 func TestNoRequestMovesBetweenFullCells(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, cells := newCellsFleet(t)
+		slowDown(t, n, 0)
+		slowDown(t, n, 1)
 		for cell, engines := range cells {
 			r := sharedPrompt(t, n, cell)
+			r.Target = 2 * time.Second
 			for range engines {
 				_, fault := n.Acquire(t.Context(), "model", r)
 				require.Nil(t, fault)
--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -138,7 +138,7 @@
 	suspects         map[string]time.Time
 	ownerCache       map[cellKey]cachedOwner
 	seq              uint64
-	// loads holds the loads of cells that owners stated to this router.
+	// loads holds the room of cells that owners stated to this router.
 	loads *rwcellload.Table
 	// leaving is never reset.
 	leaving bool
@@ -413,7 +413,7 @@
 		return Grant{}, fault
 	}
 	if d.Verdict != rwplacement.Moved {
-		b.noteLoad(m.cellKey, d)
+		b.noteRoom(m.cellKey, d)
 	}
 	b.tellCold(d)
 	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name, software: m.Request.Software, stream: m.Request.Stream}
@@ -435,11 +435,11 @@
 	return b.toGrant(g, d)
 }
 
-// noteLoad records the load of a cell that its owner stated.
-func (b *Broker) noteLoad(k cellKey, d rwplacement.Decision) {
+// noteRoom records the room of a cell that its owner stated.
+func (b *Broker) noteRoom(k cellKey, d rwplacement.Decision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.loads.Note(time.Now(), k.Service, k.Cell, float64(d.Load)/100)
+	b.loads.Note(time.Now(), k.Service, k.Cell, float64(d.Room)/100)
 }
 
 // toGrant turns a decision into a grant or a fault.
--- a/internal/rwcellload/rwcellload.go
+++ b/internal/rwcellload/rwcellload.go
@@ -11,39 +11,44 @@
 )
 
 const (
-	// maxLoad is the load up to which a cell takes requests of others: two fifths
-	// of its engines could start a request at once. A cell that is nearly full
-	// would refuse its own requests for them.
-	maxLoad = 0.6
-	// freshFor is how long a load counts. Demand moves between cells within a
+	// minRoom is the room from which on a cell takes requests of others. A cell that is
+	// nearly full would refuse its own requests for them.
+	minRoom = 0.4
+	// freshFor is how long a statement counts. Demand moves between cells within a
 	// second.
 	freshFor = 700 * time.Millisecond
-	// sentWeight is the load that each request sent to another cell adds until the
+	// sentRoom is what each request sent to another cell takes of its room until the
 	// owner's next decision, so that a router doesn't send a burst to one cell.
-	sentWeight = 0.05
+	sentRoom = 0.05
+	// maxServices bounds the services that are remembered.
+	maxServices = 64
 )
 
-// Table holds the loads of cells as one router knows them. It is not safe for
+// Table holds the room of cells as one router knows it. It is not safe for
 // concurrent use.
 type Table struct {
 	cells map[string]map[int]report
 }
 
 type report struct {
-	load float64
+	room float64
 	at   time.Time
 }
 
 // New returns an empty table.
 func New() *Table { return &Table{cells: map[string]map[int]report{}} }
 
-// Note records the load that the owner of a cell stated: the fraction of its engines
-// that can't start a request at once, plus the requests that wait for each engine.
-func (t *Table) Note(now time.Time, service string, cell int, load float64) {
+// Note records the room that the owner of a cell stated: the fraction of its engines
+// that can start a request at once, less the requests that wait for each engine. It is 0
+// if the owner stated none, as one of an earlier release does.
+func (t *Table) Note(now time.Time, service string, cell int, room float64) {
 	if t.cells[service] == nil {
+		if len(t.cells) >= maxServices {
+			clear(t.cells)
+		}
 		t.cells[service] = map[int]report{}
 	}
-	t.cells[service][cell] = report{load, now}
+	t.cells[service][cell] = report{room, now}
 }
 
 // HasRoom reports whether Pick would find a cell.
@@ -60,7 +65,7 @@
 	cell, ok := t.find(now, service, cells, home, spread)
 	if ok {
 		r := t.cells[service][cell]
-		r.load += sentWeight
+		r.room -= sentRoom
 		t.cells[service][cell] = r
 	}
 	return cell, ok
@@ -74,7 +79,7 @@
 	for i := range cells {
 		cell := (first + i) % cells
 		r, ok := t.cells[service][cell]
-		if ok && cell != home && r.load <= maxLoad && now.Sub(r.at) <= freshFor {
+		if ok && cell != home && r.room >= minRoom && now.Sub(r.at) <= freshFor {
 			return cell, true
 		}
 	}
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -265,8 +265,8 @@
 	Crowded bool `json:"crowd,omitempty"`
 	// RetryAfter is when a refused caller should retry.
 	RetryAfter time.Duration `json:"retry,omitempty"`
-	// Load is the load of the cell in percent, as Placer.Load returns it.
-	Load int `json:"load,omitempty"`
+	// Room is the room of the cell in percent, as Placer.Room returns it.
+	Room int `json:"room,omitempty"`
 	// Cold is whether the granted engine is cold. Such a grant is void some time
 	// after it was made, which was Waited after the request reached the owner.
 	Cold   bool          `json:"cold,omitempty"`
@@ -456,7 +456,7 @@
 	if !p.hasEngine(r) {
 		return p.refuse(now, r, NoEngine)
 	}
-	if r.MayMove && p.Load(now) >= 1 {
+	if r.MayMove && p.Room(now) <= 0 {
 		// It counts where it goes, or here when it comes back.
 		acc.demand -= chargedTokens(r)
 		return p.describe(now, r, Decision{ID: r.ID, Verdict: Busy})
@@ -468,21 +468,25 @@
 		return p.refuse(now, r, Late)
 	}
 	p.queue = append(p.queue, w)
-	return Decision{ID: r.ID, Verdict: Queued, Load: percent(p.Load(now))}
+	return Decision{ID: r.ID, Verdict: Queued, Room: percent(p.Room(now))}
 }
 
-// Load returns how busy the cell is: the fraction of its engines that can't start a
-// request at once, plus the queued requests for each engine.
-func (p *Placer) Load(now time.Time) float64 {
-	engines := float64(max(len(p.availableIDs), 1))
+// Room returns the fraction of the cell's engines that can start a request at once, less
+// the queued requests for each engine, and at least 0. It is 0 in pools that aren't slow:
+// there, a request waits for its own cell for a shorter time than its parts take to be
+// copied or prefilled in another one.
+func (p *Placer) Room(now time.Time) float64 {
+	if !p.slowPool() || len(p.availableIDs) == 0 {
+		return 0
+	}
 	limit := scale(p.minTarget, queueTargetRatio)
-	busy := 0
+	free := 0
 	for _, name := range p.availableIDs {
-		if e := p.engines[name]; e.running >= p.spec.Slots || now.Before(e.refusedUntil) || e.model.Backlog(now) > limit || p.isCold(now, e) {
-			busy++
+		if e := p.engines[name]; e.running < p.spec.Slots && !now.Before(e.refusedUntil) && e.model.Backlog(now) <= limit && !p.isCold(now, e) {
+			free++
 		}
 	}
-	return (float64(busy) + float64(len(p.queue))) / engines
+	return max(float64(free-len(p.queue))/float64(len(p.availableIDs)), 0)
 }
 
 func percent(f float64) int { return int(100 * f) }
@@ -874,7 +878,7 @@
 			o.cost = time.Duration(copied) * copyCostPerToken
 			missing -= src.cachedTokens - o.cachedTokens
 		}
-		o.cost += evictionCost(now, e, missingTokens)
+		o.cost += p.evictionCost(now, e, missingTokens)
 		reread := e.model.PrefillTime(float64(max(missing, 0)))
 		o.cost += time.Duration(float64(reread) * float64(mean) / float64(rereadBacklogScale))
 		if preferred && o.cachedTokens == 0 && o.source == nil {
@@ -893,10 +897,11 @@
 // evictionCost returns what it costs later requests that shared parts of a number of
 // tokens enter an engine's cache, by copying or by prefilling: they displace the least
 // recently used parts, which are prefilled again if a request asks for them. Parts
-// that nobody has used for evictionMemory are displaced for nothing.
-func evictionCost(now time.Time, e *engine, tokens int) time.Duration {
+// that nobody has used for evictionMemory are displaced for nothing, and so are all in
+// pools that aren't slow, which prefill them again in a short time.
+func (p *Placer) evictionCost(now time.Time, e *engine, tokens int) time.Duration {
 	usedAt, full := e.cache.NextEvicted()
-	if !full {
+	if !full || !p.slowPool() {
 		return 0
 	}
 	recent := 1 - float64(now.Sub(usedAt))/float64(evictionMemory)
@@ -955,9 +960,9 @@
 }
 
 // withShare adds the account's usage and share to a decision, for logging, with the
-// load of the cell and whether it is crowded.
+// room of the cell and whether it is crowded.
 func (p *Placer) withShare(now time.Time, r Request, d Decision) Decision {
-	d.Load, d.Crowded = percent(p.Load(now)), p.crowded()
+	d.Room, d.Crowded = percent(p.Room(now)), p.crowded()
 	d.Usage = int(p.account(now, r.Account).usage)
 	if share := p.FairShare(now); !math.IsInf(share, 1) {
 		d.FairShare = int(share)
