Let stalled bodies give way at rwrouter too

Cause: found by review and shown by a test. Each chunked body reserves the largest size of the 64 MiB for bodies before the budget is asked, so that 64 callers that stop short kept all other bodies out until their timeout of 15 s, as often as they liked. Change: a body that finds no room takes that of one that has stalled. Result: TestStalledBodiesGiveWay failed before, with HTTP/1.1 and HTTP/2.

--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -447,6 +447,8 @@
 		reserved = maxBodyBytes
 	}
 	if !g.bodyBytes.TryAcquire(reserved) {
+		// One that stopped within its body would keep others out until its timeout.
+		g.Memory.EvictStalled(time.Now())
 		return nil, rwfault.New(rwcode.TooManyRequests, "memory limit of the router for bodies")
 	}
 	// In HTTP/1, net/http resets this deadline at the end of the body, but not
@@ -465,7 +467,7 @@
 		g.bodyBytes.Release(reserved)
 		return nil, bodyFault(r, err)
 	}
-	// The request's context ends after its response.
+	// The request's context ends after its response, or when its caller leaves.
 	context.AfterFunc(r.Context(), memory.Close)
 	g.bodyBytes.Release(reserved - int64(len(data)))
 	return data, nil
--- a/internal/rwgate/rwgate_test.go
+++ b/internal/rwgate/rwgate_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwingworks.example/internal/rwaccount"
+	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwdispatch"
 	"redwingworks.example/internal/rwfault"
@@ -333,6 +334,40 @@
 	})
 }
 
+// Guards against callers whose chunked bodies stop short and keep all others out until
+// their timeout, each with the reservation of the largest body.
+func TestStalledBodiesGiveWay(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		const stalled = 2
+		h.MaxTotalBodyBytes = stalled * maxBodyBytes
+		h.Memory = rwbudget.New(maxBodyBytes)
+		h.start()
+		var ended sync.WaitGroup
+		for range stalled {
+			body, end := io.Pipe()
+			defer func() { _ = end.Close() }()
+			r := request(t, "POST", chatPath, "draft", "x")
+			r.Body, r.ContentLength = body, -1
+			ended.Go(func() {
+				if resp, err := c.Do(r); err == nil {
+					_ = resp.Body.Close()
+				}
+			})
+		}
+		time.Sleep(2 * rwbudget.StallTime)
+		start := time.Now()
+		served := false
+		for !served && time.Since(start) < 2*time.Second {
+			resp, _ := h.do(t, c, request(t, "POST", chatPath, "draft", goodBody))
+			served = resp.StatusCode == http.StatusOK
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.True(t, served)
+		ended.Wait()
+		require.Zero(t, h.bodyBytes.InUse())
+	})
+}
+
 // Guards against waiting without a limit for a caller that doesn't finish its
 // body.
 func TestSlowBody(t *testing.T) {
