Take the moves of requests between cells out

A moved request reads or copies its parts in the other cell. Change: removes rwcellload, the verdict busy and what they added to the messages between routers.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -14,7 +14,6 @@
 	"sync"
 	"time"
 
-	"redwingworks.example/internal/rwcellload"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwcoldguard"
 	"redwingworks.example/internal/rwcoldmeter"
@@ -138,8 +137,6 @@
 	suspects         map[string]time.Time
 	ownerCache       map[cellKey]cachedOwner
 	seq              uint64
-	// loads holds the room of cells that owners stated to this router.
-	loads *rwcellload.Table
 	// leaving is never reset.
 	leaving bool
 	// unsentOrigins are the origins of streams in this router's cells that it
@@ -214,7 +211,6 @@
 		self: self, peers: peers, metrics: metrics, wake: make(chan struct{}, 1),
 		cells: map[cellKey]*cell{}, pendingDecisions: map[string]pendingDecision{}, suspects: map[string]time.Time{},
 		ownerCache: map[cellKey]cachedOwner{}, Origins: rworigin.New(), unsentOrigins: map[cellKey][]originRecord{},
-		loads: rwcellload.New(),
 	}
 	peers.Handle("place", rwpeer.Typed(func(_ context.Context, from rwidentity.Identity, m placeMessage) (any, error) {
 		return b.decide(m.cellKey, m.Request, from), nil
@@ -292,52 +288,6 @@
 		return Grant{}, b.noEngine(service)
 	}
 	r.Router, r.Zone = incarnationID(b.self), b.self.Zone
-	if cells := cellsOf(b.Published(), service); cells > 1 && !r.Resumed {
-		return b.acquireFromCells(ctx, key, cells, r)
-	}
-	return b.acquireFromCell(ctx, key, r)
-}
-
-// acquireFromCells is Acquire in a pool of several cells. A request that its own cell
-// has no room for goes to another one with room, which may copy its parts from there.
-func (b *Broker) acquireFromCells(ctx context.Context, home cellKey, cells int, r rwplacement.Request) (Grant, *rwfault.Fault) {
-	start, elapsed := time.Now(), r.Elapsed
-	b.mu.Lock()
-	r.MayMove = b.loads.HasRoom(start, home.Service, cells, home.Cell)
-	b.mu.Unlock()
-	refused, fault := b.acquireFromCell(ctx, home, r)
-	if fault == nil || !slices.Contains(movable, refused.Verdict) || ctx.Err() != nil {
-		return refused, fault
-	}
-	r.MayMove = false
-	b.mu.Lock()
-	b.seq++
-	other, ok := b.loads.Pick(time.Now(), home.Service, cells, home.Cell, b.seq)
-	b.mu.Unlock()
-	if ok {
-		moved := r
-		moved.Elapsed = elapsed + time.Since(start)
-		moved.Source, moved.SourceTokens = refused.Decision.Source, refused.SourceTokens
-		g, otherFault := b.acquireFromCell(ctx, cellKey{home.Service, other}, moved)
-		if otherFault == nil {
-			b.metrics.Add("requests_moved_to_other_cells", 1)
-			return g, nil
-		}
-		b.metrics.Add("requests_refused_by_other_cells", 1)
-	}
-	if refused.Verdict != rwplacement.Busy {
-		return refused, fault
-	}
-	r.Elapsed = elapsed + time.Since(start)
-	return b.acquireFromCell(ctx, home, r)
-}
-
-// movable are the refusals that mean no more than that the cell has no room.
-var movable = []rwplacement.Verdict{rwplacement.Busy, rwplacement.Late, rwplacement.OverShare, rwplacement.QueueFull, rwplacement.NoEngine}
-
-// acquireFromCell is Acquire in one cell.
-func (b *Broker) acquireFromCell(ctx context.Context, key cellKey, r rwplacement.Request) (Grant, *rwfault.Fault) {
-	service := key.Service
 	start, elapsed := time.Now(), r.Elapsed
 	for range maxOwnersTried {
 		g, fault := b.acquireFrom(ctx, b.owner(key), placeMessage{key, r})
@@ -412,9 +362,6 @@
 	if fault != nil {
 		return Grant{}, fault
 	}
-	if d.Verdict != rwplacement.Moved {
-		b.noteRoom(m.cellKey, d)
-	}
 	b.tellCold(d)
 	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name, software: m.Request.Software, stream: m.Request.Stream}
 	if d.Verdict == rwplacement.Queued {
@@ -435,13 +382,6 @@
 	return b.toGrant(g, d)
 }
 
-// noteRoom records the room of a cell that its owner stated.
-func (b *Broker) noteRoom(k cellKey, d rwplacement.Decision) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.loads.Note(time.Now(), k.Service, k.Cell, float64(d.Room)/100)
-}
-
 // toGrant turns a decision into a grant or a fault.
 func (b *Broker) toGrant(g Grant, d rwplacement.Decision) (Grant, *rwfault.Fault) {
 	g.Decision = d
@@ -493,7 +433,6 @@
 	rwplacement.OverShare: rwcode.ShareExceeded,
 	rwplacement.NoEngine:  rwcode.NoUpstream,
 	rwplacement.QueueFull: rwcode.QueueFull,
-	rwplacement.Busy:      rwcode.QueueFull,
 	rwplacement.Moved:     rwcode.PeerUnreachable,
 }
 
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -52,9 +52,6 @@
 	// Moved means that the router which was asked doesn't decide on the request,
 	// so that the cell's next owner has to be asked.
 	Moved // moved
-	// Busy means that the request would have to wait in this cell, while its router
-	// knows another one with room.
-	Busy // busy
 )
 
 // End is how a granted request ended.
@@ -219,12 +216,6 @@
 	Software string `json:"sw,omitempty"`
 	// Avoid lists engines that have failed this request.
 	Avoid []string `json:"avoid,omitempty"`
-	// MayMove is whether the router knows another cell with room.
-	MayMove bool `json:"mv,omitempty"`
-	// Source is an engine of another cell from which prompt parts can be copied, of
-	// which it has cached SourceTokens, or empty.
-	Source       string `json:"src,omitempty"`
-	SourceTokens int    `json:"srct,omitempty"`
 }
 
 // AffinityKey returns the key that maps requests with a shared prompt to the
@@ -236,11 +227,9 @@
 	ID      string  `json:"id"`
 	Verdict Verdict `json:"v"`
 	// Engine is the granted engine, or the best candidate if the request was
-	// refused. Source is an engine to copy prompt parts from, or empty; for a refused
-	// request it is the one that has cached most of them, which is SourceTokens.
-	Engine       string `json:"eng,omitempty"`
-	Source       string `json:"src,omitempty"`
-	SourceTokens int    `json:"srct,omitempty"`
+	// refused. Source is an engine to copy prompt parts from, or empty.
+	Engine string `json:"eng,omitempty"`
+	Source string `json:"src,omitempty"`
 	// Stream is that of a granted request; Software is that of the engine.
 	Stream   string `json:"-"`
 	Software string `json:"sw,omitempty"`
@@ -265,8 +254,6 @@
 	Crowded bool `json:"crowd,omitempty"`
 	// RetryAfter is when a refused caller should retry.
 	RetryAfter time.Duration `json:"retry,omitempty"`
-	// Room is the room of the cell in percent, as Placer.Room returns it.
-	Room int `json:"room,omitempty"`
 	// Cold is whether the granted engine is cold. Such a grant is void some time
 	// after it was made, which was Waited after the request reached the owner.
 	Cold   bool          `json:"cold,omitempty"`
@@ -456,11 +443,6 @@
 	if !p.hasEngine(r) {
 		return p.refuse(now, r, NoEngine)
 	}
-	if r.MayMove && p.Room(now) <= 0 {
-		// It counts where it goes, or here when it comes back.
-		acc.demand -= chargedTokens(r)
-		return p.describe(now, r, Decision{ID: r.ID, Verdict: Busy})
-	}
 	if p.queueFull(r.Account) {
 		return p.refuse(now, r, QueueFull)
 	}
@@ -468,29 +450,9 @@
 		return p.refuse(now, r, Late)
 	}
 	p.queue = append(p.queue, w)
-	return Decision{ID: r.ID, Verdict: Queued, Room: percent(p.Room(now))}
+	return Decision{ID: r.ID, Verdict: Queued}
 }
 
-// Room returns the fraction of the cell's engines that can start a request at once, less
-// the queued requests for each engine, and at least 0. It is 0 in pools that aren't slow:
-// there, a request waits for its own cell for a shorter time than its parts take to be
-// copied or prefilled in another one.
-func (p *Placer) Room(now time.Time) float64 {
-	if !p.slowPool() || len(p.availableIDs) == 0 {
-		return 0
-	}
-	limit := scale(p.minTarget, queueTargetRatio)
-	free := 0
-	for _, name := range p.availableIDs {
-		if e := p.engines[name]; e.running < p.spec.Slots && !now.Before(e.refusedUntil) && e.model.Backlog(now) <= limit && !p.isCold(now, e) {
-			free++
-		}
-	}
-	return max(float64(free-len(p.queue))/float64(len(p.availableIDs)), 0)
-}
-
-func percent(f float64) int { return int(100 * f) }
-
 // hasEngine reports whether an engine may get the request, now or later.
 func (p *Placer) hasEngine(r Request) bool {
 	return slices.ContainsFunc(p.availableIDs, func(id string) bool { return p.engines[id].suits(r) })
@@ -915,7 +877,7 @@
 }
 
 // copySources returns the engines that cache the most and the second most of a
-// prompt, of this cell and the one that the request names.
+// prompt.
 func (p *Placer) copySources(r Request) (first, second copySource) {
 	if p.spec.TokenBytes <= 0 || p.spec.LinkBytesPerSecond <= 0 {
 		return first, second
@@ -931,9 +893,6 @@
 			second = copySource{e, n}
 		}
 	}
-	if r.Source != "" && r.SourceTokens > first.cachedTokens {
-		first, second = copySource{&engine{Engine: Engine{ID: r.Source}}, r.SourceTokens}, first
-	}
 	return first, second
 }
 
@@ -959,11 +918,10 @@
 	return p.withShare(now, r, p.withCold(now, r, d))
 }
 
-// withShare adds the account's usage and share to a decision, for logging, with the
-// room of the cell and whether it is crowded.
+// withShare adds the account's usage and share, and whether the cell is crowded, to a
+// decision, for logging.
 func (p *Placer) withShare(now time.Time, r Request, d Decision) Decision {
-	d.Room, d.Crowded = percent(p.Room(now)), p.crowded()
-	d.Usage = int(p.account(now, r.Account).usage)
+	d.Usage, d.Crowded = int(p.account(now, r.Account).usage), p.crowded()
 	if share := p.FairShare(now); !math.IsInf(share, 1) {
 		d.FairShare = int(share)
 	}
@@ -985,14 +943,7 @@
 		p.refusedPrunedAt = now
 		maps.DeleteFunc(p.refusedAt, func(_ string, at time.Time) bool { return now.Sub(at) > retryMemory })
 	}
-	return p.describe(now, r, Decision{ID: r.ID, Verdict: v, RetryAfter: min(retry, maxRetryAfter)})
-}
-
-// describe adds the best candidate to a decision that grants none.
-func (p *Placer) describe(now time.Time, r Request, d Decision) Decision {
-	if first, _ := p.copySources(r); first.engine != nil {
-		d.Source, d.SourceTokens = first.engine.ID, first.cachedTokens
-	}
+	d := Decision{ID: r.ID, Verdict: v, RetryAfter: min(retry, maxRetryAfter)}
 	if o, ok := p.bestOption(now, r); ok {
 		d.Engine, d.Forecast, d.CachedTokens = o.engine.ID, o.forecast, o.cachedTokens
 		d.QueuedTokens, d.UncachedTokens = int(o.engine.model.QueuedTokens(now)), int(o.uncachedTokens)
--- a/internal/rwplacement/verdict_string.go
+++ b/internal/rwplacement/verdict_string.go
@@ -15,12 +15,11 @@
 	_ = x[NoEngine-4]
 	_ = x[QueueFull-5]
 	_ = x[Moved-6]
-	_ = x[Busy-7]
 }
 
-const _Verdict_name = "waitgrantedlateover_shareno_enginefullmovedbusy"
+const _Verdict_name = "waitgrantedlateover_shareno_enginefullmoved"
 
-var _Verdict_index = [...]uint8{0, 4, 11, 15, 25, 34, 38, 43, 47}
+var _Verdict_index = [...]uint8{0, 4, 11, 15, 25, 34, 38, 43}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
