Don't set a broker's function after its start in a test

Cause: TestDoubtEndsARanking set Live after newFleet had begun Run. A Broker's functions are set before Run; the fault is the test's.

Change: the line is gone. newFleet sets the same function already, so that the test checks what it did.

The race was seen once; it wasn't made to show again before the change. No caller saw anything of it.

--- a/internal/rwbroker/rwbroker_test.go
+++ b/internal/rwbroker/rwbroker_test.go
@@ -484,7 +484,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3, newSnapshot(4, 2))
 		n := f.nodes["r0"]
-		n.Live = f.members
 		for i := range 20 {
 			k := cellKey{"model", i}
 			first := n.owner(k)
