Take no end before the body is acknowledged for the end of a response

A response without a length or chunks that ended while the body of its request was still in the router's send buffer counted as complete after 100 ms, though the upstream's system could still reset the connection. It was passed on to the caller as whole. The end now counts only once the upstream's system has acknowledged the body, and the response is reported as truncated after one second without that.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -50,13 +50,12 @@
 	// maxInlineBody is how much of a body is written before the response is
 	// read; it fits into the socket's send buffer.
 	maxInlineBody = 16 << 10
-	// uploadEndTimeout bounds the wait for the writing of a request's body after the
-	// response has ended with the connection. resetWait bounds the wait until the
-	// upstream's system has taken what was written, and statePollInterval is the time
-	// between looks at the socket: a system that has closed the connection resets it
-	// within a round trip of the next bytes.
+	// uploadEndTimeout bounds the wait until the upstream's system has acknowledged the
+	// body of a request whose response has ended with the connection. A system that has
+	// closed the connection resets it when the next bytes arrive, which takes several
+	// hundred milliseconds if a packet is lost. statePollInterval is the time between
+	// looks at the socket.
 	uploadEndTimeout  = time.Second
-	resetWait         = 100 * time.Millisecond
 	statePollInterval = 2 * time.Millisecond
 	// maxHeadBytes bounds the head of a response, with the informational
 	// responses before it: a faulty upstream may send header lines without end.
@@ -208,8 +207,8 @@
 }
 
 // Body returns the body of the response. Reading one that ends with its connection
-// fails if the connection was reset, or if the body of the request was not written
-// within uploadEndTimeout after the end.
+// fails if the connection was reset, or if the upstream's system has not acknowledged
+// the body of the request within uploadEndTimeout after the end.
 func (resp *Response) Body() io.Reader { return resp.body }
 
 // EndsWithConnection reports whether the body has neither a length nor chunks, so
@@ -390,7 +389,7 @@
 
 var (
 	errReset      = errors.New("the connection was reset")
-	errBodyUnread = errors.New("the connection ended before the body of the request was written")
+	errBodyUnread = errors.New("the connection ended before the body of the request was acknowledged")
 )
 
 // checkEnd returns an error unless the end that was read from the connection is the
@@ -398,9 +397,9 @@
 // of the request's body or to the reader of the response, and the other one of them
 // sees an end. A reset may also follow the end while the body is on its way.
 func (c *conn) checkEnd() error {
+	deadline := time.NewTimer(uploadEndTimeout)
+	defer deadline.Stop()
 	if c.bodyWritten != nil {
-		deadline := time.NewTimer(uploadEndTimeout)
-		defer deadline.Stop()
 		select {
 		case <-c.bodyWritten:
 			if c.writeErr != nil {
@@ -410,21 +409,28 @@
 			return errBodyUnread
 		}
 	}
-	for end := time.Now().Add(resetWait); ; time.Sleep(statePollInterval) {
-		reset, taken := c.state()
+	poll := time.NewTicker(statePollInterval)
+	defer poll.Stop()
+	for {
+		reset, acknowledged := c.state()
 		switch {
 		case reset:
 			return errReset
-		case taken || time.Now().After(end):
+		case acknowledged:
 			return nil
 		}
+		select {
+		case <-poll.C:
+		case <-deadline.C:
+			return errBodyUnread
+		}
 	}
 }
 
 // state reports whether the connection was reset or closed, and whether the system of
-// the upstream has taken all that was written. It asks the socket; without an answer,
-// the connection counts as not reset and all as taken.
-func (c *conn) state() (reset, taken bool) {
+// the upstream has acknowledged all that was written. It asks the socket; without an
+// answer, the connection counts as not reset and all as acknowledged.
+func (c *conn) state() (reset, acknowledged bool) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false, true
--- a/internal/rwconn/upload_test.go
+++ b/internal/rwconn/upload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -136,3 +137,41 @@
 		}
 	}
 }
+
+// Guards against a response that looks complete although the upstream's system hasn't
+// acknowledged the whole body and may still reset the connection: the body fits into
+// the router's send buffer, and the upstream reads none of it.
+func TestEndBeforeTheBodyIsAcknowledgedIsNoEnd(t *testing.T) {
+	const (
+		receiveBuffer = 4 << 10
+		body          = 1 << 20
+	)
+	u := serve(t, func(_ *upstream, c net.Conn, r *bufio.Reader) {
+		socket := c.(*net.TCPConn)
+		_ = socket.SetReadBuffer(receiveBuffer)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(socket, unframedAnswer)
+		_ = socket.CloseWrite()
+		time.Sleep(uploadEndTimeout / 2)
+		_ = socket.SetLinger(0)
+		_ = socket.Close()
+	})
+	req := u.request("1")
+	req.Body = make([]byte, body)
+	p := newPool()
+	dial := p.Dial
+	p.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err == nil {
+			err = c.(*net.TCPConn).SetWriteBuffer(2 * body)
+		}
+		return c, err
+	}
+	resp, err := p.Do(t.Context(), req)
+	require.NoError(t, err)
+	defer resp.Close()
+	data, err := io.ReadAll(resp.Body())
+	require.Error(t, err, "the response looks complete: %q", data)
+}
