Reject responses that switch protocols

The head of a response with status 101 was skipped like other informational ones, and what followed was read as the response. No request asks to switch protocols, so it now fails as malformed with an unknown outcome, like other statuses that no response may have. The new test's two cases of 101 failed before.

--- a/internal/rwconn/rwconn.go
+++ b/internal/rwconn/rwconn.go
@@ -313,7 +313,7 @@
 		if err != nil {
 			return responseFault(err)
 		}
-		if httpResp.StatusCode < 100 || httpResp.StatusCode > maxStatus {
+		if !validStatus(httpResp.StatusCode) {
 			return rwfault.New(rwcode.UpstreamMalformed, "status "+httpResp.Status)
 		}
 		if httpResp.StatusCode < 200 {
@@ -348,6 +348,12 @@
 	}
 }
 
+// validStatus reports whether an upstream may respond with a status. No request asks
+// to switch protocols, and what follows such a response is not HTTP.
+func validStatus(status int) bool {
+	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
 // responseFault distinguishes bytes that are not a response from a broken
 // connection.
 func responseFault(err error) error {
--- a/internal/rwconn/rwconn_test.go
+++ b/internal/rwconn/rwconn_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -443,3 +444,36 @@
 	require.Equal(t, 1, conns, "the connection is kept")
 	require.Equal(t, 1, requests)
 }
+
+// Guards against a response that is read from the bytes of another protocol, and
+// against a wait for one: no request asks to switch protocols. Other informational
+// responses are skipped.
+func TestInformationalResponses(t *testing.T) {
+	for status, code := range map[string]rwcode.Code{
+		"100 Continue": rwcode.None, "103 Early Hints": rwcode.None, "101 Switching Protocols": rwcode.UpstreamMalformed,
+	} {
+		for _, kept := range []bool{false, true} {
+			t.Run(status+"/kept "+strconv.FormatBool(kept), func(t *testing.T) {
+				u := serve(t, func(u *upstream, c net.Conn, r *bufio.Reader) {
+					if kept && u.next(r) {
+						_, _ = io.WriteString(c, response("1", "hello"))
+					}
+					if u.next(r) {
+						_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n\r\n"+response("2", "hello"))
+					}
+				})
+				p := newPool()
+				if kept {
+					require.Equal(t, "hello", body(t, p, u.request("1")))
+				}
+				if code == rwcode.None {
+					require.Equal(t, "hello", body(t, p, u.request("2")))
+					return
+				}
+				_, err := p.Do(t.Context(), u.request("2"))
+				require.True(t, rwfault.Is(err, code), "%v", err)
+				require.Equal(t, rwoutcome.Unknown, rwfault.From(err).Outcome)
+			})
+		}
+	}
+}
