Take no empty response of the platform for a listing

The decoder skips responses with a length of 0, so that such a response to a read was a listing without records, and one to a watch ended the wait at once without a fault. Both now fail as malformed. The new test failed before.

--- a/internal/rwplatformclient/rwplatformclient.go
+++ b/internal/rwplatformclient/rwplatformclient.go
@@ -88,5 +88,9 @@
 	if err != nil {
 		return nil, rwfault.Wrap(rwcode.PlatformMalformed, err)
 	}
+	if resp.ContentLength == 0 {
+		// sling decodes no body of this length.
+		return nil, rwfault.New(rwcode.PlatformMalformed, "the response is empty")
+	}
 	return l.Items, nil
 }
--- a/internal/rwplatformclient/rwplatformclient_test.go
+++ b/internal/rwplatformclient/rwplatformclient_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -94,6 +95,23 @@
 	}
 }
 
+// Guards against an empty response that is taken for a listing without records, and
+// against an answer to a watch that makes the caller watch again at once.
+func TestEmptyResponseIsNoListing(t *testing.T) {
+	for _, length := range []int64{0, -1} {
+		c := rwplatformclient.New("http://127.0.0.1:1/", &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+			return &http.Response{
+				StatusCode: http.StatusOK, ContentLength: length, Body: http.NoBody, Request: r,
+				ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{},
+			}, nil
+		})})
+		_, err := c.Read(t.Context())
+		require.True(t, rwfault.Is(err, rwcode.PlatformMalformed), "length %d: %v", length, err)
+		_, err = c.Watch(t.Context(), 1, time.Second)
+		require.True(t, rwfault.Is(err, rwcode.PlatformMalformed), "length %d: %v", length, err)
+	}
+}
+
 // Guards against a new connection for each call, which a response that is not
 // read to its end would cause.
 func TestCallsReuseTheirConnection(t *testing.T) {
