Let no request go to a cold upstream before the first look after a pause

A router that goes on after a pause lets nothing go to cold upstreams for two seconds, but noticed the pause only when it next looked at the live routers. A decision before that went by the list from before the pause. The time since the last look now counts too. The new test failed before.

--- a/internal/rwcoldroster/rwcoldroster.go
+++ b/internal/rwcoldroster/rwcoldroster.go
@@ -59,7 +59,7 @@
 func (r *Roster) Observe(now time.Time, live []rwidentity.Identity) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.observedAt.IsZero() || now.Sub(r.observedAt) > pauseTime {
+	if r.paused(now) {
 		r.settledAt = now.Add(settleTime)
 	}
 	r.observedAt = now
@@ -87,9 +87,19 @@
 func (r *Roster) Settled(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.observedAt.IsZero() && !now.Before(r.settledAt)
+	return r.settled(now)
 }
 
+// paused reports whether the last call of Observe is so long ago that the process was
+// paused since, or there was none. The caller must hold the lock.
+func (r *Roster) paused(now time.Time) bool {
+	return r.observedAt.IsZero() || now.Sub(r.observedAt) > pauseTime
+}
+
+// settled is Settled for a caller that holds the lock. A decision may come before the
+// first call of Observe after a pause.
+func (r *Roster) settled(now time.Time) bool { return !r.paused(now) && !now.Before(r.settledAt) }
+
 // Ranks reports whether this router is one of the first n for a key among all known
 // routers, and FirstLive whether it is the first of the live ones besides. Scores are
 // by the function score.
@@ -112,7 +122,7 @@
 // number above any other if this one doesn't rank.
 func (r *Roster) rank(now time.Time, score func(rwidentity.Identity) float64, counts func(member) bool) int {
 	self, ok := r.known[r.self]
-	if !ok || !r.live[r.self] || now.Before(r.settledAt) || r.lonely && len(r.known) == 1 {
+	if !ok || !r.live[r.self] || !r.settled(now) || r.lonely && len(r.known) == 1 {
 		return int(^uint(0) >> 1)
 	}
 	own, before := score(self.Identity), 0
--- a/internal/rwcoldroster/rwcoldroster_test.go
+++ b/internal/rwcoldroster/rwcoldroster_test.go
@@ -94,6 +94,18 @@
 	require.True(t, single.FirstLive(at(3000), 3, score))
 }
 
+// TestDecisionBeforeTheFirstLookAfterAPause guards against a router that lets a request
+// go right after a pause, since the part that looks at the live routers runs later than
+// the one that decides.
+func TestDecisionBeforeTheFirstLookAfterAPause(t *testing.T) {
+	r := settled("4", fleet(5))
+	require.True(t, r.FirstLive(at(3200), 3, score))
+	require.True(t, r.Settled(at(3200)))
+	require.False(t, r.FirstLive(at(6000), 3, score))
+	require.False(t, r.Ranks(at(6000), 3, score))
+	require.False(t, r.Settled(at(6000)))
+}
+
 // TestSuspendedRouter guards against a router that lets requests go as soon as it wakes
 // from a suspension during which the steady clock stood still.
 func TestSuspendedRouter(t *testing.T) {
