Forget remembered rights to send to cold upstreams after a suspension

A router remembers for 50 ms that it may let requests go to a cold upstream. After a suspension in which the steady clock stood still, it went on by that although another router may have taken over. Interrupt now clears what is remembered. The new test failed before.

--- a/internal/rwcoldguard/rwcoldguard.go
+++ b/internal/rwcoldguard/rwcoldguard.go
@@ -83,7 +83,12 @@
 }
 
 // Interrupt records that the process was paused: other routers may let requests go now.
-func (g *Guard) Interrupt(now time.Time) { g.roster.Interrupt(now) }
+func (g *Guard) Interrupt(now time.Time) {
+	g.roster.Interrupt(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.rights)
+}
 
 // Cares reports whether cold upstreams of a service need care.
 func (g *Guard) Cares(service string) bool {
--- a/internal/rwcoldguard/rwcoldguard_test.go
+++ b/internal/rwcoldguard/rwcoldguard_test.go
@@ -106,6 +106,34 @@
 	}
 }
 
+// TestInterruptEndsRememberedRights guards against a router that lets requests go right
+// after a suspension in which the steady clock stood still, since it remembers that it
+// might before.
+func TestInterruptEndsRememberedRights(t *testing.T) {
+	g := newGuard("r0", 6.8)
+	live := []rwidentity.Identity{{Name: "r0", Capacity: 500}, {Name: "r1", Capacity: 1}}
+	list := []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1}}
+	g.ObserveUpstreams(at(0), list)
+	for now := time.Duration(0); now <= 3*time.Second; now += 200 * time.Millisecond {
+		g.ObserveRouters(at(now), live)
+	}
+	list[0].Cold = coldStart
+	g.ObserveUpstreams(at(3*time.Second), list)
+	bounds := g.Engines("s", cellName, score)
+	room := func() (plain, engine bool) {
+		return g.PlainRoom(at(3*time.Second), "s", "a", "x"), bounds.Room(at(3*time.Second), "a", "x")
+	}
+	// The meter counts from the first question on.
+	g.PlainTaken(at(time.Second), "s", "a", "x")
+	plain, engine := room()
+	require.True(t, plain)
+	require.True(t, engine)
+	g.Interrupt(at(3 * time.Second))
+	plain, engine = room()
+	require.False(t, plain)
+	require.False(t, engine)
+}
+
 // TestUses guards against metrics that don't show how much of a bound is used.
 func TestUses(t *testing.T) {
 	g := newGuard("r0", 6.8)
