Take upstreams for cold before requests are placed on them

A list of upstreams was published before the part that bounds requests to cold ones had it, so that requests which waited could be placed without a bound on upstreams whose zone had just been taken back. The list is now applied there first, with the services of the configuration that comes with it, which ObserveUpstreams takes as a parameter.

--- a/internal/rwbroker/cold_test.go
+++ b/internal/rwbroker/cold_test.go
@@ -26,7 +26,7 @@
 	}}, nil)
 	f := newFleet(t, routers, rwconfigsnapshot.New(config, 1, time.Now(), list))
 	for _, n := range f.nodes {
-		n.Cold.ObserveUpstreams(time.Now(), list)
+		n.Cold.ObserveUpstreams(time.Now(), list, n.Cold.Service)
 	}
 	time.Sleep(5 * time.Second)
 	return f, list
@@ -38,7 +38,7 @@
 		list[i].StartMillis, list[i].Cold = 2, 3*time.Second
 	}
 	for _, name := range nodes {
-		f.nodes[name].Cold.ObserveUpstreams(time.Now(), list)
+		f.nodes[name].Cold.ObserveUpstreams(time.Now(), list, f.nodes[name].Cold.Service)
 	}
 }
 
--- a/internal/rwcoldguard/bench_test.go
+++ b/internal/rwcoldguard/bench_test.go
@@ -23,7 +23,7 @@
 				list = append(list, rwinstance.Instance{ID: engineID(i), Service: "s"})
 				engines = append(engines, rwplacement.Engine{ID: engineID(i)})
 			}
-			g.ObserveUpstreams(at(0), list)
+			g.ObserveUpstreams(at(0), list, g.Service)
 			for now := time.Duration(0); now < 3*time.Second; now += 200 * time.Millisecond {
 				g.ObserveRouters(at(now), []rwidentity.Identity{{Name: "r0"}, {Name: "r1"}})
 			}
--- a/internal/rwcoldguard/bound_test.go
+++ b/internal/rwcoldguard/bound_test.go
@@ -111,7 +111,7 @@
 	}
 	r.bounds = r.Engines("model", cellName, score)
 	r.suspects = map[string]time.Duration{}
-	r.ObserveUpstreams(s.time(), entries(s.now >= returnsAt+2*time.Second))
+	r.ObserveUpstreams(s.time(), entries(s.now >= returnsAt+2*time.Second), r.Service)
 }
 
 // entries returns the engines' entries in the store.
@@ -266,7 +266,7 @@
 			continue
 		}
 		// The news of the return come late.
-		s.at(returnsAt+s.between(0, 1500*time.Millisecond), func() { r.ObserveUpstreams(s.time(), entries(true)) })
+		s.at(returnsAt+s.between(0, 1500*time.Millisecond), func() { r.ObserveUpstreams(s.time(), entries(true), r.Service) })
 	}
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(event)
--- a/internal/rwcoldguard/rwcoldguard.go
+++ b/internal/rwcoldguard/rwcoldguard.go
@@ -68,10 +68,12 @@
 	}
 }
 
-// ObserveUpstreams applies the list of known upstreams.
-func (g *Guard) ObserveUpstreams(now time.Time, list []rwinstance.Instance) {
-	g.tracker.Observe(now, list, func(service string) (time.Duration, bool) {
-		s, ok := g.Service(service)
+// ObserveUpstreams applies the list of known upstreams. The function service returns a
+// service of the configuration that becomes active with the list. The list must be
+// applied before requests are placed by it.
+func (g *Guard) ObserveUpstreams(now time.Time, list []rwinstance.Instance, service func(name string) (rwrouteconfig.Service, bool)) {
+	g.tracker.Observe(now, list, func(name string) (time.Duration, bool) {
+		s, ok := service(name)
 		return s.ColdStart, ok && s.ColdPerSecond > 0
 	})
 }
--- a/internal/rwcoldguard/rwcoldguard_test.go
+++ b/internal/rwcoldguard/rwcoldguard_test.go
@@ -32,7 +32,7 @@
 func TestNoCareNothingChanges(t *testing.T) {
 	g := newGuard("r0", 0)
 	cold := []rwinstance.Instance{{ID: "a", Cold: time.Minute}, {ID: "b", Cold: time.Minute}}
-	g.ObserveUpstreams(at(0), cold)
+	g.ObserveUpstreams(at(0), cold, g.Service)
 	for range 10 {
 		g.Ended(at(0), "a", rwplacement.Failed)
 	}
@@ -82,11 +82,11 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	var arrivals []time.Duration
 	for _, g := range guards {
-		g.ObserveUpstreams(at(0), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1}})
+		g.ObserveUpstreams(at(0), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1}}, g.Service)
 		for now := time.Duration(0); now <= 10*time.Second; now += 200 * time.Millisecond {
 			g.ObserveRouters(at(now), live)
 		}
-		g.ObserveUpstreams(at(10*time.Second), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 2, Cold: coldStart}})
+		g.ObserveUpstreams(at(10*time.Second), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 2, Cold: coldStart}}, g.Service)
 		for now := 10 * time.Second; now < 13*time.Second; now += 20 * time.Millisecond {
 			g.ObserveRouters(at(now), live[:1+rng.IntN(routers-1)])
 			if !g.PlainRoom(at(now), "s", "a", strconv.Itoa(rng.IntN(20))) {
@@ -113,12 +113,12 @@
 	g := newGuard("r0", 6.8)
 	live := []rwidentity.Identity{{Name: "r0", Capacity: 500}, {Name: "r1", Capacity: 1}}
 	list := []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1}}
-	g.ObserveUpstreams(at(0), list)
+	g.ObserveUpstreams(at(0), list, g.Service)
 	for now := time.Duration(0); now <= 3*time.Second; now += 200 * time.Millisecond {
 		g.ObserveRouters(at(now), live)
 	}
 	list[0].Cold = coldStart
-	g.ObserveUpstreams(at(3*time.Second), list)
+	g.ObserveUpstreams(at(3*time.Second), list, g.Service)
 	bounds := g.Engines("s", cellName, score)
 	room := func() (plain, engine bool) {
 		return g.PlainRoom(at(3*time.Second), "s", "a", "x"), bounds.Room(at(3*time.Second), "a", "x")
@@ -137,7 +137,7 @@
 // TestUses guards against metrics that don't show how much of a bound is used.
 func TestUses(t *testing.T) {
 	g := newGuard("r0", 6.8)
-	g.ObserveUpstreams(at(0), []rwinstance.Instance{{ID: "a", Service: "s", Cold: time.Second}, {ID: "b", Service: "s"}})
+	g.ObserveUpstreams(at(0), []rwinstance.Instance{{ID: "a", Service: "s", Cold: time.Second}, {ID: "b", Service: "s"}}, g.Service)
 	g.PlainTaken(at(0), "s", "a", "x")
 	uses := g.Uses(at(500 * time.Millisecond))
 	require.Len(t, uses, 1)
--- a/internal/rwedge/cold.go
+++ b/internal/rwedge/cold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingworks.example/internal/rwcoldguard"
+	"redwingworks.example/internal/rwconfigsnapshot"
 	"redwingworks.example/internal/rwlog"
 	"redwingworks.example/internal/rwrouteconfig"
 )
@@ -15,16 +16,18 @@
 	e.cold = rwcoldguard.New(e.started, e.self.Name, hasSeeds)
 	e.cold.Overage, e.cold.Slack = e.deployment.ColdOverage, e.deployment.ColdSlack
 	e.cold.Count = func(counter string) { e.metrics.Add(counter, 1) }
-	e.cold.Service = func(name string) (rwrouteconfig.Service, bool) {
-		config := e.published.Load().Config
-		if config == nil {
-			return rwrouteconfig.Service{}, false
-		}
-		return config.Service(name)
-	}
+	e.cold.Service = func(name string) (rwrouteconfig.Service, bool) { return serviceOf(e.published.Load(), name) }
 	e.broker.Cold = e.cold
 }
 
+// serviceOf returns a service of a snapshot's configuration.
+func serviceOf(snapshot *rwconfigsnapshot.Snapshot, name string) (rwrouteconfig.Service, bool) {
+	if snapshot.Config == nil {
+		return rwrouteconfig.Service{}, false
+	}
+	return snapshot.Config.Service(name)
+}
+
 // reportCold logs the upstreams that became cold or warm.
 func (e *Edge) reportCold(now time.Time) {
 	for _, c := range e.cold.Changes(now) {
--- a/internal/rwedge/cold_test.go
+++ b/internal/rwedge/cold_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,3 +90,47 @@
 		require.False(t, ranks())
 	})
 }
+
+// Guards against requests to an upstream whose zone has just been taken back that are
+// placed before the router takes the upstream for cold.
+func TestReturnedUpstreamIsColdOnceItIsUsable(t *testing.T) {
+	const upstreams = 200
+	e := newEdge()
+	service := rwrouteconfig.Service{Name: "s", ColdStart: time.Hour, ColdPerSecond: 6.8}
+	config := rwrouteconfig.New(1, rwrouteconfig.Limits{}, nil, []rwrouteconfig.Service{service}, nil)
+	e.catalog.Decode = func(it rwitem.Item) (rwcatalog.Decoded, error) {
+		if it.Key == "config" {
+			return rwcatalog.Decoded{Config: config}, nil
+		}
+		if zone, ok := strings.CutPrefix(it.Key, "evacuate/"); ok {
+			return rwcatalog.Decoded{Evacuated: zone}, nil
+		}
+		return rwcatalog.Decoded{Instance: &rwinstance.Instance{ID: it.Key, Service: "s", Zone: it.Key, StartMillis: 1}}, nil
+	}
+	apply := func(items ...rwitem.Item) {
+		e.updateCatalog("peer", func(now time.Time) (bool, map[string]error) { return e.catalog.Apply(now, items) })
+	}
+	items := []rwitem.Item{{Key: "config", Rev: 1, Value: []byte("x")}}
+	for i := range upstreams {
+		for _, key := range []string{strconv.Itoa(i), "evacuate/" + strconv.Itoa(i)} {
+			items = append(items, rwitem.Item{Key: key, Rev: 1, Value: []byte("x")})
+		}
+	}
+	apply(items...)
+	for i := range upstreams {
+		id := strconv.Itoa(i)
+		started, coldAtFirst := make(chan struct{}), make(chan bool)
+		go func() {
+			close(started)
+			for {
+				if _, usable := e.published.Load().Instance(id); usable {
+					coldAtFirst <- e.cold.ColdOf(time.Now(), "s")[id] > 0
+					return
+				}
+			}
+		}()
+		<-started
+		apply(rwitem.Item{Key: "evacuate/" + id, Rev: 2, Deleted: true})
+		require.True(t, <-coldAtFirst, "upstream %s", id)
+	}
+}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -56,6 +56,7 @@
 	"redwingworks.example/internal/rwrelay"
 	"redwingworks.example/internal/rwretrywindow"
 	"redwingworks.example/internal/rwrevision"
+	"redwingworks.example/internal/rwrouteconfig"
 	"redwingworks.example/internal/rwshutdown"
 	"redwingworks.example/internal/rwsink"
 	"redwingworks.example/internal/rwstorewatch"
@@ -955,13 +956,13 @@
 	rev, newEra := e.catalog.Rev(), e.catalog.Era()
 	e.gossip.SetConfigDigest(rev, 0)
 	if changed {
-		e.published.Store(rwconfigsnapshot.New(e.catalog.Config(), rev.Rev, now, e.catalog.Instances()).WithEra(rev.Era).
-			WithEvacuations(e.catalog.Evacuations()))
+		next := rwconfigsnapshot.New(e.catalog.Config(), rev.Rev, now, e.catalog.Instances()).WithEra(rev.Era).
+			WithEvacuations(e.catalog.Evacuations())
+		// An upstream that returns must be known as cold before it gets requests.
+		e.cold.ObserveUpstreams(now, e.catalog.Instances(), func(name string) (rwrouteconfig.Service, bool) { return serviceOf(next, name) })
+		e.published.Store(next)
 	}
 	e.broker.Origins.Observe(now, e.catalog.Instances())
-	if changed {
-		e.cold.ObserveUpstreams(now, e.catalog.Instances())
-	}
 	e.mu.Unlock()
 	if newEra > era {
 		rwlog.Info(&e.log, rwlog.PlatformReturned).Int64("before", era).Int64("era", newEra).Int64("rev", rev.Rev).
