--- a/internal/rwcoldguard/bound_test.go
+++ b/internal/rwcoldguard/bound_test.go
@@ -268,6 +268,11 @@
 		// The news of the return come late.
 		s.at(returnsAt+s.between(0, 1500*time.Millisecond), func() { r.ObserveUpstreams(s.time(), entries(true), r.Service) })
 	}
+	s.play()
+}
+
+// play runs all events.
+func (s *site) play() {
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(event)
 		s.now = e.at
