Name what is bounded in the packages of cold upstreams

"Care" and "lonely" didn't say what they stand for. The code and its tests now speak of services whose requests to cold upstreams are bounded, and of a router that knows of others. No behaviour changes.

--- a/internal/rwcold/rwcold.go
+++ b/internal/rwcold/rwcold.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// learnTime is how long after its start a tracker takes the word of unknown
-	// upstreams that they are warm. A router learns of a whole fleet in several
+	// learnTime is how long after its start a tracker takes an unknown upstream for
+	// warm unless its entry says that it is cold. A router learns of a whole fleet in several
 	// steps then, and must not hold back all of it.
 	learnTime = 5 * time.Second
 	// minSigns is the number of failures without an answer in between, and
@@ -36,8 +36,8 @@
 )
 
 // Tracker knows which upstreams are cold, as one router sees them. It is safe for
-// concurrent use. Upstreams that were never given to Observe, and those whose service
-// needs no care, are never cold.
+// concurrent use. Upstreams that were never given to Observe, and those of a service
+// that has no bound on requests to cold upstreams, are never cold.
 type Tracker struct {
 	startedAt time.Time
 
@@ -53,7 +53,7 @@
 
 type upstream struct {
 	service     string
-	care        bool
+	bounded     bool
 	startMillis int64
 	coldStart   time.Duration
 	// announced is the last time that the entry stated, as of announcedAt.
@@ -62,7 +62,7 @@
 	evacuated   bool
 	// inferredUntil is the end of a cold time that the router has concluded itself.
 	inferredUntil time.Time
-	// toldUntil is the same as the owner of the upstream's cell told it.
+	// toldUntil is the end of a cold time that another router has told.
 	toldUntil time.Time
 	// signs is the number of failures since answeredAt, the first at failedAt.
 	signs      int
@@ -91,13 +91,13 @@
 }
 
 // Observe applies the list of known upstreams. The function coldStart returns how
-// long an upstream of a service stays cold after its start, and false if its
-// upstreams need no care. A list that repeats a former one changes nothing.
+// long an upstream of a service stays cold after its start, and false if the requests
+// to its cold upstreams aren't bounded. A list that repeats a former one changes nothing.
 func (t *Tracker) Observe(now time.Time, list []rwinstance.Instance, coldStart func(service string) (time.Duration, bool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, in := range list {
-		d, care := coldStart(in.Service)
+		d, bounded := coldStart(in.Service)
 		u := t.upstreams[in.ID]
 		switch {
 		case u == nil:
@@ -122,7 +122,7 @@
 			u.inferredUntil = later(u.inferredUntil, now.Add(d))
 		}
 		t.raise(u.until())
-		u.service, u.care, u.coldStart, u.evacuated, u.listedAt = in.Service, care, d, in.Evacuated, now
+		u.service, u.bounded, u.coldStart, u.evacuated, u.listedAt = in.Service, bounded, d, in.Evacuated, now
 	}
 	for id, u := range t.upstreams {
 		if now.Sub(u.listedAt) > memory {
@@ -156,7 +156,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[id]
-	if u == nil || !u.care {
+	if u == nil || !u.bounded {
 		return
 	}
 	if u.signs == 0 {
@@ -199,7 +199,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[id]
-	return u == nil || !u.care || !u.answeredAt.IsZero() && now.Sub(u.answeredAt) < heardTime
+	return u == nil || !u.bounded || !u.answeredAt.IsZero() && now.Sub(u.answeredAt) < heardTime
 }
 
 // Doubtful reports whether the last sign of an upstream was a failure a short time ago.
@@ -210,7 +210,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[id]
-	return u != nil && u.care && u.signs > 0 && now.Sub(u.lastFailedAt) < heardTime
+	return u != nil && u.bounded && u.signs > 0 && now.Sub(u.lastFailedAt) < heardTime
 }
 
 // Cold reports whether an upstream is cold, or silent and so possibly cold when it
@@ -222,7 +222,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[id]
-	return u != nil && u.care && (u.silent(now) || now.Before(u.until()) || now.Before(u.toldUntil))
+	return u != nil && u.bounded && (u.silent(now) || now.Before(u.until()) || now.Before(u.toldUntil))
 }
 
 // Announced reports whether an upstream is cold by the list of upstreams alone,
@@ -234,7 +234,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[id]
-	return u != nil && u.care && now.Before(u.announcedAt.Add(u.announced))
+	return u != nil && u.bounded && now.Before(u.announcedAt.Add(u.announced))
 }
 
 // Tellable returns for how long upstreams of a service stay cold, by id, as other
@@ -251,7 +251,7 @@
 		if u.silent(now) {
 			left = max(left, u.coldStart)
 		}
-		if !u.care || u.service != service || left <= 0 {
+		if !u.bounded || u.service != service || left <= 0 {
 			continue
 		}
 		if out == nil {
@@ -282,7 +282,7 @@
 	var out []Change
 	for id, u := range t.upstreams {
 		c := Change{ID: id, Service: u.service, Silent: u.silent(now), Left: max(u.until().Sub(now), 0)}
-		c.Cold = u.care && (c.Silent || c.Left > 0)
+		c.Cold = u.bounded && (c.Silent || c.Left > 0)
 		if c.Silent {
 			c.Left = max(c.Left, u.coldStart)
 		}
--- a/internal/rwcold/rwcold_test.go
+++ b/internal/rwcold/rwcold_test.go
@@ -13,12 +13,12 @@
 
 func at(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 
-func care(string) (time.Duration, bool) { return coldStart, true }
+func bounded(string) (time.Duration, bool) { return coldStart, true }
 
 // tracked returns a tracker that has known a warm upstream "a" for long.
 func tracked() *Tracker {
 	t := New(at(0))
-	t.Observe(at(0), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1}}, care)
+	t.Observe(at(0), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1}}, bounded)
 	return t
 }
 
@@ -40,7 +40,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			tr := tracked()
-			tr.Observe(at(20_000), []rwinstance.Instance{c.in}, care)
+			tr.Observe(at(20_000), []rwinstance.Instance{c.in}, bounded)
 			left := int(c.left.Milliseconds())
 			require.Equal(t, left > 0, tr.Cold(at(20_000), c.in.ID))
 			if left > 0 {
@@ -58,7 +58,7 @@
 	tr := tracked()
 	cold := []rwinstance.Instance{{ID: "a", StartMillis: 1, Cold: time.Second}}
 	for ms := 10_000; ms < 12_000; ms += 100 {
-		tr.Observe(at(ms), cold, care)
+		tr.Observe(at(ms), cold, bounded)
 	}
 	require.True(t, tr.Cold(at(10_999), "a"))
 	require.False(t, tr.Cold(at(11_000), "a"))
@@ -67,8 +67,8 @@
 // TestEndOfEvacuation guards against full load on a zone that was taken back.
 func TestEndOfEvacuation(t *testing.T) {
 	tr := tracked()
-	tr.Observe(at(10_000), []rwinstance.Instance{{ID: "a", StartMillis: 1, Evacuated: true}}, care)
-	tr.Observe(at(15_000), []rwinstance.Instance{{ID: "a", StartMillis: 1}}, care)
+	tr.Observe(at(10_000), []rwinstance.Instance{{ID: "a", StartMillis: 1, Evacuated: true}}, bounded)
+	tr.Observe(at(15_000), []rwinstance.Instance{{ID: "a", StartMillis: 1}}, bounded)
 	require.True(t, tr.Cold(at(17_999), "a"))
 	require.False(t, tr.Cold(at(18_000), "a"))
 }
@@ -77,11 +77,11 @@
 // because it has just started and learns of its parts one after the other.
 func TestWarmFleetAtStart(t *testing.T) {
 	tr := tracked()
-	tr.Observe(at(1000), []rwinstance.Instance{{ID: "a", StartMillis: 1}, {ID: "b", StartMillis: 1}}, care)
+	tr.Observe(at(1000), []rwinstance.Instance{{ID: "a", StartMillis: 1}, {ID: "b", StartMillis: 1}}, bounded)
 	require.False(t, tr.Cold(at(1000), "b"))
 	// An entry that lapsed and came back isn't new.
-	tr.Observe(at(20_000), []rwinstance.Instance{{ID: "a", StartMillis: 1}}, care)
-	tr.Observe(at(24_000), []rwinstance.Instance{{ID: "a", StartMillis: 1}, {ID: "b", StartMillis: 1}}, care)
+	tr.Observe(at(20_000), []rwinstance.Instance{{ID: "a", StartMillis: 1}}, bounded)
+	tr.Observe(at(24_000), []rwinstance.Instance{{ID: "a", StartMillis: 1}, {ID: "b", StartMillis: 1}}, bounded)
 	require.False(t, tr.Cold(at(24_000), "b"))
 }
 
@@ -137,9 +137,9 @@
 	require.False(t, b.Cold(at(14_000), "a"))
 }
 
-// TestServiceWithoutCare guards against any effect on services whose upstreams need no
-// care, and on upstreams that were known before their service needs some.
-func TestServiceWithoutCare(t *testing.T) {
+// TestServiceWithoutBound guards against any effect on services whose cold upstreams
+// have no bound, and on upstreams that were known before their service has one.
+func TestServiceWithoutBound(t *testing.T) {
 	tr := New(at(0))
 	list := []rwinstance.Instance{{ID: "a", StartMillis: 1, Cold: time.Minute}}
 	tr.Observe(at(0), list, func(string) (time.Duration, bool) { return coldStart, false })
@@ -151,9 +151,9 @@
 	require.True(t, tr.Heard(at(5000), "a"))
 	require.Empty(t, tr.Changes(at(5000)))
 	list[0].Cold = 0
-	tr.Observe(at(10_000), list, care)
+	tr.Observe(at(10_000), list, bounded)
 	tr.Answer(at(10_000), "a")
-	tr.Observe(at(20_000), list, care)
+	tr.Observe(at(20_000), list, bounded)
 	require.False(t, tr.Cold(at(20_000), "a"))
 }
 
@@ -161,7 +161,7 @@
 	tr := tracked()
 	require.Empty(t, tr.Changes(at(0)))
 	require.Nil(t, tr.Tellable(at(0), "s"))
-	tr.Observe(at(10_000), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1, Cold: time.Second}}, care)
+	tr.Observe(at(10_000), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1, Cold: time.Second}}, bounded)
 	require.Equal(t, []Change{{ID: "a", Service: "s", Cold: true, Left: time.Second}}, tr.Changes(at(10_000)))
 	require.Empty(t, tr.Changes(at(10_500)))
 	require.Equal(t, []Change{{ID: "a", Service: "s"}}, tr.Changes(at(11_000)))
--- a/internal/rwcoldguard/bench_test.go
+++ b/internal/rwcoldguard/bench_test.go
@@ -12,9 +12,9 @@
 )
 
 // BenchmarkSubmit measures a decision on a request in a cell of 15 warm engines, with
-// care for cold ones and without.
+// a bound for cold ones and without.
 func BenchmarkSubmit(b *testing.B) {
-	for name, perSecond := range map[string]float64{"care": 6.8, "none": 0} {
+	for name, perSecond := range map[string]float64{"bound": 6.8, "none": 0} {
 		b.Run(name, func(b *testing.B) {
 			g := newGuard("r0", perSecond)
 			var list []rwinstance.Instance
--- a/internal/rwcoldguard/rwcoldguard.go
+++ b/internal/rwcoldguard/rwcoldguard.go
@@ -92,8 +92,8 @@
 	clear(g.rights)
 }
 
-// Cares reports whether cold upstreams of a service need care.
-func (g *Guard) Cares(service string) bool {
+// IsBounded reports whether the requests to cold upstreams of a service are bounded.
+func (g *Guard) IsBounded(service string) bool {
 	s, ok := g.Service(service)
 	return ok && s.ColdPerSecond > 0
 }
@@ -110,10 +110,10 @@
 }
 
 // Engines returns the bounds for the placer of a cell of a service, whose owner is the
-// live router with the highest score. They have no functions if the service's
-// upstreams need no care.
+// live router with the highest score. They have no functions if the requests to the
+// service's cold upstreams aren't bounded.
 func (g *Guard) Engines(service, cell string, score func(rwidentity.Identity) float64) rwplacement.Cold {
-	if !g.Cares(service) {
+	if !g.IsBounded(service) {
 		return rwplacement.Cold{}
 	}
 	return rwplacement.Cold{
@@ -172,7 +172,7 @@
 // PlainRoom reports whether this router may send a request of an account to an
 // upstream of a plain service.
 func (g *Guard) PlainRoom(now time.Time, service, id, account string) bool {
-	if !g.Cares(service) || !g.tracker.Cold(now, id) {
+	if !g.IsBounded(service) || !g.tracker.Cold(now, id) {
 		return true
 	}
 	senders, each := g.split(service)
@@ -189,7 +189,7 @@
 // PlainTaken counts a request that goes to an upstream of a plain service. It returns
 // when it may be sent at the latest, or zero if the upstream isn't cold.
 func (g *Guard) PlainTaken(now time.Time, service, id, account string) time.Time {
-	if !g.Cares(service) {
+	if !g.IsBounded(service) {
 		return time.Time{}
 	}
 	g.meter.Take(now, id, account)
@@ -225,7 +225,7 @@
 // ColdOf returns for how long the upstreams of a service stay cold, by id, as far as
 // this router knows, or nil if none is cold.
 func (g *Guard) ColdOf(now time.Time, service string) map[string]time.Duration {
-	if !g.Cares(service) {
+	if !g.IsBounded(service) {
 		return nil
 	}
 	return g.tracker.Tellable(now, service)
--- a/internal/rwcoldguard/rwcoldguard_test.go
+++ b/internal/rwcoldguard/rwcoldguard_test.go
@@ -27,9 +27,9 @@
 	return g
 }
 
-// TestNoCareNothingChanges guards against any effect on services whose upstreams need
-// no care, whatever their entries and failures say.
-func TestNoCareNothingChanges(t *testing.T) {
+// TestNoBoundNothingChanges guards against any effect on services whose cold upstreams
+// have no bound, whatever their entries and failures say.
+func TestNoBoundNothingChanges(t *testing.T) {
 	g := newGuard("r0", 0)
 	cold := []rwinstance.Instance{{ID: "a", Cold: time.Minute}, {ID: "b", Cold: time.Minute}}
 	g.ObserveUpstreams(at(0), cold, g.Service)
--- a/internal/rwcoldroster/rwcoldroster.go
+++ b/internal/rwcoldroster/rwcoldroster.go
@@ -29,9 +29,9 @@
 // Roster is the routers that one router has seen. It is safe for concurrent use.
 type Roster struct {
 	self string
-	// lonely is whether other routers are known to exist, so that a router which has
+	// hasOthers is whether other routers are known to exist, so that a router which has
 	// seen none is cut off.
-	lonely bool
+	hasOthers bool
 
 	mu         sync.Mutex
 	known      map[string]member
@@ -52,7 +52,7 @@
 // New returns a roster of the router self, which has just started. hasSeeds is
 // whether its settings name other routers.
 func New(self string, hasSeeds bool) *Roster {
-	return &Roster{self: self, lonely: hasSeeds, known: map[string]member{}, live: map[string]bool{}}
+	return &Roster{self: self, hasOthers: hasSeeds, known: map[string]member{}, live: map[string]bool{}}
 }
 
 // Observe records the live routers. It has to be called several times a second.
@@ -122,7 +122,7 @@
 // number above any other if this one doesn't rank.
 func (r *Roster) rank(now time.Time, score func(rwidentity.Identity) float64, counts func(member) bool) int {
 	self, ok := r.known[r.self]
-	if !ok || !r.live[r.self] || !r.settled(now) || r.lonely && len(r.known) == 1 {
+	if !ok || !r.live[r.self] || !r.settled(now) || r.hasOthers && len(r.known) == 1 {
 		return int(^uint(0) >> 1)
 	}
 	own, before := score(self.Identity), 0
--- a/internal/rwplacement/cold.go
+++ b/internal/rwplacement/cold.go
@@ -7,7 +7,7 @@
 )
 
 // Cold says which engines are cold and bounds what they get. All functions are set,
-// or none if the engines need no care.
+// or none if cold engines get as much as warm ones.
 type Cold struct {
 	// Is reports whether an engine is cold.
 	Is func(now time.Time, engine string) bool
--- a/internal/rwrouteconfig/rwrouteconfig.go
+++ b/internal/rwrouteconfig/rwrouteconfig.go
@@ -88,7 +88,7 @@
 	// ColdStart is how long an upstream stays cold after it starts.
 	ColdStart time.Duration
 	// ColdPerSecond is the number of requests per second that a cold upstream
-	// bears, or 0 if cold upstreams need no care.
+	// bears, or 0 if cold upstreams get as many as warm ones.
 	ColdPerSecond float64
 }
 
