Share the rate of cold upstreams between the tests of rwcoldguard

All sites and guards of these tests use the same rate; the linter reported the parameter that always receives it. No test changes what it checks.

--- a/internal/rwcoldguard/bound_test.go
+++ b/internal/rwcoldguard/bound_test.go
@@ -23,7 +23,8 @@
 	routers     = 83
 	engines     = 4
 	coldStart   = 3 * time.Second
-	bound       = 6.8*1.5 + 5
+	perSecond   = 6.8
+	bound       = perSecond*1.5 + 5
 	cellName    = "model/0"
 	darkAt      = 8 * time.Second
 	returnsAt   = 11 * time.Second
@@ -92,18 +93,18 @@
 	return rwrendezvous.WeightedScore(cellName, id.Name, float64(id.Capacity*id.Capacity))
 }
 
-func newSite(seed uint64, perSecond float64) *site {
+func newSite(seed uint64) *site {
 	s := &site{rng: rand.New(rand.NewPCG(seed, 1)), held: map[string][]time.Duration{}}
 	for i := range routers {
 		r := &router{id: rwidentity.Identity{Name: "r" + strconv.Itoa(i), Capacity: 200 + s.rng.IntN(600)}, alive: true}
 		s.routers = append(s.routers, r)
-		s.start(r, perSecond)
+		s.start(r)
 	}
 	return s
 }
 
 // start gives a router the memory of a process that has just started.
-func (s *site) start(r *router, perSecond float64) {
+func (s *site) start(r *router) {
 	r.Guard = New(s.time(), r.id.Name, true)
 	r.Overage, r.Slack = 1.5, 5
 	r.Service = func(string) (rwrouteconfig.Service, bool) {
@@ -329,21 +330,21 @@
 }
 
 // trouble has the names of what may happen besides, around the engines' return.
-var trouble = map[string]func(s *site, perSecond float64){
-	"nothing": func(*site, float64) {},
-	"owner lost": func(s *site, _ float64) {
+var trouble = map[string]func(s *site){
+	"nothing": func(*site) {},
+	"owner lost": func(s *site) {
 		s.at(s.between(darkAt, returnsAt+time.Second), func() { s.ranked()[0].alive = false })
 	},
-	"two owners lost": func(s *site, _ float64) {
+	"two owners lost": func(s *site) {
 		s.at(s.between(darkAt, returnsAt+time.Second), func() { s.ranked()[0].alive = false })
 		s.at(s.between(returnsAt-time.Second, returnsAt+2*time.Second), func() { s.ranked()[1].alive = false })
 	},
-	"owner frozen": func(s *site, _ float64) {
+	"owner frozen": func(s *site) {
 		s.at(s.between(darkAt, returnsAt+time.Second), func() {
 			s.ranked()[0].frozenUntil = s.now + s.between(200*time.Millisecond, 3*time.Second)
 		})
 	},
-	"three views": func(s *site, _ float64) {
+	"three views": func(s *site) {
 		cut := func(views int) func() {
 			return func() {
 				for _, r := range s.routers {
@@ -354,7 +355,7 @@
 		s.at(s.between(darkAt-time.Second, returnsAt+time.Second), cut(3))
 		s.at(s.between(returnsAt, returnsAt+4*time.Second), cut(1))
 	},
-	"three views and an owner frozen": func(s *site, _ float64) {
+	"three views and an owner frozen": func(s *site) {
 		s.at(s.between(darkAt-time.Second, darkAt+time.Second), func() {
 			for _, r := range s.routers {
 				r.view = s.rng.IntN(3)
@@ -364,20 +365,20 @@
 			s.ranked()[s.rng.IntN(3)].frozenUntil = s.now + s.between(200*time.Millisecond, 2*time.Second)
 		})
 	},
-	"each alone": func(s *site, _ float64) {
+	"each alone": func(s *site) {
 		s.at(s.between(darkAt-time.Second, returnsAt), func() {
 			for i, r := range s.routers {
 				r.view = i
 			}
 		})
 	},
-	"owner restarted": func(s *site, perSecond float64) {
+	"owner restarted": func(s *site) {
 		s.at(s.between(darkAt, returnsAt+time.Second), func() {
 			r := s.ranked()[0]
 			r.alive = false
 			s.after(s.between(time.Second, 2*time.Second), func() {
 				r.alive = true
-				s.start(r, perSecond)
+				s.start(r)
 			})
 		})
 	},
@@ -400,12 +401,11 @@
 // TestBoundOverAllRouters guards against more requests at a cold engine than it bears
 // when several routers decide on them without hearing each other.
 func TestBoundOverAllRouters(t *testing.T) {
-	const perSecond = 6.8
 	for name, happen := range trouble {
 		t.Run(name, func(t *testing.T) {
 			for _, seed := range testSeeds(t) {
-				s := newSite(seed, perSecond)
-				happen(s, perSecond)
+				s := newSite(seed)
+				happen(s)
 				s.run(1.2)
 				require.LessOrEqual(t, float64(s.busiest()), bound, "seed %d", seed)
 				require.Positive(t, s.served)
@@ -419,9 +419,9 @@
 func TestWarmEnginesAreHeldBackBriefly(t *testing.T) {
 	for _, name := range []string{"nothing", "owner lost", "owner restarted", "owner frozen"} {
 		t.Run(name, func(t *testing.T) {
-			s := newSite(1, 6.8)
+			s := newSite(1)
 			s.sound = true
-			trouble[name](s, 6.8)
+			trouble[name](s)
 			s.run(1.2)
 			require.Positive(t, s.served)
 			for by, times := range s.held {
@@ -442,7 +442,7 @@
 
 // TestBoundNeedsTheMeter guards against a simulation that would hold without it.
 func TestBoundNeedsTheMeter(t *testing.T) {
-	s := newSite(1, 6.8)
+	s := newSite(1)
 	s.unmetered = true
 	s.run(1.2)
 	require.Greater(t, float64(s.busiest()), bound)
--- a/internal/rwcoldguard/plain_test.go
+++ b/internal/rwcoldguard/plain_test.go
@@ -111,12 +111,11 @@
 // plain service than it bears when it returns from a silence that each router sees in
 // few requests of its own.
 func TestPlainBoundOverAllRouters(t *testing.T) {
-	const perSecond = 6.8
 	for _, name := range []string{"nothing", "owner lost", "owner frozen", "three views", "each alone"} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(plainSeeds) {
-				s := newSite(seed, perSecond)
-				trouble[name](s, perSecond)
+				s := newSite(seed)
+				trouble[name](s)
 				s.runPlain()
 				require.LessOrEqual(t, float64(s.busiest()), bound, "seed %d", seed)
 				require.Positive(t, s.served)
--- a/internal/rwcoldguard/rwcoldguard_test.go
+++ b/internal/rwcoldguard/rwcoldguard_test.go
@@ -72,7 +72,6 @@
 // TestPlainBound guards against more requests at a cold upstream of a plain service
 // than it bears, when all routers see it cold and none tells another.
 func TestPlainBound(t *testing.T) {
-	const perSecond = 6.8
 	var guards []*Guard
 	var live []rwidentity.Identity
 	for i := range routers {
@@ -110,7 +109,7 @@
 // after a suspension in which the steady clock stood still, since it remembers that it
 // might before.
 func TestInterruptEndsRememberedRights(t *testing.T) {
-	g := newGuard("r0", 6.8)
+	g := newGuard("r0", perSecond)
 	live := []rwidentity.Identity{{Name: "r0", Capacity: 500}, {Name: "r1", Capacity: 1}}
 	list := []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1}}
 	g.ObserveUpstreams(at(0), list, g.Service)
@@ -136,7 +135,7 @@
 
 // TestUses guards against metrics that don't show how much of a bound is used.
 func TestUses(t *testing.T) {
-	g := newGuard("r0", 6.8)
+	g := newGuard("r0", perSecond)
 	g.ObserveUpstreams(at(0), []rwinstance.Instance{{ID: "a", Service: "s", Cold: time.Second}, {ID: "b", Service: "s"}}, g.Service)
 	g.PlainTaken(at(0), "s", "a", "x")
 	uses := g.Uses(at(500 * time.Millisecond))
