--- a/internal/rwcoldguard/plain_test.go
+++ b/internal/rwcoldguard/plain_test.go
@@ -49,7 +49,7 @@
 	}
 	now := s.time()
 	in, ok := r.picker.Pick(now, plainEntries(false), func(id string) bool {
-		return slices.Contains(avoid, id) || !s.unmetered && !r.PlainRoom(now, plainService, id, account)
+		return slices.Contains(avoid, id) || !r.PlainRoom(now, plainService, id, account)
 	})
 	if !ok {
 		return
@@ -65,7 +65,7 @@
 		switch {
 		case !s.running(r.router):
 			done(rwplacement.Abandoned)
-		case !s.unmetered && !notAfter.IsZero() && s.time().After(notAfter):
+		case !notAfter.IsZero() && s.time().After(notAfter):
 			done(rwplacement.Abandoned)
 		case dark:
 			done(rwplacement.Unreachable)
