--- a/internal/rwcoldguard/bench_test.go
+++ b/internal/rwcoldguard/bench_test.go
@@ -12,9 +12,9 @@
 )
 
 // BenchmarkSubmit measures a decision on a request in a cell of 15 warm engines, with
-// care for cold ones and without.
+// a bound for cold ones and without.
 func BenchmarkSubmit(b *testing.B) {
-	for name, perSecond := range map[string]float64{"care": 6.8, "none": 0} {
+	for name, perSecond := range map[string]float64{"bound": 6.8, "none": 0} {
 		b.Run(name, func(b *testing.B) {
 			g := newGuard("r0", perSecond)
 			var list []rwinstance.Instance
@@ -23,7 +23,7 @@
 				list = append(list, rwinstance.Instance{ID: engineID(i), Service: "s"})
 				engines = append(engines, rwplacement.Engine{ID: engineID(i)})
 			}
-			g.ObserveUpstreams(at(0), list)
+			g.ObserveUpstreams(at(0), list, g.Service)
 			for now := time.Duration(0); now < 3*time.Second; now += 200 * time.Millisecond {
 				g.ObserveRouters(at(now), []rwidentity.Identity{{Name: "r0"}, {Name: "r1"}})
 			}
--- a/internal/rwcoldguard/rwcoldguard.go
+++ b/internal/rwcoldguard/rwcoldguard.go
@@ -68,10 +68,12 @@
 	}
 }
 
-// ObserveUpstreams applies the list of known upstreams.
-func (g *Guard) ObserveUpstreams(now time.Time, list []rwinstance.Instance) {
-	g.tracker.Observe(now, list, func(service string) (time.Duration, bool) {
-		s, ok := g.Service(service)
+// ObserveUpstreams applies the list of known upstreams. The function service returns a
+// service of the configuration that becomes active with the list. The list must be
+// applied before requests are placed by it.
+func (g *Guard) ObserveUpstreams(now time.Time, list []rwinstance.Instance, service func(name string) (rwrouteconfig.Service, bool)) {
+	g.tracker.Observe(now, list, func(name string) (time.Duration, bool) {
+		s, ok := service(name)
 		return s.ColdStart, ok && s.ColdPerSecond > 0
 	})
 }
@@ -83,10 +85,15 @@
 }
 
 // Interrupt records that the process was paused: other routers may let requests go now.
-func (g *Guard) Interrupt(now time.Time) { g.roster.Interrupt(now) }
+func (g *Guard) Interrupt(now time.Time) {
+	g.roster.Interrupt(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.rights)
+}
 
-// Cares reports whether cold upstreams of a service need care.
-func (g *Guard) Cares(service string) bool {
+// IsBounded reports whether the requests to cold upstreams of a service are bounded.
+func (g *Guard) IsBounded(service string) bool {
 	s, ok := g.Service(service)
 	return ok && s.ColdPerSecond > 0
 }
@@ -103,10 +110,10 @@
 }
 
 // Engines returns the bounds for the placer of a cell of a service, whose owner is the
-// live router with the highest score. They have no functions if the service's
-// upstreams need no care.
+// live router with the highest score. They have no functions if the requests to the
+// service's cold upstreams aren't bounded.
 func (g *Guard) Engines(service, cell string, score func(rwidentity.Identity) float64) rwplacement.Cold {
-	if !g.Cares(service) {
+	if !g.IsBounded(service) {
 		return rwplacement.Cold{}
 	}
 	return rwplacement.Cold{
@@ -165,7 +172,7 @@
 // PlainRoom reports whether this router may send a request of an account to an
 // upstream of a plain service.
 func (g *Guard) PlainRoom(now time.Time, service, id, account string) bool {
-	if !g.Cares(service) || !g.tracker.Cold(now, id) {
+	if !g.IsBounded(service) || !g.tracker.Cold(now, id) {
 		return true
 	}
 	senders, each := g.split(service)
@@ -182,7 +189,7 @@
 // PlainTaken counts a request that goes to an upstream of a plain service. It returns
 // when it may be sent at the latest, or zero if the upstream isn't cold.
 func (g *Guard) PlainTaken(now time.Time, service, id, account string) time.Time {
-	if !g.Cares(service) {
+	if !g.IsBounded(service) {
 		return time.Time{}
 	}
 	g.meter.Take(now, id, account)
@@ -218,7 +225,7 @@
 // ColdOf returns for how long the upstreams of a service stay cold, by id, as far as
 // this router knows, or nil if none is cold.
 func (g *Guard) ColdOf(now time.Time, service string) map[string]time.Duration {
-	if !g.Cares(service) {
+	if !g.IsBounded(service) {
 		return nil
 	}
 	return g.tracker.Tellable(now, service)
--- a/internal/rwcoldguard/rwcoldguard_test.go
+++ b/internal/rwcoldguard/rwcoldguard_test.go
@@ -27,12 +27,12 @@
 	return g
 }
 
-// TestNoCareNothingChanges guards against any effect on services whose upstreams need
-// no care, whatever their entries and failures say.
-func TestNoCareNothingChanges(t *testing.T) {
+// TestNoBoundNothingChanges guards against any effect on services whose cold upstreams
+// have no bound, whatever their entries and failures say.
+func TestNoBoundNothingChanges(t *testing.T) {
 	g := newGuard("r0", 0)
 	cold := []rwinstance.Instance{{ID: "a", Cold: time.Minute}, {ID: "b", Cold: time.Minute}}
-	g.ObserveUpstreams(at(0), cold)
+	g.ObserveUpstreams(at(0), cold, g.Service)
 	for range 10 {
 		g.Ended(at(0), "a", rwplacement.Failed)
 	}
@@ -72,7 +72,6 @@
 // TestPlainBound guards against more requests at a cold upstream of a plain service
 // than it bears, when all routers see it cold and none tells another.
 func TestPlainBound(t *testing.T) {
-	const perSecond = 6.8
 	var guards []*Guard
 	var live []rwidentity.Identity
 	for i := range routers {
@@ -82,11 +81,11 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	var arrivals []time.Duration
 	for _, g := range guards {
-		g.ObserveUpstreams(at(0), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1}})
+		g.ObserveUpstreams(at(0), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1}}, g.Service)
 		for now := time.Duration(0); now <= 10*time.Second; now += 200 * time.Millisecond {
 			g.ObserveRouters(at(now), live)
 		}
-		g.ObserveUpstreams(at(10*time.Second), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 2, Cold: coldStart}})
+		g.ObserveUpstreams(at(10*time.Second), []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 2, Cold: coldStart}}, g.Service)
 		for now := 10 * time.Second; now < 13*time.Second; now += 20 * time.Millisecond {
 			g.ObserveRouters(at(now), live[:1+rng.IntN(routers-1)])
 			if !g.PlainRoom(at(now), "s", "a", strconv.Itoa(rng.IntN(20))) {
@@ -106,10 +105,38 @@
 	}
 }
 
+// TestInterruptEndsRememberedRights guards against a router that lets requests go right
+// after a suspension in which the steady clock stood still, since it remembers that it
+// might before.
+func TestInterruptEndsRememberedRights(t *testing.T) {
+	g := newGuard("r0", perSecond)
+	live := []rwidentity.Identity{{Name: "r0", Capacity: 500}, {Name: "r1", Capacity: 1}}
+	list := []rwinstance.Instance{{ID: "a", Service: "s", StartMillis: 1}}
+	g.ObserveUpstreams(at(0), list, g.Service)
+	for now := time.Duration(0); now <= 3*time.Second; now += 200 * time.Millisecond {
+		g.ObserveRouters(at(now), live)
+	}
+	list[0].Cold = coldStart
+	g.ObserveUpstreams(at(3*time.Second), list, g.Service)
+	bounds := g.Engines("s", cellName, score)
+	room := func() (plain, engine bool) {
+		return g.PlainRoom(at(3*time.Second), "s", "a", "x"), bounds.Room(at(3*time.Second), "a", "x")
+	}
+	// The meter counts from the first question on.
+	g.PlainTaken(at(time.Second), "s", "a", "x")
+	plain, engine := room()
+	require.True(t, plain)
+	require.True(t, engine)
+	g.Interrupt(at(3 * time.Second))
+	plain, engine = room()
+	require.False(t, plain)
+	require.False(t, engine)
+}
+
 // TestUses guards against metrics that don't show how much of a bound is used.
 func TestUses(t *testing.T) {
-	g := newGuard("r0", 6.8)
-	g.ObserveUpstreams(at(0), []rwinstance.Instance{{ID: "a", Service: "s", Cold: time.Second}, {ID: "b", Service: "s"}})
+	g := newGuard("r0", perSecond)
+	g.ObserveUpstreams(at(0), []rwinstance.Instance{{ID: "a", Service: "s", Cold: time.Second}, {ID: "b", Service: "s"}}, g.Service)
 	g.PlainTaken(at(0), "s", "a", "x")
 	uses := g.Uses(at(500 * time.Millisecond))
 	require.Len(t, uses, 1)
