Let claims be taken back, and keep a reserve for small ones

Cause: responses that callers don't read are to share the memory of bodies. They are complete before their callers can read, so a claim must become takeable after it was pinned, and large ones must not take what ordinary ones need. Change: Unpin, a reserve that only claims of up to 32 KiB may take, and a read of a body that waits for memory for a bounded time. Nothing uses it yet.

--- a/internal/rwbody/rwbody.go
+++ b/internal/rwbody/rwbody.go
@@ -1,7 +1,9 @@
-// Package rwbody reads the bodies of callers' requests within a budget of memory.
+// Package rwbody reads the bodies of callers' requests and of services' responses within
+// a budget of memory.
 package rwbody
 
 import (
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -16,6 +18,9 @@
 	maxSegmentBytes   = 256 << 10
 )
 
+// retryInterval is how often a body that waits for memory asks again.
+const retryInterval = 20 * time.Millisecond
+
 // ErrNoMemory is the error of a body that the budget refuses.
 var ErrNoMemory = errors.New("memory for bodies is short")
 
@@ -23,10 +28,35 @@
 // memory before it reads, and fails with ErrNoMemory if there is none. Without a budget,
 // a large body takes memory as it arrives, since nothing bounds what is announced.
 func Read(r io.Reader, size int64, memory *rwbudget.Claim) ([]byte, error) {
+	return read(r, size, memory, func(n int64) bool { return memory.Grow(time.Now(), n) })
+}
+
+// ReadWaiting is Read for a body that can't be sent again: while memory is short, it
+// waits for it, for at most a limit in all and until the context ends.
+func ReadWaiting(ctx context.Context, r io.Reader, size int64, memory *rwbudget.Claim, limit time.Duration) ([]byte, error) {
+	return read(r, size, memory, func(n int64) bool {
+		for !memory.Grow(time.Now(), n) {
+			if limit <= 0 {
+				return false
+			}
+			limit -= retryInterval
+			select {
+			case <-ctx.Done():
+				return false
+			case <-time.After(retryInterval):
+			}
+		}
+		return true
+	})
+}
+
+// read reads a body. Grow takes memory for a number of bytes and reports whether it got
+// it.
+func read(r io.Reader, size int64, memory *rwbudget.Claim, grow func(n int64) bool) ([]byte, error) {
 	if size < 0 || memory == nil && size > maxSegmentBytes {
-		return readSegments(r, memory)
+		return readSegments(r, memory, grow)
 	}
-	if !memory.Grow(time.Now(), size) {
+	if !grow(size) {
 		return nil, ErrNoMemory
 	}
 	data := make([]byte, size)
@@ -36,11 +66,11 @@
 
 // readSegments reads a body of unknown size. Its parts are not copied until it is
 // complete, so that one that stops short never takes more than it has sent.
-func readSegments(r io.Reader, memory *rwbudget.Claim) ([]byte, error) {
+func readSegments(r io.Reader, memory *rwbudget.Claim, grow func(n int64) bool) ([]byte, error) {
 	var segments [][]byte
 	total := 0
 	for size := firstSegmentBytes; ; size = min(2*size, maxSegmentBytes) {
-		if !memory.Grow(time.Now(), int64(size)) {
+		if !grow(int64(size)) {
 			return nil, ErrNoMemory
 		}
 		segment := make([]byte, size)
@@ -56,7 +86,7 @@
 	if len(segments) == 1 {
 		return segments[0], nil
 	}
-	if !memory.Grow(time.Now(), int64(total)) {
+	if !grow(int64(total)) {
 		return nil, ErrNoMemory
 	}
 	data := make([]byte, 0, total)
--- a/internal/rwbody/rwbody_test.go
+++ b/internal/rwbody/rwbody_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -74,3 +76,41 @@
 	})
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
+
+// Guards against a body that can't be sent again and is lost although its memory becomes
+// free soon, and against a wait without a bound.
+func TestReadWaiting(t *testing.T) {
+	const total, limit = 2 << 20, 2 * time.Second
+	want := bytes.Repeat([]byte("x"), total/2)
+	for _, size := range []int64{int64(len(want)), -1} {
+		synctest.Test(t, func(t *testing.T) {
+			b, c := claim(total)
+			other := b.Open(time.Now(), "other", 0, nil)
+			require.True(t, other.Pin())
+			require.True(t, other.Grow(time.Now(), total))
+			time.AfterFunc(limit/2, other.Close)
+			start := time.Now()
+			got, err := rwbody.ReadWaiting(t.Context(), bytes.NewReader(want), size, c, limit)
+			if size < 0 {
+				// The segments and their copy don't fit beside each other.
+				require.ErrorIs(t, err, rwbody.ErrNoMemory)
+				require.Equal(t, limit, time.Since(start))
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, want, got)
+			require.Less(t, time.Since(start), limit)
+			require.True(t, c.Pin())
+			start = time.Now()
+			_, err = rwbody.ReadWaiting(t.Context(), bytes.NewReader(want), total, b.Open(start, "bodies", 0, func() {}), limit)
+			require.ErrorIs(t, err, rwbody.ErrNoMemory)
+			require.Equal(t, limit, time.Since(start))
+			ctx, stop := context.WithCancel(t.Context())
+			stop()
+			start = time.Now()
+			_, err = rwbody.ReadWaiting(ctx, bytes.NewReader(want), total, b.Open(start, "bodies", 0, func() {}), limit)
+			require.ErrorIs(t, err, rwbody.ErrNoMemory)
+			require.Zero(t, time.Since(start))
+		})
+	}
+}
--- a/internal/rwbudget/rwbudget.go
+++ b/internal/rwbudget/rwbudget.go
@@ -1,9 +1,10 @@
 // Package rwbudget shares one amount of memory among what callers make a router hold:
-// heads and bodies of requests. It decides who gets memory and who has to give it up,
-// and does nothing else.
+// heads and bodies of requests, and responses. It decides who gets memory and who has to
+// give it up, and does nothing else.
 //
 // The load it answers: many callers send large bodies at once, most stop just short of
-// their end and stay, and ordinary requests come beside them.
+// their end and stay, or ask for large responses and don't read them, and ordinary
+// requests come beside them.
 package rwbudget
 
 import (
@@ -17,10 +18,15 @@
 // memory. A caller that sends steadily is never that slow.
 const StallTime = time.Second
 
+// SmallBytes is the size up to which a claim may use the reserve of a budget.
+const SmallBytes = 32 << 10
+
 // Budget is an amount of memory in bytes. Its methods may be called concurrently, also
 // those of a nil Budget, which has no bound.
 type Budget struct {
 	total int64
+	// reserve is the part of total that claims of more than SmallBytes can't take.
+	reserve int64
 
 	mu   sync.Mutex
 	used int64
@@ -38,16 +44,25 @@
 	return &Budget{total: total, held: map[string]int64{}, open: list.New()}
 }
 
+// NewWithReserve returns a budget of a number of bytes, of which only claims of up to
+// SmallBytes may take the last reserve bytes.
+func NewWithReserve(total, reserve int64) *Budget {
+	b := New(total)
+	b.reserve = reserve
+	return b
+}
+
 // Claim is what one holder has of a budget. The methods of a nil Claim, of a nil
 // Budget, grant everything.
 type Claim struct {
 	budget *Budget
 	kind   string
 	// free is how many bytes the holder has beside the budget.
-	free  int64
-	evict func()
+	free int64
 
-	// The budget's lock guards the following fields.
+	// The budget's lock guards the following fields. Evict doesn't change once the claim
+	// is lost.
+	evict    func()
 	size     int64
 	progress time.Time
 	// place is the claim's place in the list of open claims, or nil if it is pinned or
@@ -85,7 +100,7 @@
 		return false
 	}
 	more := max(c.size+n-c.free, 0) - c.counted()
-	stalled, ok := b.makeRoom(now, c, more)
+	stalled, ok := b.makeRoom(now, c, n, more)
 	if ok {
 		for _, s := range stalled {
 			b.drop(s)
@@ -125,6 +140,21 @@
 	return !c.lost
 }
 
+// Unpin lets others take the memory again if its caller makes no progress from now on.
+// Evict takes the place of the function that Open got.
+func (c *Claim) Unpin(now time.Time, evict func()) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if c.lost || c.place != nil {
+		return
+	}
+	c.evict, c.progress = evict, now
+	c.place = c.budget.open.PushBack(c)
+}
+
 // Close returns all memory of the claim, which must not be used any more.
 func (c *Claim) Close() {
 	if c == nil {
@@ -173,9 +203,14 @@
 }
 
 // makeRoom returns the stalled claims other than c that have to lose their memory so
-// that more bytes fit, and whether they fit then. The caller must hold the lock.
-func (b *Budget) makeRoom(now time.Time, c *Claim, more int64) ([]*Claim, bool) {
-	short := b.used + more - b.total
+// that c can grow by n bytes, of which more count, and whether they fit then. The caller
+// must hold the lock.
+func (b *Budget) makeRoom(now time.Time, c *Claim, n, more int64) ([]*Claim, bool) {
+	limit := b.total
+	if c.size+n > SmallBytes {
+		limit -= b.reserve
+	}
+	short := b.used + more - limit
 	if more <= 0 || short <= 0 {
 		return nil, true
 	}
--- a/internal/rwbudget/rwbudget_test.go
+++ b/internal/rwbudget/rwbudget_test.go
@@ -84,6 +84,43 @@
 	require.True(t, c.Grow(start, 1<<40))
 	c.Progress(start)
 	require.True(t, c.Pin())
+	c.Unpin(start, nil)
 	c.Close()
 	require.False(t, b.EvictStalled(start))
 }
+
+// Guards against large claims that leave nothing to small ones.
+func TestReserveIsForSmallClaims(t *testing.T) {
+	const total, reserve = 4 * rwbudget.SmallBytes, rwbudget.SmallBytes
+	b := rwbudget.NewWithReserve(total, reserve)
+	open := func() *rwbudget.Claim { return b.Open(start, "bodies", 0, func() {}) }
+	large := open()
+	require.False(t, large.Grow(start, total-reserve+1))
+	require.True(t, large.Grow(start, total-reserve))
+	small := open()
+	require.True(t, small.Grow(start, rwbudget.SmallBytes/2))
+	require.False(t, open().Grow(start, rwbudget.SmallBytes), "not more than the total")
+	require.True(t, small.Grow(start, rwbudget.SmallBytes/2))
+	large.Close()
+	require.False(t, open().Grow(start, total-reserve), "all of the rest, but for the reserve")
+	require.True(t, open().Grow(start, total-2*reserve))
+}
+
+// Guards against responses that are complete and whose callers don't read them, which
+// would keep their memory for good.
+func TestUnpinnedClaimGivesWay(t *testing.T) {
+	b := rwbudget.New(100)
+	c := b.Open(start, "responses", 0, nil)
+	require.True(t, c.Pin())
+	require.True(t, c.Grow(start, 90))
+	other := b.Open(start, "bodies", 0, func() {})
+	require.False(t, other.Grow(start.Add(late), 20))
+	evicted := 0
+	c.Unpin(start.Add(late), func() { evicted++ })
+	require.False(t, other.Grow(start.Add(late), 20), "its caller has the time of others")
+	require.True(t, other.Grow(start.Add(2*late), 20))
+	require.Equal(t, 1, evicted)
+	c.Unpin(start.Add(3*late), func() { require.Fail(t, "evicted twice") })
+	other.Close()
+	require.False(t, b.EvictStalled(start.Add(time.Hour)))
+}
