Bound what the system holds of unsent responses

Cause: the system takes up to 4 MB of a response that nobody reads, so a caller that has stopped can't be told from one that reads slowly, and each holds that memory of the kernel. Change: rwlisten.LimitUnsent sets TCP_NOTSENT_LOWAT on accepted connections, which don't inherit it from the listener.

--- a/internal/rwlisten/rwlisten.go
+++ b/internal/rwlisten/rwlisten.go
@@ -65,3 +65,34 @@
 	})
 	return errors.Join(err, os.NewSyscallError("setsockopt", setErr))
 }
+
+// LimitUnsent returns a listener that bounds what is written on its connections and that
+// the system hasn't sent yet. A write waits beyond that, so that its end shows that the
+// peer reads. Connections don't inherit this bound, and only those of TCP have it.
+func LimitUnsent(l net.Listener, unsentBytes int) net.Listener {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return l
+	}
+	return &unsentListener{TCPListener: tcp, unsentBytes: unsentBytes}
+}
+
+type unsentListener struct {
+	*net.TCPListener
+	unsentBytes int
+}
+
+// Accept waits for a connection. One whose bound can't be set, since its caller has left,
+// fails when it is used.
+func (l *unsentListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	if raw, err := c.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, l.unsentBytes)
+		})
+	}
+	return c, nil
+}
--- a/internal/rwlisten/rwlisten_test.go
+++ b/internal/rwlisten/rwlisten_test.go
@@ -86,3 +86,24 @@
 		require.LessOrEqual(t, n, 2*receiveBytes, "Linux doubles the size")
 	}))
 }
+
+// Guards against a system that takes a whole response although nobody reads it, so that
+// its writer can't tell that its peer has stopped.
+func TestLimitUnsent(t *testing.T) {
+	const unsentBytes, response = 16 << 10, 8 << 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	l = LimitUnsent(l, unsentBytes)
+	caller, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	require.NoError(t, caller.(*net.TCPConn).SetReadBuffer(4<<10))
+	c, err := l.Accept()
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	require.NoError(t, c.SetWriteDeadline(time.Now().Add(time.Second)))
+	n, err := c.Write(make([]byte, response))
+	require.Error(t, err)
+	require.Less(t, n, 512<<10, "the caller's window, and what isn't sent")
+}
