Put the responses of rwrouter in the budget of memory

Cause: rwrouter buffers responses of up to 8 MiB whole, for each of 240 callers that don't read them. TestRouterSurvivesCrowds/ responses_that_are_not_read failed with 1966 MB where 144 are allowed. Change: a response takes its place in the budget before its bytes are read: an announced one its whole length, others segment by segment, the text of a model as it grows. Once it is complete, a caller that takes none of it for a second loses it if memory is short, the longest silent first, and its connection is closed. What waits in connections to upstreams and callers is bounded. All of this is off without a memory limit.

--- a/internal/rwdispatch/rwdispatch.go
+++ b/internal/rwdispatch/rwdispatch.go
@@ -20,6 +20,8 @@
 
 	"github.com/dghubble/sling"
 
+	"redwingworks.example/internal/rwbody"
+	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwoutcome"
@@ -31,6 +33,10 @@
 
 const maxResponseBytes = 8 << 20
 
+// UncountedBytes is the size up to which a response takes no memory of the budget. It is
+// about what the buffers of its connections take in any case.
+const UncountedBytes = 4 << 10
+
 // maxStatus is the highest status of HTTP (RFC 9110, section 15). The lowest is 100;
 // net/http accepts any three digits.
 const maxStatus = 599
@@ -54,6 +60,9 @@
 	// cancelTimeout bounds a call that cancels a request. A retry waits for it,
 	// so that it can't cancel the retry on the same engine.
 	cancelTimeout = 500 * time.Millisecond
+	// memoryWait bounds the wait for memory for the response to a non-idempotent call,
+	// which can't be sent again. Callers that don't read have lost theirs by then.
+	memoryWait = 2 * rwbudget.StallTime
 )
 
 // Dispatcher sends requests to upstreams.
@@ -61,6 +70,9 @@
 	// Dial opens a connection to an upstream. It must be set before the first
 	// request; New sets it to the DialContext of a net.Dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Memory bounds the memory of the responses of plain services; nil for no bound. It
+	// must be set before the first request.
+	Memory *rwbudget.Budget
 
 	// pooled reuses connections. Idempotent requests use it, and the calls that
 	// cancel requests.
@@ -80,6 +92,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Memory is what Body takes of the dispatcher's budget. It is pinned; who has the
+	// response must close it. It is nil if the body doesn't count.
+	Memory *rwbudget.Claim
 }
 
 // New returns a dispatcher.
@@ -226,18 +241,52 @@
 	if resp.Header.Get("Redwing-Request") != q.ID {
 		return nil, rwfault.New(rwcode.UpstreamMismatch, u.Name).WithOutcome(rwoutcome.Unknown)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, interruptedFault(ctx, rwcode.UpstreamTruncated, err)
+	memory := d.Memory.Open(time.Now(), "responses", UncountedBytes, nil)
+	// The caller can't be expected to read before the response is complete.
+	memory.Pin()
+	body, err := readBody(ctx, q, resp, memory)
+	if err == nil && endsWithConnection(resp) {
+		err = rwfault.New(rwcode.UpstreamTruncated, u.Name+": the connection ended, and the response has neither a length nor chunks").
+			WithOutcome(rwoutcome.Unknown)
 	}
-	if len(body) > maxResponseBytes {
-		return nil, rwfault.New(rwcode.UpstreamMalformed, "response too large").WithOutcome(rwoutcome.Ran)
+	if err != nil {
+		memory.Close()
+		return nil, err
 	}
-	if endsWithConnection(resp) {
-		return nil, rwfault.New(rwcode.UpstreamTruncated, u.Name+": the connection ended, and the response has neither a length nor chunks").
-			WithOutcome(rwoutcome.Unknown)
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Memory: memory}, nil
+}
+
+// readBody reads the body of a plain service's response. It takes the memory before it
+// reads: the whole length if it is announced, otherwise segment by segment.
+func readBody(ctx context.Context, q *rwrequest.Request, resp *http.Response, memory *rwbudget.Claim) ([]byte, error) {
+	tooLarge := rwfault.New(rwcode.UpstreamMalformed, "response too large").WithOutcome(rwoutcome.Ran)
+	if resp.ContentLength > maxResponseBytes {
+		return nil, tooLarge
+	}
+	wait := memoryWait
+	if q.Idempotent {
+		wait = 0
+	}
+	body, err := rwbody.ReadWaiting(ctx, io.LimitReader(resp.Body, maxResponseBytes+1), resp.ContentLength, memory, wait)
+	switch {
+	case errors.Is(err, rwbody.ErrNoMemory) && ctx.Err() == nil:
+		return nil, NoMemory(resp.StatusCode)
+	case err != nil:
+		return nil, interruptedFault(ctx, rwcode.UpstreamTruncated, err)
+	case len(body) > maxResponseBytes:
+		return nil, tooLarge
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return body, nil
+}
+
+// NoMemory returns the fault of a call whose response, with a status, finds no memory. The
+// call ran if the status says so. Another status doesn't show whether it ran.
+func NoMemory(status int) *rwfault.Fault {
+	outcome := rwoutcome.Unknown
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		outcome = rwoutcome.Ran
+	}
+	return rwfault.New(rwcode.TooManyRequests, "memory for responses is short").WithOutcome(outcome)
 }
 
 // endsWithConnection reports whether the body has neither a length nor chunks, so
--- a/internal/rwexecutor/rwexecutor.go
+++ b/internal/rwexecutor/rwexecutor.go
@@ -597,7 +597,12 @@
 	e.mu.Lock()
 	q.FencingToken = e.machine.Version().Rev
 	e.mu.Unlock()
-	return result(e.config.Run(ctx, q))
+	a, err := e.config.Run(ctx, q)
+	if a != nil {
+		// The machine bounds the results that it keeps.
+		defer a.Memory.Close()
+	}
+	return result(a, err)
 }
 
 // checkCommit is the last check before the first byte is sent to an upstream.
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -77,6 +77,13 @@
 	// write deadline is extended every writeDeadlineInterval.
 	writeTimeout          = 30 * time.Second
 	writeDeadlineInterval = 5 * time.Second
+	// writePartBytes is how much of a complete response is written before the progress of
+	// its caller is recorded.
+	writePartBytes = 16 << 10
+	// firstTextBytes is the first memory for the text of a response that is not streamed.
+	firstTextBytes = 4 << 10
+	// marshalCopies is how many copies of a text its encoding takes beside it.
+	marshalCopies = 2
 )
 
 // Gate serves callers over HTTP. Its exported fields must be set before the first
@@ -109,8 +116,8 @@
 	// requests and the memory for bodies of all callers together; 0 for the
 	// defaults.
 	MaxConns, MaxRequests, MaxTotalBodyBytes int
-	// Memory, if set, bounds the memory of bodies further: callers that stop within their
-	// bodies lose theirs to others.
+	// Memory, if set, bounds the memory of bodies further and that of responses: callers
+	// that stop within their bodies or don't read their responses lose theirs to others.
 	Memory *rwbudget.Budget
 	// BodyTimeout bounds the wait for a request's body; 0 for the default.
 	BodyTimeout time.Duration
@@ -268,6 +275,8 @@
 		return rwfault.New(rwcode.HeaderTooLarge, strconv.Itoa(maxHeaderBytes))
 	}
 	if !g.requests.TryAcquire(1) {
+		// One that doesn't read its response would keep others out until its timeout.
+		g.Memory.EvictStalled(time.Now())
 		return rwfault.New(rwcode.TooManyRequests, "request limit of the router")
 	}
 	return nil
@@ -652,38 +661,110 @@
 }
 
 func (g *Gate) respondComplete(ctx context.Context, w http.ResponseWriter, q *rwrequest.Request, stopDeadline func() bool) error {
+	memory := g.openResponse()
+	defer memory.Close()
 	response := chatResponse{ID: q.ID}
-	var text strings.Builder
+	text := textBuilder{text: &strings.Builder{}, memory: memory}
 	err := g.RunInference(ctx, q, func(c *rwstream.Chunk) error {
-		if text.Len()+len(c.Text) > maxResponseTextBytes {
-			return rwfault.New(rwcode.UpstreamMalformed, "response too large").WithOutcome(rwoutcome.Unknown)
-		}
-		text.WriteString(c.Text)
 		response.Usage++
-		return nil
+		return text.add(c.Text)
 	})
 	stopDeadline()
 	if err != nil {
 		return err
 	}
-	response.Text = text.String()
+	response.Text = text.text.String()
+	encoding := int64(marshalCopies * len(response.Text))
+	if !memory.Grow(time.Now(), encoding) {
+		return rwdispatch.NoMemory(http.StatusOK)
+	}
 	data, err := json.Marshal(response)
 	if err != nil {
 		return rwfault.Wrap(rwcode.Internal, err).WithOutcome(rwoutcome.Ran)
 	}
+	if !memory.Grow(time.Now(), int64(len(data))-encoding-int64(text.taken)) {
+		return rwdispatch.NoMemory(http.StatusOK)
+	}
 	w.Header().Set("Content-Type", "application/json")
-	g.writeResponse(w, http.StatusOK, data)
+	g.writeResponse(w, http.StatusOK, data, memory)
+	return nil
+}
+
+// openResponse returns a claim for a response whose caller doesn't get any of it yet.
+func (g *Gate) openResponse() *rwbudget.Claim {
+	memory := g.Memory.Open(time.Now(), "responses", rwdispatch.UncountedBytes, nil)
+	memory.Pin()
+	return memory
+}
+
+// textBuilder joins the text of a response within a budget.
+type textBuilder struct {
+	text   *strings.Builder
+	memory *rwbudget.Claim
+	// taken is the memory taken so far, the capacity of text.
+	taken int
+}
+
+// add appends a part of the text. It fails if the text becomes too large or finds no
+// memory.
+func (t *textBuilder) add(s string) error {
+	n := t.text.Len() + len(s)
+	if n > maxResponseTextBytes {
+		return rwfault.New(rwcode.UpstreamMalformed, "response too large").WithOutcome(rwoutcome.Unknown)
+	}
+	if n > t.taken {
+		taken := min(max(n, 2*t.taken, firstTextBytes), maxResponseTextBytes)
+		if !t.memory.Grow(time.Now(), int64(taken-t.taken)) {
+			// The engine is still writing the response.
+			return rwdispatch.NoMemory(http.StatusOK).WithOutcome(rwoutcome.Unknown)
+		}
+		// A used Builder grows by more than it is asked for.
+		larger := &strings.Builder{}
+		larger.Grow(taken)
+		larger.WriteString(t.text.String())
+		t.text, t.taken = larger, taken
+	}
+	t.text.WriteString(s)
 	return nil
 }
 
 // writeResponse writes a complete response. It sets Content-Length, so that
-// clients detect a truncated response.
-func (g *Gate) writeResponse(w http.ResponseWriter, status int, body []byte) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+// clients detect a truncated response. A caller that doesn't read loses the memory of
+// the response to others, and with it its connection. The memory is not closed.
+func (g *Gate) writeResponse(w http.ResponseWriter, status int, body []byte, memory *rwbudget.Claim) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	g.closeIfDraining(w)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	if memory == nil {
+		_, _ = w.Write(body)
+		return
+	}
+	// The deadline must not be set after the handler has returned, when the connection
+	// may have another request.
+	var mu sync.Mutex
+	written, lost := false, false
+	memory.Unpin(time.Now(), func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !written {
+			lost = true
+			// In HTTP/2, only a deadline in the past resets the stream at once.
+			_ = controller.SetWriteDeadline(time.Unix(1, 0))
+		}
+	})
+	for err := error(nil); err == nil && len(body) > 0; memory.Progress(time.Now()) {
+		var n int
+		n, err = w.Write(body[:min(len(body), writePartBytes)])
+		body = body[n:]
+	}
+	mu.Lock()
+	written = true
+	mu.Unlock()
+	if lost {
+		g.ReportFault(rwfault.New(rwcode.CallerGone, "the caller doesn't read its response, and memory is short").WithOutcome(rwoutcome.Ran))
+	}
 }
 
 // forwardedHeaders are the response headers of plain services that are forwarded
@@ -716,12 +797,21 @@
 	if err != nil {
 		return err
 	}
+	memory := response.Memory
+	if memory == nil {
+		// A result of a call with a key, which the router keeps in any case.
+		memory = g.openResponse()
+	}
+	defer memory.Close()
+	if response.Memory == nil && !memory.Grow(time.Now(), int64(len(response.Body))) {
+		return rwdispatch.NoMemory(response.Status)
+	}
 	for _, name := range forwardedHeaders {
 		if v := response.Header.Get(name); v != "" {
 			w.Header().Set(name, v)
 		}
 	}
-	g.writeResponse(w, response.Status, response.Body)
+	g.writeResponse(w, response.Status, response.Body, memory)
 	return nil
 }
 
@@ -757,6 +847,6 @@
 		return rwfault.Wrap(rwcode.Internal, err)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	g.writeResponse(w, http.StatusOK, data)
+	g.writeResponse(w, http.StatusOK, data, nil)
 	return nil
 }
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -62,13 +62,21 @@
 	// logBurst is the largest number of events about single requests that are
 	// logged per second.
 	logBurst = 10
-	// bodyMemoryRatio and heapMemoryRatio are the fractions of the VM's memory that bodies
-	// may take, and that the heap may take before the garbage collector runs more often.
-	bodyMemoryRatio = 0.25
-	heapMemoryRatio = 0.6
-	// callerReceiveBytes is the receive buffer of callers' connections if the memory is
-	// limited. Linux takes twice as much.
-	callerReceiveBytes = 32 << 10
+	// callerMemoryRatio and heapMemoryRatio are the fractions of the VM's memory that
+	// bodies and responses may take, and that the heap may take before the garbage
+	// collector runs more often.
+	callerMemoryRatio = 0.25
+	heapMemoryRatio   = 0.6
+	// smallMemoryRatio is the fraction of the memory for bodies and responses that only
+	// small ones may take.
+	smallMemoryRatio = 0.125
+	// callerReceiveBytes and upstreamReceiveBytes are the receive buffers of connections if
+	// the memory is limited. Linux takes twice as much.
+	callerReceiveBytes   = 32 << 10
+	upstreamReceiveBytes = 32 << 10
+	// callerUnsentBytes bounds what the system holds of responses beyond what callers
+	// have room for, if the memory is limited.
+	callerUnsentBytes = 32 << 10
 )
 
 // Node is one router.
@@ -161,6 +169,12 @@
 // connectCallers connects the components that serve callers.
 func (n *Node) connectCallers() {
 	dispatcher := rwdispatch.New()
+	var memory *rwbudget.Budget
+	if m := n.memoryBytes(); m > 0 {
+		total := callerMemoryRatio * float64(m)
+		memory = rwbudget.NewWithReserve(int64(total), int64(smallMemoryRatio*total))
+		dispatcher.Memory, dispatcher.Dial = memory, limitReceiveBuffer(dispatcher.Dial)
+	}
 	acquire := n.policy.Acquire
 	if n.settings.Policy == "local" {
 		acquire = rwlocalpolicy.New(n.configSync.Snapshot).Acquire
@@ -196,9 +210,20 @@
 		MaxConns:     n.settings.MaxConns,
 		MaxRequests:  n.settings.MaxRequests,
 		BodyTimeout:  n.settings.BodyTimeout,
+		Memory:       memory,
 	}
-	if m := n.memoryBytes(); m > 0 {
-		n.gate.Memory = rwbudget.New(int64(bodyMemoryRatio * float64(m)))
+}
+
+// limitReceiveBuffer wraps a function that opens connections to upstreams, so that what
+// waits unread on them is bounded.
+func limitReceiveBuffer(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if s, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok && err == nil {
+			// It fails only if the connection is closed.
+			_ = s.SetReadBuffer(upstreamReceiveBytes)
+		}
+		return c, err
 	}
 }
 
@@ -309,6 +334,7 @@
 			_ = l.callers.Close()
 			return listeners{}, rwfault.Wrap(rwcode.Internal, err)
 		}
+		l.callers = rwlisten.LimitUnsent(l.callers, callerUnsentBytes)
 	}
 	return l, nil
 }
