Let callers of rwfront that don't read give way

Cause: responses were bounded by the number of requests in progress, but what was buffered of them was in no budget, and a caller that had stopped reading kept the place of its request until its deadline. Change: what is buffered shares the claim of the request's body. If memory is short, less is buffered; no response is refused. While a write waits for a caller that takes nothing for a second, others may take its memory, and its place if the router is full. Unsent bytes of callers' connections are bounded, so that a slow reader isn't taken for one. All of this is off without a memory limit.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -110,6 +110,9 @@
 	// would need several round trips.
 	callerReceiveBytes   = 32 << 10
 	upstreamReceiveBytes = 32 << 10
+	// callerUnsentBytes bounds what the system holds of responses beyond what callers
+	// have room for, if the settings set a memory limit.
+	callerUnsentBytes = 32 << 10
 	// defaultMaxRequests bounds the requests in progress if the settings set no
 	// memory limit.
 	defaultMaxRequests = 1024
@@ -821,6 +824,9 @@
 	if err != nil {
 		return err
 	}
+	if e.memory != nil {
+		l = rwlisten.LimitUnsent(l, callerUnsentBytes)
+	}
 	return serve(ctx, e.server, e.connLimiter.Listener(e.relay.Listener(e.link.CallerListener(l)), e.maxConnections(1)))
 }
 
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -60,7 +60,7 @@
 	// Via is the address of the router that relayed the caller's connection, or
 	// empty.
 	Via string
-	// Memory is what the body has of the router's memory budget, or nil.
+	// Memory is what the body and the response have of the router's memory budget, or nil.
 	Memory *rwbudget.Claim
 	// OldProtocol is whether the caller speaks HTTP/1.0, which has no chunks.
 	OldProtocol bool
--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -151,10 +151,11 @@
 }
 
 // forwardResponse forwards a response that is not a stream. It is buffered up to
-// maxBufferedBytes, so that the request can still be sent to another upstream if the
-// response breaks off before its end.
+// maxBufferedBytes, or less if memory is short, so that the request can still be sent to
+// another upstream if the response breaks off before its end.
 func (f *Handler) forwardResponse(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, resp *rwconn.Response) (rwplacement.End, *rwfault.Fault) {
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body(), maxBufferedBytes))
+	buffered, taken, whole, err := bufferResponse(resp.Body(), x.Memory)
+	defer func() { x.Memory.Grow(time.Now(), -taken) }()
 	if err != nil {
 		fault := outcomeUnknown(ctx, rwcode.UpstreamTruncated, err)
 		return endFor(fault), fault
@@ -179,11 +180,11 @@
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(x.Deadline.Add(writeSlack))
 	f.writeHead(ctx, w, x, resp, status)
-	if _, err := w.Write(buffered); err != nil {
+	if err := writeBuffered(w, x.Memory, buffered); err != nil {
 		return rwplacement.Abandoned, rwfault.Wrap(rwcode.CallerGone, err).WithOutcome(rwoutcome.Unknown)
 	}
-	if len(buffered) == maxBufferedBytes {
-		if fault := f.forwardRest(ctx, w, resp); fault != nil {
+	if !whole {
+		if fault := f.forwardRest(ctx, w, x, resp, len(buffered)); fault != nil {
 			return endFor(fault), fault
 		}
 	}
@@ -205,16 +206,17 @@
 	}
 }
 
-// forwardRest forwards the part of a response's body that was not buffered.
-func (f *Handler) forwardRest(ctx context.Context, w http.ResponseWriter, resp *rwconn.Response) *rwfault.Fault {
+// forwardRest forwards the part of a response's body that was not buffered, after total
+// bytes that were.
+func (f *Handler) forwardRest(ctx context.Context, w http.ResponseWriter, x *rwexchange.Exchange, resp *rwconn.Response, total int) *rwfault.Fault {
 	buf := make([]byte, 32<<10)
-	for total := maxBufferedBytes; ; {
+	for {
 		n, err := resp.Body().Read(buf)
 		if total += n; total > maxResponseBytes {
 			return rwfault.New(rwcode.UpstreamMalformed, "response is too long").WithOutcome(rwoutcome.Unknown)
 		}
 		if n > 0 {
-			if _, err := w.Write(buf[:n]); err != nil {
+			if err := writePart(w, x.Memory, buf[:n]); err != nil {
 				return rwfault.Wrap(rwcode.CallerGone, err).WithOutcome(rwoutcome.Unknown)
 			}
 		}
@@ -321,7 +323,7 @@
 			x.FirstEventAt, x.LastEventAt = now, now
 		}
 		x.MaxGap, x.LastEventAt = max(x.MaxGap, now.Sub(x.LastEventAt)), now
-		if _, err := w.Write(e.Raw); err != nil {
+		if err := writePart(w, x.Memory, e.Raw); err != nil {
 			return rwplacement.Abandoned, rwfault.Wrap(rwcode.CallerGone, err).WithOutcome(rwoutcome.Unknown)
 		}
 		if e.ID >= 0 {
@@ -330,7 +332,9 @@
 		if events.Buffered() {
 			continue
 		}
-		_ = rc.Flush()
+		if err := writeToCaller(w, x.Memory, rc.Flush); errors.Is(err, errUnread) {
+			return rwplacement.Abandoned, rwfault.Wrap(rwcode.CallerGone, err).WithOutcome(rwoutcome.Unknown)
+		}
 		if delay := f.FlushDelay(); delay > 0 {
 			time.Sleep(delay)
 		}
--- a/internal/rwfront/body.go
+++ b/internal/rwfront/body.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// includedBodyBytes is the part of a body that the memory of any request in progress
-	// includes; only what is beyond takes memory of the budget. A body of 60 KiB whose
-	// length is not announced needs it while its segments are joined.
+	// includedBodyBytes is the part of a body, and of what is buffered of a response, that
+	// the memory of any request in progress includes; only what is beyond takes memory of
+	// the budget. A body of 60 KiB whose length is not announced needs it while its
+	// segments are joined.
 	includedBodyBytes = 128 << 10
 	// maxDiscardedBytes and lingerTime bound what is read of a body after its refusal.
 	maxDiscardedBytes = 16 << 20
@@ -55,10 +56,11 @@
 
 // readBody reads the body of a request up to a limit, or of any length for 0.
 func (f *Handler) readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
+	x.Memory = f.openMemory(w)
 	if r.ContentLength == 0 {
+		x.Memory.Pin()
 		return nil
 	}
-	x.Memory = f.openMemory(w)
 	rc := http.NewResponseController(w)
 	body := r.Body
 	if limit > 0 {
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -172,7 +172,8 @@
 	ColdEnded func(now time.Time, id string, end rwplacement.End)
 	// Tally, if set, counts the requests by account and outcome.
 	Tally *rwtally.Tally
-	// Memory, if set, bounds the memory of bodies beyond includedBodyBytes each.
+	// Memory, if set, bounds the memory of bodies, and of what is buffered of responses,
+	// beyond includedBodyBytes for each request.
 	Memory *rwbudget.Budget
 	// BodyTimeout bounds the time to read a request body; 0 for the default.
 	BodyTimeout time.Duration
