Test timers that are due at once in virtual time

Go 1.26 runs a timer of a synctest bubble that is due when it starts in the goroutine that starts it, with one race detector state for all timers of the bubble. Two goroutines that do so at the same time corrupt that state. ObserveRev starts such timers at routers that aren't readers, and rwlinknetwork for each deadline in the past.

Change: one test of each starts many of them at the same time.

--- a/internal/rwcatalogsync/rwcatalogsync_test.go
+++ b/internal/rwcatalogsync/rwcatalogsync_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +159,40 @@
 		require.Len(t, small[0].Readers(), allReadersFleetSize/2, "all routers of a zone")
 	})
 }
+
+// Guards against timers that end at once in virtual time. Go 1.26 runs them in the
+// goroutines that start them, with one state of the race detector for all, so that the
+// runtime crashes (SIGSEGV in __tsan::SlotLock) when several start at the same time.
+func TestRoutersObserveRevisionsAtTheSameTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		live := fleet(t, 40)[0].Live("")
+		var routers sync.WaitGroup
+		observed := 0
+		var missed atomic.Int64
+		for _, id := range live {
+			var asked atomic.Int64
+			s := &Syncer{self: id, Live: func(zone string) []rwidentity.Identity {
+				return slices.DeleteFunc(slices.Clone(live), func(o rwidentity.Identity) bool { return zone != "" && o.Zone != zone })
+			}}
+			// The router is behind when it observes a revision, and not any more later.
+			s.Rev = func() rwrevision.Revision { return at(asked.Add(1) / 3) }
+			if s.IsReader() {
+				continue
+			}
+			observed++
+			routers.Go(func() {
+				for range 200 {
+					asked.Store(0)
+					s.ObserveRev(id, at(1))
+					time.Sleep(2 * pullPause)
+					if asked.Load() != 3 {
+						missed.Add(1)
+					}
+				}
+			})
+		}
+		require.Positive(t, observed)
+		routers.Wait()
+		require.Zero(t, missed.Load(), "a revision that the router lacks was ignored")
+	})
+}
--- a/internal/rwlinknetwork/rwlinknetwork_test.go
+++ b/internal/rwlinknetwork/rwlinknetwork_test.go
@@ -1,9 +1,12 @@
 package rwlinknetwork
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,3 +104,30 @@
 		require.NoError(t, l.Close())
 	})
 }
+
+// Guards against timers that end at once in virtual time: when several start at the
+// same time, Go 1.26 crashes under the race detector (SIGSEGV in __tsan::SlotLock). A
+// server of net/http sets a deadline in the past for each request.
+func TestPassedDeadlinesAtTheSameTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var n Network
+		var conns sync.WaitGroup
+		var readers atomic.Int64
+		for range 30 {
+			caller, server := connect(t, &n, 0)
+			conns.Go(func() {
+				for range 200 {
+					time.Sleep(time.Millisecond)
+					_ = server.SetReadDeadline(time.Unix(1, 0))
+					if _, err := server.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+						readers.Add(1)
+					}
+				}
+				_ = caller.Close()
+				_ = server.Close()
+			})
+		}
+		conns.Wait()
+		require.EqualValues(t, 30*200, readers.Load())
+	})
+}
