Send nothing from rwrouter to upstreams that want no requests

Cause: rwdispatch ignored Retry-After of a response with status 503, so rwrouter went on sending to an engine or service that wants nothing.

Change: faults and responses of rwdispatch carry the time, rwentry reports it to the slot, and rwfleetpolicy keeps it in the table that rwfront uses (rwretryafter), for the upstream's incarnation and at most a minute. Meanwhile it gives grants on that upstream back as refused: the owner backs off, and the request goes on waiting for another upstream. The caller is not told the time of one upstream.

--- a/internal/rwdispatch/rwdispatch.go
+++ b/internal/rwdispatch/rwdispatch.go
@@ -24,6 +24,7 @@
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwretryafter"
 	"redwingworks.example/internal/rwsse"
 	"redwingworks.example/internal/rwstream"
 	"redwingworks.example/internal/rwupstream"
@@ -80,6 +81,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// RetryAfter is for how long the service wants no requests, or zero.
+	RetryAfter time.Duration
 }
 
 // New returns a dispatcher.
@@ -224,7 +227,7 @@
 		return nil, rwfault.New(rwcode.FenceStale, u.Name)
 	}
 	if resp.Header.Get("Redwing-Request") != q.ID {
-		return nil, rwfault.New(rwcode.UpstreamMismatch, u.Name).WithOutcome(rwoutcome.Unknown)
+		return nil, rwfault.New(rwcode.UpstreamMismatch, u.Name).WithOutcome(rwoutcome.Unknown).WithRetryAfter(retryAfter(resp, q))
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
@@ -237,7 +240,7 @@
 		return nil, rwfault.New(rwcode.UpstreamTruncated, u.Name+": the connection ended, and the response has neither a length nor chunks").
 			WithOutcome(rwoutcome.Unknown)
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, RetryAfter: retryAfter(resp, q)}, nil
 }
 
 // endsWithConnection reports whether the body has neither a length nor chunks, so
@@ -259,6 +262,16 @@
 		(id == "" || id == q.ID)
 }
 
+// retryAfter returns for how long the upstream wants no requests, or zero. The time in a
+// response to another request is ignored.
+func retryAfter(resp *http.Response, q *rwrequest.Request) time.Duration {
+	id := resp.Header.Get("Redwing-Request")
+	if resp.StatusCode != http.StatusServiceUnavailable || id != "" && id != q.ID {
+		return 0
+	}
+	return rwretryafter.Parse(resp.Header.Get("Retry-After"))
+}
+
 // Stream runs a request on an engine from the given offset and calls emit for
 // each chunk in order. It returns nil only after a complete stream. An engine
 // that can't resume starts from the first chunk; emit then gets the chunks before
@@ -342,7 +355,8 @@
 }
 
 // statusFault returns the fault for a status other than 200. The outcome is
-// NotRun only if the engine refused the request because it is leaving.
+// NotRun only if the engine refused the request because it is leaving. RetryAfter is for
+// how long the engine wants no requests.
 func statusFault(u rwupstream.Upstream, q *rwrequest.Request, resp *http.Response) error {
 	if refusedAsLeaving(resp, q) {
 		return rwfault.New(rwcode.UpstreamLeaving, u.Name)
@@ -352,7 +366,7 @@
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		code = rwcode.BadRequest
 	}
-	return rwfault.New(code, u.Name+": "+resp.Status).WithOutcome(rwoutcome.Unknown)
+	return rwfault.New(code, u.Name+": "+resp.Status).WithOutcome(rwoutcome.Unknown).WithRetryAfter(retryAfter(resp, q))
 }
 
 // readStream decodes events and emits their chunks up to the end of the stream.
--- a/internal/rwentry/rwentry.go
+++ b/internal/rwentry/rwentry.go
@@ -152,6 +152,9 @@
 	err := r.runWithRetries(ctx, q, acquire, func(ctx context.Context, s *rwslot.Slot) (float64, time.Time, error) {
 		resp, err := r.Call(ctx, s.Upstream, q)
 		response = resp
+		if err == nil {
+			noteRetryAfter(s, resp.RetryAfter)
+		}
 		return 1, r.Now(), err
 	})
 	if err != nil {
@@ -232,7 +235,13 @@
 	cost, first, err := run(ctx, s)
 	code := rwcode.None
 	if err != nil {
-		code = rwfault.From(err).Code
+		f := rwfault.From(err)
+		code = f.Code
+		if f.RetryAfter > 0 {
+			noteRetryAfter(s, f.RetryAfter)
+			// It is not the time after which the caller finds another upstream.
+			err = f.WithRetryAfter(0)
+		}
 	}
 	total := r.Now().Sub(start)
 	if first.IsZero() {
@@ -241,3 +250,10 @@
 	s.Done(cost, first.Sub(start), total, code)
 	return err
 }
+
+// noteRetryAfter reports to a slot for how long its upstream wants no requests.
+func noteRetryAfter(s *rwslot.Slot, d time.Duration) {
+	if d > 0 && s.RetryAfter != nil {
+		s.RetryAfter(d)
+	}
+}
--- a/internal/rwentry/rwentry_test.go
+++ b/internal/rwentry/rwentry_test.go
@@ -422,3 +422,24 @@
 		require.Equal(t, 2*time.Second+resumeTimeout, time.Since(start))
 	})
 }
+
+// Guards against a caller who is told to wait as long as one upstream wants no requests,
+// though others may serve its next one.
+func TestRetryAfterOfUpstreamIsNotForCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "30")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		var noted []time.Duration
+		acquire := h.runner.Acquire
+		h.runner.Acquire = func(ctx context.Context, q *rwrequest.Request) (*rwslot.Slot, error) {
+			s, err := acquire(ctx, q)
+			s.RetryAfter = func(d time.Duration) { noted = append(noted, d) }
+			return s, err
+		}
+		_, err := h.run(t, true)
+		require.Zero(t, rwfault.From(err).RetryAfter)
+		require.Equal(t, []time.Duration{30 * time.Second, 30 * time.Second, 30 * time.Second}, noted)
+	})
+}
--- a/internal/rwfleetpolicy/rwfleetpolicy.go
+++ b/internal/rwfleetpolicy/rwfleetpolicy.go
@@ -21,6 +21,7 @@
 	"redwingworks.example/internal/rwprefix"
 	"redwingworks.example/internal/rwqueue"
 	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwretryafter"
 	"redwingworks.example/internal/rwslot"
 	"redwingworks.example/internal/rwslotmessage"
 	"redwingworks.example/internal/rwsnapshot"
@@ -76,6 +77,8 @@
 	waiting  map[*rwrequest.Request]chan result
 	running  map[grantKey]*runningGrant
 	outbox   map[rwidentity.Identity]map[string]*rwslotmessage.Message
+	// retryAfter has the upstreams that want no requests from this router.
+	retryAfter *rwretryafter.Table
 	// usage holds the costs that costReporter computed for running requests and
 	// that have not been sent yet. They are sent with another message to the
 	// same cell, or at usageDue.
@@ -122,6 +125,8 @@
 		running: map[grantKey]*runningGrant{},
 		outbox:  map[rwidentity.Identity]map[string]*rwslotmessage.Message{},
 		usage:   map[grantKey]float64{},
+
+		retryAfter: rwretryafter.New(),
 	}
 }
 
@@ -309,6 +314,12 @@
 		p.finish(g, rwusage.Usage{ID: g.ID, Code: rwcode.UpstreamLeaving})
 		return
 	}
+	if p.retryAfter.Left(p.Now(), up.Name, up.Inc) > 0 {
+		// The owner backs off from an upstream that refuses requests, and gives the
+		// request, which goes on waiting, a grant of another one.
+		p.finish(g, rwusage.Usage{ID: g.ID, Code: rwcode.UpstreamRefused})
+		return
+	}
 	r := p.queue.Take(p.Now(), g.Account, g.Kind, up.Pools, p.prefersPrefix(up.Name))
 	if r == nil {
 		p.finish(g, rwusage.Usage{ID: g.ID})
@@ -321,6 +332,11 @@
 		Upstream:   up,
 		Expires:    p.Now().Add(slotLifetime),
 		ReportCost: p.costReporter(g),
+		RetryAfter: func(d time.Duration) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.retryAfter.Add(p.Now(), up.Name, up.Inc, d)
+		},
 		Done: func(cost float64, first, total time.Duration, code rwcode.Code) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/internal/rwretryafter/rwretryafter.go
+++ b/internal/rwretryafter/rwretryafter.go
@@ -3,17 +3,33 @@
 // reads no clock and does no I/O.
 package rwretryafter
 
-import "time"
+import (
+	"strconv"
+	"strings"
+	"time"
+)
 
 const (
 	// MaxDelay bounds the time that an upstream can ask for, so that one with a
 	// senseless value is used again before its operator looks for the reason.
 	MaxDelay = time.Minute
+	// maxParsed bounds what Parse returns, so that it fits a Duration.
+	maxParsed = 24 * time.Hour
 	// maxUpstreams bounds the table; a fleet has hundreds of upstreams, few of which
 	// refuse requests at the same time.
 	maxUpstreams = 1024
 )
 
+// Parse returns the time of a Retry-After field in seconds, which may have fractions, of
+// at most a day. Dates, malformed and negative times count as missing and give 0.
+func Parse(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxParsed.Seconds()) * float64(time.Second))
+}
+
 // Table holds the times of upstreams. It is not safe for concurrent use.
 type Table struct {
 	until map[string]entry
--- a/internal/rwretryafter/rwretryafter_test.go
+++ b/internal/rwretryafter/rwretryafter_test.go
@@ -57,3 +57,14 @@
 	table.Add(start.Add(time.Hour), "last", 1, time.Second)
 	require.Len(t, table.until, 1)
 }
+
+// Guards against a field without sense that counts as a time, and against one that
+// doesn't fit a Duration.
+func TestParse(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"3": 3 * time.Second, " 0.25 ": 250 * time.Millisecond, "1e300": 24 * time.Hour, "+Inf": 24 * time.Hour,
+		"": 0, "-1": 0, "0": 0, "NaN": 0, "soon": 0, "Wed, 21 Oct 2026 07:28:00 GMT": 0,
+	} {
+		require.Equal(t, want, Parse(text), text)
+	}
+}
--- a/internal/rwslot/rwslot.go
+++ b/internal/rwslot/rwslot.go
@@ -17,6 +17,9 @@
 	Expires time.Time
 	// ReportCost reports the cost so far of a running request. It may be nil.
 	ReportCost func(cost float64)
+	// RetryAfter reports that the upstream wants no requests for a time. It may be
+	// nil, and must be called before Done.
+	RetryAfter func(d time.Duration)
 	// Done releases the slot. It takes the cost of the work done, the times to
 	// the first and the last byte, and the code of a failure or None. It must
 	// be called exactly once.
