--- a/internal/rwconfsync/rwconfsync_test.go
+++ b/internal/rwconfsync/rwconfsync_test.go
@@ -63,6 +63,8 @@
 	addrs    map[string]string
 	// listeners are those of routers that have not started yet.
 	listeners map[string]net.Listener
+	// log is that of the syncers; its zero value logs nothing.
+	log zerolog.Logger
 	// prepare, if set, modifies a router before it runs.
 	prepare func(*router)
 }
@@ -128,7 +130,7 @@
 	r.peers = rwpeer.New(r.id, key, nil, zerolog.Nop(), r.metrics)
 	r.peers.Dial = f.network.Dial
 	r.gossip = rwgossip.New(r.peers, seeds, zerolog.Nop(), r.metrics)
-	r.sync = rwconfsync.New(r.peers, r.gossip, "http://"+platformAddr+"/"+name+"/", seeds, zerolog.Nop(), r.metrics)
+	r.sync = rwconfsync.New(r.peers, r.gossip, "http://"+platformAddr+"/"+name+"/", seeds, f.log, r.metrics)
 	r.sync.Dial = f.network.Dial
 	if f.prepare != nil {
 		f.prepare(r)
