Pull large records of rwrouter in parts

Change: a router that can ask for parts says so in its pull. At most eight parts are sent at one time, and an assembly holds at most 32 MiB. Nothing is applied before all parts are there; a digest in each part tells if the sender's records changed, and the pull begins again. Records beyond the bounds are set aside with event 502, and later ones are still pulled and repaired. Such bundles are no longer pushed: probes show the revision or digest. Routers of older releases get what they got before.

--- a/internal/rwcatalogsync/part_test.go
+++ b/internal/rwcatalogsync/part_test.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -249,24 +247,6 @@
 	})
 }
 
-// Guards against compressing a large value for each router that asks, and against
-// keeping the compressed values of all versions.
-func TestCompressedValuesAreKept(t *testing.T) {
-	var d deflater
-	value := []byte(strings.Repeat("route ", 10_000))
-	first, deflated := d.encode(rwitem.Item{Key: "a", Value: value, Rev: 1})
-	require.True(t, deflated)
-	require.Less(t, len(first), len(value)/20)
-	again, _ := d.encode(rwitem.Item{Key: "a", Value: value, Rev: 1})
-	require.Same(t, &first[0], &again[0])
-	for rev := range 20 {
-		d.encode(rwitem.Item{Key: "a" + strconv.Itoa(rev%3), Value: value, Rev: int64(rev)})
-	}
-	require.LessOrEqual(t, len(d.kept), maxDeflated)
-	_, deflated = d.encode(rwitem.Item{Key: "b", Value: value[:100], Rev: 1})
-	require.False(t, deflated)
-}
-
 // Guards against a fleet of which only the readers get a configuration of the largest
 // size, also where the store turns a whole zone away, and at a router whose links to
 // the others come back.
--- a/internal/rwcatalogsync/rwcatalogsync.go
+++ b/internal/rwcatalogsync/rwcatalogsync.go
@@ -12,6 +12,7 @@
 
 	"redwingworks.example/internal/rwassembly"
 	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwdeflater"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwitem"
@@ -83,7 +84,7 @@
 	peers *rwpeer.Peers
 	// sending has a value for each part that is being sent.
 	sending  chan struct{}
-	deflater deflater
+	deflater rwdeflater.Deflater
 
 	mu      sync.Mutex
 	pulling bool
@@ -349,7 +350,7 @@
 		return nil, rwfault.Wrap(rwcode.PeerUnreachable, ctx.Err())
 	}
 	out := partMessage{Revision: s.Rev()}
-	out.Parts, out.Next, out.Done = rwpart.Cut(s.Since(m.Revision), m.From, partBytes, s.deflater.encode)
+	out.Parts, out.Next, out.Done = rwpart.Cut(s.Since(m.Revision), m.From, partBytes, s.deflater.Encode)
 	if s.Orders != nil && m.From == (rwpart.Position{}) {
 		out.Orders = &orderList{s.Orders()}
 	}
--- a/internal/rwconfsync/rwconfsync.go
+++ b/internal/rwconfsync/rwconfsync.go
@@ -19,6 +19,7 @@
 
 	"redwingworks.example/internal/rwbundle"
 	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwdeflater"
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwgossip"
 	"redwingworks.example/internal/rwidentity"
@@ -96,6 +97,10 @@
 	snapshot atomic.Pointer[rwsnapshot.Snapshot]
 	ready    atomic.Bool
 
+	// sending has a value for each part that is being sent.
+	sending  chan struct{}
+	deflater rwdeflater.Deflater
+
 	// applyMu serializes changes of the store and the calls of OnChange.
 	applyMu sync.Mutex
 
@@ -116,7 +121,7 @@
 	at           time.Time
 }
 
-// New registers the handlers of "push" and "pull" and sets the OnMessage and
+// New registers the handlers of "push", "pull" and "part" and sets the OnMessage and
 // OnUpstreamLeaving callbacks of the membership. The platform is a base URL
 // with a trailing slash.
 func New(peers *rwpeer.Peers, gossip *rwgossip.Gossip, platform string, seeds []string, log zerolog.Logger, metrics *rwmetric.Metrics) *Syncer {
@@ -131,11 +136,13 @@
 		started: time.Now(),
 		store:   rwstore.New(),
 		repairs: map[string]repairAttempt{},
+		sending: make(chan struct{}, maxSending),
 	}
 	f.platform = rwplatformclient.New(platform, f.client())
 	f.snapshot.Store(f.store.Snapshot())
 	peers.Handle("push", f.handlePush)
 	peers.Handle("pull", f.handlePull)
+	peers.Handle("part", f.handlePart)
 	gossip.OnMessage = f.compareDigests
 	gossip.OnUpstreamLeaving = f.MarkUpstreamLeaving
 	return f
@@ -354,6 +361,10 @@
 		}
 	}
 	for _, b := range rwbundle.Split(records) {
+		if b.IsLarge() {
+			// Others see the revision or digest in the probes, and pull the records.
+			continue
+		}
 		for _, r := range to {
 			if r.Name != f.self.Name {
 				f.peers.Notify(r.Addr, "push", b)
@@ -379,17 +390,10 @@
 	if err != nil {
 		return nil, err
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	items := f.store.RecordsAfter(p.After)
-	if len(p.Checksums) > 0 {
-		items = f.store.DifferingRecords(p.Checksums)
-	}
-	answer := rwbundle.Bundle{}
-	if parts := rwbundle.Split(items); len(parts) > 0 {
-		answer = parts[0]
+	answer := f.firstBundle(p)
+	if p.Parts && answer.IsLarge() {
+		answer.Items, answer.InParts = nil, true
 	}
-	answer.Leaving = f.store.Leaving()
 	return answer, nil
 }
 
@@ -428,10 +432,8 @@
 		f.pulling = false
 		f.mu.Unlock()
 	}()
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
 	f.metrics.Add("pulls", 1)
-	applied, err := f.pull(ctx, from.Addr, pull)
+	applied, err := f.pull(context.Background(), from.Addr, pull)
 	if err == nil && len(applied) > 0 && f.ready.Load() && f.isReader() {
 		f.push(applied, false)
 	}
@@ -442,23 +444,39 @@
 // older records.
 func (f *Syncer) pull(ctx context.Context, addr string, p rwpull.Pull) ([]rwrecord.Record, error) {
 	var applied []rwrecord.Record
-	for {
+	for until := time.Now().Add(pullTimeout); ; {
+		p.Parts = true
 		var raw json.RawMessage
-		if err := f.peers.Call(ctx, addr, "pull", p, &raw); err != nil {
+		limited, cancel := context.WithDeadline(ctx, until)
+		err := f.peers.Call(limited, addr, "pull", p, &raw)
+		cancel()
+		if err != nil {
 			return applied, err
 		}
 		b, err := rwbundle.Decode(raw)
 		if err != nil {
 			return applied, err
 		}
+		setAside := int64(0)
+		if b.InParts {
+			if b, setAside, err = f.pullLarge(ctx, addr, p, b); err != nil {
+				return applied, err
+			}
+			// The parts have time limits of their own.
+			until = time.Now().Add(pullTimeout)
+		}
 		fresh := f.apply(b.Items, b.Leaving)
 		applied = append(applied, fresh...)
-		if !b.More || len(b.Items) == 0 || (len(p.Checksums) > 0 && len(fresh) == 0) {
+		switch {
+		case b.More && setAside > p.After:
+			p.After = setAside
+		case !b.More || len(b.Items) == 0 || (len(p.Checksums) > 0 && len(fresh) == 0):
 			return applied, nil
-		}
-		if len(p.Checksums) > 0 {
+		case len(p.Checksums) > 0:
+			after := p.After
 			p = f.repairPull()
-		} else {
+			p.After = after
+		default:
 			p.After = b.Items[len(b.Items)-1].Rev
 		}
 	}
@@ -528,8 +546,6 @@
 // askPeers pulls from all the addresses concurrently and reports whether any
 // answered.
 func (f *Syncer) askPeers(ctx context.Context, addrs []string, p rwpull.Pull) bool {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
 	var answered atomic.Bool
 	var calls sync.WaitGroup
 	for _, a := range addrs {
--- a/internal/rwdeflater/rwdeflater.go
+++ b/internal/rwdeflater/rwdeflater.go
@@ -1,4 +1,6 @@
-package rwcatalogsync
+// Package rwdeflater compresses large values that many routers ask for, and keeps the
+// results.
+package rwdeflater
 
 import (
 	"bytes"
@@ -19,9 +21,9 @@
 	maxDeflated = 4
 )
 
-// deflater compresses large values, and keeps the results: many routers ask for the
-// same ones.
-type deflater struct {
+// Deflater compresses large values, and keeps the results: many routers ask for the
+// same ones. The zero value keeps none. It is safe for concurrent use.
+type Deflater struct {
 	mu   sync.Mutex
 	kept map[deflatedKey][]byte
 }
@@ -31,8 +33,8 @@
 	rev rwrevision.Revision
 }
 
-// encode returns the encoded value of an item, and whether it is compressed.
-func (d *deflater) encode(it rwitem.Item) ([]byte, bool) {
+// Encode returns the encoded value of an item, and whether it is compressed.
+func (d *Deflater) Encode(it rwitem.Item) ([]byte, bool) {
 	if len(it.Value) < minDeflated {
 		return it.Value, false
 	}
--- a/internal/rwpull/rwpull.go
+++ b/internal/rwpull/rwpull.go
@@ -16,8 +16,11 @@
 	// After selects the records with higher revisions.
 	After int64 `json:"after"`
 	// Checksums, if not empty, selects instead the records of the buckets whose
-	// checksums differ in the receiver's store.
+	// checksums differ in the receiver's store; routers that know parts leave out those
+	// up to After.
 	Checksums []uint64 `json:"sums,omitempty"`
+	// Parts is whether the sender can ask for records in parts.
+	Parts bool `json:"parts,omitempty"`
 }
 
 // Decode decodes a message. It fails with PeerMalformed.
