--- a/internal/rwconfsync/parts_test.go
+++ b/internal/rwconfsync/parts_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwingworks.example/internal/rwassembly"
+	"redwingworks.example/internal/rwbundle"
 	"redwingworks.example/internal/rwgossip"
 	"redwingworks.example/internal/rwidentity"
 	"redwingworks.example/internal/rwmetric"
@@ -127,3 +128,18 @@
 		require.EqualValues(t, maxSending, held.Load(), "the others have given up")
 	})
 }
+
+// Guards against a router of an older release, which knows no parts, that gets no
+// records of more than 256 KiB any more.
+func TestOlderReleaseGetsLargeRecords(t *testing.T) {
+	f := newSyncer()
+	record := rwrecord.Record{Kind: "k", Name: "a", Rev: 1, Schema: 1, Value: digits(300 << 10)}
+	f.apply([]rwrecord.Record{record}, nil)
+	for text, inParts := range map[string]bool{`{"after":0}`: false, `{"after":0,"parts":true}`: true} {
+		answer, err := f.handlePull(t.Context(), rwidentity.Identity{}, json.RawMessage(text))
+		require.NoError(t, err)
+		b := answer.(rwbundle.Bundle)
+		require.Equal(t, inParts, b.InParts)
+		require.Equal(t, inParts, len(b.Items) == 0)
+	}
+}
