--- a/internal/rwdispatch/rwdispatch.go
+++ b/internal/rwdispatch/rwdispatch.go
@@ -26,6 +26,7 @@
 	"redwingworks.example/internal/rwfault"
 	"redwingworks.example/internal/rwoutcome"
 	"redwingworks.example/internal/rwrequest"
+	"redwingworks.example/internal/rwretryafter"
 	"redwingworks.example/internal/rwsse"
 	"redwingworks.example/internal/rwstream"
 	"redwingworks.example/internal/rwupstream"
@@ -95,6 +96,8 @@
 	// Memory is what Body takes of the dispatcher's budget. It is pinned; who has the
 	// response must close it. It is nil if the body doesn't count.
 	Memory *rwbudget.Claim
+	// RetryAfter is for how long the service wants no requests, or zero.
+	RetryAfter time.Duration
 }
 
 // New returns a dispatcher.
@@ -239,7 +242,7 @@
 		return nil, rwfault.New(rwcode.FenceStale, u.Name)
 	}
 	if resp.Header.Get("Redwing-Request") != q.ID {
-		return nil, rwfault.New(rwcode.UpstreamMismatch, u.Name).WithOutcome(rwoutcome.Unknown)
+		return nil, rwfault.New(rwcode.UpstreamMismatch, u.Name).WithOutcome(rwoutcome.Unknown).WithRetryAfter(retryAfter(resp, q))
 	}
 	memory := d.Memory.Open(time.Now(), "responses", UncountedBytes, nil)
 	// The caller can't be expected to read before the response is complete.
@@ -253,7 +256,7 @@
 		memory.Close()
 		return nil, err
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Memory: memory}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Memory: memory, RetryAfter: retryAfter(resp, q)}, nil
 }
 
 // readBody reads the body of a plain service's response. It takes the memory before it
@@ -308,6 +311,16 @@
 		(id == "" || id == q.ID)
 }
 
+// retryAfter returns for how long the upstream wants no requests, or zero. The time in a
+// response to another request is ignored.
+func retryAfter(resp *http.Response, q *rwrequest.Request) time.Duration {
+	id := resp.Header.Get("Redwing-Request")
+	if resp.StatusCode != http.StatusServiceUnavailable || id != "" && id != q.ID {
+		return 0
+	}
+	return rwretryafter.Parse(resp.Header.Get("Retry-After"))
+}
+
 // Stream runs a request on an engine from the given offset and calls emit for
 // each chunk in order. It returns nil only after a complete stream. An engine
 // that can't resume starts from the first chunk; emit then gets the chunks before
@@ -391,7 +404,8 @@
 }
 
 // statusFault returns the fault for a status other than 200. The outcome is
-// NotRun only if the engine refused the request because it is leaving.
+// NotRun only if the engine refused the request because it is leaving. RetryAfter is for
+// how long the engine wants no requests.
 func statusFault(u rwupstream.Upstream, q *rwrequest.Request, resp *http.Response) error {
 	if refusedAsLeaving(resp, q) {
 		return rwfault.New(rwcode.UpstreamLeaving, u.Name)
@@ -401,7 +415,7 @@
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		code = rwcode.BadRequest
 	}
-	return rwfault.New(code, u.Name+": "+resp.Status).WithOutcome(rwoutcome.Unknown)
+	return rwfault.New(code, u.Name+": "+resp.Status).WithOutcome(rwoutcome.Unknown).WithRetryAfter(retryAfter(resp, q))
 }
 
 // readStream decodes events and emits their chunks up to the end of the stream.
