Share crowds of hostile callers and memory samples between tests

Cause: the fault soak is to play hostile callers too; the crowds and the samples of memory were in the tests of platform/rwabuse.

Change: test/rwcrowd has the crowds, test/rwusage the samples. The bounds stay in platform/rwabuse.

--- a/platform/rwabuse/usage_test.go
+++ b/test/rwusage/rwusage.go
@@ -1,4 +1,5 @@
-package rwabuse_test
+// Package rwusage samples the memory and the file descriptors that a process uses.
+package rwusage
 
 import (
 	"fmt"
@@ -7,32 +8,36 @@
 	"strings"
 	"sync"
 	"time"
-
-	"redwingworks.example/test/rwfleet"
 )
 
-// usage is the most that a process used, in bytes and descriptors.
-type usage struct {
-	// memory is the resident memory together with unread, the bytes that its sockets
-	// had received and it had not read. resident is its peak as the kernel counts it.
-	memory, unread, resident int64
-	descriptors              int
+// Usage is the most that a process used.
+type Usage struct {
+	// Memory is the resident memory together with Unread, the bytes that its sockets
+	// had received and it had not read, at one moment. Resident is the peak of resident
+	// memory as the kernel counts it. All are in bytes.
+	Memory, Unread, Resident int64
+	// Descriptors is the number of open file descriptors.
+	Descriptors int
 }
 
-// watch samples a process until it is stopped.
-type watch struct {
+// Watch samples the usage of a process until it is stopped.
+type Watch struct {
 	done    chan struct{}
 	samples sync.WaitGroup
-	peak    usage
+	peak    Usage
 }
 
-func watchProcess(p *rwfleet.Proc) *watch {
-	w := &watch{done: make(chan struct{})}
+// Start begins to sample the process with an id at an interval. Sampling ends with the
+// process.
+func Start(pid int, interval time.Duration) *Watch {
+	w := &Watch{done: make(chan struct{})}
 	w.samples.Go(func() {
-		ticker := time.NewTicker(sampleInterval)
+		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
 		for {
-			w.sample(p)
+			if !w.sample(pid) {
+				return
+			}
 			select {
 			case <-w.done:
 				return
@@ -43,26 +48,31 @@
 	return w
 }
 
-func (w *watch) stop() usage {
+// Stop ends the sampling and returns the most of all samples.
+func (w *Watch) Stop() Usage {
 	close(w.done)
 	w.samples.Wait()
 	return w.peak
 }
 
-// sample takes no sample of a process that has ended.
-func (w *watch) sample(p *rwfleet.Proc) {
-	resident := statusBytes(p, "VmRSS:")
-	sockets, descriptors := descriptorsOf(p)
+// sample takes a sample and reports whether the process was still there.
+func (w *Watch) sample(pid int) bool {
+	resident := statusBytes(pid, "VmRSS:")
+	if resident == 0 {
+		return false
+	}
+	sockets, descriptors := descriptorsOf(pid)
 	unread := unreadBytes(sockets)
-	w.peak.memory = max(w.peak.memory, resident+unread)
-	w.peak.unread = max(w.peak.unread, unread)
-	w.peak.resident = max(w.peak.resident, statusBytes(p, "VmHWM:"))
-	w.peak.descriptors = max(w.peak.descriptors, descriptors)
+	w.peak.Memory = max(w.peak.Memory, resident+unread)
+	w.peak.Unread = max(w.peak.Unread, unread)
+	w.peak.Resident = max(w.peak.Resident, statusBytes(pid, "VmHWM:"))
+	w.peak.Descriptors = max(w.peak.Descriptors, descriptors)
+	return true
 }
 
 // statusBytes returns a size of /proc/PID/status in bytes, or 0.
-func statusBytes(p *rwfleet.Proc, field string) int64 {
-	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+func statusBytes(pid int, field string) int64 {
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	for line := range strings.Lines(string(data)) {
 		if value, ok := strings.CutPrefix(line, field); ok {
 			kib, _ := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
@@ -74,8 +84,8 @@
 
 // descriptorsOf returns the inodes of the process's sockets and the number of its file
 // descriptors.
-func descriptorsOf(p *rwfleet.Proc) (sockets map[string]bool, n int) {
-	dir := fmt.Sprintf("/proc/%d/fd/", p.PID())
+func descriptorsOf(pid int) (sockets map[string]bool, n int) {
+	dir := fmt.Sprintf("/proc/%d/fd/", pid)
 	entries, _ := os.ReadDir(dir)
 	sockets = map[string]bool{}
 	for _, e := range entries {
