Let short prompts leave engines that long ones wait for

Cause: a request whose best engine is reserved for another one waits, and the cost of an engine left out both that wait and the one that its streams' gaps need.

Change: in pools where prefilling is kept from delaying streams, the two waits count for requests whose shared parts are too short to be copied. The window tells how long a prompt must wait.

--- a/internal/rwplacement/gaps.go
+++ b/internal/rwplacement/gaps.go
@@ -32,18 +32,24 @@
 // engines prefill what their queue holds in a small part of the gap.
 func (p *Placer) paced() bool { return p.minGap > 0 && p.slowPool() }
 
-// keepsGaps reports whether the engine may prefill a request now. A prompt that is too
-// long by itself starts once the engine has prefilled little in the time before.
-func (p *Placer) keepsGaps(now time.Time, o option) bool {
+// gapWait returns for how long to keep a request from the engine, so that prefilling it
+// doesn't delay the events of streams there. A prompt that is too long by itself starts
+// once the engine has prefilled little in the time before. When an engine that pauses goes
+// on isn't known; it is expected to take as long again.
+func (p *Placer) gapWait(now time.Time, o option) time.Duration {
 	if !p.paced() {
-		return true
+		return 0
 	}
-	if o.engine.model.Overdue(now) > overdueLimit {
-		return false
+	wait := time.Duration(0)
+	if overdue := o.engine.model.Overdue(now); overdue > overdueLimit {
+		wait = overdue
 	}
 	limit := scale(p.minGap, gapPrefillRatio)
-	busy := o.engine.prefills.Busy(now, o.prefill, p.minGap)
-	return busy+o.prefill <= limit || p.isLong(o) && busy <= limit/4
+	room := limit - o.prefill
+	if p.isLong(o) {
+		room = limit / 4
+	}
+	return max(wait, o.engine.prefills.Wait(now, o.prefill, p.minGap, room))
 }
 
 // isLong reports whether events of the streams at the engine are late because of the
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -616,16 +616,18 @@
 	var out []Decision
 	// An engine for which a request waits is reserved: requests later in the
 	// order would refill its queue, and a request that needs a shorter queue
-	// would never start.
-	reserved := map[*engine]bool{}
+	// would never start. The value is how long the engine prefills for those that wait.
+	reserved := map[*engine]time.Duration{}
 	granted := map[string]bool{}
 	for _, w := range order {
 		if granted[w.request.Account] {
 			continue
 		}
-		o, ok := p.bestOption(now, w.request)
+		o, ok := p.bestOption(now, w.request, reserved)
 		switch {
-		case !ok || reserved[o.engine]:
+		case !ok:
+		case isReserved(reserved, o):
+			reserved[o.engine] += o.prefill
 		case p.canStart(now, w, o):
 			w.decided = true
 			granted[w.request.Account] = true
@@ -633,7 +635,7 @@
 			d.Waited = now.Sub(w.queuedAt)
 			out = append(out, d)
 		case p.canStartLater(now, w, o):
-			reserved[o.engine] = true
+			reserved[o.engine] += o.prefill
 		case !p.lateOnIdleEngine(w, o):
 			w.decided = true
 			out = append(out, p.refuse(now, w.request, Late))
@@ -642,6 +644,11 @@
 	return out
 }
 
+func isReserved(reserved map[*engine]time.Duration, o option) bool {
+	_, ok := reserved[o.engine]
+	return ok
+}
+
 // expire ends grants whose reports were lost, and counts overdue first events
 // as failures of the engine.
 func (p *Placer) expire(now time.Time) {
@@ -670,14 +677,17 @@
 	// copyTime is how long copying from source takes.
 	copyTime time.Duration
 	// prefill is how long the engine prefills the request.
-	prefill  time.Duration
+	prefill time.Duration
+	// gapWait is for how long the request is kept from the engine because of the
+	// streams there.
+	gapWait  time.Duration
 	forecast time.Duration
 	cost     time.Duration
 }
 
 func (p *Placer) tryGrant(now time.Time, w *queuedRequest) (Decision, bool) {
 	r := w.request
-	o, ok := p.bestOption(now, r)
+	o, ok := p.bestOption(now, r, nil)
 	if !ok || !p.canStart(now, w, o) {
 		return Decision{}, false
 	}
@@ -688,7 +698,7 @@
 // the best engine is busy, the second best is not used: it would need a copy of
 // the parts, and under load every cache would fill with copies.
 func (p *Placer) canStart(now time.Time, w *queuedRequest, o option) bool {
-	if !p.keepsGaps(now, o) && !p.outOfTime(now, w, o) {
+	if o.gapWait > 0 && !p.outOfTime(now, w, o) {
 		return false
 	}
 	queue := queueTargetRatio
@@ -795,8 +805,15 @@
 	return p.elapsed(now, w)+need < limit
 }
 
-func (p *Placer) bestOption(now time.Time, r Request) (option, bool) {
+// bestOption returns the engine with the least cost. reserved is how long engines prefill for
+// requests that wait for them and come first. In pools where prefilling is kept from delaying
+// streams, the wait for an engine counts for requests whose shared parts are too short to be
+// copied: they would wait behind long prompts for an engine that caches little of theirs,
+// while others are idle. Requests with longer parts wait for the engines that cache them,
+// since copying or prefilling these parts takes more from all than the wait from one.
+func (p *Placer) bestOption(now time.Time, r Request, reserved map[*engine]time.Duration) (option, bool) {
 	mean := p.meanBacklog(now)
+	movable := p.paced() && promptTokens(r)-r.UniqueTokens < minCopyTokens
 	preferred := rwrendezvous.Top(r.AffinityKey(), p.availableIDs)
 	first, second := p.copySources(r)
 	var best option
@@ -810,7 +827,11 @@
 		if first.engine == e {
 			source = second
 		}
-		if o := p.evaluate(now, r, e, source, name == preferred, mean); !found || o.cost < best.cost {
+		o := p.evaluate(now, r, e, source, name == preferred, mean)
+		if movable {
+			o.cost += o.gapWait + reserved[e]
+		}
+		if !found || o.cost < best.cost {
 			best, found = o, true
 		}
 	}
@@ -852,6 +873,7 @@
 	}
 	o.prefill = e.model.PrefillTime(o.work(r))
 	o.forecast = e.model.FirstEventDelay() + o.backlog + o.copyTime + o.prefill
+	o.gapWait = p.gapWait(now, o)
 	o.cost += p.gapCost(o) + p.coldCost(now, e, o.work(r)) + o.forecast + time.Duration(e.failures.At(now)*float64(failureCost))
 	return o
 }
@@ -944,7 +966,7 @@
 		maps.DeleteFunc(p.refusedAt, func(_ string, at time.Time) bool { return now.Sub(at) > retryMemory })
 	}
 	d := Decision{ID: r.ID, Verdict: v, RetryAfter: min(retry, maxRetryAfter)}
-	if o, ok := p.bestOption(now, r); ok {
+	if o, ok := p.bestOption(now, r, nil); ok {
 		d.Engine, d.Forecast, d.CachedTokens = o.engine.ID, o.forecast, o.cachedTokens
 		d.QueuedTokens, d.UncachedTokens = int(o.engine.model.QueuedTokens(now)), int(o.uncachedTokens)
 		d.PrefillRate = int(o.engine.model.Rate())
--- a/internal/rwprefillwindow/rwprefillwindow.go
+++ b/internal/rwprefillwindow/rwprefillwindow.go
@@ -40,6 +40,26 @@
 	return busy
 }
 
+// Wait returns how long to keep a prompt back until Busy is at most a limit.
+func (w *Window) Wait(now time.Time, took, window, limit time.Duration) time.Duration {
+	excess := w.Busy(now, took, window) - limit
+	if excess <= 0 {
+		return 0
+	}
+	// The window has to move past the earliest spans in it, by as much as is too much.
+	from := w.next(now).Add(took - window)
+	for _, s := range w.spans {
+		if begin := later(s.start, from); s.end.After(begin) {
+			if length := s.end.Sub(begin); length < excess {
+				excess -= length
+				continue
+			}
+			return begin.Add(excess + window - took).Sub(now)
+		}
+	}
+	return 0
+}
+
 // next returns when the engine begins a prompt that is sent now.
 func (w *Window) next(now time.Time) time.Time {
 	if len(w.spans) == 0 {
