Close connections that wait for their callers when others come

Callers saw: connections to rwfront that were closed unread for as long as others, that had sent nothing or a part of a head, kept theirs (5 s each).

Cause: rwconnlimit closed each new connection at its limit, whoever had the open ones. Only idle connections after a response were closed early.

Change: from 7/8 of the limit on, a new connection takes the place of the one that has waited longest for the head of a request. One on which bytes have arrived isn't chosen, and one whose head the process has read whole is kept, as idle ones were before. The bound on descriptors is the same; the eighth is for those that are about to close. An ordinary caller sends its head at once, so newcomers that send nothing wait longer than it.

Relayed connections tell whether bytes wait, which only sockets did.

--- a/internal/rwconnlimit/conn.go
+++ b/internal/rwconnlimit/conn.go
@@ -1,6 +1,7 @@
 package rwconnlimit
 
 import (
+	"container/list"
 	"errors"
 	"net"
 	"os"
@@ -46,6 +47,11 @@
 	// memory, if set, bounds the memory of heads beyond includedHeadBytes each.
 	memory *rwbudget.Budget
 
+	// place is the connection's place among those that wait for a head, or nil, and
+	// givesWay whether it closes for a new one. The limiter's lock guards both.
+	place    *list.Element
+	givesWay bool
+
 	mu sync.Mutex
 	// headBytes is how much of a head was read since the connection was accepted or
 	// became idle, or negative once the head is complete. head is what a long one has
@@ -58,8 +64,8 @@
 	// idleSince is when the connection became idle, or the zero time if it is
 	// new or active.
 	idleSince time.Time
-	// retired is whether reads fail if there are no bytes to read. A retired
-	// connection is not active.
+	// retired is whether reads fail if there are no bytes to read. A connection that
+	// was retired to give way can be active, but has no complete head.
 	retired bool
 	// excess is whether the connection was retired because too many were open.
 	// It stays set during the next request if there is one.
@@ -237,6 +243,21 @@
 	return true
 }
 
+// giveWay makes reads fail once there are no bytes to read, and reports whether it did:
+// it doesn't if bytes can be read now. A head that the process has read whole keeps the
+// connection once the server reports it.
+func (c *conn) giveWay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired || hasUnread(c.Conn) {
+		return false
+	}
+	c.retired = true
+	// It fails only if the connection is closed.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
 // state returns when the connection became idle, or the zero time, and whether
 // it is retired.
 func (c *conn) state() (time.Time, bool) {
@@ -258,6 +279,9 @@
 
 // hasUnread reports whether bytes can be read from a connection at once.
 func hasUnread(nc net.Conn) bool {
+	if relayed, ok := nc.(interface{ HasUnread() bool }); ok {
+		return relayed.HasUnread()
+	}
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -1,9 +1,11 @@
 // Package rwconnlimit limits the open connections of callers. Callers retry on
 // new connections, so in a flood of refusals their old ones add up until the
-// router runs out of file descriptors.
+// router runs out of file descriptors. Others open connections and send nothing, or
+// a request a few bytes at a time.
 package rwconnlimit
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -24,9 +26,19 @@
 	HeadTimeout time.Duration
 	// Memory, if set before the listener accepts, bounds the memory of long heads.
 	Memory *rwbudget.Budget
+	// Crowded, if set before the listener accepts, is the number of open connections
+	// from which a new one takes the place of the one that has waited longest for the
+	// head of a request. It has to be below the maximum of the listener by the number
+	// of connections that may close at the same time.
+	Crowded int
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// waiting holds the connections that wait for the head of a request, the longest
+	// waiting first, without those that give way.
+	waiting *list.List
+	// givingWay is the number of open connections that close for new ones.
+	givingWay int
 	// stopping is whether new connections are closed at once, and open ones as
 	// soon as they are not active.
 	stopping bool
@@ -38,13 +50,20 @@
 	// Unread is the number of new connections that were closed unread.
 	Unread int64
 	// Idle is the number of connections that ended after they were chosen to be
-	// closed. Kept is how often a chosen one was not closed after all because a
+	// closed, also by those counted in GaveWay. Kept is how often a chosen one was not closed after all because a
 	// request had arrived.
 	Idle, Kept int64
+	// GaveWay is the number of connections that were chosen to be closed because a new
+	// one came while they waited for the head of a request.
+	GaveWay int64
 }
 
+// maxTried bounds the waiting connections that are tried for a new one: each costs a
+// system call.
+const maxTried = 8
+
 // New returns a limiter without connections.
-func New() *Limiter { return &Limiter{conns: map[*conn]struct{}{}} }
+func New() *Limiter { return &Limiter{conns: map[*conn]struct{}{}, waiting: list.New()} }
 
 // Stats returns the counts since the start.
 func (l *Limiter) Stats() Stats {
@@ -69,8 +88,10 @@
 		if c.reportActive() {
 			l.stats.Kept++
 		}
+		l.stopWaiting(c)
 	case http.StateIdle:
 		c.becomeIdle(time.Now())
+		l.await(c)
 		if l.stopping {
 			c.retire(false)
 		}
@@ -79,10 +100,66 @@
 			l.stats.Idle++
 		}
 		c.endConn()
+		l.stopWaiting(c)
 		delete(l.conns, c)
 	}
 }
 
+// Await records that a connection without a request in progress waits for one, as
+// http.StateIdle does, but doesn't let CloseIdle choose it. It is for HTTP/2.
+func (l *Limiter) Await(nc net.Conn) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.conns[c]; ok {
+		l.await(c)
+	}
+}
+
+// await records that a connection waits for the head of a request from now on. The
+// caller must hold the lock.
+func (l *Limiter) await(c *conn) {
+	l.stopWaiting(c)
+	c.place = l.waiting.PushBack(c)
+}
+
+// stopWaiting records that a connection doesn't wait any more. The caller must hold the
+// lock.
+func (l *Limiter) stopWaiting(c *conn) {
+	if c.place != nil {
+		l.waiting.Remove(c.place)
+		c.place = nil
+	}
+	if c.givesWay {
+		c.givesWay = false
+		l.givingWay--
+	}
+}
+
+// makeRoom lets the connection that has waited longest for the head of a request give
+// way. Those on which bytes have arrived wait for this process, not for their callers,
+// so they begin to wait anew. The caller must hold the lock.
+func (l *Limiter) makeRoom() {
+	for range maxTried {
+		front := l.waiting.Front()
+		if front == nil {
+			return
+		}
+		c, _ := front.Value.(*conn)
+		if c.giveWay() {
+			l.waiting.Remove(front)
+			c.place, c.givesWay = nil, true
+			l.givingWay++
+			l.stats.GaveWay++
+			return
+		}
+		l.waiting.MoveToBack(front)
+	}
+}
+
 type connKey struct{}
 
 // ConnContext is the ConnContext hook of an http.Server. CallerClosed and Excess
@@ -151,7 +228,8 @@
 // Listener wraps a listener so that it closes new connections at once while at
 // least a maximum number are open. Their callers see that nothing was read and
 // retry on another router, and unread bytes in sockets don't add to this
-// router's memory.
+// router's memory. From the field Crowded on, connections that wait for their
+// callers give way before.
 func (l *Limiter) Listener(inner net.Listener, maxOpen int) net.Listener {
 	return &limitedListener{Listener: inner, limiter: l, maxOpen: maxOpen}
 }
@@ -180,19 +258,29 @@
 func (l *Limiter) register(nc net.Conn, maxOpen int) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.stopping && l.Crowded > 0 && len(l.conns)-l.givingWay >= l.Crowded {
+		l.makeRoom()
+	}
 	if l.stopping || len(l.conns) >= maxOpen {
 		l.stats.Unread++
 		return nil
 	}
-	c := &conn{Conn: nc, onKept: l.countKept, headTimeout: l.HeadTimeout, memory: l.Memory}
+	c := &conn{Conn: nc, headTimeout: l.HeadTimeout, memory: l.Memory}
+	c.onKept = func() { l.keep(c) }
 	l.conns[c] = struct{}{}
+	l.await(c)
 	return c
 }
 
-func (l *Limiter) countKept() {
+// keep records that a connection which was to be closed is not, since a request has
+// arrived.
+func (l *Limiter) keep(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stats.Kept++
+	if c.givesWay {
+		l.await(c)
+	}
 }
 
 // Open returns the number of open connections.
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -80,9 +80,11 @@
 	connectionBytes   = 40 << 10
 	// closeIdleRatio is the fraction of these connections above which idle ones
 	// are closed early; closeRefusedRatio is the one above which the
-	// connections of refused callers are closed.
+	// connections of refused callers are closed. From crowdedRatio on, a new
+	// connection takes the place of one that waits for the head of a request.
 	closeIdleRatio    = 0.8
 	closeRefusedRatio = 0.5
+	crowdedRatio      = 0.875
 	// relayMemoryRatio and relayFDRatio are the fractions of the memory and of the
 	// file descriptors that relayed connections may take; the memory is a part of
 	// that of the requests in progress. relayBytes is the memory of one, with its
@@ -287,7 +289,7 @@
 	e.poison = rwpoisonsync.New(e.peers)
 	e.broker = rwbroker.New(e.self, e.peers, e.metrics)
 	e.connLimiter, e.lagMonitor, e.overload = rwconnlimit.New(), rwlag.New(), rwoverload.New(c.Deployment.CPUMillis)
-	e.connLimiter.HeadTimeout = headerTimeout
+	e.connLimiter.HeadTimeout, e.connLimiter.Crowded = headerTimeout, e.maxConnections(crowdedRatio)
 	if m := c.Deployment.MemoryBytes; m > 0 {
 		e.memory = rwbudget.New(int64(bulkMemoryRatio * float64(m)))
 	}
@@ -660,11 +662,13 @@
 		return last
 	}
 	idle, unread, kept := stats.Idle-last.Idle, stats.Unread-last.Unread, stats.Kept-last.Kept
+	gaveWay := stats.GaveWay - last.GaveWay
 	e.metrics.Add("caller_connections_closed", idle)
 	e.metrics.Add("caller_connections_closed_unread", unread)
 	e.metrics.Add("caller_connections_kept", kept)
+	e.metrics.Add("caller_connections_gave_way", gaveWay)
 	rwlog.Info(&e.summaries, rwlog.ConnectionsClosed).Int64("idle", idle).Int64("unread", unread).Int64("kept", kept).
-		Int("open", e.connLimiter.Open()).Send()
+		Int64("gaveway", gaveWay).Int("open", e.connLimiter.Open()).Send()
 	return stats
 }
 
--- a/internal/rwmux/stream.go
+++ b/internal/rwmux/stream.go
@@ -286,6 +286,13 @@
 	return s.closed || len(s.unread) == 0 && s.readErr != nil
 }
 
+// HasUnread reports whether bytes can be read at once.
+func (s *Stream) HasUnread() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.unread) > 0
+}
+
 // LocalAddr implements net.Conn with the address of the connection.
 func (s *Stream) LocalAddr() net.Addr { return s.mux.conn.LocalAddr() }
 
