Bound the connections of rwrouter by descriptors and memory

Callers saw: connections to rwrouter that were closed without a response, or waited, while others sent nothing. Out of descriptors, a router also loses its upstreams, its peers and the platform.

Cause: rwrouter bounded its connections by REDWING_MAX_CONNS alone, 4096 with as many again that get an error response, on machines with 3,075 descriptors and 144 MB, and none gave way.

Change: callers' connections take half of the process's descriptors and, with a memory limit, a fifth of the memory at 40 KB each, as in rwfront. From 7/8 of the limit on, a new one takes the place of the one that has waited longest, with and without TLS. HTTP/2 connections without streams give way too: their frames that were read are handled before the next read fails, so no request that has arrived is lost. A shutdown still ends them as before.

--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -68,10 +68,6 @@
 	// maxStreams is the number of concurrent requests on one HTTP/2
 	// connection. A load balancer may use a single connection to a router.
 	maxStreams = 1024
-	// connLimitFactor times the connection limit is the number of connections
-	// above which new ones are closed at once. Between the limit and this
-	// number, requests get an error response.
-	connLimitFactor = 2
 	// writeTimeout bounds the wait for a caller that reads slowly, since its
 	// request occupies a slot of an engine. While a response is streamed, the
 	// write deadline is extended every writeDeadlineInterval.
@@ -86,6 +82,11 @@
 	marshalCopies = 2
 )
 
+// ConnLimitFactor times the connection limit is the number of connections above which
+// new ones are closed at once. Between the limit and this number, requests get an error
+// response.
+const ConnLimitFactor = 2
+
 // Gate serves callers over HTTP. Its exported fields must be set before the first
 // request.
 type Gate struct {
@@ -185,7 +186,7 @@
 		// so it counts although it exceeds the limit.
 		g.conns.Release(-1)
 	}
-	if g.conns.InUse() > connLimitFactor*g.maxConns() {
+	if g.conns.InUse() > ConnLimitFactor*g.maxConns() {
 		g.ReportFault(rwfault.New(rwcode.TooManyConnections, ""))
 		_ = c.Close()
 	}
--- a/internal/rwnode/rwnode.go
+++ b/internal/rwnode/rwnode.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"math"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -18,6 +19,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcode"
@@ -67,6 +69,15 @@
 	// collector runs more often.
 	callerMemoryRatio = 0.25
 	heapMemoryRatio   = 0.6
+	// callerFDRatio is the fraction of the process's file descriptors that callers'
+	// connections may take, and connectionMemoryRatio that of the VM's memory;
+	// connectionBytes is the memory of a connection with a request that is unread in
+	// its socket. From crowdedRatio of these connections on, a new one takes the place
+	// of one that waits for its caller.
+	callerFDRatio         = 0.5
+	connectionMemoryRatio = 0.2
+	connectionBytes       = 40 << 10
+	crowdedRatio          = 0.875
 	// smallMemoryRatio is the fraction of the memory for bodies and responses that only
 	// small ones may take.
 	smallMemoryRatio = 0.125
@@ -144,9 +155,26 @@
 	n.connectCallers()
 	n.gate.TLS = tlsConfig
 	n.server = rwserver.New(n.gate.Server())
+	n.server.LimitConns(n.connLimits())
 	return n, nil
 }
 
+// connLimits returns the largest number of callers' connections, and that from which new
+// ones take the places of those that wait for their callers. Between MaxConns and the
+// largest number, requests get an error response.
+func (n *Node) connLimits() (maxOpen, crowded int) {
+	most := math.MaxInt
+	var descriptors unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &descriptors); err == nil {
+		most = int(callerFDRatio * float64(min(descriptors.Cur, math.MaxInt32)))
+	}
+	if m := n.memoryBytes(); m > 0 {
+		most = min(most, int(connectionMemoryRatio*float64(m)/connectionBytes))
+	}
+	maxOpen = min(rwgate.ConnLimitFactor*n.settings.MaxConns, most)
+	return maxOpen, max(1, int(crowdedRatio*float64(min(n.settings.MaxConns, most))))
+}
+
 // connectFleet connects the components that cooperate with other routers.
 func (n *Node) connectFleet() {
 	n.policy = rwfleetpolicy.New(n.self, uint64(n.self.Inc))
--- a/internal/rwserver/rwserver.go
+++ b/internal/rwserver/rwserver.go
@@ -42,6 +42,8 @@
 type Server struct {
 	inner   *http.Server
 	limiter *rwconnlimit.Limiter
+	// maxOpen is the largest number of open connections.
+	maxOpen int
 	// requests is the number of HTTP/1.1 requests in progress.
 	requests atomic.Int64
 
@@ -70,7 +72,7 @@
 // requests with "Connection: close" during a shutdown; until then, callers could
 // keep the shutdown waiting.
 func New(inner *http.Server) *Server {
-	s := &Server{inner: inner, limiter: rwconnlimit.New(), conns: map[net.Conn]*conn{}}
+	s := &Server{inner: inner, limiter: rwconnlimit.New(), maxOpen: math.MaxInt, conns: map[net.Conn]*conn{}}
 	handler, connContext, connState := inner.Handler, inner.ConnContext, inner.ConnState
 	inner.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ProtoMajor == 1 {
@@ -111,9 +113,10 @@
 	}
 }
 
-// updateConn passes the states of HTTP/1.1 connections to the limiter. It must
-// not see that an HTTP/2 connection is idle: frames of the next request may have
-// been read then, and http.Server.Shutdown ends such connections gracefully.
+// updateConn passes the states of connections to the limiter. A shutdown must not see
+// that an HTTP/2 connection is idle: frames of the next request may have been read
+// then, and http.Server.Shutdown ends such connections gracefully. It only gives way
+// to new connections, after all frames that were read.
 func (s *Server) updateConn(nc net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	c, ok := s.conns[nc]
@@ -126,17 +129,26 @@
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(s.conns, nc)
 	}
-	skip := !ok || c.http2 && state == http.StateIdle
+	awaits := ok && c.http2 && state == http.StateIdle
 	s.mu.Unlock()
-	if skip {
+	if !ok {
 		return
 	}
 	if t, ok := nc.(*tls.Conn); ok {
 		nc = t.NetConn()
 	}
+	if awaits {
+		s.limiter.Await(nc)
+		return
+	}
 	s.limiter.ConnState(nc, state)
 }
 
+// LimitConns closes new connections unread while maxOpen are open. From crowded
+// connections on, a new one takes the place of the one that has waited longest for the
+// head of a request. It must be called before Serve.
+func (s *Server) LimitConns(maxOpen, crowded int) { s.maxOpen, s.limiter.Crowded = maxOpen, crowded }
+
 // Serve serves on a listener, with TLS if the server has a TLS configuration.
 // It returns http.ErrServerClosed once Shutdown or Close has been called. It
 // must be called once.
@@ -150,7 +162,7 @@
 	s.listener, s.served = l, make(chan struct{})
 	s.mu.Unlock()
 	defer close(s.served)
-	err := s.serve(s.limiter.Listener(l, math.MaxInt))
+	err := s.serve(s.limiter.Listener(l, s.maxOpen))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping {
--- a/internal/rwserver/rwserver_test.go
+++ b/internal/rwserver/rwserver_test.go
@@ -145,6 +145,13 @@
 
 // newFixture starts a server on a listener that dial connects to.
 func newFixture(t *testing.T, useTLS bool, inner net.Listener, dial func(context.Context, string, string) (net.Conn, error), headerTimeout time.Duration) *fixture {
+	f := newStoppedFixture(t, useTLS, inner, dial, headerTimeout)
+	f.start()
+	return f
+}
+
+// newStoppedFixture is newFixture with a server that isn't started yet.
+func newStoppedFixture(t *testing.T, useTLS bool, inner net.Listener, dial func(context.Context, string, string) (net.Conn, error), headerTimeout time.Duration) *fixture {
 	f := &fixture{
 		t: t, dial: dial, stopped: make(chan error, 1),
 		started: make(chan struct{}), release: make(chan struct{}),
@@ -168,13 +175,17 @@
 		s.TLSConfig.SessionTicketsDisabled = !socket
 	}
 	f.server = New(s)
+	return f
+}
+
+// start serves until the end of the test.
+func (f *fixture) start() {
 	served := make(chan error, 1)
 	go func() { served <- f.server.Serve(f.listener) }()
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		_ = f.server.Close()
-		require.ErrorIs(t, <-served, http.ErrServerClosed)
+		require.ErrorIs(f.t, <-served, http.ErrServerClosed)
 	})
-	return f
 }
 
 func (f *fixture) ifIdle(h *hook) func() {
