Let bodies that arrive a byte at a time give way to requests

Callers saw: 503 too_many_requests from rwfront and rwrouter for as long as others sent their bodies a byte at a time, up to the timeout of bodies.

Cause: any byte counted as progress, so such a body never stalled. Where one had stalled, its end made room, but the request that found the router full was refused all the same, and the place went to whoever came next. In rwrouter, a chunked body also reserved the largest length: 64 of them took all memory for bodies, without a limit of memory too.

Change: a body has stalled unless 4 KiB arrived within a second. A request that finds a router full takes the place of one that has stalled; until that has ended, the router has one more, an eighth more at most. rwrouter counts bodies by what they hold, in a budget of 64 MiB if it has no limit of memory, which takes the place of the reservation.

--- a/internal/rwbody/rwbody.go
+++ b/internal/rwbody/rwbody.go
@@ -107,7 +107,7 @@
 		read, err := r.Read(data[n:])
 		n += read
 		if read > 0 {
-			memory.Progress(time.Now())
+			memory.Receive(time.Now(), int64(read))
 		}
 		if err != nil && (n < len(data) || !errors.Is(err, io.EOF)) {
 			return n, err
--- a/internal/rwbudget/rwbudget.go
+++ b/internal/rwbudget/rwbudget.go
@@ -15,8 +15,12 @@
 )
 
 // StallTime is how long a claim must have made no progress until others may take its
-// memory. A caller that sends steadily is never that slow.
-const StallTime = time.Second
+// memory. ProgressBytes is how much of a body has to arrive to count as progress: a
+// caller that sends single bytes would otherwise never stall.
+const (
+	StallTime     = time.Second
+	ProgressBytes = 4 << 10
+)
 
 // SmallBytes is the size up to which a claim may use the reserve of a budget.
 const SmallBytes = 32 << 10
@@ -65,6 +69,8 @@
 	evict    func()
 	size     int64
 	progress time.Time
+	// received is the number of bytes that have arrived since the last progress.
+	received int64
 	// place is the claim's place in the list of open claims, or nil if it is pinned or
 	// has ended.
 	place *list.Element
@@ -128,6 +134,19 @@
 	c.moveBack(now)
 }
 
+// Receive records that n bytes have arrived from the holder's caller.
+func (c *Claim) Receive(now time.Time, n int64) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.received += n
+	if c.received >= ProgressBytes {
+		c.moveBack(now)
+	}
+}
+
 // Pin keeps the memory from now on: what the claim holds is complete, and its caller
 // waits for the router. It reports false if the memory was lost before.
 func (c *Claim) Pin() bool {
@@ -247,7 +266,7 @@
 func (c *Claim) hasStalled(now time.Time) bool { return now.Sub(c.progress) >= StallTime }
 
 func (c *Claim) moveBack(now time.Time) {
-	c.progress = now
+	c.progress, c.received = now, 0
 	if c.place != nil {
 		c.budget.open.MoveToBack(c.place)
 	}
--- a/internal/rwbudget/rwbudget_test.go
+++ b/internal/rwbudget/rwbudget_test.go
@@ -124,3 +124,18 @@
 	other.Close()
 	require.False(t, b.EvictStalled(start.Add(time.Hour)))
 }
+
+// Guards against callers that send single bytes and so never stall.
+func TestSingleBytesAreNoProgress(t *testing.T) {
+	b := rwbudget.New(100)
+	lost := false
+	slow := b.Open(start, "bodies", 0, func() { lost = true })
+	steady := b.Open(start, "bodies", 0, func() { require.Fail(t, "evicted") })
+	for at := time.Duration(0); at < late; at += late / 10 {
+		slow.Receive(start.Add(at), 1)
+		steady.Receive(start.Add(at), rwbudget.ProgressBytes/8)
+	}
+	require.True(t, b.EvictStalled(start.Add(late)))
+	require.True(t, lost)
+	require.False(t, b.EvictStalled(start.Add(late)))
+}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -103,6 +103,9 @@
 	// all of them may take.
 	requestBytes       = 160 << 10
 	requestMemoryRatio = 0.3
+	// replacedRatio is the largest number of requests in progress while some of them
+	// end for others, as a multiple of the usual one.
+	replacedRatio = 1.125
 	// bulkMemoryRatio is the fraction of the memory that large bodies and heads of
 	// requests may take beyond that: nine bodies of 4 MiB on the smallest machine.
 	bulkMemoryRatio = 0.25
@@ -542,10 +545,7 @@
 	switch {
 	case e.lagMonitor.Lagging():
 		return "router is lagging"
-	case e.isFull():
-		// Those that stopped within their bodies would keep others out until the
-		// timeout of bodies.
-		e.memory.EvictStalled(time.Now())
+	case e.isFull() && !e.replacesStalled():
 		return "too many requests in progress"
 	case rwconnlimit.Excess(ctx):
 		return "too many connections"
@@ -574,12 +574,21 @@
 
 // isFull reports whether the requests in progress and the relayed connections take
 // all of the memory that they may.
-func (e *Edge) isFull() bool {
-	limit := int64(defaultMaxRequests)
+func (e *Edge) isFull() bool { return e.activeRequests.Load() > e.maxRequests() }
+
+// maxRequests returns the largest number of requests in progress.
+func (e *Edge) maxRequests() int64 {
 	if m := e.deployment.MemoryBytes; m > 0 {
-		limit = int64(requestMemoryRatio*float64(m)-float64(e.relay.Open()*relayBytes)) / requestBytes
+		return int64(requestMemoryRatio*float64(m)-float64(e.relay.Open()*relayBytes)) / requestBytes
 	}
-	return e.activeRequests.Load() > limit
+	return defaultMaxRequests
+}
+
+// replacesStalled ends a request whose caller has stopped sending or reading, or sends
+// next to nothing, and reports whether another one may take its place. It would keep
+// others out until its timeout. Until it has ended, the router has one request more.
+func (e *Edge) replacesStalled() bool {
+	return e.activeRequests.Load() <= int64(replacedRatio*float64(e.maxRequests())) && e.memory.EvictStalled(time.Now())
 }
 
 // streamBegun records where a stream began whose first event is forwarded.
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -3,6 +3,7 @@
 package rwgate
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -73,6 +74,9 @@
 	// write deadline is extended every writeDeadlineInterval.
 	writeTimeout          = 30 * time.Second
 	writeDeadlineInterval = 5 * time.Second
+	// replacedPart is the divisor of the limit of requests that gives how many may be in
+	// progress beyond it while as many end for others.
+	replacedPart = 8
 	// writePartBytes is how much of a complete response is written before the progress of
 	// its caller is recorded.
 	writePartBytes = 16 << 10
@@ -113,28 +117,33 @@
 	Now func() time.Time
 	// TLS is the configuration for Server; nil for HTTP without TLS.
 	TLS *tls.Config
-	// MaxConns, MaxRequests and MaxTotalBodyBytes bound the connections, the
-	// requests and the memory for bodies of all callers together; 0 for the
-	// defaults.
-	MaxConns, MaxRequests, MaxTotalBodyBytes int
-	// Memory, if set, bounds the memory of bodies further and that of responses: callers
-	// that stop within their bodies or don't read their responses lose theirs to others.
-	Memory *rwbudget.Budget
+	// MaxConns and MaxRequests bound the connections and the requests of all callers
+	// together; 0 for the defaults.
+	MaxConns, MaxRequests int
+	// Memory, if set, bounds the memory of bodies and responses: callers that stop within
+	// their bodies or don't read their responses lose theirs to others. Otherwise
+	// MaxTotalBodyBytes bounds that of bodies; 0 for the default.
+	Memory            *rwbudget.Budget
+	MaxTotalBodyBytes int
 	// BodyTimeout bounds the wait for a request's body; 0 for the default.
 	BodyTimeout time.Duration
 
-	sequence  atomic.Int64
-	once      sync.Once
-	conns     *rwlimit.Limit
-	requests  *rwlimit.Limit
-	bodyBytes *rwlimit.Limit
+	sequence atomic.Int64
+	once     sync.Once
+	conns    *rwlimit.Limit
+	requests *rwlimit.Limit
+	// bodies is Memory, or a budget for bodies alone.
+	bodies *rwbudget.Budget
 }
 
 func (g *Gate) initLimits() {
 	g.once.Do(func() {
 		g.conns = newLimit(g.MaxConns, defaultConns)
 		g.requests = newLimit(g.MaxRequests, defaultRequests)
-		g.bodyBytes = newLimit(g.MaxTotalBodyBytes, defaultTotalBodyBytes)
+		g.bodies = g.Memory
+		if g.bodies == nil {
+			g.bodies = rwbudget.New(int64(cmp.Or(g.MaxTotalBodyBytes, defaultTotalBodyBytes)))
+		}
 		if g.BodyTimeout == 0 {
 			g.BodyTimeout = defaultBodyTimeout
 		}
@@ -275,14 +284,26 @@
 	if headerBytes(r) > maxHeaderBytes {
 		return rwfault.New(rwcode.HeaderTooLarge, strconv.Itoa(maxHeaderBytes))
 	}
-	if !g.requests.TryAcquire(1) {
-		// One that doesn't read its response would keep others out until its timeout.
-		g.Memory.EvictStalled(time.Now())
+	if !g.requests.TryAcquire(1) && !g.replacesStalled() {
 		return rwfault.New(rwcode.TooManyRequests, "request limit of the router")
 	}
 	return nil
 }
 
+// replacesStalled ends a request whose caller has stopped sending or reading, or sends
+// next to nothing, and reports whether another one has its place. It would keep others
+// out until its timeout. Until it has ended, the router has one request more.
+func (g *Gate) replacesStalled() bool {
+	most := g.maxRequests() + max(1, g.maxRequests()/replacedPart)
+	if g.requests.InUse() >= most || !g.bodies.EvictStalled(time.Now()) {
+		return false
+	}
+	g.requests.Release(-1)
+	return true
+}
+
+func (g *Gate) maxRequests() int64 { return int64(cmp.Or(g.MaxRequests, defaultRequests)) }
+
 func headerBytes(r *http.Request) int {
 	n := len(r.RequestURI)
 	for name, values := range r.Header {
@@ -366,9 +387,27 @@
 	return account, nil
 }
 
-// readRequest checks a request's headers and reads its body. The caller must
-// release the length of the body from the limit bodyBytes.
-func (g *Gate) readRequest(w http.ResponseWriter, r *http.Request) (*rwrequest.Request, error) {
+// readRequest checks a request's headers and reads its body. If it doesn't fail, the
+// caller must close the memory of the body once the request has ended.
+func (g *Gate) readRequest(w http.ResponseWriter, r *http.Request) (*rwrequest.Request, *rwbudget.Claim, error) {
+	q, err := g.readHeaders(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, memory, err := g.readBody(w, r)
+	if err != nil {
+		return nil, nil, err
+	}
+	q.Body = body
+	q.ID = g.ID + "-" + strconv.FormatInt(g.sequence.Add(1), 10)
+	// Error responses from here on have the identifier too, so that a caller's
+	// report can be matched with the logs of upstreams.
+	w.Header().Set("Redwing-Request", q.ID)
+	return q, memory, nil
+}
+
+// readHeaders returns a request without its body and its identifier.
+func (g *Gate) readHeaders(r *http.Request) (*rwrequest.Request, error) {
 	arrived := g.Now()
 	view := g.Snapshot()
 	account, err := g.authenticate(r, view)
@@ -400,13 +439,6 @@
 	if err := parseOptionalHeaders(r, q); err != nil {
 		return nil, err
 	}
-	if q.Body, err = g.readBody(w, r); err != nil {
-		return nil, err
-	}
-	q.ID = g.ID + "-" + strconv.FormatInt(g.sequence.Add(1), 10)
-	// Error responses from here on have the identifier too, so that a caller's
-	// report can be matched with the logs of upstreams.
-	w.Header().Set("Redwing-Request", q.ID)
 	return q, nil
 }
 
@@ -446,26 +478,17 @@
 	return nil
 }
 
-// readBody reads the body. It enforces the limits on size, time and memory.
-func (g *Gate) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the body, and returns the memory that it has. It enforces the limits on
+// size, time and memory.
+func (g *Gate) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *rwbudget.Claim, error) {
 	if r.ContentLength > maxBodyBytes {
-		return nil, rwfault.New(rwcode.BodyTooLarge, strconv.Itoa(maxBodyBytes))
-	}
-	// The size of a chunked body is not known until it was read.
-	reserved := r.ContentLength
-	if reserved < 0 {
-		reserved = maxBodyBytes
-	}
-	if !g.bodyBytes.TryAcquire(reserved) {
-		// One that stopped within its body would keep others out until its timeout.
-		g.Memory.EvictStalled(time.Now())
-		return nil, rwfault.New(rwcode.TooManyRequests, "memory limit of the router for bodies")
+		return nil, nil, rwfault.New(rwcode.BodyTooLarge, strconv.Itoa(maxBodyBytes))
 	}
 	// In HTTP/1, net/http resets this deadline at the end of the body, but not
 	// if the request has no body. In HTTP/2, the deadline has no effect after
 	// the end of the body.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.BodyTimeout))
-	memory := g.Memory.Open(time.Now(), "bodies", 0, func() {
+	memory := g.bodies.Open(time.Now(), "bodies", 0, func() {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 	})
 	data, err := rwbody.Read(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, memory)
@@ -474,13 +497,9 @@
 	}
 	if err != nil {
 		memory.Close()
-		g.bodyBytes.Release(reserved)
-		return nil, bodyFault(r, err)
+		return nil, nil, bodyFault(r, err)
 	}
-	// The request's context ends after its response, or when its caller leaves.
-	context.AfterFunc(r.Context(), memory.Close)
-	g.bodyBytes.Release(reserved - int64(len(data)))
-	return data, nil
+	return data, memory, nil
 }
 
 // bodyFault returns the fault for an error of reading a body.
@@ -546,11 +565,11 @@
 }
 
 func (g *Gate) chat(w http.ResponseWriter, r *http.Request) error {
-	q, err := g.readRequest(w, r)
+	q, memory, err := g.readRequest(w, r)
 	if err != nil {
 		return err
 	}
-	defer g.bodyBytes.Release(int64(len(q.Body)))
+	defer memory.Close()
 	var body chatBody
 	if err := json.Unmarshal(q.Body, &body); err != nil {
 		return rwfault.Wrap(rwcode.BadRequest, err)
@@ -780,11 +799,11 @@
 	default:
 		return rwfault.New(rwcode.BadRequest, "method "+r.Method)
 	}
-	q, err := g.readRequest(w, r)
+	q, body, err := g.readRequest(w, r)
 	if err != nil {
 		return err
 	}
-	defer g.bodyBytes.Release(int64(len(q.Body)))
+	defer body.Close()
 	if r.PathValue("pool") != q.Pool {
 		return rwfault.New(rwcode.UnknownPool, "kind "+q.Kind+" uses the pool "+q.Pool+", not "+r.PathValue("pool"))
 	}
