Send refusals without waiting for the rest of the body

Callers saw: a refusal of a request whose body arrived slowly came only at the timeout of bodies, 10 s at rwfront and 15 s at rwrouter. Until then its connection counted. What can't be served is to be rejected at once.

Cause: net/http reads up to 256 KiB of an unread body before it sends the response, and the read deadline of such a request was that of a body that is read.

Change: the rest of a body that is refused is read for half a second, as it is already after a refusal for memory. rwfront sets the deadline of bodies when it begins to read one. Bodies that are too large keep their own time in rwrouter.

--- a/internal/rwfront/body.go
+++ b/internal/rwfront/body.go
@@ -1,6 +1,7 @@
 package rwfront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -62,6 +63,8 @@
 		return nil
 	}
 	rc := http.NewResponseController(w)
+	// net/http resets the deadline at the end of the body.
+	_ = rc.SetReadDeadline(x.Start.Add(cmp.Or(f.BodyTimeout, defaultBodyTimeout)))
 	body := r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -207,7 +207,7 @@
 	if f.CloseConnections() {
 		w.Header().Set("Connection", "close")
 	}
-	f.limitBodyTime(w, r)
+	limitRestOfBody(w, r)
 	x, fault := f.admit(w, r, start, inFlight)
 	defer x.Memory.Close()
 	if fault != nil && errors.Is(fault, rwbody.ErrNoMemory) {
@@ -322,19 +322,14 @@
 	return n
 }
 
-// limitBodyTime sets the read deadline for the body of a request. It also bounds
-// how long net/http reads the rest of a body that a refused request has. net/http
-// resets it at the end of the body.
-func (f *Handler) limitBodyTime(w http.ResponseWriter, r *http.Request) {
+// limitRestOfBody bounds how long net/http reads the body of a request that is refused
+// before its body is read. It does so before it sends the response.
+func limitRestOfBody(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength == 0 {
 		// net/http already reads on to detect that the caller leaves.
 		return
 	}
-	timeout := defaultBodyTimeout
-	if f.BodyTimeout > 0 {
-		timeout = f.BodyTimeout
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
 }
 
 // setDeadline sets the deadline of the exchange.
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -44,6 +44,9 @@
 	// too large, after the error response was written.
 	maxDiscardedBytes = 16 << 20
 	discardTimeout    = 5 * time.Second
+	// lingerTime bounds how long the rest of the body of another request that failed is
+	// read.
+	lingerTime = 500 * time.Millisecond
 	// maxResponseTextBytes bounds the text of a response that is not streamed,
 	// which is kept in memory until it is complete.
 	maxResponseTextBytes = 8 << 20
@@ -324,6 +327,10 @@
 	case rwcode.Draining, rwcode.TooManyConnections, rwcode.SlowBody, rwcode.BodyTooLarge:
 		w.Header().Set("Connection", "close")
 	}
+	if r.ProtoMajor == 1 && r.ContentLength != 0 {
+		// net/http reads the rest of the body before it sends the response.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
+	}
 	if f.Code == rwcode.BodyTooLarge && r.ProtoMajor == 1 {
 		writeFaultAndDiscardBody(w, r, rwerrorresponse.New(f))
 		return
