Keep a service that hangs from taking all requests of a router

Callers saw: 503 too_many_requests for requests to an idle service, while another one accepted requests and didn't answer, for as long as its callers came back.

Cause: the requests in progress were bounded for all services together, and complete ones are never taken away, since an upstream may be running them.

Change: rwconcurrency lets a service have seven complete requests in progress for each further one that the router has room for. One that hangs gets 7/8 of all, two 7/15 each; some room is always left. A request beyond that is refused before its body is read and has not run. Bodies that still arrive don't count.

--- a/internal/rwbudget/rwbudget.go
+++ b/internal/rwbudget/rwbudget.go
@@ -69,6 +69,8 @@
 	evict    func()
 	size     int64
 	progress time.Time
+	// group is the group of holders to which the claim belongs, or empty.
+	group string
 	// received is the number of bytes that have arrived since the last progress.
 	received int64
 	// place is the claim's place in the list of open claims, or nil if it is pinned or
@@ -186,28 +188,57 @@
 	c.leave()
 }
 
+// Join makes the claim a part of a group of holders.
+func (c *Claim) Join(group string) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.group = group
+}
+
 // EvictStalled takes the memory of the claim whose last progress is longest ago, if that
 // was before StallTime, and reports whether there was one.
 func (b *Budget) EvictStalled(now time.Time) bool {
+	return b.evictStalled(now, func(*Claim) bool { return true })
+}
+
+// EvictStalledOf is EvictStalled among the claims of a group.
+func (b *Budget) EvictStalledOf(now time.Time, group string) bool {
+	return b.evictStalled(now, func(c *Claim) bool { return c.group == group })
+}
+
+func (b *Budget) evictStalled(now time.Time, matches func(*Claim) bool) bool {
 	if b == nil {
 		return false
 	}
 	b.mu.Lock()
-	front := b.open.Front()
-	if front == nil {
-		b.mu.Unlock()
-		return false
-	}
-	c, _ := front.Value.(*Claim)
-	stalled := c.hasStalled(now)
-	if stalled {
+	c := b.firstStalled(now, matches)
+	if c != nil {
 		b.drop(c)
 	}
 	b.mu.Unlock()
-	if stalled {
-		c.evict()
+	if c == nil {
+		return false
+	}
+	c.evict()
+	return true
+}
+
+// firstStalled returns the first stalled claim that matches, or nil. The caller must hold
+// the lock.
+func (b *Budget) firstStalled(now time.Time, matches func(*Claim) bool) *Claim {
+	for e := b.open.Front(); e != nil; e = e.Next() {
+		c, _ := e.Value.(*Claim)
+		if !c.hasStalled(now) {
+			return nil
+		}
+		if matches(c) {
+			return c
+		}
 	}
-	return stalled
+	return nil
 }
 
 // Held returns the bytes in use by kind of holder, and how many claims have lost their
--- a/internal/rwbudget/rwbudget_test.go
+++ b/internal/rwbudget/rwbudget_test.go
@@ -139,3 +139,18 @@
 	require.True(t, lost)
 	require.False(t, b.EvictStalled(start.Add(late)))
 }
+
+// Guards against a claim that goes in place of one of another group, and against one that
+// hasn't stalled and goes because it is the first of its group.
+func TestStalledClaimOfGroup(t *testing.T) {
+	b := rwbudget.New(100)
+	var evicted []string
+	for _, group := range []string{"a", "b"} {
+		b.Open(start, "bodies", 0, func() { evicted = append(evicted, group) }).Join(group)
+	}
+	b.Open(start.Add(late), "bodies", 0, func() { evicted = append(evicted, "late") }).Join("c")
+	require.False(t, b.EvictStalledOf(start.Add(late), "c"))
+	require.True(t, b.EvictStalledOf(start.Add(late), "b"))
+	require.False(t, b.EvictStalledOf(start.Add(late), "b"))
+	require.Equal(t, []string{"b"}, evicted)
+}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -103,6 +103,9 @@
 	// all of them may take.
 	requestBytes       = 160 << 10
 	requestMemoryRatio = 0.3
+	// nearlyFullRatio is the fraction of the requests in progress from which on new
+	// connections are relayed.
+	nearlyFullRatio = 0.875
 	// replacedRatio is the largest number of requests in progress while some of them
 	// end for others, as a multiple of the usual one.
 	replacedRatio = 1.125
@@ -423,7 +426,7 @@
 		Stopping: e.stopRequested, InFlight: &e.inFlight, Via: e.relayedBy,
 		Tally:    &e.tally,
 		ColdRoom: e.cold.PlainRoom, ColdTaken: e.cold.PlainTaken, ColdEnded: e.cold.Ended,
-		Memory:      e.memory,
+		Memory: e.memory, MaxRequests: e.maxRequests,
 		HarmfulPart: e.poison.Harmful, TryHarmful: e.poison.Try, SuspectedPart: e.poison.Suspected,
 		ResponseWritten: e.poison.AddResponse, Crashed: e.poison.AddCrash, Alive: e.poison.AddAlive,
 	}
@@ -472,7 +475,7 @@
 	e.relay = rwrelay.New()
 	e.relay.ShouldPass = func() bool {
 		// What is relayed crosses the link twice too, so it doesn't help a full one.
-		return e.deployment.Relay != "" && (!e.overload.TakeRoom(time.Now()) || e.isFull()) && !e.stopping() && !e.linkFull()
+		return e.deployment.Relay != "" && (!e.overload.TakeRoom(time.Now()) || e.isNearlyFull()) && !e.stopping() && !e.linkFull()
 	}
 	e.relay.HasRoom = func() bool {
 		return e.ready() && !e.lagMonitor.Lagging() && e.connLimiter.Open() < e.maxConnections(closeRefusedRatio) &&
@@ -576,6 +579,12 @@
 // all of the memory that they may.
 func (e *Edge) isFull() bool { return e.activeRequests.Load() > e.maxRequests() }
 
+// isNearlyFull reports whether a service may have as many requests in progress as it can
+// have alone.
+func (e *Edge) isNearlyFull() bool {
+	return e.activeRequests.Load() > int64(nearlyFullRatio*float64(e.maxRequests()))
+}
+
 // maxRequests returns the largest number of requests in progress.
 func (e *Edge) maxRequests() int64 {
 	if m := e.deployment.MemoryBytes; m > 0 {
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -62,6 +62,10 @@
 	Via string
 	// Memory is what the body and the response have of the router's memory budget, or nil.
 	Memory *rwbudget.Claim
+	// Replaces is whether the request takes the place of another one of its service that
+	// ends. Counted is the service to which it counts as in progress, or empty.
+	Replaces bool
+	Counted  string
 	// OldProtocol is whether the caller speaks HTTP/1.0, which has no chunks.
 	OldProtocol bool
 	// Upstream is the last one picked for the request; UpstreamSoftware is the
--- a/internal/rwfront/body.go
+++ b/internal/rwfront/body.go
@@ -58,6 +58,7 @@
 // readBody reads the body of a request up to a limit, or of any length for 0.
 func (f *Handler) readBody(w http.ResponseWriter, r *http.Request, x *rwexchange.Exchange, limit int64) *rwfault.Fault {
 	x.Memory = f.openMemory(w)
+	x.Memory.Join(x.Service)
 	if r.ContentLength == 0 {
 		x.Memory.Pin()
 		return nil
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -18,6 +18,7 @@
 	"redwingworks.example/internal/rwbroker"
 	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwconcurrency"
 	"redwingworks.example/internal/rwconfigsnapshot"
 	"redwingworks.example/internal/rwconn"
 	"redwingworks.example/internal/rwcrash"
@@ -175,9 +176,14 @@
 	// Memory, if set, bounds the memory of bodies, and of what is buffered of responses,
 	// beyond includedBodyBytes for each request.
 	Memory *rwbudget.Budget
+	// MaxRequests, if set, returns the largest number of requests in progress, which the
+	// services share.
+	MaxRequests func() int64
 	// BodyTimeout bounds the time to read a request body; 0 for the default.
 	BodyTimeout time.Duration
 
+	services rwconcurrency.Limiter
+
 	mu      sync.Mutex
 	pickers map[string]*rwpicker.Picker
 	budgets map[string]*rwretrywindow.Budget
@@ -218,6 +224,9 @@
 		f.refuse(w, x, fault)
 		return
 	}
+	if x.Counted != "" {
+		defer f.services.Release(x.Counted)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.Deadline)
 	defer cancel()
 	if fault := f.run(ctx, w, x); fault != nil {
@@ -265,6 +274,10 @@
 	if f.Draining(x.Deadline) {
 		return x, ShuttingDown()
 	}
+	chooseService(snapshot, x)
+	if !f.serviceHasRoom(x) {
+		return x, serviceFull(x)
+	}
 	if limit := snapshot.Config.Limits.MaxBodyBytes; limit > 0 && r.ContentLength > limit {
 		endAfterResponse(w)
 		return x, rwfault.New(rwcode.BodyTooLarge, strconv.FormatInt(r.ContentLength, 10)+" bytes announced")
@@ -279,10 +292,42 @@
 		// The body took so long that the request is late now.
 		return x, ShuttingDown()
 	}
-	f.chooseService(snapshot, x)
+	if !f.countForService(x) {
+		return x, serviceFull(x)
+	}
+	f.withBudget(x.Service, func(b *rwretrywindow.Budget) { b.CountRequest(x.Start) })
 	return x, nil
 }
 
+// serviceHasRoom reports whether the service of a request may have one more in progress.
+// One whose caller has stopped sending or reading ends for it.
+func (f *Handler) serviceHasRoom(x *rwexchange.Exchange) bool {
+	if f.MaxRequests == nil || f.services.Allows(x.Service, f.MaxRequests()) {
+		return true
+	}
+	x.Replaces = f.Memory.EvictStalledOf(time.Now(), x.Service)
+	return x.Replaces
+}
+
+// countForService counts a complete request to its service, and reports whether the
+// service may have it.
+func (f *Handler) countForService(x *rwexchange.Exchange) bool {
+	switch {
+	case f.MaxRequests == nil || x.Service == "":
+		return true
+	case x.Replaces:
+		f.services.Acquire(x.Service)
+	case !f.services.TryAcquire(x.Service, f.MaxRequests()):
+		return false
+	}
+	x.Counted = x.Service
+	return true
+}
+
+func serviceFull(x *rwexchange.Exchange) *rwfault.Fault {
+	return rwfault.New(rwcode.TooManyRequests, "too many requests to "+x.Service).WithRetryAfter(overloadRetryAfter)
+}
+
 // admitBody waits until the body of a request may cross the machine's link. It returns
 // a fault if the wait is too long for the route's target. The caller can try again at
 // another router, whose link may have room, before the body has crossed this one.
@@ -346,8 +391,11 @@
 
 // chooseService sets the service to the one that the request's id selects, or
 // to another service of the route if that one has no usable upstream.
-func (f *Handler) chooseService(snapshot *rwconfigsnapshot.Snapshot, x *rwexchange.Exchange) {
+func chooseService(snapshot *rwconfigsnapshot.Snapshot, x *rwexchange.Exchange) {
 	names := x.Route.Services(x.StreamID())
+	if len(names) == 0 {
+		return
+	}
 	x.Service = names[0]
 	for _, name := range names {
 		if len(snapshot.Usable(name)) > 0 {
@@ -358,7 +406,6 @@
 	if s, ok := snapshot.Config.Service(x.Service); ok {
 		x.Engine = s.Engine
 	}
-	f.withBudget(x.Service, func(b *rwretrywindow.Budget) { b.CountRequest(x.Start) })
 }
 
 func (f *Handler) withBudget(service string, use func(*rwretrywindow.Budget)) {
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -23,6 +23,7 @@
 	"redwingworks.example/internal/rwbody"
 	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcode"
+	"redwingworks.example/internal/rwconcurrency"
 	"redwingworks.example/internal/rwdispatch"
 	"redwingworks.example/internal/rwerrorresponse"
 	"redwingworks.example/internal/rwfault"
@@ -135,8 +136,10 @@
 	once     sync.Once
 	conns    *rwlimit.Limit
 	requests *rwlimit.Limit
-	// bodies is Memory, or a budget for bodies alone.
+	// bodies is Memory, or a budget for bodies alone. pools shares the requests among
+	// the pools.
 	bodies *rwbudget.Budget
+	pools  rwconcurrency.Limiter
 }
 
 func (g *Gate) initLimits() {
@@ -307,6 +310,20 @@
 
 func (g *Gate) maxRequests() int64 { return int64(cmp.Or(g.MaxRequests, defaultRequests)) }
 
+// runInPool runs a request and counts it to its pool meanwhile. It fails if the pool has
+// as many requests as it may.
+func (g *Gate) runInPool(pool string, run func() error) error {
+	if !g.pools.TryAcquire(pool, g.maxRequests()) {
+		return poolFull(pool)
+	}
+	defer g.pools.Release(pool)
+	return run()
+}
+
+func poolFull(pool string) error {
+	return rwfault.New(rwcode.TooManyRequests, "requests in progress to "+pool)
+}
+
 func headerBytes(r *http.Request) int {
 	n := len(r.RequestURI)
 	for name, values := range r.Header {
@@ -401,6 +418,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if !g.pools.Allows(q.Pool, g.maxRequests()) {
+		return nil, nil, poolFull(q.Pool)
+	}
 	body, memory, err := g.readBody(w, r)
 	if err != nil {
 		return nil, nil, err
@@ -662,7 +682,7 @@
 
 func (g *Gate) respondStream(ctx context.Context, w http.ResponseWriter, q *rwrequest.Request, stopDeadline func() bool) error {
 	s := &eventWriter{gate: g, w: w, controller: http.NewResponseController(w), q: q, stopDeadline: stopDeadline}
-	err := g.RunInference(ctx, q, s.emit)
+	err := g.runInPool(q.Pool, func() error { return g.RunInference(ctx, q, s.emit) })
 	switch {
 	case err == nil && s.started:
 		_ = s.write([]byte("data: [DONE]\n\n"))
@@ -692,9 +712,11 @@
 	defer memory.Close()
 	response := chatResponse{ID: q.ID}
 	text := textBuilder{text: &strings.Builder{}, memory: memory}
-	err := g.RunInference(ctx, q, func(c *rwstream.Chunk) error {
-		response.Usage++
-		return text.add(c.Text)
+	err := g.runInPool(q.Pool, func() error {
+		return g.RunInference(ctx, q, func(c *rwstream.Chunk) error {
+			response.Usage++
+			return text.add(c.Text)
+		})
 	})
 	stopDeadline()
 	if err != nil {
@@ -819,7 +841,12 @@
 		return err
 	}
 	ctx, stopDeadline := g.withDeadline(r.Context(), q)
-	response, err := g.RunCall(ctx, q)
+	var response *rwdispatch.Response
+	err = g.runInPool(q.Pool, func() error {
+		var err error
+		response, err = g.RunCall(ctx, q)
+		return err
+	})
 	stopDeadline()
 	if err != nil {
 		return err
