Close the connections of a burst that wait beyond the crowded limit

Callers saw: on a busy machine, after a burst of connections with a part of a head or an HTTP/2 preface, rwrouter answered 503 too_many_connections.

Cause: during the burst, bytes wait unread on the others, so none gives way and connections are accepted up to the maximum. Afterwards each new one took the place of just one, so their number stayed beyond the limit.

Change: while more connections than the crowded limit are open and some wait for their callers, the excess gives way every 100 ms.

TestBurstShrinks plays it in virtual time.

--- a/internal/rwconnlimit/giveway_test.go
+++ b/internal/rwconnlimit/giveway_test.go
@@ -132,3 +132,31 @@
 	require.NoError(t, err)
 	require.Equal(t, "GET", string(text))
 }
+
+// Guards against a burst whose connections stay beyond the number from which others give
+// way, so that new ones find too many open for good.
+func TestBurstShrinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const crowded, maxOpen = 3, 10
+		l := crowdedLimiter{New(), t, maxOpen}
+		l.Crowded = crowded
+		var conns []*conn
+		var callers []net.Conn
+		for range maxOpen {
+			c, caller := l.connect(1)
+			l.ConnState(c, http.StateActive)
+			conns, callers = append(conns, c), append(callers, caller)
+		}
+		require.Equal(t, maxOpen, l.Open())
+		for _, c := range conns[1:] {
+			l.Await(c)
+		}
+		time.Sleep(2 * shrinkInterval)
+		synctest.Wait()
+		require.Equal(t, crowded, l.Open())
+		for _, caller := range callers {
+			_ = caller.Close()
+		}
+		synctest.Wait()
+	})
+}
--- a/internal/rwconnlimit/rwconnlimit.go
+++ b/internal/rwconnlimit/rwconnlimit.go
@@ -39,6 +39,8 @@
 	waiting *list.List
 	// givingWay is the number of open connections that close for new ones.
 	givingWay int
+	// shrinking is whether a call of shrink is due.
+	shrinking bool
 	// stopping is whether new connections are closed at once, and open ones as
 	// soon as they are not active.
 	stopping bool
@@ -50,17 +52,21 @@
 	// Unread is the number of new connections that were closed unread.
 	Unread int64
 	// Idle is the number of connections that ended after they were chosen to be
-	// closed, also by those counted in GaveWay. Kept is how often a chosen one was not closed after all because a
-	// request had arrived.
+	// closed, also if GaveWay counts them. Kept is how often a chosen one was not
+	// closed after all because a request had arrived.
 	Idle, Kept int64
-	// GaveWay is the number of connections that were chosen to be closed because a new
-	// one came while they waited for the head of a request.
+	// GaveWay is the number of connections that were chosen to be closed for new ones
+	// while they waited for the head of a request.
 	GaveWay int64
 }
 
-// maxTried bounds the waiting connections that are tried for a new one: each costs a
-// system call.
-const maxTried = 8
+const (
+	// maxTried bounds the waiting connections that are tried for a new one: each costs a
+	// system call.
+	maxTried = 8
+	// shrinkInterval is the time until more connections than Crowded are looked at again.
+	shrinkInterval = 100 * time.Millisecond
+)
 
 // New returns a limiter without connections.
 func New() *Limiter { return &Limiter{conns: map[*conn]struct{}{}, waiting: list.New()} }
@@ -124,6 +130,33 @@
 func (l *Limiter) await(c *conn) {
 	l.stopWaiting(c)
 	c.place = l.waiting.PushBack(c)
+	if l.excess() > 0 && !l.shrinking {
+		l.shrinking = true
+		time.AfterFunc(shrinkInterval, l.shrink)
+	}
+}
+
+// excess returns the number of open connections beyond Crowded. The caller must hold the
+// lock.
+func (l *Limiter) excess() int {
+	if l.Crowded == 0 || l.stopping {
+		return 0
+	}
+	return len(l.conns) - l.givingWay - l.Crowded
+}
+
+// shrink lets the connections beyond Crowded give way if they wait for their callers. In
+// a burst more are accepted, since unread bytes have arrived on the others, and none
+// might come any more that takes the place of one.
+func (l *Limiter) shrink() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shrinking = false
+	l.giveWay(l.excess(), l.waiting.Len())
+	if l.excess() > 0 && l.waiting.Len() > 0 {
+		l.shrinking = true
+		time.AfterFunc(shrinkInterval, l.shrink)
+	}
 }
 
 // stopWaiting records that a connection doesn't wait any more. The caller must hold the
@@ -139,24 +172,23 @@
 	}
 }
 
-// makeRoom lets the connection that has waited longest for the head of a request give
-// way. Those on which bytes have arrived wait for this process, not for their callers,
-// so they begin to wait anew. The caller must hold the lock.
-func (l *Limiter) makeRoom() {
-	for range maxTried {
+// giveWay lets up to most connections give way of those that have waited longest for the
+// head of a request, and tries a number of them. Those on which bytes have arrived wait
+// for this process, not for their callers, so they begin to wait anew. The caller must
+// hold the lock.
+func (l *Limiter) giveWay(most, tries int) {
+	for ; most > 0 && tries > 0 && l.waiting.Len() > 0; tries-- {
 		front := l.waiting.Front()
-		if front == nil {
-			return
-		}
 		c, _ := front.Value.(*conn)
-		if c.giveWay() {
-			l.waiting.Remove(front)
-			c.place, c.givesWay = nil, true
-			l.givingWay++
-			l.stats.GaveWay++
-			return
+		if !c.giveWay() {
+			l.waiting.MoveToBack(front)
+			continue
 		}
-		l.waiting.MoveToBack(front)
+		l.waiting.Remove(front)
+		c.place, c.givesWay = nil, true
+		l.givingWay++
+		l.stats.GaveWay++
+		most--
 	}
 }
 
@@ -258,8 +290,8 @@
 func (l *Limiter) register(nc net.Conn, maxOpen int) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.stopping && l.Crowded > 0 && len(l.conns)-l.givingWay >= l.Crowded {
-		l.makeRoom()
+	if l.Crowded > 0 && l.excess() >= 0 {
+		l.giveWay(1, maxTried)
 	}
 	if l.stopping || len(l.conns) >= maxOpen {
 		l.stats.Unread++
