Name the memory of a call's body in rwgate

Cause: the variable body of call held a claim on memory, not the body.

Change: it is bodyMemory.

Result: no change of behaviour; the tests of rwgate pass.

--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -828,11 +828,11 @@
 	default:
 		return rwfault.New(rwcode.BadRequest, "method "+r.Method)
 	}
-	q, body, err := g.readRequest(w, r)
+	q, bodyMemory, err := g.readRequest(w, r)
 	if err != nil {
 		return err
 	}
-	defer body.Close()
+	defer bodyMemory.Close()
 	if r.PathValue("pool") != q.Pool {
 		return rwfault.New(rwcode.UnknownPool, "kind "+q.Kind+" uses the pool "+q.Pool+", not "+r.PathValue("pool"))
 	}
