Tell what keeps refused requests from their engines

An owner refused requests as late without saying whether the prompt was too long, no engine had a slot, or others went first, and nothing showed what the accounts of a cell ask for and get.

Event 400 names the bound, and event 608 has the accounts of a cell once a second while shares are enforced. TestLoadTellsWhatKeepsRequestsBack covers both counts.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -742,6 +742,18 @@
 	}
 }
 
+// Loads returns the loads of this router's cells by their names, with up to n accounts
+// each.
+func (b *Broker) Loads(n int) map[string]rwplacement.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	loads := map[string]rwplacement.Load{}
+	for k, c := range b.cells {
+		loads[k.String()] = c.placer.Load(time.Now(), n)
+	}
+	return loads
+}
+
 // decideQueued delivers decisions and reports whether requests are still
 // queued.
 func (b *Broker) decideQueued() bool {
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -724,6 +724,28 @@
 	}
 }
 
+// reportShares logs what accounts get in the cells of this router that are asked for more
+// than they serve.
+func (e *Edge) reportShares() {
+	loads := e.broker.Loads(maxAccountLines)
+	for _, name := range slices.Sorted(maps.Keys(loads)) {
+		l := loads[name]
+		if l.FairShare == 0 {
+			continue
+		}
+		accounts := zerolog.Dict()
+		for _, a := range l.Accounts {
+			line := zerolog.Dict().Int("asked", a.Demand).Int("got", a.Usage)
+			for _, bound := range slices.Sorted(maps.Keys(a.Late)) {
+				line = line.Int(bound, a.Late[bound])
+			}
+			accounts = accounts.Dict(a.Name, line)
+		}
+		rwlog.Info(&e.summaries, rwlog.CellShares).Str("cell", name).Int("running", l.Running).Int("slots", l.Slots).
+			Int("queued", l.Queued).Int("level", l.FairShare).Dict("accounts", accounts).Send()
+	}
+}
+
 // reportLink logs how much of the machine's link is in use if that is most of it.
 func (e *Edge) reportLink(now time.Time) {
 	in, out := e.link.Load(now)
@@ -1152,6 +1174,7 @@
 			if now.Sub(tallied) >= accountInterval {
 				tallied = now
 				e.reportAccounts()
+				e.reportShares()
 				e.reportLink(now)
 				reclaimed = e.reportMemory(reclaimed)
 			}
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -713,7 +713,7 @@
 func addDecision(e *zerolog.Event, x *rwexchange.Exchange) *zerolog.Event {
 	d := x.Decision
 	return e.Str("owner", x.Owner).Str("engine", d.Engine).Dur("forecast", d.Forecast).Int("ahead", d.QueuedTokens).
-		Int("kept", d.CachedTokens).Int("uncached", d.UncachedTokens).Int("rate", d.PrefillRate).Bool("crowded", d.Crowded).Int("got", d.Usage).Int("level", d.FairShare)
+		Int("kept", d.CachedTokens).Int("uncached", d.UncachedTokens).Int("rate", d.PrefillRate).Bool("crowded", d.Crowded).Int("got", d.Usage).Int("level", d.FairShare).Str("bound", d.Bound)
 }
 
 // addRequest adds the fields that all lines about a request have: its id, the
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -69,6 +69,7 @@
 	PartFreed            Event = 605 // prompt part freed
 	UpstreamCold         Event = 606 // upstream cold
 	UpstreamWarm         Event = 607 // upstream warm
+	CellShares           Event = 608 // cell shares
 	KeysHeld             Event = 700 // idempotency keys held
 	KeysReleased         Event = 701 // idempotency keys released
 	KeysHandedOver       Event = 702 // idempotency keys handed over
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -36,7 +36,7 @@
 	"redwingworks.example/internal/rwrendezvous"
 )
 
-//go:generate go tool stringer -type=Verdict,End -linecomment
+//go:generate go tool stringer -type=Verdict,End,Bound -linecomment
 
 // Verdict is the decision on a request.
 type Verdict int
@@ -66,6 +66,25 @@
 	Abandoned              // abandoned
 )
 
+// Bound is what kept a request from an engine when its owner last looked at it.
+type Bound int
+
+// The bounds.
+const (
+	NoBound Bound = iota // none
+	// TimeBound requests would be late on the best engine without its queue.
+	TimeBound // time
+	// SlotBound requests find no engine with a free slot, memory or reach.
+	SlotBound // slot
+	// QueueBound requests wait for the engine to prefill what it has.
+	QueueBound // queue
+	// GapBound requests wait because prefilling them would delay the events of the
+	// engine's streams.
+	GapBound // gap
+	// OrderBound requests wait because the engine is kept for one before them.
+	OrderBound // order
+)
+
 const (
 	// forecastTargetRatio is the fraction of the latency target that a forecast
 	// may use.
@@ -249,6 +268,8 @@
 	// FairShare is its fair share, or 0 if shares are not enforced.
 	Usage     int `json:"got,omitempty"`
 	FairShare int `json:"lvl,omitempty"`
+	// Bound is what kept a refused request from its engine, as a text.
+	Bound string `json:"bound,omitempty"`
 	// Crowded is whether the cell was crowded: requests that returned went last, and
 	// prompts that are too long to be in time were refused.
 	Crowded bool `json:"crowd,omitempty"`
@@ -299,6 +320,9 @@
 	// window.
 	usage, demand float64
 	updatedAt     time.Time
+	// late counts the requests that were refused as late since the last Load, by what
+	// kept them from their engines.
+	late map[string]int
 }
 
 // queuedRequest is a request that has no decision yet.
@@ -311,6 +335,8 @@
 	efficiency float64
 	// usage is the account's usage at the time of sorting.
 	usage float64
+	// bound is what kept the request from its engine.
+	bound Bound
 	// yields is whether the request goes after all that don't yield, as of the time
 	// of sorting.
 	yields bool
@@ -447,7 +473,7 @@
 		return p.refuse(now, r, QueueFull)
 	}
 	if !p.worthQueueing(now, w) {
-		return p.refuse(now, r, Late)
+		return p.refuseLate(now, w)
 	}
 	p.queue = append(p.queue, w)
 	return Decision{ID: r.ID, Verdict: Queued}
@@ -569,7 +595,11 @@
 		out = append(out, decided...)
 		order = slices.DeleteFunc(order, func(w *queuedRequest) bool { return w.decided })
 	}
+	full := !p.hasShortQueue(now)
 	for _, w := range order {
+		if full {
+			w.bound = QueueBound
+		}
 		switch {
 		case !p.hasEngine(w.request):
 			// The engines have left or their zone is evacuated.
@@ -577,7 +607,7 @@
 			out = append(out, p.refuse(now, w.request, NoEngine))
 		case !p.worthQueueing(now, w):
 			w.decided = true
-			out = append(out, p.refuse(now, w.request, Late))
+			out = append(out, p.refuseLate(now, w))
 		}
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(w *queuedRequest) bool { return w.decided })
@@ -624,9 +654,10 @@
 			continue
 		}
 		o, ok := p.bestOption(now, w.request, reserved)
+		wasReserved := ok && isReserved(reserved, o)
 		switch {
 		case !ok:
-		case isReserved(reserved, o):
+		case wasReserved:
 			reserved[o.engine] += o.prefill
 		case p.canStart(now, w, o):
 			w.decided = true
@@ -638,7 +669,10 @@
 			reserved[o.engine] += o.prefill
 		case !p.lateOnIdleEngine(w, o):
 			w.decided = true
-			out = append(out, p.refuse(now, w.request, Late))
+			out = append(out, p.refuseLate(now, w))
+		}
+		if !w.decided {
+			w.bound = p.boundOf(w, o, ok, wasReserved)
 		}
 	}
 	return out
