Relay connections before a service may have no more requests

Callers whose load balancer leads them all to one router were refused there with "too many requests to" their service while other routers had places: 1,238 times within 9 s in, beside 906 served.

Since a service may have 7/8 of a router's places, and new connections were relayed from 7/8 of them on, so the router refused before it relayed. Relayed connections went to routers without regard to their places, and kept ones could not be relayed at all.

While an eighth of the places is left to a service, new connections are relayed, kept ones end after their responses so that callers come back on one that can be relayed, and no router takes relayed connections.

--- a/internal/rwconcurrency/rwconcurrency.go
+++ b/internal/rwconcurrency/rwconcurrency.go
@@ -58,6 +58,20 @@
 	return l.allows(service, limit)
 }
 
+// NearlyFull reports whether TryAcquire would refuse a service that has requests if it got
+// a number of further ones.
+func (l *Limiter) NearlyFull(limit, further int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	room := limit - l.total - further
+	for _, n := range l.inProgress {
+		if n+further >= roomFactor*(room-1) {
+			return true
+		}
+	}
+	return false
+}
+
 // allows is Allows for callers that hold the lock. A service without requests may always
 // have one.
 func (l *Limiter) allows(service string, limit int64) bool {
--- a/internal/rwconcurrency/rwconcurrency_test.go
+++ b/internal/rwconcurrency/rwconcurrency_test.go
@@ -65,3 +65,33 @@
 		l.Release("b")
 	}
 }
+
+// Guards against a router that begins to relay only once it refuses: before a service may
+// have no more requests, the limiter is nearly full, also beside other services.
+func TestNearlyFullComesBeforeFull(t *testing.T) {
+	const further = total / 8
+	for others := range total {
+		var l rwconcurrency.Limiter
+		require.False(t, l.NearlyFull(total, further))
+		for range others {
+			if !l.TryAcquire("other", total) {
+				return
+			}
+		}
+		nearly := 0
+		for n := 1; l.TryAcquire("busy", total); n++ {
+			if nearly == 0 && l.NearlyFull(total, further) {
+				nearly = n
+			}
+		}
+		require.Positive(t, nearly, "beside %d others", others)
+		full := 0
+		for l.NearlyFull(total, further) {
+			l.Release("busy")
+			full++
+		}
+		if others == 0 {
+			require.Equal(t, further+1, full, "relaying begins with a number of places left")
+		}
+	}
+}
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -103,9 +103,10 @@
 	// all of them may take.
 	requestBytes       = 160 << 10
 	requestMemoryRatio = 0.3
-	// nearlyFullRatio is the fraction of the requests in progress from which on new
-	// connections are relayed.
-	nearlyFullRatio = 0.875
+	// reservedRatio is the fraction of the requests in progress that a router keeps for
+	// the connections that it has, and relays new ones. Otherwise it would refuse what
+	// other routers have room for.
+	reservedRatio = 0.125
 	// replacedRatio is the largest number of requests in progress while some of them
 	// end for others, as a multiple of the usual one.
 	replacedRatio = 1.125
@@ -236,6 +237,7 @@
 	cold        *rwcoldguard.Guard
 	watcher     *rwstorewatch.Watcher
 	pool        *rwconn.Pool
+	front       *rwfront.Handler
 	server      *http.Server
 	connLimiter *rwconnlimit.Limiter
 	lagMonitor  *rwlag.Monitor
@@ -408,7 +410,7 @@
 	e.broker.StreamWindow, e.broker.Readers = e.streamWindow, e.syncer.Readers
 	e.wireCold()
 	e.broker.FleetSize = func() int { return int(e.maxRouters.Load()) }
-	front := &rwfront.Handler{
+	e.front = &rwfront.Handler{
 		Dialect: e.config.Dialect, Published: e.published.Load, Acquire: e.broker.Acquire, FindOrigin: e.broker.FindOrigin, Begun: e.streamBegun,
 		OriginUncertain: e.originUncertain, Pool: e.pool,
 		RouterCount: func() int { return int(e.maxRouters.Load()) },
@@ -441,10 +443,10 @@
 			// A relayed connection is not kept, so that its caller comes back by
 			// the load balancer, and a drain has no idle ones to end. Without room,
 			// callers have to open a connection that can be relayed.
-			if room := e.countRequest(r); e.relayedBy(r) != "" || e.deployment.Relay != "" && !room {
+			if room := e.countRequest(r) && !e.isNearlyFull(); e.relayedBy(r) != "" || e.deployment.Relay != "" && !room {
 				w.Header().Set("Connection", "close")
 			}
-			front.ServeHTTP(w, r)
+			e.front.ServeHTTP(w, r)
 		}),
 		// There is no IdleTimeout, because net/http would close a connection
 		// whose next request has arrived. closeIdleCallers bounds the idle time.
@@ -479,7 +481,7 @@
 	}
 	e.relay.HasRoom = func() bool {
 		return e.ready() && !e.lagMonitor.Lagging() && e.connLimiter.Open() < e.maxConnections(closeRefusedRatio) &&
-			!e.linkFull() && e.overload.TakeRoom(time.Now())
+			!e.linkFull() && !e.isNearlyFull() && e.overload.TakeRoom(time.Now())
 	}
 	e.relay.Peers, e.relay.Dial, e.relay.Gather = e.relayPeers, dial, e.relayGather
 	e.relay.Version = func() int64 {
@@ -579,10 +581,12 @@
 // all of the memory that they may.
 func (e *Edge) isFull() bool { return e.activeRequests.Load() > e.maxRequests() }
 
-// isNearlyFull reports whether a service may have as many requests in progress as it can
-// have alone.
+// isNearlyFull reports whether further requests may soon be refused because too many are
+// in progress, of all services or of one.
 func (e *Edge) isNearlyFull() bool {
-	return e.activeRequests.Load() > int64(nearlyFullRatio*float64(e.maxRequests()))
+	most := e.maxRequests()
+	reserved := int64(reservedRatio * float64(most))
+	return e.activeRequests.Load() > most-reserved || e.front.NearlyFull(reserved)
 }
 
 // maxRequests returns the largest number of requests in progress.
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -309,6 +309,12 @@
 	return x.Replaces
 }
 
+// NearlyFull reports whether a service would have too many requests in progress if it got
+// a number of further ones.
+func (f *Handler) NearlyFull(further int64) bool {
+	return f.MaxRequests != nil && f.services.NearlyFull(f.MaxRequests(), further)
+}
+
 // countForService counts a complete request to its service, and reports whether the
 // service may have it.
 func (f *Handler) countForService(x *rwexchange.Exchange) bool {
