Pass on events only when a stream is resumed

The reader took any lines up to an empty one for an event.

After a resumption an event must have an id, and its lines must be fields or comments; otherwise the attempt has failed, and the caller's response is resumed elsewhere or aborted. Comments alone are left out. A stream from one upstream is forwarded byte for byte as before.

--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -279,6 +279,7 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(x.Deadline.Add(writeSlack))
 	events := rwssereader.New(resp.Body())
+	resumed := x.HeadSent
 	reported, written := false, false
 	for {
 		e, err := events.Next()
@@ -296,6 +297,12 @@
 			fault := outcomeUnknown(ctx, rwfault.From(err).Code, err)
 			return endFor(fault), fault
 		}
+		if resumed && e.Comment {
+			continue
+		}
+		if (resumed || x.ResumesStream()) && !e.Comment && (e.Malformed || e.ID < 0) {
+			return rwplacement.Failed, rwfault.New(rwcode.UpstreamMalformed, "no event of the stream").WithOutcome(rwoutcome.Unknown)
+		}
 		x.AttemptEvents++
 		if !written && x.AttemptEvents > 1 && time.Since(x.AttemptEventAt) >= crashTime {
 			written = true
--- a/internal/rwfront/end_test.go
+++ b/internal/rwfront/end_test.go
@@ -237,9 +237,15 @@
 
 // call sends a POST request on a new connection and reads until its end.
 func (f *socketFleet) call(t *testing.T, path string) callerView {
+	t.Helper()
+	return f.callWith(t, path, "")
+}
+
+// callWith is call with further header fields.
+func (f *socketFleet) callWith(t *testing.T, path, fields string) callerView {
 	t.Helper()
 	conn := f.dial(t)
-	_, err := io.WriteString(conn, requestText(http.MethodPost, path, "Connection: close\r\n"))
+	_, err := io.WriteString(conn, requestText(http.MethodPost, path, "Connection: close\r\n"+fields))
 	require.NoError(t, err)
 	raw, err := io.ReadAll(conn)
 	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the caller's connection didn't end")
--- a/internal/rwssereader/rwssereader.go
+++ b/internal/rwssereader/rwssereader.go
@@ -25,6 +25,11 @@
 	Raw []byte
 	// ID is the event's id, or -1 if it has none.
 	ID int64
+	// Malformed is whether a line is neither a comment nor a field with a name of
+	// lowercase letters and hyphens. A head of HTTP/1 has such lines.
+	Malformed bool
+	// Comment is whether the event has no field.
+	Comment bool
 }
 
 // Reader reads events from a stream.
@@ -49,7 +54,7 @@
 // breaks or ends within an event, UpstreamMalformed if an event is too long.
 func (r *Reader) Next() (Event, error) {
 	r.buf = r.buf[:0]
-	e := Event{ID: -1}
+	e := Event{ID: -1, Comment: true}
 	for {
 		start := len(r.buf)
 		err := r.readLine()
@@ -74,7 +79,22 @@
 			e.Raw = r.buf
 			return e, nil
 		}
+		if line[0] != ':' {
+			e.Comment = false
+			e.Malformed = e.Malformed || !isField(line)
+		}
+	}
+}
+
+// isField reports whether a line is a field: a name, which a colon and a value may follow.
+func isField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && c != '-' {
+			return false
+		}
 	}
+	return true
 }
 
 // readLine appends the next line to the buffer.
--- a/internal/rwssereader/rwssereader_test.go
+++ b/internal/rwssereader/rwssereader_test.go
@@ -73,3 +73,23 @@
 		require.True(t, strings.HasPrefix(in, strings.Join(raw, "")))
 	})
 }
+
+// Guards against text that isn't taken for malformed, and against fields and comments that
+// are.
+func TestMalformedEvents(t *testing.T) {
+	for in, want := range map[string]Event{
+		"id: 1\ndata: a\n\n":                       {ID: 1},
+		"weight-versions: 3\nid:2\r\ndata\r\n\r\n": {ID: 2},
+		": note\n\n":                               {ID: -1, Comment: true},
+		"\n":                                       {ID: -1, Comment: true},
+		"HTTP/1.1 500 Error\r\nid: 3\r\n\r\n":      {ID: 3, Malformed: true},
+		"Content-Type: text/plain\n\n":             {ID: -1, Malformed: true},
+		"internal error\n\n":                       {ID: -1, Malformed: true},
+	} {
+		e, err := New(strings.NewReader(in)).Next()
+		require.NoError(t, err)
+		require.Equal(t, in, string(e.Raw))
+		e.Raw = nil
+		require.Equal(t, want, e, "%q", in)
+	}
+}
