Don't let an empty response complete a resumed stream

Such a response shows nothing about the events that are missing.

A whole response without an event now counts as broken off if the stream was resumed here. A caller that takes a stream up itself still gets it, since it may have all events.

--- a/internal/rwfront/attempt.go
+++ b/internal/rwfront/attempt.go
@@ -349,15 +349,20 @@
 }
 
 // endOfStream returns the fault of a stream that ended between two events, or nil if
-// its end may be passed on. The end of a connection doesn't show whether the stream
+// its end may be passed on. A whole response without an event doesn't complete a stream
+// that was resumed here. The end of a connection doesn't show whether the stream
 // is complete: it can't be passed on as the end of a response with chunks, and a
 // response without an event is taken for broken off, unless the caller resumes a
 // stream of which it may have all events.
 func endOfStream(x *rwexchange.Exchange, resp *rwconn.Response, hasEvents bool) *rwfault.Fault {
+	if x.HeadSent && !hasEvents {
+		return rwfault.New(rwcode.UpstreamTruncated, "the stream was resumed, and the response has no event").
+			WithOutcome(rwoutcome.Unknown)
+	}
 	if !resp.EndsWithConnection() {
 		return nil
 	}
-	if x.HeadSent && (!x.EndsWithConnection || !hasEvents) || !hasEvents && !x.ResumesStream() {
+	if x.HeadSent && !x.EndsWithConnection || !hasEvents && !x.ResumesStream() {
 		return rwfault.New(rwcode.UpstreamTruncated, "the connection ended, and the response has neither a length nor chunks").
 			WithOutcome(rwoutcome.Unknown)
 	}
--- a/internal/rwfront/resumed_test.go
+++ b/internal/rwfront/resumed_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// Guards against a stream that looks complete because the upstream at which it was
+// resumed answered with a whole response without an event.
+func TestEmptyResponseDoesNotCompleteAResumedStream(t *testing.T) {
+	for first, broken := range brokenStreams() {
+		for name, next := range map[string]upstreamBehavior{
+			"length 0": finAfter(lengthHead(0)), "no chunk": finAfter(chunkedHead + "0\r\n\r\n"),
+			"comment": finAfter(chunkedHead + chunk(": busy\n\n") + "0\r\n\r\n"),
+		} {
+			t.Run(first+"/"+name, func(t *testing.T) {
+				f := serveSockets(t, map[string]upstreamBehavior{"m": broken, "n": next})
+				v := f.call(t, "/stream/x")
+				_, arrived := f.counts("n")
+				require.Equal(t, 1, arrived, "the stream was not resumed")
+				require.Equal(t, streamText(2), v.body)
+				require.False(t, v.success(), "framed=%t err=%v", v.framed, v.err)
+			})
+		}
+	}
+}
+
 // Guards against a resumed stream that is cut because its second upstream sends what
 // belongs to a stream beside events: comments, and fields of its own.
 func TestResumedStreamGoesOn(t *testing.T) {
