Count HTTP/2 streams towards the memory of callers in rwrouter

With a limit of memory, a request over HTTP/2 takes 16 KiB and the size of its header fields before its body is read. TestOpenStreamsTakeMemory failed before for HTTP/2 and passes.

--- a/internal/rwgate/place_test.go
+++ b/internal/rwgate/place_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwingworks.example/internal/rwbudget"
 	"redwingworks.example/internal/rwcode"
 	"redwingworks.example/internal/rwdispatch"
 	"redwingworks.example/internal/rwoutcome"
@@ -86,3 +88,42 @@
 		require.Zero(t, h.requests.InUse())
 	})
 }
+
+// Guards against HTTP/2 streams whose bodies stay open and that hold memory in no budget:
+// many share a connection, so that the bound of connections doesn't bound them.
+func TestOpenStreamsTakeMemory(t *testing.T) {
+	eachProtocol(t, func(t *testing.T, h *harness, c *http.Client) {
+		const open = 3
+		// An open body has a first segment of 4 KiB.
+		h.Memory = rwbudget.New(open * (streamBytes + 8<<10))
+		h.start()
+		var ended sync.WaitGroup
+		for range open {
+			body, end := io.Pipe()
+			defer func() { _ = end.Close() }()
+			r := request(t, "POST", chatPath, "draft", "x")
+			r.Body, r.ContentLength = body, -1
+			ended.Go(func() {
+				if resp, err := c.Do(r); err == nil {
+					_ = resp.Body.Close()
+				}
+			})
+		}
+		time.Sleep(rwbudget.StallTime / 2)
+		send := func(label string) int {
+			resp, text := h.do(t, c, request(t, "POST", chatPath, "draft", goodBody, "Label", label))
+			if resp.StatusCode != http.StatusOK {
+				requireError(t, resp, text, http.StatusServiceUnavailable, rwcode.TooManyRequests, rwoutcome.NotRun)
+			}
+			return resp.StatusCode
+		}
+		status := send(strings.Repeat("x", 12<<10))
+		if strings.HasSuffix(t.Name(), "HTTP/1.1") {
+			require.Equal(t, http.StatusOK, status)
+		} else {
+			require.Equal(t, http.StatusServiceUnavailable, status)
+			time.Sleep(rwbudget.StallTime)
+			require.Equal(t, http.StatusOK, send(strings.Repeat("x", 12<<10)), "a stalled stream keeps its memory")
+		}
+	})
+}
--- a/internal/rwgate/rwgate.go
+++ b/internal/rwgate/rwgate.go
@@ -81,6 +81,10 @@
 	// replacedPart is the divisor of the limit of requests that gives how many may be in
 	// progress beyond it while as many end for others.
 	replacedPart = 8
+	// streamBytes is the memory of an HTTP/2 request beside its header fields and its body:
+	// a goroutine, buffers and the state of its stream. In HTTP/1 it is a part of what the
+	// connection takes, whose number is bounded.
+	streamBytes = 16 << 10
 	// writePartBytes is how much of a complete response is written before the progress of
 	// its caller is recorded.
 	writePartBytes = 16 << 10
@@ -518,7 +522,11 @@
 	memory := g.bodies.Open(time.Now(), "bodies", 0, func() {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 	})
-	data, err := rwbody.Read(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, memory)
+	var data []byte
+	err := rwbody.ErrNoMemory
+	if memory.Grow(time.Now(), g.streamMemory(r)) {
+		data, err = rwbody.Read(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, memory)
+	}
 	if !memory.Pin() {
 		err = rwbody.ErrNoMemory
 	}
@@ -529,6 +537,15 @@
 	return data, memory, nil
 }
 
+// streamMemory returns the memory that a request takes of Memory beside its body. Many
+// streams share a connection, so that the bound of connections doesn't bound them.
+func (g *Gate) streamMemory(r *http.Request) int64 {
+	if g.Memory == nil || r.ProtoMajor < 2 {
+		return 0
+	}
+	return streamBytes + int64(headerBytes(r))
+}
+
 // bodyFault returns the fault for an error of reading a body.
 func bodyFault(r *http.Request, err error) error {
 	var tooLarge *http.MaxBytesError
