--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -1345,7 +1345,7 @@
 	linkIn, linkOut := e.link.Load(time.Now())
 	lines := map[string]int64{
 		"link_in_percent": int64(100 * linkIn), "link_out_percent": int64(100 * linkOut),
-		"active_requests": e.activeRequests.Load(), "caller_connections": int64(e.connLimiter.Open()), "routers": int64(len(e.gossip.Live(""))),
+		"active_requests": e.activeRequests.Load(), "max_requests": e.maxRequests(), "caller_connections": int64(e.connLimiter.Open()), "routers": int64(len(e.gossip.Live(""))),
 		"revision": snapshot.Rev, "era": snapshot.Era, "upstreams_usable": int64(usable), "upstreams_leaving": int64(leaving),
 		"upstreams_evacuated": int64(evacuated), "zones_evacuated": int64(len(snapshot.Evacuations)),
 	}
