--- a/internal/rwedge/full_test.go
+++ b/internal/rwedge/full_test.go
@@ -11,10 +11,13 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// fullWork is how long the upstream takes for a request: long enough for an account to
-// have more requests in progress than a router has places for, at a rate for which the
-// router has the CPU time.
-const fullWork = 4 * time.Second
+const (
+	// fullWork is how long the upstream takes for a request, and fullRate a rate of
+	// requests a second for which a router has the CPU time. Together they are more
+	// requests in progress than a router has places for.
+	fullWork = 4 * time.Second
+	fullRate = fleetCapacity * 7 / 8
+)
 
 // assertServed checks that all requests were served, given their numbers by the second in
 // which they were sent first.
@@ -33,7 +36,7 @@
 	t.Run("new connections", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := startTestFleet(t, fullWork, fleetMemory)
-			asked, got := f.load(0, "key-a", fleetCapacity*7/8, seconds)
+			asked, got := f.load(0, "key-a", fullRate, seconds)
 			assertServed(t, f, asked, got)
 		})
 	})
@@ -63,7 +66,7 @@
 						mu.Unlock()
 					}
 				})
-				time.Sleep(6 * time.Millisecond)
+				time.Sleep(time.Second / fullRate)
 			}
 			wg.Wait()
 			assertServed(t, f, asked, got)
