Request member lists again while joining through seeds

Routers that start at once through one seed could stay unknown to each other for over ten seconds.

Cause: the list that a router gets when it joins lacks those that join a moment later. It should get further lists for joinTime, but asks only addresses of which it knows no member, so that it asks once if the seed is the only address. Others that learned of a router from a list don't gossip it, and the seed sends its update a few times only. Then only a probe of the router itself makes it known, which isn't bounded.

While joining, a router without a published VM list asks a random live member for its list every two seconds, once it knows all that it joins through.

--- a/internal/rwmember/probing.go
+++ b/internal/rwmember/probing.go
@@ -103,9 +103,13 @@
 	if m.probes[x.id.Name] != nil {
 		return nil
 	}
+	return []rwprobecall.ProbeCall{m.probeMember(now, x, m.gossipMessage(x.id.Name))}
+}
+
+func (m *Members) probeMember(now time.Time, x *member, msg rwprobe.Probe) rwprobecall.ProbeCall {
 	p := &probe{target: x.id.Name, addr: x.id.Addr, isMember: true, deadline: now.Add(directTimeout)}
 	m.probes[p.target] = p
-	return []rwprobecall.ProbeCall{m.ping(now, p, m.gossipMessage(x.id.Name))}
+	return m.ping(now, p, msg)
 }
 
 func (m *Members) ping(now time.Time, p *probe, msg rwprobe.Probe) rwprobecall.ProbeCall {
@@ -313,6 +317,9 @@
 	var out []rwprobecall.ProbeCall
 	for range n {
 		addr := m.nextCandidate()
+		if addr == "" && joining {
+			return append(out, m.requestMembers(now)...)
+		}
 		if addr == "" || m.probes[addr] != nil {
 			break
 		}
@@ -325,6 +332,24 @@
 	return out
 }
 
+// requestMembers requests the member list of a random live member. The first list
+// lacks the routers that join a moment later, and others that get those in a list too
+// don't gossip them. A published VM list names them all.
+func (m *Members) requestMembers(now time.Time) []rwprobecall.ProbeCall {
+	if len(m.published) > 0 || now.Before(m.nextList) {
+		return nil
+	}
+	for _, x := range m.pickAlive(len(m.members), "") {
+		if m.probes[x.id.Name] == nil {
+			m.nextList = now.Add(listInterval)
+			msg := m.gossipMessage(x.id.Name)
+			msg.WantMembers = true
+			return []rwprobecall.ProbeCall{m.probeMember(now, x, msg)}
+		}
+	}
+	return nil
+}
+
 func (m *Members) hasNoLiveMember() bool {
 	for _, x := range m.members {
 		if x.state != dead {
--- a/internal/rwmember/rwmember.go
+++ b/internal/rwmember/rwmember.go
@@ -61,7 +61,10 @@
 	// joinTime is how long after its start or a pause a router requests full
 	// member lists. The first lists are incomplete when a whole fleet starts at
 	// once.
-	joinTime             = 10 * time.Second
+	joinTime = 10 * time.Second
+	// listInterval is how often a router requests the member list of a live member
+	// within joinTime if it knows the members at all addresses to join through.
+	listInterval         = 2 * time.Second
 	maxUpdatesPerMessage = 8
 	// fanout is the number of routers that get an urgent update at once. It
 	// reaches 94% of the fleet within a few hops; probes carry it to the rest.
@@ -161,6 +164,7 @@
 	phase      time.Duration
 	lastRound  int64
 	nextJoin   time.Time
+	nextList   time.Time
 	nextFlush  time.Time
 	candidates []string
 	calls      map[uint64]*call
--- a/internal/rwmember/rwmember_test.go
+++ b/internal/rwmember/rwmember_test.go
@@ -120,7 +120,10 @@
 	// refused reports whether a call to a stopped process fails at once, as a
 	// refused connection does. Otherwise it gets no answer.
 	refused bool
-	count   bool
+	// seeds, if any, are the addresses that routers join through in place of the
+	// published VM list.
+	seeds []string
+	count bool
 }
 
 func newFleet(n int, seed uint64) *fleet {
@@ -172,7 +175,11 @@
 	n.generation++
 	n.id.Inc = f.now.UnixMicro()
 	n.m = rwmember.New(n.id, f.random.Uint64())
-	n.m.SetPublishedVMs(f.vms())
+	if len(f.seeds) > 0 {
+		n.m.SetSeeds(f.seeds)
+	} else {
+		n.m.SetPublishedVMs(f.vms())
+	}
 	n.running, n.paused, n.deferred = true, false, nil
 	generation := n.generation
 	var tickLoop func()
@@ -699,6 +706,24 @@
 	require.NotEqual(t, version, m.Version())
 }
 
+// Guards against routers without a published VM list that stay unknown to each other
+// because the update that one of them joined was lost.
+func TestFleetFormsThroughOneSeed(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(100) {
+		f := newFleet(8, seed)
+		f.seeds = []string{f.nodes["r000"].id.Addr}
+		for _, name := range f.names {
+			f.start(name)
+		}
+		f.lossRate = 0.3
+		f.run(500 * time.Millisecond)
+		f.lossRate = 0
+		d := f.until(formBound, func() bool { return f.allSee(f.names) })
+		require.Less(t, d, formBound, "seed %d", seed)
+	}
+}
+
 // Guards against a leaving upstream that is reported to some routers too late.
 func TestLeavingUpstreamSpreads(t *testing.T) {
 	t.Parallel()
