--- a/internal/rwedge/share_test.go
+++ b/internal/rwedge/share_test.go
@@ -140,6 +140,9 @@
 	network *testNetwork
 	size    int
 	edges   []*Edge
+	// arrived holds when requests arrived at the upstream.
+	mu      sync.Mutex
+	arrived []time.Time
 }
 
 // newSharedFleet starts the routers, which stop at the end of the test, and waits
@@ -148,6 +151,9 @@
 func newSharedFleet(t *testing.T, size int, work time.Duration) *sharedFleet {
 	f := &sharedFleet{t: t, network: newTestNetwork(t), size: size}
 	upstream := f.network.serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.arrived = append(f.arrived, time.Now())
+		f.mu.Unlock()
 		_, _ = io.Copy(io.Discard, r.Body)
 		select {
 		case <-time.After(work):
@@ -254,25 +260,44 @@
 	return false
 }
 
-// try sends a request and returns the status of its response and the retry delay.
+// try sends a request on a new connection, as exchange does.
 func (f *sharedFleet) try(key, id string, router int, deadline time.Time) (status int, after time.Duration, err error) {
+	c, err := f.open(router)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = c.Close() }()
+	return c.exchange(key, id, deadline)
+}
+
+// openCaller is a caller's connection.
+type openCaller struct {
+	net.Conn
+	responses *bufio.Reader
+}
+
+// open opens a connection of a caller to a router.
+func (f *sharedFleet) open(router int) (*openCaller, error) {
 	ctx, cancel := context.WithTimeout(f.t.Context(), readPatience)
 	defer cancel()
 	conn, err := f.network.Dial(ctx, "tcp", fleetDeployment(router).Front)
 	if err != nil {
-		return 0, 0, err
+		return nil, err
 	}
-	defer func() { _ = conn.Close() }()
-	responses := receive(conn)
-	_ = conn.SetWriteDeadline(time.Now().Add(readPatience))
-	_, err = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
+	return &openCaller{conn, bufio.NewReader(receive(conn))}, nil
+}
+
+// exchange sends a request and returns the status of its response and the retry delay.
+func (c *openCaller) exchange(key, id string, deadline time.Time) (status int, after time.Duration, err error) {
+	_ = c.SetWriteDeadline(time.Now().Add(readPatience))
+	_, err = fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
 		id, key, callerBody, make([]byte, callerBody))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, 0, err
 	}
 	// A refusal may come before the body is read.
-	_ = conn.SetReadDeadline(deadline)
-	resp, err := http.ReadResponse(bufio.NewReader(responses), nil)
+	_ = c.SetReadDeadline(deadline)
+	resp, err := http.ReadResponse(c.responses, nil)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -351,6 +376,65 @@
 	}
 }
 
+// Guards against a burst on kept connections that takes all CPU time of the router that
+// an account's callers reach, so that few of its requests arrive at upstreams in time.
+func TestBurstOnKeptConnectionsIsServed(t *testing.T) {
+	const (
+		size, kept, rate = 8, 200, 650
+		// span is the part of a second in which half of what it asks has to arrive.
+		span = time.Second / 2
+	)
+	synctest.Test(t, func(t *testing.T) {
+		f := newSharedFleet(t, size, 1300*time.Millisecond)
+		var wg sync.WaitGroup
+		callers := make([]*openCaller, kept)
+		for i := range callers {
+			wg.Go(func() {
+				c, err := f.open(0)
+				if !assert.NoError(t, err) {
+					return
+				}
+				callers[i] = c
+				status, _, err := c.exchange("key-a", fmt.Sprintf("kept-%d", i), time.Now().Add(callerPatience))
+				assert.NoError(t, err)
+				assert.Equal(t, http.StatusOK, status)
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		wg.Wait()
+		require.False(t, t.Failed())
+		time.Sleep(time.Second)
+		begin := time.Now()
+		for i := range rate {
+			wg.Go(func() {
+				id := fmt.Sprintf("burst-%d", i)
+				if i < kept {
+					defer func() { _ = callers[i].Close() }()
+					status, after, err := callers[i].exchange("key-a", id, time.Now().Add(callerPatience))
+					if err == nil && status == http.StatusOK {
+						return
+					}
+					time.Sleep(after)
+				}
+				f.send("key-a", id, 0)
+			})
+			time.Sleep(time.Second / rate)
+		}
+		wg.Wait()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		early := 0
+		for _, at := range f.arrived {
+			if since := at.Sub(begin); since >= 0 && since < span {
+				early++
+			}
+		}
+		t.Logf("%d of the requests of the first %v arrived in it; %+v", early, span, f.edges[0].relay.Stats())
+		asked := int(rate * span / time.Second)
+		require.GreaterOrEqual(t, 2*early, asked)
+	})
+}
+
 func sum(counts []int) int {
 	n := 0
 	for _, c := range counts {
