Refuse requests on kept connections beyond what a router can take

Callers of one account that reach one small router, on connections that it keeps, waited for its CPU time while other routers were idle: of a burst of 650 requests a second on 200 kept connections, 123 or 124 of the 325 of the first half second arrived at the upstream in it.

Cause: a connection that comes without room for its request is relayed, but a request on a kept connection was served in any case. What a router takes without room uses up the CPU time for relaying, so that it reads the answers of the routers that it asks too late and serves those connections as well.

Requests without room are still served until they are as many as the router takes in a fifth of a second. Further ones on kept connections are refused before any work, with 503 and an end of the connection, and their callers come back on one that is relayed. Routers that don't relay serve as before.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -443,9 +443,13 @@
 			// A relayed connection is not kept, so that its caller comes back by
 			// the load balancer, and a drain has no idle ones to end. Without room,
 			// callers have to open a connection that can be relayed.
-			if room := e.countRequest(r) && !e.isNearlyFull(); e.relayedBy(r) != "" || e.deployment.Relay != "" && !room {
+			room, excess := e.countRequest(r)
+			if e.relayedBy(r) != "" || e.deployment.Relay != "" && (!room || e.isNearlyFull()) {
 				w.Header().Set("Connection", "close")
 			}
+			if excess {
+				r = r.WithContext(context.WithValue(r.Context(), excessKey{}, true))
+			}
 			e.front.ServeHTTP(w, r)
 		}),
 		// There is no IdleTimeout, because net/http would close a connection
@@ -519,14 +523,22 @@
 // connUseKey is the context key of whether a request has come on the connection.
 type connUseKey struct{}
 
+// excessKey is the context key of a request that countRequest reports as excess.
+type excessKey struct{}
+
 // countRequest counts a request towards the rate that the router takes, and reports
 // whether there was room. The first one of a connection was counted as the
-// connection was accepted.
-func (e *Edge) countRequest(r *http.Request) bool {
+// connection was accepted. A later one is excess if the router is late with what it
+// took without room: the connection that its caller opens next can be relayed.
+func (e *Edge) countRequest(r *http.Request) (room, excess bool) {
 	if used, ok := r.Context().Value(connUseKey{}).(*atomic.Bool); ok && !used.Swap(true) {
-		return true
+		return true, false
+	}
+	now := time.Now()
+	if e.deployment.Relay != "" && e.overload.Exhausted(now) {
+		return false, true
 	}
-	return e.overload.CountRequest(time.Now())
+	return e.overload.CountRequest(now), false
 }
 
 // relayedBy returns the IP address of the router that relayed the connection of a
@@ -554,6 +566,8 @@
 		return "too many requests in progress"
 	case rwconnlimit.Excess(ctx):
 		return "too many connections"
+	case ctx.Value(excessKey{}) != nil:
+		return "too many requests on kept connections"
 	case e.overload.ShouldRefuse(rand.Float64()):
 		return "router overloaded"
 	default:
--- a/internal/rwoverload/rate_test.go
+++ b/internal/rwoverload/rate_test.go
@@ -155,3 +155,18 @@
 	observe(c, now, 10*time.Second, idle)
 	require.True(t, c.TakeRoom(now))
 }
+
+// Guards against requests that are refused while the router has room or is only short of
+// it, and against a router that goes on refusing them when the burst is over.
+func TestExhaustedOnceTheBurstIsUsedUpTwice(t *testing.T) {
+	const burst = testRate / 5
+	c := New(testMillis)
+	now := time.Unix(100, 0)
+	for i := range 2 * burst {
+		require.False(t, c.Exhausted(now), i)
+		c.CountRequest(now)
+	}
+	require.True(t, c.Exhausted(now))
+	require.False(t, c.Exhausted(now.Add(time.Second/testRate)))
+	require.False(t, New(0).Exhausted(now), "the machine's CPU time isn't known")
+}
--- a/internal/rwoverload/rwoverload.go
+++ b/internal/rwoverload/rwoverload.go
@@ -182,6 +182,18 @@
 	return false
 }
 
+// Exhausted reports whether the requests without room are as many as the burst, so that
+// the router is late with what it took.
+func (c *Controller) Exhausted(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.initialRate == 0 {
+		return false
+	}
+	c.refill(now)
+	return c.room-1 < -c.rate*rateBurst.Seconds()
+}
+
 // refill adds the room since the last call. The caller must hold the lock.
 func (c *Controller) refill(now time.Time) {
 	burst := c.rate * rateBurst.Seconds()
