Log what deciding costs owners and which owners don't answer

Events 400 and 403 now have the time that the owner took to answer, event 608 the time that a cell's decisions took in the last second, and event 609 names the owners that didn't answer. No decision changes.

--- a/internal/rwbroker/rwbroker.go
+++ b/internal/rwbroker/rwbroker.go
@@ -135,8 +135,11 @@
 	// to place, by request id. Each owner that is asked gets a new id.
 	pendingDecisions map[string]pendingDecision
 	suspects         map[string]time.Time
-	ownerCache       map[cellKey]cachedOwner
-	seq              uint64
+	// passedOver counts the requests for which an owner didn't answer, by its name,
+	// since the last TakePassedOver.
+	passedOver map[string]int
+	ownerCache map[cellKey]cachedOwner
+	seq        uint64
 	// leaving is never reset.
 	leaving bool
 	// unsentOrigins are the origins of streams in this router's cells that it
@@ -183,6 +186,8 @@
 	// cold are the engines that this router takes for cold, as of coldAt.
 	cold   map[string]time.Duration
 	coldAt time.Time
+	// deciding is how long decisions took since the last Loads.
+	deciding time.Duration
 	// requesters holds the routers that sent the queued requests, by request
 	// id.
 	requesters map[string]rwidentity.Identity
@@ -210,6 +215,7 @@
 	b := &Broker{
 		self: self, peers: peers, metrics: metrics, wake: make(chan struct{}, 1),
 		cells: map[cellKey]*cell{}, pendingDecisions: map[string]pendingDecision{}, suspects: map[string]time.Time{},
+		passedOver: map[string]int{},
 		ownerCache: map[cellKey]cachedOwner{}, Origins: rworigin.New(), unsentOrigins: map[cellKey][]originRecord{},
 	}
 	peers.Handle("place", rwpeer.Typed(func(_ context.Context, from rwidentity.Identity, m placeMessage) (any, error) {
@@ -262,8 +268,10 @@
 	Instance rwinstance.Instance
 	// Source is the address of an engine to copy prompt parts from, or empty.
 	Source string
-	// Owner is the router that made the decision.
-	Owner string
+	// Owner is the router that made the decision, and Answer how long it took to
+	// answer, which for a queued request is before the decision.
+	Owner  string
+	Answer time.Duration
 	// NotAfter is when the grant is void, or zero if that doesn't matter.
 	NotAfter time.Time
 
@@ -363,7 +371,10 @@
 		return Grant{}, fault
 	}
 	b.tellCold(d)
-	g := Grant{broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name, software: m.Request.Software, stream: m.Request.Stream}
+	g := Grant{
+		broker: b, key: m.cellKey, addr: owner.Addr, Owner: owner.Name, Answer: time.Since(asked),
+		software: m.Request.Software, stream: m.Request.Stream,
+	}
 	if d.Verdict == rwplacement.Queued {
 		if d, fault = b.await(ctx, g, *r, decided); fault != nil {
 			return g, fault
@@ -482,6 +493,9 @@
 			return d, f
 		}
 		b.metrics.Add("owners_passed_over", 1)
+		b.mu.Lock()
+		b.passedOver[owner.Name]++
+		b.mu.Unlock()
 		d = rwplacement.Decision{ID: m.Request.ID, Verdict: rwplacement.Moved}
 	}
 	if d.Verdict == rwplacement.Moved {
@@ -608,7 +622,9 @@
 		return rwplacement.Decision{ID: r.ID, Verdict: rwplacement.Moved}
 	}
 	c := b.cell(k)
-	d := c.placer.Submit(time.Now(), r)
+	now := time.Now()
+	d := c.placer.Submit(now, r)
+	c.deciding += time.Since(now)
 	b.noteGrant(k, d)
 	d.ColdEngines = b.coldEngines(k, from)
 	if d.Verdict == rwplacement.Queued {
@@ -749,11 +765,23 @@
 	defer b.mu.Unlock()
 	loads := map[string]rwplacement.Load{}
 	for k, c := range b.cells {
-		loads[k.String()] = c.placer.Load(time.Now(), n)
+		l := c.placer.Load(time.Now(), n)
+		l.Deciding, c.deciding = c.deciding, 0
+		loads[k.String()] = l
 	}
 	return loads
 }
 
+// TakePassedOver returns for how many requests owners didn't answer in time since the
+// last call, by the names of the owners. The routers that rank next decided on these.
+func (b *Broker) TakePassedOver() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	taken := b.passedOver
+	b.passedOver = map[string]int{}
+	return taken
+}
+
 // decideQueued delivers decisions and reports whether requests are still
 // queued.
 func (b *Broker) decideQueued() bool {
@@ -763,7 +791,10 @@
 	now := time.Now()
 	for k := range b.cells {
 		c := b.cell(k)
-		for _, d := range c.placer.Tick(now) {
+		begun := time.Now()
+		decisions := c.placer.Tick(now)
+		c.deciding += time.Since(begun)
+		for _, d := range decisions {
 			b.noteGrant(k, d)
 			from, ok := c.requesters[d.ID]
 			delete(c.requesters, d.ID)
--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -760,7 +760,15 @@
 			accounts = accounts.Dict(a.Name, line)
 		}
 		rwlog.Info(&e.summaries, rwlog.CellShares).Str("cell", name).Int("running", l.Running).Int("slots", l.Slots).
-			Int("queued", l.Queued).Int("level", l.FairShare).Dict("accounts", accounts).Send()
+			Int("queued", l.Queued).Int("level", l.FairShare).Dur("deciding", l.Deciding).Dict("accounts", accounts).Send()
+	}
+}
+
+// reportPassedOver logs the owners that didn't answer this router since the last report.
+func (e *Edge) reportPassedOver() {
+	passed := e.broker.TakePassedOver()
+	for _, owner := range slices.Sorted(maps.Keys(passed)) {
+		rwlog.Info(&e.summaries, rwlog.OwnerPassedOver).Str("owner", owner).Int("requests", passed[owner]).Send()
 	}
 }
 
@@ -1193,6 +1201,7 @@
 				tallied = now
 				e.reportAccounts()
 				e.reportShares()
+				e.reportPassedOver()
 				e.reportLink(now)
 				reclaimed = e.reportMemory(reclaimed)
 			}
--- a/internal/rwexchange/rwexchange.go
+++ b/internal/rwexchange/rwexchange.go
@@ -72,9 +72,10 @@
 	// version of its software.
 	Upstream, UpstreamSoftware string
 	// Decision is the last placement decision; Owner is the router that made
-	// it.
+	// it, and Answer how long it took to answer.
 	Decision rwplacement.Decision
 	Owner    string
+	Answer   time.Duration
 	// InFlight is the key of the request in the table of requests in progress.
 	InFlight uint64
 	// KeepAlive is how long the upstream keeps an idle connection open.
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -691,7 +691,7 @@
 		}
 		var fault *rwfault.Fault
 		g, fault = f.Acquire(ctx, x.Service, r)
-		x.Decision, x.Owner = g.Decision, g.Owner
+		x.Decision, x.Owner, x.Answer = g.Decision, g.Owner, g.Answer
 		if fault != nil {
 			return destination{}, fault
 		}
@@ -718,7 +718,7 @@
 // addDecision adds the fields of the placement decision to a log line.
 func addDecision(e *zerolog.Event, x *rwexchange.Exchange) *zerolog.Event {
 	d := x.Decision
-	return e.Str("owner", x.Owner).Str("engine", d.Engine).Dur("forecast", d.Forecast).Int("ahead", d.QueuedTokens).
+	return e.Str("owner", x.Owner).Dur("answer", x.Answer).Str("engine", d.Engine).Dur("forecast", d.Forecast).Int("ahead", d.QueuedTokens).
 		Int("kept", d.CachedTokens).Int("uncached", d.UncachedTokens).Int("rate", d.PrefillRate).Bool("crowded", d.Crowded).Int("got", d.Usage).Int("level", d.FairShare).Str("bound", d.Bound)
 }
 
--- a/internal/rwlog/event_string.go
+++ b/internal/rwlog/event_string.go
@@ -59,6 +59,7 @@
 	_ = x[UpstreamCold-606]
 	_ = x[UpstreamWarm-607]
 	_ = x[CellShares-608]
+	_ = x[OwnerPassedOver-609]
 	_ = x[KeysHeld-700]
 	_ = x[KeysReleased-701]
 	_ = x[KeysHandedOver-702]
@@ -70,7 +71,7 @@
 	_Event_name_2 = "member changed"
 	_Event_name_3 = "request refusedrequest failedrequest retriedrequest placedrequest resumedrequest finishedrequest abandonedrequest cut"
 	_Event_name_4 = "peer refusedpeer lostpeer message too large"
-	_Event_name_5 = "cell ownership takencell ownership releasedupstream backed offresponse broken offprompt part harmfulprompt part freedupstream coldupstream warmcell shares"
+	_Event_name_5 = "cell ownership takencell ownership releasedupstream backed offresponse broken offprompt part harmfulprompt part freedupstream coldupstream warmcell sharesowner passed over"
 	_Event_name_6 = "idempotency keys heldidempotency keys releasedidempotency keys handed over"
 )
 
@@ -79,7 +80,7 @@
 	_Event_index_1 = [...]uint8{0, 14, 30, 50, 63, 80, 96, 117, 134, 163, 186, 200, 215, 237}
 	_Event_index_3 = [...]uint8{0, 15, 29, 44, 58, 73, 89, 106, 117}
 	_Event_index_4 = [...]uint8{0, 12, 21, 43}
-	_Event_index_5 = [...]uint8{0, 20, 43, 62, 81, 100, 117, 130, 143, 154}
+	_Event_index_5 = [...]uint8{0, 20, 43, 62, 81, 100, 117, 130, 143, 154, 171}
 	_Event_index_6 = [...]uint8{0, 21, 46, 74}
 )
 
@@ -99,7 +100,7 @@
 	case 500 <= i && i <= 502:
 		i -= 500
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
-	case 600 <= i && i <= 608:
+	case 600 <= i && i <= 609:
 		i -= 600
 		return _Event_name_5[_Event_index_5[i]:_Event_index_5[i+1]]
 	case 700 <= i && i <= 702:
--- a/internal/rwlog/rwlog.go
+++ b/internal/rwlog/rwlog.go
@@ -70,6 +70,7 @@
 	UpstreamCold         Event = 606 // upstream cold
 	UpstreamWarm         Event = 607 // upstream warm
 	CellShares           Event = 608 // cell shares
+	OwnerPassedOver      Event = 609 // owner passed over
 	KeysHeld             Event = 700 // idempotency keys held
 	KeysReleased         Event = 701 // idempotency keys released
 	KeysHandedOver       Event = 702 // idempotency keys handed over
--- a/internal/rwplacement/load.go
+++ b/internal/rwplacement/load.go
@@ -16,6 +16,9 @@
 	// FairShare is the share of an account in tokens over the window, or 0 if shares
 	// are not enforced.
 	FairShare int
+	// Deciding is how long the owner of the cell took for decisions since the last
+	// report. The owner sets it.
+	Deciding time.Duration
 	// Accounts are those with the largest demand, the largest first.
 	Accounts []AccountLoad
 }
