Count how many engines are considered in a cell's decisions

Event 608 has the time that deciding took, which depends on the machine and on what else it does. The number of engines that were considered doesn't.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -760,7 +760,7 @@
 			accounts = accounts.Dict(a.Name, line)
 		}
 		rwlog.Info(&e.summaries, rwlog.CellShares).Str("cell", name).Int("running", l.Running).Int("slots", l.Slots).
-			Int("queued", l.Queued).Int("level", l.FairShare).Dur("deciding", l.Deciding).Dict("accounts", accounts).Send()
+			Int("queued", l.Queued).Int("level", l.FairShare).Int("considered", l.Considered).Dur("deciding", l.Deciding).Dict("accounts", accounts).Send()
 	}
 }
 
--- a/internal/rwplacement/load.go
+++ b/internal/rwplacement/load.go
@@ -16,6 +16,9 @@
 	// FairShare is the share of an account in tokens over the window, or 0 if shares
 	// are not enforced.
 	FairShare int
+	// Considered is the number of engines that were considered for requests since the
+	// last call of Load, each request and each time counted.
+	Considered int
 	// Deciding is how long the owner of the cell took for decisions since the last
 	// report. The owner sets it.
 	Deciding time.Duration
@@ -35,7 +38,8 @@
 
 // Load returns the load of the cell with up to n accounts.
 func (p *Placer) Load(now time.Time, n int) Load {
-	l := Load{Slots: p.spec.Slots * len(p.availableIDs), Queued: len(p.queue)}
+	l := Load{Slots: p.spec.Slots * len(p.availableIDs), Queued: len(p.queue), Considered: p.considered}
+	p.considered = 0
 	for _, id := range p.availableIDs {
 		l.Running += p.engines[id].running
 	}
--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -376,6 +376,9 @@
 	// prompt part, which stays the same when the caller retries.
 	refusedAt       map[string]time.Time
 	refusedPrunedAt time.Time
+	// considered counts the engines that were considered for requests since the last
+	// Load. It is what deciding costs, whatever the machine.
+	considered int
 }
 
 // New returns a placer without engines.
@@ -879,6 +882,7 @@
 }
 
 func (p *Placer) evaluate(now time.Time, r Request, e *engine, src copySource, preferred bool, mean time.Duration) option {
+	p.considered++
 	o := option{engine: e, cachedTokens: e.cache.CachedTokens(r.Parts)}
 	all := promptTokens(r)
 	shared := all - r.UniqueTokens
