--- a/internal/rwedge/share_test.go
+++ b/internal/rwedge/share_test.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -45,6 +46,8 @@
 	kilobyteCost = time.Microsecond
 	headCost     = 30 * time.Microsecond
 	forwardCost  = 500 * time.Microsecond
+	// shareWindow is the time over which accounts get their shares.
+	shareWindow = 4 * time.Second
 )
 
 // processor is the CPU time of a machine, which its goroutines get in turn.
@@ -133,6 +136,42 @@
 	return &costlyConn{c, l.processor}, nil
 }
 
+// linkConn is the end of a link between routers whose reads and writes take CPU time.
+type linkConn struct {
+	net.Conn
+	processor *processor
+	cost      time.Duration
+}
+
+// Read implements net.Conn. It doesn't wait: connections in memory have no buffers, so
+// that the other end would hold a lock meanwhile.
+func (c *linkConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.processor.reserve(c.cost)
+	return n, err
+}
+
+// Write implements net.Conn. Its caller may hold a lock.
+func (c *linkConn) Write(p []byte) (int, error) {
+	c.processor.reserve(c.cost)
+	return c.Conn.Write(p)
+}
+
+type linkListener struct {
+	net.Listener
+	processor *processor
+	cost      time.Duration
+}
+
+// Accept implements net.Listener.
+func (l *linkListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &linkConn{Conn: c, processor: l.processor, cost: l.cost}, nil
+}
+
 // sharedFleet is a fleet of small routers in one zone, with one route and one
 // upstream that has room for everything, for a bubble of testing/synctest.
 type sharedFleet struct {
@@ -140,6 +179,10 @@
 	network *testNetwork
 	size    int
 	edges   []*Edge
+	// processors are those of the routers' machines.
+	processors []*processor
+	// messageCost is the CPU time of a read or a write on a link between routers.
+	messageCost time.Duration
 	// arrived holds when requests arrived at the upstream.
 	mu      sync.Mutex
 	arrived []time.Time
@@ -162,20 +205,31 @@
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		_, _ = io.WriteString(w, "response")
 	})
-	items := map[string]rwcatalog.Decoded{
+	f.start(map[string]rwcatalog.Decoded{
 		"config": {Config: rwrouteconfig.New(1, rwrouteconfig.Limits{}, []rwrouteconfig.Route{{
 			Name: "route", Host: "h", Prefix: "/", Kind: rwrouteconfig.Safe, MaxAttempts: 2, Timeout: 8 * time.Second,
 			Split: []rwrouteconfig.Weight{{Service: "s", Weight: 1}},
 		}}, []rwrouteconfig.Service{{Name: "s"}}, map[string]rwrouteconfig.Account{"key-a": {Name: "a"}, "key-b": {Name: "b"}})},
 		"instance": {Instance: &rwinstance.Instance{ID: "i", Service: "s", Zone: "z", Slots: 100_000, Addr: upstream}},
+	}, func(name string) rwdialect.Dialect { return fleetDialect(name, callerPatience) })
+	return f
+}
+
+// start starts the routers with the records of the store.
+func (f *sharedFleet) start(items map[string]rwcatalog.Decoded, newDialect func(name string) rwdialect.Dialect) {
+	t, size := f.t, f.size
+	batch := rwstorewatch.Batch{}
+	for _, key := range slices.Sorted(maps.Keys(items)) {
+		batch.Rev++
+		batch.Items = append(batch.Items, rwitem.Item{Key: key, Rev: batch.Rev})
 	}
 	signals := make(chan os.Signal, size)
 	stopped := make(chan error, size)
 	for i := range size {
 		d := fleetDeployment(i)
-		d.MemoryBytes, d.MaxDescriptors = fleetMemory, 4100
+		d.MemoryBytes, d.MaxDescriptors, d.ShareWindow = fleetMemory, 4100, shareWindow
 		p := &processor{share: fleetCapacity / 1000.0}
-		dialect := fleetDialect(d.Name, callerPatience)
+		dialect := newDialect(d.Name)
 		decode, encode := dialect.Decode, dialect.Encode
 		dialect.Decode = func(r *http.Request) rwinboundrequest.Request {
 			p.use(headCost)
@@ -190,7 +244,9 @@
 			Dialect: dialect, Key: "0123456789abcdef", Out: io.Discard, Signals: signals,
 			Prefixes: []string{""},
 			List: func(context.Context, string) (rwstorewatch.Batch, error) {
-				return rwstorewatch.Batch{Items: []rwitem.Item{{Key: "config", Rev: 1}, {Key: "instance", Rev: 2}}, Rev: 2, ReadAt: time.Now()}, nil
+				b := batch
+				b.ReadAt = time.Now()
+				return b, nil
 			},
 			Watch: func(ctx context.Context, _ string, after int64, wait time.Duration) (rwstorewatch.Batch, error) {
 				select {
@@ -202,10 +258,14 @@
 			Decode: func(it rwitem.Item) (rwcatalog.Decoded, error) { return items[it.Key], nil },
 			Listen: func(addr string) (net.Listener, error) {
 				l, err := f.network.Listen(addr)
-				if err != nil || addr == d.Peer {
-					return l, err
+				switch {
+				case err != nil:
+					return nil, err
+				case addr == d.Peer:
+					return &linkListener{l, p, f.messageCost}, nil
+				default:
+					return &costlyListener{l, p}, nil
 				}
-				return &costlyListener{l, p}, nil
 			},
 			Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				p.use(dialCost)
@@ -218,8 +278,14 @@
 			SchedulingDelay: p.delay,
 		})
 		// A link between routers holds a lock while it opens.
-		e.peers.Dial = f.network.Dial
-		f.edges = append(f.edges, e)
+		e.peers.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := f.network.Dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &linkConn{Conn: c, processor: p, cost: f.messageCost}, nil
+		}
+		f.edges, f.processors = append(f.edges, e), append(f.processors, p)
 		go func() { stopped <- e.Run() }()
 	}
 	t.Cleanup(func() {
@@ -233,7 +299,6 @@
 	for _, e := range f.edges {
 		require.Eventually(t, func() bool { return e.ready() && len(e.gossip.Live("")) == size }, 10*time.Second, 50*time.Millisecond)
 	}
-	return f
 }
 
 const (
