Bound what deciding costs the owner of a cell

Callers saw: beside larger accounts that asked for more than the engines serve, an account whose callers reach a small router that owns a cell got a third of what it asked for, and less by the second: 503 "router overloaded", and connections that were relayed too late. Owners out of CPU time answered late too, so that others were asked which know nothing of the cell.

Cause: every 5 ms an owner considered all engines for all requests in its queue, several times if it granted any.

A request in a long queue now keeps the engine that was best for it and waits there, without a look at the others, while that engine has no room or is kept for a request before it. Choices are renewed at a bounded rate, whatever the length of the queue.

--- a/internal/rwplacement/rwplacement.go
+++ b/internal/rwplacement/rwplacement.go
@@ -337,6 +337,10 @@
 	usage float64
 	// bound is what kept the request from its engine.
 	bound Bound
+	// choice is the engine that the request waits for.
+	choice choice
+	// worthUntil is until when the request counts as worth queueing.
+	worthUntil time.Time
 	// yields is whether the request goes after all that don't yield, as of the time
 	// of sorting.
 	yields bool
@@ -379,6 +383,8 @@
 	// considered counts the engines that were considered for requests since the last
 	// Load. It is what deciding costs, whatever the machine.
 	considered int
+	// engineless counts the requests without a choice that this tick came to.
+	engineless int
 }
 
 // New returns a placer without engines.
@@ -588,10 +594,11 @@
 func (p *Placer) Tick(now time.Time) []Decision {
 	p.expire(now)
 	p.calibrate(now)
+	p.engineless = 0
 	var out []Decision
 	order := p.orderedQueue(now)
 	for len(order) > 0 && p.hasShortQueue(now) {
-		decided := p.grantRound(now, order)
+		decided := p.grantInOrder(now, order)
 		if len(decided) == 0 {
 			break
 		}
@@ -608,9 +615,12 @@
 			// The engines have left or their zone is evacuated.
 			w.decided = true
 			out = append(out, p.refuse(now, w.request, NoEngine))
+		case now.Before(w.worthUntil):
 		case !p.worthQueueing(now, w):
 			w.decided = true
 			out = append(out, p.refuseLate(now, w))
+		default:
+			w.worthUntil = now.Add(p.choiceTime())
 		}
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(w *queuedRequest) bool { return w.decided })
@@ -643,21 +653,25 @@
 	return p.shortestBacklog(now) <= scale(p.minTarget, queueTargetRatio)
 }
 
-// grantRound grants at most one request per account, in order, and refuses
-// requests that can no longer be on time.
-func (p *Placer) grantRound(now time.Time, order []*queuedRequest) []Decision {
+// grantInOrder grants at most one request per account, in order, and refuses
+// requests that can no longer be on time. Engines are considered only for requests that
+// may start now and for those whose choice is old.
+func (p *Placer) grantInOrder(now time.Time, order []*queuedRequest) []Decision {
 	var out []Decision
-	// An engine for which a request waits is reserved: requests later in the
-	// order would refill its queue, and a request that needs a shorter queue
-	// would never start. The value is how long the engine prefills for those that wait.
-	reserved := map[*engine]time.Duration{}
+	r := p.newRound(now)
+	reserved := r.reserved
 	granted := map[string]bool{}
 	for _, w := range order {
 		if granted[w.request.Account] {
 			continue
 		}
-		o, ok := p.bestOption(now, w.request, reserved)
-		wasReserved := ok && isReserved(reserved, o)
+		if bound, waits := p.keepWaiting(now, r, w); waits {
+			w.bound = bound
+			continue
+		}
+		w.choice = p.choose(now, r, w)
+		o, ok := w.choice.option, w.choice.ok
+		wasReserved := ok && r.isReserved(o.engine)
 		switch {
 		case !ok:
 		case wasReserved:
@@ -668,7 +682,8 @@
 			d := p.grant(now, w.request, o)
 			d.Waited = now.Sub(w.queuedAt)
 			out = append(out, d)
-		case p.canStartLater(now, w, o):
+			r.backlogs[o.engine] = o.engine.model.Backlog(now)
+		case w.choice.later:
 			reserved[o.engine] += o.prefill
 		case !p.lateOnIdleEngine(w, o):
 			w.decided = true
@@ -681,11 +696,6 @@
 	return out
 }
 
-func isReserved(reserved map[*engine]time.Duration, o option) bool {
-	_, ok := reserved[o.engine]
-	return ok
-}
-
 // expire ends grants whose reports were lost, and counts overdue first events
 // as failures of the engine.
 func (p *Placer) expire(now time.Time) {
@@ -724,7 +734,7 @@
 
 func (p *Placer) tryGrant(now time.Time, w *queuedRequest) (Decision, bool) {
 	r := w.request
-	o, ok := p.bestOption(now, r, nil)
+	o, ok := p.bestOption(now, r, nil, p.meanBacklog(now))
 	if !ok || !p.canStart(now, w, o) {
 		return Decision{}, false
 	}
@@ -738,11 +748,7 @@
 	if o.gapWait > 0 && !p.outOfTime(now, w, o) {
 		return false
 	}
-	queue := queueTargetRatio
-	if p.overShare(now, p.account(now, w.request.Account)) {
-		queue = overShareQueueTargetRatio
-	}
-	switch short := o.backlog <= scale(p.minTarget, queue); {
+	switch short := o.backlog <= p.longestQueue(now, w); {
 	case p.starved(now, w):
 		return short
 	case p.lateOnIdleEngine(w, o):
@@ -752,6 +758,15 @@
 	}
 }
 
+// longestQueue returns the backlog up to which an engine's queue is short for a request.
+func (p *Placer) longestQueue(now time.Time, w *queuedRequest) time.Duration {
+	ratio := queueTargetRatio
+	if p.overShare(now, p.account(now, w.request.Account)) {
+		ratio = overShareQueueTargetRatio
+	}
+	return scale(p.minTarget, ratio)
+}
+
 // canStartLater reports whether a request could start once the engine's queue
 // is shorter.
 func (p *Placer) canStartLater(now time.Time, w *queuedRequest, o option) bool {
@@ -842,14 +857,14 @@
 	return p.elapsed(now, w)+need < limit
 }
 
-// bestOption returns the engine with the least cost. reserved is how long engines prefill for
+// bestOption returns the engine with the least cost. mean is the mean backlog of the
+// available engines, and reserved is how long engines prefill for
 // requests that wait for them and come first. In pools where prefilling is kept from delaying
 // streams, the wait for an engine counts for requests whose shared parts are too short to be
 // copied: they would wait behind long prompts for an engine that caches little of theirs,
 // while others are idle. Requests with longer parts wait for the engines that cache them,
 // since copying or prefilling these parts takes more from all than the wait from one.
-func (p *Placer) bestOption(now time.Time, r Request, reserved map[*engine]time.Duration) (option, bool) {
-	mean := p.meanBacklog(now)
+func (p *Placer) bestOption(now time.Time, r Request, reserved map[*engine]time.Duration, mean time.Duration) (option, bool) {
 	movable := p.paced() && promptTokens(r)-r.UniqueTokens < minCopyTokens
 	preferred := rwrendezvous.Top(r.AffinityKey(), p.availableIDs)
 	first, second := p.copySources(r)
@@ -1004,7 +1019,7 @@
 		maps.DeleteFunc(p.refusedAt, func(_ string, at time.Time) bool { return now.Sub(at) > retryMemory })
 	}
 	d := Decision{ID: r.ID, Verdict: v, RetryAfter: min(retry, maxRetryAfter)}
-	if o, ok := p.bestOption(now, r, nil); ok {
+	if o, ok := p.bestOption(now, r, nil, p.meanBacklog(now)); ok {
 		d.Engine, d.Forecast, d.CachedTokens = o.engine.ID, o.forecast, o.cachedTokens
 		d.QueuedTokens, d.UncachedTokens = int(o.engine.model.QueuedTokens(now)), int(o.uncachedTokens)
 		d.PrefillRate = int(o.engine.model.Rate())
