Refuse the accounts that ask for most while a router sheds load

Callers saw: an account of 60 requests a second at a router that a larger one fills got 115 to 135 of 360 requests in six seconds, while 13,500 of the 17,520 of the larger one were served, which other routers serve too. 503 "router overloaded", time after time.

Cause: the fraction that a router without CPU time refuses was drawn over all requests, whoever sent them.

rwshed counts what each account sends to the router, and what is left after the refused fraction goes to the accounts in max-min fair shares: one that asks for less than its share isn't refused. The account is looked up before the refusal; no other work moves. It knows this router's requests only, so that an account that other routers serve as well counts as one that they don't.

Functions of three tests of rwfront get a parameter, nothing else changes in them.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -57,6 +57,7 @@
 	"redwingworks.example/internal/rwretrywindow"
 	"redwingworks.example/internal/rwrevision"
 	"redwingworks.example/internal/rwrouteconfig"
+	"redwingworks.example/internal/rwshed"
 	"redwingworks.example/internal/rwshutdown"
 	"redwingworks.example/internal/rwsink"
 	"redwingworks.example/internal/rwstorewatch"
@@ -241,8 +242,10 @@
 	server      *http.Server
 	connLimiter *rwconnlimit.Limiter
 	lagMonitor  *rwlag.Monitor
-	// overload decides when to refuse requests and to leave the rotation.
+	// overload decides when to refuse requests and to leave the rotation, and shedder
+	// whose requests.
 	overload *rwoverload.Controller
+	shedder  *rwshed.Shedder
 	// link is shared by all connections but those to the store.
 	link  *rwbandwidth.Link
 	relay *rwrelay.Relay
@@ -297,6 +300,7 @@
 	e.poison = rwpoisonsync.New(e.peers)
 	e.broker = rwbroker.New(e.self, e.peers, e.metrics)
 	e.connLimiter, e.lagMonitor, e.overload = rwconnlimit.New(), rwlag.New(), rwoverload.New(c.Deployment.CPUMillis)
+	e.shedder = rwshed.New()
 	e.connLimiter.HeadTimeout, e.connLimiter.Crowded = headerTimeout, e.maxConnections(crowdedRatio)
 	if m := c.Deployment.MemoryBytes; m > 0 {
 		e.memory = rwbudget.New(int64(bulkMemoryRatio * float64(m)))
@@ -555,10 +559,13 @@
 	return host
 }
 
-// overloaded returns why to refuse the request with this context, or an empty string:
-// the router reads requests late, has as many in progress as its memory takes, was
-// about to close the connection because too many are open, or sheds load.
-func (e *Edge) overloaded(ctx context.Context) string {
+// overloaded returns why to refuse the request with this context of an account, or an
+// empty string: the router reads requests late, has as many in progress as its memory
+// takes, was about to close the connection because too many are open, or sheds load of
+// the accounts that ask for most.
+func (e *Edge) overloaded(ctx context.Context, account string) string {
+	now := time.Now()
+	e.shedder.Count(now, account)
 	switch {
 	case e.lagMonitor.Lagging():
 		return "router is lagging"
@@ -568,7 +575,7 @@
 		return "too many connections"
 	case ctx.Value(excessKey{}) != nil:
 		return "too many requests on kept connections"
-	case e.overload.ShouldRefuse(rand.Float64()):
+	case e.shedder.ShouldRefuse(now, account, e.overload.RefusedRatio(), rand.Float64()):
 		return "router overloaded"
 	default:
 		return ""
--- a/internal/rwedge/share_test.go
+++ b/internal/rwedge/share_test.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -507,3 +508,30 @@
 	}
 	return n
 }
+
+// Guards against an account that is refused as often as a much larger one at the same
+// router, which other routers serve as well, while no router has room.
+func TestSmallAccountBesideALargerOneIsServed(t *testing.T) {
+	const size, seconds, smallRate, hotRate, otherRate = 8, 8, 60, 650, 220
+	synctest.Test(t, func(t *testing.T) {
+		f := newSharedFleet(t, size, 600*time.Millisecond)
+		var wg sync.WaitGroup
+		var large atomic.Int64
+		for router := range size {
+			rate := otherRate
+			if router == 0 {
+				rate = hotRate
+			}
+			wg.Go(func() {
+				_, got := f.load("key-b", router, rate, seconds)
+				large.Add(int64(sum(got)))
+			})
+		}
+		asked, got := f.load("key-a", 0, smallRate, seconds)
+		wg.Wait()
+		t.Logf("by second: asked %v, got %v; the large account %d of %d", asked, got, large.Load(), seconds*(hotRate+(size-1)*otherRate))
+		for s := range seconds - 5 {
+			assert.GreaterOrEqual(t, 2*sum(got[s:s+6]), sum(asked[s:s+6]), "from second %d", s)
+		}
+	})
+}
--- a/internal/rwfront/end_test.go
+++ b/internal/rwfront/end_test.go
@@ -138,7 +138,7 @@
 		RouterCount:      func() int { return 1 },
 		NewBudget:        func() *rwretrywindow.Budget { return rwretrywindow.New(0.2, 50, 10*time.Second) },
 		CloseConnections: func() bool { return false }, Draining: func(time.Time) bool { return false },
-		CloseRefused: func() bool { return false }, Overloaded: func(context.Context) string { return "" },
+		CloseRefused: func() bool { return false }, Overloaded: func(context.Context, string) string { return "" },
 		Lagging: func() bool { return false }, CallerClosed: func(context.Context) bool { return false },
 		ResetOnClose: rwconnlimit.ResetOnClose,
 		FlushDelay:   func() time.Duration { return 0 },
--- a/internal/rwfront/refusal_test.go
+++ b/internal/rwfront/refusal_test.go
@@ -15,7 +15,7 @@
 func TestRefusalDoesntWaitForTheBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := serve(t, nil)
-		f.front.Overloaded = func(context.Context) string { return "too many requests in progress" }
+		f.front.Overloaded = func(context.Context, string) string { return "too many requests in progress" }
 		start := time.Now()
 		require.Equal(t, http.StatusServiceUnavailable, status(t, f.connect(t, bodyHead+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")))
 		require.LessOrEqual(t, time.Since(start), lingerTime)
--- a/internal/rwfront/rwfront.go
+++ b/internal/rwfront/rwfront.go
@@ -112,9 +112,10 @@
 	// Draining reports whether the router is about to end and may not finish a
 	// request with this deadline.
 	Draining func(deadline time.Time) bool
-	// Overloaded returns why to refuse the request with this context because the
-	// router has too many, or an empty string; it may select a random fraction.
-	Overloaded func(context.Context) string
+	// Overloaded returns why to refuse the request with this context of an account
+	// because the router has too many, or an empty string; it may select a random
+	// fraction. The account of a request without a known key is empty.
+	Overloaded func(ctx context.Context, account string) string
 	// Lagging reports whether the router reads requests late, so that callers
 	// may have disconnected unnoticed.
 	Lagging func() bool
@@ -251,8 +252,9 @@
 	}
 	// This check comes before routing and before the body is read, so that a refusal
 	// costs little.
-	if reason := f.Overloaded(r.Context()); reason != "" {
-		x.Account, _ = snapshot.Config.Account(x.Request.Key)
+	account, _ := snapshot.Config.Account(x.Request.Key)
+	if reason := f.Overloaded(r.Context(), account.Name); reason != "" {
+		x.Account = account
 		return x, rwfault.New(rwcode.TooManyRequests, reason).WithRetryAfter(overloadRetryAfter)
 	}
 	x.Route = snapshot.Config.Match(x.Request.Host, x.Request.Path)
--- a/internal/rwfront/rwfront_test.go
+++ b/internal/rwfront/rwfront_test.go
@@ -157,7 +157,7 @@
 		RouterCount:      func() int { return 1 },
 		NewBudget:        func() *rwretrywindow.Budget { return rwretrywindow.New(0.2, 50, 10*time.Second) },
 		CloseConnections: func() bool { return false }, Draining: func(time.Time) bool { return false },
-		CloseRefused: func() bool { return false }, Overloaded: func(context.Context) string { return "" },
+		CloseRefused: func() bool { return false }, Overloaded: func(context.Context, string) string { return "" },
 		Lagging: func() bool { return false }, CallerClosed: func(context.Context) bool { return false }, ResetOnClose: func(context.Context, bool) {},
 		FlushDelay: func() time.Duration { return 0 },
 		Zone:       "z", Log: zerolog.Nop(), Metrics: rwmetric.New(), InFlight: new(rwinflight.Table),
@@ -585,7 +585,7 @@
 func TestOverloadedRouterRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := serve(t, map[string]http.HandlerFunc{"a": respond(200, "x")})
-		f.front.Overloaded = func(context.Context) string { return "router overloaded" }
+		f.front.Overloaded = func(context.Context, string) string { return "router overloaded" }
 		status, _, h, err := f.send(t, "/unsafe/x")
 		require.NoError(t, err)
 		require.Equal(t, http.StatusServiceUnavailable, status)
--- a/internal/rwoverload/rwoverload.go
+++ b/internal/rwoverload/rwoverload.go
@@ -217,6 +217,13 @@
 	return drawn < c.refusedRatio
 }
 
+// RefusedRatio returns the fraction of the requests to refuse.
+func (c *Controller) RefusedRatio() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusedRatio
+}
+
 // Saturated reports whether the machine is, or recently was, short of CPU time,
 // so that work should be done as cheaply as possible.
 func (c *Controller) Saturated() bool {
--- /dev/null
+++ b/internal/rwshed/rwshed_test.go
@@ -0,0 +1,70 @@
+package rwshed_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwingworks.example/internal/rwshed"
+)
+
+var start = time.Unix(1000, 0)
+
+// play sends requests at even rates a second for some seconds and returns the refused
+// fraction of each account in the last second.
+func play(s *rwshed.Shedder, ratio float64, seconds int, rates map[string]int) map[string]float64 {
+	random := rand.New(rand.NewPCG(1, 2))
+	refused := map[string]float64{}
+	for ms := range seconds * 1000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for name, rate := range rates {
+			if ms*rate/1000 == (ms+1)*rate/1000 {
+				continue
+			}
+			s.Count(now, name)
+			if s.ShouldRefuse(now, name, ratio, random.Float64()) && ms >= (seconds-1)*1000 {
+				refused[name] += 1 / float64(rate)
+			}
+		}
+	}
+	return refused
+}
+
+// Guards against a fraction that is taken from small accounts as well as from the one
+// that fills the router, and against one that is missed.
+func TestTheLargestAreRefused(t *testing.T) {
+	refused := play(rwshed.New(), 0.5, 5, map[string]int{"large": 600, "middling": 60, "small": 5})
+	require.Zero(t, refused["middling"])
+	require.Zero(t, refused["small"])
+	require.InDelta(t, 0.5*665/600, refused["large"], 0.08)
+}
+
+// Guards against an account that is served at the cost of others as large.
+func TestEqualAccountsAreRefusedAlike(t *testing.T) {
+	refused := play(rwshed.New(), 0.4, 5, map[string]int{"a": 200, "b": 200, "c": 20})
+	require.Zero(t, refused["c"])
+	require.InDelta(t, 0.42, refused["a"], 0.1)
+	require.InDelta(t, 0.42, refused["b"], 0.1)
+}
+
+// Guards against a single account that is never refused, and against refusals while the
+// router has CPU time.
+func TestRefusesWhatIsAsked(t *testing.T) {
+	require.InDelta(t, 0.9, play(rwshed.New(), 0.9, 5, map[string]int{"a": 300})["a"], 0.06)
+	require.Zero(t, play(rwshed.New(), 0, 5, map[string]int{"a": 300})["a"])
+}
+
+// Guards against accounts that are kept for ever.
+func TestAccountsAreForgotten(t *testing.T) {
+	s := rwshed.New()
+	for i := range 1000 {
+		s.Count(start, strconv.Itoa(i))
+	}
+	later := start.Add(time.Minute)
+	s.Count(later, "a")
+	require.False(t, s.ShouldRefuse(later, "a", 0.5, 0))
+	require.True(t, s.ShouldRefuse(later, "a", 0.5, 0.6), "the share is that of the only account left")
+}
