Relay connections whose requests a router would refuse

Callers saw: at a router whose CPU time other work takes, as that of the owner of a cell, an account of 30 requests a second got some 17 of them while all other routers were idle. 503 "router overloaded".

Cause: a new connection was relayed if it came beyond the rate of requests, and that rate is kept at a fifth of the machine's usual one at least. Below it, nothing was relayed, and the refused fraction was drawn over what came.

While a router refuses a fraction, it now relays the same fraction of its new connections, whatever the rate. A connection that nobody takes is served as before.

--- a/internal/rwedge/rwedge.go
+++ b/internal/rwedge/rwedge.go
@@ -485,7 +485,10 @@
 	e.relay = rwrelay.New()
 	e.relay.ShouldPass = func() bool {
 		// What is relayed crosses the link twice too, so it doesn't help a full one.
-		return e.deployment.Relay != "" && (!e.overload.TakeRoom(time.Now()) || e.isNearlyFull()) && !e.stopping() && !e.linkFull()
+		if e.deployment.Relay == "" || e.stopping() || e.linkFull() {
+			return false
+		}
+		return !e.overload.TakeRoom(time.Now()) || e.isNearlyFull() || e.overload.ShouldRefuse(rand.Float64())
 	}
 	e.relay.HasRoom = func() bool {
 		return e.ready() && !e.lagMonitor.Lagging() && e.connLimiter.Open() < e.maxConnections(closeRefusedRatio) &&
--- a/internal/rwedge/share_test.go
+++ b/internal/rwedge/share_test.go
@@ -535,3 +535,29 @@
 		}
 	})
 }
+
+// Guards against an account that is refused at a router whose CPU time other work takes,
+// while the other routers are idle.
+func TestAccountOfARouterWithOtherWorkIsServed(t *testing.T) {
+	const (
+		size, seconds, rate = 8, 8, 30
+		// workCost is the CPU time of a piece of other work, of which there are workRate
+		// a second. Together they take 95% of the machine.
+		workCost = 365 * time.Microsecond
+		workRate = 500
+	)
+	synctest.Test(t, func(t *testing.T) {
+		f := newSharedFleet(t, size, 600*time.Millisecond)
+		go func() {
+			for t.Context().Err() == nil {
+				f.processors[0].reserve(workCost)
+				time.Sleep(time.Second / workRate)
+			}
+		}()
+		asked, got := f.load("key-a", 0, rate, seconds)
+		t.Logf("by second: asked %v, got %v; %+v", asked, got, f.edges[0].relay.Stats())
+		for s := range seconds - 5 {
+			assert.GreaterOrEqual(t, 5*sum(got[s:s+6]), 4*sum(asked[s:s+6]), "from second %d", s)
+		}
+	})
+}
