--- a/internal/rwedge/busyowner_test.go
+++ b/internal/rwedge/busyowner_test.go
@@ -41,8 +41,8 @@
 // newModelFleet starts a fleet whose upstreams are engines of one cell, which take their
 // requests one after the other. Deciding on requests and messages between routers take
 // CPU time.
-func newModelFleet(t *testing.T, size, engines int) *sharedFleet {
-	f := &sharedFleet{t: t, network: newTestNetwork(t), size: size, messageCost: messageCost}
+func newModelFleet(t *testing.T, engines int) *sharedFleet {
+	f := &sharedFleet{t: t, network: newTestNetwork(t), size: sharedSize, messageCost: messageCost}
 	accounts := map[string]rwrouteconfig.Account{}
 	for _, name := range []string{"a", "b", "c", "d", "e"} {
 		accounts["key-"+name] = rwrouteconfig.Account{Name: name}
@@ -120,14 +120,14 @@
 // and that gets less than half of what it asks for while larger accounts ask for more than
 // the engines serve.
 func TestAccountOfABusyOwnerIsServed(t *testing.T) {
-	const size, engines, seconds, rate, largeRate = 8, 18, 8, 25, 14
+	const engines, seconds, rate, largeRate = 18, 8, 25, 14
 	synctest.Test(t, func(t *testing.T) {
-		f := newModelFleet(t, size, engines)
+		f := newModelFleet(t, engines)
 		owner := f.owner()
 		var wg sync.WaitGroup
 		served := make(map[string]int)
 		var mu sync.Mutex
-		for router := range size {
+		for router := range f.size {
 			if router == owner {
 				continue
 			}
--- a/internal/rwedge/share_test.go
+++ b/internal/rwedge/share_test.go
@@ -47,6 +47,8 @@
 	kilobyteCost = time.Microsecond
 	headCost     = 30 * time.Microsecond
 	forwardCost  = 500 * time.Microsecond
+	// sharedSize is the number of routers of a shared fleet.
+	sharedSize = 8
 	// shareWindow is the time over which accounts get their shares.
 	shareWindow = 4 * time.Second
 )
@@ -192,8 +194,8 @@
 // newSharedFleet starts the routers, which stop at the end of the test, and waits
 // until each of them is ready and knows the others. The upstream responds after a
 // time.
-func newSharedFleet(t *testing.T, size int, work time.Duration) *sharedFleet {
-	f := &sharedFleet{t: t, network: newTestNetwork(t), size: size}
+func newSharedFleet(t *testing.T, work time.Duration) *sharedFleet {
+	f := &sharedFleet{t: t, network: newTestNetwork(t), size: sharedSize}
 	upstream := f.network.serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
 		f.arrived = append(f.arrived, time.Now())
@@ -402,7 +404,7 @@
 // upstream have room.
 func TestAccountGetsItsShareThroughOneRouter(t *testing.T) {
 	const (
-		size, seconds, smallRate = 8, 7, 20
+		size, seconds, smallRate = sharedSize, 7, 20
 		// window is the number of seconds over which the account must get half of
 		// what it asks.
 		window = 6
@@ -418,7 +420,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newSharedFleet(t, size, c.work)
+				f := newSharedFleet(t, c.work)
 				var wg sync.WaitGroup
 				for router := 1; router < size; router++ {
 					wg.Go(func() {
@@ -446,12 +448,12 @@
 // an account's callers reach, so that few of its requests arrive at upstreams in time.
 func TestBurstOnKeptConnectionsIsServed(t *testing.T) {
 	const (
-		size, kept, rate = 8, 200, 650
+		size, kept, rate = sharedSize, 200, 650
 		// span is the part of a second in which half of what it asks has to arrive.
 		span = time.Second / 2
 	)
 	synctest.Test(t, func(t *testing.T) {
-		f := newSharedFleet(t, size, 1300*time.Millisecond)
+		f := newSharedFleet(t, 1300*time.Millisecond)
 		var wg sync.WaitGroup
 		callers := make([]*openCaller, kept)
 		for i := range callers {
@@ -512,9 +514,9 @@
 // Guards against an account that is refused as often as a much larger one at the same
 // router, which other routers serve as well, while no router has room.
 func TestSmallAccountBesideALargerOneIsServed(t *testing.T) {
-	const size, seconds, smallRate, hotRate, otherRate = 8, 8, 60, 650, 220
+	const size, seconds, smallRate, hotRate, otherRate = sharedSize, 8, 60, 650, 220
 	synctest.Test(t, func(t *testing.T) {
-		f := newSharedFleet(t, size, 600*time.Millisecond)
+		f := newSharedFleet(t, 600*time.Millisecond)
 		var wg sync.WaitGroup
 		var large atomic.Int64
 		for router := range size {
@@ -540,14 +542,14 @@
 // while the other routers are idle.
 func TestAccountOfARouterWithOtherWorkIsServed(t *testing.T) {
 	const (
-		size, seconds, rate = 8, 8, 30
+		seconds, rate = 8, 30
 		// workCost is the CPU time of a piece of other work, of which there are workRate
 		// a second. Together they take 95% of the machine.
 		workCost = 365 * time.Microsecond
 		workRate = 500
 	)
 	synctest.Test(t, func(t *testing.T) {
-		f := newSharedFleet(t, size, 600*time.Millisecond)
+		f := newSharedFleet(t, 600*time.Millisecond)
 		go func() {
 			for t.Context().Err() == nil {
 				f.processors[0].reserve(workCost)
--- a/internal/rwshed/rwshed_test.go
+++ b/internal/rwshed/rwshed_test.go
@@ -13,9 +13,10 @@
 
 var start = time.Unix(1000, 0)
 
-// play sends requests at even rates a second for some seconds and returns the refused
+// play sends requests at even rates a second for five seconds and returns the refused
 // fraction of each account in the last second.
-func play(s *rwshed.Shedder, ratio float64, seconds int, rates map[string]int) map[string]float64 {
+func play(s *rwshed.Shedder, ratio float64, rates map[string]int) map[string]float64 {
+	const seconds = 5
 	random := rand.New(rand.NewPCG(1, 2))
 	refused := map[string]float64{}
 	for ms := range seconds * 1000 {
@@ -36,7 +37,7 @@
 // Guards against a fraction that is taken from small accounts as well as from the one
 // that fills the router, and against one that is missed.
 func TestTheLargestAreRefused(t *testing.T) {
-	refused := play(rwshed.New(), 0.5, 5, map[string]int{"large": 600, "middling": 60, "small": 5})
+	refused := play(rwshed.New(), 0.5, map[string]int{"large": 600, "middling": 60, "small": 5})
 	require.Zero(t, refused["middling"])
 	require.Zero(t, refused["small"])
 	require.InDelta(t, 0.5*665/600, refused["large"], 0.08)
@@ -44,7 +45,7 @@
 
 // Guards against an account that is served at the cost of others as large.
 func TestEqualAccountsAreRefusedAlike(t *testing.T) {
-	refused := play(rwshed.New(), 0.4, 5, map[string]int{"a": 200, "b": 200, "c": 20})
+	refused := play(rwshed.New(), 0.4, map[string]int{"a": 200, "b": 200, "c": 20})
 	require.Zero(t, refused["c"])
 	require.InDelta(t, 0.42, refused["a"], 0.1)
 	require.InDelta(t, 0.42, refused["b"], 0.1)
@@ -53,8 +54,8 @@
 // Guards against a single account that is never refused, and against refusals while the
 // router has CPU time.
 func TestRefusesWhatIsAsked(t *testing.T) {
-	require.InDelta(t, 0.9, play(rwshed.New(), 0.9, 5, map[string]int{"a": 300})["a"], 0.06)
-	require.Zero(t, play(rwshed.New(), 0, 5, map[string]int{"a": 300})["a"])
+	require.InDelta(t, 0.9, play(rwshed.New(), 0.9, map[string]int{"a": 300})["a"], 0.06)
+	require.Zero(t, play(rwshed.New(), 0, map[string]int{"a": 300})["a"])
 }
 
 // Guards against accounts that are kept for ever.
