Refuse no more than asked while an account's rate jumps

Callers saw: in the first half second of a jump from 20 to 650 requests a second at a router that refuses a tenth, 0.196 of them were refused. Found by reading again.

Cause: rwshed held the level of shares for 50 ms, while the rate of the account that it was compared with grew with each request.

The level is also worked out again once a fiftieth of the recent requests has come. A comment of choice.go loses its history.

--- a/internal/rwplacement/choice.go
+++ b/internal/rwplacement/choice.go
@@ -6,7 +6,7 @@
 	// choiceTimePerQueued is how long a queued request keeps its choice while it can't
 	// start there, for each request in the queue beyond shortQueue, so that choices are
 	// renewed at a bounded rate. Considering all engines for all requests in each tick
-	// took more CPU time than a small machine has, and the more the longer the queue was.
+	// takes more CPU time than a small machine has.
 	choiceTimePerQueued = 625 * time.Microsecond
 	shortQueue          = 12
 	// maxEngineless is the number of requests without a choice, since no engine had room
--- a/internal/rwshed/rwshed.go
+++ b/internal/rwshed/rwshed.go
@@ -17,8 +17,11 @@
 	// without a request after which an account is forgotten.
 	rateTime   = time.Second
 	forgetTime = 10 * rateTime
-	// levelInterval is how long the level holds before it is worked out again.
+	// levelInterval is how long the level holds before it is worked out again, and
+	// levelGrowth the fraction of all requests that come before that. With an older
+	// level, an account is refused for the growth of its own rate.
 	levelInterval = 50 * time.Millisecond
+	levelGrowth   = 0.02
 )
 
 // Shedder holds how many requests each account sends to one router. Its methods may be
@@ -30,6 +33,9 @@
 	// refused fraction ratio, as of levelAt.
 	level, ratio float64
 	levelAt      time.Time
+	// total is the number of recent requests as of levelAt, and counted that of
+	// requests since then.
+	total, counted float64
 }
 
 type account struct {
@@ -52,6 +58,7 @@
 	}
 	a.recent = a.decayed(now) + 1
 	a.at = now
+	s.counted++
 }
 
 func (a *account) decayed(now time.Time) float64 {
@@ -67,7 +74,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ratio != s.ratio || now.Sub(s.levelAt) >= levelInterval {
+	if ratio != s.ratio || now.Sub(s.levelAt) >= levelInterval || s.counted > levelGrowth*s.total {
 		s.updateLevel(now, ratio)
 	}
 	a := s.accounts[name]
@@ -77,7 +84,7 @@
 // updateLevel works the level out and forgets accounts that are gone. The caller must
 // hold the lock.
 func (s *Shedder) updateLevel(now time.Time, ratio float64) {
-	s.ratio, s.levelAt = ratio, now
+	s.ratio, s.levelAt, s.counted = ratio, now, 0
 	demands := make([]float64, 0, len(s.accounts))
 	total := 0.0
 	for name, a := range s.accounts {
@@ -89,5 +96,6 @@
 		demands = append(demands, d)
 		total += d
 	}
+	s.total = total
 	s.level = rwmaxmin.Share((1-ratio)*total, demands)
 }
--- a/internal/rwshed/rwshed_test.go
+++ b/internal/rwshed/rwshed_test.go
@@ -74,3 +74,27 @@
 	require.False(t, s.ShouldRefuse(later, "a", 0.5, 0))
 	require.True(t, s.ShouldRefuse(later, "a", 0.5, 0.6), "the share is that of the only account left")
 }
+
+// Guards against an account that is refused for the growth of its own rate in the first
+// half second of a jump.
+func TestJumpIsRefusedNoMoreThanAsked(t *testing.T) {
+	const ratio, before, after = 0.1, 20, 650
+	s := rwshed.New()
+	random := rand.New(rand.NewPCG(1, 2))
+	for ms := range 5000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if ms%(1000/before) == 0 {
+			s.Count(now, "a")
+			s.ShouldRefuse(now, "a", ratio, random.Float64())
+		}
+	}
+	asked, refused := 0, 0
+	for at := 5 * time.Second; at < 5500*time.Millisecond; at += time.Second / after {
+		s.Count(start.Add(at), "a")
+		asked++
+		if s.ShouldRefuse(start.Add(at), "a", ratio, random.Float64()) {
+			refused++
+		}
+	}
+	require.InDelta(t, ratio, float64(refused)/float64(asked), 0.05)
+}
